--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV ?= .venv
+PYTHON ?= python3
+PY = $(VENV)/bin/python
+
+.PHONY: help setup demo test lint format bench mutants fuzz binary
+
+help: ## List the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | \
+	  awk -F':.*## ' '{printf "%-10s %s\n", $$1, $$2}'
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements-dev.txt
+	@touch $@
+
+setup: $(VENV)/.ready ## Make the virtual environment from pinned versions
+
+test: setup ## Run tests and doctests
+	$(PY) -m pytest
+
+lint: setup ## Check format and style
+	$(PY) -m ruff format --check .
+	$(PY) -m flake8
+
+format: setup ## Format the sources
+	$(PY) -m ruff format .
--- /dev/null
+++ b/catkinshunt/checks.py
@@ -0,0 +1,51 @@
+"""Shared checks of parameters, called at first use."""
+
+import random
+
+
+def check_positive(value, name):
+    """Return `value` if it is a number above zero.
+
+    Raises:
+        ValueError: `value` is not a number above zero.
+
+    Examples:
+        >>> check_positive(2, 'fanout')
+        2
+        >>> check_positive(0, 'fanout')
+        Traceback (most recent call last):
+            ...
+        ValueError: fanout must be a number above 0, got 0
+    """
+    wrong_type = isinstance(value, bool) or not isinstance(value, (int, float))
+    if wrong_type or value <= 0:
+        raise ValueError(f'{name} must be a number above 0, got {value!r}')
+    return value
+
+
+def check_fraction(value, name):
+    """Return `value` if it lies from 0 to 1.
+
+    Raises:
+        ValueError: `value` is not a number from 0 to 1.
+
+    Examples:
+        >>> check_fraction(0.5, 'share')
+        0.5
+    """
+    wrong_type = isinstance(value, bool) or not isinstance(value, (int, float))
+    if wrong_type or not 0 <= value <= 1:
+        raise ValueError(f'{name} must lie from 0 to 1, got {value!r}')
+    return value
+
+
+def check_random_state(random_state):
+    """Return a `random.Random` from a seed, a generator or None.
+
+    Examples:
+        >>> check_random_state(1).random() == check_random_state(1).random()
+        True
+    """
+    if isinstance(random_state, random.Random):
+        return random_state
+    return random.Random(random_state)
--- /dev/null
+++ b/catkinshunt/errors.py
@@ -0,0 +1,125 @@
+"""The exception tree; every error names the step and the peer."""
+
+
+class CatkinshuntError(Exception):
+    """Base of all errors raised by the system.
+
+    Args:
+        message: what went wrong, in one short sentence.
+        step: the step of the work at which it arose, such as ``'connect'``.
+        peer: the address or name of the other side, if there is one.
+    """
+
+    def __init__(self, message, *, step='', peer=''):
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self):
+        text = self.message
+        if self.step:
+            text += f' [step {self.step}]'
+        if self.peer:
+            text += f' [peer {self.peer}]'
+        return text
+
+
+class SettingsError(CatkinshuntError):
+    """Settings that cannot be used; the message lists all of them."""
+
+
+class RuleError(CatkinshuntError):
+    """A rule that cannot be accepted; names the rule and the field."""
+
+
+class ConflictError(CatkinshuntError):
+    """A compare-and-swap met another revision than expected."""
+
+
+class StoreError(CatkinshuntError):
+    """The key-value service gave no usable answer."""
+
+
+class StoreUnavailableError(StoreError):
+    """The key-value service is down; the call did not take effect."""
+
+
+class StoreUnknownError(StoreError):
+    """The answer was lost; the write may have taken effect or not."""
+
+
+class RequestError(CatkinshuntError):
+    """A request that ends without its answer.
+
+    Args:
+        retry_after_s: seconds after which the caller may come back.
+    """
+
+    #: Whether the request ran: 'no', 'yes' or 'unknown'.
+    ran = 'unknown'
+    #: HTTP status given to the caller.
+    status = 502
+    #: Stable word for the cause, given to the caller.
+    code = 'failed'
+
+    def __init__(self, message, *, step='', peer='', retry_after_s=None):
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
+class RefusedError(RequestError):
+    """The request was not run and may be sent again."""
+
+    ran = 'no'
+    status = 503
+    code = 'refused'
+
+
+class OverloadedError(RefusedError):
+    """Not run: no place for it within its deadline or share."""
+
+    status = 429
+    code = 'overloaded'
+
+
+class LeavingError(RefusedError):
+    """Not run: the instance takes no new work because it is leaving."""
+
+    code = 'leaving'
+
+
+class InvalidRequestError(RefusedError):
+    """Not run: the request itself is wrong."""
+
+    status = 400
+    code = 'invalid'
+
+
+class OutcomeUnknownError(RequestError):
+    """The request may have run; its answer was lost."""
+
+    code = 'outcome-unknown'
+
+
+class IncompleteAnswerError(RequestError):
+    """An answer that began and could not be brought to its end."""
+
+    ran = 'yes'
+    code = 'incomplete'
+
+
+class TransferError(CatkinshuntError):
+    """A weight transfer, or one chunk of it, failed."""
+
+
+class CorruptChunkError(TransferError):
+    """A chunk whose digest is not the one in the manifest."""
+
+
+class OrderError(CatkinshuntError):
+    """A model engine refused or failed an order."""
+
+
+class StaleFencingError(OrderError):
+    """An order carried an older fencing number than the engine has seen."""
