--- /dev/null
+++ b/catkinshunt/httpio/__init__.py
@@ -0,0 +1,23 @@
+"""HTTP between callers, our processes, upstreams and the platform."""
+
+from catkinshunt.httpio._client import Address
+from catkinshunt.httpio._client import ConnectionPool
+from catkinshunt.httpio._client import exchange
+from catkinshunt.httpio._client import Reply
+from catkinshunt.httpio._server import HttpServer
+from catkinshunt.httpio._wsgi import error_response
+from catkinshunt.httpio._wsgi import read_body
+from catkinshunt.httpio._wsgi import Response
+from catkinshunt.httpio import headers
+
+__all__ = [
+    'Address',
+    'ConnectionPool',
+    'HttpServer',
+    'Reply',
+    'Response',
+    'error_response',
+    'exchange',
+    'headers',
+    'read_body',
+]
--- /dev/null
+++ b/catkinshunt/httpio/_client.py
@@ -0,0 +1,137 @@
+"""HTTP client over `http.client` with kept connections."""
+
+import collections
+import contextlib
+import http.client
+import socket
+import threading
+
+import attrs
+
+from catkinshunt import errors
+
+DEFAULT_TIMEOUT_S = 10.0
+MAX_IDLE_PER_PEER = 64
+
+
+@attrs.frozen
+class Address:
+    """Host and port of a listening process.
+
+    Examples:
+        >>> str(Address.parse('127.0.0.1:80'))
+        '127.0.0.1:80'
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text):
+        """Read ``host:port``.
+
+        Raises:
+            ValueError: `text` is not of that form.
+        """
+        host, _, port = text.rpartition(':')
+        if not host or not port.isdigit():
+            raise ValueError(f'address must be host:port, got {text!r}')
+        return cls(host, int(port))
+
+    def __str__(self):
+        return f'{self.host}:{self.port}'
+
+
+@attrs.frozen
+class Reply:
+    """A whole HTTP reply.
+
+    Attributes:
+        status: HTTP status code.
+        headers: message headers, looked up without regard to case.
+        body: the whole body.
+    """
+
+    status: int
+    headers: object
+    body: bytes
+
+
+class _Connection(http.client.HTTPConnection):
+    """A connection without Nagle's delay; small messages leave at once."""
+
+    def connect(self):
+        super().connect()
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+class ConnectionPool:
+    """Keeps idle connections by peer.
+
+    A connection goes back only when its exchange has been read to the end.
+    Otherwise a late answer could be read as the answer to the next request
+    on that connection, and a caller would get somebody else's answer.
+    """
+
+    def __init__(self, timeout_s=DEFAULT_TIMEOUT_S):
+        self.timeout_s = timeout_s
+        self._idle = collections.defaultdict(list)
+        self._lock = threading.Lock()
+
+    def take(self, address, timeout_s=None):
+        """Return a connection and whether it was used before."""
+        timeout_s = timeout_s or self.timeout_s
+        with self._lock:
+            idle = self._idle[address]
+            conn = idle.pop() if idle else None
+        if conn is not None:
+            conn.timeout = timeout_s
+            conn.sock.settimeout(timeout_s)
+            return conn, True
+        conn = _Connection(address.host, address.port, timeout=timeout_s)
+        return conn, False
+
+    def give_back(self, address, conn):
+        """Keep `conn`, whose exchange is complete, for a later request."""
+        if conn.sock is None:
+            return
+        with self._lock:
+            if len(self._idle[address]) < MAX_IDLE_PER_PEER:
+                self._idle[address].append(conn)
+                return
+        conn.close()
+
+    def close(self):
+        """Close all idle connections."""
+        with self._lock:
+            conns = [conn for idle in self._idle.values() for conn in idle]
+            self._idle.clear()
+        for conn in conns:
+            conn.close()
+
+
+def exchange(
+    address, method, path, body=None, headers=None, timeout_s=DEFAULT_TIMEOUT_S
+):
+    """Send one request on a connection of its own; return its `Reply`.
+
+    Raises:
+        errors.RefusedError: the connection could not be made; not run.
+        errors.OutcomeUnknownError: it was sent, and no whole reply came.
+    """
+    conn = _Connection(address.host, address.port, timeout=timeout_s)
+    with contextlib.closing(conn):
+        try:
+            conn.connect()
+        except OSError as exc:
+            raise errors.RefusedError(
+                f'no connection: {exc}', step='connect', peer=str(address)
+            ) from exc
+        try:
+            conn.request(method, path, body, headers or {})
+            resp = conn.getresponse()
+            return Reply(resp.status, resp.headers, resp.read())
+        except (OSError, http.client.HTTPException) as exc:
+            raise errors.OutcomeUnknownError(
+                f'no whole reply: {exc!r}', step='exchange', peer=str(address)
+            ) from exc
--- /dev/null
+++ b/catkinshunt/httpio/_server.py
@@ -0,0 +1,88 @@
+"""HTTP server by waitress, run in a thread of its own."""
+
+import threading
+
+import waitress.server
+import waitress.task
+
+from catkinshunt import base
+
+#: Largest request body taken; also keeps bodies out of temporary files.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+#: Bytes that may wait for a slow reader before its writer is held up.
+OUTPUT_HIGH_WATERMARK = 4 * 1024 * 1024
+#: Above any buffered amount: waitress would spill to a file, and instances
+#: have no disks.
+NEVER_OVERFLOW = 1 << 40
+
+
+class HttpServer(base.BaseService):
+    """Serves a WSGI application until stopped.
+
+    Args:
+        app: the WSGI application.
+        host: address to listen on.
+        port: port to listen on; 0 takes a free one.
+        threads: requests served at a time.
+        max_body_bytes: larger bodies are refused with status 413.
+    """
+
+    def __init__(
+        self,
+        app,
+        host='127.0.0.1',
+        port=0,
+        threads=16,
+        max_body_bytes=MAX_BODY_BYTES,
+    ):
+        self.app = app
+        self.host = host
+        self.port = port
+        self.threads = threads
+        self.max_body_bytes = max_body_bytes
+        self._server = None
+        self._thread = None
+
+    def start(self):
+        """Listen, and serve in a background thread."""
+        self._server = waitress.server.create_server(
+            self.app,
+            host=self.host,
+            port=self.port,
+            threads=self.threads,
+            ident=None,
+            # Each streamed piece leaves at once.
+            send_bytes=1,
+            channel_request_lookahead=1,
+            max_request_body_size=self.max_body_bytes,
+            inbuf_overflow=NEVER_OVERFLOW,
+            outbuf_overflow=NEVER_OVERFLOW,
+            outbuf_high_watermark=OUTPUT_HIGH_WATERMARK,
+            clear_untrusted_proxy_headers=True,
+            connection_limit=4096,
+            asyncore_use_poll=True,
+        )
+        self.port = self._server.effective_port
+        self._thread = threading.Thread(
+            target=self._server.run, name=f'http-{self.port}', daemon=True
+        )
+        self._thread.start()
+        return self
+
+    def stop(self):
+        """Stop listening and end the serving threads."""
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        server.task_dispatcher.shutdown(cancel_pending=True, timeout=1)
+        # The loop thread owns the sockets; closing them from here would
+        # leave it polling until its time-out.
+        server.trigger.pull_trigger(lambda: _close(server))
+        self._thread.join(timeout=2)
+
+
+def _close(server):
+    """Close the listening socket and all connections, in the loop thread."""
+    for channel in list(server.active_channels.values()):
+        channel.handle_close()
+    server.close()
--- /dev/null
+++ b/catkinshunt/httpio/_wsgi.py
@@ -0,0 +1,79 @@
+"""Small helpers for WSGI applications."""
+
+import http
+import json
+import math
+
+import attrs
+
+from catkinshunt import errors
+
+_JSON = 'application/json'
+
+
+@attrs.frozen
+class Response:
+    """What a handler answers with.
+
+    Attributes:
+        status: HTTP status code.
+        body: an iterable of bytes; a stream ends when it does.
+        headers: pairs of name and value.
+    """
+
+    status: int
+    body: object = ()
+    headers: tuple = ()
+
+    @classmethod
+    def of_json(cls, status, value, headers=()):
+        """Make a response whose body is `value` as JSON."""
+        body = json.dumps(value).encode()
+        length = ('Content-Length', str(len(body)))
+        kind = ('Content-Type', _JSON)
+        return cls(status, [body], (length, kind, *headers))
+
+    def send(self, start_response):
+        """Begin the response and return its body."""
+        try:
+            phrase = http.HTTPStatus(self.status).phrase
+        except ValueError:
+            phrase = 'Status'
+        start_response(f'{self.status} {phrase}', list(self.headers))
+        return self.body
+
+
+def error_response(exc, request_id='', headers=()):
+    """Return the JSON response that tells a caller of `exc`.
+
+    Args:
+        exc: an `errors.RequestError`.
+        request_id: id of the request, so that logs can be found.
+        headers: further pairs of name and value.
+    """
+    extra = list(headers)
+    if exc.retry_after_s is not None:
+        seconds = max(1, math.ceil(exc.retry_after_s))
+        extra.append(('Retry-After', str(seconds)))
+    value = {
+        'code': exc.code,
+        'message': exc.message,
+        'ran': exc.ran,
+        'retry_after_s': exc.retry_after_s,
+        'request_id': request_id,
+        'step': exc.step,
+    }
+    return Response.of_json(exc.status, {'error': value}, tuple(extra))
+
+
+def read_body(environ):
+    """Return the request's whole body.
+
+    Raises:
+        errors.InvalidRequestError: the body ended before its length.
+    """
+    length = int(environ.get('CONTENT_LENGTH') or 0)
+    body = environ['wsgi.input'].read(length)
+    if len(body) != length:
+        raise errors.InvalidRequestError('body cut short', step='read')
+    return body
--- /dev/null
+++ b/catkinshunt/httpio/headers.py
@@ -0,0 +1,25 @@
+"""Names of the HTTP headers that callers and our processes use."""
+
+#: Given by the caller; who the request is for.
+ACCOUNT = 'Catkinshunt-Account'
+#: Given by the caller; one key for all tries of one operation.
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+#: Milliseconds left to the deadline when the message was sent.
+DEADLINE_MS = 'Catkinshunt-Deadline-Ms'
+#: One id for a request over all processes, echoed in each reply.
+REQUEST_ID = 'Catkinshunt-Request-Id'
+#: One id for each try of a request at an upstream.
+ATTEMPT_ID = 'Catkinshunt-Attempt-Id'
+#: The model and version that the request was routed for.
+MODEL = 'Catkinshunt-Model'
+MODEL_VERSION = 'Catkinshunt-Model-Version'
+#: Revision of the configuration in force at the sender.
+REVISION = 'Catkinshunt-Revision'
+#: State of the replying instance: serving or leaving.
+STATE = 'Catkinshunt-State'
+#: Requests in flight and queued at the replying sidecar.
+LOAD = 'Catkinshunt-Load'
+#: The deployment's key; only our own processes hold it.
+DEPLOYMENT_KEY = 'Catkinshunt-Key'
+#: The model version an engine answered from.
+ENGINE_MODEL_VERSION = 'Model-Version'
--- /dev/null
+++ b/catkinshunt/kvstore/_http.py
@@ -0,0 +1,122 @@
+"""The key-value service over HTTP."""
+
+import json
+import urllib.parse
+
+from catkinshunt import base
+from catkinshunt import errors
+from catkinshunt import httpio
+from catkinshunt.kvstore import base as kv_base
+
+#: Added to a watch's own time before the connection is given up.
+WATCH_MARGIN_S = 2.0
+_REVISION = 'Revision'
+_NOT_DONE = 503
+
+
+class HttpKeyValueStore(kv_base.BaseKeyValueStore, base.ParamsMixin):
+    """Speaks to the service with one connection per call.
+
+    Args:
+        address: `httpio.Address` of the service.
+        timeout_s: seconds after which a call is given up.
+    """
+
+    def __init__(self, address, timeout_s=2.0):
+        self.address = address
+        self.timeout_s = timeout_s
+
+    def get(self, key):
+        """Return the `Entry` at `key`, or None."""
+        reply = self._call('GET', _path(key), read_only=True)
+        if reply.status == 404:
+            return None
+        return _entry(reply)
+
+    def put(self, key, value, expected_revision, lease=None):
+        """Write `value` if the key is still at `expected_revision`."""
+        query = {'expected': expected_revision}
+        if lease is not None:
+            query['lease'] = lease
+        reply = self._call('PUT', _path(key, query), value)
+        _check_conflict(reply, key)
+        return int(reply.headers[_REVISION])
+
+    def delete(self, key, expected_revision):
+        """Delete `key` if it is still at `expected_revision`."""
+        query = {'expected': expected_revision}
+        reply = self._call('DELETE', _path(key, query))
+        _check_conflict(reply, key)
+
+    def watch(self, key, after_revision, timeout_s):
+        """Wait for a revision of `key` above `after_revision`."""
+        query = {'after': after_revision, 'timeout_s': timeout_s}
+        reply = self._call(
+            'GET',
+            _path(key, query),
+            timeout_s=timeout_s + WATCH_MARGIN_S,
+            read_only=True,
+        )
+        if reply.status == 204:
+            return None
+        return _entry(reply)
+
+    def grant_lease(self, ttl_s):
+        """Return the id of a new lease of `ttl_s` seconds."""
+        body = json.dumps({'ttl_s': ttl_s}).encode()
+        reply = self._call('POST', '/leases', body)
+        return json.loads(reply.body)['lease']
+
+    def renew_lease(self, lease):
+        """Extend `lease` by its whole time."""
+        reply = self._call('POST', f'/leases/{lease}/renew')
+        _check_conflict(reply, f'lease {lease}')
+
+    def _call(self, method, path, body=None, timeout_s=None, read_only=False):
+        peer = str(self.address)
+        try:
+            reply = httpio.exchange(
+                self.address,
+                method,
+                path,
+                body,
+                timeout_s=timeout_s or self.timeout_s,
+            )
+        except errors.RefusedError as exc:
+            raise errors.StoreUnavailableError(
+                exc.message, step='connect', peer=peer
+            ) from exc
+        except errors.OutcomeUnknownError as exc:
+            # The write may be in force although its answer was lost. A
+            # reader has nothing to undo, so only a writer is told so.
+            lost = errors.StoreUnknownError
+            if read_only:
+                lost = errors.StoreUnavailableError
+            raise lost(exc.message, step=method, peer=peer) from exc
+        if reply.status >= 500:
+            # Only 503 says that nothing was done; after any other failure
+            # the write may be in force.
+            sure = read_only or reply.status == _NOT_DONE
+            kind = errors.StoreUnavailableError
+            if not sure:
+                kind = errors.StoreUnknownError
+            raise kind(f'status {reply.status}', step=method, peer=peer)
+        return reply
+
+
+def _path(key, query=None):
+    path = '/kv/' + urllib.parse.quote(key)
+    if query:
+        path += '?' + urllib.parse.urlencode(query)
+    return path
+
+
+def _entry(reply):
+    return kv_base.Entry(reply.body, int(reply.headers[_REVISION]))
+
+
+def _check_conflict(reply, key):
+    if reply.status in (404, 409):
+        raise errors.ConflictError(
+            f'{key} is at another revision', step='compare-and-swap'
+        )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the systems served; not shipped."""
