Add ordered when-then rules with checks and explanations

Operators steer the system only by rules, so a rule set has to be checked before it is accepted. All problems come in one error, each with its rule and the path of its field. A rule that one earlier rule covers wholly is refused as unreachable; one that several cover only together is not found, because that needs a search over their joint conditions.

A clause that fails to load is left out of the reachability check: at first its rule looked like a catch-all and gave false alarms for later rules.

Conditions are structured values and need no parser. Matching goes through an index by service; a property test compares it with a plain scan.

--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -30,7 +30,15 @@
 
 
 class RuleError(CatkinshuntError):
-    """A rule that cannot be accepted; names the rule and the field."""
+    """Rules that cannot be accepted; names each rule and field.
+
+    Args:
+        problems: one `catkinshunt.rules.Problem` for each thing wrong.
+    """
+
+    def __init__(self, message, *, step='', peer='', problems=()):
+        super().__init__(message, step=step, peer=peer)
+        self.problems = tuple(problems)
 
 
 class ConflictError(CatkinshuntError):
--- /dev/null
+++ b/catkinshunt/rules/_conditions.py
@@ -0,0 +1,143 @@
+"""Structured conditions on one field."""
+
+import attrs
+
+from catkinshunt.rules import base
+
+
+def _disjoint(first, second):
+    """Return whether it is certain that no value matches both."""
+    for one, other in ((first, second), (second, first)):
+        values = one.values()
+        if values is not None:
+            return not any(other.matches(value) for value in values)
+    if isinstance(first, Prefix) and isinstance(second, Prefix):
+        return not (first.implies(second) or second.implies(first))
+    if isinstance(second, Not):
+        return first.implies(second.condition)
+    return isinstance(first, Not) and second.implies(first.condition)
+
+
+class _FiniteMixin:
+    """Conditions that allow a known, finite set of values."""
+
+    def implies(self, other):
+        """See `base.BaseCondition.implies`."""
+        return all(other.matches(value) for value in self.values())
+
+
+@attrs.frozen
+class Equal(_FiniteMixin, base.BaseCondition):
+    """The field has just this value.
+
+    Examples:
+        >>> Equal('GET').matches('GET')
+        True
+    """
+
+    value: object
+
+    def matches(self, value):
+        """See `base.BaseCondition.matches`."""
+        return value == self.value
+
+    def describe(self):
+        """See `base.BaseCondition.describe`."""
+        return repr(self.value)
+
+    def to_document(self):
+        """See `base.BaseCondition.to_document`."""
+        return self.value
+
+    def values(self):
+        """See `base.BaseCondition.values`."""
+        return (self.value,)
+
+
+@attrs.frozen
+class OneOf(_FiniteMixin, base.BaseCondition):
+    """The field has one of these values."""
+
+    choices: tuple = attrs.field(converter=tuple)
+    _set: frozenset = attrs.field(init=False, eq=False, repr=False)
+
+    @_set.default
+    def _make_set(self):
+        return frozenset(self.choices)
+
+    def matches(self, value):
+        """See `base.BaseCondition.matches`."""
+        return value in self._set
+
+    def describe(self):
+        """See `base.BaseCondition.describe`."""
+        return 'one of ' + ', '.join(repr(value) for value in self.choices)
+
+    def to_document(self):
+        """See `base.BaseCondition.to_document`."""
+        return {'one_of': list(self.choices)}
+
+    def values(self):
+        """See `base.BaseCondition.values`."""
+        return self.choices
+
+
+@attrs.frozen
+class Prefix(base.BaseCondition):
+    """The field begins with this text.
+
+    Examples:
+        >>> Prefix('/v1/').matches('/v1/chat')
+        True
+        >>> Prefix('/v1/chat').implies(Prefix('/v1/'))
+        True
+    """
+
+    prefix: str
+
+    def matches(self, value):
+        """See `base.BaseCondition.matches`."""
+        return value.startswith(self.prefix)
+
+    def describe(self):
+        """See `base.BaseCondition.describe`."""
+        return f'text beginning with {self.prefix!r}'
+
+    def to_document(self):
+        """See `base.BaseCondition.to_document`."""
+        return {'prefix': self.prefix}
+
+    def implies(self, other):
+        """See `base.BaseCondition.implies`."""
+        if isinstance(other, Prefix):
+            return self.prefix.startswith(other.prefix)
+        if isinstance(other, Not):
+            return _disjoint(self, other.condition)
+        return False
+
+
+@attrs.frozen
+class Not(base.BaseCondition):
+    """The field does not meet the inner condition."""
+
+    condition: base.BaseCondition
+
+    def matches(self, value):
+        """See `base.BaseCondition.matches`."""
+        return not self.condition.matches(value)
+
+    def describe(self):
+        """See `base.BaseCondition.describe`."""
+        return f'not {self.condition.describe()}'
+
+    def to_document(self):
+        """See `base.BaseCondition.to_document`."""
+        return {'not': self.condition.to_document()}
+
+    def implies(self, other):
+        """See `base.BaseCondition.implies`."""
+        if isinstance(other, Not):
+            return other.condition.implies(self.condition)
+        if isinstance(other, Prefix):
+            return other.prefix == ''
+        return False
--- /dev/null
+++ b/catkinshunt/rules/_documents.py
@@ -0,0 +1,284 @@
+"""Rules files into checked rule sets, and back."""
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt.rules import _actions
+from catkinshunt.rules import _conditions
+from catkinshunt.rules import _problems
+from catkinshunt.rules import _reachability
+from catkinshunt.rules import _rules
+from catkinshunt.rules import _subjects
+
+_RULE_FIELDS = ('name', 'when', 'then')
+_OPERATORS = ('equal', 'one_of', 'prefix', 'not')
+
+
+def load_rule_set(document, services=None):
+    """Check a rules document and return it as a `RuleSet`.
+
+    Args:
+        document: mapping with one key ``rules``, a list of mappings with
+            ``name``, ``when`` and ``then``.
+        services: names of the known services; None leaves them unchecked.
+
+    Raises:
+        errors.RuleError: the document cannot be accepted; the message lists
+            all problems, ``problems`` holds them one by one.
+
+    Examples:
+        >>> load_rule_set({'rules': [{'name': 'a', 'then': {}}]})
+        Traceback (most recent call last):
+            ...
+        catkinshunt.errors.RuleError: rules cannot be accepted:
+          rule 'a', field when: is missing
+          rule 'a', field then: must hold an action, one of place, refuse, \
+route [step check-rules]
+    """
+    found = _problems.Collector()
+    rules = _load_rules(document, found)
+    if services is not None:
+        _check_services(rules, frozenset(services), found)
+    # A clause that did not load would make its rule look like a catch-all.
+    broken = {problem.rule for problem in found.problems}
+    whole = [rule for rule in rules if rule.name not in broken]
+    _reachability.check_reachable(whole, found)
+    if found.problems:
+        lines = '\n  '.join(str(problem) for problem in found.problems)
+        raise errors.RuleError(
+            f'rules cannot be accepted:\n  {lines}',
+            step='check-rules',
+            problems=found.problems,
+        )
+    return _rules.RuleSet(rules)
+
+
+def dump_rule_set(rule_set):
+    """Return `rule_set` as a document that `load_rule_set` takes."""
+    return {'rules': [dump_rule(rule) for rule in rule_set.rules]}
+
+
+def dump_rule(rule):
+    """Return one rule as it is written in a rules file."""
+    clauses = {
+        clause.field: clause.condition.to_document()
+        for clause in rule.when.clauses
+    }
+    then = attrs.asdict(rule.then, filter=_differs_from_default)
+    return {
+        'name': rule.name,
+        'when': {rule.when.subject: clauses},
+        'then': {rule.then.keyword: then},
+    }
+
+
+def _differs_from_default(attribute, value):
+    return value != attribute.default
+
+
+def _load_rules(document, found):
+    if not isinstance(document, dict) or 'rules' not in document:
+        found.add('', 'rules', "the document must hold a list 'rules'")
+        return []
+    for key in document:
+        if key != 'rules':
+            found.add('', key, 'is not a field of the document')
+    items = document['rules']
+    if not isinstance(items, list):
+        found.add('', 'rules', f'must be a list, got {items!r}')
+        return []
+    loaded = [_load_rule(i, item, found) for i, item in enumerate(items)]
+    _check_names(items, found)
+    return [rule for rule in loaded if rule is not None]
+
+
+def _load_rule(position, item, found):
+    label = f'#{position + 1}'
+    if not isinstance(item, dict):
+        found.add(label, '', f'must be a mapping, got {item!r}')
+        return None
+    name = item.get('name')
+    if isinstance(name, str) and name:
+        label = name
+    else:
+        found.add(label, 'name', f'must be text, got {name!r}')
+    for key in item:
+        if key not in _RULE_FIELDS:
+            found.add(label, key, 'is not a field of a rule')
+    when = _load_when(label, item, found)
+    subject = when.subject if when else ''
+    then = _load_then(label, item, subject, found)
+    if when is None or then is None:
+        return None
+    return _rules.Rule(label, when, then)
+
+
+def _load_when(rule, item, found):
+    if 'when' not in item:
+        found.add(rule, 'when', 'is missing')
+        return None
+    when = item['when']
+    known = ' or '.join(_subjects.SUBJECTS)
+    if not isinstance(when, dict) or len(when) != 1:
+        found.add(rule, 'when', f'must hold just one of {known}')
+        return None
+    [(subject, fields)] = when.items()
+    if subject not in _subjects.SUBJECTS:
+        found.add(rule, f'when.{subject}', f'is not one of {known}')
+        return None
+    path = f'when.{subject}'
+    if not isinstance(fields, dict):
+        found.add(rule, path, f'must be a mapping, got {fields!r}')
+        return None
+    clauses = _load_clauses(rule, path, subject, fields, found)
+    return _rules.When(subject, clauses)
+
+
+def _load_clauses(rule, path, subject, fields, found):
+    types = attrs.fields_dict(_subjects.SUBJECTS[subject])
+    clauses = []
+    for name, value in fields.items():
+        if name not in types:
+            allowed = ', '.join(types)
+            found.add(rule, f'{path}.{name}', f'is not one of {allowed}')
+            continue
+        kind = types[name].type
+        cond = _load_condition(rule, f'{path}.{name}', kind, value, found)
+        if cond is not None:
+            clauses.append(_rules.Clause(name, cond))
+    return clauses
+
+
+def _load_condition(rule, path, kind, value, found):
+    if not isinstance(value, dict):
+        return _load_equal(rule, path, kind, value, found)
+    if len(value) != 1 or next(iter(value)) not in _OPERATORS:
+        allowed = ', '.join(_OPERATORS)
+        found.add(rule, path, f'must hold just one of {allowed}')
+        return None
+    [(operator, operand)] = value.items()
+    path = f'{path}.{operator}'
+    if operator == 'equal':
+        return _load_equal(rule, path, kind, operand, found)
+    if operator == 'one_of':
+        return _load_one_of(rule, path, kind, operand, found)
+    if operator == 'prefix':
+        return _load_prefix(rule, path, kind, operand, found)
+    inner = _load_condition(rule, path, kind, operand, found)
+    return None if inner is None else _conditions.Not(inner)
+
+
+def _load_equal(rule, path, kind, value, found):
+    if not _check_type(rule, path, kind, value, found):
+        return None
+    return _conditions.Equal(value)
+
+
+def _load_one_of(rule, path, kind, values, found):
+    if not isinstance(values, list) or not values:
+        found.add(rule, path, f'must be a list of values, got {values!r}')
+        return None
+    good = [_check_type(rule, path, kind, value, found) for value in values]
+    return _conditions.OneOf(values) if all(good) else None
+
+
+def _load_prefix(rule, path, kind, value, found):
+    if kind is not str:
+        found.add(rule, path, 'is only for text')
+        return None
+    if not _check_type(rule, path, kind, value, found):
+        return None
+    return _conditions.Prefix(value)
+
+
+def _check_type(rule, path, kind, value, found):
+    if type(value) is kind:
+        return True
+    allowed = 'text' if kind is str else 'true or false'
+    found.add(rule, path, f'must be {allowed}, got {value!r}')
+    return False
+
+
+def _load_then(rule, item, subject, found):
+    actions = _actions.ACTIONS.get(subject) or _all_actions()
+    then = item.get('then')
+    if not isinstance(then, dict) or len(then) != 1:
+        known = ', '.join(sorted(actions))
+        found.add(rule, 'then', f'must hold an action, one of {known}')
+        return None
+    [(keyword, fields)] = then.items()
+    path = f'then.{keyword}'
+    if keyword not in actions:
+        known = ', '.join(sorted(actions))
+        found.add(rule, path, f'is not one of {known}')
+        return None
+    if not isinstance(fields, dict):
+        found.add(rule, path, f'must be a mapping, got {fields!r}')
+        return None
+    return _load_action(rule, path, actions[keyword], fields, found)
+
+
+def _all_actions():
+    return {
+        keyword: cls
+        for actions in _actions.ACTIONS.values()
+        for keyword, cls in actions.items()
+    }
+
+
+def _load_action(rule, path, cls, fields, found):
+    before = len(found.problems)
+    attributes = attrs.fields_dict(cls)
+    for name in fields:
+        if name not in attributes:
+            allowed = ', '.join(attributes)
+            found.add(rule, f'{path}.{name}', f'is not one of {allowed}')
+    for name, attribute in attributes.items():
+        if name in fields:
+            _check_attribute(rule, path, attribute, fields[name], found)
+        elif attribute.default is attrs.NOTHING:
+            found.add(rule, f'{path}.{name}', 'is missing')
+    if len(found.problems) > before:
+        return None
+    return cls(**fields)
+
+
+def _check_attribute(rule, path, attribute, value, found):
+    try:
+        attribute.validator(None, attribute, value)
+    except ValueError as exc:
+        found.add(rule, f'{path}.{attribute.name}', str(exc))
+
+
+def _check_names(items, found):
+    seen = set()
+    for item in items:
+        name = item.get('name') if isinstance(item, dict) else None
+        if not isinstance(name, str):
+            continue
+        if name in seen:
+            found.add(name, 'name', 'stands twice')
+        seen.add(name)
+
+
+def _check_services(rules, services, found):
+    known = ', '.join(sorted(services))
+    for rule in rules:
+        condition = rule.when.condition('service')
+        path = f'when.{rule.when.subject}.service'
+        for name in _named(condition):
+            if name not in services:
+                text = f'{name!r} is not a known service ({known})'
+                found.add(rule.name, path, text)
+        target = getattr(rule.then, 'service', None)
+        if target is not None and target not in services:
+            text = f'{target!r} is not a known service ({known})'
+            found.add(rule.name, 'then.route.service', text)
+
+
+def _named(condition):
+    if isinstance(condition, _conditions.Not):
+        condition = condition.condition
+    if condition is None:
+        return ()
+    return condition.values() or ()
--- /dev/null
+++ b/catkinshunt/rules/tests/test_rules.py
@@ -0,0 +1,94 @@
+"""Tests of matching and explaining."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from catkinshunt import rules
+
+RULE_SET = rules.load_rule_set(
+    {
+        'rules': [
+            {
+                'name': 'bookings',
+                'when': {
+                    'request': {
+                        'service': 'order-desk',
+                        'method': {'not': 'GET'},
+                    }
+                },
+                'then': {'route': {'service': 'order-desk'}},
+            },
+            {
+                'name': 'sheets',
+                'when': {'request': {'service': {'prefix': 'model-'}}},
+                'then': {'route': {'service': 'model-servers'}},
+            },
+            {
+                'name': 'hold',
+                'when': {'event': {'kind': 'placement'}},
+                'then': {'place': {'model': 'm', 'version': '2'}},
+            },
+        ]
+    }
+)
+
+
+@pytest.mark.parametrize(
+    ('subject', 'name'),
+    [
+        (rules.Request(service='order-desk', method='POST'), 'bookings'),
+        (rules.Request(service='order-desk', method='GET'), None),
+        (rules.Request(service='model-servers'), 'sheets'),
+        (rules.Event(kind='placement', service='model-servers'), 'hold'),
+        (rules.Event(kind='other'), None),
+    ],
+)
+def test_the_first_rule_that_matches_decides(subject, name):
+    rule = RULE_SET.match(subject)
+    assert (rule and rule.name) == name
+
+
+def test_an_explanation_names_each_clause_that_does_not_hold():
+    request = rules.Request(service='order-desk', method='GET')
+    found = RULE_SET.explain(request)
+    assert [item.matched for item in found] == [False, False, False]
+    assert found[0].reasons == ("method is 'GET', must be not 'GET'",)
+    assert "must be text beginning with 'model-'" in found[1].reasons[0]
+    assert found[2].reasons == ('decides on events, not requests',)
+
+
+_VALUES = st.sampled_from(['', 'a', 'ab', 'b', 'ba'])
+_CONDITIONS = st.recursive(
+    st.one_of(
+        _VALUES.map(rules.Equal),
+        st.lists(_VALUES, min_size=1, max_size=3).map(rules.OneOf),
+        _VALUES.map(rules.Prefix),
+    ),
+    lambda inner: inner.map(rules.Not),
+    max_leaves=3,
+)
+
+
+def _clauses(fields):
+    return [rules.Clause(name, cond) for name, cond in fields.items()]
+
+
+_RULES = st.dictionaries(
+    st.sampled_from(['service', 'path']), _CONDITIONS, max_size=2
+).map(lambda f: rules.Rule('r', rules.When('request', _clauses(f)), None))
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(st.lists(_RULES, max_size=6), _VALUES, _VALUES)
+def test_the_index_finds_what_a_plain_scan_finds(items, service, path):
+    request = rules.Request(service=service, path=path)
+    scan = (rule for rule in items if rule.when.matches(request))
+    assert rules.RuleSet(items).match(request) is next(scan, None)
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(_CONDITIONS, _CONDITIONS, _VALUES)
+def test_an_implied_condition_holds_wherever_the_first_does(one, two, value):
+    if one.implies(two) and one.matches(value):
+        assert two.matches(value)
