Read settings as JSON with comments into attrs classes

A wrong settings file must be refused before anything listens, with all of its faults at once. json5 reads the text and cattrs makes the classes; its error groups are walked to lines of file, field, given and allowed. attrs validators were ruled out for the checks: they stop at the first wrong field of a class. Both libraries are loaded at the first file only.

--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -26,7 +26,15 @@
 
 
 class SettingsError(CatkinshuntError):
-    """Settings that cannot be used; the message lists all of them."""
+    """Settings that cannot be used; the message lists all of them.
+
+    Args:
+        problems: one `catkinshunt.settings.Problem` for each wrong field.
+    """
+
+    def __init__(self, message, *, step='', peer='', problems=()):
+        super().__init__(message, step=step, peer=peer)
+        self.problems = problems
 
 
 class RuleError(CatkinshuntError):
--- /dev/null
+++ b/catkinshunt/settings/_fields.py
@@ -0,0 +1,97 @@
+"""Kinds of settings fields: what each allows, and its check.
+
+Each function makes an `attrs.field`. What is allowed is kept as text in the
+field's metadata, so that an error can say it.
+"""
+
+import attrs
+
+ALLOWED = 'allowed'
+CHECK = 'check'
+SECRET = 'secret'  # noqa: S105
+MAX_PORT = 65535
+#: Shorter keys can be guessed by trying.
+MIN_SECRET_CHARS = 16
+
+
+def make_field(allowed, check=None, default=attrs.NOTHING, secret=False):
+    """Return a field whose errors say what is `allowed`.
+
+    Args:
+        allowed: text for the operator, such as ``'a number above 0'``.
+        check: function of the value that returns whether it is allowed.
+        default: value if the file leaves the field out.
+        secret: never show the value, neither in errors nor in ``repr``.
+    """
+    metadata = {ALLOWED: allowed, CHECK: check, SECRET: secret}
+    if isinstance(default, list):
+        items = list(default)
+        default = attrs.Factory(lambda: list(items))
+    return attrs.field(default=default, metadata=metadata, repr=not secret)
+
+
+def text(default=attrs.NOTHING):
+    """Return a field for a text that is not empty."""
+    return make_field('a text that is not empty', bool, default)
+
+
+def optional_text():
+    """Return a field for a text that may be empty."""
+    return make_field('a text', None, '')
+
+
+def port(default=attrs.NOTHING):
+    """Return a field for a port; 0 takes a free one."""
+    return make_field(
+        f'a port from 0 to {MAX_PORT}',
+        lambda value: 0 <= value <= MAX_PORT,
+        default,
+    )
+
+
+def address(default=attrs.NOTHING):
+    """Return a field for the address of another process."""
+    return make_field("'host:port'", None, default)
+
+
+def above_zero(unit, default=attrs.NOTHING):
+    """Return a field for a number of `unit` above 0."""
+    return make_field(
+        f'a number of {unit} above 0',
+        lambda value: value is None or value > 0,
+        default,
+    )
+
+
+def count(least=1, most=100_000, default=attrs.NOTHING):
+    """Return a field for a whole number from `least` to `most`."""
+    return make_field(
+        f'a whole number from {least} to {most}',
+        lambda value: least <= value <= most,
+        default,
+    )
+
+
+def fraction(default=attrs.NOTHING):
+    """Return a field for a share from 0 to 1."""
+    return make_field(
+        'a number from 0 to 1', lambda value: 0 <= value <= 1, default
+    )
+
+
+def choice(*values, default=attrs.NOTHING):
+    """Return a field for one of `values`."""
+    return make_field(
+        'one of ' + ', '.join(repr(value) for value in values),
+        lambda value: value in values,
+        default,
+    )
+
+
+def secret():
+    """Return a field for a key that must not be shown."""
+    return make_field(
+        f'a text of at least {MIN_SECRET_CHARS} characters',
+        lambda value: len(value) >= MIN_SECRET_CHARS,
+        secret=True,
+    )
--- /dev/null
+++ b/catkinshunt/settings/_reader.py
@@ -0,0 +1,257 @@
+"""Reads JSON with comments into `attrs` classes, with all errors at once.
+
+json5 reads the text and cattrs makes the classes; both are loaded when the
+first file is read, since they take memory that a process only needs then.
+"""
+
+import difflib
+import types
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt import httpio
+from catkinshunt.settings import _fields
+from catkinshunt.settings import _problem
+
+_WHOLE_FILE = '(file)'
+_MISSING = 'nothing'
+_TYPE_NAMES = {
+    bool: 'true or false',
+    int: 'a whole number',
+    float: 'a number',
+    str: 'a text',
+}
+
+
+class _InvalidValueError(ValueError):
+    """A value that its field does not allow."""
+
+    def __init__(self, given, allowed):
+        super().__init__(allowed)
+        self.given = given
+        self.allowed = allowed
+
+
+def read_file(path, cls):
+    """Return the settings in the file at `path` as an instance of `cls`.
+
+    Raises:
+        errors.SettingsError: the file cannot be read or used; its
+            ``problems`` hold everything that is wrong.
+    """
+    try:
+        with open(path, encoding='utf-8') as file:
+            content = file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, 'strerror', None) or 'not UTF-8 text'
+        _raise([_problem.Problem(path, _WHOLE_FILE, reason, 'a file')])
+    return read_text(content, cls, path)
+
+
+def read_text(content, cls, path='(text)'):
+    """Return the settings in `content`, the text of the file at `path`.
+
+    Raises:
+        errors.SettingsError: as `read_file`.
+
+    Examples:
+        >>> @attrs.frozen
+        ... class Window:
+        ...     size: int = _fields.count()
+        >>> read_text('{size: 3, /* chunks */}', Window)
+        Window(size=3)
+        >>> read_text('{size: 0}', Window, 'a.json5')
+        Traceback (most recent call last):
+            ...
+        catkinshunt.errors.SettingsError: a.json5: size: got 0, \
+allowed: a whole number from 1 to 100000
+    """
+    import json5
+
+    try:
+        # Of two fields with one name the last would win without a word.
+        raw = json5.loads(content, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as exc:
+        given = ' '.join(str(exc).split())
+        _raise([_problem.Problem(path, _WHOLE_FILE, given, 'JSON5')])
+    return structure(raw, cls, path)
+
+
+def structure(raw, cls, path='(value)'):
+    """Return `raw`, as a JSON reader gives it, as an instance of `cls`.
+
+    Raises:
+        errors.SettingsError: as `read_file`.
+    """
+    import cattrs
+
+    try:
+        value = _make_converter().structure(raw, cls)
+    except (cattrs.BaseValidationError, _InvalidValueError) as exc:
+        problems = list(_walk(exc, '', path, cls))
+        _raise(problems)
+    _check_whole(value, path)
+    return value
+
+
+def _check_whole(value, path):
+    """Ask the settings themselves about fields that must fit together."""
+    if not hasattr(value, 'check'):
+        return
+    problems = [
+        _problem.Problem(path, field, given, allowed)
+        for field, given, allowed in value.check()
+    ]
+    if problems:
+        _raise(problems)
+
+
+def _raise(problems):
+    message = '\n'.join(str(problem) for problem in problems)
+    raise errors.SettingsError(message, problems=tuple(problems))
+
+
+def _make_converter():
+    import cattrs
+
+    conv = cattrs.Converter()
+    for cls, name in _TYPE_NAMES.items():
+        conv.register_structure_hook(cls, _strict_hook(cls, name))
+    conv.register_structure_hook_factory(
+        attrs.has, lambda cls: _class_hook(cls, conv)
+    )
+    conv.register_structure_hook(httpio.Address, _address)
+    return conv
+
+
+def _strict_hook(cls, name):
+    """Return a hook that takes no other type: ``"5"`` is not a number."""
+
+    def hook(value, _type):
+        kinds = (int, float) if cls is float else cls
+        wrong_bool = isinstance(value, bool) and cls is not bool
+        if wrong_bool or not isinstance(value, kinds):
+            raise _InvalidValueError(value, name)
+        if cls is float and value - value != 0:
+            raise _InvalidValueError(value, 'a finite number')
+        return cls(value)
+
+    return hook
+
+
+def _address(value, _type):
+    try:
+        addr = httpio.Address.parse(value)
+    except (AttributeError, ValueError) as exc:
+        raise _InvalidValueError(value, "'host:port'") from exc
+    if addr.port > _fields.MAX_PORT:
+        raise _InvalidValueError(value, "'host:port'")
+    return addr
+
+
+def _class_hook(cls, conv):
+    from cattrs import gen
+
+    overrides = {
+        field.name: gen.override(struct_hook=_field_hook(field, conv))
+        for field in attrs.fields(cls)
+    }
+    fill = gen.make_dict_structure_fn(
+        cls, conv, _cattrs_forbid_extra_keys=True, **overrides
+    )
+
+    def hook(value, type_):
+        if not isinstance(value, dict):
+            raise _InvalidValueError(value, 'an object {...}')
+        return fill(value, type_)
+
+    return hook
+
+
+def _field_hook(field, conv):
+    allowed = field.metadata.get(_fields.ALLOWED)
+    check = field.metadata.get(_fields.CHECK)
+
+    def hook(value, _type):
+        try:
+            _check_container(value, field.type)
+            made = conv.structure(value, field.type)
+        except _InvalidValueError as exc:
+            given = exc.given if exc.given is not value else value
+            raise _InvalidValueError(given, allowed or exc.allowed) from exc
+        if check is not None and not check(made):
+            raise _InvalidValueError(value, allowed)
+        return made
+
+    return hook
+
+
+def _check_container(value, type_):
+    """Refuse what is no list where a list is wanted.
+
+    A text can be walked through like a list, and would be taken as a list
+    of its characters.
+    """
+    origin = getattr(type_, '__origin__', None)
+    if origin in (list, tuple) and not isinstance(value, list):
+        raise _InvalidValueError(value, 'a list [...]')
+    if origin is dict and not isinstance(value, dict):
+        raise _InvalidValueError(value, 'an object {...}')
+
+
+def _walk(exc, field, path, cls):
+    """Yield a `Problem` for each leaf of a tree of cattrs errors."""
+    import cattrs
+
+    if isinstance(exc, cattrs.ClassValidationError):
+        named, rest = exc.group_exceptions()
+        for sub, note in named:
+            name = f'{field}.{note.name}' if field else note.name
+            attr = getattr(attrs.fields(exc.cl), note.name)
+            yield from _leaf(sub, name, path, attr)
+        for sub in rest:
+            yield from _unknown_fields(sub, field, path, exc.cl)
+    elif isinstance(exc, cattrs.IterableValidationError):
+        for sub, note in exc.group_exceptions()[0]:
+            yield from _walk(sub, f'{field}[{note.index}]', path, cls)
+    else:
+        yield _of_value(exc, field, path, secret=False)
+
+
+def _leaf(exc, name, path, attr):
+    if isinstance(exc, KeyError):
+        allowed = attr.metadata.get(_fields.ALLOWED) or _type_name(attr.type)
+        yield _problem.Problem(path, name, _MISSING, allowed)
+    elif isinstance(exc, _InvalidValueError):
+        secret = attr.metadata.get(_fields.SECRET, False)
+        yield _of_value(exc, name, path, secret)
+    else:
+        yield from _walk(exc, name, path, attr.type)
+
+
+def _of_value(exc, field, path, secret):
+    given = getattr(exc, 'given', None)
+    shown = '(a secret)' if secret else _problem.show(given)
+    allowed = getattr(exc, 'allowed', str(exc))
+    return _problem.Problem(path, field or _WHOLE_FILE, shown, allowed)
+
+
+def _unknown_fields(exc, field, path, cls):
+    import cattrs
+
+    if not isinstance(exc, cattrs.ForbiddenExtraKeysError):
+        yield _of_value(exc, field, path, secret=False)
+        return
+    known = [attr.name for attr in attrs.fields(cls)]
+    for extra in sorted(exc.extra_fields, key=str):
+        near = difflib.get_close_matches(str(extra), known, n=1)
+        allowed = f'{near[0]!r}?' if near else 'one of ' + ', '.join(known)
+        name = f'{field}.{extra}' if field else str(extra)
+        yield _problem.Problem(path, name, 'an unknown field', allowed)
+
+
+def _type_name(type_):
+    if isinstance(type_, types.UnionType):
+        return ' or '.join(_type_name(arg) for arg in type_.__args__)
+    return _TYPE_NAMES.get(type_, getattr(type_, '__name__', str(type_)))
--- /dev/null
+++ b/catkinshunt/settings/tests/test_reader.py
@@ -0,0 +1,156 @@
+"""Tests of reading settings."""
+
+import json
+
+import attrs
+import pytest
+
+from catkinshunt import errors
+from catkinshunt import settings
+
+ENTRY = {
+    'name': 'entry-1',
+    'data_centre': 'larisa-a',
+    'region': 'Thessalia',
+    'key_value_address': '127.0.0.1:9001',
+    'instance_list_address': '127.0.0.1:9002',
+    'deployment_key': 'a key of this deployment',
+}
+SIDECAR = ENTRY | {
+    'service': 'model-servers',
+    'upstream_address': '127.0.0.1:9100',
+}
+
+
+def read(cls, base, **changes):
+    return settings.read_text(json.dumps(base | changes), cls, 'a.json5')
+
+
+def problems(cls, base, **changes):
+    with pytest.raises(errors.SettingsError) as caught:
+        read(cls, base, **changes)
+    return {problem.field: problem for problem in caught.value.problems}
+
+
+def test_comments_and_defaults():
+    content = '// an entry\n' + json.dumps(ENTRY)[:-1] + ', /* end */ }'
+    cfg = settings.read_text(content, settings.EntrySettings)
+    assert cfg.name == 'entry-1'
+    assert str(cfg.key_value_address) == '127.0.0.1:9001'
+    assert cfg.log.format == 'plain'
+    assert cfg.stop_timeout_s == 60.0
+
+
+def test_key_is_not_shown():
+    assert ENTRY['deployment_key'] not in repr(
+        read(settings.EntrySettings, ENTRY)
+    )
+
+
+def test_all_errors_come_at_once():
+    """An operator mistypes several fields of one file.
+
+    If only the first were told, each would cost a restart, and the
+    operator would see a new error every time.
+    """
+    raw = {name: value for name, value in ENTRY.items() if name != 'region'}
+    found = problems(
+        settings.EntrySettings,
+        raw,
+        port=70_000,
+        key_value_address='nowhere',
+        log={'format': 'xml', 'level': 3},
+        operator_prot=9000,
+        deployment_key='short',
+    )
+    assert set(found) == {
+        'region',
+        'port',
+        'key_value_address',
+        'log.format',
+        'log.level',
+        'operator_prot',
+        'deployment_key',
+    }
+    assert str(found['port']) == (
+        'a.json5: port: got 70000, allowed: a port from 0 to 65535'
+    )
+    assert found['region'].given == 'nothing'
+    assert found['operator_prot'].allowed == "'operator_port'?"
+    assert 'short' not in found['deployment_key'].given
+
+
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('port', '8080'),
+        ('port', True),
+        ('port', 80.5),
+        ('stop_timeout_s', 0),
+        ('stop_timeout_s', 'soon'),
+        ('stop_timeout_s', float('nan')),
+        ('stop_timeout_s', float('inf')),
+        ('name', ''),
+        ('name', None),
+        ('log', 'json'),
+        ('log', []),
+        ('key_value_address', 9001),
+        ('key_value_address', '127.0.0.1:99999'),
+    ],
+)
+def test_wrong_value_names_its_field(field, value):
+    found = problems(settings.EntrySettings, ENTRY, **{field: value})
+    assert set(found) == {field}
+
+
+@pytest.mark.parametrize(
+    'content',
+    ['', '{', '[]', '3', '{name: 1, name: 2}', '{a: }', '[' * 10_000],
+)
+def test_text_that_is_no_object(content):
+    """A file is cut short or is something else altogether.
+
+    The operator sees one line that names the file, not a traceback.
+    """
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.read_text(content, settings.EntrySettings, 'a.json5')
+    assert all('\n' not in str(p) for p in caught.value.problems)
+    assert caught.value.problems[0].file == 'a.json5'
+
+
+def test_missing_file(tmp_path):
+    path = str(tmp_path / 'none.json5')
+    with pytest.raises(errors.SettingsError, match='none.json5'):
+        settings.read_file(path, settings.EntrySettings)
+
+
+def test_sidecar_fields_that_must_fit_together():
+    found = problems(
+        settings.SidecarSettings,
+        SIDECAR,
+        model_engine=True,
+        port=9000,
+        control_port=9000,
+    )
+    assert set(found) == {'origin_address', 'control_port'}
+
+
+def test_lists_and_nested_objects():
+    @attrs.frozen
+    class Place:
+        name: str
+        delay_ms: float
+
+    @attrs.frozen
+    class Map:
+        places: list[Place]
+
+    content = '{places: [{name: "a", delay_ms: 1}, {name: 2}]}'
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.read_text(content, Map, 'm')
+    assert [p.field for p in caught.value.problems] == [
+        'places[1].name',
+        'places[1].delay_ms',
+    ]
+    with pytest.raises(errors.SettingsError, match=r'a list \[...\]'):
+        settings.read_text('{places: "ab"}', Map, 'm')
