--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module runs as ``python -m benchmarks.bench_x``."""
--- /dev/null
+++ b/catkinshunt/routing/_router.py
@@ -0,0 +1,195 @@
+"""Finds the upstream for a request among those that this entry knows."""
+
+import threading
+
+from catkinshunt import base as shared
+from catkinshunt import checks
+from catkinshunt import errors
+from catkinshunt.routing import _health
+from catkinshunt.routing import _subset
+from catkinshunt.routing import base
+
+#: Retry hint when an upstream must first appear or return, in seconds.
+ABSENT_RETRY_S = 1.0
+
+
+class Router(shared.ParamsMixin):
+    """Chooses upstreams for one entry and keeps what it learns of them.
+
+    Args:
+        policy: a `BasePolicy`.
+        entry: name of the entry; sets its subset of the upstreams.
+        data_centre: where the entry runs.
+        region: the region of that data centre.
+        subset_size: upstreams of one service that the entry works with.
+        spill_load: requests on each near upstream from which on others are
+            taken as well.
+        health: a `Health`.
+
+    Examples:
+        >>> from catkinshunt import routing
+        >>> router = Router(routing.LeastInFlight(random_state=0), entry='e1')
+        >>> router.offer([routing.UpstreamView('a', '127.0.0.1:1', 'm')])
+        >>> choice = router.choose(routing.RouteRequest('m'), now=0.0)
+        >>> choice.upstream.name, choice.upstream.in_flight
+        ('a', 1)
+    """
+
+    def __init__(
+        self,
+        policy,
+        *,
+        entry,
+        data_centre='',
+        region='',
+        subset_size=64,
+        spill_load=16.0,
+        health=None,
+    ):
+        self.policy = policy
+        self.entry = entry
+        self.data_centre = data_centre
+        self.region = region
+        self.subset_size = subset_size
+        self.spill_load = spill_load
+        self.health = health
+        self._lock = threading.Lock()
+        self._views = {}
+        self._ranked = {}
+
+    def offer(self, upstreams):
+        """Take the instance list's view of all upstreams.
+
+        What replies have shown of an upstream stays in force while its name
+        and address stay, since the list lags behind replies.
+
+        Args:
+            upstreams: all `UpstreamView` objects, new ones may be reused.
+        """
+        with self._lock:
+            health = self._health()
+            known, self._views = self._views, {}
+            for view in upstreams:
+                old = known.pop(view.name, None)
+                self._views[view.name] = self._merge(old, view, health)
+            for name in known:
+                health.forget(name)
+            self._ranked.clear()
+
+    def choose(self, req, now):
+        """Return the `Choice` for a request and count it as in flight.
+
+        Args:
+            req: the `RouteRequest`.
+            now: seconds, monotonic.
+
+        Raises:
+            RefusedError: no upstream may get it now; it was not run.
+        """
+        with self._lock:
+            usable = self._usable(req, now)
+            candidates = _subset.prefer_near(
+                usable, self.data_centre, self.region, self.spill_load, now
+            )
+            choice = self.policy.choose(req, candidates, now)
+            self._health().begin(choice.upstream)
+            choice.upstream.in_flight += 1
+            return choice
+
+    def observe(self, observation, now):
+        """Learn from a reply, a refusal or a failure.
+
+        Args:
+            observation: the `Observation`.
+            now: seconds, monotonic.
+        """
+        with self._lock:
+            view = observation.upstream
+            if observation.finished:
+                view.in_flight = max(0, view.in_flight - 1)
+            if self._views.get(view.name) is not view:
+                return
+            self._health().observe(observation, now)
+            if observation.load is not None:
+                view.reported_load = observation.load
+                view.own_at_report = view.in_flight
+                view.reported_at = now
+            versions = observation.model_versions
+            if versions is not None and versions != view.model_versions:
+                view.model_versions = frozenset(versions)
+                self._ranked.clear()
+            self.policy.observe(observation, now)
+
+    def report(self):
+        """Return the known upstreams, in the order of their names."""
+        with self._lock:
+            return [self._views[name] for name in sorted(self._views)]
+
+    def _health(self):
+        if self.health is None:
+            self.health = _health.Health()
+        return self.health
+
+    @staticmethod
+    def _merge(old, view, health):
+        """Return the view to keep for a name in the list."""
+        if old is None or old.address != view.address:
+            health.forget(view.name)
+            return view
+        old.service = view.service
+        old.data_centre = view.data_centre
+        old.region = view.region
+        if view.model_versions:
+            old.model_versions = view.model_versions
+        if view.state == base.State.LEAVING:
+            old.state = base.State.LEAVING
+        elif old.state == base.State.LEAVING and not health.knows(old.name):
+            old.state = base.State.SERVING
+        return old
+
+    def _usable(self, req, now):
+        """Return the entry's subset of upstreams that may get the request."""
+        checks.check_positive(self.subset_size, 'subset_size')
+        health = self._health()
+        usable, probes = [], []
+        ranked = self._rank(req.service, req.model_version)
+        for view in ranked:
+            if view.name in req.excluded or not health.check(view, now):
+                continue
+            serving = view.state == base.State.SERVING
+            (usable if serving else probes).append(view)
+            if len(usable) >= self.subset_size:
+                break
+        if probes and (req.idempotent or not usable):
+            # One request tries one suspect, or it would never come back.
+            return probes[:1]
+        if not usable:
+            raise self._refusal(req, ranked, now)
+        return usable
+
+    def _rank(self, service, model_version):
+        key = (service, model_version)
+        if key not in self._ranked:
+            views = [
+                view
+                for view in self._views.values()
+                if view.service == service
+                and (not model_version or model_version in view.model_versions)
+            ]
+            self._ranked[key] = _subset.rank_upstreams(
+                self.entry, views, self.data_centre
+            )
+        return self._ranked[key]
+
+    def _refusal(self, req, ranked, now):
+        waits = [self._health().retry_at(view) - now for view in ranked]
+        waits = [wait_s for wait_s in waits if wait_s > 0]
+        what = f'service {req.service}'
+        if req.model_version:
+            what += f' with model version {req.model_version}'
+        return errors.RefusedError(
+            f'no upstream of {what} takes work, {len(ranked)} known',
+            step='choose',
+            peer=req.service,
+            retry_after_s=min(waits, default=ABSENT_RETRY_S),
+        )
