Name the settings of both processes

Platform addresses stand in a section of their own, since both kinds of process share them. Checks that span fields (ports that clash, an engine without an origin) are a check method of the class.

--- a/catkinshunt/settings/__init__.py
+++ b/catkinshunt/settings/__init__.py
@@ -1,21 +1,19 @@
-"""Settings: JSON with comments, checked into `attrs` classes."""
+"""Settings of the processes, read from JSON with comments."""
 
-from catkinshunt.settings._entry import EntrySettings
+from catkinshunt.settings._load import load_settings
+from catkinshunt.settings._load import load_text
+from catkinshunt.settings._load import structure
+from catkinshunt.settings._model import EntrySettings
+from catkinshunt.settings._model import PlatformSettings
+from catkinshunt.settings._model import SidecarSettings
 from catkinshunt.settings._problem import Problem
-from catkinshunt.settings._reader import read_file
-from catkinshunt.settings._reader import read_text
-from catkinshunt.settings._reader import structure
-from catkinshunt.settings._sections import LogSettings
-from catkinshunt.settings._sections import ProcessSettings
-from catkinshunt.settings._sidecar import SidecarSettings
 
 __all__ = [
     'EntrySettings',
-    'LogSettings',
+    'PlatformSettings',
     'Problem',
-    'ProcessSettings',
     'SidecarSettings',
-    'read_file',
-    'read_text',
+    'load_settings',
+    'load_text',
     'structure',
 ]
--- a/catkinshunt/settings/_fields.py
+++ b/catkinshunt/settings/_fields.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from catkinshunt import httpio
+
 ALLOWED = 'allowed'
 CHECK = 'check'
 SECRET = 'secret'  # noqa: S105
@@ -35,11 +37,6 @@
     return make_field('a text that is not empty', bool, default)
 
 
-def optional_text():
-    """Return a field for a text that may be empty."""
-    return make_field('a text', None, '')
-
-
 def port(default=attrs.NOTHING):
     """Return a field for a port; 0 takes a free one."""
     return make_field(
@@ -51,7 +48,22 @@
 
 def address(default=attrs.NOTHING):
     """Return a field for the address of another process."""
-    return make_field("'host:port'", None, default)
+    return make_field("'host:port'", _is_address, default)
+
+
+def optional_address():
+    """Return a field for an address, empty for none."""
+    return make_field(
+        "'host:port' or ''", lambda value: not value or _is_address(value), ''
+    )
+
+
+def _is_address(value):
+    try:
+        addr = httpio.Address.parse(value)
+    except ValueError:
+        return False
+    return addr.port <= MAX_PORT
 
 
 def above_zero(unit, default=attrs.NOTHING):
--- a/catkinshunt/settings/_reader.py
+++ b/catkinshunt/settings/_load.py
@@ -10,7 +10,6 @@
 import attrs
 
 from catkinshunt import errors
-from catkinshunt import httpio
 from catkinshunt.settings import _fields
 from catkinshunt.settings import _problem
 
@@ -33,7 +32,7 @@
         self.allowed = allowed
 
 
-def read_file(path, cls):
+def load_settings(path, cls):
     """Return the settings in the file at `path` as an instance of `cls`.
 
     Raises:
@@ -46,22 +45,22 @@
     except (OSError, UnicodeDecodeError) as exc:
         reason = getattr(exc, 'strerror', None) or 'not UTF-8 text'
         _raise([_problem.Problem(path, _WHOLE_FILE, reason, 'a file')])
-    return read_text(content, cls, path)
+    return load_text(content, cls, path)
 
 
-def read_text(content, cls, path='(text)'):
+def load_text(content, cls, path='(text)'):
     """Return the settings in `content`, the text of the file at `path`.
 
     Raises:
-        errors.SettingsError: as `read_file`.
+        errors.SettingsError: as `load_settings`.
 
     Examples:
         >>> @attrs.frozen
         ... class Window:
         ...     size: int = _fields.count()
-        >>> read_text('{size: 3, /* chunks */}', Window)
+        >>> load_text('{size: 3, /* chunks */}', Window)
         Window(size=3)
-        >>> read_text('{size: 0}', Window, 'a.json5')
+        >>> load_text('{size: 0}', Window, 'a.json5')
         Traceback (most recent call last):
             ...
         catkinshunt.errors.SettingsError: a.json5: size: got 0, \
@@ -82,7 +81,7 @@
     """Return `raw`, as a JSON reader gives it, as an instance of `cls`.
 
     Raises:
-        errors.SettingsError: as `read_file`.
+        errors.SettingsError: as `load_settings`.
     """
     import cattrs
 
@@ -121,7 +120,6 @@
     conv.register_structure_hook_factory(
         attrs.has, lambda cls: _class_hook(cls, conv)
     )
-    conv.register_structure_hook(httpio.Address, _address)
     return conv
 
 
@@ -140,16 +138,6 @@
     return hook
 
 
-def _address(value, _type):
-    try:
-        addr = httpio.Address.parse(value)
-    except (AttributeError, ValueError) as exc:
-        raise _InvalidValueError(value, "'host:port'") from exc
-    if addr.port > _fields.MAX_PORT:
-        raise _InvalidValueError(value, "'host:port'")
-    return addr
-
-
 def _class_hook(cls, conv):
     from cattrs import gen
 
--- /dev/null
+++ b/catkinshunt/settings/_model.py
@@ -0,0 +1,112 @@
+"""Settings as `attrs` classes; units stand in the names."""
+
+import attrs
+
+from catkinshunt.settings import _fields
+
+DEFAULT_LINK_BYTES_PER_S = 1.25e9
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """Where the platform's services listen, each as ``host:port``.
+
+    Attributes:
+        key_value: the key-value service.
+        instance_list: the list of live and leaving instances.
+        origin: the origin of weights; empty for none.
+        weight_store: the rate-limited weight store; empty for none.
+        instance_list_period_s: seconds between looks at the list.
+    """
+
+    key_value: str = _fields.address()
+    instance_list: str = _fields.address()
+    origin: str = _fields.optional_address()
+    weight_store: str = _fields.optional_address()
+    instance_list_period_s: float = _fields.above_zero('seconds', 1.0)
+
+
+@attrs.frozen(kw_only=True)
+class _ProcessSettings:
+    """Settings that both kinds of process have.
+
+    Attributes:
+        name: name of the instance, as in the platform's list.
+        region: region of the data centre.
+        data_centre: data centre of the instance.
+        deployment_key: secret that only our own processes hold.
+        platform: where the platform's services listen.
+        host: address to listen on.
+        port: port for requests; 0 takes a free one.
+        control_port: port for the other processes of the system.
+        operator_port: port for health and metrics.
+        threads: requests served at a time.
+        stop_timeout_s: longest wait of a planned stop for the requests in
+            progress.
+        log_format: ``plain`` or ``json``.
+        log_level: the least severe level that is written.
+    """
+
+    name: str = _fields.text()
+    region: str = _fields.text()
+    data_centre: str = _fields.text()
+    deployment_key: str = _fields.secret()
+    platform: PlatformSettings
+    host: str = _fields.text('127.0.0.1')
+    port: int = _fields.port(0)
+    control_port: int = _fields.port(0)
+    operator_port: int = _fields.port(0)
+    threads: int = _fields.count(1, 10_000, default=64)
+    stop_timeout_s: float = _fields.above_zero('seconds', 60.0)
+    log_format: str = _fields.choice('plain', 'json', default='plain')
+    log_level: str = _fields.choice(
+        'DEBUG', 'INFO', 'WARNING', 'ERROR', default='INFO'
+    )
+
+    def check(self):
+        """Yield (field, given, allowed) for fields that do not fit."""
+        ports = {}
+        for name in ('port', 'control_port', 'operator_port'):
+            value = getattr(self, name)
+            if value and value in ports:
+                yield name, str(value), f'another port than {ports[value]}'
+            ports.setdefault(value, name)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings(_ProcessSettings):
+    """Settings of an entry instance.
+
+    Attributes:
+        default_deadline_s: deadline of a request that names none.
+    """
+
+    default_deadline_s: float = _fields.above_zero('seconds', 30.0)
+
+
+@attrs.frozen(kw_only=True)
+class SidecarSettings(_ProcessSettings):
+    """Settings of the process beside one upstream instance.
+
+    Attributes:
+        service: service that the upstream belongs to.
+        upstream: address of the upstream, as ``host:port``.
+        is_engine: whether the upstream is a model engine.
+        concurrency: requests given to the upstream at a time.
+        link_bytes_per_s: rate of the instance's network link.
+    """
+
+    service: str = _fields.text()
+    upstream: str = _fields.address()
+    is_engine: bool = False
+    concurrency: int = _fields.count(1, 10_000, default=8)
+    link_bytes_per_s: float = _fields.above_zero(
+        'bytes/s', DEFAULT_LINK_BYTES_PER_S
+    )
+
+    def check(self):
+        """Yield (field, given, allowed) for fields that do not fit."""
+        yield from super().check()
+        if self.is_engine and not self.platform.origin:
+            allowed = "'host:port', since is_engine is true"
+            yield 'platform.origin', 'nothing', allowed
--- a/catkinshunt/settings/tests/test_reader.py
+++ b/catkinshunt/settings/tests/test_load.py
@@ -12,18 +12,20 @@
     'name': 'entry-1',
     'data_centre': 'larisa-a',
     'region': 'Thessalia',
-    'key_value_address': '127.0.0.1:9001',
-    'instance_list_address': '127.0.0.1:9002',
+    'platform': {
+        'key_value': '127.0.0.1:9001',
+        'instance_list': '127.0.0.1:9002',
+    },
     'deployment_key': 'a key of this deployment',
 }
 SIDECAR = ENTRY | {
     'service': 'model-servers',
-    'upstream_address': '127.0.0.1:9100',
+    'upstream': '127.0.0.1:9100',
 }
 
 
 def read(cls, base, **changes):
-    return settings.read_text(json.dumps(base | changes), cls, 'a.json5')
+    return settings.load_text(json.dumps(base | changes), cls, 'a.json5')
 
 
 def problems(cls, base, **changes):
@@ -34,10 +36,10 @@
 
 def test_comments_and_defaults():
     content = '// an entry\n' + json.dumps(ENTRY)[:-1] + ', /* end */ }'
-    cfg = settings.read_text(content, settings.EntrySettings)
+    cfg = settings.load_text(content, settings.EntrySettings)
     assert cfg.name == 'entry-1'
-    assert str(cfg.key_value_address) == '127.0.0.1:9001'
-    assert cfg.log.format == 'plain'
+    assert cfg.platform.key_value == '127.0.0.1:9001'
+    assert cfg.log_format == 'plain'
     assert cfg.stop_timeout_s == 60.0
 
 
@@ -58,17 +60,17 @@
         settings.EntrySettings,
         raw,
         port=70_000,
-        key_value_address='nowhere',
-        log={'format': 'xml', 'level': 3},
+        platform={'key_value': 'nowhere', 'instance_list': 3},
+        log_format='xml',
         operator_prot=9000,
         deployment_key='short',
     )
     assert set(found) == {
         'region',
         'port',
-        'key_value_address',
-        'log.format',
-        'log.level',
+        'platform.key_value',
+        'platform.instance_list',
+        'log_format',
         'operator_prot',
         'deployment_key',
     }
@@ -92,10 +94,9 @@
         ('stop_timeout_s', float('inf')),
         ('name', ''),
         ('name', None),
-        ('log', 'json'),
-        ('log', []),
-        ('key_value_address', 9001),
-        ('key_value_address', '127.0.0.1:99999'),
+        ('platform', 'here'),
+        ('platform', []),
+        ('log_level', 3),
     ],
 )
 def test_wrong_value_names_its_field(field, value):
@@ -113,7 +114,7 @@
     The operator sees one line that names the file, not a traceback.
     """
     with pytest.raises(errors.SettingsError) as caught:
-        settings.read_text(content, settings.EntrySettings, 'a.json5')
+        settings.load_text(content, settings.EntrySettings, 'a.json5')
     assert all('\n' not in str(p) for p in caught.value.problems)
     assert caught.value.problems[0].file == 'a.json5'
 
@@ -121,18 +122,25 @@
 def test_missing_file(tmp_path):
     path = str(tmp_path / 'none.json5')
     with pytest.raises(errors.SettingsError, match='none.json5'):
-        settings.read_file(path, settings.EntrySettings)
+        settings.load_settings(path, settings.EntrySettings)
 
 
 def test_sidecar_fields_that_must_fit_together():
     found = problems(
         settings.SidecarSettings,
         SIDECAR,
-        model_engine=True,
+        is_engine=True,
         port=9000,
         control_port=9000,
     )
-    assert set(found) == {'origin_address', 'control_port'}
+    assert set(found) == {'platform.origin', 'control_port'}
+
+
+@pytest.mark.parametrize('value', [9001, '127.0.0.1:99999', ':80', 'a:'])
+def test_wrong_address(value):
+    platform = ENTRY['platform'] | {'key_value': value}
+    found = problems(settings.EntrySettings, ENTRY, platform=platform)
+    assert set(found) == {'platform.key_value'}
 
 
 def test_lists_and_nested_objects():
@@ -147,10 +155,10 @@
 
     content = '{places: [{name: "a", delay_ms: 1}, {name: 2}]}'
     with pytest.raises(errors.SettingsError) as caught:
-        settings.read_text(content, Map, 'm')
+        settings.load_text(content, Map, 'm')
     assert [p.field for p in caught.value.problems] == [
         'places[1].name',
         'places[1].delay_ms',
     ]
     with pytest.raises(errors.SettingsError, match=r'a list \[...\]'):
-        settings.read_text('{places: "ab"}', Map, 'm')
+        settings.load_text('{places: "ab"}', Map, 'm')
