Write log lines in one form, without keys or prompts

loguru formats neither the time nor the line: a sink of our own does, in plain text or JSON, since the library's time format and its serializer cost more and write every field, local variables among them. Lines of waitress came past it through the standard library's logging; they are bridged.

--- /dev/null
+++ b/benchmarks/bench_logs.py
@@ -0,0 +1,95 @@
+"""What a log line costs, beside a request over one kept connection.
+
+The request goes to a waitress server that answers at once, so that the
+share shown is the largest that a line can take of any real request.
+"""
+
+import io
+import statistics
+import time
+
+import loguru
+
+from benchmarks import _report
+from catkinshunt import httpio
+from catkinshunt import logs
+
+LINES = 2000
+REQUESTS = 1000
+ROUNDS = 5
+#: A request writes one line at the entry and one at the sidecar.
+LINES_PER_REQUEST = 2
+#: Largest share of the cheapest request that one line may take.
+MAX_SHARE = 0.2
+
+
+def _decision(log):
+    log.info(
+        'Rule {rule}: {choice} of {candidates}, least in flight.',
+        rule='setup-sheets',
+        choice='engine-3',
+        candidates='engine-1 engine-3',
+    )
+
+
+def line_cost_s(log_format, level='INFO'):
+    """Return seconds of processor time for one decision's line."""
+    logs.configure(log_format, level, ['a secret key'], io.StringIO())
+    log = logs.get_logger('routing')
+    with logs.request('0123456789abcdef'):
+        begin = time.thread_time()
+        for _ in range(LINES):
+            _decision(log)
+        taken = time.thread_time() - begin
+    loguru.logger.remove()
+    return taken / LINES
+
+
+def request_cost_s():
+    """Return seconds of processor time, both sides, for one request."""
+
+    def app(environ, start_response):
+        httpio.read_body(environ)
+        return httpio.Response.of_json(200, {}).send(start_response)
+
+    with httpio.HttpServer(app, threads=1) as server:
+        address = httpio.Address(server.host, server.port)
+        pool = httpio.ConnectionPool()
+        begin = time.process_time()
+        for _ in range(REQUESTS):
+            conn, _ = pool.take(address)
+            conn.request('POST', '/', b'{}')
+            conn.getresponse().read()
+            pool.give_back(address, conn)
+        taken = time.process_time() - begin
+        pool.close()
+    return taken / REQUESTS
+
+
+def bench_logs():
+    """Measure; fail where a line takes more than its share."""
+    logs.configure(level='ERROR')
+    measures = {
+        'request': request_cost_s,
+        'plain line': lambda: line_cost_s('plain'),
+        'json line': lambda: line_cost_s('json'),
+        'line below the level': lambda: line_cost_s('plain', 'WARNING'),
+    }
+    costs = {
+        name: statistics.median(measure() for _ in range(ROUNDS))
+        for name, measure in measures.items()
+    }
+    request = costs['request']
+    rows = [
+        (name, f'{cost * 1e6:.1f}', f'{cost / request:.3f}')
+        for name, cost in costs.items()
+    ]
+    _report.print_table('Logs', ['what', 'us', 'share of request'], rows)
+    shares = {name: round(costs[name] / request, 4) for name in costs}
+    _report.write_result('logs', {'share_of_request': shares})
+    assert shares['plain line'] <= MAX_SHARE, shares
+    assert shares['json line'] <= MAX_SHARE, shares
+
+
+if __name__ == '__main__':
+    bench_logs()
--- a/catkinshunt/logs/__init__.py
+++ b/catkinshunt/logs/__init__.py
@@ -1,5 +1,7 @@
 """Log lines: short sentences with a fixed prefix for each part."""
 
+from catkinshunt.logs._configure import configure
 from catkinshunt.logs._logger import get_logger
+from catkinshunt.logs._logger import request
 
-__all__ = ['get_logger']
+__all__ = ['configure', 'get_logger', 'request']
--- /dev/null
+++ b/catkinshunt/logs/_configure.py
@@ -0,0 +1,138 @@
+"""Where log lines go, and what they look like."""
+
+import functools
+import json
+import sys
+import time
+import traceback
+
+import loguru
+
+from catkinshunt.logs import _libraries
+
+#: Longer messages are cut; a caller's text may have got into one.
+MAX_MESSAGE_CHARS = 2000
+_HIDDEN = '(hidden)'
+#: Fields that would carry a caller's words or a key. They are never
+#: written, whoever passes them.
+_HIDDEN_FIELDS = frozenset(
+    ['prompt', 'body', 'text', 'payload', 'deployment_key']
+)
+_OWN_FIELDS = frozenset(['prefix', 'request_id'])
+#: A line break in a value from outside would forge a log line.
+_ESCAPES = {code: f'\\x{code:02x}' for code in (*range(32), 127)}
+_ESCAPES |= {code: f'\\u{code:04x}' for code in (0x85, 0x2028, 0x2029)}
+
+
+def configure(log_format='plain', level='INFO', secrets=(), stream=None):
+    """Send the lines of all loggers to one stream.
+
+    Args:
+        log_format: ``'plain'``, or ``'json'`` for one object a line.
+        level: name of the least severe level that is written.
+        secrets: texts that are replaced wherever they turn up.
+        stream: a text stream; standard error if None.
+
+    Examples:
+        >>> import sys
+        >>> from catkinshunt import logs
+        >>> logs.configure(level='INFO', stream=sys.stdout)
+        >>> log = logs.get_logger('routing')
+        >>> with logs.request('r-1'):
+        ...     log.info('Chose {}.', 'engine-2')  # doctest: +ELLIPSIS
+        20... INFO routing: [r-1] Chose engine-2.
+    """
+    compose = _compose_json if log_format == 'json' else _compose_plain
+    sink = _Sink(compose, tuple(filter(None, secrets)), stream or sys.stderr)
+    loguru.logger.remove()
+    # `diagnose` would write the values of variables, keys among them.
+    loguru.logger.add(
+        sink,
+        level=level,
+        format=_message_only,
+        backtrace=False,
+        diagnose=False,
+    )
+    _libraries.bridge_libraries()
+
+
+def _message_only(_record):
+    """Keep the library from formatting what `_Sink` formats itself."""
+    return '{message}'
+
+
+class _Sink:
+    """Writes each record as one line."""
+
+    def __init__(self, compose, secrets, stream):
+        self.compose = compose
+        self.secrets = secrets
+        self.stream = stream
+
+    def __call__(self, message):
+        line = self.compose(message.record)
+        for secret in self.secrets:
+            line = line.replace(secret, _HIDDEN)
+        self.stream.write(line + '\n')
+        self.stream.flush()
+
+
+def _compose_plain(record):
+    extra = record['extra']
+    request_id = extra.get('request_id')
+    mark = f'[{_clean(str(request_id))}] ' if request_id else ''
+    return (
+        f'{_time(record)} {record["level"].name} '
+        f'{extra.get("prefix", "main")}: {mark}{_message(record)}'
+    )
+
+
+def _compose_json(record):
+    extra = record['extra']
+    value = {
+        'time': _time(record),
+        'level': record['level'].name,
+        'prefix': extra.get('prefix', 'main'),
+        'request_id': extra.get('request_id'),
+        'message': _message(record),
+    }
+    for name, field in extra.items():
+        if name not in _OWN_FIELDS:
+            value[name] = _HIDDEN if name in _HIDDEN_FIELDS else field
+    return json.dumps(value, default=str)
+
+
+def _time(record):
+    """Return the record's time in UTC, to the millisecond."""
+    stamp = record['time'].timestamp()
+    whole = int(stamp)
+    return f'{_date(whole)}.{int((stamp - whole) * 1000):03d}Z'
+
+
+@functools.lru_cache(maxsize=2)
+def _date(seconds):
+    """Return `seconds` as a date; all lines of a second share one."""
+    return time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(seconds))
+
+
+def _message(record):
+    message = _clean(record['message'])
+    if record['exception'] is not None:
+        message += f' ({_clean(_cause(record["exception"]))})'
+    return message
+
+
+def _clean(message):
+    if len(message) > MAX_MESSAGE_CHARS:
+        message = message[:MAX_MESSAGE_CHARS] + '...'
+    return message if message.isprintable() else message.translate(_ESCAPES)
+
+
+def _cause(exception):
+    """Return an exception and the places it passed, innermost first."""
+    frames = traceback.extract_tb(exception.traceback)[::-1]
+    places = ' < '.join(
+        f'{frame.filename.rpartition("/")[2]}:{frame.lineno}'
+        for frame in frames
+    )
+    return f'{exception.type.__name__}: {exception.value} at {places}'
