Record metrics and serve the operators' port

The text format is written by prometheus_client, loaded at the first scrape, with its own process and platform collectors left out. Values of a label are bounded, for an account name comes from outside.

--- /dev/null
+++ b/catkinshunt/metrics/_exposition.py
@@ -0,0 +1,79 @@
+"""The text format that scrapers read."""
+
+from catkinshunt.metrics import _recorders
+
+PREFIX = 'catkinshunt_'
+
+
+def expose(registry, now):
+    """Return the content type and the text of all metrics.
+
+    The library is loaded at the first scrape: a process that nobody scrapes
+    does not pay for it. Its collectors of the process and the platform stay
+    out, since they read files at each scrape that node exporters read too.
+
+    Args:
+        registry: the `Registry` to show.
+        now: seconds on the monotonic clock.
+    """
+    import prometheus_client
+
+    shown = prometheus_client.CollectorRegistry(auto_describe=False)
+    shown.register(_Collector(registry, now))
+    text = prometheus_client.generate_latest(shown)
+    return prometheus_client.CONTENT_TYPE_LATEST, text
+
+
+class _Collector:
+    """Hands our families to the library."""
+
+    def __init__(self, registry, now):
+        self.registry = registry
+        self.now = now
+
+    def collect(self):
+        """Yield the library's families."""
+        for family in self.registry.report():
+            source = family.source
+            if isinstance(source, _recorders.Recorder):
+                yield _summary(family, source.report(self.now))
+            elif isinstance(source, _recorders.Counter):
+                yield _counter(family, source.report())
+            else:
+                yield _gauge(family, source())
+
+
+def _summary(family, summary):
+    from prometheus_client import metrics_core
+
+    name = PREFIX + family.name
+    metric = metrics_core.Metric(name, family.documentation, 'summary')
+    for quantile, value in summary.quantiles:
+        metric.add_sample(name, {'quantile': str(quantile)}, value)
+    metric.add_sample(f'{name}_count', {}, summary.count)
+    metric.add_sample(f'{name}_sum', {}, summary.sum_s)
+    return metric
+
+
+def _counter(family, counts):
+    from prometheus_client import metrics_core
+
+    metric = metrics_core.CounterMetricFamily(
+        PREFIX + family.name, family.documentation, labels=family.labels
+    )
+    for values, count in counts.items():
+        metric.add_metric([str(value) for value in values], count)
+    return metric
+
+
+def _gauge(family, values):
+    from prometheus_client import metrics_core
+
+    metric = metrics_core.GaugeMetricFamily(
+        PREFIX + family.name, family.documentation, labels=family.labels
+    )
+    if not isinstance(values, dict):
+        values = {(): values}
+    for labels, value in values.items():
+        metric.add_metric([str(label) for label in labels], value)
+    return metric
--- /dev/null
+++ b/catkinshunt/metrics/_operators.py
@@ -0,0 +1,57 @@
+"""What operators and the balancer ask a process, on a port of its own."""
+
+import time
+
+from catkinshunt import base
+from catkinshunt import httpio
+from catkinshunt.metrics import _exposition
+
+_OK = 200
+_NOT_NOW = 503
+
+
+class OperatorsApp(base.ParamsMixin):
+    """A WSGI application for the operators' port.
+
+    ``/metrics`` is for scrapers. ``/health`` says that the process works;
+    ``/ready`` says that the balancer may send requests, and turns to 503 as
+    soon as a planned stop begins, before anything is refused. ``/status``
+    is a JSON object for ``catkinshunt status``.
+
+    It stands on another port than callers use, so that no caller reads
+    metrics or status.
+
+    Args:
+        registry: the `Registry` of the process.
+        is_ready: function that returns whether requests may come.
+        status: function that returns what ``/status`` shows.
+    """
+
+    def __init__(self, registry, is_ready, status):
+        self.registry = registry
+        self.is_ready = is_ready
+        self.status = status
+
+    def __call__(self, environ, start_response):
+        return self._answer(environ).send(start_response)
+
+    def _answer(self, environ):
+        if environ['REQUEST_METHOD'] not in ('GET', 'HEAD'):
+            return httpio.Response.of_json(405, {'error': 'only GET'})
+        path = environ['PATH_INFO']
+        if path == '/metrics':
+            return self._metrics()
+        if path == '/health':
+            return httpio.Response.of_json(_OK, {'healthy': True})
+        if path == '/ready':
+            ready = bool(self.is_ready())
+            status = _OK if ready else _NOT_NOW
+            return httpio.Response.of_json(status, {'ready': ready})
+        if path == '/status':
+            return httpio.Response.of_json(_OK, self.status())
+        return httpio.Response.of_json(404, {'error': 'no such page'})
+
+    def _metrics(self):
+        kind, text = _exposition.expose(self.registry, time.monotonic())
+        headers = (('Content-Type', kind), ('Content-Length', str(len(text))))
+        return httpio.Response(_OK, [text], headers)
--- /dev/null
+++ b/catkinshunt/metrics/_recorders.py
@@ -0,0 +1,127 @@
+"""Recorders of durations and counts, cheap enough for each request."""
+
+import collections
+import threading
+
+import attrs
+from hdrh import histogram
+
+from catkinshunt import base
+
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+#: Two digits keep a recorder at about 26 kB and its error below 1 %.
+_DIGITS = 2
+_MICROSECONDS = 1_000_000
+_HIGHEST_US = 3600 * _MICROSECONDS
+#: A label from outside, such as an account, could take any number of
+#: values; from here on they are counted together.
+MAX_LABEL_SETS = 200
+OTHER = 'other'
+
+
+@attrs.frozen
+class Summary:
+    """Durations seen, in seconds.
+
+    Attributes:
+        count: number of durations since the start.
+        sum_s: their sum.
+        quantiles: pairs of quantile and duration, over the last whole
+            window, or over the present one while it is the first.
+    """
+
+    count: int
+    sum_s: float
+    quantiles: tuple
+
+
+class Recorder(base.ParamsMixin):
+    """Records durations in a histogram.
+
+    Args:
+        window_s: seconds over which quantiles are taken.
+
+    Examples:
+        >>> recorder = Recorder()
+        >>> for duration_s in (0.01, 0.02, 0.03):
+        ...     recorder.observe(duration_s)
+        >>> summary = recorder.report(now=0.0)
+        >>> summary.count, round(dict(summary.quantiles)[0.5], 3)
+        (3, 0.02)
+    """
+
+    def __init__(self, window_s=60.0):
+        self.window_s = window_s
+        self._lock = threading.Lock()
+        self._count = 0
+        self._sum_s = 0.0
+        self._histogram = _make_histogram()
+        self._window_began = None
+        self._whole_window = None
+
+    def observe(self, duration_s):
+        """Add one duration in seconds."""
+        value = max(1, min(_HIGHEST_US, round(duration_s * _MICROSECONDS)))
+        with self._lock:
+            self._count += 1
+            self._sum_s += duration_s
+            self._histogram.record_value(value)
+
+    def report(self, now):
+        """Return the `Summary` at `now`."""
+        with self._lock:
+            if self._window_began is None:
+                self._window_began = now
+            elif now - self._window_began >= self.window_s:
+                self._whole_window = _quantiles(self._histogram)
+                self._histogram.reset()
+                self._window_began = now
+            quantiles = self._whole_window
+            if quantiles is None:
+                quantiles = _quantiles(self._histogram)
+            return Summary(self._count, self._sum_s, quantiles)
+
+
+def _make_histogram():
+    return histogram.HdrHistogram(1, _HIGHEST_US, _DIGITS)
+
+
+def _quantiles(hist):
+    if not hist.get_total_count():
+        return ()
+    return tuple(
+        (q, hist.get_value_at_percentile(q * 100) / _MICROSECONDS)
+        for q in QUANTILES
+    )
+
+
+class Counter(base.ParamsMixin):
+    """Counts by label values.
+
+    Args:
+        labels: names of the labels.
+
+    Examples:
+        >>> counter = Counter(('service', 'outcome'))
+        >>> counter.add('model-servers', 'answered')
+        >>> counter.report()
+        {('model-servers', 'answered'): 1}
+    """
+
+    def __init__(self, labels=()):
+        self.labels = labels
+        self._lock = threading.Lock()
+        self._counts = collections.Counter()
+
+    def add(self, *values, amount=1):
+        """Add `amount` to the count of the label `values`."""
+        with self._lock:
+            full = len(self._counts) >= MAX_LABEL_SETS
+            if full and values not in self._counts:
+                values = (OTHER,) * len(self.labels)
+            self._counts[values] += amount
+
+    def report(self):
+        """Return the counts by label values."""
+        with self._lock:
+            return dict(self._counts)
