Serve one request and one model over the whole path

Cause: the parts need a path to be built into. An entry, a sidecar and the stand-ins run as processes of their own on real sockets; one rule routes a streamed request to an engine whose weights came from the origin and were checked by digest.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 format: setup ## Format the sources
 	$(PY) -m ruff format .
+
+demo: setup ## Show the whole path on stand-ins
+	$(PY) -m standins.demo
--- /dev/null
+++ b/catkinshunt/entry/__init__.py
@@ -0,0 +1,7 @@
+"""The entry instance: takes callers' requests and relays the answers."""
+
+from catkinshunt.entry._app import EntryApp
+from catkinshunt.entry._process import EntryProcess
+from catkinshunt.entry._request import CallerRequest
+
+__all__ = ['CallerRequest', 'EntryApp', 'EntryProcess']
--- /dev/null
+++ b/catkinshunt/entry/_process.py
@@ -0,0 +1,47 @@
+"""The parts of an entry instance, started and stopped together."""
+
+from catkinshunt import base
+from catkinshunt import configuration
+from catkinshunt.entry import _app
+from catkinshunt import httpio
+from catkinshunt import instances
+from catkinshunt import kvstore
+
+
+class EntryProcess(base.BaseService):
+    """An entry instance.
+
+    Args:
+        cfg: `settings.EntrySettings`.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+
+    def start(self):
+        """Follow the configuration and the list, then listen."""
+        platform = self.cfg.platform
+        store = kvstore.HttpKeyValueStore(
+            httpio.Address.parse(platform.key_value)
+        )
+        self._follower = configuration.Follower(store).start()
+        self._directory = instances.Directory(
+            httpio.Address.parse(platform.instance_list),
+            platform.instance_list_period_s,
+        ).start()
+        app = _app.EntryApp(self.cfg, self._follower, self._directory)
+        self._server = httpio.HttpServer(
+            app, self.cfg.host, self.cfg.port, self.cfg.threads
+        ).start()
+        return self
+
+    @property
+    def address(self):
+        """Address that callers use."""
+        return httpio.Address(self.cfg.host, self._server.port)
+
+    def stop(self):
+        """Stop listening, then stop the rest."""
+        self._server.stop()
+        self._directory.stop()
+        self._follower.stop()
--- /dev/null
+++ b/catkinshunt/instances/_instance.py
@@ -0,0 +1,50 @@
+"""One machine as the platform's list shows it."""
+
+import attrs
+
+from catkinshunt import httpio
+
+LIVE = 'live'
+LEAVING = 'leaving'
+ENTRY = 'entry'
+UPSTREAM = 'upstream'
+
+
+@attrs.frozen(kw_only=True)
+class Instance:
+    """A machine of the deployment.
+
+    Attributes:
+        name: its name.
+        role: ``entry`` or ``upstream``.
+        service: service of its upstream; empty for an entry.
+        data_centre: where it stands.
+        region: region of that data centre.
+        address: `httpio.Address` for requests.
+        control_address: `httpio.Address` for our own processes, or None.
+        state: ``live`` or ``leaving``.
+    """
+
+    name: str
+    role: str
+    service: str
+    data_centre: str
+    region: str
+    address: httpio.Address
+    control_address: httpio.Address | None = None
+    state: str = LIVE
+
+    @classmethod
+    def from_listing(cls, value):
+        """Read one item of the platform's list."""
+        control = value.get('control_address')
+        return cls(
+            name=value['name'],
+            role=value['role'],
+            service=value['service'],
+            data_centre=value['data_centre'],
+            region=value['region'],
+            address=httpio.Address.parse(value['address']),
+            control_address=httpio.Address.parse(control) if control else None,
+            state=value['state'],
+        )
--- /dev/null
+++ b/catkinshunt/sidecar/_process.py
@@ -0,0 +1,47 @@
+"""The parts of a sidecar, started and stopped together."""
+
+from catkinshunt import base
+from catkinshunt import configuration
+from catkinshunt import httpio
+from catkinshunt import kvstore
+from catkinshunt.sidecar import _app
+from catkinshunt.sidecar import _placement
+
+
+class SidecarProcess(base.BaseService):
+    """The process beside one upstream instance.
+
+    Args:
+        cfg: `settings.SidecarSettings`.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+
+    def start(self):
+        """Listen, then follow the configuration."""
+        store = kvstore.HttpKeyValueStore(
+            httpio.Address.parse(self.cfg.platform.key_value)
+        )
+        self._follower = configuration.Follower(store)
+        self._placement = _placement.Placement(self.cfg, self._follower)
+        app = _app.SidecarApp(self.cfg, self._placement)
+        self._server = httpio.HttpServer(
+            app, self.cfg.host, self.cfg.port, self.cfg.threads
+        ).start()
+        self._follower.start()
+        if self.cfg.is_engine:
+            self._placement.port = self._server.port
+            self._placement.start()
+        return self
+
+    @property
+    def address(self):
+        """Address that entries and peers use."""
+        return httpio.Address(self.cfg.host, self._server.port)
+
+    def stop(self):
+        """Stop listening, then stop the rest."""
+        self._server.stop()
+        self._placement.stop()
+        self._follower.stop()
