--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 demo: setup ## Show the whole path on stand-ins
 	$(PY) -m standins.demo
+
+bench: setup ## Run all benchmarks; fails past their bounds
+	$(PY) -m benchmarks
