--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -65,6 +65,22 @@
     """The answer was lost; the write may have taken effect or not."""
 
 
+class PeerError(CatkinshuntError):
+    """A call to another process of the system gave no usable answer."""
+
+
+class PeerUnavailableError(PeerError):
+    """The peer was not reached, takes no calls, or was cut off."""
+
+
+class PeerTimeoutError(PeerError):
+    """The peer did not answer before the deadline of the call."""
+
+
+class PeerRefusedError(PeerError):
+    """The peer does not accept the deployment's key."""
+
+
 class RequestError(CatkinshuntError):
     """A request that ends without its answer.
 
--- /dev/null
+++ b/catkinshunt/peers/_pool.py
@@ -0,0 +1,74 @@
+"""Keeps the connections to peers bounded."""
+
+import collections
+import threading
+
+from catkinshunt import checks
+from catkinshunt.peers import _client
+
+MAX_OPEN = 32
+
+
+class PeerPool:
+    """Gives `PeerClient`s by address and closes those not used lately.
+
+    A process may speak to any of thousands of peers in the course of time;
+    without a bound it would end with a connection to each.
+
+    Args:
+        key: the deployment's key.
+        loop: running `LoopThread`.
+        max_open: connections kept; more stay open only while in use.
+        timeout_s: deadline of a call that names none.
+    """
+
+    def __init__(
+        self, key, loop, max_open=MAX_OPEN, timeout_s=_client.TIMEOUT_S
+    ):
+        self.key = key
+        self.loop = loop
+        self.max_open = max_open
+        self.timeout_s = timeout_s
+        self._clients = collections.OrderedDict()
+        self._lock = threading.Lock()
+
+    def call(self, address, stub_class, method, message, timeout_s=None):
+        """Call the peer at `address`; see `PeerClient.call`."""
+        with self._lock:
+            client = self._take(address)
+            fut = client.call(stub_class, method, message, timeout_s)
+            closing = self._overdue(client)
+        for old in closing:
+            old.close()
+        return fut
+
+    def close(self):
+        """Close all connections."""
+        with self._lock:
+            clients = list(self._clients.values())
+            self._clients.clear()
+        for client in clients:
+            client.close()
+
+    def _take(self, address):
+        client = self._clients.pop(address, None)
+        if client is None:
+            checks.check_positive(self.max_open, 'max_open')
+            client = _client.PeerClient(
+                address, self.key, self.loop, self.timeout_s
+            )
+        self._clients[address] = client
+        return client
+
+    def _overdue(self, newest):
+        """Return idle clients above the bound, the longest unused first."""
+        excess = len(self._clients) - self.max_open
+        idle = [
+            client
+            for client in self._clients.values()
+            if client is not newest and client.in_flight == 0
+        ]
+        chosen = idle[: max(0, excess)]
+        for client in chosen:
+            del self._clients[client.address]
+        return chosen
