Give the command line clear errors, help and status

fire calls a command before it finds that a flag is unknown, so a process could start with half of its arguments. Commands hand back an action, which runs once all arguments are read. fire's usage pages on standard error become one line, its pager (a child process) is off, and each role imports its own modules only.

--- a/benchmarks/bench_logs.py
+++ b/benchmarks/bench_logs.py
@@ -10,7 +10,7 @@
 
 import loguru
 
-from benchmarks import _report
+from benchmarks import report
 from catkinshunt import httpio
 from catkinshunt import logs
 
@@ -84,11 +84,13 @@
         (name, f'{cost * 1e6:.1f}', f'{cost / request:.3f}')
         for name, cost in costs.items()
     ]
-    _report.print_table('Logs', ['what', 'us', 'share of request'], rows)
+    report.print_table('Logs', ['what', 'us', 'share of request'], rows)
     shares = {name: round(costs[name] / request, 4) for name in costs}
-    _report.write_result('logs', {'share_of_request': shares})
-    assert shares['plain line'] <= MAX_SHARE, shares
-    assert shares['json line'] <= MAX_SHARE, shares
+    report.write_result('logs', {'share_of_request': shares})
+    report.check_bounds(
+        report.Bound('plain line', shares['plain line'], at_most=MAX_SHARE),
+        report.Bound('json line', shares['json line'], at_most=MAX_SHARE),
+    )
 
 
 if __name__ == '__main__':
--- a/catkinshunt/cli/__init__.py
+++ b/catkinshunt/cli/__init__.py
@@ -1,5 +1,5 @@
 """The command line."""
 
-from catkinshunt.cli._commands import main
+from catkinshunt.cli._main import main
 
 __all__ = ['main']
--- /dev/null
+++ b/catkinshunt/cli/_check.py
@@ -0,0 +1,48 @@
+"""Checks settings files; shows the version."""
+
+import sys
+
+import catkinshunt
+from catkinshunt import errors
+from catkinshunt import settings
+
+_KINDS = {
+    'entry': settings.EntrySettings,
+    'sidecar': settings.SidecarSettings,
+    'operators': settings.OperatorSettings,
+}
+
+
+def check_settings(paths):
+    """Check the files at `paths`; return the exit code.
+
+    What a file is for shows in its fields: a sidecar's names an upstream,
+    and an operators' file names no instance.
+    """
+    paths = list(paths)
+    if not paths:
+        raise errors.SettingsError('check-settings needs a file')
+    wrong = 0
+    for path in paths:
+        try:
+            kind = _kind(path)
+            settings.load_settings(path, _KINDS[kind])
+            print(f'{path}: good settings, {kind}')
+        except errors.SettingsError as exc:
+            wrong += 1
+            print(exc, file=sys.stderr)
+    return 2 if wrong else 0
+
+
+def _kind(path):
+    """Return what the file at `path` is for, judged by its fields."""
+    document = settings.load_document(path)
+    fields = document if isinstance(document, dict) else {}
+    if 'upstream' in fields or 'is_engine' in fields:
+        return 'sidecar'
+    return 'entry' if 'name' in fields else 'operators'
+
+
+def version():
+    """Show the version."""
+    print(f'catkinshunt {catkinshunt.__version__}')
--- a/catkinshunt/cli/_commands.py
+++ b/catkinshunt/cli/_commands.py
@@ -1,44 +1,59 @@
-"""Commands of ``catkinshunt``."""
+"""Commands of ``catkinshunt``; their texts are the help pages."""
 
-import signal
-import sys
-import threading
-
-import fire
-
-from catkinshunt import entry
-from catkinshunt import errors
-from catkinshunt import settings
-from catkinshunt import sidecar
+from catkinshunt.cli import _action
+from catkinshunt.cli import _check
+from catkinshunt.cli import _rules
+from catkinshunt.cli import _serve
+from catkinshunt.cli import _status
 
 
 class Commands:
     """Weight distribution and request routing for bursts."""
 
+    def __init__(self):
+        self.rules = _rules.RulesCommands()
+
     def entry(self, path):
-        """Run an entry instance with the settings at PATH."""
-        cfg = settings.load_settings(path, settings.EntrySettings)
-        _serve(entry.EntryProcess(cfg))
+        """Run an entry, which takes callers' requests.
+
+        It ends on SIGTERM, after the requests in progress.
+
+        Args:
+            path: settings file of the entry, JSON with comments.
+        """
+        return _action.Action(_serve.serve_entry, str(path))
 
     def sidecar(self, path):
-        """Run the process beside an upstream with the settings at PATH."""
-        cfg = settings.load_settings(path, settings.SidecarSettings)
-        _serve(sidecar.SidecarProcess(cfg))
-
-
-def _serve(process):
-    """Run `process` until SIGTERM; the first line printed is its address."""
-    stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    with process:
-        print(process.address, flush=True)
-        stopped.wait()
-
-
-def main():
-    """Run the command line; an error ends it with one line."""
-    try:
-        fire.Fire(Commands, name='catkinshunt')
-    except errors.CatkinshuntError as exc:
-        print(f'catkinshunt: {exc}', file=sys.stderr)
-        sys.exit(2)
+        """Run a sidecar, the process beside one upstream.
+
+        It ends on SIGTERM, after the requests in progress.
+
+        Args:
+            path: settings file of the sidecar, JSON with comments.
+        """
+        return _action.Action(_serve.serve_sidecar, str(path))
+
+    def check_settings(self, *paths):
+        """Check settings files and show everything that is wrong in them.
+
+        Args:
+            paths: settings files of entries, sidecars and operators.
+        """
+        return _action.Action(_check.check_settings, map(str, paths))
+
+    def status(self, settings='operators.json5', watch=False, every_s=1.0):
+        """Show instances, the revision in force and the models served.
+
+        The last line counts, for each model version that a rule places,
+        the instances that serve it.
+
+        Args:
+            settings: settings file of the operators.
+            watch: show it again and again until every replica serves.
+            every_s: seconds between two looks.
+        """
+        return _action.Action(_status.status, str(settings), watch, every_s)
+
+    def version(self):
+        """Show the version."""
+        return _action.Action(_check.version)
--- /dev/null
+++ b/catkinshunt/cli/_main.py
@@ -0,0 +1,122 @@
+"""Reads the arguments, runs one command, and turns errors into exit codes.
+
+fire reads the arguments. Commands hand back an `Action` instead of acting
+at once, so that a wrong flag is found before anything has begun: fire calls
+a command first and looks at the arguments left over afterwards.
+"""
+
+import contextlib
+import io
+import os
+import sys
+
+from catkinshunt.cli import _action
+from catkinshunt.cli import _commands
+from catkinshunt import errors
+
+NAME = 'catkinshunt'
+OK = 0
+FAILED = 1
+USAGE = 2
+CONFLICT = 3
+_INTERRUPTED = 130
+_HELP = ('--help', '-h', 'help')
+
+
+def main(argv=None):
+    """Run the command in `argv` and end the process with its exit code."""
+    sys.exit(run(sys.argv[1:] if argv is None else list(argv)))
+
+
+def run(argv):
+    """Run the command in `argv`; return its exit code.
+
+    Examples:
+        >>> run(['--version'])  # doctest: +ELLIPSIS
+        catkinshunt ...
+        0
+    """
+    try:
+        return _run(argv)
+    except errors.ConflictError as exc:
+        return _fail(exc, CONFLICT)
+    except (errors.SettingsError, errors.RuleError) as exc:
+        return _fail(exc, USAGE)
+    except errors.CatkinshuntError as exc:
+        return _fail(exc, FAILED)
+    except BrokenPipeError:
+        # The reader, such as `head`, has seen enough; what is still in the
+        # buffer would raise again when the interpreter ends.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return OK
+    except OSError as exc:
+        return _fail(exc, FAILED)
+    except KeyboardInterrupt:
+        return _INTERRUPTED
+
+
+def _run(argv):
+    if argv[:1] == ['--version']:
+        argv = ['version']
+    if not argv:
+        argv = ['--help']
+    found = _read(argv)
+    if isinstance(found, _action.Action):
+        return found.act() or OK
+    return OK
+
+
+def _read(argv):
+    """Return what fire makes of `argv`: an `Action`, or None after help."""
+    import fire
+    from fire import core
+
+    # fire would show help through a pager, a child process.
+    os.environ['PAGER'] = '-'
+    if any(word in argv for word in _HELP):
+        words = [word for word in argv if word not in (*_HELP, '--')]
+        return _help(fire, core, words)
+    notes = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(notes):
+            found = fire.Fire(
+                _commands.Commands(),
+                command=argv,
+                name=NAME,
+                serialize=lambda _value: None,
+            )
+    except core.FireExit:
+        found = None
+    if not isinstance(found, _action.Action):
+        raise errors.SettingsError(_reason(notes.getvalue(), argv))
+    return found
+
+
+def _help(fire, core, words):
+    """Show the help page of the command `words` on standard output."""
+    page = io.StringIO()
+    with contextlib.redirect_stderr(page), contextlib.suppress(core.FireExit):
+        fire.Fire(
+            _commands.Commands(), command=[*words, '--', '--help'], name=NAME
+        )
+    print(page.getvalue().rstrip())
+
+
+def _reason(notes, argv):
+    """Return fire's complaint as one line."""
+    for line in notes.splitlines():
+        if line.startswith('ERROR: '):
+            reason = line.removeprefix('ERROR: ').rstrip('.')
+            return f'{reason}; see {NAME} --help'
+    words = ' '.join(argv)
+    return f'{words!r} is not a whole command; see {NAME} --help'
+
+
+def _fail(exc, code):
+    print(f'{NAME}: {_one_line(exc)}', file=sys.stderr)
+    return code
+
+
+def _one_line(exc):
+    lines = str(exc).splitlines() or [type(exc).__name__]
+    return '; '.join(line.strip() for line in lines)
--- /dev/null
+++ b/catkinshunt/cli/_status.py
@@ -0,0 +1,154 @@
+"""Shows what every instance says of itself."""
+
+import collections
+import concurrent.futures
+import json
+import sys
+import time
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt import httpio
+from catkinshunt import settings
+
+_PARALLEL = 32
+_UNKNOWN = '-'
+
+
+@attrs.frozen
+class Row:
+    """One instance as it is shown.
+
+    Attributes:
+        name: name of the instance.
+        service: service of its upstream; ``entry`` for an entry.
+        data_centre: where it stands.
+        state: its own word, else that of the platform's list.
+        revision: configuration revision in force there, or None.
+        wanted: pairs of model and version that a rule places there.
+        served: pairs of model and version that it serves.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    state: str
+    revision: int | None = None
+    wanted: tuple = ()
+    served: tuple = ()
+
+
+def status(path, watch, every_s):
+    """Show the status; with `watch` until every replica serves."""
+    cfg = settings.load_settings(path, settings.OperatorSettings)
+    while True:
+        rows = read_rows(cfg)
+        for line in table(rows):
+            print(line)
+        done = _show_progress(rows)
+        sys.stdout.flush()
+        if done or not watch:
+            return 0
+        time.sleep(every_s)
+
+
+def read_rows(cfg):
+    """Ask the platform's list, then each instance on it.
+
+    Raises:
+        errors.RequestError: the list cannot be read.
+    """
+    address = httpio.Address.parse(cfg.platform.instance_list)
+    reply = httpio.exchange(
+        address, 'GET', '/instances', timeout_s=cfg.timeout_s
+    )
+    if reply.status != 200:
+        raise errors.RequestError(
+            f'status {reply.status}', step='list instances', peer=str(address)
+        )
+    listed = json.loads(reply.body)['instances']
+    with concurrent.futures.ThreadPoolExecutor(_PARALLEL) as executor:
+        return list(executor.map(lambda item: _row(cfg, item), listed))
+
+
+def _row(cfg, item):
+    row = Row(
+        item['name'],
+        item.get('service') or 'entry',
+        item['data_centre'],
+        f'{item["state"]} (no answer)',
+    )
+    own = item.get('operator_address')
+    host = httpio.Address.parse(item['address']).host
+    address = httpio.Address(host, cfg.operator_port)
+    if own:
+        address = httpio.Address.parse(own)
+    try:
+        reply = httpio.exchange(
+            address, 'GET', '/status', timeout_s=cfg.timeout_s
+        )
+        value = json.loads(reply.body)
+        return attrs.evolve(
+            row,
+            state=value['state'],
+            revision=value['revision'],
+            wanted=_pairs(value['wanted']),
+            served=_pairs(value['served']),
+        )
+    except (errors.RequestError, ValueError, KeyError, TypeError):
+        return row
+
+
+def _pairs(models):
+    return tuple(sorted((model, version) for model, version in models.items()))
+
+
+def table(rows):
+    """Return the lines of a table of `rows`.
+
+    Examples:
+        >>> for line in table([Row('r-1', 'desk', 'larisa-a', 'serving', 3)]):
+        ...     print(line)
+        instance  service  data centre  state    revision  serves
+        r-1       desk     larisa-a     serving  3         -
+    """
+    head = (
+        'instance',
+        'service',
+        'data centre',
+        'state',
+        'revision',
+        'serves',
+    )
+    cells = [head] + [_cells(row) for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return ['  '.join(map(str.ljust, line, widths)).rstrip() for line in cells]
+
+
+def _cells(row):
+    served = ' '.join(f'{model}@{version}' for model, version in row.served)
+    revision = _UNKNOWN if row.revision is None else str(row.revision)
+    return (
+        row.name,
+        row.service,
+        row.data_centre,
+        row.state,
+        revision,
+        served or _UNKNOWN,
+    )
+
+
+def _show_progress(rows):
+    """Print replicas done of wanted; return whether none is missing."""
+    wanted = collections.Counter()
+    done = collections.Counter()
+    for row in rows:
+        wanted.update(row.wanted)
+        done.update(set(row.wanted) & set(row.served))
+    for pair, count in sorted(wanted.items()):
+        print(f'{pair[0]}@{pair[1]}: {done[pair]} of {count} replicas serve')
+    silent = sum(row.revision is None for row in rows)
+    if silent:
+        print(f'{silent} of {len(rows)} instances gave no answer')
+    return not silent and done == wanted
--- a/catkinshunt/settings/__init__.py
+++ b/catkinshunt/settings/__init__.py
@@ -1,18 +1,22 @@
 """Settings of the processes, read from JSON with comments."""
 
+from catkinshunt.settings._load import load_document
 from catkinshunt.settings._load import load_settings
 from catkinshunt.settings._load import load_text
 from catkinshunt.settings._load import structure
 from catkinshunt.settings._model import EntrySettings
+from catkinshunt.settings._model import OperatorSettings
 from catkinshunt.settings._model import PlatformSettings
 from catkinshunt.settings._model import SidecarSettings
 from catkinshunt.settings._problem import Problem
 
 __all__ = [
     'EntrySettings',
+    'OperatorSettings',
     'PlatformSettings',
     'Problem',
     'SidecarSettings',
+    'load_document',
     'load_settings',
     'load_text',
     'structure',
--- a/catkinshunt/settings/_fields.py
+++ b/catkinshunt/settings/_fields.py
@@ -100,6 +100,11 @@
     )
 
 
+def names():
+    """Return a field for a list of names, each not empty."""
+    return make_field('a list of names', all, [])
+
+
 def secret():
     """Return a field for a key that must not be shown."""
     return make_field(
--- a/catkinshunt/settings/_load.py
+++ b/catkinshunt/settings/_load.py
@@ -39,13 +39,22 @@
         errors.SettingsError: the file cannot be read or used; its
             ``problems`` hold everything that is wrong.
     """
+    return structure(load_document(path), cls, path)
+
+
+def load_document(path):
+    """Return what the file at `path` holds, unchecked.
+
+    Raises:
+        errors.SettingsError: the file cannot be read, or is no JSON5.
+    """
     try:
         with open(path, encoding='utf-8') as file:
             content = file.read()
     except (OSError, UnicodeDecodeError) as exc:
         reason = getattr(exc, 'strerror', None) or 'not UTF-8 text'
         _raise([_problem.Problem(path, _WHOLE_FILE, reason, 'a file')])
-    return load_text(content, cls, path)
+    return _parse(content, path)
 
 
 def load_text(content, cls, path='(text)'):
@@ -66,15 +75,18 @@
         catkinshunt.errors.SettingsError: a.json5: size: got 0, \
 allowed: a whole number from 1 to 100000
     """
+    return structure(_parse(content, path), cls, path)
+
+
+def _parse(content, path):
     import json5
 
     try:
         # Of two fields with one name the last would win without a word.
-        raw = json5.loads(content, allow_duplicate_keys=False)
+        return json5.loads(content, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as exc:
         given = ' '.join(str(exc).split())
         _raise([_problem.Problem(path, _WHOLE_FILE, given, 'JSON5')])
-    return structure(raw, cls, path)
 
 
 def structure(raw, cls, path='(value)'):
--- a/catkinshunt/settings/_model.py
+++ b/catkinshunt/settings/_model.py
@@ -110,3 +110,21 @@
         if self.is_engine and not self.platform.origin:
             allowed = "'host:port', since is_engine is true"
             yield 'platform.origin', 'nothing', allowed
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """Settings of the operators' commands.
+
+    Attributes:
+        platform: where the platform's services listen.
+        operator_port: port for health and metrics of every instance that
+            the platform's list gives no operators' address for.
+        services: names that rules may use; empty leaves them unchecked.
+        timeout_s: longest wait for one instance.
+    """
+
+    platform: PlatformSettings
+    operator_port: int = _fields.port(9400)
+    services: list[str] = _fields.names()
+    timeout_s: float = _fields.above_zero('seconds', 2.0)
