--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -6,6 +6,7 @@
 from catkinshunt import httpio
 from catkinshunt import instances
 from catkinshunt import kvstore
+from catkinshunt import metrics
 
 
 class EntryProcess(base.BaseService):
@@ -30,11 +31,29 @@
             platform.instance_list_period_s,
         ).start()
         app = _app.EntryApp(self.cfg, self._follower, self._directory)
+        registry = metrics.Registry()
         self._server = httpio.HttpServer(
-            app, self.cfg.host, self.cfg.port, self.cfg.threads
+            metrics.MeasuredApp(app, registry),
+            self.cfg.host,
+            self.cfg.port,
+            self.cfg.threads,
         ).start()
+        self._serving = True
+        self._operators = metrics.start_operators(
+            self.cfg, registry, lambda: self._serving, self.report
+        )
         return self
 
+    def report(self):
+        """Return what ``/status`` shows."""
+        return {
+            'name': self.cfg.name,
+            'state': 'serving' if self._serving else 'leaving',
+            'revision': self._follower.current.revision,
+            'wanted': {},
+            'served': {},
+        }
+
     @property
     def address(self):
         """Address that callers use."""
@@ -42,6 +61,8 @@
 
     def stop(self):
         """Stop listening, then stop the rest."""
+        self._serving = False
         self._server.stop()
+        self._operators.stop()
         self._directory.stop()
         self._follower.stop()
--- /dev/null
+++ b/catkinshunt/metrics/_measured.py
@@ -0,0 +1,67 @@
+"""Measures each request of a WSGI application."""
+
+import time
+
+from catkinshunt import base
+
+
+class MeasuredApp(base.ParamsMixin):
+    """Passes requests to `app` and records status and duration.
+
+    A streamed answer ends when its last piece has been handed over, so its
+    duration is taken then, not when it begins.
+
+    Args:
+        app: the WSGI application.
+        registry: the `Registry` of the process.
+    """
+
+    def __init__(self, app, registry):
+        self.app = app
+        self.registry = registry
+        self._durations = registry.recorder(
+            'request_duration_seconds', 'Time to the end of the answer.'
+        )
+        self._first_bytes = registry.recorder(
+            'first_byte_seconds', 'Time to the first bytes of the answer.'
+        )
+        self._requests = registry.counter(
+            'requests', 'Requests by HTTP status.', ('status',)
+        )
+        self._broken = registry.counter(
+            'answers_cut_off', 'Answers that did not come to their end.'
+        )
+
+    def __call__(self, environ, start_response):
+        begin = time.monotonic()
+
+        def note(status, headers, exc_info=None):
+            self._requests.add(status[:3])
+            return start_response(status, headers, exc_info)
+
+        body = self.app(environ, note)
+        if isinstance(body, (list, tuple)):
+            # Whole already: the server reads its length off a list and can
+            # keep the connection, which it can't do for other iterables.
+            duration_s = time.monotonic() - begin
+            self._first_bytes.observe(duration_s)
+            self._durations.observe(duration_s)
+            return body
+        return self._measure(body, begin)
+
+    def _measure(self, body, begin):
+        """Yield the pieces of `body`; record when it ends."""
+        waiting = True
+        try:
+            for piece in body:
+                if waiting:
+                    self._first_bytes.observe(time.monotonic() - begin)
+                    waiting = False
+                yield piece
+            self._durations.observe(time.monotonic() - begin)
+        except Exception:
+            self._broken.add()
+            raise
+        finally:
+            if hasattr(body, 'close'):
+                body.close()
--- a/catkinshunt/metrics/tests/test_metrics.py
+++ b/catkinshunt/metrics/tests/test_metrics.py
@@ -114,3 +114,38 @@
         assert get('/metrics').headers['Content-Type'].startswith('text/')
         assert get('/other').status == 404
         assert get('/ready', 'POST').status == 405
+
+
+def test_each_request_is_measured():
+    """An answer breaks off in the middle of its stream.
+
+    Counted by its status alone it would look as good as a whole one.
+    """
+
+    def pieces():
+        yield b'one'
+        raise RuntimeError('upstream gone')
+
+    bodies = {'/list': [b'ok'], '/stream': iter([b'a', b'b']), '/cut': pieces}
+
+    def app(environ, start_response):
+        start_response('200 OK', [])
+        body = bodies[environ['PATH_INFO']]
+        return body() if callable(body) else body
+
+    registry = metrics.Registry()
+    measured = metrics.MeasuredApp(app, registry)
+
+    def call(path):
+        return list(measured({'PATH_INFO': path}, lambda *_: None))
+
+    assert call('/list') == [b'ok']
+    assert call('/stream') == [b'a', b'b']
+    with pytest.raises(RuntimeError):
+        call('/cut')
+    read = samples(registry)
+    ok = (('status', '200'),)
+    assert read['catkinshunt_requests_total', ok] == 3
+    assert read['catkinshunt_answers_cut_off_total', ()] == 1
+    assert read['catkinshunt_request_duration_seconds_count', ()] == 2
+    assert read['catkinshunt_first_byte_seconds_count', ()] == 3
--- a/catkinshunt/sidecar/_placement.py
+++ b/catkinshunt/sidecar/_placement.py
@@ -31,6 +31,8 @@
         self.port = None
         self._token = secrets.token_hex(8)
         self._held = None
+        self._wanted = {}
+        self._served = {}
         self._stopped = threading.Event()
 
     def start(self):
@@ -45,6 +47,10 @@
         """Take up no further placement."""
         self._stopped.set()
 
+    def report(self):
+        """Return the versions wanted and served, by model."""
+        return {'wanted': self._wanted, 'served': self._served}
+
     def serve(self, path):
         """Return the response to the engine's pull of weights."""
         held = self._held
@@ -78,12 +84,14 @@
         if rule is None:
             return
         place = rule.then
+        self._wanted = {place.model: place.version}
         if self._held and self._held[0][:2] == (place.model, place.version):
             return
         manifest = self._fetch_manifest(place)
         data = self._fetch_weights(place, manifest)
         self._held = ((place.model, place.version), data)
         self._order(place, manifest, conf.revision)
+        self._served = {place.model: place.version}
         _log.info(
             'Rule {} placed {} {}.', rule.name, place.model, place.version
         )
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -4,6 +4,7 @@
 from catkinshunt import configuration
 from catkinshunt import httpio
 from catkinshunt import kvstore
+from catkinshunt import metrics
 from catkinshunt.sidecar import _app
 from catkinshunt.sidecar import _placement
 
@@ -26,15 +27,32 @@
         self._follower = configuration.Follower(store)
         self._placement = _placement.Placement(self.cfg, self._follower)
         app = _app.SidecarApp(self.cfg, self._placement)
+        registry = metrics.Registry()
         self._server = httpio.HttpServer(
-            app, self.cfg.host, self.cfg.port, self.cfg.threads
+            metrics.MeasuredApp(app, registry),
+            self.cfg.host,
+            self.cfg.port,
+            self.cfg.threads,
         ).start()
+        self._serving = True
         self._follower.start()
         if self.cfg.is_engine:
             self._placement.port = self._server.port
             self._placement.start()
+        self._operators = metrics.start_operators(
+            self.cfg, registry, lambda: self._serving, self.report
+        )
         return self
 
+    def report(self):
+        """Return what ``/status`` shows."""
+        return {
+            'name': self.cfg.name,
+            'state': 'serving' if self._serving else 'leaving',
+            'revision': self._follower.current.revision,
+            **self._placement.report(),
+        }
+
     @property
     def address(self):
         """Address that entries and peers use."""
@@ -42,6 +60,8 @@
 
     def stop(self):
         """Stop listening, then stop the rest."""
+        self._serving = False
         self._server.stop()
+        self._operators.stop()
         self._placement.stop()
         self._follower.stop()
