--- a/catkinshunt/configuration/__init__.py
+++ b/catkinshunt/configuration/__init__.py
@@ -1,7 +1,31 @@
 """The configuration accepted last, and how it reaches each process."""
 
-from catkinshunt.configuration._follower import Configuration
-from catkinshunt.configuration._follower import Follower
-from catkinshunt.configuration._follower import KEY
+from catkinshunt.configuration._configuration import Configuration
+from catkinshunt.configuration._configuration import EMPTY
+from catkinshunt.configuration._configuration import KEY
+from catkinshunt.configuration._differences import describe_differences
+from catkinshunt.configuration._differences import read_document
+from catkinshunt.configuration._differences import read_rules_file
+from catkinshunt.configuration._editor import Editor
+from catkinshunt.configuration._edits import Edit
+from catkinshunt.configuration._following import Follower
+from catkinshunt.configuration._keeper import Keeper
+from catkinshunt.configuration._updates import apply_update
+from catkinshunt.configuration._updates import make_update
+from catkinshunt.configuration._updates import Update
 
-__all__ = ['Configuration', 'Follower', 'KEY']
+__all__ = [
+    'Configuration',
+    'EMPTY',
+    'Edit',
+    'Editor',
+    'Follower',
+    'KEY',
+    'Keeper',
+    'Update',
+    'apply_update',
+    'describe_differences',
+    'make_update',
+    'read_document',
+    'read_rules_file',
+]
--- /dev/null
+++ b/catkinshunt/configuration/_keeper.py
@@ -0,0 +1,88 @@
+"""The one configuration in force in a process."""
+
+import threading
+
+from catkinshunt.configuration import _configuration
+from catkinshunt import logs
+
+_log = logs.get_logger('configuration')
+
+
+class Keeper:
+    """Holds the newest configuration that the process has learnt of.
+
+    However it is learnt - by a watch, a push, a pull, an old read - only a
+    higher revision takes the place of the one in force, so it never reverts.
+
+    Examples:
+        >>> keeper = Keeper()
+        >>> first = _configuration.Configuration(revision=1)
+        >>> keeper.offer(first, now=0.0), keeper.offer(first, now=1.0)
+        (True, False)
+        >>> keeper.current
+        Configuration(revision=1)
+    """
+
+    def __init__(self):
+        self._current = _configuration.EMPTY
+        self._since = None
+        self._callbacks = []
+        self._changed = threading.Condition()
+        self._telling = threading.Lock()
+        self._told = 0
+
+    @property
+    def current(self):
+        """The `Configuration` in force."""
+        return self._current
+
+    @property
+    def since(self):
+        """Time since when it is in force, or None before the first."""
+        return self._since
+
+    def offer(self, configuration, now):
+        """Put `configuration` in force if its revision is higher.
+
+        Returns:
+            Whether it was put in force.
+        """
+        with self._changed:
+            if configuration.revision <= self._current.revision:
+                return False
+            self._current = configuration
+            self._since = now
+            self._changed.notify_all()
+        _log.info('Revision {} is in force.', configuration.revision)
+        self._tell()
+        return True
+
+    def subscribe(self, callback):
+        """Call ``callback(configuration)`` for each one put in force.
+
+        Calls come one at a time and in rising order; where revisions follow
+        fast, those in between are left out.
+        """
+        with self._changed:
+            self._callbacks.append(callback)
+
+    def wait(self, after_revision, timeout_s):
+        """Wait for a revision above `after_revision`; return the current."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._current.revision > after_revision, timeout_s
+            )
+            return self._current
+
+    def _tell(self):
+        # Two threads may offer at a time. Without the lock a callback could
+        # see the newer revision first and the older one last, and act on it.
+        with self._telling:
+            with self._changed:
+                current = self._current
+                callbacks = tuple(self._callbacks)
+            if current.revision <= self._told:
+                return
+            self._told = current.revision
+            for callback in callbacks:
+                callback(current)
--- /dev/null
+++ b/catkinshunt/configuration/_updates.py
@@ -0,0 +1,112 @@
+"""What one process sends another to bring its configuration up to date."""
+
+import json
+import zlib
+
+import attrs
+
+from catkinshunt.configuration import _configuration
+from catkinshunt.configuration import _edits
+from catkinshunt import errors
+
+#: Guards against a small message that unfolds into a huge document.
+MAX_DOCUMENT_BYTES = 2 * _configuration.MAX_BYTES
+
+
+@attrs.frozen
+class Update:
+    """A way from `base_revision`, or from nothing, to `revision`.
+
+    Args:
+        revision: revision that it leads to.
+        base_revision: revision that the edits start from.
+        edits: the edits in order, each as JSON bytes.
+        document: the whole document, deflated; empty where edits lead there.
+        digest: SHA-256 of the document at `revision`.
+    """
+
+    revision: int
+    base_revision: int = 0
+    edits: tuple = ()
+    document: bytes = b''
+    digest: bytes = b''
+
+    @property
+    def size(self):
+        """Bytes of edits and document."""
+        return len(self.document) + sum(map(len, self.edits))
+
+
+def make_update(configuration, after_revision):
+    """Return the smaller `Update` for a process at `after_revision`.
+
+    The edits are smaller by far for a process that is a few revisions
+    behind; the whole document serves one that has just started.
+    """
+    if configuration.revision <= after_revision:
+        return Update(configuration.revision)
+    edits = None
+    if after_revision > 0:
+        edits = configuration.edits_after(after_revision)
+    whole = configuration.deflated
+    if edits is not None:
+        lines = tuple(_edits.encode(edit.to_document()) for edit in edits)
+        if sum(map(len, lines)) <= len(whole):
+            return Update(
+                configuration.revision,
+                after_revision,
+                lines,
+                digest=configuration.digest,
+            )
+    return Update(
+        configuration.revision, document=whole, digest=configuration.digest
+    )
+
+
+def apply_update(configuration, update):
+    """Return the configuration that `update` leads to.
+
+    An update that is not newer leads to `configuration` itself.
+
+    Args:
+        configuration: the one in force.
+        update: from another process.
+
+    Raises:
+        errors.PeerError: the update does not fit `configuration`, or does
+            not lead to the document that its digest names.
+    """
+    if update.revision <= configuration.revision:
+        return configuration
+    try:
+        if update.document:
+            found = _inflated(update.document)
+        else:
+            found = _replayed(configuration, update)
+    except (ValueError, zlib.error, errors.RuleError) as exc:
+        raise errors.PeerError(
+            f'update {update.revision} cannot be applied: {exc}',
+            step='apply-update',
+        ) from exc
+    # A process of another build may replay an edit differently. It would go
+    # on with other rules than everybody else, and nobody would notice.
+    if (found.revision, found.digest) != (update.revision, update.digest):
+        raise errors.PeerError(
+            f'update {update.revision} leads to another document',
+            step='apply-update',
+        )
+    return found
+
+
+def _inflated(document):
+    inflater = zlib.decompressobj()
+    data = inflater.decompress(document, MAX_DOCUMENT_BYTES)
+    return _configuration.Configuration.from_bytes(data)
+
+
+def _replayed(configuration, update):
+    for line in update.edits:
+        edit = _edits.Edit.from_document(json.loads(line))
+        if edit.revision > configuration.revision:
+            configuration = configuration.replayed(edit)
+    return configuration
--- /dev/null
+++ b/catkinshunt/configuration/tests/test_editor.py
@@ -0,0 +1,216 @@
+"""Tests of operators' edits and of their races."""
+
+import concurrent.futures
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from catkinshunt import configuration
+from catkinshunt.configuration.tests import fakes
+from catkinshunt import errors
+from catkinshunt import rules
+
+make_rule = fakes.make_rule
+
+
+def _names(found):
+    return [rule.name for rule in found.rule_set.rules]
+
+
+@pytest.fixture(name='store')
+def _store():
+    return fakes.FakeStore()
+
+
+@pytest.fixture(name='editor')
+def _editor(store):
+    return configuration.Editor(store, pause_s=0)
+
+
+def test_each_edit_raises_the_revision(editor):
+    assert editor.read().revision == 0
+    assert editor.add(make_rule('a')).revision == 1
+    assert _names(editor.add(make_rule('b'), position=0)) == ['b', 'a']
+    assert _names(editor.move('a', 0)) == ['a', 'b']
+    assert _names(editor.retire('b')) == ['a']
+    assert editor.read().revision == 4
+
+
+@pytest.mark.parametrize(
+    ('edit', 'text'),
+    [
+        (lambda e: e.add(make_rule('a', '/x')), "'a' exists already"),
+        (lambda e: e.add(make_rule('b'), position=9), 'position must be'),
+        (lambda e: e.add(make_rule('b', '/a')), 'cannot be reached'),
+        (lambda e: e.add({'name': 'b'}), 'field when'),
+        (lambda e: e.move('b', 0), "no rule 'b'"),
+        (lambda e: e.move('a', -1), 'position must be'),
+        (lambda e: e.retire('b'), "no rule 'b'"),
+        (lambda e: e.add(make_rule('b', reason='x' * 10**6)), 'bytes'),
+    ],
+)
+def test_an_edit_that_cannot_be_accepted_writes_nothing(
+    editor, store, edit, text
+):
+    editor.add(make_rule('a'))
+    with pytest.raises(errors.RuleError, match=text):
+        edit(editor)
+    assert store.calls['put'] == 1
+    assert editor.read().revision == 1
+
+
+def test_a_dry_run_shows_the_result_and_writes_nothing(editor, store):
+    before = editor.add(make_rule('a'))
+    after = editor.add(make_rule('b'), dry_run=True)
+    assert configuration.describe_differences(
+        before.rule_set, after.rule_set
+    ) == ("added 'b' at 1",)
+    assert store.calls['put'] == 1
+
+
+def test_a_conflict_names_what_changed(editor):
+    """Two operators look at the same rules and both edit them.
+
+    The second one must learn what the first one did instead of undoing it.
+    """
+    seen = editor.add(make_rule('a')).revision
+    editor.add(make_rule('b'))
+    editor.move('b', 0)
+    editor.retire('a')
+    with pytest.raises(errors.ConflictError) as caught:
+        editor.add(make_rule('c'), expected_revision=seen)
+    assert caught.value.changes == (
+        "revision 2 added 'b' at 1",
+        "revision 3 moved 'b' to 0",
+        "revision 4 retired 'a'",
+    )
+    assert "retired 'a'" in str(caught.value)
+    with pytest.raises(errors.ConflictError, match='never accepted'):
+        editor.retire('b', expected_revision=9)
+
+
+def test_an_edit_that_slips_in_between_read_and_write_is_named(editor, store):
+    """Another operator's write lands while ours is on its way."""
+    editor.add(make_rule('a'))
+    other = configuration.Editor(store)
+    store.before_put = lambda: other.add(make_rule('b'))
+    with pytest.raises(errors.ConflictError, match="added 'b'"):
+        editor.retire('a')
+    assert _names(editor.read()) == ['a', 'b']
+
+
+@pytest.mark.parametrize('later', [0, 3])
+def test_a_lost_answer_is_resolved_by_reading_back(editor, store, later):
+    """The write takes effect, its answer is lost, and others edit at once.
+
+    An operator who were told of a failure would add the rule twice.
+    """
+    editor.add(make_rule('a'))
+    other = configuration.Editor(store)
+    read = store.get
+
+    def get(key):
+        store.get = read
+        for number in range(later):
+            other.add(make_rule(f'later-{number}'))
+        return read(key)
+
+    put = store.put
+
+    def lose(*args):
+        put(*args)
+        store.put = put
+        store.get = get
+        raise errors.StoreUnknownError('lost')
+
+    store.put = lose
+    assert editor.add(make_rule('b')).revision == 2
+    assert _names(editor.read())[:2] == ['a', 'b']
+    assert editor.read().revision == 2 + later
+
+
+def test_a_write_lost_on_its_way_is_tried_again(editor, store):
+    """The connection breaks before the service has seen the write."""
+    store.lose_writes = 2
+    assert editor.add(make_rule('a')).revision == 1
+    assert _names(editor.read()) == ['a']
+
+
+def test_an_outage_after_a_lost_answer_is_reported_as_unknown(editor, store):
+    """The answer is lost and the service goes down before it is read back.
+
+    The edit may be in force later, so the operator is told to look for it.
+    """
+    put = store.put
+
+    def lose(*args):
+        put(*args)
+        store.down = True
+        raise errors.StoreUnknownError('lost')
+
+    store.put = lose
+    with pytest.raises(errors.StoreUnknownError, match='look for edit'):
+        editor.add(make_rule('a'))
+    store.down = False
+    assert _names(editor.read()) == ['a']
+
+
+def test_an_outage_before_the_write_is_reported_as_not_done(editor, store):
+    """The service is down when the operator edits; nothing is written."""
+    store.down = True
+    with pytest.raises(errors.StoreUnavailableError):
+        editor.add(make_rule('a'))
+
+
+def test_racing_operators_lose_no_accepted_edit(store):
+    """Four operators edit at once, and some answers are lost on the way.
+
+    Each edit told as accepted must be in the rules at its own revision; the
+    history of accepted revisions must be one line without gaps.
+    """
+    store.lose_answers = 3
+
+    def work(who):
+        editor = configuration.Editor(store, pause_s=0, tries=20)
+        accepted = {}
+        for number in range(8):
+            name = f'{who}-{number}'
+            while name not in accepted:
+                try:
+                    accepted[name] = editor.add(make_rule(name)).revision
+                except errors.ConflictError:
+                    continue
+        return accepted
+
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        histories = list(pool.map(work, 'abcd'))
+    accepted = {}
+    for history in histories:
+        accepted.update(history)
+    final = configuration.Editor(store).read()
+    assert sorted(accepted.values()) == list(range(1, 33))
+    in_order = sorted(accepted, key=accepted.get)
+    assert _names(final) == in_order
+    assert final.revision == 32
+
+
+_RULES = st.lists(
+    st.tuples(st.sampled_from('abcdef'), st.sampled_from(['x', 'y'])),
+    unique_by=lambda item: item[0],
+)
+
+
+def _load(items):
+    documents = [make_rule(name, reason=reason) for name, reason in items]
+    return rules.load_rule_set({'rules': documents})
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(_RULES, _RULES)
+def test_apply_leads_to_just_the_wanted_rules(before, after):
+    editor = configuration.Editor(fakes.FakeStore())
+    editor.apply(_load(before))
+    found = editor.apply(_load(after))
+    assert found.rule_set == _load(after)
+    assert editor.apply(_load(after)).revision == found.revision
--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -24,12 +24,13 @@
         store = kvstore.HttpKeyValueStore(
             httpio.Address.parse(platform.key_value)
         )
-        self._follower = configuration.Follower(store).start()
+        keeper = configuration.Keeper()
+        self._follower = configuration.Follower(store, keeper).start()
         self._directory = instances.Directory(
             httpio.Address.parse(platform.instance_list),
             platform.instance_list_period_s,
         ).start()
-        app = _app.EntryApp(self.cfg, self._follower, self._directory)
+        app = _app.EntryApp(self.cfg, keeper, self._directory)
         self._server = httpio.HttpServer(
             app, self.cfg.host, self.cfg.port, self.cfg.threads
         ).start()
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -50,7 +50,15 @@
 
 
 class ConflictError(CatkinshuntError):
-    """A compare-and-swap met another revision than expected."""
+    """A compare-and-swap met another revision than expected.
+
+    Args:
+        changes: what others changed meanwhile, one sentence each.
+    """
+
+    def __init__(self, message, *, step='', peer='', changes=()):
+        super().__init__(message, step=step, peer=peer)
+        self.changes = tuple(changes)
 
 
 class StoreError(CatkinshuntError):
--- a/catkinshunt/rules/__init__.py
+++ b/catkinshunt/rules/__init__.py
@@ -9,6 +9,7 @@
 from catkinshunt.rules._conditions import Prefix
 from catkinshunt.rules._documents import dump_rule
 from catkinshunt.rules._documents import dump_rule_set
+from catkinshunt.rules._documents import load_rule
 from catkinshunt.rules._documents import load_rule_set
 from catkinshunt.rules._problems import Problem
 from catkinshunt.rules._rules import Clause
@@ -37,5 +38,6 @@
     'When',
     'dump_rule',
     'dump_rule_set',
+    'load_rule',
     'load_rule_set',
 ]
--- a/catkinshunt/rules/_documents.py
+++ b/catkinshunt/rules/_documents.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from catkinshunt import errors
 from catkinshunt.rules import _actions
 from catkinshunt.rules import _conditions
 from catkinshunt.rules import _problems
@@ -43,16 +42,22 @@
     broken = {problem.rule for problem in found.problems}
     whole = [rule for rule in rules if rule.name not in broken]
     _reachability.check_reachable(whole, found)
-    if found.problems:
-        lines = '\n  '.join(str(problem) for problem in found.problems)
-        raise errors.RuleError(
-            f'rules cannot be accepted:\n  {lines}',
-            step='check-rules',
-            problems=found.problems,
-        )
+    found.raise_any()
     return _rules.RuleSet(rules)
 
 
+def load_rule(document):
+    """Return one rule, checked by itself but not against others.
+
+    Raises:
+        errors.RuleError: the rule cannot be accepted.
+    """
+    found = _problems.Collector()
+    rule = _load_rule(0, document, found)
+    found.raise_any()
+    return rule
+
+
 def dump_rule_set(rule_set):
     """Return `rule_set` as a document that `load_rule_set` takes."""
     return {'rules': [dump_rule(rule) for rule in rule_set.rules]}
--- a/catkinshunt/rules/_problems.py
+++ b/catkinshunt/rules/_problems.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from catkinshunt import errors
+
 
 @attrs.frozen
 class Problem:
@@ -34,3 +36,14 @@
     def add(self, rule, field, text):
         """Note one problem."""
         self.problems.append(Problem(rule, field, text))
+
+    def raise_any(self):
+        """Raise one `errors.RuleError` with all problems, if there are any."""
+        if not self.problems:
+            return
+        lines = '\n  '.join(str(problem) for problem in self.problems)
+        raise errors.RuleError(
+            f'rules cannot be accepted:\n  {lines}',
+            step='check-rules',
+            problems=self.problems,
+        )
--- a/catkinshunt/rules/_rules.py
+++ b/catkinshunt/rules/_rules.py
@@ -63,19 +63,20 @@
 class _Index:
     """Rules of one subject by service, each list still in order.
 
-    Only services that some rule names are keys, so that a caller who sends
-    invented names cannot make the index grow.
+    A list is made when its service is first asked for, so that a process
+    that takes many revisions pays only for the services it serves. Only
+    services that some rule names get a list: a caller who sends invented
+    names cannot make the index grow.
     """
 
     def __init__(self, rules):
-        named = set()
+        self._rules = rules
+        self._named = set()
         for rule in rules:
             condition = rule.when.condition('service')
             if condition is not None:
-                named.update(condition.values() or ())
-        self._by_service = {
-            service: tuple(_admitting(rules, service)) for service in named
-        }
+                self._named.update(condition.values() or ())
+        self._by_service = {}
         self._rest = tuple(
             rule
             for rule in rules
@@ -84,7 +85,14 @@
 
     def candidates(self, service):
         """Return the rules that may match a subject of `service`."""
-        return self._by_service.get(service, self._rest)
+        found = self._by_service.get(service)
+        if found is not None:
+            return found
+        if service not in self._named:
+            return self._rest
+        found = tuple(_admitting(self._rules, service))
+        self._by_service[service] = found
+        return found
 
 
 def _admitting(rules, service):
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -23,8 +23,9 @@
         store = kvstore.HttpKeyValueStore(
             httpio.Address.parse(self.cfg.platform.key_value)
         )
-        self._follower = configuration.Follower(store)
-        self._placement = _placement.Placement(self.cfg, self._follower)
+        keeper = configuration.Keeper()
+        self._follower = configuration.Follower(store, keeper)
+        self._placement = _placement.Placement(self.cfg, keeper)
         app = _app.SidecarApp(self.cfg, self._placement)
         self._server = httpio.HttpServer(
             app, self.cfg.host, self.cfg.port, self.cfg.threads
