--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -25,12 +25,13 @@
         store = kvstore.HttpKeyValueStore(
             httpio.Address.parse(platform.key_value)
         )
-        self._follower = configuration.Follower(store).start()
+        self._keeper = configuration.Keeper()
+        self._follower = configuration.Follower(store, self._keeper).start()
         self._directory = instances.Directory(
             httpio.Address.parse(platform.instance_list),
             platform.instance_list_period_s,
         ).start()
-        app = _app.EntryApp(self.cfg, self._follower, self._directory)
+        app = _app.EntryApp(self.cfg, self._keeper, self._directory)
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
             metrics.MeasuredApp(app, registry),
@@ -49,7 +50,7 @@
         return {
             'name': self.cfg.name,
             'state': 'serving' if self._serving else 'leaving',
-            'revision': self._follower.current.revision,
+            'revision': self._keeper.current.revision,
             'wanted': {},
             'served': {},
         }
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -24,8 +24,9 @@
         store = kvstore.HttpKeyValueStore(
             httpio.Address.parse(self.cfg.platform.key_value)
         )
-        self._follower = configuration.Follower(store)
-        self._placement = _placement.Placement(self.cfg, self._follower)
+        self._keeper = configuration.Keeper()
+        self._follower = configuration.Follower(store, self._keeper)
+        self._placement = _placement.Placement(self.cfg, self._keeper)
         app = _app.SidecarApp(self.cfg, self._placement)
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
@@ -49,7 +50,7 @@
         return {
             'name': self.cfg.name,
             'state': 'serving' if self._serving else 'leaving',
-            'revision': self._follower.current.revision,
+            'revision': self._keeper.current.revision,
             **self._placement.report(),
         }
 
