--- /dev/null
+++ b/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the product as one file; not shipped itself."""
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,6 +9,7 @@
 from standins import engine
 from standins import instance_list
 from standins import key_value
+from standins import links
 from standins import origin
 from standins import plain
 
@@ -16,6 +17,7 @@
     'engine': engine.Engine,
     'instance-list': instance_list.InstanceList,
     'key-value': key_value.KeyValueService,
+    'links': links.Links,
     'origin': origin.Origin,
     'plain': plain.PlainService,
 }
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -23,28 +23,34 @@
 
 
 class Launcher(contextlib.ExitStack):
-    """Starts processes and ends all of them on exit."""
+    """Starts processes and ends all of them on exit.
 
-    def __init__(self):
+    Args:
+        program: words that start the product, such as its one-file build.
+    """
+
+    def __init__(self, program=(sys.executable, '-m', 'catkinshunt')):
         super().__init__()
+        self.program = program
         self._folder = self.enter_context(tempfile.TemporaryDirectory())
         self.launched = {}
 
     def standin(self, name, kind, **options):
         """Start the stand-in `kind` and wait until it listens."""
         args = [f'--{key}={value}' for key, value in options.items()]
-        return self._launch(name, ['-m', 'standins', kind, *args])
+        words = [sys.executable, '-m', 'standins', kind, *args]
+        return self._launch(name, words)
 
     def process(self, name, role, cfg):
         """Start ``entry`` or ``sidecar`` with the settings `cfg`."""
         path = f'{self._folder}/{name}.json'
         with open(path, 'w', encoding='utf-8') as file:
             json.dump(cfg, file)
-        return self._launch(name, ['-m', 'catkinshunt', role, path])
+        return self._launch(name, [*self.program, role, path])
 
-    def _launch(self, name, args):
+    def _launch(self, name, words):
         popen = subprocess.Popen(
-            [sys.executable, *args],
+            words,
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
             text=True,
