--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -62,5 +62,6 @@
     region: str
     address: str
     control_address: str = ''
+    operator_address: str = ''
     role: str = 'upstream'
     state: str = 'live'
