--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,9 @@
 
 format: setup ## Format the sources
 	$(PY) -m ruff format .
+
+demo: setup ## Show the whole path on stand-ins
+	$(PY) -m standins.demo
+
+bench: setup ## Run all benchmarks; fails past their bounds
+	$(PY) -m benchmarks
--- /dev/null
+++ b/catkinshunt/cli/_commands.py
@@ -0,0 +1,59 @@
+"""Commands of ``catkinshunt``; their texts are the help pages."""
+
+from catkinshunt.cli import _action
+from catkinshunt.cli import _check
+from catkinshunt.cli import _rules
+from catkinshunt.cli import _serve
+from catkinshunt.cli import _status
+
+
+class Commands:
+    """Weight distribution and request routing for bursts."""
+
+    def __init__(self):
+        self.rules = _rules.RulesCommands()
+
+    def entry(self, path):
+        """Run an entry, which takes callers' requests.
+
+        It ends on SIGTERM, after the requests in progress.
+
+        Args:
+            path: settings file of the entry, JSON with comments.
+        """
+        return _action.Action(_serve.serve_entry, str(path))
+
+    def sidecar(self, path):
+        """Run a sidecar, the process beside one upstream.
+
+        It ends on SIGTERM, after the requests in progress.
+
+        Args:
+            path: settings file of the sidecar, JSON with comments.
+        """
+        return _action.Action(_serve.serve_sidecar, str(path))
+
+    def check_settings(self, *paths):
+        """Check settings files and show everything that is wrong in them.
+
+        Args:
+            paths: settings files of entries, sidecars and operators.
+        """
+        return _action.Action(_check.check_settings, map(str, paths))
+
+    def status(self, settings='operators.json5', watch=False, every_s=1.0):
+        """Show instances, the revision in force and the models served.
+
+        The last line counts, for each model version that a rule places,
+        the instances that serve it.
+
+        Args:
+            settings: settings file of the operators.
+            watch: show it again and again until every replica serves.
+            every_s: seconds between two looks.
+        """
+        return _action.Action(_status.status, str(settings), watch, every_s)
+
+    def version(self):
+        """Show the version."""
+        return _action.Action(_check.version)
--- /dev/null
+++ b/catkinshunt/entry/_process.py
@@ -0,0 +1,69 @@
+"""The parts of an entry instance, started and stopped together."""
+
+from catkinshunt import base
+from catkinshunt import configuration
+from catkinshunt.entry import _app
+from catkinshunt import httpio
+from catkinshunt import instances
+from catkinshunt import kvstore
+from catkinshunt import metrics
+
+
+class EntryProcess(base.BaseService):
+    """An entry instance.
+
+    Args:
+        cfg: `settings.EntrySettings`.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+
+    def start(self):
+        """Follow the configuration and the list, then listen."""
+        platform = self.cfg.platform
+        store = kvstore.HttpKeyValueStore(
+            httpio.Address.parse(platform.key_value)
+        )
+        self._keeper = configuration.Keeper()
+        self._follower = configuration.Follower(store, self._keeper).start()
+        self._directory = instances.Directory(
+            httpio.Address.parse(platform.instance_list),
+            platform.instance_list_period_s,
+        ).start()
+        app = _app.EntryApp(self.cfg, self._keeper, self._directory)
+        registry = metrics.Registry()
+        self._server = httpio.HttpServer(
+            metrics.MeasuredApp(app, registry),
+            self.cfg.host,
+            self.cfg.port,
+            self.cfg.threads,
+        ).start()
+        self._serving = True
+        self._operators = metrics.start_operators(
+            self.cfg, registry, lambda: self._serving, self.report
+        )
+        return self
+
+    def report(self):
+        """Return what ``/status`` shows."""
+        return {
+            'name': self.cfg.name,
+            'state': 'serving' if self._serving else 'leaving',
+            'revision': self._keeper.current.revision,
+            'wanted': {},
+            'served': {},
+        }
+
+    @property
+    def address(self):
+        """Address that callers use."""
+        return httpio.Address(self.cfg.host, self._server.port)
+
+    def stop(self):
+        """Stop listening, then stop the rest."""
+        self._serving = False
+        self._server.stop()
+        self._operators.stop()
+        self._directory.stop()
+        self._follower.stop()
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -50,7 +50,15 @@
 
 
 class ConflictError(CatkinshuntError):
-    """A compare-and-swap met another revision than expected."""
+    """A compare-and-swap met another revision than expected.
+
+    Args:
+        changes: what others changed meanwhile, one sentence each.
+    """
+
+    def __init__(self, message, *, step='', peer='', changes=()):
+        super().__init__(message, step=step, peer=peer)
+        self.changes = tuple(changes)
 
 
 class StoreError(CatkinshuntError):
@@ -65,6 +73,22 @@
     """The answer was lost; the write may have taken effect or not."""
 
 
+class PeerError(CatkinshuntError):
+    """A call to another process of the system gave no usable answer."""
+
+
+class PeerUnavailableError(PeerError):
+    """The peer was not reached, takes no calls, or was cut off."""
+
+
+class PeerTimeoutError(PeerError):
+    """The peer did not answer before the deadline of the call."""
+
+
+class PeerRefusedError(PeerError):
+    """The peer does not accept the deployment's key."""
+
+
 class RequestError(CatkinshuntError):
     """A request that ends without its answer.
 
