Build the product as one file and keep kept connections usable

http.client does not notice that read1 has taken the last byte of a body with a length, and refused the next request on the kept connection.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 bench: setup ## Run all benchmarks; fails past their bounds
 	$(PY) -m benchmarks
+
+binary: setup ## Build the product as one file, dist/catkinshunt
+	$(PY) -m bundle
--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -87,6 +87,9 @@
         if opened.resp.length or (streamed and not _ends_done(tail)):
             opened.conn.close()
             raise _incomplete(opened, 'ended early')
+        # http.client does not notice by itself that `read1` has taken the
+        # last byte of a body with a length, and refuses the next request.
+        opened.resp.close()
         self.pool.give_back(opened.address, opened.conn)
 
     def _headers(self, req, route, left_s):
--- /dev/null
+++ b/catkinshunt/entry/tests/test_relay.py
@@ -0,0 +1,51 @@
+"""Tests of one try of a request at one sidecar."""
+
+import pytest
+
+from catkinshunt.entry import _relay
+from catkinshunt.entry import _request
+from catkinshunt import httpio
+from catkinshunt import rules
+
+ROUTE = rules.Route(service='order-desk')
+
+
+def request(number):
+    return _request.CallerRequest(
+        request_id=f'r-{number}',
+        service='order-desk',
+        path='/stock',
+        method='GET',
+        account='press-1',
+        model='',
+        idempotency_key='',
+        deadline=10.0,
+        body=b'',
+        content_type='',
+    )
+
+
+@pytest.mark.parametrize('body', [[b'{"stock": 12}'], []])
+def test_next_request_on_a_kept_connection(body):
+    """An answer with a known length was read, and its connection kept.
+
+    The next request on that connection failed before it was sent, and its
+    caller was told that nobody knew whether it had run: http.client had not
+    been told that the first answer was over.
+    """
+    clients = set()
+
+    def app(environ, start_response):
+        clients.add(environ['REMOTE_PORT'])
+        length = ('Content-Length', str(sum(map(len, body))))
+        return httpio.Response(200, body, (length,)).send(start_response)
+
+    with httpio.HttpServer(app, threads=1) as server:
+        pool = httpio.ConnectionPool()
+        relay = _relay.Relay(pool, 'key')
+        address = httpio.Address(server.host, server.port)
+        for number in range(3):
+            opened = relay.open(request(number), ROUTE, address, now=0.0)
+            assert b''.join(relay.read(opened)) == b''.join(body)
+        pool.close()
+    assert len(clients) == 1
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -9,6 +9,7 @@
 from catkinshunt.httpio import headers
 
 _PIECE_BYTES = 64 * 1024
+RETRY_AFTER_S = 1.0
 _PREFIX = '/upstream'
 _PASSED_ON = ('Content-Type', 'Content-Length', 'Model-Version')
 
@@ -43,6 +44,7 @@
             return self.placement.serve(path)
         self._check_key(environ)
         if path.startswith(_PREFIX + '/'):
+            self._check_model(environ)
             return self._forward(environ, path[len(_PREFIX) :])
         raise errors.InvalidRequestError(f'no such path {path}', step='read')
 
@@ -51,6 +53,23 @@
         if not hmac.compare_digest(given, self.cfg.deployment_key.encode()):
             raise errors.InvalidRequestError('wrong key', step='authenticate')
 
+    def _check_model(self, environ):
+        """Refuse a request for a model that the engine does not serve yet.
+
+        A new instance is listed before its engine has its weights. The
+        engine's own answer would reach the caller as final, although
+        another instance could have served the request.
+        """
+        model = environ.get('HTTP_CATKINSHUNT_MODEL', '')
+        if not self.cfg.is_engine or not model:
+            return
+        if model not in self.placement.report()['served']:
+            raise errors.RefusedError(
+                f'{model} is not served here yet',
+                step='admit',
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     def _forward(self, environ, path):
         query = environ.get('QUERY_STRING')
         if query:
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -111,6 +111,16 @@
         for thread in self._threads:
             thread.join(DEADLINE_S * 2)
 
+    def probe(self, address):
+        """Return whether the entry at `address` answers for each service."""
+        probe = Callers(self.deployed, Balancer([address]))
+        sent = [
+            probe._ask('probe', f'probe {address}'),
+            probe._read('probe', self.deployed.booking_service),
+            probe._read('probe', self.deployed.portal_service),
+        ]
+        return all(item.outcome == ANSWERED for item in sent)
+
     def report(self, bookings):
         """Count outcomes; `bookings` is what the booking service has run.
 
@@ -152,10 +162,11 @@
             return self._ask(account, name)
         if draw < _GENERATE_SHARE + _BOOKING_SHARE:
             return self._book(account, name)
-        service = self.deployed.portal_service.name
-        return self._call(
-            'read', account, '', 'GET', f'/{service}/stock', None, _is_stock
-        )
+        return self._read(account, self.deployed.portal_service)
+
+    def _read(self, account, service):
+        path = f'/{service.name}/stock'
+        return self._call('read', account, '', 'GET', path, None, _is_stock)
 
     def _ask(self, account, name):
         model = self.deployed.model
@@ -203,7 +214,6 @@
             except errors.RequestError as exc:
                 self.balancer.fail(address, now)
                 detail = str(exc)
-                self._stopped.wait(0)
                 time.sleep(PAUSE_S)
                 continue
             outcome, detail = _judge(reply, is_right)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -32,12 +32,15 @@
 
 @attrs.frozen
 class Timeline:
-    """When each fault begins, in seconds after the new version is named."""
+    """When each fault begins, in seconds after the new version is named.
+
+    None leaves a fault out.
+    """
 
     calm_s: float = 1.0
     runner_killed_s: float = 0.5
     store_down_s: float = 0.8
-    entry_killed_s: float = 1.2
+    entry_killed_s: float | None = 1.2
     store_up_s: float = 4.0
     end_s: float = 5.0
 
@@ -68,10 +71,10 @@
             self._name_version(FIRST)
             wanted = len(self._scene.model_runners())
             self._wait_for(FIRST, wanted)
-            balancer = callers.Balancer(
-                entry.address for entry in self._scene.entries.values()
-            )
-            called = callers.Callers(self.deployed, balancer).start()
+            balancer = callers.Balancer(self._scene.addresses())
+            called = callers.Callers(self.deployed, balancer)
+            self._wait_for_entries(called)
+            called.start()
             self._say('callers ask and book')
             time.sleep(self.timeline.calm_s)
             value = self._roll_out()
@@ -120,6 +123,8 @@
         words = ['killed a runner', 'the key-value service is away']
         words += ['killed an entry', 'the key-value service is back']
         for (at_s, act), text in zip(steps, words, strict=True):
+            if at_s is None:
+                continue
             time.sleep(max(0, begin + at_s - time.monotonic()))
             act()
             self._say(text)
@@ -160,6 +165,15 @@
                 return None, replicas
             time.sleep(_POLL_S)
 
+    def _wait_for_entries(self, called):
+        """Wait until each entry knows the runners of each service."""
+        deadline = time.monotonic() + ROLLOUT_TIMEOUT_S
+        for address in self._scene.addresses():
+            while not called.probe(address):
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f'{address} does not answer')
+                time.sleep(_POLL_S)
+
     def _max_link_copies(self, before):
         """Return the most copies that one instance's link carried.
 
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -2,16 +2,19 @@
 
 import contextlib
 import json
+import random
 import socket
 import subprocess
 import sys
 import tempfile
+import threading
 
 import attrs
 
 from catkinshunt import httpio
 
 STOP_TIMEOUT_S = 10.0
+_PORTS = (12_000, 32_000)
 #: Words that start the product from its sources.
 PROGRAM = (sys.executable, '-m', 'catkinshunt')
 
@@ -70,18 +73,38 @@
             )
         self.callback(end, popen)
         address = popen.stdout.readline().strip()
+        if not address:
+            raise RuntimeError(f'{name} did not start')
         launched = Launched(name, popen, httpio.Address.parse(address))
         self.launched[name] = launched
         return launched
 
 
 def free_ports(count):
-    """Return ports that are free now; they may be taken again later."""
-    with contextlib.ExitStack() as held:
-        socks = [held.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in socks]
+    """Return ports on which nothing listens.
+
+    They lie below those that the kernel gives to outgoing connections,
+    which could take one before the process that is meant to listen there.
+    """
+    ports = []
+    while len(ports) < count:
+        with _ports_lock:
+            port = next(_ports)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            ports.append(port)
+    return ports
+
+
+def _count_ports():
+    first = random.SystemRandom().randrange(*_PORTS)
+    yield from range(first, _PORTS[1])
+    while True:
+        yield from range(*_PORTS)
+
+
+_ports = _count_ports()
+_ports_lock = threading.Lock()
 
 
 def end(popen):
--- a/standins/links.py
+++ b/standins/links.py
@@ -30,6 +30,7 @@
     bytes_in: int = 0
     bytes_out: int = 0
     free_at: float = 0.0
+    server: asyncio.Server | None = None
 
     def reserve(self, size, now):
         """Return when the link has carried `size` more bytes."""
@@ -49,6 +50,7 @@
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
         self.app = web.App(
             ('PUT', '/links/([^/]+)', self._add),
+            ('DELETE', '/links/([^/]+)', self._cut),
             ('GET', '/stats', self._stats),
         )
 
@@ -65,6 +67,12 @@
         self._links[link.name] = link
         return httpio.Response.of_json(200, {'port': link.port})
 
+    def _cut(self, call):
+        """Refuse new connections, as the host of a dead process does."""
+        server = self._links[call.path[0]].server
+        self._loop.call_soon_threadsafe(server.close)
+        return httpio.Response(200)
+
     def _stats(self, _call):
         value = {
             link.name: {'in': link.bytes_in, 'out': link.bytes_out}
@@ -76,8 +84,8 @@
         async def serve(reader, writer):
             await self._serve(link, reader, writer)
 
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        link.port = server.sockets[0].getsockname()[1]
+        link.server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        link.port = link.server.sockets[0].getsockname()[1]
 
     async def _serve(self, link, reader, writer):
         """Forward one connection until both sides have ended."""
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -93,16 +93,20 @@
         runner = self.runners.pop(name)
         for launched in (runner.sidecar, runner.upstream):
             launched.popen.send_signal(signal.SIGKILL)
-        self._unlist(name)
+        self._cut_off(name)
         return name
 
     def kill_entry(self):
         """Kill an entry; return its name."""
         name, launched = self.entries.popitem()
         launched.popen.send_signal(signal.SIGKILL)
-        self._unlist(name)
+        self._cut_off(name)
         return name
 
+    def addresses(self):
+        """Return the addresses that callers may use."""
+        return [entry.address for entry in self.entries.values()]
+
     def stop_key_value(self, down):
         """Begin or end an outage of the key-value service."""
         self.ask(self.store, 'POST', '/faults', {'down': down})
@@ -211,7 +215,9 @@
         self._show_list()
         return through
 
-    def _unlist(self, name):
+    def _cut_off(self, name):
+        """Close the link of a dead instance; the list shows it later."""
+        self.ask(self.links, 'DELETE', f'/links/{name}')
         del self.listed[name]
         self._show_list()
 
