--- /dev/null
+++ b/catkinshunt/limits/_admission.py
@@ -0,0 +1,167 @@
+"""Lets requests through to one upstream, a bounded number at a time."""
+
+from concurrent import futures
+import math
+import threading
+
+from catkinshunt import base as shared
+from catkinshunt import checks
+from catkinshunt import errors
+
+#: Weight of the newest service time in the mean.
+_NEWEST = 0.05
+
+
+class Admission(shared.ParamsMixin):
+    """Holds requests back until the upstream has a place for them.
+
+    Args:
+        queue: a `BaseQueue`.
+        concurrency: requests that the upstream gets at a time.
+
+    Examples:
+        >>> from catkinshunt import limits
+        >>> admission = limits.Admission(limits.FairQueue(), concurrency=1)
+        >>> first = limits.Ticket('1', 'a', deadline=9.0)
+        >>> second = limits.Ticket('2', 'b', deadline=9.0)
+        >>> admission.offer(first, now=0.0).fut.done()
+        True
+        >>> admission.offer(second, now=0.0).fut.done()
+        False
+        >>> admission.observe(first, now=1.0)
+        >>> second.fut.done()
+        True
+    """
+
+    def __init__(self, queue, concurrency=8):
+        self.queue = queue
+        self.concurrency = concurrency
+        self._lock = threading.Lock()
+        self._idle = threading.Condition(self._lock)
+        self._running = 0
+        self._service_s = 0.0
+        self._deviation_s = 0.0
+        self._leaving = False
+
+    @property
+    def load(self):
+        """Requests that run or wait."""
+        return self._running + len(self.queue)
+
+    def offer(self, ticket, now):
+        """Take a request in; its future is done when it may run.
+
+        Raises:
+            LeavingError: this process takes no new work.
+            OverloadedError: there is no place for it in time.
+        """
+        checks.check_positive(self.concurrency, 'concurrency')
+        with self._lock:
+            if self._leaving:
+                raise errors.LeavingError('instance is leaving', step='queue')
+            ticket.offered_at = now
+            if self._running < self.concurrency:
+                self._check_time(ticket, now)
+                self._begin(ticket, now)
+            else:
+                self.queue.offer(ticket, self._rate(), self._needed_s, now)
+        return ticket
+
+    def wait(self, ticket, now):
+        """Wait until an offered request may run.
+
+        Raises:
+            OverloadedError: it was refused later, or time ran out.
+        """
+        left_s = max(0.0, ticket.deadline - self._needed_s - now)
+        try:
+            ticket.fut.result(left_s)
+            return
+        except futures.TimeoutError:
+            pass
+        with self._lock:
+            removed = self.queue.remove(ticket)
+            backlog_s = len(self.queue) / self._rate()
+        if removed:
+            raise errors.OverloadedError(
+                'no time left before the deadline',
+                step='queue',
+                retry_after_s=max(self._service_s, backlog_s),
+            )
+        # It was let through or refused in the same moment.
+        ticket.fut.result()
+
+    def observe(self, ticket, now):
+        """Take note that a request has ended, and let the next through."""
+        took_s = max(0.0, now - ticket.began_at)
+        with self._lock:
+            self._running -= 1
+            self._learn(took_s)
+            self.queue.observe(ticket, took_s)
+            self._fill(now)
+            if not self._running:
+                self._idle.notify_all()
+
+    def leave(self):
+        """Refuse new requests from now on; those that wait are still done."""
+        with self._lock:
+            self._leaving = True
+
+    def join(self, timeout_s):
+        """Wait until nothing runs or waits; return whether that is so."""
+        with self._lock:
+            return self._idle.wait_for(lambda: not self._running, timeout_s)
+
+    def report(self):
+        """Return running and waiting requests and the mean service time."""
+        with self._lock:
+            return {
+                'running': self._running,
+                'waiting': len(self.queue),
+                'service_s': self._service_s,
+            }
+
+    @property
+    def _needed_s(self):
+        """Time that nearly every request needs: mean and two deviations."""
+        return self._service_s + 2 * self._deviation_s
+
+    def _learn(self, took_s):
+        if not self._service_s:
+            self._service_s = took_s
+        off_s = took_s - self._service_s
+        self._service_s += _NEWEST * off_s
+        self._deviation_s += _NEWEST * (abs(off_s) - self._deviation_s)
+
+    def _rate(self):
+        if not self._service_s:
+            return math.inf
+        return self.concurrency / self._service_s
+
+    def _check_time(self, ticket, now):
+        late_s = now + self._needed_s - ticket.deadline
+        if late_s > 0:
+            raise errors.OverloadedError(
+                'no time before the deadline',
+                step='queue',
+                retry_after_s=late_s,
+            )
+
+    def _begin(self, ticket, now):
+        self._running += 1
+        ticket.began_at = now
+        self.queue.begin(ticket, self._service_s)
+        ticket.fut.set_result(None)
+
+    def _fill(self, now):
+        while self._running < self.concurrency:
+            ticket = self.queue.choose(now)
+            if ticket is None:
+                return
+            try:
+                self._check_time(ticket, now)
+            except errors.OverloadedError as exc:
+                # Running it would end after its deadline and hold up others.
+                ticket.fut.set_exception(exc)
+                continue
+            self._begin(ticket, now)
--- /dev/null
+++ b/catkinshunt/limits/_fifo.py
@@ -0,0 +1,42 @@
+"""First come, first served: the baseline of the benchmarks."""
+
+import collections
+
+from catkinshunt import errors
+from catkinshunt.limits import base
+
+
+class FifoQueue(base.BaseQueue):
+    """One queue for all accounts, bounded in length only.
+
+    Args:
+        limit: most requests that wait.
+    """
+
+    def __init__(self, limit=64):
+        self.limit = limit
+        self._tickets = collections.deque()
+
+    def __len__(self):
+        return len(self._tickets)
+
+    def offer(self, ticket, rate_per_s, service_s, now):
+        """Take a request in while there is room."""
+        if len(self._tickets) >= self.limit:
+            raise errors.OverloadedError(
+                f'{self.limit} requests wait',
+                step='queue',
+                retry_after_s=len(self._tickets) / rate_per_s,
+            )
+        self._tickets.append(ticket)
+
+    def choose(self, now):
+        """Return the oldest request."""
+        return self._tickets.popleft() if self._tickets else None
+
+    def remove(self, ticket):
+        """Drop a waiting request."""
+        if ticket not in self._tickets:
+            return False
+        self._tickets.remove(ticket)
+        return True
--- /dev/null
+++ b/catkinshunt/limits/tests/test_admission.py
@@ -0,0 +1,103 @@
+"""Tests of admission: concurrency, deadlines and leaving."""
+
+import threading
+
+import pytest
+
+from catkinshunt import errors
+from catkinshunt import limits
+
+
+def make_admission(concurrency=1, limit=64):
+    queue = limits.FairQueue(limit, random_state=0)
+    return limits.Admission(queue, concurrency)
+
+
+def offer(admission, now=0.0, deadline=100.0, account='a'):
+    return admission.offer(limits.Ticket('', account, deadline), now)
+
+
+def test_concurrency_is_bounded():
+    admission = make_admission(2)
+    tickets = [offer(admission) for _ in range(5)]
+    assert [ticket.fut.done() for ticket in tickets] == [True] * 2 + [
+        False
+    ] * 3
+    assert admission.load == 5
+    admission.observe(tickets[0], 1.0)
+    assert tickets[2].fut.done()
+    assert admission.report()['running'] == 2
+
+
+def test_waits_in_a_thread():
+    admission = make_admission()
+    first = offer(admission)
+    second = offer(admission)
+    waited = threading.Event()
+
+    def work():
+        admission.wait(second, 0.0)
+        waited.set()
+
+    thread = threading.Thread(target=work)
+    thread.start()
+    assert not waited.is_set()
+    admission.observe(first, 1.0)
+    assert waited.wait(10)
+    thread.join(10)
+
+
+def test_slow_upstream_refuses_what_cannot_end_in_time():
+    """The upstream has become slow, and requests take a second each.
+
+    A request with less time left is refused at once, as not run, rather
+    than started in vain; its caller may still find a place elsewhere.
+    """
+    admission = make_admission()
+    admission.observe(offer(admission), 1.0)
+    with pytest.raises(errors.OverloadedError) as caught:
+        offer(admission, now=2.0, deadline=2.5)
+    assert caught.value.retry_after_s == pytest.approx(0.5)
+    assert admission.load == 0
+
+
+def test_waiting_request_gives_up_while_it_is_not_run():
+    """A request that waits is overtaken until its time is nearly over.
+
+    It is refused before its deadline and is never run afterwards.
+    """
+    admission = make_admission()
+    first = offer(admission)
+    second = offer(admission, deadline=0.0)
+    with pytest.raises(errors.OverloadedError):
+        admission.wait(second, 0.0)
+    admission.observe(first, 1.0)
+    assert admission.load == 0
+
+
+def test_next_that_is_too_late_is_skipped():
+    admission = make_admission()
+    first = offer(admission)
+    late = offer(admission, deadline=1.5)
+    good = offer(admission, deadline=50.0)
+    admission.observe(first, 1.0)
+    assert isinstance(late.fut.exception(0), errors.OverloadedError)
+    assert good.fut.done()
+
+
+def test_leaving_refuses_new_and_finishes_old():
+    """The instance is stopped as planned while requests run and wait.
+
+    Those are finished; a new one is refused as not run and goes elsewhere.
+    """
+    admission = make_admission()
+    first, second = offer(admission), offer(admission)
+    admission.leave()
+    with pytest.raises(errors.LeavingError) as caught:
+        offer(admission)
+    assert caught.value.ran == 'no'
+    assert not admission.join(0)
+    admission.observe(first, 1.0)
+    assert second.fut.done()
+    admission.observe(second, 2.0)
+    assert admission.join(0)
--- a/catkinshunt/routing/_affinity.py
+++ b/catkinshunt/routing/_affinity.py
@@ -32,7 +32,7 @@
         *,
         bound=1.25,
         slack=2.0,
-        homes=2,
+        homes=6,
         prefix_bytes=256,
         half_life_s=base.HALF_LIFE_S,
         random_state=None,
--- a/catkinshunt/routing/base.py
+++ b/catkinshunt/routing/base.py
@@ -8,7 +8,7 @@
 from catkinshunt import base
 
 #: Seconds in which a reported load loses half of its weight.
-HALF_LIFE_S = 2.0
+HALF_LIFE_S = 16.0
 
 
 class State(enum.StrEnum):
@@ -126,7 +126,7 @@
         ...     reported_load=9, own_at_report=1, reported_at=10.0)
         >>> estimate_load(view, now=10.0)
         10.0
-        >>> estimate_load(view, now=12.0)
+        >>> estimate_load(view, now=26.0)
         6.0
     """
     if view.reported_at is None:
