--- /dev/null
+++ b/catkinshunt/claims/__init__.py
@@ -0,0 +1,19 @@
+"""At-most-once records of non-idempotent requests."""
+
+from catkinshunt.claims._attempts import SeenAttempts
+from catkinshunt.claims._document import digest_of
+from catkinshunt.claims._ledger import Ledger
+from catkinshunt.claims.base import BaseLedger
+from catkinshunt.claims.base import Claim
+from catkinshunt.claims.base import Outcome
+from catkinshunt.claims.base import State
+
+__all__ = [
+    'BaseLedger',
+    'Claim',
+    'Ledger',
+    'Outcome',
+    'SeenAttempts',
+    'State',
+    'digest_of',
+]
--- /dev/null
+++ b/catkinshunt/claims/_attempts.py
@@ -0,0 +1,78 @@
+"""Attempts that a sidecar has seen, to refuse delayed duplicates."""
+
+import threading
+
+from catkinshunt import base
+from catkinshunt import checks
+from catkinshunt import errors
+
+
+class SeenAttempts(base.ParamsMixin):
+    """Lets each attempt at a non-idempotent request through once.
+
+    A message can reach a sidecar twice when a connection is re-made, or
+    long after its sender gave up. An attempt is remembered until its
+    deadline and `skew_s` have passed; after that it is refused as late, so
+    forgetting it then lets nothing run twice.
+
+    Args:
+        capacity: attempts remembered; at this bound new ones are refused
+            rather than older ones forgotten before their deadline.
+        skew_s: most by which clocks of two instances differ.
+
+    Examples:
+        >>> seen = SeenAttempts()
+        >>> seen.check('a1', expires_at=10.0, now=5.0)
+        >>> seen.check('a1', expires_at=10.0, now=6.0)
+        Traceback (most recent call last):
+            ...
+        catkinshunt.errors.DuplicateAttemptError: attempt came twice \
+[step duplicate]
+    """
+
+    def __init__(self, capacity=10000, skew_s=2.0):
+        self.capacity = capacity
+        self.skew_s = skew_s
+        self._lock = threading.Lock()
+        self._expiries = {}
+
+    def check(self, attempt, expires_at, now):
+        """Remember `attempt`, or refuse it.
+
+        Args:
+            attempt: unique id of the attempt.
+            expires_at: its deadline, seconds since the epoch.
+            now: present time, seconds since the epoch.
+
+        Raises:
+            errors.DuplicateAttemptError: it was let through before.
+            errors.RefusedError: its deadline has passed, or too many
+                attempts are remembered; it was not run.
+        """
+        checks.check_positive(self.capacity, 'capacity')
+        with self._lock:
+            if attempt in self._expiries:
+                raise errors.DuplicateAttemptError(
+                    'attempt came twice', step='duplicate'
+                )
+            if now >= expires_at:
+                raise errors.RefusedError(
+                    'deadline passed before dispatch', step='deadline'
+                )
+            if len(self._expiries) >= self.capacity:
+                self._forget(now)
+            if len(self._expiries) >= self.capacity:
+                raise errors.OverloadedError(
+                    'too many attempts remembered',
+                    step='duplicate',
+                    retry_after_s=self.skew_s,
+                )
+            self._expiries[attempt] = expires_at
+
+    def _forget(self, now):
+        kept = {
+            attempt: expires_at
+            for attempt, expires_at in self._expiries.items()
+            if now <= expires_at + self.skew_s
+        }
+        self._expiries = kept
--- /dev/null
+++ b/catkinshunt/claims/tests/fakes.py
@@ -0,0 +1,90 @@
+"""A key-value store in memory, with faults on demand."""
+
+import collections
+import threading
+
+from catkinshunt import errors
+from catkinshunt.kvstore import base
+
+
+class FakeStore(base.BaseKeyValueStore):
+    """Compare-and-swap in memory.
+
+    Attributes:
+        down: calls fail without effect.
+        lose_answers: coming writes whose answer is lost after they took
+            effect.
+        delayed: coming writes that are put in `in_flight` instead, while
+            the caller's answer is lost; `land` lets them take effect.
+        calls: number of calls by kind.
+    """
+
+    def __init__(self):
+        self.down = False
+        self.lose_answers = 0
+        self.delayed = 0
+        self.in_flight = []
+        self.calls = collections.Counter()
+        self._entries = {}
+        self._lock = threading.Lock()
+
+    def get(self, key):
+        """Return the entry at `key`."""
+        with self._lock:
+            self._check('get')
+            return self._entries.get(key)
+
+    def put(self, key, value, expected_revision, lease=None):
+        """Write, unless a fault is in force."""
+        with self._lock:
+            self._check('put')
+            if self.delayed:
+                self.delayed -= 1
+                self.in_flight.append((key, value, expected_revision))
+                raise errors.StoreUnknownError('answer lost')
+            revision = self._swap(key, value, expected_revision)
+            if self.lose_answers:
+                self.lose_answers -= 1
+                raise errors.StoreUnknownError('answer lost')
+            return revision
+
+    def land(self):
+        """Let the delayed writes arrive; returns how many took effect."""
+        landed = 0
+        with self._lock:
+            for write in self.in_flight:
+                try:
+                    self._swap(*write)
+                    landed += 1
+                except errors.ConflictError:
+                    pass
+            self.in_flight.clear()
+        return landed
+
+    def _check(self, kind):
+        self.calls[kind] += 1
+        if self.down:
+            raise errors.StoreUnavailableError('down', peer='store')
+
+    def _swap(self, key, value, expected_revision):
+        held = self._entries.get(key, base.Entry(b'', 0))
+        if held.revision != expected_revision:
+            raise errors.ConflictError(f'{key} is at {held.revision}')
+        self._entries[key] = base.Entry(value, held.revision + 1)
+        return held.revision + 1
+
+    def delete(self, key, expected_revision):
+        """Not used by the ledger."""
+        raise NotImplementedError
+
+    def watch(self, key, after_revision, timeout_s):
+        """Not used by the ledger."""
+        raise NotImplementedError
+
+    def grant_lease(self, ttl_s):
+        """Not used by the ledger."""
+        raise NotImplementedError
+
+    def renew_lease(self, lease):
+        """Not used by the ledger."""
+        raise NotImplementedError
--- /dev/null
+++ b/catkinshunt/claims/tests/test_attempts.py
@@ -0,0 +1,40 @@
+"""Tests of the attempts that a sidecar has seen."""
+
+import pytest
+
+from catkinshunt import claims
+from catkinshunt import errors
+
+
+def test_delayed_duplicate_is_refused():
+    """The network delivers one booking twice, the second time late.
+
+    The member would be booked twice. The second delivery may not be told
+    "not run", since the first may be running.
+    """
+    seen = claims.SeenAttempts(skew_s=1.0)
+    seen.check('a1', expires_at=10.0, now=0.0)
+    with pytest.raises(errors.DuplicateAttemptError) as caught:
+        seen.check('a1', expires_at=10.0, now=9.0)
+    assert caught.value.ran == 'unknown'
+    with pytest.raises(errors.OutcomeUnknownError):
+        seen.check('a1', expires_at=10.0, now=10.5)
+
+
+def test_late_attempt_is_refused_as_not_run():
+    seen = claims.SeenAttempts()
+    with pytest.raises(errors.RefusedError) as caught:
+        seen.check('a1', expires_at=10.0, now=10.0)
+    assert caught.value.ran == 'no'
+
+
+def test_full_memory_refuses_new_attempts_and_keeps_the_old():
+    """A burst brings more attempts than are remembered."""
+    seen = claims.SeenAttempts(capacity=2, skew_s=1.0)
+    seen.check('a1', expires_at=10.0, now=0.0)
+    seen.check('a2', expires_at=20.0, now=0.0)
+    with pytest.raises(errors.OverloadedError):
+        seen.check('a3', expires_at=20.0, now=10.0)
+    with pytest.raises(errors.DuplicateAttemptError):
+        seen.check('a1', expires_at=10.0, now=10.0)
+    seen.check('a3', expires_at=20.0, now=11.5)
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -142,6 +142,35 @@
     code = 'outcome-unknown'
 
 
+class DuplicateAttemptError(OutcomeUnknownError):
+    """A second delivery of an attempt; the first may be running."""
+
+    status = 409
+    code = 'duplicate-attempt'
+
+
+class InProgressError(OutcomeUnknownError):
+    """Another attempt with the same idempotency key is being run."""
+
+    status = 409
+    code = 'in-progress'
+
+
+class KeyReusedError(InvalidRequestError):
+    """Not run: the idempotency key belongs to another request."""
+
+    status = 422
+    code = 'key-reused'
+
+
+class AnswerNotKeptError(RequestError):
+    """The request ran before; its answer was not kept."""
+
+    ran = 'yes'
+    status = 409
+    code = 'answer-not-kept'
+
+
 class IncompleteAnswerError(RequestError):
     """An answer that began and could not be brought to its end."""
 
