Prefer known model versions, drop dead kept connections, wait for sent answers

Cause: an entry knows versions only as of the last reply, so a filter on them would refuse a new version for ever after a change-over; it is a preference now. A kept connection that the peer has closed, or that holds bytes nobody asked for, is no longer used. A server can wait until answers are sent before it closes.

--- a/catkinshunt/httpio/__init__.py
+++ b/catkinshunt/httpio/__init__.py
@@ -4,6 +4,7 @@
 from catkinshunt.httpio._client import ConnectionPool
 from catkinshunt.httpio._client import exchange
 from catkinshunt.httpio._client import Reply
+from catkinshunt.httpio._errors import read_error
 from catkinshunt.httpio._server import HttpServer
 from catkinshunt.httpio._wsgi import error_response
 from catkinshunt.httpio._wsgi import read_body
@@ -20,4 +21,5 @@
     'exchange',
     'headers',
     'read_body',
+    'read_error',
 ]
--- a/catkinshunt/httpio/_client.py
+++ b/catkinshunt/httpio/_client.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import http.client
+import select
 import socket
 import threading
 
@@ -78,12 +79,17 @@
         self._idle = collections.defaultdict(list)
         self._lock = threading.Lock()
 
-    def take(self, address, timeout_s=None):
-        """Return a connection and whether it was used before."""
+    def take(self, address, timeout_s=None, fresh=False):
+        """Return a connection and whether it was used before.
+
+        Args:
+            address: `Address` of the peer.
+            timeout_s: longest wait for each step on the connection.
+            fresh: return a new one, so that a request lost because the peer
+                had closed a kept one cannot happen.
+        """
         timeout_s = timeout_s or self.timeout_s
-        with self._lock:
-            idle = self._idle[address]
-            conn = idle.pop() if idle else None
+        conn = None if fresh else self._take_idle(address)
         if conn is not None:
             conn.timeout = timeout_s
             conn.sock.settimeout(timeout_s)
@@ -91,6 +97,17 @@
         conn = _Connection(address.host, address.port, timeout=timeout_s)
         return conn, False
 
+    def _take_idle(self, address):
+        while True:
+            with self._lock:
+                idle = self._idle[address]
+                conn = idle.pop() if idle else None
+            if conn is None or not _is_readable(conn.sock):
+                return conn
+            # The peer has closed it, or sent what nobody asked for; a
+            # request on it would be lost or get a wrong answer.
+            conn.close()
+
     def give_back(self, address, conn):
         """Keep `conn`, whose exchange is complete, for a later request."""
         if conn.sock is None:
@@ -110,6 +127,12 @@
             conn.close()
 
 
+def _is_readable(sock):
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def exchange(
     address, method, path, body=None, headers=None, timeout_s=DEFAULT_TIMEOUT_S
 ):
--- /dev/null
+++ b/catkinshunt/httpio/_errors.py
@@ -0,0 +1,45 @@
+"""Reads the JSON errors that our processes send each other."""
+
+import json
+
+from catkinshunt import errors
+
+
+def read_error(body, peer):
+    """Return the `errors.RequestError` that a reply's body tells of.
+
+    Args:
+        body: the whole body.
+        peer: address of the sender.
+
+    Examples:
+        >>> body = b'{"error": {"code": "leaving", "ran": "no"}}'
+        >>> read_error(body, '127.0.0.1:1')
+        LeavingError('leaving')
+    """
+    try:
+        given = json.loads(body)['error']
+        kind = _find_kind(given['code'], given['ran'])
+        message = str(given.get('message', given['code']))
+        step = str(given.get('step', ''))
+        retry_after_s = given.get('retry_after_s')
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return errors.OutcomeUnknownError(
+            'unreadable error', step='read', peer=peer
+        )
+    if not isinstance(retry_after_s, (int, float)):
+        retry_after_s = None
+    return kind(message, step=step, peer=peer, retry_after_s=retry_after_s)
+
+
+def _find_kind(code, ran):
+    """Return the class for a code; its `ran` must be the one given."""
+    kinds = [errors.RequestError]
+    while kinds:
+        kind = kinds.pop()
+        if kind.code == code and kind.ran == ran:
+            return kind
+        kinds.extend(kind.__subclasses__())
+    if ran == 'no':
+        return errors.RefusedError
+    return errors.OutcomeUnknownError
--- a/catkinshunt/httpio/_server.py
+++ b/catkinshunt/httpio/_server.py
@@ -1,6 +1,7 @@
 """HTTP server by waitress, run in a thread of its own."""
 
 import threading
+import time
 
 import waitress.server
 import waitress.task
@@ -14,6 +15,7 @@
 #: Above any buffered amount: waitress would spill to a file, and instances
 #: have no disks.
 NEVER_OVERFLOW = 1 << 40
+_JOIN_PERIOD_S = 0.02
 
 
 class HttpServer(base.BaseService):
@@ -69,6 +71,33 @@
         self._thread.start()
         return self
 
+    def join(self, timeout_s):
+        """Wait until no request is in progress and all answers are sent.
+
+        The application should refuse new requests by then.
+
+        Returns:
+            Whether that came about within `timeout_s`.
+        """
+        deadline = time.monotonic() + timeout_s
+        pause = threading.Event()
+        while self._is_busy():
+            if time.monotonic() >= deadline:
+                return False
+            pause.wait(_JOIN_PERIOD_S)
+        return True
+
+    def _is_busy(self):
+        if self._server is None:
+            return False
+        channels = list(self._server.active_channels.values())
+        # An answer is handed over whole before its last bytes are sent; to
+        # close then would cut it off.
+        return any(
+            channel.requests or channel.total_outbufs_len
+            for channel in channels
+        )
+
     def stop(self):
         """Stop listening and end the serving threads."""
         if self._server is None:
--- a/catkinshunt/httpio/headers.py
+++ b/catkinshunt/httpio/headers.py
@@ -10,6 +10,15 @@
 REQUEST_ID = 'Catkinshunt-Request-Id'
 #: One id for each try of a request at an upstream.
 ATTEMPT_ID = 'Catkinshunt-Attempt-Id'
+#: One id for each exchange between our processes, echoed in the reply; a
+#: reply without it is not the answer to this request.
+EXCHANGE_ID = 'Catkinshunt-Exchange-Id'
+#: Share of the request's account when accounts compete.
+WEIGHT = 'Catkinshunt-Weight'
+#: Priority in the engine's queue; higher goes first.
+PRIORITY = 'Catkinshunt-Priority'
+#: Model versions served by the replying sidecar: model/version, by commas.
+SERVED = 'Catkinshunt-Served'
 #: The model and version that the request was routed for.
 MODEL = 'Catkinshunt-Model'
 MODEL_VERSION = 'Catkinshunt-Model-Version'
--- a/catkinshunt/routing/_router.py
+++ b/catkinshunt/routing/_router.py
@@ -2,6 +2,8 @@
 
 import threading
 
+import attrs
+
 from catkinshunt import base as shared
 from catkinshunt import checks
 from catkinshunt import errors
@@ -13,6 +15,23 @@
 ABSENT_RETRY_S = 1.0
 
 
+@attrs.frozen
+class _Ranked:
+    """An entry's order of upstreams, split by what they are known to serve."""
+
+    fitting: list
+    other: list
+
+
+def _split(order, model_version):
+    fitting, other = [], []
+    for view in order:
+        known = bool(model_version and view.model_versions)
+        wrong = known and model_version not in view.model_versions
+        (other if wrong else fitting).append(view)
+    return _Ranked(fitting, other)
+
+
 class Router(shared.ParamsMixin):
     """Chooses upstreams for one entry and keeps what it learns of them.
 
@@ -76,12 +95,13 @@
                 health.forget(name)
             self._ranked.clear()
 
-    def choose(self, req, now):
+    def choose(self, req, now, policy=None):
         """Return the `Choice` for a request and count it as in flight.
 
         Args:
             req: the `RouteRequest`.
             now: seconds, monotonic.
+            policy: a `BasePolicy` for this request, instead of the router's.
 
         Raises:
             RefusedError: no upstream may get it now; it was not run.
@@ -91,7 +111,7 @@
             candidates = _subset.prefer_near(
                 usable, self.data_centre, self.region, self.spill_load, now
             )
-            choice = self.policy.choose(req, candidates, now)
+            choice = (policy or self.policy).choose(req, candidates, now)
             self._health().begin(choice.upstream)
             choice.upstream.in_flight += 1
             return choice
@@ -150,9 +170,20 @@
     def _usable(self, req, now):
         """Return the entry's subset of upstreams that may get the request."""
         checks.check_positive(self.subset_size, 'subset_size')
+        ranked = self._rank(req.service, req.model_version)
+        found = self._pick(ranked.fitting, req, now)
+        if not found and ranked.other:
+            # What is known of versions is as old as the last reply; if all
+            # upstreams have changed over since, only asking one tells.
+            found = self._pick(ranked.other, req, now)
+        if not found:
+            raise self._refusal(req, ranked.fitting + ranked.other, now)
+        return found
+
+    def _pick(self, ranked, req, now):
+        """Return the first usable upstreams of an order, or one to probe."""
         health = self._health()
         usable, probes = [], []
-        ranked = self._rank(req.service, req.model_version)
         for view in ranked:
             if view.name in req.excluded or not health.check(view, now):
                 continue
@@ -163,22 +194,17 @@
         if probes and (req.idempotent or not usable):
             # One request tries one suspect, or it would never come back.
             return probes[:1]
-        if not usable:
-            raise self._refusal(req, ranked, now)
         return usable
 
     def _rank(self, service, model_version):
         key = (service, model_version)
         if key not in self._ranked:
-            views = [
-                view
-                for view in self._views.values()
-                if view.service == service
-                and (not model_version or model_version in view.model_versions)
-            ]
-            self._ranked[key] = _subset.rank_upstreams(
-                self.entry, views, self.data_centre
+            order = _subset.rank_upstreams(
+                self.entry,
+                [v for v in self._views.values() if v.service == service],
+                self.data_centre,
             )
+            self._ranked[key] = _split(order, model_version)
         return self._ranked[key]
 
     def _refusal(self, req, ranked, now):
