--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -182,6 +182,10 @@
     """A weight transfer, or one chunk of it, failed."""
 
 
+class ManifestError(TransferError):
+    """A manifest that is not whole or contradicts itself."""
+
+
 class CorruptChunkError(TransferError):
     """A chunk whose digest is not the one in the manifest."""
 
--- /dev/null
+++ b/catkinshunt/weights/__init__.py
@@ -0,0 +1,33 @@
+"""Weight distribution: manifests, chunks and the choice of sources."""
+
+from catkinshunt.weights._gate import UploadGate
+from catkinshunt.weights._manifest import Manifest
+from catkinshunt.weights._ordered import ChainStrategy
+from catkinshunt.weights._ordered import StripedStrategy
+from catkinshunt.weights._ordered import TreeStrategy
+from catkinshunt.weights._rendezvous import rank
+from catkinshunt.weights._store import ChunkStore
+from catkinshunt.weights._swarm import SwarmStrategy
+from catkinshunt.weights._view import Member
+from catkinshunt.weights._view import PeerView
+from catkinshunt.weights._view import Pull
+from catkinshunt.weights._view import TransferView
+from catkinshunt.weights.base import ORIGIN
+from catkinshunt.weights.base import BaseStrategy
+
+__all__ = [
+    'ORIGIN',
+    'BaseStrategy',
+    'ChainStrategy',
+    'ChunkStore',
+    'Manifest',
+    'Member',
+    'PeerView',
+    'Pull',
+    'StripedStrategy',
+    'SwarmStrategy',
+    'TransferView',
+    'TreeStrategy',
+    'UploadGate',
+    'rank',
+]
