--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -103,9 +103,7 @@
 
     def at(self, when, call, *args):
         """Call `call(*args)` at virtual time `when`."""
-        heapq.heappush(
-            self._events, (when, next(self._serial), call, args)
-        )
+        heapq.heappush(self._events, (when, next(self._serial), call, args))
 
     def run(self):
         """Start every instance and handle events until all are done."""
--- a/catkinshunt/weights/__init__.py
+++ b/catkinshunt/weights/__init__.py
@@ -12,8 +12,8 @@
 from catkinshunt.weights._view import PeerView
 from catkinshunt.weights._view import Pull
 from catkinshunt.weights._view import TransferView
-from catkinshunt.weights.base import ORIGIN
 from catkinshunt.weights.base import BaseStrategy
+from catkinshunt.weights.base import ORIGIN
 
 __all__ = [
     'ORIGIN',
