Hand configuration and instance list on between processes

A watch of the key-value service counts as a call, so thousands of processes cannot each hold one. In each data centre two instances, chosen by rendezvous hashing over the instance list, watch; three deputies call them and take over when they are lost. Everybody else gets each revision by pushes to four neighbours and by a regular pull. The instance list travels the same way, so reads of it do not grow with the fleet.

Updates carry edits and a digest of the whole document; a process that missed one in between pulls it. A starting process asks three peers and takes the highest revision, so it needs no service in an outage.

--- a/catkinshunt/configuration/__init__.py
+++ b/catkinshunt/configuration/__init__.py
@@ -13,11 +13,10 @@
 from catkinshunt.configuration._edits import Move
 from catkinshunt.configuration._edits import Replace
 from catkinshunt.configuration._edits import Retire
-from catkinshunt.configuration._following import Follower
 from catkinshunt.configuration._keeper import Keeper
+from catkinshunt.configuration._source import StoreSource
 from catkinshunt.configuration._updates import apply_update
 from catkinshunt.configuration._updates import make_update
-from catkinshunt.configuration._updates import Update
 
 __all__ = [
     'Add',
@@ -25,14 +24,13 @@
     'EMPTY',
     'Edit',
     'Editor',
-    'Follower',
     'HeldRule',
     'KEY',
     'Keeper',
     'Move',
     'Replace',
     'Retire',
-    'Update',
+    'StoreSource',
     'apply_update',
     'describe_differences',
     'make_update',
--- a/catkinshunt/configuration/_keeper.py
+++ b/catkinshunt/configuration/_keeper.py
@@ -3,12 +3,14 @@
 import threading
 
 from catkinshunt.configuration import _configuration
+from catkinshunt.configuration import _updates
+from catkinshunt.dissemination import base
 from catkinshunt import logs
 
 _log = logs.get_logger('configuration')
 
 
-class Keeper:
+class Keeper(base.BaseReplica):
     """Holds the newest configuration that the process has learnt of.
 
     However it is learnt - by a watch, a push, a pull, an old read - only a
@@ -23,6 +25,8 @@
         Configuration(revision=1)
     """
 
+    topic = _updates.TOPIC
+
     def __init__(self):
         self._current = _configuration.EMPTY
         self._since = None
@@ -41,6 +45,20 @@
         """Time since when it is in force, or None before the first."""
         return self._since
 
+    @property
+    def revision(self):
+        """Revision in force; 0 before the first."""
+        return self._current.revision
+
+    def make_update(self, after_revision):
+        """See `base.BaseReplica.make_update`."""
+        return _updates.make_update(self._current, after_revision)
+
+    def apply_update(self, update, now):
+        """See `base.BaseReplica.apply_update`."""
+        found = _updates.apply_update(self._current, update)
+        return self.offer(found, now)
+
     def offer(self, configuration, now):
         """Put `configuration` in force if its revision is higher.
 
--- a/catkinshunt/configuration/_updates.py
+++ b/catkinshunt/configuration/_updates.py
@@ -3,48 +3,25 @@
 import json
 import zlib
 
-import attrs
-
 from catkinshunt.configuration import _configuration
 from catkinshunt.configuration import _edits
+from catkinshunt.dissemination import base
 from catkinshunt import errors
 
+#: Name of the document among those that processes hand on.
+TOPIC = 'configuration'
 #: Guards against a small message that unfolds into a huge document.
 MAX_DOCUMENT_BYTES = 2 * _configuration.MAX_BYTES
 
 
-@attrs.frozen
-class Update:
-    """A way from `base_revision`, or from nothing, to `revision`.
-
-    Args:
-        revision: revision that it leads to.
-        base_revision: revision that the edits start from.
-        edits: the edits in order, each as JSON bytes.
-        document: the whole document, deflated; empty where edits lead there.
-        digest: SHA-256 of the document at `revision`.
-    """
-
-    revision: int
-    base_revision: int = 0
-    edits: tuple = ()
-    document: bytes = b''
-    digest: bytes = b''
-
-    @property
-    def size(self):
-        """Bytes of edits and document."""
-        return len(self.document) + sum(map(len, self.edits))
-
-
 def make_update(configuration, after_revision):
-    """Return the smaller `Update` for a process at `after_revision`.
+    """Return what brings a process at `after_revision` up to date.
 
     The edits are smaller by far for a process that is a few revisions
     behind; the whole document serves one that has just started.
     """
     if configuration.revision <= after_revision:
-        return Update(configuration.revision)
+        return base.Update(TOPIC, configuration.revision)
     edits = None
     if after_revision > 0:
         edits = configuration.edits_after(after_revision)
@@ -52,14 +29,18 @@
     if edits is not None:
         lines = tuple(_edits.encode(edit.to_document()) for edit in edits)
         if sum(map(len, lines)) <= len(whole):
-            return Update(
+            return base.Update(
+                TOPIC,
                 configuration.revision,
                 after_revision,
                 lines,
                 digest=configuration.digest,
             )
-    return Update(
-        configuration.revision, document=whole, digest=configuration.digest
+    return base.Update(
+        TOPIC,
+        configuration.revision,
+        document=whole,
+        digest=configuration.digest,
     )
 
 
--- a/catkinshunt/configuration/tests/test_updates.py
+++ b/catkinshunt/configuration/tests/test_updates.py
@@ -8,6 +8,7 @@
 
 from catkinshunt import configuration
 from catkinshunt.configuration.tests import fakes
+from catkinshunt import dissemination
 from catkinshunt import errors
 
 
@@ -62,6 +63,7 @@
     history = _history(3)
     good = configuration.make_update(history[3], 2)
     fields = {
+        'topic': good.topic,
         'revision': good.revision,
         'base_revision': good.base_revision,
         'edits': good.edits,
@@ -69,7 +71,7 @@
         'digest': good.digest,
         **change,
     }
-    update = configuration.Update(**fields)
+    update = dissemination.Update(**fields)
     with pytest.raises(errors.PeerError, match='update 3'):
         configuration.apply_update(history[2], update)
 
@@ -100,18 +102,23 @@
     thread.join()
 
 
-def test_a_follower_keeps_the_rules_when_the_stored_document_is_broken():
+def test_the_rules_stay_when_the_stored_document_is_broken():
     """Somebody writes to the key past the editor.
 
     The rules in force must stay, and the next good edit be taken.
     """
     store = fakes.FakeStore()
     keeper = configuration.Keeper()
-    with configuration.Follower(store, keeper, 0.2, 0.01):
-        store.put(configuration.KEY, b'{"rules": 3}', 0)
-        good = _history(1)[1]
-        store.put(configuration.KEY, good.document, 1)
-        assert keeper.wait(0, timeout_s=10).revision == 1
+    source = configuration.StoreSource(store, keeper)
+    history = _history(2, store)
+    source.fetch(wait_s=1)
+    broken = store.put(configuration.KEY, b'{"rules": 3}', 2)
+    source.fetch(wait_s=1)
+    assert keeper.current.document == history[2].document
+    third = history[2].edited('x', (configuration.Retire('r0'),))
+    store.put(configuration.KEY, third.document, broken)
+    source.fetch(wait_s=1)
+    assert keeper.revision == 3
 
 
 def test_a_rules_file_with_comments_is_read(tmp_path):
--- /dev/null
+++ b/catkinshunt/control/_plane.py
@@ -0,0 +1,151 @@
+"""The control parts of a process, started and stopped together."""
+
+from catkinshunt import base
+from catkinshunt import configuration
+from catkinshunt import dissemination
+from catkinshunt import errors
+from catkinshunt import httpio
+from catkinshunt import instances
+from catkinshunt import kvstore
+from catkinshunt import logs
+from catkinshunt import peers
+
+_log = logs.get_logger('control')
+
+
+class ControlPlane(base.BaseService):
+    """Keeps configuration and instance list up to date with the others.
+
+    Args:
+        cfg: `settings.EntrySettings` or `settings.SidecarSettings`.
+        pull_period_s: mean seconds between pulls from peers.
+        watch_s: seconds that a watch of the key-value service waits.
+
+    Attributes:
+        keeper: `configuration.Keeper`, the rules in force.
+        directory: `instances.Directory`, the instances known.
+        loop: `peers.LoopThread` of the process.
+        pool: `peers.PeerPool` for calls to other processes.
+    """
+
+    def __init__(
+        self,
+        cfg,
+        pull_period_s=dissemination.PULL_PERIOD_S,
+        watch_s=dissemination.WATCH_S,
+    ):
+        self.cfg = cfg
+        self.pull_period_s = pull_period_s
+        self.watch_s = watch_s
+        self.keeper = configuration.Keeper()
+        self.directory = instances.Directory()
+        self.loop = peers.LoopThread()
+        self.pool = peers.PeerPool(cfg.deployment_key, self.loop)
+        self._handlers = []
+        self._make_spreading()
+        self._server = None
+
+    @property
+    def address(self):
+        """Address that other processes call."""
+        return httpio.Address(self.cfg.host, self._server.port)
+
+    @property
+    def watching(self):
+        """Topics whose source this process watches."""
+        return tuple(
+            watcher.source.topic
+            for watcher in self._watchers
+            if watcher.watching
+        )
+
+    def add_handler(self, handler):
+        """Serve a further grpclib handler; call it before `start`."""
+        self._handlers.append(handler)
+
+    def observe_revision(self, revision, now, name=''):
+        """Note the revision that a message from another process carried.
+
+        Args:
+            revision: revision in force there.
+            now: seconds, monotonic.
+            name: name of its instance, where known.
+        """
+        self._spreader.hint(self.keeper.topic, revision, now, name)
+
+    def start(self):
+        """Listen, learn what the others know, then keep up with them."""
+        self.loop.start()
+        self._server = peers.PeerServer(
+            [dissemination.Handler(self._spreader), *self._handlers],
+            self.cfg.host,
+            self.cfg.control_port,
+            self.cfg.deployment_key,
+            self.loop,
+        ).start()
+        self._fetch(self._list_source)
+        self._spreader.start()
+        if self.keeper.revision == 0 and not self._spreader.answered:
+            # Nobody to ask. One read brings the rules, if the service is up.
+            self._fetch(self._store_source)
+        for watcher in self._watchers:
+            watcher.start()
+        return self
+
+    def stop(self):
+        """Finish calls in progress, and end all threads."""
+        if self._server is None:
+            return
+        for watcher in self._watchers:
+            watcher.stop()
+        self._server.stop()
+        self._spreader.stop()
+        self.pool.close()
+        self.loop.stop()
+        self._server = None
+
+    def _make_spreading(self):
+        cfg, platform = self.cfg, self.cfg.platform
+        store = kvstore.HttpKeyValueStore(
+            httpio.Address.parse(platform.key_value)
+        )
+        self._store_source = configuration.StoreSource(store, self.keeper)
+        self._list_source = instances.ListSource(
+            httpio.Address.parse(platform.instance_list),
+            self.directory,
+            platform.instance_list_period_s,
+        )
+        self._spreader = dissemination.Spreader(
+            cfg.name,
+            cfg.data_centre,
+            (self.keeper, self.directory),
+            dissemination.GrpcPeering(cfg.name, self.pool),
+            self._members,
+            pull_period_s=self.pull_period_s,
+        )
+        self._watchers = [
+            self._make_watcher(source)
+            for source in (self._store_source, self._list_source)
+        ]
+        self._spreader.duties = [watcher.duty for watcher in self._watchers]
+        self.keeper.subscribe(self._spreader.wake)
+
+    def _make_watcher(self, source):
+        duty = dissemination.Duty(
+            source.topic,
+            self.cfg.name,
+            self.cfg.data_centre,
+            self._spreader.contacts,
+        )
+        return dissemination.Watcher(
+            source, duty, self._members, wait_s=self.watch_s
+        )
+
+    def _members(self):
+        return self.directory.members
+
+    def _fetch(self, source):
+        try:
+            source.fetch(0)
+        except errors.CatkinshuntError as exc:
+            _log.warning('Not read at start: {}', exc)
--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -1,11 +1,9 @@
 """The parts of an entry instance, started and stopped together."""
 
 from catkinshunt import base
-from catkinshunt import configuration
+from catkinshunt import control
 from catkinshunt.entry import _app
 from catkinshunt import httpio
-from catkinshunt import instances
-from catkinshunt import kvstore
 from catkinshunt import metrics
 
 
@@ -21,17 +19,10 @@
 
     def start(self):
         """Follow the configuration and the list, then listen."""
-        platform = self.cfg.platform
-        store = kvstore.HttpKeyValueStore(
-            httpio.Address.parse(platform.key_value)
+        self._control = control.ControlPlane(self.cfg).start()
+        app = _app.EntryApp(
+            self.cfg, self._control.keeper, self._control.directory
         )
-        self._keeper = configuration.Keeper()
-        self._follower = configuration.Follower(store, self._keeper).start()
-        self._directory = instances.Directory(
-            httpio.Address.parse(platform.instance_list),
-            platform.instance_list_period_s,
-        ).start()
-        app = _app.EntryApp(self.cfg, self._keeper, self._directory)
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
             metrics.MeasuredApp(app, registry),
@@ -50,7 +41,7 @@
         return {
             'name': self.cfg.name,
             'state': 'serving' if self._serving else 'leaving',
-            'revision': self._keeper.current.revision,
+            'revision': self._control.keeper.revision,
             'wanted': {},
             'served': {},
         }
@@ -65,5 +56,4 @@
         self._serving = False
         self._server.stop()
         self._operators.stop()
-        self._directory.stop()
-        self._follower.stop()
+        self._control.stop()
--- a/catkinshunt/instances/_directory.py
+++ b/catkinshunt/instances/_directory.py
@@ -1,76 +1,102 @@
-"""The platform's list of instances, read again and again."""
+"""The process's copy of the platform's list of instances."""
 
-import json
 import threading
 
-from catkinshunt import base
-from catkinshunt import errors
-from catkinshunt import httpio
+from catkinshunt.dissemination import base
 from catkinshunt.instances import _instance
+from catkinshunt.instances import _listing
 from catkinshunt import logs
 
 _log = logs.get_logger('instances')
 
 
-class Directory(base.BaseService):
-    """Keeps the last list read; an unreachable list changes nothing.
+class Directory(base.BaseReplica):
+    """Keeps the newest list learnt from the platform or from a peer.
 
-    Args:
-        address: `httpio.Address` of the platform's list.
-        period_s: seconds between reads.
+    Examples:
+        >>> directory = Directory()
+        >>> directory.revision, directory.upstreams('order-desk')
+        (0, [])
     """
 
-    def __init__(self, address, period_s=1.0):
-        self.address = address
-        self.period_s = period_s
-        self._revision = -1
-        self._instances = ()
-        self._stopped = threading.Event()
-        self._thread = None
-
-    def start(self):
-        """Read the list once, then in the background."""
-        self.refresh()
-        self._thread = threading.Thread(
-            target=self._run, name='instance-list', daemon=True
-        )
-        self._thread.start()
-        return self
+    topic = _listing.TOPIC
+
+    def __init__(self):
+        self._listing = _listing.Listing()
+        self._members = ()
+        self._by_service = {}
+        self._lock = threading.Lock()
+
+    @property
+    def revision(self):
+        """Revision of the list; 0 before the first."""
+        return self._listing.revision
+
+    @property
+    def members(self):
+        """Instances that our own processes reach, as a tuple.
 
-    def stop(self):
-        """End the background reads."""
-        self._stopped.set()
+        It is the same object until the list changes.
+        """
+        return self._members
+
+    @property
+    def instances(self):
+        """All listed instances."""
+        return tuple(self._listing.by_name.values())
+
+    def find(self, name):
+        """Return the listed `Instance` of that name, or None."""
+        return self._listing.by_name.get(name)
 
     def upstreams(self, service):
         """Return the upstream instances listed for `service`."""
-        return [
-            instance
-            for instance in self._instances
-            if instance.role == _instance.UPSTREAM
-            and instance.service == service
-        ]
-
-    def refresh(self):
-        """Read the list now."""
-        try:
-            reply = httpio.exchange(
-                self.address,
-                'GET',
-                f'/instances?revision={self._revision}',
-                timeout_s=2.0,
+        return list(self._by_service.get(service, ()))
+
+    def make_update(self, after_revision):
+        """See `base.BaseReplica.make_update`."""
+        return self._listing.make_update(after_revision)
+
+    def apply_update(self, update, now):
+        """See `base.BaseReplica.apply_update`."""
+        with self._lock:
+            if update.revision <= self._listing.revision:
+                return False
+            self._put(self._listing.updated(update))
+        return True
+
+    def offer(self, listing, now):
+        """Take a `Listing` read from the platform if it is newer.
+
+        Returns:
+            Whether it was taken.
+        """
+        with self._lock:
+            before = self._listing
+            if listing.revision <= before.revision:
+                return False
+            change = before.find_change(
+                listing.revision, tuple(listing.by_name.values())
             )
-        except errors.RequestError as exc:
-            _log.warning('List not read: {}', exc)
-            return
-        if reply.status != 200:
-            return
-        value = json.loads(reply.body)
-        self._instances = tuple(
-            _instance.Instance.from_listing(item)
-            for item in value['instances']
-        )
-        self._revision = value['revision']
+            # Made from the one before, so that it keeps the changes which
+            # others need.
+            self._put(before.changed(change))
+        return True
 
-    def _run(self):
-        while not self._stopped.wait(self.period_s):
-            self.refresh()
+    def _put(self, listing):
+        by_service = {}
+        for instance in listing.by_name.values():
+            if instance.role == _instance.UPSTREAM:
+                by_service.setdefault(instance.service, []).append(instance)
+        self._listing = listing
+        self._by_service = by_service
+        self._members = tuple(
+            instance
+            for instance in listing.by_name.values()
+            if instance.control_address is not None
+        )
+        _log.info(
+            'List {} shows {} instances.',
+            listing.revision,
+            len(listing.by_name),
+        )
--- a/catkinshunt/instances/_instance.py
+++ b/catkinshunt/instances/_instance.py
@@ -1,7 +1,10 @@
 """One machine as the platform's list shows it."""
 
+import json
+
 import attrs
 
+from catkinshunt import errors
 from catkinshunt import httpio
 
 LIVE = 'live'
@@ -36,15 +39,41 @@
 
     @classmethod
     def from_listing(cls, value):
-        """Read one item of the platform's list."""
-        control = value.get('control_address')
-        return cls(
-            name=value['name'],
-            role=value['role'],
-            service=value['service'],
-            data_centre=value['data_centre'],
-            region=value['region'],
-            address=httpio.Address.parse(value['address']),
-            control_address=httpio.Address.parse(control) if control else None,
-            state=value['state'],
+        """Read one item of the platform's list.
+
+        Raises:
+            errors.PeerError: the item is no instance.
+        """
+        try:
+            control = value.get('control_address')
+            return cls(
+                name=value['name'],
+                role=value['role'],
+                service=value['service'],
+                data_centre=value['data_centre'],
+                region=value['region'],
+                address=httpio.Address.parse(value['address']),
+                control_address=(
+                    httpio.Address.parse(control) if control else None
+                ),
+                state=value['state'],
+            )
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            raise errors.PeerError(
+                f'not an instance: {exc!r}', step='read-listing'
+            ) from exc
+
+    def to_listing(self):
+        """Return the instance as the platform's list shows it."""
+        value = attrs.asdict(self, recurse=False)
+        value['address'] = str(self.address)
+        control = self.control_address
+        value['control_address'] = str(control) if control else ''
+        return value
+
+    def to_line(self):
+        """Return the listing as canonical JSON bytes."""
+        text = json.dumps(
+            self.to_listing(), sort_keys=True, separators=(',', ':')
         )
+        return text.encode()
--- a/catkinshunt/peers/tests/test_peers.py
+++ b/catkinshunt/peers/tests/test_peers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from catkinshunt.configuration import dissemination_grpc
-from catkinshunt.configuration import dissemination_pb2
+from catkinshunt.dissemination import dissemination_grpc
+from catkinshunt.dissemination import dissemination_pb2
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt import peers
@@ -23,16 +23,18 @@
         self.threads = []
 
     async def Offer(self, stream):
-        update = await stream.recv_message()
+        update = (await stream.recv_message()).update
         await peers.run_blocking(self._note, update.revision)
         await stream.send_message(
-            dissemination_pb2.Held(revision=update.revision)
+            dissemination_pb2.Held(sender=str(update.revision))
         )
 
     async def Pull(self, stream):
         await stream.recv_message()
         await peers.run_blocking(self._hold)
-        await stream.send_message(dissemination_pb2.Update(revision=7))
+        await stream.send_message(
+            dissemination_pb2.Updates(updates=[{'revision': 7}])
+        )
 
     def _note(self, revision):
         self.threads.append(threading.current_thread().name)
@@ -69,7 +71,7 @@
 
 
 def _offer(client, revision=1, **kwargs):
-    message = dissemination_pb2.Update(revision=revision)
+    message = dissemination_pb2.Offered(update={'revision': revision})
     stub = dissemination_grpc.DisseminationStub
     return client.call(stub, 'Offer', message, **kwargs)
 
@@ -82,7 +84,7 @@
 
 def test_a_call_comes_back_as_a_future(server, handler, loop):
     client = _client(server, loop)
-    assert _offer(client, 5).result(WAIT_S).revision == 5
+    assert _offer(client, 5).result(WAIT_S).sender == '5'
     assert handler.threads[0].startswith('peers-worker')
     client.close()
 
@@ -142,7 +144,7 @@
     first.stop()
     port = first.port
     with peers.PeerServer([handler], '127.0.0.1', port, KEY):
-        assert _offer(client, 2).result(WAIT_S).revision == 2
+        assert _offer(client, 2).result(WAIT_S).sender == '2'
     client.close()
 
 
@@ -162,7 +164,7 @@
     with pytest.raises(errors.PeerUnavailableError):
         _offer(client).result(WAIT_S)
     handler.released.set()
-    assert fut.result(WAIT_S).revision == 7
+    assert fut.result(WAIT_S).updates[0].revision == 7
     stopper.join(WAIT_S)
     assert not stopper.is_alive()
     client.close()
@@ -184,9 +186,9 @@
     stub = dissemination_grpc.DisseminationStub
     for server in servers:
         address = httpio.Address('127.0.0.1', server.port)
-        message = dissemination_pb2.Update(revision=3)
+        message = dissemination_pb2.Offered(update={'revision': 3})
         fut = pool.call(address, stub, 'Offer', message)
-        assert fut.result(WAIT_S).revision == 3
+        assert fut.result(WAIT_S).sender == '3'
     assert len(pool._clients) <= 3
     pool.close()
     for server in servers:
--- /dev/null
+++ b/catkinshunt/rendezvous.py
@@ -0,0 +1,25 @@
+"""Rendezvous hashing: an order of names that needs no agreement."""
+
+import hashlib
+
+_SCORE_BYTES = 8
+
+
+def score(key, name):
+    """Return the weight of `name` for `key`, equal in every process."""
+    text = f'{key}\0{name}'.encode()
+    return hashlib.blake2b(text, digest_size=_SCORE_BYTES).digest()
+
+
+def rank(key, names):
+    """Return `names` in the order of their weights for `key`.
+
+    A name that joins or leaves moves no other pair of names, so processes
+    whose lists differ by a few names still agree on nearly all.
+
+    Examples:
+        >>> order = rank('configuration', ['a', 'b', 'c'])
+        >>> rank('configuration', order[1:]) == order[1:]
+        True
+    """
+    return sorted(names, key=lambda name: (score(key, name), name))
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -1,9 +1,8 @@
 """The parts of a sidecar, started and stopped together."""
 
 from catkinshunt import base
-from catkinshunt import configuration
+from catkinshunt import control
 from catkinshunt import httpio
-from catkinshunt import kvstore
 from catkinshunt import metrics
 from catkinshunt.sidecar import _app
 from catkinshunt.sidecar import _placement
@@ -21,12 +20,8 @@
 
     def start(self):
         """Listen, then follow the configuration."""
-        store = kvstore.HttpKeyValueStore(
-            httpio.Address.parse(self.cfg.platform.key_value)
-        )
-        self._keeper = configuration.Keeper()
-        self._follower = configuration.Follower(store, self._keeper)
-        self._placement = _placement.Placement(self.cfg, self._keeper)
+        self._control = control.ControlPlane(self.cfg)
+        self._placement = _placement.Placement(self.cfg, self._control.keeper)
         app = _app.SidecarApp(self.cfg, self._placement)
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
@@ -36,7 +31,7 @@
             self.cfg.threads,
         ).start()
         self._serving = True
-        self._follower.start()
+        self._control.start()
         if self.cfg.is_engine:
             self._placement.port = self._server.port
             self._placement.start()
@@ -50,7 +45,7 @@
         return {
             'name': self.cfg.name,
             'state': 'serving' if self._serving else 'leaving',
-            'revision': self._keeper.current.revision,
+            'revision': self._control.keeper.revision,
             **self._placement.report(),
         }
 
@@ -65,4 +60,4 @@
         self._server.stop()
         self._operators.stop()
         self._placement.stop()
-        self._follower.stop()
+        self._control.stop()
