Keep a watch alive whatever the service answers

A reply without a revision, as another server at the address gives, raised a TypeError and ended the watching thread. The process went on answering its deputies, so nobody took over the watch. Seen once as an error in a test's teardown; the client now gives a store error, and the watcher goes on after any failure.

Tests of control planes chose their port beforehand; an outgoing connection could take it meanwhile (one run in twelve failed).

--- a/catkinshunt/control/tests/test_plane.py
+++ b/catkinshunt/control/tests/test_plane.py
@@ -1,10 +1,8 @@
 """Tests of control planes over real sockets, with platform stand-ins."""
 
-import socket
 import threading
 import time
 
-import attrs
 import pytest
 
 from catkinshunt import configuration
@@ -39,16 +37,13 @@
             kvstore.HttpKeyValueStore(self.addresses[0])
         )
 
-    def make_plane(self, name, listed=True):
-        """Return a plane that is listed but not started."""
-        with socket.create_server(('127.0.0.1', 0)) as sock:
-            port = sock.getsockname()[1]
+    def make_plane(self, name, key=KEY):
+        """Return a plane that is neither started nor listed."""
         cfg = settings.EntrySettings(
             name=name,
             region='thessalia',
             data_centre='larisa-a',
-            deployment_key=KEY,
-            control_port=port,
+            deployment_key=key,
             platform=settings.PlatformSettings(
                 key_value=str(self.addresses[0]),
                 instance_list=str(self.addresses[1]),
@@ -57,11 +52,14 @@
                 instance_list_period_s=0.1,
             ),
         )
-        self.members.append(fakes.make_instance(name, port=port))
-        if listed:
-            self.show()
         return control.ControlPlane(cfg, pull_period_s=0.1, watch_s=1.0)
 
+    def list_plane(self, plane):
+        """Show a started plane in the list."""
+        name, port = plane.cfg.name, plane.address.port
+        self.members.append(fakes.make_instance(name, port=port))
+        self.show()
+
     def show(self):
         """Show all members in the list."""
         self.listing.update([item.to_listing() for item in self.members])
@@ -98,7 +96,7 @@
 def _planes(platform):
     planes = [platform.make_plane(f'i{number}') for number in range(5)]
     for plane in planes:
-        plane.start()
+        platform.list_plane(plane.start())
     yield planes
     for plane in planes:
         plane.stop()
@@ -133,6 +131,7 @@
     platform.set_down(True)
     with platform.make_plane('new') as plane:
         assert plane.keeper.revision == 1
+        platform.list_plane(plane)
         wait_until(lambda: len(planes[0].directory.members) == 6)
     platform.set_down(False)
     platform.editor.add(store_fakes.make_rule('b'))
@@ -158,7 +157,7 @@
 
 def test_a_lone_process_reads_the_service_itself(platform):
     platform.editor.add(store_fakes.make_rule('a'))
-    with platform.make_plane('i0', listed=False) as plane:
+    with platform.make_plane('i0') as plane:
         assert plane.keeper.revision == 1
         platform.editor.add(store_fakes.make_rule('b'))
         assert plane.keeper.wait(1, WAIT_S).revision == 2
@@ -166,14 +165,13 @@
 
 def test_a_process_of_another_deployment_changes_nothing(platform, planes):
     """Two deployments are mixed up in an instance list."""
-    stranger = platform.make_plane('stranger')
-    stranger.cfg = attrs.evolve(stranger.cfg, deployment_key='x' * 16)
-    stranger.pool.key = 'x' * 16
+    stranger = platform.make_plane('stranger', key='another key, not ours')
     found = configuration.EMPTY.edited(
         'x', (configuration.Add(store_fakes.make_rule('x'), 0),)
     )
     stranger.keeper.offer(found, now=0.0)
     with stranger:
+        platform.list_plane(stranger)
         wait_until(lambda: len(planes[0].directory.members) == 6)
         platform.editor.add(store_fakes.make_rule('a'))
         for plane in planes:
--- a/catkinshunt/dissemination/_watcher.py
+++ b/catkinshunt/dissemination/_watcher.py
@@ -87,6 +87,12 @@
         except errors.CatkinshuntError as exc:
             _log.warning('Source of {}: {}', self.source.topic, exc)
             return False
+        except Exception as exc:
+            # If the thread ended here, the process would still answer its
+            # deputies, none of them would take over, and new revisions
+            # would come from other data centres only.
+            _log.error('Source of {} broke: {!r}', self.source.topic, exc)
+            return False
         return True
 
     def _note(self, on_duty):
--- a/catkinshunt/kvstore/_http.py
+++ b/catkinshunt/kvstore/_http.py
@@ -40,7 +40,7 @@
             query['lease'] = lease
         reply = self._call('PUT', _path(key, query), value)
         _check_conflict(reply, key)
-        return int(reply.headers[_REVISION])
+        return _revision(reply, errors.StoreUnknownError)
 
     def delete(self, key, expected_revision):
         """Delete `key` if it is still at `expected_revision`."""
@@ -112,7 +112,16 @@
 
 
 def _entry(reply):
-    return kv_base.Entry(reply.body, int(reply.headers[_REVISION]))
+    return kv_base.Entry(reply.body, _revision(reply, errors.StoreError))
+
+
+def _revision(reply, kind):
+    """Return the reply's revision; raise `kind` where it has none."""
+    text = reply.headers.get(_REVISION, '')
+    if reply.status != 200 or not text.isdigit():
+        # Something else answers at the address, a proxy for instance.
+        raise kind(f'status {reply.status}, no revision', step='read-reply')
+    return int(text)
 
 
 def _check_conflict(reply, key):
--- a/catkinshunt/kvstore/tests/test_http.py
+++ b/catkinshunt/kvstore/tests/test_http.py
@@ -58,3 +58,23 @@
     lease = store.grant_lease(0.000001)
     with pytest.raises(errors.ConflictError):
         store.renew_lease(lease)
+
+
+@pytest.mark.parametrize('status', [200, 302, 404])
+def test_an_answer_of_another_server_is_an_error(status):
+    """Another server answers at the address, for instance a proxy.
+
+    Reading its reply as the service's ended the thread that watched, and
+    new revisions came no more.
+    """
+
+    def app(environ, start_response):
+        return httpio.Response.of_json(status, {}).send(start_response)
+
+    with httpio.HttpServer(app) as server:
+        address = httpio.Address('127.0.0.1', server.port)
+        store = kvstore.HttpKeyValueStore(address)
+        with pytest.raises(errors.StoreError):
+            store.watch('rules', 0, 1)
+        with pytest.raises((errors.StoreUnknownError, errors.ConflictError)):
+            store.put('rules', b'a', 0)
