--- a/bundle/__main__.py
+++ b/bundle/__main__.py
@@ -26,6 +26,10 @@
         file.write(FIRST_LINE)
         with zipfile.ZipFile(file, 'w') as archive:
             _write(archive, '__main__.py', _start_source().encode())
+            # A package without `__init__`, such as `google`, is found in an
+            # archive only where its folder has an entry.
+            for folder in _collect.folders():
+                _write(archive, folder, b'')
             for name, path in _collect.sources():
                 code = compile(path.read_bytes(), name, 'exec')
                 _write(archive, name + 'c', _compiled(code))
--- a/bundle/_collect.py
+++ b/bundle/_collect.py
@@ -26,6 +26,16 @@
         yield from _library_sources(library)
 
 
+def folders():
+    """Return the folders of `sources`, each with a slash at its end."""
+    found = {
+        f'{folder}/'
+        for name, _ in sources()
+        for folder in pathlib.PurePath(name).parents
+    }
+    return sorted(found - {'./'})
+
+
 def libraries():
     """Return the names of the pinned run-time libraries."""
     content = (ROOT / 'requirements.txt').read_text()
