Run bookings with an idempotency key at most once

The entry claims such a request before it is dispatched, records the answer once it has passed, gives a claim back only if the request is known not to have run, and answers a repeat from the record. Attempts at requests that are not idempotent carry an id and the time after which they must not be dispatched; the sidecar lets each pass once.

Cause of a second fault found on the way: a reply read with `read1` to its stated length stays open in http.client, so the next request on the kept connection ended in ResponseNotReady and was told "outcome unknown", although it had run. Replies are closed now before their connection is kept.

--- a/catkinshunt/claims/_attempts.py
+++ b/catkinshunt/claims/_attempts.py
@@ -19,6 +19,8 @@
         capacity: attempts remembered; at this bound new ones are refused
             rather than older ones forgotten before their deadline.
         skew_s: most by which clocks of two instances differ.
+        max_ahead_s: a deadline further ahead than this is refused, as its
+            attempt would be remembered for too long.
 
     Examples:
         >>> seen = SeenAttempts()
@@ -30,9 +32,10 @@
 [step duplicate]
     """
 
-    def __init__(self, capacity=10000, skew_s=2.0):
+    def __init__(self, capacity=10000, skew_s=2.0, max_ahead_s=3600.0):
         self.capacity = capacity
         self.skew_s = skew_s
+        self.max_ahead_s = max_ahead_s
         self._lock = threading.Lock()
         self._expiries = {}
 
@@ -59,6 +62,11 @@
                 raise errors.RefusedError(
                     'deadline passed before dispatch', step='deadline'
                 )
+            # Written so that it also refuses what is not a number.
+            if not expires_at <= now + self.max_ahead_s:
+                raise errors.InvalidRequestError(
+                    'deadline too far ahead', step='deadline'
+                )
             if len(self._expiries) >= self.capacity:
                 self._forget(now)
             if len(self._expiries) >= self.capacity:
--- a/catkinshunt/claims/tests/test_attempts.py
+++ b/catkinshunt/claims/tests/test_attempts.py
@@ -38,3 +38,10 @@
     with pytest.raises(errors.DuplicateAttemptError):
         seen.check('a1', expires_at=10.0, now=10.0)
     seen.check('a3', expires_at=20.0, now=11.5)
+
+
+@pytest.mark.parametrize('expires_at', [float('nan'), float('inf'), 1e9])
+def test_deadline_that_would_be_remembered_for_ever(expires_at):
+    seen = claims.SeenAttempts()
+    with pytest.raises(errors.InvalidRequestError):
+        seen.check('a1', expires_at=expires_at, now=0.0)
--- a/catkinshunt/entry/_app.py
+++ b/catkinshunt/entry/_app.py
@@ -24,12 +24,14 @@
         cfg: `settings.EntrySettings`.
         follower: holds the configuration in force.
         directory: `instances.Directory`.
+        once: `AtMostOnce`.
     """
 
-    def __init__(self, cfg, follower, directory):
+    def __init__(self, cfg, follower, directory, once):
         self.cfg = cfg
         self.follower = follower
         self.directory = directory
+        self.once = once
         self._relay = _relay.Relay(httpio.ConnectionPool(), cfg.deployment_key)
 
     def __call__(self, environ, start_response):
@@ -59,6 +61,14 @@
                 step='match',
                 retry_after_s=rule.then.retry_after_s,
             )
+        return self.once.answer(
+            req,
+            lambda: self._dispatch(req, rule),
+            time.monotonic(),
+            time.time(),
+        )
+
+    def _dispatch(self, req, rule):
         opened = self._open(req, rule)
         passed = tuple(
             (name, value)
--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -1,8 +1,12 @@
 """The parts of an entry instance, started and stopped together."""
 
+import attrs
+
 from catkinshunt import base
+from catkinshunt import claims
 from catkinshunt import configuration
 from catkinshunt.entry import _app
+from catkinshunt.entry import _once
 from catkinshunt import httpio
 from catkinshunt import instances
 from catkinshunt import kvstore
@@ -31,7 +35,11 @@
             httpio.Address.parse(platform.instance_list),
             platform.instance_list_period_s,
         ).start()
-        app = _app.EntryApp(self.cfg, self._keeper, self._directory)
+        self._ledger = claims.Ledger(
+            store, **attrs.asdict(self.cfg.claims)
+        ).start()
+        once = _once.AtMostOnce(self._ledger, self._ledger.body_limit_bytes)
+        app = _app.EntryApp(self.cfg, self._keeper, self._directory, once)
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
             metrics.MeasuredApp(app, registry),
@@ -64,6 +72,7 @@
         """Stop listening, then stop the rest."""
         self._serving = False
         self._server.stop()
+        self._ledger.stop()
         self._operators.stop()
         self._directory.stop()
         self._follower.stop()
--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -2,6 +2,8 @@
 
 import http.client
 import json
+import time
+import uuid
 
 import attrs
 
@@ -87,10 +89,18 @@
         if opened.resp.length or (streamed and not _ends_done(tail)):
             opened.conn.close()
             raise _incomplete(opened, 'ended early')
+        # `read1` leaves a reply open whose length it has come to, and the
+        # connection then refuses to read the next request's reply.
+        opened.resp.close()
         self.pool.give_back(opened.address, opened.conn)
 
     def _headers(self, req, route, left_s):
-        return {
+        once = {}
+        if not req.idempotent:
+            not_after = time.time() + left_s
+            once[headers.ATTEMPT_ID] = uuid.uuid4().hex[:16]
+            once[headers.NOT_AFTER] = f'{not_after:.3f}'
+        return once | {
             'Content-Type': req.content_type,
             headers.ACCOUNT: req.account,
             headers.DEADLINE_MS: str(int(left_s * 1000)),
--- a/catkinshunt/httpio/headers.py
+++ b/catkinshunt/httpio/headers.py
@@ -10,6 +10,9 @@
 REQUEST_ID = 'Catkinshunt-Request-Id'
 #: One id for each try of a request at an upstream.
 ATTEMPT_ID = 'Catkinshunt-Attempt-Id'
+#: Seconds since the epoch after which the attempt must not be dispatched;
+#: given with attempts at requests that are not idempotent.
+NOT_AFTER = 'Catkinshunt-Not-After'
 #: The model and version that the request was routed for.
 MODEL = 'Catkinshunt-Model'
 MODEL_VERSION = 'Catkinshunt-Model-Version'
--- a/catkinshunt/settings/_model.py
+++ b/catkinshunt/settings/_model.py
@@ -73,15 +73,36 @@
             ports.setdefault(value, name)
 
 
+@attrs.frozen(kw_only=True)
+class ClaimSettings:
+    """How requests with an idempotency key are recorded.
+
+    Attributes:
+        shards: documents in the key-value service; see docs/design.
+        retention_s: how long a key is remembered.
+        answer_kept_s: how long a small answer is kept for repeats.
+        commit_timeout_s: longest wait for the key-value service.
+        writes_per_s: this entry's share of the service's writes.
+    """
+
+    shards: int = _fields.count(1, 65536, default=32)
+    retention_s: float = _fields.above_zero('seconds', 21600.0)
+    answer_kept_s: float = _fields.above_zero('seconds', 600.0)
+    commit_timeout_s: float = _fields.above_zero('seconds', 2.0)
+    writes_per_s: float = _fields.above_zero('writes/s', 100.0)
+
+
 @attrs.frozen(kw_only=True)
 class EntrySettings(_ProcessSettings):
     """Settings of an entry instance.
 
     Attributes:
         default_deadline_s: deadline of a request that names none.
+        claims: how requests with an idempotency key are recorded.
     """
 
     default_deadline_s: float = _fields.above_zero('seconds', 30.0)
+    claims: ClaimSettings = attrs.field(factory=ClaimSettings)
 
 
 @attrs.frozen(kw_only=True)
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -2,8 +2,10 @@
 
 import hmac
 import http.client
+import time
 
 from catkinshunt import base
+from catkinshunt import claims
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
@@ -24,6 +26,7 @@
     def __init__(self, cfg, placement):
         self.cfg = cfg
         self.placement = placement
+        self._seen = claims.SeenAttempts()
         self._pool = httpio.ConnectionPool(timeout_s=30.0)
         self._upstream = httpio.Address.parse(cfg.upstream)
 
@@ -51,11 +54,26 @@
         if not hmac.compare_digest(given, self.cfg.deployment_key.encode()):
             raise errors.InvalidRequestError('wrong key', step='authenticate')
 
+    def _check_attempt(self, environ):
+        """Let an attempt at a request that is not idempotent pass once."""
+        attempt = environ.get('HTTP_CATKINSHUNT_ATTEMPT_ID', '')
+        not_after = environ.get('HTTP_CATKINSHUNT_NOT_AFTER', '')
+        if not attempt and not not_after:
+            return
+        try:
+            expires_at = float(not_after)
+        except ValueError as exc:
+            raise errors.InvalidRequestError(
+                f'{headers.NOT_AFTER} must be a number', step='read'
+            ) from exc
+        self._seen.check(attempt, expires_at, time.time())
+
     def _forward(self, environ, path):
         query = environ.get('QUERY_STRING')
         if query:
             path = f'{path}?{query}'
         body = httpio.read_body(environ)
+        self._check_attempt(environ)
         # A kept connection may be closed by the upstream at any time, and
         # a request lost on it cannot be told from one that ran.
         conn = http.client.HTTPConnection(
