--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -4,11 +4,10 @@
 
 from catkinshunt import base
 from catkinshunt import claims
-from catkinshunt import configuration
+from catkinshunt import control
 from catkinshunt.entry import _app
 from catkinshunt.entry import _once
 from catkinshunt import httpio
-from catkinshunt import instances
 from catkinshunt import kvstore
 from catkinshunt import metrics
 
@@ -25,21 +24,19 @@
 
     def start(self):
         """Follow the configuration and the list, then listen."""
-        platform = self.cfg.platform
+        self._control = control.ControlPlane(self.cfg).start()
         store = kvstore.HttpKeyValueStore(
-            httpio.Address.parse(platform.key_value)
+            httpio.Address.parse(self.cfg.platform.key_value)
         )
-        self._keeper = configuration.Keeper()
-        self._follower = configuration.Follower(store, self._keeper).start()
-        self._directory = instances.Directory(
-            httpio.Address.parse(platform.instance_list),
-            platform.instance_list_period_s,
-        ).start()
         self._ledger = claims.Ledger(
             store, **attrs.asdict(self.cfg.claims)
         ).start()
-        once = _once.AtMostOnce(self._ledger, self._ledger.body_limit_bytes)
-        app = _app.EntryApp(self.cfg, self._keeper, self._directory, once)
+        app = _app.EntryApp(
+            self.cfg,
+            self._control.keeper,
+            self._control.directory,
+            _once.AtMostOnce(self._ledger, self._ledger.body_limit_bytes),
+        )
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
             metrics.MeasuredApp(app, registry),
@@ -58,7 +55,7 @@
         return {
             'name': self.cfg.name,
             'state': 'serving' if self._serving else 'leaving',
-            'revision': self._keeper.current.revision,
+            'revision': self._control.keeper.revision,
             'wanted': {},
             'served': {},
         }
@@ -74,5 +71,4 @@
         self._server.stop()
         self._ledger.stop()
         self._operators.stop()
-        self._directory.stop()
-        self._follower.stop()
+        self._control.stop()
