--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -1,9 +1,14 @@
 """The parts of an entry instance, started and stopped together."""
 
+import attrs
+
 from catkinshunt import base
+from catkinshunt import claims
 from catkinshunt import control
 from catkinshunt.entry import _app
+from catkinshunt.entry import _once
 from catkinshunt import httpio
+from catkinshunt import kvstore
 from catkinshunt import metrics
 
 
@@ -20,8 +25,17 @@
     def start(self):
         """Follow the configuration and the list, then listen."""
         self._control = control.ControlPlane(self.cfg).start()
+        store = kvstore.HttpKeyValueStore(
+            httpio.Address.parse(self.cfg.platform.key_value)
+        )
+        self._ledger = claims.Ledger(
+            store, **attrs.asdict(self.cfg.claims)
+        ).start()
         app = _app.EntryApp(
-            self.cfg, self._control.keeper, self._control.directory
+            self.cfg,
+            self._control.keeper,
+            self._control.directory,
+            _once.AtMostOnce(self._ledger, self._ledger.body_limit_bytes),
         )
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
@@ -55,5 +69,6 @@
         """Stop listening, then stop the rest."""
         self._serving = False
         self._server.stop()
+        self._ledger.stop()
         self._operators.stop()
         self._control.stop()
--- a/catkinshunt/httpio/headers.py
+++ b/catkinshunt/httpio/headers.py
@@ -10,6 +10,9 @@
 REQUEST_ID = 'Catkinshunt-Request-Id'
 #: One id for each try of a request at an upstream.
 ATTEMPT_ID = 'Catkinshunt-Attempt-Id'
+#: Seconds since the epoch after which the attempt must not be dispatched;
+#: given with attempts at requests that are not idempotent.
+NOT_AFTER = 'Catkinshunt-Not-After'
 #: One id for each exchange between our processes, echoed in the reply; a
 #: reply without it is not the answer to this request.
 EXCHANGE_ID = 'Catkinshunt-Exchange-Id'
--- a/standins/tests/test_demo.py
+++ b/standins/tests/test_demo.py
@@ -12,14 +12,14 @@
     calm_s=0.2,
     runner_killed_s=0.1,
     store_down_s=0.2,
-    entry_killed_s=None,
+    entry_killed_s=0.4,
     store_up_s=1.0,
     end_s=1.2,
 )
 
 
 def test_short_demo_is_good():
-    """A runner dies while a new version spreads.
+    """A runner and an entry die while a new version spreads.
 
     The key-value service is away too. Members would miss answers, or have
     a regrind booked twice.
