Fuzz the readers of messages and mend what they let through

Cause: a few kilobytes of opening brackets raise RecursionError in the JSON reader, which no reader expected, and a list of instances or a configuration with a wrong type (revision null, service a list) was accepted and raised TypeError later, in the thread that watches. Either ends that thread, and the process goes on without news.

JSON of other processes is read by checks.load_json, and texts and revisions are checked where they are read.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 bench: setup ## Run all benchmarks; fails past their bounds
 	$(PY) -m benchmarks
+
+fuzz: setup ## Fuzz the readers of what comes over a socket for longer
+	FUZZ_EXAMPLES=3000 $(PY) -m pytest catkinshunt/tests/test_fuzz.py
--- a/catkinshunt/checks.py
+++ b/catkinshunt/checks.py
@@ -1,5 +1,6 @@
 """Shared checks of parameters, called at first use."""
 
+import json
 import random
 
 
@@ -39,6 +40,42 @@
     return value
 
 
+def check_count(value, name):
+    """Return `value` if it is a whole number from 0.
+
+    Raises:
+        ValueError: `value` is not a whole number from 0.
+
+    Examples:
+        >>> check_count(0, 'revision')
+        0
+        >>> check_count(True, 'revision')
+        Traceback (most recent call last):
+            ...
+        ValueError: revision must be a whole number from 0, got True
+    """
+    if type(value) is not int or value < 0:
+        raise ValueError(
+            f'{name} must be a whole number from 0, got {value!r}'
+        )
+    return value
+
+
+def check_text(value, name):
+    """Return `value` if it is a text.
+
+    Raises:
+        ValueError: `value` is not a text.
+
+    Examples:
+        >>> check_text('larisa-a', 'data_centre')
+        'larisa-a'
+    """
+    if not isinstance(value, str):
+        raise ValueError(f'{name} must be a text, got {value!r}')
+    return value
+
+
 def check_random_state(random_state):
     """Return a `random.Random` from a seed, a generator or None.
 
@@ -49,3 +86,21 @@
     if isinstance(random_state, random.Random):
         return random_state
     return random.Random(random_state)
+
+
+def load_json(data):
+    """Return the value that the JSON text `data` describes.
+
+    Raises:
+        ValueError: it is not JSON, or its values lie too deep in each other.
+
+    Examples:
+        >>> load_json(b'[1]')
+        [1]
+    """
+    try:
+        return json.loads(data)
+    except RecursionError as exc:
+        # A few kilobytes of brackets are enough. Readers expect ValueError
+        # for bad text; anything else would end the thread that reads.
+        raise ValueError('values lie too deep in each other') from exc
--- a/catkinshunt/configuration/_configuration.py
+++ b/catkinshunt/configuration/_configuration.py
@@ -2,11 +2,11 @@
 
 import functools
 import hashlib
-import json
 import zlib
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt.configuration import _edits
 from catkinshunt import errors
 from catkinshunt import rules
@@ -47,11 +47,11 @@
             errors.RuleError: the bytes are no accepted configuration.
         """
         try:
-            document = json.loads(value)
+            document = checks.load_json(value)
             items = document['rules']
             edits = document.get('edits', ())
             return cls(
-                document['revision'],
+                checks.check_count(document['revision'], 'revision'),
                 tuple(_edits.HeldRule.from_document(item) for item in items),
                 tuple(_edits.Edit.from_document(item) for item in edits),
             )
--- a/catkinshunt/configuration/_edits.py
+++ b/catkinshunt/configuration/_edits.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt import errors
 from catkinshunt import rules
 
@@ -156,7 +157,8 @@
             for item in document['operations']:
                 [(keyword, fields)] = item.items()
                 operations.append(OPERATIONS[keyword](**fields))
-            return cls(document['edit_id'], document['revision'], operations)
+            revision = checks.check_count(document['revision'], 'revision')
+            return cls(document['edit_id'], revision, operations)
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
             raise errors.RuleError(
                 f'not an edit: {exc!r}', step='read-edit'
--- a/catkinshunt/configuration/_updates.py
+++ b/catkinshunt/configuration/_updates.py
@@ -1,8 +1,8 @@
 """What one process sends another to bring its configuration up to date."""
 
-import json
 import zlib
 
+from catkinshunt import checks
 from catkinshunt.configuration import _configuration
 from catkinshunt.configuration import _edits
 from catkinshunt.dissemination import base
@@ -87,7 +87,7 @@
 
 def _replayed(configuration, update):
     for line in update.edits:
-        edit = _edits.Edit.from_document(json.loads(line))
+        edit = _edits.Edit.from_document(checks.load_json(line))
         if edit.revision > configuration.revision:
             configuration = configuration.replayed(edit)
     return configuration
--- a/catkinshunt/httpio/_errors.py
+++ b/catkinshunt/httpio/_errors.py
@@ -1,7 +1,6 @@
 """Reads the JSON errors that our processes send each other."""
 
-import json
-
+from catkinshunt import checks
 from catkinshunt import errors
 
 
@@ -18,7 +17,7 @@
         LeavingError('leaving')
     """
     try:
-        given = json.loads(body)['error']
+        given = checks.load_json(body)['error']
         kind = _find_kind(given['code'], given['ran'])
         message = str(given.get('message', given['code']))
         step = str(given.get('step', ''))
--- a/catkinshunt/instances/_instance.py
+++ b/catkinshunt/instances/_instance.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt import errors
 from catkinshunt import httpio
 
@@ -11,6 +12,7 @@
 LEAVING = 'leaving'
 ENTRY = 'entry'
 UPSTREAM = 'upstream'
+_TEXTS = ('name', 'role', 'service', 'data_centre', 'region', 'state')
 
 
 @attrs.frozen(kw_only=True)
@@ -46,17 +48,15 @@
         """
         try:
             control = value.get('control_address')
+            texts = {
+                name: checks.check_text(value[name], name) for name in _TEXTS
+            }
             return cls(
-                name=value['name'],
-                role=value['role'],
-                service=value['service'],
-                data_centre=value['data_centre'],
-                region=value['region'],
+                **texts,
                 address=httpio.Address.parse(value['address']),
                 control_address=(
                     httpio.Address.parse(control) if control else None
                 ),
-                state=value['state'],
             )
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
             raise errors.PeerError(
--- a/catkinshunt/instances/_listing.py
+++ b/catkinshunt/instances/_listing.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt.dissemination import base
 from catkinshunt import errors
 from catkinshunt.instances import _instance
@@ -38,11 +39,11 @@
     @classmethod
     def from_bytes(cls, line):
         """Read what `to_bytes` wrote."""
-        value = json.loads(line)
+        value = checks.load_json(line)
         changed = map(_instance.Instance.from_listing, value['changed'])
         return cls(
-            value['base_revision'],
-            value['revision'],
+            checks.check_count(value['base_revision'], 'base_revision'),
+            checks.check_count(value['revision'], 'revision'),
             tuple(changed),
             tuple(value['gone']),
         )
@@ -186,10 +187,11 @@
         errors.PeerError: the text is no list of instances.
     """
     try:
-        value = json.loads(text)
+        value = checks.load_json(text)
         items = value['instances']
         instances = [_instance.Instance.from_listing(item) for item in items]
-        change = Listing().find_change(value['revision'], instances)
+        revision = checks.check_count(value['revision'], 'revision')
+        change = Listing().find_change(revision, instances)
     except (ValueError, KeyError, TypeError) as exc:
         raise errors.PeerError(
             f'not a list of instances: {exc!r}', step='read-listing'
