Bring each request to its whole answer, or to a clear error

Cause: a request met one random upstream after another, and a stream that broke off ended short. An entry now chooses by load, place and prompt prefix, tries again only what is known not to have run or does no harm twice, within the deadline and a budget, and takes a broken stream up at its next piece on another upstream of the same version. A reply must echo the id of its exchange. A sidecar admits fairly by deadlines, tells its state, load and served versions on each reply, checks the version that answers and has the engine cancel what nobody waits for. A planned stop refuses new work as not run, finishes what is in progress, and waits until the last bytes are sent. Ruled out: passing the body of a known length piece by piece, since one that breaks off could not be asked for again; up to 1 MiB are read first.

--- a/catkinshunt/entry/_app.py
+++ b/catkinshunt/entry/_app.py
@@ -1,19 +1,20 @@
 """The WSGI application that callers meet."""
 
-import random
 import time
 
 from catkinshunt import base
+from catkinshunt.entry import _delivery
+from catkinshunt.entry import _fleet
 from catkinshunt.entry import _relay
 from catkinshunt.entry import _request
 from catkinshunt import errors
 from catkinshunt import httpio
-from catkinshunt.httpio import headers
 from catkinshunt import logs
+from catkinshunt import retries
+from catkinshunt import routing
 from catkinshunt import rules
 
 RETRY_AFTER_S = 1.0
-_PASSED_ON = ('Content-Type', 'Content-Length', 'Model-Version')
 _log = logs.get_logger('routing')
 
 
@@ -32,7 +33,16 @@
         self.follower = follower
         self.directory = directory
         self.once = once
+        self._leaving = False
         self._relay = _relay.Relay(httpio.ConnectionPool(), cfg.deployment_key)
+        self._retry = retries.RetryPolicy(retries.Budget())
+        router = routing.Router(
+            routing.PrefixAffinity(),
+            entry=cfg.name,
+            data_centre=cfg.data_centre,
+            region=cfg.region,
+        )
+        self._fleet = _fleet.Fleet(router, directory)
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -48,7 +58,15 @@
             resp = httpio.error_response(exc, request_id)
         return resp.send(start_response)
 
+    def leave(self):
+        """Refuse new requests from now on."""
+        self._leaving = True
+
     def _answer(self, req):
+        if self._leaving:
+            raise errors.LeavingError(
+                'entry is leaving', step='admit', retry_after_s=RETRY_AFTER_S
+            )
         subject = req.subject(self.cfg.data_centre, self.cfg.region)
         rule = self.follower.current.rule_set.match(subject)
         if rule is None:
@@ -61,46 +79,15 @@
                 step='match',
                 retry_after_s=rule.then.retry_after_s,
             )
+        req = req.for_route(rule.then)
         return self.once.answer(
             req,
-            lambda: self._dispatch(req, rule),
+            lambda: self._deliver(req, rule),
             time.monotonic(),
             time.time(),
         )
 
-    def _dispatch(self, req, rule):
-        opened = self._open(req, rule)
-        passed = tuple(
-            (name, value)
-            for name in _PASSED_ON
-            if (value := opened.resp.getheader(name)) is not None
-        )
-        request_id = (headers.REQUEST_ID, req.request_id)
-        return httpio.Response(
-            opened.resp.status,
-            self._relay.read(opened),
-            (*passed, request_id),
-        )
-
-    def _open(self, req, rule):
-        """Try upstreams until one takes the request."""
-        candidates = self.directory.upstreams(rule.then.service)
-        random.shuffle(candidates)
-        refusal = errors.RefusedError(
-            'no upstream', step='route', retry_after_s=RETRY_AFTER_S
-        )
-        for upstream in candidates:
-            _log.info(
-                'Request {} by rule {} goes to {} of {}.',
-                req.request_id,
-                rule.name,
-                upstream.name,
-                len(candidates),
-            )
-            try:
-                return self._relay.open(
-                    req, rule.then, upstream.address, time.monotonic()
-                )
-            except errors.RefusedError as exc:
-                refusal = exc
-        raise refusal
+    def _deliver(self, req, rule):
+        return _delivery.Delivery(
+            self._fleet, self._relay, self._retry, req, rule
+        ).answer()
--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -31,7 +31,7 @@
         self._ledger = claims.Ledger(
             store, **attrs.asdict(self.cfg.claims)
         ).start()
-        app = _app.EntryApp(
+        self._app = _app.EntryApp(
             self.cfg,
             self._control.keeper,
             self._control.directory,
@@ -39,7 +39,7 @@
         )
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
-            metrics.MeasuredApp(app, registry),
+            metrics.MeasuredApp(self._app, registry),
             self.cfg.host,
             self.cfg.port,
             self.cfg.threads,
@@ -66,8 +66,10 @@
         return httpio.Address(self.cfg.host, self._server.port)
 
     def stop(self):
-        """Stop listening, then stop the rest."""
+        """Refuse new work, finish what is in progress, then stop."""
         self._serving = False
+        self._app.leave()
+        self._server.join(self.cfg.stop_timeout_s)
         self._server.stop()
         self._ledger.stop()
         self._operators.stop()
--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -13,7 +13,46 @@
 
 _PIECE_BYTES = 64 * 1024
 _STREAM = 'application/x-ndjson'
-_DONE = b'{"done": true'
+
+
+@attrs.frozen
+class Reported:
+    """What the head of a reply says of its sender.
+
+    Attributes:
+        state: serving or leaving, or None.
+        load: requests it has, or None.
+        served: model versions it serves as ``model/version``, or None.
+    """
+
+    state: str | None = None
+    load: float | None = None
+    served: frozenset | None = None
+
+    @classmethod
+    def from_reply(cls, resp):
+        """Read the head of an `http.client.HTTPResponse`."""
+        state = resp.getheader(headers.STATE)
+        load = resp.getheader(headers.LOAD, '')
+        served = resp.getheader(headers.SERVED)
+        return cls(
+            state if state in ('serving', 'leaving') else None,
+            float(load) if load.isdigit() else None,
+            None if served is None else frozenset(served.split(',')) - {''},
+        )
+
+
+@attrs.frozen
+class Resume:
+    """Where a broken answer is taken up again.
+
+    Attributes:
+        index: index of the next piece.
+        version: the model version that gave the pieces before it.
+    """
+
+    index: int
+    version: str
 
 
 @attrs.frozen
@@ -24,6 +63,21 @@
     conn: http.client.HTTPConnection
     resp: http.client.HTTPResponse
 
+    @property
+    def streamed(self):
+        """Whether the body is a stream of JSON lines."""
+        return self.resp.getheader('Content-Type') == _STREAM
+
+    @property
+    def model_version(self):
+        """The model version that answers, or empty."""
+        return self.resp.getheader(headers.ENGINE_MODEL_VERSION, '')
+
+    def close(self):
+        """Break the exchange off; the sidecar then cancels it."""
+        self.resp.close()
+        self.conn.close()
+
 
 class Relay:
     """Sends requests to sidecars and passes their answers on.
@@ -31,21 +85,34 @@
     Args:
         pool: `httpio.ConnectionPool`.
         deployment_key: secret that sidecars ask for.
+        stall_s: longest wait for the next piece of an answer.
     """
 
-    def __init__(self, pool, deployment_key):
+    def __init__(self, pool, deployment_key, stall_s=10.0):
         self.pool = pool
         self.deployment_key = deployment_key
+        self.stall_s = stall_s
 
-    def open(self, req, route, address, now):
+    def open(self, req, route, address, now, resume=None, learn=None):
         """Send `req` to the sidecar at `address`; wait for its reply's head.
 
+        Args:
+            req: the `CallerRequest`.
+            route: the `rules.Route`.
+            address: `httpio.Address` of the sidecar.
+            now: seconds, monotonic.
+            resume: a `Resume`, or None to begin at the beginning.
+            learn: called with the `Reported` of the reply, also a refusal.
+
         Raises:
             errors.RefusedError: not run; no connection, or refused there.
+            errors.RequestError: the sidecar's error.
             errors.OutcomeUnknownError: sent, and no reply came.
         """
         left_s = req.deadline - now
-        conn, _ = self.pool.take(address, left_s)
+        # On a kept connection a request can be lost without a sign whether
+        # it ran; one that must not run twice could then not be retried.
+        conn, _ = self.pool.take(address, left_s, fresh=not req.idempotent)
         peer = str(address)
         try:
             if conn.sock is None:
@@ -54,13 +121,13 @@
             raise errors.RefusedError(
                 f'no connection: {exc}', step='connect', peer=peer
             ) from exc
+        exchange_id = uuid.uuid4().hex
+        sent = self._headers(req, route, left_s, resume)
+        sent[headers.EXCHANGE_ID] = exchange_id
         try:
-            conn.request(
-                req.method,
-                '/upstream' + req.path,
-                req.body,
-                self._headers(req, route, left_s),
-            )
+            body = _resumed_body(req, resume)
+            conn.request(req.method, '/upstream' + req.path, body, sent)
+            sock = conn.sock
             resp = conn.getresponse()
         except (OSError, http.client.HTTPException) as exc:
             conn.close()
@@ -68,7 +135,11 @@
                 f'no reply: {exc!r}', step='exchange', peer=peer
             ) from exc
         opened = Opened(address, conn, resp)
+        self._check_echo(opened, exchange_id)
+        if learn is not None:
+            learn(Reported.from_reply(resp))
         self._check_refusal(opened)
+        sock.settimeout(min(left_s, self.stall_s))
         return opened
 
     def read(self, opened):
@@ -77,24 +148,31 @@
         Raises:
             errors.IncompleteAnswerError: the body broke off.
         """
-        streamed = opened.resp.getheader('Content-Type') == _STREAM
-        tail = b''
+        resp = opened.resp
         try:
-            while piece := opened.resp.read1(_PIECE_BYTES):
-                tail = (tail + piece)[-_PIECE_BYTES:]
+            while piece := resp.read1(_PIECE_BYTES):
                 yield piece
-        except (OSError, http.client.HTTPException) as exc:
-            opened.conn.close()
+        except (OSError, ValueError, http.client.HTTPException) as exc:
+            opened.close()
             raise _incomplete(opened, repr(exc)) from exc
-        if opened.resp.length or (streamed and not _ends_done(tail)):
-            opened.conn.close()
+        if resp.length:
+            opened.close()
             raise _incomplete(opened, 'ended early')
-        # `read1` leaves a reply open whose length it has come to, and the
-        # connection then refuses to read the next request's reply.
-        opened.resp.close()
+        # http.client does not notice by itself that `read1` has taken the
+        # last byte of a body with a length, and refuses the next request.
+        resp.close()
         self.pool.give_back(opened.address, opened.conn)
 
-    def _headers(self, req, route, left_s):
+    def read_whole(self, opened):
+        """Return the whole body.
+
+        Raises:
+            errors.IncompleteAnswerError: the body broke off.
+        """
+        return b''.join(self.read(opened))
+
+    def _headers(self, req, route, left_s, resume):
+        version = resume.version if resume else route.version or ''
         once = {}
         if not req.idempotent:
             not_after = time.time() + left_s
@@ -106,33 +184,47 @@
             headers.DEADLINE_MS: str(int(left_s * 1000)),
             headers.DEPLOYMENT_KEY: self.deployment_key,
             headers.MODEL: req.model,
-            headers.MODEL_VERSION: route.version or '',
+            headers.MODEL_VERSION: version,
+            headers.PRIORITY: str(route.priority),
             headers.REQUEST_ID: req.request_id,
+            headers.WEIGHT: str(route.account_weight),
         }
 
-    def _check_refusal(self, opened):
-        resp = opened.resp
-        if resp.status < 400:
-            return
-        if resp.getheader(headers.STATE) is None:
+    def _check_echo(self, opened, exchange_id):
+        """Refuse a reply that belongs to another exchange.
+
+        A late or crossed reply would give a caller the answer to somebody
+        else's request, and each later reply on the connection as well.
+        """
+        echoed = opened.resp.getheader(headers.EXCHANGE_ID)
+        if echoed == exchange_id:
             return
-        body = resp.read()
-        self.pool.give_back(opened.address, opened.conn)
-        error = json.loads(body)['error']
-        kind = errors.OutcomeUnknownError
-        if error['ran'] == 'no':
-            kind = errors.RefusedError
-        raise kind(
-            error['message'],
-            step=error['step'],
+        opened.close()
+        raise errors.OutcomeUnknownError(
+            f'reply to another exchange {echoed!r}',
+            step='exchange',
             peer=str(opened.address),
-            retry_after_s=error['retry_after_s'],
         )
 
+    def _check_refusal(self, opened):
+        """Raise the sidecar's own error; an upstream's is an answer."""
+        if opened.resp.getheader(headers.ERROR) is None:
+            return
+        try:
+            body = self.read_whole(opened)
+        except errors.IncompleteAnswerError as exc:
+            raise errors.OutcomeUnknownError(
+                exc.message, step='exchange', peer=exc.peer
+            ) from exc
+        raise httpio.read_error(body, str(opened.address))
+
 
-def _ends_done(tail):
-    last = tail.rstrip(b'\n').rpartition(b'\n')[2]
-    return last.startswith(_DONE)
+def _resumed_body(req, resume):
+    if resume is None:
+        return req.body
+    return json.dumps(
+        json.loads(req.body) | {'resume_from': resume.index}
+    ).encode()
 
 
 def _incomplete(opened, reason):
--- a/catkinshunt/entry/_request.py
+++ b/catkinshunt/entry/_request.py
@@ -1,6 +1,7 @@
 """A caller's request as the entry reads it."""
 
 import json
+import urllib.parse
 import uuid
 
 import attrs
@@ -12,6 +13,9 @@
 
 _SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 _GENERATE = '/generate'
+_PREFIX_CHARS = 256
+#: Characters of a path that need no escape.
+_PATH_CHARS = "/:@!$&'()*+,;=~-._"
 
 
 @attrs.frozen(kw_only=True)
@@ -29,6 +33,11 @@
         deadline: present time plus the time the caller gives, in seconds.
         body: the whole body.
         content_type: of the body.
+        arrived: when it came, in seconds.
+        deadline_given: whether the caller named the deadline.
+        prefix: model and start of the prompt, in bytes; empty for a plain
+            service.
+        first_index: index of the piece that the answer is to begin with.
     """
 
     request_id: str
@@ -41,6 +50,10 @@
     deadline: float
     body: bytes
     content_type: str
+    arrived: float = 0.0
+    deadline_given: bool = True
+    prefix: bytes = b''
+    first_index: int = 0
 
     @classmethod
     def from_environ(cls, environ, now, default_deadline_s):
@@ -50,22 +63,42 @@
             errors.InvalidRequestError: a header or the body is wrong.
         """
         service, _, rest = environ['PATH_INFO'][1:].partition('/')
-        path = '/' + rest
+        # The server has decoded it; a blank or a control character would
+        # make another request of it on the next connection.
+        path = '/' + urllib.parse.quote(rest.encode('latin-1'), _PATH_CHARS)
         query = environ.get('QUERY_STRING')
         body = httpio.read_body(environ)
+        prompt = _Prompt.from_body(path, body)
         return cls(
             request_id=_header(environ, headers.REQUEST_ID) or _new_id(),
             service=service,
             path=f'{path}?{query}' if query else path,
             method=environ['REQUEST_METHOD'],
             account=_header(environ, headers.ACCOUNT),
-            model=_model(path, body),
+            model=prompt.model,
             idempotency_key=_header(environ, headers.IDEMPOTENCY_KEY),
             deadline=now + _deadline_s(environ, default_deadline_s),
             body=body,
             content_type=environ.get('CONTENT_TYPE', ''),
+            arrived=now,
+            deadline_given=bool(_header(environ, headers.DEADLINE_MS)),
+            prefix=prompt.prefix,
+            first_index=prompt.first_index,
         )
 
+    def for_route(self, route):
+        """Return the request with the deadline that its rule sets.
+
+        The rule can shorten the time that the caller gives, and replaces the
+        entry's own where the caller gives none.
+        """
+        if route.deadline_s is None:
+            return self
+        deadline = self.arrived + route.deadline_s
+        if self.deadline_given:
+            deadline = min(deadline, self.deadline)
+        return attrs.evolve(self, deadline=deadline)
+
     @property
     def idempotent(self):
         """Whether running the request twice does no harm."""
@@ -105,13 +138,39 @@
     return int(text) / 1000
 
 
-def _model(path, body):
-    """Return the model that a request to an engine names."""
-    if path != _GENERATE:
-        return ''
-    try:
-        return json.loads(body)['model']
-    except (ValueError, KeyError, TypeError) as exc:
-        raise errors.InvalidRequestError(
-            'body must be a JSON object with a model', step='read'
-        ) from exc
+@attrs.frozen
+class _Prompt:
+    """What the entry reads of a request to an engine."""
+
+    model: str = ''
+    prefix: bytes = b''
+    first_index: int = 0
+
+    @classmethod
+    def from_body(cls, path, body):
+        """Read the body of a request to an engine.
+
+        Raises:
+            errors.InvalidRequestError: it is not such a body.
+        """
+        if path != _GENERATE:
+            return cls()
+        try:
+            value = json.loads(body)
+            model = value['model']
+            text = value.get('prompt', '')
+            prefix = f'{model}\n{text[:_PREFIX_CHARS]}'.encode()
+            first_index = value.get('resume_from', 0)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise errors.InvalidRequestError(
+                'body must be a JSON object with a model', step='read'
+            ) from exc
+        if not isinstance(model, str) or not model.isprintable():
+            raise errors.InvalidRequestError(
+                'model must be a text', step='read'
+            )
+        if type(first_index) is not int or first_index < 0:
+            raise errors.InvalidRequestError(
+                'resume_from must be a whole number', step='read'
+            )
+        return cls(model, prefix, first_index)
--- /dev/null
+++ b/catkinshunt/entry/tests/flow.py
@@ -0,0 +1,229 @@
+"""An entry and sidecars in this process, over real sockets."""
+
+import contextlib
+import http.client
+import json
+import socket
+import threading
+import types
+
+from catkinshunt import entry
+from catkinshunt import httpio
+from catkinshunt.httpio import headers
+from catkinshunt import instances
+from catkinshunt import rules
+from catkinshunt import settings
+from catkinshunt import sidecar
+
+KEY = 'a key of this deployment'
+MODEL, VERSION = 'drafts', 'v1'
+PLACE = {
+    'name': 'here',
+    'region': 'thessalia',
+    'data_centre': 'larisa-a',
+    'deployment_key': KEY,
+    'platform': {
+        'key_value': '127.0.0.1:1',
+        'instance_list': '127.0.0.1:1',
+        'origin': '127.0.0.1:1',
+    },
+}
+
+
+_EMPTY = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+
+class Placement:
+    """Stands for the part of a sidecar that holds the weights."""
+
+    def __init__(self):
+        self.served = {MODEL: VERSION}
+
+    def report(self):
+        """Return what the engine serves."""
+        return {'wanted': {}, 'served': self.served}
+
+
+class Once:
+    """Stands for the at-most-once record; these requests have no key."""
+
+    def answer(self, req, dispatch, now, epoch_now):
+        """Run the request."""
+        return dispatch()
+
+
+class Directory:
+    """Stands for the instance list."""
+
+    def __init__(self):
+        self.revision = 0
+        self.instances = ()
+
+    def add(self, name, service, address):
+        """List one more upstream."""
+        listed = instances.Instance(
+            name=name,
+            role='upstream',
+            service=service,
+            data_centre='larisa-a',
+            region='thessalia',
+            address=address,
+        )
+        self.instances = (*self.instances, listed)
+        self.revision += 1
+
+
+class ScriptedUpstream:
+    """Takes connections and answers each with given bytes, then closes.
+
+    Args:
+        reply: the bytes, or a function that gives them for a request.
+    """
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.requests = []
+        self._sock = socket.create_server(('127.0.0.1', 0))
+        self.address = httpio.Address(*self._sock.getsockname())
+        thread = threading.Thread(target=self._run, daemon=True)
+        thread.start()
+
+    def _run(self):
+        while True:
+            try:
+                conn, _ = self._sock.accept()
+            except OSError:
+                return
+            with conn:
+                request = _read_request(conn)
+                if request.startswith(b'POST /cancel'):
+                    conn.sendall(_EMPTY)
+                    continue
+                self.requests.append(request)
+                given = self.reply
+                conn.sendall(given(request) if callable(given) else given)
+
+    def close(self):
+        """Take no more connections."""
+        self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+
+def _read_request(conn):
+    data = b''
+    while b'\r\n\r\n' not in data:
+        data += conn.recv(65536)
+    head, _, body = data.partition(b'\r\n\r\n')
+    length = 0
+    for line in head.split(b'\r\n'):
+        name, _, value = line.partition(b':')
+        if name.lower() == b'content-length':
+            length = int(value)
+    while len(body) < length:
+        body += conn.recv(65536)
+    return head + b'\r\n\r\n' + body
+
+
+def lines(*indices, pieces=None):
+    """Return lines of a stream, ended by ``done`` if `pieces` is given."""
+    values = [{'index': index, 'text': f't{index}'} for index in indices]
+    if pieces is not None:
+        values.append({'done': True, 'pieces': pieces})
+    return b''.join(json.dumps(value).encode() + b'\n' for value in values)
+
+
+def chunked(*pieces, end=True, version=VERSION):
+    """Return the bytes of a chunked stream, cut off unless `end`."""
+    head = (
+        'HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n'
+        f'Model-Version: {version}\r\nTransfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+    body = b''.join(b'%x\r\n%s\r\n' % (len(each), each) for each in pieces)
+    return head + body + (b'0\r\n\r\n' if end else b'')
+
+
+class Flow(contextlib.ExitStack):
+    """An entry before sidecars, closed together."""
+
+    def __init__(self, **routes):
+        super().__init__()
+        self.directory = Directory()
+        self.apps = {}
+        self.servers = {}
+        document = {
+            'rules': [
+                {
+                    'name': f'to-{service}',
+                    'when': {'request': {'service': service}},
+                    'then': {'route': {'service': service} | route},
+                }
+                for service, route in routes.items()
+            ]
+        }
+        conf = types.SimpleNamespace(
+            rule_set=rules.load_rule_set(document), revision=1
+        )
+        keeper = types.SimpleNamespace(current=conf)
+        cfg = settings.structure(PLACE, settings.EntrySettings)
+        self.entry_app = entry.EntryApp(cfg, keeper, self.directory, Once())
+        self.entry = self.enter_context(
+            httpio.HttpServer(self.entry_app, threads=32)
+        )
+
+    def upstream(self, name, service, address, is_engine=False, **given):
+        """Put a sidecar before the upstream at `address`, and list it."""
+        cfg = PLACE | {
+            'name': name,
+            'service': service,
+            'upstream': str(address),
+            'is_engine': is_engine,
+        }
+        cfg = settings.structure(cfg | given, settings.SidecarSettings)
+        app = sidecar.SidecarApp(cfg, Placement())
+        server = self.enter_context(httpio.HttpServer(app, threads=32))
+        self.apps[name] = app
+        self.servers[name] = server
+        address = httpio.Address(server.host, server.port)
+        self.directory.add(name, service, address)
+        return app
+
+    def scripted(self, name, service, reply, is_engine=False, **given):
+        """Put a sidecar before a `ScriptedUpstream`, and list it."""
+        upstream = ScriptedUpstream(reply)
+        self.callback(upstream.close)
+        self.upstream(name, service, upstream.address, is_engine, **given)
+        return upstream
+
+    def ask(self, path, value=None, method=None, deadline_s=20, **given):
+        """Send one request to the entry; return its `httpio.Reply`."""
+        sent = {headers.DEADLINE_MS: str(int(deadline_s * 1000))} | given
+        body = None if value is None else json.dumps(value).encode()
+        return httpio.exchange(
+            httpio.Address(self.entry.host, self.entry.port),
+            method or ('GET' if value is None else 'POST'),
+            path,
+            body,
+            sent,
+            timeout_s=20.0,
+        )
+
+    def generate_broken(self, count):
+        """Ask for an answer that breaks off; return what came of it."""
+        conn = http.client.HTTPConnection(self.entry.host, self.entry.port)
+        asked = {'model': MODEL, 'prompt': 'bend', 'max_pieces': count}
+        got = b''
+        try:
+            conn.request('POST', '/models/generate', json.dumps(asked))
+            resp = conn.getresponse()
+            while piece := resp.read1():
+                got += piece
+        except (http.client.IncompleteRead, ConnectionError):
+            return got
+        finally:
+            conn.close()
+        raise AssertionError(f'came to a proper end: {got!r}')
+
+    def generate(self, count, prompt='bend', **given):
+        """Ask the model for an answer of `count` pieces."""
+        value = {'model': MODEL, 'prompt': prompt, 'max_pieces': count}
+        return self.ask('/models/generate', value, **given)
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -171,6 +171,14 @@
     code = 'answer-not-kept'
 
 
+class WrongVersionError(RequestError):
+    """Another model version answered than the request was routed for."""
+
+    ran = 'yes'
+    status = 503
+    code = 'wrong-version'
+
+
 class IncompleteAnswerError(RequestError):
     """An answer that began and could not be brought to its end."""
 
--- a/catkinshunt/httpio/_wsgi.py
+++ b/catkinshunt/httpio/_wsgi.py
@@ -33,6 +33,10 @@
         kind = ('Content-Type', _JSON)
         return cls(status, [body], (length, kind, *headers))
 
+    def with_headers(self, *pairs):
+        """Return the same response with more headers."""
+        return attrs.evolve(self, headers=(*self.headers, *pairs))
+
     def send(self, start_response):
         """Begin the response and return its body."""
         try:
--- a/catkinshunt/httpio/headers.py
+++ b/catkinshunt/httpio/headers.py
@@ -16,6 +16,8 @@
 #: One id for each exchange between our processes, echoed in the reply; a
 #: reply without it is not the answer to this request.
 EXCHANGE_ID = 'Catkinshunt-Exchange-Id'
+#: Marks a reply that the sending process itself made of an error; its code.
+ERROR = 'Catkinshunt-Error'
 #: Share of the request's account when accounts compete.
 WEIGHT = 'Catkinshunt-Weight'
 #: Priority in the engine's queue; higher goes first.
--- a/catkinshunt/routing/__init__.py
+++ b/catkinshunt/routing/__init__.py
@@ -5,6 +5,7 @@
 from catkinshunt.routing._load import LeastInFlight
 from catkinshunt.routing._load import PowerOfTwoChoices
 from catkinshunt.routing._load import Random
+from catkinshunt.routing._named import find_policy
 from catkinshunt.routing._router import Router
 from catkinshunt.routing._subset import prefer_near
 from catkinshunt.routing._subset import rank_upstreams
@@ -32,6 +33,7 @@
     'State',
     'UpstreamView',
     'estimate_load',
+    'find_policy',
     'prefer_near',
     'rank_upstreams',
 ]
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -1,7 +1,6 @@
 """The WSGI application that entries, peers and the engine meet."""
 
 import hmac
-import http.client
 import time
 
 from catkinshunt import base
@@ -9,10 +8,13 @@
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
+from catkinshunt import limits
+from catkinshunt.sidecar import _forward
 
-_PIECE_BYTES = 64 * 1024
 _PREFIX = '/upstream'
-_PASSED_ON = ('Content-Type', 'Content-Length', 'Model-Version')
+#: Threads left for refusals and chunks when all places and the queue are
+#: taken; a request that found no thread could not even be refused.
+_SPARE_THREADS = 8
 
 
 class SidecarApp(base.ParamsMixin):
@@ -27,19 +29,44 @@
         self.cfg = cfg
         self.placement = placement
         self._seen = claims.SeenAttempts()
-        self._pool = httpio.ConnectionPool(timeout_s=30.0)
-        self._upstream = httpio.Address.parse(cfg.upstream)
+        queued = max(1, cfg.threads - cfg.concurrency - _SPARE_THREADS)
+        self.admission = limits.Admission(
+            limits.FairQueue(queued), cfg.concurrency
+        )
+        self._forwarder = _forward.Forwarder(cfg, self.admission)
+        self._leaving = False
 
     def __call__(self, environ, start_response):
         """Answer one request."""
         try:
             resp = self._handle(environ)
         except errors.RequestError as exc:
-            state = (headers.STATE, 'serving')
             request_id = environ.get('HTTP_CATKINSHUNT_REQUEST_ID', '')
-            resp = httpio.error_response(exc, request_id, (state,))
+            told = (*self._about(environ), (headers.ERROR, exc.code))
+            resp = httpio.error_response(exc, request_id, told)
         return resp.send(start_response)
 
+    def leave(self):
+        """Refuse new requests from now on."""
+        self._leaving = True
+        self.admission.leave()
+
+    def _about(self, environ):
+        """Return the headers that tell an entry of this instance."""
+        served = self.placement.report()['served']
+        return (
+            (headers.STATE, 'leaving' if self._leaving else 'serving'),
+            (headers.LOAD, str(self.admission.load)),
+            (
+                headers.SERVED,
+                ','.join('/'.join(item) for item in served.items()),
+            ),
+            (
+                headers.EXCHANGE_ID,
+                environ.get('HTTP_CATKINSHUNT_EXCHANGE_ID', ''),
+            ),
+        )
+
     def _handle(self, environ):
         path = environ['PATH_INFO']
         if path.startswith('/weights/'):
@@ -54,64 +81,31 @@
         if not hmac.compare_digest(given, self.cfg.deployment_key.encode()):
             raise errors.InvalidRequestError('wrong key', step='authenticate')
 
-    def _check_attempt(self, environ):
+    def _check_attempt(self, req):
         """Let an attempt at a request that is not idempotent pass once."""
-        attempt = environ.get('HTTP_CATKINSHUNT_ATTEMPT_ID', '')
-        not_after = environ.get('HTTP_CATKINSHUNT_NOT_AFTER', '')
-        if not attempt and not not_after:
-            return
-        try:
-            expires_at = float(not_after)
-        except ValueError as exc:
-            raise errors.InvalidRequestError(
-                f'{headers.NOT_AFTER} must be a number', step='read'
-            ) from exc
-        self._seen.check(attempt, expires_at, time.time())
+        if req.attempt_id:
+            self._seen.check(req.attempt_id, req.not_after, time.time())
 
     def _forward(self, environ, path):
-        query = environ.get('QUERY_STRING')
-        if query:
-            path = f'{path}?{query}'
-        body = httpio.read_body(environ)
-        self._check_attempt(environ)
-        # A kept connection may be closed by the upstream at any time, and
-        # a request lost on it cannot be told from one that ran.
-        conn = http.client.HTTPConnection(
-            self._upstream.host, self._upstream.port, timeout=30.0
-        )
-        peer = str(self._upstream)
-        try:
-            conn.connect()
-        except OSError as exc:
-            raise errors.RefusedError(
-                f'no connection: {exc}', step='connect', peer=peer
-            ) from exc
-        try:
-            content_type = environ.get('CONTENT_TYPE', '')
-            conn.request(
-                environ['REQUEST_METHOD'],
-                path,
-                body,
-                {'Content-Type': content_type},
-            )
-            resp = conn.getresponse()
-        except (OSError, http.client.HTTPException) as exc:
-            conn.close()
-            raise errors.OutcomeUnknownError(
-                f'no reply: {exc!r}', step='exchange', peer=peer
-            ) from exc
-        passed = tuple(
-            (name, value)
-            for name in _PASSED_ON
-            if (value := resp.getheader(name)) is not None
-        )
-        return httpio.Response(resp.status, _pieces(conn, resp), passed)
+        req = _forward.Forwarded.from_environ(environ, path, time.monotonic())
+        self._check_attempt(req)
+        self._check_served(req)
+        resp = self._forwarder.forward(req)
+        return resp.with_headers(*self._about(environ))
 
+    def _check_served(self, req):
+        """Refuse a request for what the engine does not serve.
 
-def _pieces(conn, resp):
-    """Yield the upstream's body as it comes."""
-    try:
-        while piece := resp.read1(_PIECE_BYTES):
-            yield piece
-    finally:
-        conn.close()
+        A new instance is listed before its engine has its weights. The
+        engine's own answer would reach the caller as final, although
+        another instance could have served the request.
+        """
+        if not self.cfg.is_engine or not req.model:
+            return
+        version = self.placement.report()['served'].get(req.model)
+        if version is None or req.version not in ('', version):
+            raise errors.RefusedError(
+                f'{req.model} {req.version} is not served here',
+                step='admit',
+                retry_after_s=_forward.RETRY_AFTER_S,
+            )
--- /dev/null
+++ b/catkinshunt/sidecar/_forward.py
@@ -0,0 +1,343 @@
+"""Passes admitted requests to the upstream and its answers back."""
+
+import http.client
+import json
+import math
+import time
+import uuid
+
+import attrs
+
+from catkinshunt import base
+from catkinshunt import errors
+from catkinshunt import httpio
+from catkinshunt.httpio import headers
+from catkinshunt import limits
+from catkinshunt import logs
+
+_PIECE_BYTES = 64 * 1024
+_WHOLE_BYTES = 1024 * 1024
+_GENERATE = '/generate'
+_CANCEL_TIMEOUT_S = 2.0
+#: Deadline of a request that names none, in seconds.
+_DEFAULT_DEADLINE_S = 30.0
+RETRY_AFTER_S = 1.0
+_log = logs.get_logger('forward')
+
+
+@attrs.frozen(kw_only=True)
+class Forwarded:
+    """A request from an entry.
+
+    Attributes:
+        request_id: id of the request over all processes.
+        method: HTTP method.
+        path: path and query at the upstream.
+        account: who the request is for.
+        weight: share of the account.
+        priority: in the engine's queue.
+        model: model asked for; empty for a plain service.
+        version: model version that must answer; empty for any.
+        deadline: when its answer must be whole, in seconds.
+        attempt_id: unique id of a try that may be dispatched once only.
+        not_after: seconds since the epoch after which that try must not be
+            dispatched.
+        body: the whole body.
+        content_type: of the body.
+        is_gone: tells whether the entry has closed its connection.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    account: str
+    weight: float
+    priority: int
+    model: str
+    version: str
+    deadline: float
+    attempt_id: str
+    not_after: float
+    body: bytes
+    content_type: str
+    is_gone: object
+
+    @classmethod
+    def from_environ(cls, environ, path, now):
+        """Read a request from a WSGI environment.
+
+        Raises:
+            errors.InvalidRequestError: a header is wrong.
+        """
+        query = environ.get('QUERY_STRING')
+        default_ms = _DEFAULT_DEADLINE_S * 1000
+        left_ms = _number(environ, headers.DEADLINE_MS, default_ms)
+        return cls(
+            request_id=_header(environ, headers.REQUEST_ID),
+            method=environ['REQUEST_METHOD'],
+            path=f'{path}?{query}' if query else path,
+            account=_header(environ, headers.ACCOUNT),
+            weight=_number(environ, headers.WEIGHT, 1.0) or 1.0,
+            priority=_priority(environ),
+            model=_header(environ, headers.MODEL),
+            version=_header(environ, headers.MODEL_VERSION),
+            deadline=now + left_ms / 1000,
+            attempt_id=_header(environ, headers.ATTEMPT_ID),
+            not_after=_not_after(environ),
+            body=httpio.read_body(environ),
+            content_type=environ.get('CONTENT_TYPE', ''),
+            is_gone=environ.get('waitress.client_disconnected', lambda: False),
+        )
+
+
+class Forwarder(base.ParamsMixin):
+    """The only way to the upstream.
+
+    Args:
+        cfg: `settings.SidecarSettings`.
+        admission: a `limits.Admission`.
+    """
+
+    def __init__(self, cfg, admission):
+        self.cfg = cfg
+        self.admission = admission
+        self._upstream = httpio.Address.parse(cfg.upstream)
+
+    def forward(self, req):
+        """Return the upstream's `httpio.Response` to a `Forwarded`.
+
+        Raises:
+            errors.RequestError: there is none.
+        """
+        ticket = limits.Ticket(
+            req.request_id, req.account, req.deadline, req.weight
+        )
+        self.admission.offer(ticket, time.monotonic())
+        self.admission.wait(ticket, time.monotonic())
+        exchange = _Exchange(self, req)
+        try:
+            if req.is_gone():
+                # Its answer could reach nobody.
+                raise errors.RefusedError('caller has gone', step='admit')
+            resp = exchange.open()
+        except BaseException:
+            self.admission.observe(ticket, time.monotonic())
+            raise
+        if isinstance(resp.body, list):
+            self.admission.observe(ticket, time.monotonic())
+            return resp
+        return attrs.evolve(resp, body=self._observed(resp.body, ticket))
+
+    def _observed(self, body, ticket):
+        """Yield `body`; its place is free for the next when it has ended."""
+        try:
+            yield from body
+        finally:
+            self.admission.observe(ticket, time.monotonic())
+
+    def connect(self, timeout_s):
+        """Return a new connection to the upstream.
+
+        A kept connection may be closed by the upstream at any time, and a
+        request lost on it cannot be told from one that ran.
+
+        Raises:
+            errors.RefusedError: there is none; nothing was run.
+        """
+        conn = http.client.HTTPConnection(
+            self._upstream.host, self._upstream.port, timeout=timeout_s
+        )
+        try:
+            conn.connect()
+        except OSError as exc:
+            raise errors.RefusedError(
+                f'no connection: {exc}',
+                step='connect',
+                peer=str(self._upstream),
+                retry_after_s=RETRY_AFTER_S,
+            ) from exc
+        return conn
+
+    def cancel(self, engine_request_id):
+        """Tell the engine that nobody waits for an answer any more."""
+        body = json.dumps({'request_id': engine_request_id}).encode()
+        try:
+            httpio.exchange(
+                self._upstream,
+                'POST',
+                '/cancel',
+                body,
+                timeout_s=_CANCEL_TIMEOUT_S,
+            )
+        except errors.RequestError as exc:
+            _log.info('Engine was not told to cancel: {}', exc)
+
+
+class _Exchange:
+    """One request at the upstream."""
+
+    def __init__(self, forwarder, req):
+        self.forwarder = forwarder
+        self.req = req
+        cfg = forwarder.cfg
+        self._generates = cfg.is_engine and req.path == _GENERATE
+        self._peer = cfg.upstream
+        # Not the id of the request: a try that is cancelled must not cancel
+        # another try of the same request.
+        self._engine_id = uuid.uuid4().hex
+
+    def open(self):
+        """Send the request; return the response, still to be read."""
+        left_s = max(0.001, self.req.deadline - time.monotonic())
+        conn = self.forwarder.connect(left_s)
+        self._check_time(conn)
+        try:
+            conn.request(
+                self.req.method,
+                self.req.path,
+                self._body(),
+                {'Content-Type': self.req.content_type},
+            )
+            resp = conn.getresponse()
+        except (OSError, http.client.HTTPException) as exc:
+            self._break_off(conn)
+            raise errors.OutcomeUnknownError(
+                f'no reply: {exc!r}', step='exchange', peer=self._peer
+            ) from exc
+        self._check_version(conn, resp)
+        return self._respond(conn, resp)
+
+    def _check_time(self, conn):
+        """Refuse what has waited past its deadline.
+
+        This process may have been paused meanwhile. By now the entry counts
+        the try as over, and a repeat of a booking may be running.
+        """
+        over = time.monotonic() >= self.req.deadline
+        if over or time.time() >= self.req.not_after:
+            conn.close()
+            raise errors.RefusedError(
+                'deadline passed before dispatch', step='deadline'
+            )
+
+    def _body(self):
+        if not self._generates:
+            return self.req.body
+        return json.dumps(
+            json.loads(self.req.body)
+            | {'request_id': self._engine_id, 'priority': self.req.priority}
+        ).encode()
+
+    def _check_version(self, conn, resp):
+        """Refuse an answer from another version than was routed for.
+
+        The engine may change over between the check of what it serves and
+        the answer; the caller would get the wrong model's answer.
+        """
+        if not self._generates:
+            return
+        if resp.status == 404:
+            # An engine that was restarted holds no model.
+            conn.close()
+            raise errors.RefusedError(
+                'engine does not hold the model',
+                step='engine',
+                peer=self._peer,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        given = resp.getheader(headers.ENGINE_MODEL_VERSION, '')
+        if self.req.version and given != self.req.version:
+            self._break_off(conn)
+            raise errors.WrongVersionError(
+                f'engine answered from {given!r}, not {self.req.version!r}',
+                step='engine',
+                peer=self._peer,
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    def _respond(self, conn, resp):
+        passed = [
+            (name, value)
+            for name in ('Content-Type', headers.ENGINE_MODEL_VERSION)
+            if (value := resp.getheader(name)) is not None
+        ]
+        length = resp.length
+        if length is None or length > _WHOLE_BYTES:
+            if length is not None:
+                passed.append(('Content-Length', str(length)))
+            body = self._pieces(conn, resp)
+        else:
+            body = [b''.join(self._pieces(conn, resp))]
+            passed.append(('Content-Length', str(len(body[0]))))
+        return httpio.Response(resp.status, body, tuple(passed))
+
+    def _pieces(self, conn, resp):
+        """Yield the upstream's body as it comes.
+
+        Raises:
+            errors.IncompleteAnswerError: it broke off; the server then
+                breaks off the answer to the entry, too.
+        """
+        whole = False
+        try:
+            while piece := resp.read1(_PIECE_BYTES):
+                yield piece
+            whole = not resp.length
+        except (OSError, ValueError, http.client.HTTPException) as exc:
+            raise self._incomplete(repr(exc)) from exc
+        finally:
+            resp.close()
+            if whole:
+                conn.close()
+            else:
+                self._break_off(conn)
+        if not whole:
+            raise self._incomplete('ended early')
+
+    def _incomplete(self, reason):
+        return errors.IncompleteAnswerError(
+            f'answer broke off: {reason}', step='relay', peer=self._peer
+        )
+
+    def _break_off(self, conn):
+        conn.close()
+        if self._generates:
+            self.forwarder.cancel(self._engine_id)
+
+
+def _header(environ, name):
+    return environ.get('HTTP_' + name.upper().replace('-', '_'), '')
+
+
+def _number(environ, name, default):
+    text = _header(environ, name)
+    try:
+        value = float(text or default)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e9:
+        raise errors.InvalidRequestError(
+            f'{name} must be a number, got {text!r}', step='read'
+        )
+    return value
+
+
+def _priority(environ):
+    text = _header(environ, headers.PRIORITY) or '0'
+    if not text.removeprefix('-').isdecimal():
+        raise errors.InvalidRequestError(
+            f'{headers.PRIORITY} must be a whole number', step='read'
+        )
+    return int(text)
+
+
+def _not_after(environ):
+    text = _header(environ, headers.NOT_AFTER)
+    if not text and not _header(environ, headers.ATTEMPT_ID):
+        return math.inf
+    try:
+        return float(text)
+    except ValueError as exc:
+        raise errors.InvalidRequestError(
+            f'{headers.NOT_AFTER} must be a number', step='read'
+        ) from exc
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -22,10 +22,10 @@
         """Listen, then follow the configuration."""
         self._control = control.ControlPlane(self.cfg)
         self._placement = _placement.Placement(self.cfg, self._control.keeper)
-        app = _app.SidecarApp(self.cfg, self._placement)
+        self._app = _app.SidecarApp(self.cfg, self._placement)
         registry = metrics.Registry()
         self._server = httpio.HttpServer(
-            metrics.MeasuredApp(app, registry),
+            metrics.MeasuredApp(self._app, registry),
             self.cfg.host,
             self.cfg.port,
             self.cfg.threads,
@@ -55,8 +55,11 @@
         return httpio.Address(self.cfg.host, self._server.port)
 
     def stop(self):
-        """Stop listening, then stop the rest."""
+        """Refuse new work, finish what is in progress, then stop."""
         self._serving = False
+        self._app.leave()
+        self._app.admission.join(self.cfg.stop_timeout_s)
+        self._server.join(self.cfg.stop_timeout_s)
         self._server.stop()
         self._operators.stop()
         self._placement.stop()
