--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 binary: setup ## Build the product as one file, dist/catkinshunt
 	$(PY) -m bundle
+
+fuzz: setup ## Fuzz the readers of what comes over a socket for longer
+	FUZZ_EXAMPLES=3000 $(PY) -m pytest catkinshunt/tests/test_fuzz.py
