--- a/catkinshunt/entry/tests/test_relay.py
+++ b/catkinshunt/entry/tests/test_relay.py
@@ -5,8 +5,10 @@
 from catkinshunt.entry import _relay
 from catkinshunt.entry import _request
 from catkinshunt import httpio
+from catkinshunt.httpio import headers
 from catkinshunt import rules
 
+_KEY = headers.EXCHANGE_ID.upper().replace('-', '_')
 ROUTE = rules.Route(service='order-desk')
 
 
@@ -38,7 +40,9 @@
     def app(environ, start_response):
         clients.add(environ['REMOTE_PORT'])
         length = ('Content-Length', str(sum(map(len, body))))
-        return httpio.Response(200, body, (length,)).send(start_response)
+        exchange_id = environ['HTTP_' + _KEY]
+        echo = (headers.EXCHANGE_ID, exchange_id)
+        return httpio.Response(200, body, (length, echo)).send(start_response)
 
     with httpio.HttpServer(app, threads=1) as server:
         pool = httpio.ConnectionPool()
