Keep connections after streams and hand pieces on as they have come

Cause: cProfile of an entry showed one connect and one close for each streamed request: waitress closes a connection after each chunked reply. With many streams each piece cost a wake-up and a send of its own at each process. Now the connection is kept, the head leaves with the first piece, and chunks that have come already are joined; a piece is never held back for a later one. A sidecar keeps connections to its upstream for what does no harm twice. Tried and left: joining whenever bytes wait to be read; the end of a chunk always waits there, so each piece came one piece late.

--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import time
 import uuid
 
@@ -11,7 +12,6 @@
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
 
-_PIECE_BYTES = 64 * 1024
 _STREAM = 'application/x-ndjson'
 
 
@@ -62,6 +62,8 @@
     address: httpio.Address
     conn: http.client.HTTPConnection
     resp: http.client.HTTPResponse
+    #: The connection drops it when the reply says that it closes.
+    sock: socket.socket
 
     @property
     def streamed(self):
@@ -134,7 +136,7 @@
             raise errors.OutcomeUnknownError(
                 f'no reply: {exc!r}', step='exchange', peer=peer
             ) from exc
-        opened = Opened(address, conn, resp)
+        opened = Opened(address, conn, resp, sock)
         self._check_echo(opened, exchange_id)
         if learn is not None:
             learn(Reported.from_reply(resp))
@@ -150,9 +152,8 @@
         """
         resp = opened.resp
         try:
-            while piece := resp.read1(_PIECE_BYTES):
-                yield piece
-        except (OSError, ValueError, http.client.HTTPException) as exc:
+            yield from httpio.iter_pieces(resp, opened.sock)
+        except httpio.BROKEN as exc:
             opened.close()
             raise _incomplete(opened, repr(exc)) from exc
         if resp.length:
--- a/catkinshunt/httpio/__init__.py
+++ b/catkinshunt/httpio/__init__.py
@@ -5,6 +5,9 @@
 from catkinshunt.httpio._client import exchange
 from catkinshunt.httpio._client import Reply
 from catkinshunt.httpio._errors import read_error
+from catkinshunt.httpio._pieces import BROKEN
+from catkinshunt.httpio._pieces import iter_pieces
+from catkinshunt.httpio._pieces import PIECE_BYTES
 from catkinshunt.httpio._server import HttpServer
 from catkinshunt.httpio._wsgi import error_response
 from catkinshunt.httpio._wsgi import read_body
@@ -12,6 +15,8 @@
 from catkinshunt.httpio import headers
 
 __all__ = [
+    'BROKEN',
+    'PIECE_BYTES',
     'Address',
     'ConnectionPool',
     'HttpServer',
@@ -20,6 +25,7 @@
     'error_response',
     'exchange',
     'headers',
+    'iter_pieces',
     'read_body',
     'read_error',
 ]
--- /dev/null
+++ b/catkinshunt/httpio/_channel.py
@@ -0,0 +1,50 @@
+"""Changes to waitress's handling of one connection."""
+
+import waitress.channel
+import waitress.task
+
+
+class Task(waitress.task.WSGITask):
+    """One request; keeps the connection after a stream.
+
+    waitress closes the connection after each chunked reply, though the last
+    chunk tells where the reply ends. Each streamed answer then cost a new
+    connection at each of our processes.
+    """
+
+    def set_close_on_finish(self):
+        """Close only if the client asks, or if nothing marks the end."""
+        asked = self.request.headers.get('CONNECTION', '').lower() == 'close'
+        if self.chunked_response and not asked:
+            return
+        super().set_close_on_finish()
+
+    def write(self, data):
+        """Send the head and the first piece together."""
+        if self.wrote_header or not data:
+            super().write(data)
+            return
+        channel = self.channel
+        self.channel = held = _HeldChannel(channel)
+        try:
+            super().write(data)
+        finally:
+            self.channel = channel
+        channel.write_soon(b''.join(held.parts))
+
+
+class Channel(waitress.channel.HTTPChannel):
+    """One connection, whose requests are `Task` objects."""
+
+    task_class = Task
+
+
+class _HeldChannel:
+    """Collects what a task writes."""
+
+    def __init__(self, channel):
+        self.server = channel.server
+        self.parts = []
+
+    def write_soon(self, data):
+        self.parts.append(data)
--- a/catkinshunt/httpio/_server.py
+++ b/catkinshunt/httpio/_server.py
@@ -4,9 +4,9 @@
 import time
 
 import waitress.server
-import waitress.task
 
 from catkinshunt import base
+from catkinshunt.httpio import _channel
 
 #: Largest request body taken; also keeps bodies out of temporary files.
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -64,6 +64,7 @@
             connection_limit=4096,
             asyncore_use_poll=True,
         )
+        self._server.channel_class = _channel.Channel
         self.port = self._server.effective_port
         self._thread = threading.Thread(
             target=self._server.run, name=f'http-{self.port}', daemon=True
--- a/catkinshunt/sidecar/_forward.py
+++ b/catkinshunt/sidecar/_forward.py
@@ -15,7 +15,6 @@
 from catkinshunt import limits
 from catkinshunt import logs
 
-_PIECE_BYTES = 64 * 1024
 _WHOLE_BYTES = 1024 * 1024
 _GENERATE = '/generate'
 _CANCEL_TIMEOUT_S = 2.0
@@ -102,6 +101,7 @@
         self.cfg = cfg
         self.admission = admission
         self._upstream = httpio.Address.parse(cfg.upstream)
+        self._pool = httpio.ConnectionPool()
 
     def forward(self, req):
         """Return the upstream's `httpio.Response` to a `Forwarded`.
@@ -135,18 +135,21 @@
         finally:
             self.admission.observe(ticket, time.monotonic())
 
-    def connect(self, timeout_s):
-        """Return a new connection to the upstream.
+    def connect(self, timeout_s, fresh):
+        """Return a connection to the upstream, and whether it was kept.
 
-        A kept connection may be closed by the upstream at any time, and a
-        request lost on it cannot be told from one that ran.
+        Args:
+            timeout_s: longest wait for each step on it.
+            fresh: return a new one. The upstream may close a kept one at any
+                time, and a request lost on it cannot be told from one that
+                ran.
 
         Raises:
             errors.RefusedError: there is none; nothing was run.
         """
-        conn = http.client.HTTPConnection(
-            self._upstream.host, self._upstream.port, timeout=timeout_s
-        )
+        conn, kept = self._pool.take(self._upstream, timeout_s, fresh)
+        if kept:
+            return conn, True
         try:
             conn.connect()
         except OSError as exc:
@@ -156,7 +159,11 @@
                 peer=str(self._upstream),
                 retry_after_s=RETRY_AFTER_S,
             ) from exc
-        return conn
+        return conn, False
+
+    def give_back(self, conn):
+        """Keep a connection whose exchange is complete."""
+        self._pool.give_back(self._upstream, conn)
 
     def cancel(self, engine_request_id):
         """Tell the engine that nobody waits for an answer any more."""
@@ -188,8 +195,13 @@
 
     def open(self):
         """Send the request; return the response, still to be read."""
+        conn, sock, resp = self._send(fresh=bool(self.req.attempt_id))
+        self._check_version(conn, resp)
+        return self._respond(conn, sock, resp)
+
+    def _send(self, fresh):
         left_s = max(0.001, self.req.deadline - time.monotonic())
-        conn = self.forwarder.connect(left_s)
+        conn, kept = self.forwarder.connect(left_s, fresh)
         self._check_time(conn)
         try:
             conn.request(
@@ -198,14 +210,23 @@
                 self._body(),
                 {'Content-Type': self.req.content_type},
             )
-            resp = conn.getresponse()
+            # The connection drops it when the reply says that it closes.
+            sock = conn.sock
+            return conn, sock, conn.getresponse()
+        except ConnectionError as exc:
+            conn.close()
+            if kept:
+                # Closed while it was kept; the request does no harm twice.
+                return self._send(fresh=True)
+            raise self._lost(exc) from exc
         except (OSError, http.client.HTTPException) as exc:
             self._break_off(conn)
-            raise errors.OutcomeUnknownError(
-                f'no reply: {exc!r}', step='exchange', peer=self._peer
-            ) from exc
-        self._check_version(conn, resp)
-        return self._respond(conn, resp)
+            raise self._lost(exc) from exc
+
+    def _lost(self, exc):
+        return errors.OutcomeUnknownError(
+            f'no reply: {exc!r}', step='exchange', peer=self._peer
+        )
 
     def _check_time(self, conn):
         """Refuse what has waited past its deadline.
@@ -255,7 +276,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def _respond(self, conn, resp):
+    def _respond(self, conn, sock, resp):
         passed = [
             (name, value)
             for name in ('Content-Type', headers.ENGINE_MODEL_VERSION)
@@ -265,13 +286,13 @@
         if length is None or length > _WHOLE_BYTES:
             if length is not None:
                 passed.append(('Content-Length', str(length)))
-            body = self._pieces(conn, resp)
+            body = self._pieces(conn, sock, resp)
         else:
-            body = [b''.join(self._pieces(conn, resp))]
+            body = [b''.join(self._pieces(conn, sock, resp))]
             passed.append(('Content-Length', str(len(body[0]))))
         return httpio.Response(resp.status, body, tuple(passed))
 
-    def _pieces(self, conn, resp):
+    def _pieces(self, conn, sock, resp):
         """Yield the upstream's body as it comes.
 
         Raises:
@@ -280,15 +301,14 @@
         """
         whole = False
         try:
-            while piece := resp.read1(_PIECE_BYTES):
-                yield piece
+            yield from httpio.iter_pieces(resp, sock)
             whole = not resp.length
-        except (OSError, ValueError, http.client.HTTPException) as exc:
+        except httpio.BROKEN as exc:
             raise self._incomplete(repr(exc)) from exc
         finally:
             resp.close()
             if whole:
-                conn.close()
+                self.forwarder.give_back(conn)
             else:
                 self._break_off(conn)
         if not whole:
