--- a/catkinshunt/entry/_app.py
+++ b/catkinshunt/entry/_app.py
@@ -2,9 +2,12 @@
 
 import time
 
+import attrs
+
 from catkinshunt import base
 from catkinshunt.entry import _delivery
 from catkinshunt.entry import _fleet
+from catkinshunt.entry import _gate
 from catkinshunt.entry import _relay
 from catkinshunt.entry import _request
 from catkinshunt import errors
@@ -33,7 +36,7 @@
         self.follower = follower
         self.directory = directory
         self.once = once
-        self._leaving = False
+        self.gate = _gate.Gate(cfg.threads)
         self._relay = _relay.Relay(httpio.ConnectionPool(), cfg.deployment_key)
         self._retry = retries.RetryPolicy(retries.Budget())
         router = routing.Router(
@@ -52,7 +55,7 @@
                 environ, time.monotonic(), self.cfg.default_deadline_s
             )
             request_id = req.request_id
-            resp = self._answer(req)
+            resp = self._admit(req)
         except errors.RequestError as exc:
             _log.info('Request {} ended: {}', request_id, exc)
             resp = httpio.error_response(exc, request_id)
@@ -60,13 +63,22 @@
 
     def leave(self):
         """Refuse new requests from now on."""
-        self._leaving = True
+        self.gate.leave()
+
+    def _admit(self, req):
+        self.gate.begin(req.account)
+        try:
+            resp = self._answer(req)
+        except BaseException:
+            self.gate.end(req.account)
+            raise
+        if isinstance(resp.body, list):
+            self.gate.end(req.account)
+            return resp
+        held = self.gate.hold(req.account, resp.body)
+        return attrs.evolve(resp, body=held)
 
     def _answer(self, req):
-        if self._leaving:
-            raise errors.LeavingError(
-                'entry is leaving', step='admit', retry_after_s=RETRY_AFTER_S
-            )
         subject = req.subject(self.cfg.data_centre, self.cfg.region)
         rule = self.follower.current.rule_set.match(subject)
         if rule is None:
--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -114,7 +114,8 @@
         left_s = req.deadline - now
         # On a kept connection a request can be lost without a sign whether
         # it ran; one that must not run twice could then not be retried.
-        conn, _ = self.pool.take(address, left_s, fresh=not req.idempotent)
+        wait_s = self._head_wait_s(req, left_s)
+        conn, _ = self.pool.take(address, wait_s, fresh=not req.idempotent)
         peer = str(address)
         try:
             if conn.sock is None:
@@ -172,6 +173,17 @@
         """
         return b''.join(self.read(opened))
 
+    def _head_wait_s(self, req, left_s):
+        """Return the longest wait for the head of a reply.
+
+        A frozen process takes connections and says nothing; if the wait took
+        all the time to the deadline, none would be left to try elsewhere. An
+        engine begins to answer long before it has ended.
+        """
+        if not req.model:
+            return left_s
+        return max(left_s / 2, min(left_s, self.stall_s))
+
     def _headers(self, req, route, left_s, resume):
         version = resume.version if resume else route.version or ''
         once = {}
--- a/catkinshunt/entry/tests/flow.py
+++ b/catkinshunt/entry/tests/flow.py
@@ -132,6 +132,17 @@
     return b''.join(json.dumps(value).encode() + b'\n' for value in values)
 
 
+def error_of(reply):
+    """Return the error that ends a reply."""
+    return json.loads(reply.body.splitlines()[-1])['error']
+
+
+def texts(reply):
+    """Return the texts of a stream's pieces, and its last line."""
+    found = [json.loads(line) for line in reply.body.splitlines()]
+    return [line.get('text') for line in found[:-1]], found[-1]
+
+
 def chunked(*pieces, end=True, version=VERSION):
     """Return the bytes of a chunked stream, cut off unless `end`."""
     head = (
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -10,6 +10,7 @@
 from catkinshunt.httpio import headers
 from catkinshunt import limits
 from catkinshunt.sidecar import _forward
+from catkinshunt.sidecar import _request
 
 _PREFIX = '/upstream'
 #: Threads left for refusals and chunks when all places and the queue are
@@ -87,7 +88,7 @@
             self._seen.check(req.attempt_id, req.not_after, time.time())
 
     def _forward(self, environ, path):
-        req = _forward.Forwarded.from_environ(environ, path, time.monotonic())
+        req = _request.Forwarded.from_environ(environ, path, time.monotonic())
         self._check_attempt(req)
         self._check_served(req)
         resp = self._forwarder.forward(req)
--- a/catkinshunt/sidecar/_forward.py
+++ b/catkinshunt/sidecar/_forward.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import math
 import time
 import uuid
 
@@ -17,78 +16,13 @@
 
 _WHOLE_BYTES = 1024 * 1024
 _GENERATE = '/generate'
+#: Longest wait for an engine to begin or to go on, in seconds.
+_STALL_S = 10.0
 _CANCEL_TIMEOUT_S = 2.0
-#: Deadline of a request that names none, in seconds.
-_DEFAULT_DEADLINE_S = 30.0
 RETRY_AFTER_S = 1.0
 _log = logs.get_logger('forward')
 
 
-@attrs.frozen(kw_only=True)
-class Forwarded:
-    """A request from an entry.
-
-    Attributes:
-        request_id: id of the request over all processes.
-        method: HTTP method.
-        path: path and query at the upstream.
-        account: who the request is for.
-        weight: share of the account.
-        priority: in the engine's queue.
-        model: model asked for; empty for a plain service.
-        version: model version that must answer; empty for any.
-        deadline: when its answer must be whole, in seconds.
-        attempt_id: unique id of a try that may be dispatched once only.
-        not_after: seconds since the epoch after which that try must not be
-            dispatched.
-        body: the whole body.
-        content_type: of the body.
-        is_gone: tells whether the entry has closed its connection.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    account: str
-    weight: float
-    priority: int
-    model: str
-    version: str
-    deadline: float
-    attempt_id: str
-    not_after: float
-    body: bytes
-    content_type: str
-    is_gone: object
-
-    @classmethod
-    def from_environ(cls, environ, path, now):
-        """Read a request from a WSGI environment.
-
-        Raises:
-            errors.InvalidRequestError: a header is wrong.
-        """
-        query = environ.get('QUERY_STRING')
-        default_ms = _DEFAULT_DEADLINE_S * 1000
-        left_ms = _number(environ, headers.DEADLINE_MS, default_ms)
-        return cls(
-            request_id=_header(environ, headers.REQUEST_ID),
-            method=environ['REQUEST_METHOD'],
-            path=f'{path}?{query}' if query else path,
-            account=_header(environ, headers.ACCOUNT),
-            weight=_number(environ, headers.WEIGHT, 1.0) or 1.0,
-            priority=_priority(environ),
-            model=_header(environ, headers.MODEL),
-            version=_header(environ, headers.MODEL_VERSION),
-            deadline=now + left_ms / 1000,
-            attempt_id=_header(environ, headers.ATTEMPT_ID),
-            not_after=_not_after(environ),
-            body=httpio.read_body(environ),
-            content_type=environ.get('CONTENT_TYPE', ''),
-            is_gone=environ.get('waitress.client_disconnected', lambda: False),
-        )
-
-
 class Forwarder(base.ParamsMixin):
     """The only way to the upstream.
 
@@ -201,6 +135,9 @@
 
     def _send(self, fresh):
         left_s = max(0.001, self.req.deadline - time.monotonic())
+        if self._generates:
+            # A frozen engine would keep its place until the deadline.
+            left_s = min(left_s, _STALL_S)
         conn, kept = self.forwarder.connect(left_s, fresh)
         self._check_time(conn)
         try:
@@ -323,41 +260,3 @@
         conn.close()
         if self._generates:
             self.forwarder.cancel(self._engine_id)
-
-
-def _header(environ, name):
-    return environ.get('HTTP_' + name.upper().replace('-', '_'), '')
-
-
-def _number(environ, name, default):
-    text = _header(environ, name)
-    try:
-        value = float(text or default)
-    except ValueError:
-        value = -1.0
-    if not 0 <= value < 1e9:
-        raise errors.InvalidRequestError(
-            f'{name} must be a number, got {text!r}', step='read'
-        )
-    return value
-
-
-def _priority(environ):
-    text = _header(environ, headers.PRIORITY) or '0'
-    if not text.removeprefix('-').isdecimal():
-        raise errors.InvalidRequestError(
-            f'{headers.PRIORITY} must be a whole number', step='read'
-        )
-    return int(text)
-
-
-def _not_after(environ):
-    text = _header(environ, headers.NOT_AFTER)
-    if not text and not _header(environ, headers.ATTEMPT_ID):
-        return math.inf
-    try:
-        return float(text)
-    except ValueError as exc:
-        raise errors.InvalidRequestError(
-            f'{headers.NOT_AFTER} must be a number', step='read'
-        ) from exc
