--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 import time
 import uuid
 
@@ -11,7 +12,6 @@
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
 
-_PIECE_BYTES = 64 * 1024
 _STREAM = 'application/x-ndjson'
 
 
@@ -62,6 +62,8 @@
     address: httpio.Address
     conn: http.client.HTTPConnection
     resp: http.client.HTTPResponse
+    #: The connection drops it when the reply says that it closes.
+    sock: socket.socket
 
     @property
     def streamed(self):
@@ -86,12 +88,14 @@
         pool: `httpio.ConnectionPool`.
         deployment_key: secret that sidecars ask for.
         stall_s: longest wait for the next piece of an answer.
+        keeper: `configuration.Keeper` whose revision rides along.
     """
 
-    def __init__(self, pool, deployment_key, stall_s=10.0):
+    def __init__(self, pool, deployment_key, stall_s=10.0, keeper=None):
         self.pool = pool
         self.deployment_key = deployment_key
         self.stall_s = stall_s
+        self.keeper = keeper
 
     def open(self, req, route, address, now, resume=None, learn=None):
         """Send `req` to the sidecar at `address`; wait for its reply's head.
@@ -112,7 +116,8 @@
         left_s = req.deadline - now
         # On a kept connection a request can be lost without a sign whether
         # it ran; one that must not run twice could then not be retried.
-        conn, _ = self.pool.take(address, left_s, fresh=not req.idempotent)
+        wait_s = self._head_wait_s(req, left_s)
+        conn, _ = self.pool.take(address, wait_s, fresh=not req.idempotent)
         peer = str(address)
         try:
             if conn.sock is None:
@@ -134,8 +139,10 @@
             raise errors.OutcomeUnknownError(
                 f'no reply: {exc!r}', step='exchange', peer=peer
             ) from exc
-        opened = Opened(address, conn, resp)
+        opened = Opened(address, conn, resp, sock)
         self._check_echo(opened, exchange_id)
+        if self.keeper is not None:
+            self.keeper.hear(resp.getheader(headers.REVISION), now)
         if learn is not None:
             learn(Reported.from_reply(resp))
         self._check_refusal(opened)
@@ -150,9 +157,8 @@
         """
         resp = opened.resp
         try:
-            while piece := resp.read1(_PIECE_BYTES):
-                yield piece
-        except (OSError, ValueError, http.client.HTTPException) as exc:
+            yield from httpio.iter_pieces(resp, opened.sock)
+        except httpio.BROKEN as exc:
             opened.close()
             raise _incomplete(opened, repr(exc)) from exc
         if resp.length:
@@ -171,6 +177,17 @@
         """
         return b''.join(self.read(opened))
 
+    def _head_wait_s(self, req, left_s):
+        """Return the longest wait for the head of a reply.
+
+        A frozen process takes connections and says nothing; if the wait took
+        all the time to the deadline, none would be left to try elsewhere. An
+        engine begins to answer long before it has ended.
+        """
+        if not req.model:
+            return left_s
+        return max(left_s / 2, min(left_s, self.stall_s))
+
     def _headers(self, req, route, left_s, resume):
         version = resume.version if resume else route.version or ''
         once = {}
@@ -178,6 +195,8 @@
             not_after = time.time() + left_s
             once[headers.ATTEMPT_ID] = uuid.uuid4().hex[:16]
             once[headers.NOT_AFTER] = f'{not_after:.3f}'
+        if self.keeper is not None:
+            once[headers.REVISION] = str(self.keeper.revision)
         return once | {
             'Content-Type': req.content_type,
             headers.ACCOUNT: req.account,
--- a/catkinshunt/sidecar/_forward.py
+++ b/catkinshunt/sidecar/_forward.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import math
 import time
 import uuid
 
@@ -15,81 +14,15 @@
 from catkinshunt import limits
 from catkinshunt import logs
 
-_PIECE_BYTES = 64 * 1024
 _WHOLE_BYTES = 1024 * 1024
 _GENERATE = '/generate'
+#: Longest wait for an engine to begin or to go on, in seconds.
+_STALL_S = 10.0
 _CANCEL_TIMEOUT_S = 2.0
-#: Deadline of a request that names none, in seconds.
-_DEFAULT_DEADLINE_S = 30.0
 RETRY_AFTER_S = 1.0
 _log = logs.get_logger('forward')
 
 
-@attrs.frozen(kw_only=True)
-class Forwarded:
-    """A request from an entry.
-
-    Attributes:
-        request_id: id of the request over all processes.
-        method: HTTP method.
-        path: path and query at the upstream.
-        account: who the request is for.
-        weight: share of the account.
-        priority: in the engine's queue.
-        model: model asked for; empty for a plain service.
-        version: model version that must answer; empty for any.
-        deadline: when its answer must be whole, in seconds.
-        attempt_id: unique id of a try that may be dispatched once only.
-        not_after: seconds since the epoch after which that try must not be
-            dispatched.
-        body: the whole body.
-        content_type: of the body.
-        is_gone: tells whether the entry has closed its connection.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    account: str
-    weight: float
-    priority: int
-    model: str
-    version: str
-    deadline: float
-    attempt_id: str
-    not_after: float
-    body: bytes
-    content_type: str
-    is_gone: object
-
-    @classmethod
-    def from_environ(cls, environ, path, now):
-        """Read a request from a WSGI environment.
-
-        Raises:
-            errors.InvalidRequestError: a header is wrong.
-        """
-        query = environ.get('QUERY_STRING')
-        default_ms = _DEFAULT_DEADLINE_S * 1000
-        left_ms = _number(environ, headers.DEADLINE_MS, default_ms)
-        return cls(
-            request_id=_header(environ, headers.REQUEST_ID),
-            method=environ['REQUEST_METHOD'],
-            path=f'{path}?{query}' if query else path,
-            account=_header(environ, headers.ACCOUNT),
-            weight=_number(environ, headers.WEIGHT, 1.0) or 1.0,
-            priority=_priority(environ),
-            model=_header(environ, headers.MODEL),
-            version=_header(environ, headers.MODEL_VERSION),
-            deadline=now + left_ms / 1000,
-            attempt_id=_header(environ, headers.ATTEMPT_ID),
-            not_after=_not_after(environ),
-            body=httpio.read_body(environ),
-            content_type=environ.get('CONTENT_TYPE', ''),
-            is_gone=environ.get('waitress.client_disconnected', lambda: False),
-        )
-
-
 class Forwarder(base.ParamsMixin):
     """The only way to the upstream.
 
@@ -102,6 +35,7 @@
         self.cfg = cfg
         self.admission = admission
         self._upstream = httpio.Address.parse(cfg.upstream)
+        self._pool = httpio.ConnectionPool()
 
     def forward(self, req):
         """Return the upstream's `httpio.Response` to a `Forwarded`.
@@ -135,18 +69,21 @@
         finally:
             self.admission.observe(ticket, time.monotonic())
 
-    def connect(self, timeout_s):
-        """Return a new connection to the upstream.
+    def connect(self, timeout_s, fresh):
+        """Return a connection to the upstream, and whether it was kept.
 
-        A kept connection may be closed by the upstream at any time, and a
-        request lost on it cannot be told from one that ran.
+        Args:
+            timeout_s: longest wait for each step on it.
+            fresh: return a new one. The upstream may close a kept one at any
+                time, and a request lost on it cannot be told from one that
+                ran.
 
         Raises:
             errors.RefusedError: there is none; nothing was run.
         """
-        conn = http.client.HTTPConnection(
-            self._upstream.host, self._upstream.port, timeout=timeout_s
-        )
+        conn, kept = self._pool.take(self._upstream, timeout_s, fresh)
+        if kept:
+            return conn, True
         try:
             conn.connect()
         except OSError as exc:
@@ -156,7 +93,11 @@
                 peer=str(self._upstream),
                 retry_after_s=RETRY_AFTER_S,
             ) from exc
-        return conn
+        return conn, False
+
+    def give_back(self, conn):
+        """Keep a connection whose exchange is complete."""
+        self._pool.give_back(self._upstream, conn)
 
     def cancel(self, engine_request_id):
         """Tell the engine that nobody waits for an answer any more."""
@@ -188,8 +129,16 @@
 
     def open(self):
         """Send the request; return the response, still to be read."""
+        conn, sock, resp = self._send(fresh=bool(self.req.attempt_id))
+        self._check_version(conn, resp)
+        return self._respond(conn, sock, resp)
+
+    def _send(self, fresh):
         left_s = max(0.001, self.req.deadline - time.monotonic())
-        conn = self.forwarder.connect(left_s)
+        if self._generates:
+            # A frozen engine would keep its place until the deadline.
+            left_s = min(left_s, _STALL_S)
+        conn, kept = self.forwarder.connect(left_s, fresh)
         self._check_time(conn)
         try:
             conn.request(
@@ -198,14 +147,23 @@
                 self._body(),
                 {'Content-Type': self.req.content_type},
             )
-            resp = conn.getresponse()
+            # The connection drops it when the reply says that it closes.
+            sock = conn.sock
+            return conn, sock, conn.getresponse()
+        except ConnectionError as exc:
+            conn.close()
+            if kept:
+                # Closed while it was kept; the request does no harm twice.
+                return self._send(fresh=True)
+            raise self._lost(exc) from exc
         except (OSError, http.client.HTTPException) as exc:
             self._break_off(conn)
-            raise errors.OutcomeUnknownError(
-                f'no reply: {exc!r}', step='exchange', peer=self._peer
-            ) from exc
-        self._check_version(conn, resp)
-        return self._respond(conn, resp)
+            raise self._lost(exc) from exc
+
+    def _lost(self, exc):
+        return errors.OutcomeUnknownError(
+            f'no reply: {exc!r}', step='exchange', peer=self._peer
+        )
 
     def _check_time(self, conn):
         """Refuse what has waited past its deadline.
@@ -255,7 +213,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def _respond(self, conn, resp):
+    def _respond(self, conn, sock, resp):
         passed = [
             (name, value)
             for name in ('Content-Type', headers.ENGINE_MODEL_VERSION)
@@ -265,13 +223,13 @@
         if length is None or length > _WHOLE_BYTES:
             if length is not None:
                 passed.append(('Content-Length', str(length)))
-            body = self._pieces(conn, resp)
+            body = self._pieces(conn, sock, resp)
         else:
-            body = [b''.join(self._pieces(conn, resp))]
+            body = [b''.join(self._pieces(conn, sock, resp))]
             passed.append(('Content-Length', str(len(body[0]))))
         return httpio.Response(resp.status, body, tuple(passed))
 
-    def _pieces(self, conn, resp):
+    def _pieces(self, conn, sock, resp):
         """Yield the upstream's body as it comes.
 
         Raises:
@@ -280,15 +238,14 @@
         """
         whole = False
         try:
-            while piece := resp.read1(_PIECE_BYTES):
-                yield piece
+            yield from httpio.iter_pieces(resp, sock)
             whole = not resp.length
-        except (OSError, ValueError, http.client.HTTPException) as exc:
+        except httpio.BROKEN as exc:
             raise self._incomplete(repr(exc)) from exc
         finally:
             resp.close()
             if whole:
-                conn.close()
+                self.forwarder.give_back(conn)
             else:
                 self._break_off(conn)
         if not whole:
@@ -303,41 +260,3 @@
         conn.close()
         if self._generates:
             self.forwarder.cancel(self._engine_id)
-
-
-def _header(environ, name):
-    return environ.get('HTTP_' + name.upper().replace('-', '_'), '')
-
-
-def _number(environ, name, default):
-    text = _header(environ, name)
-    try:
-        value = float(text or default)
-    except ValueError:
-        value = -1.0
-    if not 0 <= value < 1e9:
-        raise errors.InvalidRequestError(
-            f'{name} must be a number, got {text!r}', step='read'
-        )
-    return value
-
-
-def _priority(environ):
-    text = _header(environ, headers.PRIORITY) or '0'
-    if not text.removeprefix('-').isdecimal():
-        raise errors.InvalidRequestError(
-            f'{headers.PRIORITY} must be a whole number', step='read'
-        )
-    return int(text)
-
-
-def _not_after(environ):
-    text = _header(environ, headers.NOT_AFTER)
-    if not text and not _header(environ, headers.ATTEMPT_ID):
-        return math.inf
-    try:
-        return float(text)
-    except ValueError as exc:
-        raise errors.InvalidRequestError(
-            f'{headers.NOT_AFTER} must be a number', step='read'
-        ) from exc
