--- a/catkinshunt/cli/_commands.py
+++ b/catkinshunt/cli/_commands.py
@@ -21,7 +21,7 @@
         Args:
             path: settings file of the entry, JSON with comments.
         """
-        return _action.Action(_serve.serve_entry, str(path))
+        return _action.Action(_serve.check_and_serve, 'entry', str(path))
 
     def sidecar(self, path):
         """Run a sidecar, the process beside one upstream.
@@ -31,7 +31,7 @@
         Args:
             path: settings file of the sidecar, JSON with comments.
         """
-        return _action.Action(_serve.serve_sidecar, str(path))
+        return _action.Action(_serve.check_and_serve, 'sidecar', str(path))
 
     def check_settings(self, *paths):
         """Check settings files and show everything that is wrong in them.
--- a/catkinshunt/cli/_main.py
+++ b/catkinshunt/cli/_main.py
@@ -11,7 +11,7 @@
 import sys
 
 from catkinshunt.cli import _action
-from catkinshunt.cli import _commands
+from catkinshunt.cli import _relaunch
 from catkinshunt import errors
 
 NAME = 'catkinshunt'
@@ -56,6 +56,8 @@
 
 
 def _run(argv):
+    if argv[:1] == [_relaunch.WORD]:
+        return _serve_checked(argv[1:])
     if argv[:1] == ['--version']:
         argv = ['version']
     if not argv:
@@ -66,16 +68,29 @@
     return OK
 
 
+def _serve_checked(words):
+    from catkinshunt.cli import _serve
+
+    try:
+        role, path, read_end = words
+    except ValueError as exc:
+        text = f'{_relaunch.WORD} is for the process itself'
+        raise errors.SettingsError(text) from exc
+    return _serve.serve_checked(role, path, read_end) or OK
+
+
 def _read(argv):
     """Return what fire makes of `argv`: an `Action`, or None after help."""
     import fire
     from fire import core
 
+    from catkinshunt.cli import _commands
+
     # fire would show help through a pager, a child process.
     os.environ['PAGER'] = '-'
     if any(word in argv for word in _HELP):
         words = [word for word in argv if word not in (*_HELP, '--')]
-        return _help(fire, core, words)
+        return _help(words)
     notes = io.StringIO()
     try:
         with contextlib.redirect_stderr(notes):
@@ -92,8 +107,13 @@
     return found
 
 
-def _help(fire, core, words):
+def _help(words):
     """Show the help page of the command `words` on standard output."""
+    import fire
+    from fire import core
+
+    from catkinshunt.cli import _commands
+
     page = io.StringIO()
     with contextlib.redirect_stderr(page), contextlib.suppress(core.FireExit):
         fire.Fire(
--- /dev/null
+++ b/catkinshunt/cli/_relaunch.py
@@ -0,0 +1,67 @@
+"""Drops what only the start needed, by running the process anew.
+
+Reading arguments and settings takes fire, json5 and cattrs, some 2.5 MB that
+Python does not give back. The process therefore replaces itself (``exec``:
+the same process, no child) once its settings are checked, and hands them to
+itself through a pipe. They hold a key, which an argument or the environment
+would show to every user of the machine.
+"""
+
+import json
+import os
+import sys
+
+from catkinshunt import errors
+
+#: First argument of the process after it has replaced itself.
+WORD = 'run-checked'
+#: What a pipe surely takes before somebody reads it.
+_MAX_BYTES = 32 * 1024
+
+
+def replace_process(role, path, cfg):
+    """Run this program anew with the checked settings `cfg`.
+
+    Args:
+        role: ``'entry'`` or ``'sidecar'``.
+        path: path of the settings, shown in the list of processes.
+        cfg: the settings, an `attrs` instance.
+    """
+    import attrs
+
+    content = json.dumps(attrs.asdict(cfg)).encode()
+    if len(content) > _MAX_BYTES:
+        raise errors.SettingsError(
+            f'{path}: settings take {len(content)} bytes, '
+            f'allowed: {_MAX_BYTES}'
+        )
+    read_end, write_end = os.pipe()
+    os.write(write_end, content)
+    os.close(write_end)
+    os.set_inheritable(read_end, True)
+    given = len(sys.argv) - 1
+    start = sys.orig_argv[: len(sys.orig_argv) - given]
+    words = [*start, WORD, role, path, str(read_end)]
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os.execv(sys.executable, words)
+
+
+def read_settings(role, read_end):
+    """Return the settings that `replace_process` has put into the pipe.
+
+    Raises:
+        errors.SettingsError: there are none; somebody else has used `WORD`.
+    """
+    from catkinshunt import settings
+
+    try:
+        if role not in settings.ROLES:
+            raise ValueError(role)
+        with os.fdopen(int(read_end), 'rb') as file:
+            value = json.loads(file.read())
+        return settings.from_checked(role, value)
+    except (OSError, ValueError, KeyError, TypeError) as exc:
+        raise errors.SettingsError(
+            f'{WORD} is for the process itself; use {role} SETTINGS'
+        ) from exc
--- a/catkinshunt/cli/_serve.py
+++ b/catkinshunt/cli/_serve.py
@@ -5,31 +5,40 @@
 """
 
 import gc
+import linecache
 import signal
 import threading
 
-from catkinshunt import logs
-from catkinshunt import settings
+from catkinshunt.cli import _absent
+from catkinshunt.cli import _relaunch
 
 
-def serve_entry(path):
-    """Run an entry with the settings at `path`."""
-    cfg = settings.load_settings(path, settings.EntrySettings)
-    from catkinshunt import entry
+def check_and_serve(role, path):
+    """Check the settings at `path`, then run `role` in a lean process."""
+    from catkinshunt import settings
 
-    _serve(entry.EntryProcess(cfg))
+    cfg = settings.load_settings(path, settings.ROLES[role])
+    _relaunch.replace_process(role, path, cfg)
 
 
-def serve_sidecar(path):
-    """Run a sidecar with the settings at `path`."""
-    cfg = settings.load_settings(path, settings.SidecarSettings)
-    from catkinshunt import sidecar
+def serve_checked(role, _path, read_end):
+    """Run `role` with the settings handed over by `check_and_serve`."""
+    _absent.keep_out(role)
+    cfg = _relaunch.read_settings(role, read_end)
+    if role == 'entry':
+        from catkinshunt import entry
 
-    _serve(sidecar.SidecarProcess(cfg))
+        _serve(entry.EntryProcess(cfg))
+    else:
+        from catkinshunt import sidecar
+
+        _serve(sidecar.SidecarProcess(cfg))
 
 
 def _serve(process):
     """Run `process` until SIGTERM; the first line printed is its address."""
+    from catkinshunt import logs
+
     cfg = process.cfg
     logs.configure(cfg.log_format, cfg.log_level, [cfg.deployment_key])
     log = logs.get_logger('process')
@@ -41,6 +50,8 @@
         # at by the collector again.
         gc.collect()
         gc.freeze()
+        # attrs keeps the source text of each method that it has made.
+        linecache.clearcache()
         print(process.address, flush=True)
         log.info('{} listens at {}.', cfg.name, process.address)
         stopped.wait()
--- a/catkinshunt/cli/tests/test_main.py
+++ b/catkinshunt/cli/tests/test_main.py
@@ -111,3 +111,21 @@
     err = capsys.readouterr().err
     assert '127.0.0.1:1' in err
     assert err.count('\n') == 1
+
+
+@pytest.mark.parametrize(
+    'words',
+    [
+        [],
+        ['entry'],
+        ['entry', 'a', '0x'],
+        ['none', 'a', '0'],
+        ['entry', 'a', '99'],
+    ],
+)
+def test_second_start_is_not_for_operators(words, capsys):
+    """Somebody copies the command line that the list of processes shows."""
+    assert _main.run(['run-checked', *words]) == _main.USAGE
+    captured = capsys.readouterr()
+    assert 'run-checked is for the process' in captured.err
+    assert captured.err.count('\n') == 1
--- /dev/null
+++ b/catkinshunt/cli/tests/test_serve.py
@@ -0,0 +1,69 @@
+"""Tests of the start of a process, with its real command line."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from standins import launch
+
+KEY = 'the key of this deployment'
+CFG = {
+    'name': 'one',
+    'region': 'Thessalia',
+    'data_centre': 'larisa-a',
+    'deployment_key': KEY,
+    'platform': {
+        'key_value': '127.0.0.1:1',
+        'instance_list': '127.0.0.1:1',
+        'origin': '127.0.0.1:1',
+    },
+}
+SIDECAR = {'service': 's', 'upstream': '127.0.0.1:1', 'is_engine': True}
+
+
+@pytest.mark.parametrize(
+    ('role', 'extra'), [('entry', {}), ('sidecar', SIDECAR)]
+)
+def test_process_replaces_itself_and_hides_its_key(role, extra, tmp_path):
+    """The key was on the command line, where every user can read it.
+
+    Anybody on the machine could then call the control interfaces. The
+    process must also keep its number, which its supervisor waits for.
+    """
+    path = tmp_path / 'one.json5'
+    path.write_text(json.dumps(CFG | extra))
+    popen = subprocess.Popen(
+        [*launch.PROGRAM, role, str(path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert popen.stdout.readline().startswith('127.0.0.1:')
+        proc = pathlib.Path('/proc') / str(popen.pid)
+        words = (proc / 'cmdline').read_bytes().split(b'\0')
+        assert [b'run-checked', role.encode()] == words[-5:-3]
+        assert KEY.encode() not in b' '.join(words)
+        assert KEY.encode() not in (proc / 'environ').read_bytes()
+    finally:
+        popen.terminate()
+        _, err = popen.communicate(timeout=30)
+    assert popen.returncode == 0
+    assert 'process: one has stopped.' in err
+    assert KEY not in err
+
+
+def test_wrong_settings_end_before_anything_listens(tmp_path):
+    path = tmp_path / 'one.json5'
+    path.write_text(json.dumps(CFG | {'port': 'x'}))
+    done = subprocess.run(
+        [*launch.PROGRAM, 'entry', str(path)], capture_output=True, text=True
+    )
+    assert done.returncode == 2
+    assert done.stdout == ''
+    assert done.stderr.count('\n') == 1
+    assert 'port' in done.stderr
+    assert sys.executable not in done.stderr
--- a/catkinshunt/metrics/_exposition.py
+++ b/catkinshunt/metrics/_exposition.py
@@ -1,5 +1,6 @@
 """The text format that scrapers read."""
 
+from catkinshunt.metrics import _client
 from catkinshunt.metrics import _recorders
 
 PREFIX = 'catkinshunt_'
@@ -16,8 +17,7 @@
         registry: the `Registry` to show.
         now: seconds on the monotonic clock.
     """
-    import prometheus_client
-
+    prometheus_client = _client.load()
     shown = prometheus_client.CollectorRegistry(auto_describe=False)
     shown.register(_Collector(registry, now))
     text = prometheus_client.generate_latest(shown)
--- a/catkinshunt/settings/__init__.py
+++ b/catkinshunt/settings/__init__.py
@@ -5,8 +5,10 @@
 from catkinshunt.settings._load import load_text
 from catkinshunt.settings._load import structure
 from catkinshunt.settings._model import EntrySettings
+from catkinshunt.settings._model import from_checked
 from catkinshunt.settings._model import OperatorSettings
 from catkinshunt.settings._model import PlatformSettings
+from catkinshunt.settings._model import ROLES
 from catkinshunt.settings._model import SidecarSettings
 from catkinshunt.settings._problem import Problem
 
@@ -15,7 +17,9 @@
     'OperatorSettings',
     'PlatformSettings',
     'Problem',
+    'ROLES',
     'SidecarSettings',
+    'from_checked',
     'load_document',
     'load_settings',
     'load_text',
--- a/catkinshunt/settings/_model.py
+++ b/catkinshunt/settings/_model.py
@@ -149,3 +149,28 @@
     operator_port: int = _fields.port(9400)
     services: list[str] = _fields.names()
     timeout_s: float = _fields.above_zero('seconds', 2.0)
+
+
+#: Settings classes of the processes, by role.
+ROLES = {'entry': EntrySettings, 'sidecar': SidecarSettings}
+
+
+def from_checked(role, value):
+    """Return the settings of a process from `attrs.asdict` of them.
+
+    The values were checked when they were read from their file.
+
+    Args:
+        role: ``'entry'`` or ``'sidecar'``.
+        value: the mapping.
+    """
+    return _rebuild(ROLES[role], value)
+
+
+def _rebuild(cls, value):
+    """Return `value`, the mapping of an instance of `cls`, as one."""
+    fields = dict(value)
+    for field in attrs.fields(cls):
+        if attrs.has(field.type) and isinstance(fields[field.name], dict):
+            fields[field.name] = _rebuild(field.type, fields[field.name])
+    return cls(**fields)
--- a/catkinshunt/settings/tests/test_load.py
+++ b/catkinshunt/settings/tests/test_load.py
@@ -162,3 +162,12 @@
     ]
     with pytest.raises(errors.SettingsError, match=r'a list \[...\]'):
         settings.load_text('{places: "ab"}', Map, 'm')
+
+
+@pytest.mark.parametrize(
+    ('role', 'base'), [('entry', ENTRY), ('sidecar', SIDECAR)]
+)
+def test_checked_settings_are_handed_over_whole(role, base):
+    cfg = read(settings.ROLES[role], base, threads=7)
+    value = json.loads(json.dumps(attrs.asdict(cfg)))
+    assert settings.from_checked(role, value) == cfg
