--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -38,7 +38,7 @@
         return cls(
             state if state in ('serving', 'leaving') else None,
             float(load) if load.isdigit() else None,
-            None if served is None else frozenset(served.split(',')) - {''},
+            None if served is None else _read_served(served),
         )
 
 
@@ -183,8 +183,8 @@
             headers.ACCOUNT: req.account,
             headers.DEADLINE_MS: str(int(left_s * 1000)),
             headers.DEPLOYMENT_KEY: self.deployment_key,
-            headers.MODEL: req.model,
-            headers.MODEL_VERSION: version,
+            headers.MODEL: headers.encode_text(req.model),
+            headers.MODEL_VERSION: headers.encode_text(version),
             headers.PRIORITY: str(route.priority),
             headers.REQUEST_ID: req.request_id,
             headers.WEIGHT: str(route.account_weight),
@@ -219,6 +219,12 @@
         raise httpio.read_error(body, str(opened.address))
 
 
+def _read_served(value):
+    """Return the model versions that a sidecar says it serves."""
+    names = map(headers.decode_text, value.split(','))
+    return frozenset(names) - {''}
+
+
 def _resumed_body(req, resume):
     if resume is None:
         return req.body
--- a/catkinshunt/entry/_request.py
+++ b/catkinshunt/entry/_request.py
@@ -1,11 +1,10 @@
 """A caller's request as the entry reads it."""
 
-import json
-import urllib.parse
 import uuid
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
@@ -14,8 +13,8 @@
 _SAFE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
 _GENERATE = '/generate'
 _PREFIX_CHARS = 256
-#: Characters of a path that need no escape.
-_PATH_CHARS = "/:@!$&'()*+,;=~-._"
+#: Longest number taken in a header.
+_MAX_DIGITS = 12
 
 
 @attrs.frozen(kw_only=True)
@@ -63,16 +62,14 @@
             errors.InvalidRequestError: a header or the body is wrong.
         """
         service, _, rest = environ['PATH_INFO'][1:].partition('/')
-        # The server has decoded it; a blank or a control character would
-        # make another request of it on the next connection.
-        path = '/' + urllib.parse.quote(rest.encode('latin-1'), _PATH_CHARS)
+        path = httpio.make_target('/' + rest)
         query = environ.get('QUERY_STRING')
         body = httpio.read_body(environ)
         prompt = _Prompt.from_body(path, body)
         return cls(
             request_id=_header(environ, headers.REQUEST_ID) or _new_id(),
             service=service,
-            path=f'{path}?{query}' if query else path,
+            path=httpio.make_target('/' + rest, query),
             method=environ['REQUEST_METHOD'],
             account=_header(environ, headers.ACCOUNT),
             model=prompt.model,
@@ -130,9 +127,10 @@
     text = _header(environ, headers.DEADLINE_MS)
     if not text:
         return default_s
-    if not text.isdigit():
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
         raise errors.InvalidRequestError(
-            f'{headers.DEADLINE_MS} must be whole milliseconds, got {text!r}',
+            f'{headers.DEADLINE_MS} must be whole milliseconds, '
+            f'got {text[:20]!r}',
             step='read',
         )
     return int(text) / 1000
@@ -156,7 +154,7 @@
         if path != _GENERATE:
             return cls()
         try:
-            value = json.loads(body)
+            value = checks.load_json(body)
             model = value['model']
             text = value.get('prompt', '')
             prefix = f'{model}\n{text[:_PREFIX_CHARS]}'.encode()
--- a/catkinshunt/httpio/__init__.py
+++ b/catkinshunt/httpio/__init__.py
@@ -7,6 +7,7 @@
 from catkinshunt.httpio._errors import read_error
 from catkinshunt.httpio._server import HttpServer
 from catkinshunt.httpio._wsgi import error_response
+from catkinshunt.httpio._wsgi import make_target
 from catkinshunt.httpio._wsgi import read_body
 from catkinshunt.httpio._wsgi import Response
 from catkinshunt.httpio import headers
@@ -20,6 +21,7 @@
     'error_response',
     'exchange',
     'headers',
+    'make_target',
     'read_body',
     'read_error',
 ]
--- a/catkinshunt/httpio/_wsgi.py
+++ b/catkinshunt/httpio/_wsgi.py
@@ -3,12 +3,16 @@
 import http
 import json
 import math
+import urllib.parse
 
 import attrs
 
 from catkinshunt import errors
 
 _JSON = 'application/json'
+#: Characters of a path, and of a query, that need no escape.
+_PATH_CHARS = "/:@!$&'()*+,;=~-._"
+_QUERY_CHARS = _PATH_CHARS + '?%[]{}|^`"\\<>'
 
 
 @attrs.frozen
@@ -70,6 +74,26 @@
     return Response.of_json(exc.status, {'error': value}, tuple(extra))
 
 
+def make_target(path, query=''):
+    """Return the request target for a path that the server has decoded.
+
+    Args:
+        path: decoded path, each character one byte.
+        query: query as it came, or empty.
+
+    Examples:
+        >>> make_target('/a b\\r\\n', 'q=1')
+        '/a%20b%0D%0A?q=1'
+    """
+    # A blank or a line end in the path would end the request line, and the
+    # next process would read the rest as a header or as another request.
+    target = urllib.parse.quote(path.encode('latin-1'), _PATH_CHARS)
+    if query:
+        escaped = urllib.parse.quote(query.encode('latin-1'), _QUERY_CHARS)
+        target += '?' + escaped
+    return target
+
+
 def read_body(environ):
     """Return the request's whole body.
 
--- a/catkinshunt/httpio/headers.py
+++ b/catkinshunt/httpio/headers.py
@@ -1,5 +1,7 @@
 """Names of the HTTP headers that callers and our processes use."""
 
+import urllib.parse
+
 #: Given by the caller; who the request is for.
 ACCOUNT = 'Catkinshunt-Account'
 #: Given by the caller; one key for all tries of one operation.
@@ -37,3 +39,23 @@
 DEPLOYMENT_KEY = 'Catkinshunt-Key'
 #: The model version an engine answered from.
 ENGINE_MODEL_VERSION = 'Model-Version'
+
+
+def encode_text(text):
+    """Return `text` as a header value may hold it.
+
+    Headers carry Latin-1 only, and operators name models in any language;
+    separators of lists are escaped too.
+
+    Examples:
+        >>> encode_text('a/b,c')
+        'a%2Fb%2Cc'
+        >>> decode_text(encode_text('a/b,c'))
+        'a/b,c'
+    """
+    return urllib.parse.quote(text, safe='')
+
+
+def decode_text(value):
+    """Return the text that `encode_text` put in a header."""
+    return urllib.parse.unquote(value)
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -59,7 +59,10 @@
             (headers.LOAD, str(self.admission.load)),
             (
                 headers.SERVED,
-                ','.join('/'.join(item) for item in served.items()),
+                ','.join(
+                    headers.encode_text('/'.join(item))
+                    for item in served.items()
+                ),
             ),
             (
                 headers.EXCHANGE_ID,
--- a/catkinshunt/sidecar/_forward.py
+++ b/catkinshunt/sidecar/_forward.py
@@ -69,18 +69,19 @@
         Raises:
             errors.InvalidRequestError: a header is wrong.
         """
-        query = environ.get('QUERY_STRING')
         default_ms = _DEFAULT_DEADLINE_S * 1000
         left_ms = _number(environ, headers.DEADLINE_MS, default_ms)
         return cls(
             request_id=_header(environ, headers.REQUEST_ID),
             method=environ['REQUEST_METHOD'],
-            path=f'{path}?{query}' if query else path,
+            path=httpio.make_target(path, environ.get('QUERY_STRING')),
             account=_header(environ, headers.ACCOUNT),
             weight=_number(environ, headers.WEIGHT, 1.0) or 1.0,
             priority=_priority(environ),
-            model=_header(environ, headers.MODEL),
-            version=_header(environ, headers.MODEL_VERSION),
+            model=headers.decode_text(_header(environ, headers.MODEL)),
+            version=headers.decode_text(
+                _header(environ, headers.MODEL_VERSION)
+            ),
             deadline=now + left_ms / 1000,
             attempt_id=_header(environ, headers.ATTEMPT_ID),
             not_after=_not_after(environ),
--- a/catkinshunt/tests/deployments.py
+++ b/catkinshunt/tests/deployments.py
@@ -112,9 +112,10 @@
         )
         if processes:
             self.launcher = self.enter_context(launch.Launcher())
+        self.upstreams = [self.serve(item.app) for item in self.plains]
         self.sidecars = [
-            self.start_sidecar(number, self.serve(service.app))
-            for number, service in enumerate(self.plains)
+            self.start_sidecar(number, upstream)
+            for number, upstream in enumerate(self.upstreams)
         ]
         self.list_sidecars(self.sidecars)
         claims = {'commit_timeout_s': 1.0} | (claims or {})
