--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,8 @@
 bench: setup ## Run all benchmarks; fails past their bounds
 	$(PY) -m benchmarks
 
+binary: setup ## Build the product as one file, dist/catkinshunt
+	$(PY) -m bundle
+
 fuzz: setup ## Fuzz the readers of what comes over a socket for longer
 	FUZZ_EXAMPLES=3000 $(PY) -m pytest catkinshunt/tests/test_fuzz.py
--- a/catkinshunt/httpio/__init__.py
+++ b/catkinshunt/httpio/__init__.py
@@ -5,6 +5,9 @@
 from catkinshunt.httpio._client import exchange
 from catkinshunt.httpio._client import Reply
 from catkinshunt.httpio._errors import read_error
+from catkinshunt.httpio._pieces import BROKEN
+from catkinshunt.httpio._pieces import iter_pieces
+from catkinshunt.httpio._pieces import PIECE_BYTES
 from catkinshunt.httpio._server import HttpServer
 from catkinshunt.httpio._wsgi import error_response
 from catkinshunt.httpio._wsgi import make_target
@@ -13,6 +16,8 @@
 from catkinshunt.httpio import headers
 
 __all__ = [
+    'BROKEN',
+    'PIECE_BYTES',
     'Address',
     'ConnectionPool',
     'HttpServer',
@@ -22,6 +27,7 @@
     'exchange',
     'headers',
     'make_target',
+    'iter_pieces',
     'read_body',
     'read_error',
 ]
