Decide placements from rules and list; announce edits from the command

A rule's replicas were not heeded, and a rule that refuses a placement ended the sidecar's placement thread with an AttributeError. The decision now stands in one function: the first rule that matches decides, and where it wants N replicas, the first N by rendezvous hashing hold them. When a holder leaves the list the next takes over and no other moves.

--- /dev/null
+++ b/catkinshunt/cli/_announcing.py
@@ -0,0 +1,39 @@
+"""Hands an accepted edit to a few instances from the operator's side."""
+
+from catkinshunt import errors
+from catkinshunt import httpio
+
+
+def announce(cfg, accepted):
+    """Offer the accepted configuration to a few listed instances.
+
+    Without it an edit that the key-value service accepted right before an
+    outage would be in force only after the outage.
+
+    Args:
+        cfg: `settings.OperatorSettings`.
+        accepted: the `configuration.Configuration`.
+
+    Returns:
+        How many instances took it; 0 without key or list.
+    """
+    if not cfg.deployment_key:
+        return 0
+    # Only an edit needs the control channel; other commands start faster.
+    from catkinshunt import configuration
+    from catkinshunt import dissemination
+    from catkinshunt import instances
+    from catkinshunt import peers
+
+    directory = instances.Directory()
+    address = httpio.Address.parse(cfg.platform.instance_list)
+    try:
+        instances.ListSource(address, directory).fetch(0)
+    except errors.PeerError:
+        return 0
+    with peers.LoopThread() as loop:
+        pool = peers.PeerPool(cfg.deployment_key, loop)
+        peering = dissemination.GrpcPeering('operator', pool)
+        taken = configuration.announce(accepted, peering, directory.members)
+        pool.close()
+    return taken
--- a/catkinshunt/cli/_editing.py
+++ b/catkinshunt/cli/_editing.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from catkinshunt.cli import _announcing
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt import settings
@@ -121,4 +122,8 @@
     store = kvstore.HttpKeyValueStore(
         httpio.Address.parse(cfg.platform.key_value), cfg.timeout_s
     )
-    return configuration.Editor(store, cfg.services or None)
+    return configuration.Editor(
+        store,
+        cfg.services or None,
+        announce=lambda accepted: _announcing.announce(cfg, accepted),
+    )
--- a/catkinshunt/configuration/_editor.py
+++ b/catkinshunt/configuration/_editor.py
@@ -33,13 +33,23 @@
         services: names of the known services; None leaves them unchecked.
         tries: how often a write is tried while its outcome is not known.
         pause_s: seconds between tries.
+        announce: called with each accepted `Configuration`, to hand it to
+            some processes at once; see `announce`.
     """
 
-    def __init__(self, store, services=None, tries=TRIES, pause_s=PAUSE_S):
+    def __init__(
+        self,
+        store,
+        services=None,
+        tries=TRIES,
+        pause_s=PAUSE_S,
+        announce=None,
+    ):
         self.store = store
         self.services = services
         self.tries = tries
         self.pause_s = pause_s
+        self.announce = announce
 
     def read(self):
         """Return the `Configuration` accepted last."""
@@ -101,7 +111,10 @@
         edited.check(self.services)
         if dry_run:
             return edited
-        return self._write(current, edited, stored)
+        accepted = self._write(current, edited, stored)
+        if self.announce is not None:
+            self.announce(accepted)
+        return accepted
 
     def _read(self):
         entry = self.store.get(_configuration.KEY)
--- a/catkinshunt/control/__init__.py
+++ b/catkinshunt/control/__init__.py
@@ -1,6 +1,8 @@
 """What each process needs to take part in the whole."""
 
 from catkinshunt.control._headers import RevisionApp
+from catkinshunt.control._placement import choose_placement
+from catkinshunt.control._placement import Placement
 from catkinshunt.control._plane import ControlPlane
 
-__all__ = ['ControlPlane', 'RevisionApp']
+__all__ = ['ControlPlane', 'Placement', 'RevisionApp', 'choose_placement']
--- a/catkinshunt/control/tests/test_plane.py
+++ b/catkinshunt/control/tests/test_plane.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from catkinshunt.cli import _announcing
 from catkinshunt import configuration
 from catkinshunt.configuration.tests import fakes as store_fakes
 from catkinshunt import control
 from catkinshunt.dissemination.tests import fakes
+from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt import kvstore
 from catkinshunt import settings
@@ -155,6 +157,35 @@
         assert plane.keeper.wait(0, WAIT_S).revision == 1
 
 
+def test_an_edit_is_in_force_though_the_service_fails_right_after_it(
+    platform, planes
+):
+    """The key-value service accepts an edit and goes down at once.
+
+    No watcher has seen it, and the operator has been told that it is in
+    force within seconds.
+    """
+    wait_until(lambda: len(planes[0].directory.members) == 5)
+    cfg = settings.OperatorSettings(
+        platform=planes[0].cfg.platform, services=[], deployment_key=KEY
+    )
+
+    def announce(accepted):
+        assert _announcing.announce(cfg, accepted) == 3
+
+    for plane in planes:
+        plane._store_source.fetch = _fail
+    platform.editor.announce = announce
+    platform.editor.add(store_fakes.make_rule('a'))
+    platform.set_down(True)
+    for plane in planes:
+        assert plane.keeper.wait(0, WAIT_S).revision == 1
+
+
+def _fail(wait_s):
+    raise errors.StoreUnavailableError('down', step='connect')
+
+
 def test_a_lone_process_reads_the_service_itself(platform):
     platform.editor.add(store_fakes.make_rule('a'))
     with platform.make_plane('i0') as plane:
--- a/catkinshunt/settings/_fields.py
+++ b/catkinshunt/settings/_fields.py
@@ -105,6 +105,16 @@
     return make_field('a list of names', all, [])
 
 
+def optional_secret():
+    """Return a field for a key that must not be shown, empty for none."""
+    return make_field(
+        f"a text of at least {MIN_SECRET_CHARS} characters or ''",
+        lambda value: not value or len(value) >= MIN_SECRET_CHARS,
+        '',
+        secret=True,
+    )
+
+
 def secret():
     """Return a field for a key that must not be shown."""
     return make_field(
--- a/catkinshunt/settings/_model.py
+++ b/catkinshunt/settings/_model.py
@@ -143,9 +143,13 @@
             the platform's list gives no operators' address for.
         services: names that rules may use; empty leaves them unchecked.
         timeout_s: longest wait for one instance.
+        deployment_key: the deployment's key; with it an accepted edit is
+            handed to a few instances at once, and not only through the
+            key-value service.
     """
 
     platform: PlatformSettings
     operator_port: int = _fields.port(9400)
     services: list[str] = _fields.names()
     timeout_s: float = _fields.above_zero('seconds', 2.0)
+    deployment_key: str = _fields.optional_secret()
--- a/catkinshunt/sidecar/_placement.py
+++ b/catkinshunt/sidecar/_placement.py
@@ -6,10 +6,11 @@
 import threading
 
 from catkinshunt import base
+from catkinshunt import control
 from catkinshunt import errors
 from catkinshunt import httpio
+from catkinshunt import instances
 from catkinshunt import logs
-from catkinshunt import rules
 
 RETRY_S = 0.5
 WAIT_S = 1.0
@@ -23,11 +24,13 @@
     Args:
         cfg: `settings.SidecarSettings`.
         follower: holds the configuration in force.
+        directory: `instances.Directory`.
     """
 
-    def __init__(self, cfg, follower):
+    def __init__(self, cfg, follower, directory):
         self.cfg = cfg
         self.follower = follower
+        self.directory = directory
         self.port = None
         self._token = secrets.token_hex(8)
         self._held = None
@@ -60,30 +63,30 @@
         return httpio.Response(200, [held[1]], (length,))
 
     def _run(self):
-        seen = 0
+        seen = None
+        revision = 0
         while not self._stopped.is_set():
-            conf = self.follower.wait(seen, WAIT_S)
-            if conf.revision == seen:
+            conf = self.follower.wait(revision, WAIT_S)
+            revision = conf.revision
+            # The list counts, too: where a holder has gone, another one of
+            # the rule's instances takes its place.
+            now_held = (revision, self.directory.revision)
+            if now_held == seen or revision == 0:
                 continue
             try:
                 self._apply(conf)
-                seen = conf.revision
+                seen = now_held
             except errors.CatkinshuntError as exc:
                 _log.warning('Placement failed: {}', exc)
                 self._stopped.wait(RETRY_S)
 
     def _apply(self, conf):
-        event = rules.Event(
-            kind='placement',
-            service=self.cfg.service,
-            data_centre=self.cfg.data_centre,
-            region=self.cfg.region,
-            instance=self.cfg.name,
+        placement = control.choose_placement(
+            conf.rule_set, self._instance(), self.directory.instances
         )
-        rule = conf.rule_set.match(event)
-        if rule is None:
+        rule, place = placement.rule, placement.place
+        if place is None:
             return
-        place = rule.then
         self._wanted = {place.model: place.version}
         if self._held and self._held[0][:2] == (place.model, place.version):
             return
@@ -96,6 +99,18 @@
             'Rule {} placed {} {}.', rule.name, place.model, place.version
         )
 
+    def _instance(self):
+        """Return the own instance; the list may not show it yet."""
+        address = httpio.Address(self.cfg.host, self.port or self.cfg.port)
+        return instances.Instance(
+            name=self.cfg.name,
+            role='upstream',
+            service=self.cfg.service,
+            data_centre=self.cfg.data_centre,
+            region=self.cfg.region,
+            address=address,
+        )
+
     def _fetch_manifest(self, place):
         return json.loads(self._get(place, 'manifest'))
 
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -21,7 +21,9 @@
     def start(self):
         """Listen, then follow the configuration."""
         self._control = control.ControlPlane(self.cfg)
-        self._placement = _placement.Placement(self.cfg, self._control.keeper)
+        self._placement = _placement.Placement(
+            self.cfg, self._control.keeper, self._control.directory
+        )
         self._app = _app.SidecarApp(self.cfg, self._placement)
         registry = metrics.Registry()
         app = control.RevisionApp(
