Leave runners that serve no model until they have one

An entry now tells "serves nothing" from "not known", and asks such an upstream again after 2 s, at most four times a second in all.

--- a/catkinshunt/entry/_delivery.py
+++ b/catkinshunt/entry/_delivery.py
@@ -110,7 +110,8 @@
             service=route.service,
             request_id=self.req.request_id,
             prefix=self.req.prefix,
-            model_version=version and f'{self.req.model}/{version}' or '',
+            model=self.req.model,
+            model_version=version or '',
             excluded=self._tried,
             idempotent=self.req.idempotent,
         )
--- a/catkinshunt/routing/_router.py
+++ b/catkinshunt/routing/_router.py
@@ -13,6 +13,11 @@
 
 #: Retry hint when an upstream must first appear or return, in seconds.
 ABSENT_RETRY_S = 1.0
+#: Age at which an upstream's versions are asked for again, in seconds.
+ASK_AGAIN_S = 2.0
+#: Least time between two such requests of one entry: each is refused, and so
+#: costs a retry, as long as nothing has changed.
+ASK_GAP_S = 0.25
 
 
 @attrs.frozen
@@ -23,15 +28,6 @@
     other: list
 
 
-def _split(order, model_version):
-    fitting, other = [], []
-    for view in order:
-        known = bool(model_version and view.model_versions)
-        wrong = known and model_version not in view.model_versions
-        (other if wrong else fitting).append(view)
-    return _Ranked(fitting, other)
-
-
 class Router(shared.ParamsMixin):
     """Chooses upstreams for one entry and keeps what it learns of them.
 
@@ -75,6 +71,7 @@
         self._lock = threading.Lock()
         self._views = {}
         self._ranked = {}
+        self._asked_at = 0.0
 
     def offer(self, upstreams):
         """Take the instance list's view of all upstreams.
@@ -135,6 +132,8 @@
                 view.own_at_report = view.in_flight
                 view.reported_at = now
             versions = observation.model_versions
+            if versions is not None:
+                view.versions_at = now
             if versions is not None and versions != view.model_versions:
                 view.model_versions = frozenset(versions)
                 self._ranked.clear()
@@ -159,7 +158,7 @@
         old.service = view.service
         old.data_centre = view.data_centre
         old.region = view.region
-        if view.model_versions:
+        if view.model_versions is not None:
             old.model_versions = view.model_versions
         if view.state == base.State.LEAVING:
             old.state = base.State.LEAVING
@@ -170,7 +169,10 @@
     def _usable(self, req, now):
         """Return the entry's subset of upstreams that may get the request."""
         checks.check_positive(self.subset_size, 'subset_size')
-        ranked = self._rank(req.service, req.model_version)
+        ranked = self._rank(req)
+        again = self._ask_again(ranked.other, req, now)
+        if again is not None:
+            return [again]
         found = self._pick(ranked.fitting, req, now)
         if not found and ranked.other:
             # What is known of versions is as old as the last reply; if all
@@ -180,6 +182,23 @@
             raise self._refusal(req, ranked.fitting + ranked.other, now)
         return found
 
+    def _ask_again(self, views, req, now):
+        """Return an upstream whose versions may have changed, or None.
+
+        Where others serve the model nothing else would ever go to one that
+        once did not, and an instance that has loaded it would stay idle.
+        """
+        if not req.idempotent or now - self._asked_at < ASK_GAP_S:
+            return None
+        for view in views[: self.subset_size]:
+            if now - view.versions_at < ASK_AGAIN_S:
+                continue
+            serving = view.state == base.State.SERVING
+            if serving and view.name not in req.excluded:
+                self._asked_at = view.versions_at = now
+                return view
+        return None
+
     def _pick(self, ranked, req, now):
         """Return the first usable upstreams of an order, or one to probe."""
         health = self._health()
@@ -196,23 +215,27 @@
             return probes[:1]
         return usable
 
-    def _rank(self, service, model_version):
-        key = (service, model_version)
+    def _rank(self, req):
+        key = (req.service, req.model, req.model_version)
         if key not in self._ranked:
             order = _subset.rank_upstreams(
                 self.entry,
-                [v for v in self._views.values() if v.service == service],
+                [v for v in self._views.values() if v.service == req.service],
                 self.data_centre,
             )
-            self._ranked[key] = _split(order, model_version)
+            fits = [v.may_serve(req.model, req.model_version) for v in order]
+            self._ranked[key] = _Ranked(
+                [v for v, fit in zip(order, fits, strict=True) if fit],
+                [v for v, fit in zip(order, fits, strict=True) if not fit],
+            )
         return self._ranked[key]
 
     def _refusal(self, req, ranked, now):
         waits = [self._health().retry_at(view) - now for view in ranked]
         waits = [wait_s for wait_s in waits if wait_s > 0]
         what = f'service {req.service}'
-        if req.model_version:
-            what += f' with model version {req.model_version}'
+        if req.model:
+            what += f' with {req.model} {req.model_version}'
         return errors.RefusedError(
             f'no upstream of {what} takes work, {len(ranked)} known',
             step='choose',
--- a/catkinshunt/routing/base.py
+++ b/catkinshunt/routing/base.py
@@ -44,7 +44,9 @@
         own_at_report: `in_flight` at that time.
         reported_at: when that was, in seconds; None if it never did.
         state: whether it may get new work.
-        model_versions: what it serves; empty when not known or no model.
+        model_versions: what it serves, as ``model/version``; None when not
+            known.
+        versions_at: when it last said so, in seconds.
     """
 
     name: str
@@ -57,9 +59,24 @@
     own_at_report: int = 0
     reported_at: float | None = None
     state: State = attrs.field(default=State.SERVING, converter=State)
-    model_versions: frozenset = attrs.field(
-        factory=frozenset, converter=frozenset
+    model_versions: frozenset | None = attrs.field(
+        default=None, converter=attrs.converters.optional(frozenset)
     )
+    versions_at: float = 0.0
+
+    def may_serve(self, model, version):
+        """Return whether it serves a model, as far as is known.
+
+        Args:
+            model: name of the model; empty for a plain service.
+            version: the version; empty for any.
+        """
+        if not model or self.model_versions is None:
+            return True
+        if version:
+            return f'{model}/{version}' in self.model_versions
+        begin = f'{model}/'
+        return any(each.startswith(begin) for each in self.model_versions)
 
 
 @attrs.frozen
@@ -70,7 +87,8 @@
         service: the service that the matching rule names.
         request_id: identifier of the request, for the log.
         prefix: start of the prompt, in bytes; empty for plain services.
-        model_version: version that must be served; empty for any.
+        model: model that must be served; empty for a plain service.
+        model_version: version of it; empty for any.
         excluded: names of upstreams that this request has tried.
         idempotent: whether running it twice does no harm.
     """
@@ -78,6 +96,7 @@
     service: str
     request_id: str = ''
     prefix: bytes = b''
+    model: str = ''
     model_version: str = ''
     excluded: frozenset = attrs.field(factory=frozenset, converter=frozenset)
     idempotent: bool = True
--- a/catkinshunt/routing/tests/test_router.py
+++ b/catkinshunt/routing/tests/test_router.py
@@ -115,14 +115,24 @@
     assert 0 < caught.value.retry_after_s <= 0.5
 
 
-def test_model_version_and_tried_are_respected():
-    views = make_views(4)
-    views[0].model_versions = frozenset({'v1'})
-    views[1].model_versions = frozenset({'v1', 'v2'})
-    views[2].model_versions = frozenset({'v2'})
+def drafts(version='', **given):
+    return routing.RouteRequest(
+        'model', model='drafts', model_version=version, **given
+    )
+
+
+@pytest.mark.parametrize(
+    'version, expected', [('v1', {'u1', 'u4'}), ('', {'u1', 'u2', 'u4'})]
+)
+def test_model_version_and_tried_are_respected(version, expected):
+    views = make_views(5)
+    views[0].model_versions = {'drafts/v1'}
+    views[1].model_versions = {'drafts/v1', 'drafts/v2'}
+    views[2].model_versions = {'drafts/v2'}
+    views[3].model_versions = ()
     router = make_router(views)
-    req = routing.RouteRequest('model', model_version='v1', excluded={'u0'})
-    assert {send(router, 0.0, req=req) for _ in range(30)} == {'u1', 'u3'}
+    req = drafts(version, excluded={'u0'})
+    assert {send(router, 0.0, req=req) for _ in range(40)} == expected
 
 
 def test_old_knowledge_of_versions_is_no_refusal():
@@ -133,13 +143,45 @@
     """
     views = make_views(2)
     for view in views:
-        view.model_versions = frozenset({'v1'})
+        view.model_versions = {'drafts/v1'}
     router = make_router(views)
-    req = routing.RouteRequest('model', model_version='v2')
-    first = send(router, 0.0, req=req, model_versions=frozenset({'v2'}))
+    req = drafts('v2')
+    first = send(router, 0.0, req=req, model_versions={'drafts/v2'})
     assert {send(router, 0.0, req=req) for _ in range(9)} == {first}
 
 
+def test_replaced_runner_without_a_model_is_left_until_it_has_one():
+    """A runner is replaced and has no weights yet, while others serve.
+
+    Requests went to it again and again, were refused, and spent the retry
+    budget, so that callers were refused though other runners had room. It
+    is asked again now and then, or it would stay idle when it is ready.
+    """
+    views = make_views(2)
+    views[0].model_versions = {'drafts/v1'}
+    router = make_router(views)
+    counts = collections.Counter()
+    for tick in range(100):
+        empty = router.choose(drafts(), tick / 10)
+        counts[empty.upstream.name] += 1
+        served = {'drafts/v1'} if empty.upstream.name == 'u0' else set()
+        router.observe(
+            routing.Observation(
+                empty.upstream,
+                routing.Result.REFUSED,
+                model_versions=frozenset(served),
+            ),
+            tick / 10,
+        )
+    assert 1 <= counts['u1'] <= 6
+    ready = 0
+    for tick in range(40):
+        now = 20 + tick / 10
+        served = frozenset({'drafts/v1'})
+        ready += send(router, now, req=drafts(), model_versions=served) == 'u1'
+    assert ready >= 10
+
+
 def test_subsets_bound_the_mesh_and_cover_all():
     views = make_views(200)
     seen = collections.Counter()
