--- a/catkinshunt/httpio/__init__.py
+++ b/catkinshunt/httpio/__init__.py
@@ -10,6 +10,7 @@
 from catkinshunt.httpio._pieces import PIECE_BYTES
 from catkinshunt.httpio._server import HttpServer
 from catkinshunt.httpio._wsgi import error_response
+from catkinshunt.httpio._wsgi import make_target
 from catkinshunt.httpio._wsgi import read_body
 from catkinshunt.httpio._wsgi import Response
 from catkinshunt.httpio import headers
@@ -25,6 +26,7 @@
     'error_response',
     'exchange',
     'headers',
+    'make_target',
     'iter_pieces',
     'read_body',
     'read_error',
