--- a/catkinshunt/entry/_app.py
+++ b/catkinshunt/entry/_app.py
@@ -59,7 +59,13 @@
             request_id = req.request_id
             resp = self._admit(req)
         except errors.RequestError as exc:
-            _log.info('Request {} ended: {}', request_id, exc)
+            _log.info(
+                'Ended as {code}, ran {ran}: {cause}.',
+                request_id=request_id,
+                code=exc.code,
+                ran=exc.ran,
+                cause=exc,
+            )
             resp = httpio.error_response(exc, request_id)
         return resp.send(start_response)
 
--- a/catkinshunt/entry/_delivery.py
+++ b/catkinshunt/entry/_delivery.py
@@ -123,12 +123,12 @@
         self._tries += 1
         self._reported = _relay.Reported()
         _log.info(
-            'Request {} by rule {} goes to {} of {}: {}.',
-            self.req.request_id,
-            self.rule.name,
-            self._choice.upstream.name,
-            self._choice.candidates,
-            self._choice.grounds,
+            'Rule {rule}: {choice} of {candidates}, {grounds}.',
+            request_id=self.req.request_id,
+            rule=self.rule.name,
+            choice=self._choice.upstream.name,
+            candidates=self._choice.candidates,
+            grounds=self._choice.grounds,
         )
 
     def _learn(self, reported):
@@ -179,12 +179,12 @@
             time.monotonic(),
         )
         _log.info(
-            'Request {} failed at {}, {}: {}; {}.',
-            self.req.request_id,
-            self._choice.upstream.name,
-            'tried again' if verdict.again else 'given up',
-            exc,
-            verdict.grounds,
+            'Failed at {choice}, {verdict}: {cause}; {grounds}.',
+            request_id=self.req.request_id,
+            choice=self._choice.upstream.name,
+            verdict='tried again' if verdict.again else 'given up',
+            cause=exc,
+            grounds=verdict.grounds,
         )
         if not verdict.again:
             self._give_up(exc)
--- a/catkinshunt/entry/_once.py
+++ b/catkinshunt/entry/_once.py
@@ -68,7 +68,11 @@
             epoch_now,
             epoch_now + req.deadline - now,
         )
-        _log.info('Request {} is {}.', req.request_id, claim.state.value)
+        _log.info(
+            'Claim is {claim}.',
+            request_id=req.request_id,
+            claim=claim.state.value,
+        )
         return claim
 
     def _record(self, claim, resp, epoch_now):
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -9,10 +9,12 @@
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
 from catkinshunt import limits
+from catkinshunt import logs
 from catkinshunt.sidecar import _forward
 from catkinshunt.sidecar import _request
 
 _PREFIX = '/upstream'
+_log = logs.get_logger('sidecar')
 #: Threads left for refusals and chunks when all places and the queue are
 #: taken; a request that found no thread could not even be refused.
 _SPARE_THREADS = 8
@@ -43,6 +45,13 @@
             resp = self._handle(environ)
         except errors.RequestError as exc:
             request_id = environ.get('HTTP_CATKINSHUNT_REQUEST_ID', '')
+            _log.info(
+                'Ended as {code}, ran {ran}: {cause}.',
+                request_id=request_id,
+                code=exc.code,
+                ran=exc.ran,
+                cause=exc,
+            )
             told = (*self._about(environ), (headers.ERROR, exc.code))
             resp = httpio.error_response(exc, request_id, told)
         return resp.send(start_response)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -225,10 +225,6 @@
         demo = Demo(deployment.load(name), Timeline(), words, logs)
         reports.append(demo.run())
         print(json.dumps(reports[-1]), flush=True)
-    if len(reports) > 1:
-        print('Results:')
-        for report in reports:
-            print(json.dumps(report))
     sys.exit(0 if all(map(is_good, reports)) else 1)
 
 
