--- a/benchmarks/bench_logs.py
+++ b/benchmarks/bench_logs.py
@@ -19,6 +19,10 @@
 ROUNDS = 5
 #: A request writes one line at the entry and one at the sidecar.
 LINES_PER_REQUEST = 2
+_FORMAT = (
+    '{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {extra[prefix]}: '
+    '[{extra[request_id]}] {message}'
+)
 #: Largest share of the cheapest request that one line may take.
 MAX_SHARE = 0.2
 
@@ -35,6 +39,17 @@
 def line_cost_s(log_format, level='INFO'):
     """Return seconds of processor time for one decision's line."""
     logs.configure(log_format, level, ['a secret key'], io.StringIO())
+    return _cost_s()
+
+
+def library_cost_s(**params):
+    """Return the same for a line that loguru formats itself."""
+    loguru.logger.remove()
+    loguru.logger.add(io.StringIO(), **params)
+    return _cost_s()
+
+
+def _cost_s():
     log = logs.get_logger('routing')
     with logs.request('0123456789abcdef'):
         begin = time.thread_time()
@@ -73,6 +88,8 @@
         'request': request_cost_s,
         'plain line': lambda: line_cost_s('plain'),
         'json line': lambda: line_cost_s('json'),
+        'plain line by loguru': lambda: library_cost_s(format=_FORMAT),
+        'JSON line by loguru': lambda: library_cost_s(serialize=True),
         'line below the level': lambda: line_cost_s('plain', 'WARNING'),
     }
     costs = {
