Measure what keeping up costs, and read the list without its mappings

Only processes that make control calls load grpclib now; importing the configuration alone took it along.

--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -18,6 +18,7 @@
 from catkinshunt import configuration
 from catkinshunt.configuration.tests import fakes as store_fakes
 from catkinshunt import dissemination
+from catkinshunt.dissemination import peering
 from catkinshunt.dissemination.tests import fakes
 from catkinshunt import httpio
 from catkinshunt import kvstore
@@ -185,7 +186,7 @@
             name,
             place,
             (keeper,),
-            dissemination.GrpcPeering(name, pool),
+            peering.GrpcPeering(name, pool),
             lambda: self.members,
             pull_period_s=self.period_s,
             random_state=number,
@@ -197,7 +198,7 @@
             source, duty, lambda: self.members, wait_s=10.0
         )
         keeper.subscribe(spreader.wake)
-        handler = dissemination.Handler(spreader)
+        handler = peering.Handler(spreader)
         server = peers.PeerServer([handler], '127.0.0.1', 0, KEY, loop)
         return Node(keeper, spreader, server.start(), pool, watcher)
 
@@ -277,9 +278,9 @@
     with fleet.service._changed:
         fleet.service._changed.notify_all()
     pool = peers.PeerPool(KEY, fleet.loops[0])
-    peering = dissemination.GrpcPeering('operator', pool)
+    operator = peering.GrpcPeering('operator', pool)
     start = time.monotonic()
-    told = configuration.announce(HISTORY[1], peering, fleet.members, 0)
+    told = configuration.announce(HISTORY[1], operator, fleet.members, 0)
     fleet.wait(2)
     took = time.monotonic() - start
     pool.close()
--- a/catkinshunt/checks.py
+++ b/catkinshunt/checks.py
@@ -88,9 +88,13 @@
     return random.Random(random_state)
 
 
-def load_json(data):
+def load_json(data, object_hook=None):
     """Return the value that the JSON text `data` describes.
 
+    Args:
+        data: JSON text or bytes.
+        object_hook: function of each mapping that gives what replaces it.
+
     Raises:
         ValueError: it is not JSON, or its values lie too deep in each other.
 
@@ -99,7 +103,7 @@
         [1]
     """
     try:
-        return json.loads(data)
+        return json.loads(data, object_hook=object_hook)
     except RecursionError as exc:
         # A few kilobytes of brackets are enough. Readers expect ValueError
         # for bad text; anything else would end the thread that reads.
--- a/catkinshunt/control/_plane.py
+++ b/catkinshunt/control/_plane.py
@@ -3,6 +3,7 @@
 from catkinshunt import base
 from catkinshunt import configuration
 from catkinshunt import dissemination
+from catkinshunt.dissemination import peering
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt import instances
@@ -67,7 +68,7 @@
         """Listen, learn what the others know, then keep up with them."""
         self.loop.start()
         self._server = peers.PeerServer(
-            [dissemination.Handler(self._spreader), *self._handlers],
+            [peering.Handler(self._spreader), *self._handlers],
             self.cfg.host,
             self.cfg.control_port,
             self.cfg.deployment_key,
@@ -109,7 +110,7 @@
             cfg.name,
             cfg.data_centre,
             (self.keeper, self.directory),
-            dissemination.GrpcPeering(cfg.name, self.pool),
+            peering.GrpcPeering(cfg.name, self.pool),
             self._members,
             pull_period_s=self.pull_period_s,
         )
--- a/catkinshunt/dissemination/__init__.py
+++ b/catkinshunt/dissemination/__init__.py
@@ -1,10 +1,12 @@
-"""Hands revised documents on among the processes of the system."""
+"""Hands revised documents on among the processes of the system.
+
+The calls over grpclib are in `catkinshunt.dissemination.peering`, which only
+processes load that make them.
+"""
 
 from catkinshunt.dissemination._contacts import Contacts
 from catkinshunt.dissemination._duty import Duty
 from catkinshunt.dissemination._neighbours import Neighbours
-from catkinshunt.dissemination._peering import GrpcPeering
-from catkinshunt.dissemination._peering import Handler
 from catkinshunt.dissemination._spreader import FANOUT
 from catkinshunt.dissemination._spreader import PULL_PERIOD_S
 from catkinshunt.dissemination._spreader import Spreader
@@ -22,8 +24,6 @@
     'Contacts',
     'Duty',
     'FANOUT',
-    'GrpcPeering',
-    'Handler',
     'Neighbours',
     'PULL_PERIOD_S',
     'Spreader',
--- a/catkinshunt/instances/_instance.py
+++ b/catkinshunt/instances/_instance.py
@@ -1,6 +1,7 @@
 """One machine as the platform's list shows it."""
 
 import json
+import sys
 
 import attrs
 
@@ -47,16 +48,16 @@
             errors.PeerError: the item is no instance.
         """
         try:
-            control = value.get('control_address')
+            # Words that thousands of instances share are kept once.
             texts = {
-                name: checks.check_text(value[name], name) for name in _TEXTS
+                name: sys.intern(checks.check_text(value[name], name))
+                for name in _TEXTS
             }
+            address = httpio.Address.parse(value['address'])
             return cls(
                 **texts,
-                address=httpio.Address.parse(value['address']),
-                control_address=(
-                    httpio.Address.parse(control) if control else None
-                ),
+                address=address,
+                control_address=_control_address(value, address),
             )
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
             raise errors.PeerError(
@@ -77,3 +78,13 @@
             self.to_listing(), sort_keys=True, separators=(',', ':')
         )
         return text.encode()
+
+
+def _control_address(value, address):
+    text = value.get('control_address')
+    if not text:
+        return None
+    found = httpio.Address.parse(text)
+    if found.host == address.host:
+        return httpio.Address(address.host, found.port)
+    return found
--- a/catkinshunt/instances/_listing.py
+++ b/catkinshunt/instances/_listing.py
@@ -187,9 +187,10 @@
         errors.PeerError: the text is no list of instances.
     """
     try:
-        value = checks.load_json(text)
-        items = value['instances']
-        instances = [_instance.Instance.from_listing(item) for item in items]
+        value = checks.load_json(text, _read_instance)
+        instances = value['instances']
+        if not all(isinstance(i, _instance.Instance) for i in instances):
+            raise ValueError('something else than an instance')
         revision = checks.check_count(value['revision'], 'revision')
         change = Listing().find_change(revision, instances)
     except (ValueError, KeyError, TypeError) as exc:
@@ -200,6 +201,17 @@
     return attrs.evolve(found, changes=())
 
 
+def _read_instance(value):
+    """Make an instance of its mapping as soon as that is read.
+
+    The mappings of 10,000 instances together take twice the memory of the
+    instances, and a process never gives it back.
+    """
+    if 'instances' in value:
+        return value
+    return _instance.Instance.from_listing(value)
+
+
 def _hash(instance):
     if instance is None:
         return 0
