--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -49,7 +49,7 @@
     revision: int = 0
 
     @classmethod
-    def start(cls, launcher):
+    def start(cls, launcher, threads=64):
         """Start everything and wait until a request is answered."""
         self = cls(
             launcher,
@@ -65,6 +65,7 @@
             'data_centre': 'centre-1',
             'deployment_key': KEY,
             'log_level': 'INFO',
+            'threads': threads,
             'platform': {
                 'key_value': str(self.store),
                 'instance_list': str(self.listing),
--- a/benchmarks/bench_overhead.py
+++ b/benchmarks/bench_overhead.py
@@ -9,6 +9,7 @@
 import time
 
 from benchmarks import bench_capacity
+from benchmarks import processes
 from benchmarks import report
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
@@ -16,6 +17,8 @@
 
 CALLERS = (1, 16, 64)
 REQUESTS = 1200
+#: Above the callers, or the processes would refuse some of them.
+THREADS = 96
 STREAMS = (1, 8)
 PIECES = 4000
 #: Most that a request's median through both may take of the straight one.
@@ -70,15 +73,28 @@
     return took, time.perf_counter() - begin
 
 
-def measure(ways, callers, requests, pieces):
+def cpu_s(made):
+    """Return the processor seconds used by entry and sidecar so far."""
+    return [
+        processes.usage(launched.popen.pid).cpu_s
+        for launched in (made.entry, made.sidecar)
+    ]
+
+
+def measure(made, ways, callers, requests, pieces):
     """Return one row: straight, through, and their ratios."""
     row = {'callers': callers, 'pieces': pieces}
     for name, (address, path) in ways.items():
         run(address, path, callers, requests // 4 or callers, pieces)
+        before = cpu_s(made)
         took, whole_s = run(address, path, callers, requests, pieces)
+        used = [b - a for a, b in zip(before, cpu_s(made), strict=True)]
         row[f'{name}_p50_ms'] = report.percentile(took, 0.5) * 1000
         row[f'{name}_p99_ms'] = report.percentile(took, 0.99) * 1000
         row[f'{name}_per_s'] = len(took) * pieces / whole_s
+    # Of the last way, the one through both.
+    for name, seconds in zip(('entry', 'sidecar'), used, strict=True):
+        row[f'{name}_cpu_us'] = seconds / len(took) / pieces * 1e6
     row['p50_ratio'] = row['through_p50_ms'] / row['straight_p50_ms']
     row['per_s_ratio'] = row['through_per_s'] / row['straight_per_s']
     return {
@@ -90,15 +106,18 @@
 def main():
     """Print the tables, write the result, check the bounds."""
     with launch.Launcher() as launcher:
-        made = bench_capacity.Deployment.start(launcher)
+        made = bench_capacity.Deployment.start(launcher, THREADS)
         service = f'/{bench_capacity.SERVICE}/generate'
         ways = {
             'straight': (made.engine, '/generate'),
             'through': (made.entry.address, service),
         }
-        requests = [measure(ways, callers, REQUESTS, 1) for callers in CALLERS]
+        requests = [
+            measure(made, ways, callers, REQUESTS, 1) for callers in CALLERS
+        ]
         streams = [
-            measure(ways, callers, callers, PIECES) for callers in STREAMS
+            measure(made, ways, callers, callers, PIECES)
+            for callers in STREAMS
         ]
     for title, rows in (('requests', requests), ('streams', streams)):
         report.print_table(
--- a/catkinshunt/httpio/_channel.py
+++ b/catkinshunt/httpio/_channel.py
@@ -1,5 +1,7 @@
 """Changes to waitress's handling of one connection."""
 
+import time
+
 import waitress.channel
 import waitress.task
 
@@ -38,6 +40,23 @@
 
     task_class = Task
 
+    def write_soon(self, data):
+        """Send at once what the socket takes; buffer only the rest.
+
+        Buffered bytes make the loop's thread poll for a socket that this
+        thread is about to write to, again and again until it has done so.
+        """
+        if not isinstance(data, bytes):
+            return super().write_soon(data)
+        size, sent = len(data), 0
+        with self.outbuf_lock:
+            if self.connected and not self.total_outbufs_len:
+                sent = self.send(data, do_close=False) or 0
+                self.last_activity = time.time()
+        if sent < size:
+            super().write_soon(data[sent:])
+        return size
+
 
 class _HeldChannel:
     """Collects what a task writes."""
--- a/catkinshunt/routing/_affinity.py
+++ b/catkinshunt/routing/_affinity.py
@@ -1,6 +1,7 @@
 """Keeps requests with one prompt prefix on one upstream."""
 
 import hashlib
+import heapq
 
 from catkinshunt import checks
 from catkinshunt.routing import _load
@@ -87,4 +88,4 @@
             digest.update(view.name.encode())
             return digest.digest()
 
-        return sorted(candidates, key=weight, reverse=True)[: self.homes]
+        return heapq.nlargest(self.homes, candidates, key=weight)
--- a/catkinshunt/routing/_health.py
+++ b/catkinshunt/routing/_health.py
@@ -53,7 +53,7 @@
 
     def check(self, view, now):
         """Return whether an upstream may get a request, probe or not."""
-        if view.state == base.State.SERVING:
+        if view.state is base.State.SERVING:
             return True
         record = self._records().get(view.name)
         if record is None:
@@ -71,7 +71,7 @@
 
     def begin(self, view):
         """Mark the request that goes to a suspect upstream as its probe."""
-        if view.state == base.State.SERVING:
+        if view.state is base.State.SERVING:
             return
         self._records().setdefault(view.name, _Record()).probing = True
 
--- a/catkinshunt/routing/_router.py
+++ b/catkinshunt/routing/_router.py
@@ -70,6 +70,7 @@
         self.health = health
         self._lock = threading.Lock()
         self._views = {}
+        self._orders = {}
         self._ranked = {}
         self._asked_at = 0.0
 
@@ -90,6 +91,7 @@
                 self._views[view.name] = self._merge(old, view, health)
             for name in known:
                 health.forget(name)
+            self._orders.clear()
             self._ranked.clear()
 
     def choose(self, req, now, policy=None):
@@ -204,12 +206,14 @@
         health = self._health()
         usable, probes = [], []
         for view in ranked:
-            if view.name in req.excluded or not health.check(view, now):
+            if view.name in req.excluded:
                 continue
-            serving = view.state == base.State.SERVING
-            (usable if serving else probes).append(view)
-            if len(usable) >= self.subset_size:
-                break
+            if view.state is base.State.SERVING:
+                usable.append(view)
+                if len(usable) >= self.subset_size:
+                    break
+            elif health.check(view, now):
+                probes.append(view)
         if probes and (req.idempotent or not usable):
             # One request tries one suspect, or it would never come back.
             return probes[:1]
@@ -218,11 +222,7 @@
     def _rank(self, req):
         key = (req.service, req.model, req.model_version)
         if key not in self._ranked:
-            order = _subset.rank_upstreams(
-                self.entry,
-                [v for v in self._views.values() if v.service == req.service],
-                self.data_centre,
-            )
+            order = self._order(req.service)
             fits = [v.may_serve(req.model, req.model_version) for v in order]
             self._ranked[key] = _Ranked(
                 [v for v, fit in zip(order, fits, strict=True) if fit],
@@ -230,6 +230,19 @@
             )
         return self._ranked[key]
 
+    def _order(self, service):
+        """Return the entry's order of a service's upstreams.
+
+        It hashes each of them, so it outlasts changes of their versions.
+        """
+        if service not in self._orders:
+            self._orders[service] = _subset.rank_upstreams(
+                self.entry,
+                [v for v in self._views.values() if v.service == service],
+                self.data_centre,
+            )
+        return self._orders[service]
+
     def _refusal(self, req, ranked, now):
         waits = [self._health().retry_at(view) - now for view in ranked]
         waits = [wait_s for wait_s in waits if wait_s > 0]
--- a/catkinshunt/routing/_subset.py
+++ b/catkinshunt/routing/_subset.py
@@ -74,7 +74,6 @@
         [view for view in candidates if view.region == region],
     )
     for group in groups:
-        loads = [base.estimate_load(view, now) for view in group]
-        if loads and min(loads) < spill_load:
+        if any(base.estimate_load(view, now) < spill_load for view in group):
             return group
     return candidates
--- a/catkinshunt/routing/base.py
+++ b/catkinshunt/routing/base.py
@@ -150,7 +150,9 @@
     """
     if view.reported_at is None:
         return float(view.in_flight)
-    others = max(0.0, view.reported_load - view.own_at_report)
+    others = view.reported_load - view.own_at_report
+    if others <= 0:
+        return float(view.in_flight)
     age_s = max(0.0, now - view.reported_at)
     return view.in_flight + others * 0.5 ** (age_s / half_life_s)
 
