--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -175,7 +175,7 @@
         node.view.observe(
             peer.member.name,
             peer.view.holdings,
-            peer.gate.uploaded_copies,
+            peer.gate.uploaded_copies(self.now),
             self.now,
         )
 
@@ -197,7 +197,7 @@
             self.at(late, self._fail, node, pull)
             return
         held = peer.view.holdings >> pull.chunk & 1
-        if held and peer.gate.begin(1 / self.n_chunks):
+        if held and peer.gate.begin(1 / self.n_chunks, self.now):
             self._begin(node, pull, peer)
             return
         self._observe(node, peer)
@@ -287,7 +287,7 @@
             self.corrupt += 1
             node.view.fail(transfer.pull, self.now, self.settings.avoid)
         else:
-            node.view.finish(transfer.pull)
+            node.view.finish(transfer.pull, self.now)
         if node.view.whole:
             node.done_at = self.now
         self._wake(node)
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -194,6 +194,18 @@
     """A manifest that is not whole or contradicts itself."""
 
 
+class SourceBusyError(TransferError):
+    """A source has no place, or not yet the chunk; ask it later.
+
+    Args:
+        retry_after_s: seconds after which it may be asked again.
+    """
+
+    def __init__(self, message, *, step='', peer='', retry_after_s=None):
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
 class CorruptChunkError(TransferError):
     """A chunk whose digest is not the one in the manifest."""
 
--- a/catkinshunt/weights/__init__.py
+++ b/catkinshunt/weights/__init__.py
@@ -1,6 +1,11 @@
 """Weight distribution: manifests, chunks and the choice of sources."""
 
+from catkinshunt.weights._agent import TransferAgent
+from catkinshunt.weights._agent import TransferReport
+from catkinshunt.weights._agent import Wanted
+from catkinshunt.weights._app import ChunkApp
 from catkinshunt.weights._gate import UploadGate
+from catkinshunt.weights._link import LinkShare
 from catkinshunt.weights._manifest import Manifest
 from catkinshunt.weights._ordered import ChainStrategy
 from catkinshunt.weights._ordered import StripedStrategy
@@ -8,6 +13,7 @@
 from catkinshunt.weights._rendezvous import rank
 from catkinshunt.weights._store import ChunkStore
 from catkinshunt.weights._swarm import SwarmStrategy
+from catkinshunt.weights._timing import Timing
 from catkinshunt.weights._view import Member
 from catkinshunt.weights._view import PeerView
 from catkinshunt.weights._view import Pull
@@ -19,15 +25,21 @@
     'ORIGIN',
     'BaseStrategy',
     'ChainStrategy',
+    'ChunkApp',
     'ChunkStore',
+    'LinkShare',
     'Manifest',
     'Member',
     'PeerView',
     'Pull',
     'StripedStrategy',
     'SwarmStrategy',
+    'Timing',
+    'TransferAgent',
+    'TransferReport',
     'TransferView',
     'TreeStrategy',
     'UploadGate',
+    'Wanted',
     'rank',
 ]
--- a/catkinshunt/weights/_draws.py
+++ b/catkinshunt/weights/_draws.py
@@ -23,6 +23,7 @@
         due_at: earliest time of the first attempt.
         own_at: time from which the origin may be asked although an earlier
             drawer lives.
+        extra: whether this copy is wanted though others hold the chunk.
         earlier: names of the drawers before this instance, first the ones
             of its own data centre.
     """
@@ -30,6 +31,7 @@
     chunk = attrs.field()
     due_at = attrs.field()
     own_at = attrs.field()
+    extra = attrs.field()
     earlier = attrs.field()
 
 
@@ -60,7 +62,7 @@
         seen: chunks that some usable peer is known to hold.
         now: the present time, in seconds.
     """
-    if draw.earlier and seen >> draw.chunk & 1:
+    if not draw.extra and seen >> draw.chunk & 1:
         return None
     if draw.own_at > now:
         for name in draw.earlier:
@@ -94,11 +96,13 @@
     pace_s = strategy.origin_copy_s / view.n_chunks
     if turn < strategy.copies(chunk):
         due_at = view.started_at + pace_s * (turn * view.n_chunks + chunk)
-        return Draw(chunk, due_at, due_at, ())
+        return Draw(chunk, due_at, due_at, turn > 0, ())
     first_at = view.started_at + pace_s * (chunk + 1)
     if rank == 0:
         due_at = first_at
     else:
         due_at = first_at + strategy.takeover_s * (1 + math.log2(rank))
     own_at = first_at + _PATIENCE * strategy.takeover_s * (1 + turn)
-    return Draw(chunk, due_at, own_at, tuple(local[:rank]) + tuple(heads))
+    return Draw(
+        chunk, due_at, own_at, False, tuple(local[:rank]) + tuple(heads)
+    )
--- a/catkinshunt/weights/_gate.py
+++ b/catkinshunt/weights/_gate.py
@@ -10,58 +10,72 @@
 
     Without the budget the instances that hold chunks first would send many
     copies each and fill their links, at the cost of live requests there,
-    while others send nothing.
+    while others send nothing. What was sent is forgotten slowly, so that
+    instances which restart later still find peers that may send.
 
     Args:
         size_bytes: length of one copy of the version.
         budget_copies: copies sent at most; None for no bound.
         max_uploads: uploads at a time.
+        forget_s: seconds in which one copy sent is forgotten; None for
+            never.
 
     Examples:
         >>> gate = UploadGate(100, budget_copies=1, max_uploads=2)
-        >>> gate.begin(60), gate.begin(60)
+        >>> gate.begin(60, now=0.0), gate.begin(60, now=0.0)
         (True, False)
-        >>> gate.uploaded_copies
+        >>> gate.uploaded_copies(now=0.0)
         0.6
     """
 
-    def __init__(self, size_bytes, budget_copies=1.05, max_uploads=4):
+    def __init__(
+        self, size_bytes, budget_copies=1.04, max_uploads=8, forget_s=None
+    ):
         self.size_bytes = size_bytes
         self.budget_copies = budget_copies
         self.max_uploads = max_uploads
+        self.forget_s = forget_s
+        self.sent_bytes = 0
         self._lock = threading.Lock()
         self._uploads = 0
-        self._uploaded_bytes = 0
+        self._counted_bytes = 0.0
+        self._counted_at = None
 
-    @property
-    def uploaded_copies(self):
-        """Copies sent or promised so far."""
-        return self._uploaded_bytes / self.size_bytes
-
-    @property
-    def uploaded_bytes(self):
-        """Bytes sent or promised so far."""
-        return self._uploaded_bytes
+    def uploaded_copies(self, now):
+        """Copies sent or promised, less what is forgotten."""
+        with self._lock:
+            self._forget(now)
+            return self._counted_bytes / self.size_bytes
 
-    def begin(self, chunk_bytes):
+    def begin(self, chunk_bytes, now):
         """Take a place for an upload; returns False if there is none."""
         with self._lock:
+            self._forget(now)
             if self._uploads >= self.max_uploads:
                 return False
             if self._exceeds(chunk_bytes):
                 return False
             self._uploads += 1
-            self._uploaded_bytes += chunk_bytes
+            self._counted_bytes += chunk_bytes
+            self.sent_bytes += chunk_bytes
             return True
 
     def end(self, unsent_bytes=0):
         """Give the place back, and the bytes that were not sent."""
         with self._lock:
             self._uploads -= 1
-            self._uploaded_bytes -= unsent_bytes
+            self._counted_bytes -= unsent_bytes
+            self.sent_bytes -= unsent_bytes
 
     def _exceeds(self, chunk_bytes):
         if self.budget_copies is None:
             return False
         bound = self.budget_copies * self.size_bytes
-        return self._uploaded_bytes + chunk_bytes > bound
+        return self._counted_bytes + chunk_bytes > bound
+
+    def _forget(self, now):
+        since, self._counted_at = self._counted_at, now
+        if self.forget_s is None or since is None:
+            return
+        forgotten = (now - since) / self.forget_s * self.size_bytes
+        self._counted_bytes = max(0.0, self._counted_bytes - forgotten)
--- a/catkinshunt/weights/_swarm.py
+++ b/catkinshunt/weights/_swarm.py
@@ -9,6 +9,8 @@
 #: Copies that the origin sends at most when time counts most.
 MAX_ORIGIN_COPIES = 4
 _FRACTION_STEPS = 1000
+#: Takeover times without one new chunk after which the origin is asked.
+_STUCK = 5
 
 
 class SwarmStrategy(base.BaseStrategy):
@@ -83,8 +85,9 @@
         if not waiting:
             return None
         seen = self._seen(view, now)
+        late = self._joins_late(view)
         for draw in waiting:
-            if not missing >> draw.chunk & 1:
+            if not missing >> draw.chunk & 1 or (late and draw.extra):
                 continue
             pull = _draws.choose_draw(view, draw, seen, now)
             if pull is not None:
@@ -95,6 +98,8 @@
         # A peer that is no neighbour any more is not asked again. If it
         # died with the only copy of a chunk, old knowledge of it would keep
         # every drawer waiting; one notices by a last chunk that never comes.
+        if self._is_stuck(view, now):
+            return 0
         seen = 0
         for name, peer in view.peers.items():
             fresh = now - peer.observed_at <= self.takeover_s
@@ -102,6 +107,19 @@
                 seen |= peer.holdings
         return seen
 
+    def _is_stuck(self, view, now):
+        # Peers that hold a chunk and never have a place for this instance
+        # would keep it waiting for ever: the origin is there for that. The
+        # wait differs from one instance to the next, against a stampede.
+        part = _rendezvous.score('stuck', view.me) % _FRACTION_STEPS
+        wait_s = _STUCK * (1 + part / _FRACTION_STEPS) * self.takeover_s
+        return now - view.progress_at > wait_s
+
+    def _joins_late(self, view):
+        """Whether a peer is whole, so that the origin need not help."""
+        everything = (1 << view.n_chunks) - 1
+        return any(one.holdings == everything for one in view.peers.values())
+
     def _choose_rarest(self, view, now):
         missing = view.missing
         names = [
--- a/catkinshunt/weights/_view.py
+++ b/catkinshunt/weights/_view.py
@@ -9,10 +9,17 @@
 
 @attrs.frozen
 class Member:
-    """An instance that wants the same version."""
+    """An instance that wants the same version.
+
+    Args:
+        name: its name.
+        data_centre: where it stands.
+        address: `httpio.Address` of its sidecar; None where nothing is sent.
+    """
 
     name = attrs.field()
     data_centre = attrs.field(default='')
+    address = attrs.field(default=None)
 
 
 @attrs.frozen
@@ -53,6 +60,7 @@
         self.holdings = 0
         self.pulling = 0
         self.origin_pulls = 0
+        self.progress_at = started_at
         self.peers = {}
         self.set_members(members)
 
@@ -105,9 +113,10 @@
         else:
             self.peer(pull.peer).pulls += 1
 
-    def finish(self, pull):
+    def finish(self, pull, now):
         """Note that `pull` brought its chunk, whole and verified."""
         self._end(pull)
+        self.progress_at = now
         self.holdings |= 1 << pull.chunk
         if pull.peer != base.ORIGIN:
             self.peer(pull.peer).strikes = 0
--- a/catkinshunt/weights/tests/test_strategies.py
+++ b/catkinshunt/weights/tests/test_strategies.py
@@ -132,9 +132,24 @@
     peer = strategy.neighbours(view, 1.0)[0]
     view.observe(peer, (1 << N_CHUNKS) - 1, 0.0, 1e6)
     view.peer(peer).busy_until = 1e9
+    view.progress_at = 1e6
     assert drain(strategy, view, 1e6 + 1.0) == []
 
 
+def test_holders_that_never_have_a_place_do_not_block_for_ever():
+    """Peers say that they hold the last chunk, and are always busy.
+
+    An instance that went on waiting for them would never be whole.
+    """
+    strategy = make_swarm(origin_copy_s=1e-6, max_pulls=N_CHUNKS)
+    view = make_view('instance-0')
+    peer = strategy.neighbours(view, 0.0)[0]
+    view.observe(peer, (1 << N_CHUNKS) - 1, 0.0, 110.0)
+    view.peer(peer).busy_until = 1e9
+    sources = {pull.peer for pull in drain(strategy, view, 110.0)}
+    assert weights.ORIGIN in sources
+
+
 def test_old_knowledge_of_a_dead_holder_does_not_stop_a_takeover():
     """The first drawer dies just after it got a chunk, and a peer knew.
 
