Keep peers with spent budgets known, and forget only when whole

Cause: a restarted instance found the budgets of its peers spent, dropped them from its neighbours, no longer knew that they hold the chunks and drew them from the origin (a test saw 45,000 bytes of 600,000). Ruled out: the first round of questions, which was answered in 4 ms. Such peers now stay neighbours of the last choice, and a whole instance forgets what it sent in ten link times a copy.

--- a/catkinshunt/weights/_gate.py
+++ b/catkinshunt/weights/_gate.py
@@ -10,15 +10,16 @@
 
     Without the budget the instances that hold chunks first would send many
     copies each and fill their links, at the cost of live requests there,
-    while others send nothing. What was sent is forgotten slowly, so that
-    instances which restart later still find peers that may send.
+    while others send nothing. Once this instance is whole, what it sent is
+    forgotten slowly, so that instances which restart later still find peers
+    that may send.
 
     Args:
         size_bytes: length of one copy of the version.
         budget_copies: copies sent at most; None for no bound.
         max_uploads: uploads at a time.
-        forget_s: seconds in which one copy sent is forgotten; None for
-            never.
+        forget_s: seconds in which one copy sent is forgotten after
+            `relax`.
 
     Examples:
         >>> gate = UploadGate(100, budget_copies=1, max_uploads=2)
@@ -29,7 +30,7 @@
     """
 
     def __init__(
-        self, size_bytes, budget_copies=1.04, max_uploads=8, forget_s=None
+        self, size_bytes, budget_copies=1.04, max_uploads=8, forget_s=60.0
     ):
         self.size_bytes = size_bytes
         self.budget_copies = budget_copies
@@ -60,6 +61,12 @@
             self.sent_bytes += chunk_bytes
             return True
 
+    def relax(self, now):
+        """Begin to forget what was sent."""
+        with self._lock:
+            if self._counted_at is None:
+                self._counted_at = now
+
     def end(self, unsent_bytes=0):
         """Give the place back, and the bytes that were not sent."""
         with self._lock:
@@ -74,8 +81,9 @@
         return self._counted_bytes + chunk_bytes > bound
 
     def _forget(self, now):
-        since, self._counted_at = self._counted_at, now
-        if self.forget_s is None or since is None:
+        since = self._counted_at
+        if since is None:
             return
+        self._counted_at = now
         forgotten = (now - since) / self.forget_s * self.size_bytes
         self._counted_bytes = max(0.0, self._counted_bytes - forgotten)
--- a/catkinshunt/weights/_swarm.py
+++ b/catkinshunt/weights/_swarm.py
@@ -58,14 +58,13 @@
         return int(wanted + part / _FRACTION_STEPS)
 
     def neighbours(self, view, now):
-        names = self._ranked(view)
-        chosen = []
-        for name in names:
-            if len(chosen) == self.n_neighbours:
-                break
-            if view.usable(name, now) and not self._depleted(view, name):
-                chosen.append(name)
-        return tuple(chosen)
+        usable = [
+            name for name in self._ranked(view) if view.usable(name, now)
+        ]
+        # Peers with a spent budget come last, but stay known: they show
+        # that a chunk is held, and need not be drawn from the origin.
+        usable.sort(key=lambda name: self._depleted(view, name))
+        return tuple(usable[: self.n_neighbours])
 
     def choose(self, view, now):
         if view.n_pulls >= self.max_pulls:
@@ -101,9 +100,10 @@
         if self._is_stuck(view, now):
             return 0
         seen = 0
+        asked = set(self.neighbours(view, now))
         for name, peer in view.peers.items():
             fresh = now - peer.observed_at <= self.takeover_s
-            if fresh and view.usable(name, now):
+            if (fresh or name in asked) and view.usable(name, now):
                 seen |= peer.holdings
         return seen
 
@@ -142,6 +142,8 @@
         peer = view.peer(name)
         if peer.pulls or peer.busy_until > now:
             return False
+        if self._depleted(view, name):
+            return False
         return bool(peer.holdings & missing)
 
     def _least_uploaded(self, view, names):
--- a/catkinshunt/weights/_timing.py
+++ b/catkinshunt/weights/_timing.py
@@ -5,7 +5,7 @@
 _LIMITS = {
     'poll_s': (0.01, 0.5),
     'refresh_s': (0.1, 5.0),
-    'takeover_s': (0.3, 30.0),
+    'takeover_s': (0.5, 30.0),
     'avoid_s': (0.3, 10.0),
 }
 _SHARES = {
@@ -19,7 +19,7 @@
 #: Slowest link that a chunk's time-out allows for, as a part of the rate.
 _SLOWEST = 0.002
 _SHORTEST_CHUNK_S = 5.0
-_FORGET_COPIES = 100
+_FORGET_COPIES = 10
 
 
 @attrs.frozen
@@ -33,7 +33,7 @@
         takeover_s: lateness of a chunk before another drawer steps in.
         avoid_s: time for which a failed peer is left alone at first.
         chunk_s: longest time for one chunk.
-        forget_s: time in which one copy sent is forgotten.
+        forget_s: time in which a whole instance forgets one copy sent.
     """
 
     link_s = attrs.field()
--- a/catkinshunt/weights/_transfer.py
+++ b/catkinshunt/weights/_transfer.py
@@ -18,7 +18,7 @@
 ORIGIN_TASKS = 4
 #: A peer that sent a wrong chunk is left alone this many times longer.
 CORRUPT_FACTOR = 30
-_GREETING_S = 1.0
+_GREETING_S = 2.0
 _STORE_RETRY_S = 1.0
 _ASK = object()
 _END = object()
@@ -126,6 +126,7 @@
         for task in self._tasks.values():
             task.put(_END)
         if self.store.whole:
+            self.gate.relax(time.monotonic())
             _log.info(
                 'Version {} of {} is whole.',
                 self.manifest.version,
