Ask several instances of another data centre for a chunk

Cause: with the leaning towards origin bytes, three data centres and 5 % dying, the first drawer of a data centre asked one instance elsewhere. Where that had spent its budget, a whole data centre waited. Now eight are asked in turn, and a drawer goes to the origin by its rank within its data centre.

--- a/catkinshunt/weights/_draws.py
+++ b/catkinshunt/weights/_draws.py
@@ -12,6 +12,9 @@
 #: An earlier drawer that lives gets this many times the takeover time: its
 #: link may be slow, and a second copy would slow it further.
 _PATIENCE = 4
+#: Instances of another data centre that are asked for a chunk, in turn; one
+#: alone may have spent its budget.
+_REMOTE = 8
 
 
 @attrs.define
@@ -24,15 +27,18 @@
         own_at: time from which the origin may be asked although an earlier
             drawer lives.
         extra: whether this copy is wanted though others hold the chunk.
-        earlier: names of the drawers before this instance, first the ones
-            of its own data centre.
+        earlier: names of the drawers of this data centre that come before
+            this instance.
+        remote: names of instances in data centres that get the chunk
+            before this one, likely holders first.
     """
 
     chunk = attrs.field()
     due_at = attrs.field()
     own_at = attrs.field()
     extra = attrs.field()
-    earlier = attrs.field()
+    earlier = attrs.field(default=())
+    remote = attrs.field(default=())
 
 
 def plan_draws(view, strategy):
@@ -67,18 +73,22 @@
     if draw.own_at > now:
         for name in draw.earlier:
             if view.usable(name, now):
-                return _ask(view, draw.chunk, name, now)
+                return _ask(view, draw.chunk, (name,), now)
+        remote = [name for name in draw.remote if view.usable(name, now)]
+        if remote:
+            return _ask(view, draw.chunk, remote, now)
     origin = view.peer(base.ORIGIN)
     if max(origin.busy_until, origin.avoid_until) > now:
         return None
     return _view.Pull(draw.chunk, base.ORIGIN)
 
 
-def _ask(view, chunk, name, now):
-    peer = view.peer(name)
-    if peer.busy_until > now or peer.pulls:
-        return None
-    return _view.Pull(chunk, name)
+def _ask(view, chunk, names, now):
+    for name in names:
+        peer = view.peer(name)
+        if peer.busy_until <= now and not peer.pulls:
+            return _view.Pull(chunk, name)
+    return None
 
 
 def _plan(view, strategy, names, chunk):
@@ -88,21 +98,22 @@
     local = _rendezvous.rank(f'chunk-{stripe}', names[home])
     place = homes.index(home)
     rank = local.index(view.me)
-    heads = [
-        _rendezvous.rank(f'chunk-{stripe}', names[one])[0]
-        for one in homes[:place]
-    ]
     turn = rank * len(homes) + place
     pace_s = strategy.origin_copy_s / view.n_chunks
     if turn < strategy.copies(chunk):
         due_at = view.started_at + pace_s * (turn * view.n_chunks + chunk)
-        return Draw(chunk, due_at, due_at, turn > 0, ())
+        return Draw(chunk, due_at, due_at, turn > 0)
     first_at = view.started_at + pace_s * (chunk + 1)
     if rank == 0:
         due_at = first_at
     else:
         due_at = first_at + strategy.takeover_s * (1 + math.log2(rank))
-    own_at = first_at + _PATIENCE * strategy.takeover_s * (1 + turn)
+    own_at = first_at + _PATIENCE * strategy.takeover_s * (1 + rank)
+    remote = [
+        name
+        for one in homes[:place]
+        for name in _rendezvous.rank(f'chunk-{stripe}', names[one])[:_REMOTE]
+    ]
     return Draw(
-        chunk, due_at, own_at, False, tuple(local[:rank]) + tuple(heads)
+        chunk, due_at, own_at, False, tuple(local[:rank]), tuple(remote)
     )
