Keep the order of all data centres for draws of last resort

Tried: a drawer goes to the origin by its rank within its data centre. The leaning asks for few origin bytes, so the order over all data centres stays.

--- a/catkinshunt/weights/_draws.py
+++ b/catkinshunt/weights/_draws.py
@@ -108,7 +108,7 @@
         due_at = first_at
     else:
         due_at = first_at + strategy.takeover_s * (1 + math.log2(rank))
-    own_at = first_at + _PATIENCE * strategy.takeover_s * (1 + rank)
+    own_at = first_at + _PATIENCE * strategy.takeover_s * (1 + turn)
     remote = [
         name
         for one in homes[:place]
