--- a/catkinshunt/cli/_status.py
+++ b/catkinshunt/cli/_status.py
@@ -43,16 +43,31 @@
     """Show the status; with `watch` until every replica serves."""
     cfg = settings.load_settings(path, settings.OperatorSettings)
     while True:
+        accepted = _accepted_revision(cfg)
         rows = read_rows(cfg)
         for line in table(rows):
             print(line)
-        done = _show_progress(rows)
+        done = _show_revision(rows, accepted)
+        done = _show_progress(rows) and done
         sys.stdout.flush()
         if done or not watch:
             return 0
         time.sleep(every_s)
 
 
+def _accepted_revision(cfg):
+    """Return the revision accepted last, or None in an outage."""
+    from catkinshunt import configuration
+    from catkinshunt import kvstore
+
+    address = httpio.Address.parse(cfg.platform.key_value)
+    store = kvstore.HttpKeyValueStore(address, cfg.timeout_s)
+    try:
+        return configuration.Editor(store).read().revision
+    except errors.StoreError:
+        return None
+
+
 def read_rows(cfg):
     """Ask the platform's list, then each instance on it.
 
@@ -69,7 +84,8 @@
         )
     listed = json.loads(reply.body)['instances']
     with concurrent.futures.ThreadPoolExecutor(_PARALLEL) as executor:
-        return list(executor.map(lambda item: _row(cfg, item), listed))
+        rows = executor.map(lambda item: _row(cfg, item), listed)
+        return sorted(rows, key=lambda row: (row.service, row.name))
 
 
 def _row(cfg, item):
@@ -139,6 +155,21 @@
     )
 
 
+def _show_revision(rows, accepted):
+    """Print where the accepted revision is in force; return if everywhere.
+
+    Where it is not, what an instance wants and serves may still be what the
+    rules before said, and a rollout would look complete before it began.
+    """
+    known = [row.revision for row in rows if row.revision is not None]
+    if accepted is None:
+        print('the key-value service does not answer; highest seen is')
+        accepted = max(known, default=0)
+    count = sum(revision >= accepted for revision in known)
+    print(f'revision {accepted}: in force at {count} of {len(rows)} instances')
+    return count == len(known)
+
+
 def _show_progress(rows):
     """Print replicas done of wanted; return whether none is missing."""
     wanted = collections.Counter()
--- a/catkinshunt/kvstore/_http.py
+++ b/catkinshunt/kvstore/_http.py
@@ -100,7 +100,11 @@
             kind = errors.StoreUnavailableError
             if not sure:
                 kind = errors.StoreUnknownError
-            raise kind(f'status {reply.status}', step=method, peer=peer)
+            raise kind(
+                f'the key-value service answered {reply.status}',
+                step=method,
+                peer=peer,
+            )
         return reply
 
 
