Take the signal of a planned stop without a handler

Now and then a process did not end on SIGTERM: its handler set an event while the main thread held that event's lock in wait, and waited for itself. One of some 60 stops in tests hung so; a trial that signals in a loop hangs within seconds, with the handler's set below wait on the main thread's stack. The signals are blocked in all threads now and taken by sigwait.

--- a/catkinshunt/cli/_serve.py
+++ b/catkinshunt/cli/_serve.py
@@ -6,11 +6,10 @@
 
 import gc
 import linecache
-import signal
-import threading
 
 from catkinshunt.cli import _absent
 from catkinshunt.cli import _relaunch
+from catkinshunt.cli import _stop_signal
 
 
 def check_and_serve(role, path):
@@ -42,9 +41,7 @@
     cfg = process.cfg
     logs.configure(cfg.log_format, cfg.log_level, [cfg.deployment_key])
     log = logs.get_logger('process')
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+    _stop_signal.block()
     with process:
         # What start-up left behind is freed once; what stays is not looked
         # at by the collector again.
@@ -54,6 +51,6 @@
         linecache.clearcache()
         print(process.address, flush=True)
         log.info('{} listens at {}.', cfg.name, process.address)
-        stopped.wait()
+        _stop_signal.wait()
         log.info('{} stops: finishing requests in progress.', cfg.name)
     log.info('{} has stopped.', cfg.name)
--- a/catkinshunt/cli/tests/test_serve.py
+++ b/catkinshunt/cli/tests/test_serve.py
@@ -67,3 +67,27 @@
     assert done.stderr.count('\n') == 1
     assert 'port' in done.stderr
     assert sys.executable not in done.stderr
+
+
+def test_stop_is_heeded_whenever_its_signal_comes():
+    """SIGTERM came while the main thread began to wait for it.
+
+    Its handler waited for a lock that the same thread held, and the process
+    stayed until it was killed, which cut the requests on it.
+    """
+    source = """
+import os, signal
+from catkinshunt.cli import _stop_signal
+_stop_signal.block()
+for _ in range(200):
+    os.kill(os.getpid(), signal.SIGTERM)
+    _stop_signal.wait()
+print('ended')
+"""
+    done = subprocess.run(
+        [sys.executable, '-c', source],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.stdout == 'ended\n'
