Place models by the swarm, and order engines from a guarded slot

An order names a URL with a token of this process; a later process in the slot knows neither the token nor a version that is not wanted. So an old order finds no weights, also on engines that ignore fencing numbers. The listening port holds the slot. A start counter in the fencing number was weighed and left out: it would need a write to the key-value service at each start, and covers only engines that check.

--- a/catkinshunt/control/__init__.py
+++ b/catkinshunt/control/__init__.py
@@ -2,7 +2,14 @@
 
 from catkinshunt.control._headers import RevisionApp
 from catkinshunt.control._placement import choose_placement
+from catkinshunt.control._placement import find_holders
 from catkinshunt.control._placement import Placement
 from catkinshunt.control._plane import ControlPlane
 
-__all__ = ['ControlPlane', 'Placement', 'RevisionApp', 'choose_placement']
+__all__ = [
+    'ControlPlane',
+    'Placement',
+    'RevisionApp',
+    'choose_placement',
+    'find_holders',
+]
--- a/catkinshunt/control/_placement.py
+++ b/catkinshunt/control/_placement.py
@@ -42,13 +42,31 @@
         return Placement(rule)
     place = rule.then
     if place.replicas is not None:
-        names = _find_matched(rule_set, rule, instance, instances)
-        order = rendezvous.rank(f'{place.model}/{rule.name}', names)
-        if instance.name not in order[: place.replicas]:
+        names = find_holders(rule_set, instance, instances)
+        if instance.name not in names:
             return Placement(rule)
     return Placement(rule, place)
 
 
+def find_holders(rule_set, instance, instances):
+    """Return the names of the instances that hold what `instance` may hold.
+
+    Args:
+        rule_set: the `rules.RuleSet` in force.
+        instance: the `instances.Instance` asked for, listed or not yet.
+        instances: the instances known.
+    """
+    rule = rule_set.match(_make_event(instance))
+    if rule is None or not isinstance(rule.then, rules.Place):
+        return frozenset()
+    names = _find_matched(rule_set, rule, instance, instances)
+    place = rule.then
+    if place.replicas is not None:
+        order = rendezvous.rank(f'{place.model}/{rule.name}', names)
+        names = order[: place.replicas]
+    return frozenset(names)
+
+
 def _find_matched(rule_set, rule, instance, instances):
     """Return the names of the instances for which `rule` decides."""
     names = {instance.name}
--- a/catkinshunt/sidecar/_app.py
+++ b/catkinshunt/sidecar/_app.py
@@ -85,6 +85,8 @@
         if path.startswith('/weights/'):
             return self.placement.serve(path)
         self._check_key(environ)
+        if path.startswith('/chunks/'):
+            return self.placement.serve_chunks(environ)
         if path.startswith(_PREFIX + '/'):
             return self._forward(environ, path[len(_PREFIX) :])
         raise errors.InvalidRequestError(f'no such path {path}', step='read')
--- a/catkinshunt/sidecar/_placement.py
+++ b/catkinshunt/sidecar/_placement.py
@@ -1,25 +1,28 @@
 """Brings the model that the rules place here into the engine."""
 
-import hashlib
-import json
-import secrets
 import threading
+import time
+
+import attrs
 
 from catkinshunt import base
 from catkinshunt import control
+from catkinshunt import engines
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt import instances
 from catkinshunt import logs
+from catkinshunt import weights
 
 RETRY_S = 0.5
 WAIT_S = 1.0
-LOAD_TIMEOUT_S = 600.0
+#: Longest wait for weights before the rules are looked at again.
+WHOLE_WAIT_S = 0.2
 _log = logs.get_logger('placement')
 
 
 class Placement(base.BaseService):
-    """Fetches weights from the origin and gives the engine its order.
+    """Keeps the engine at the model version that the rules place here.
 
     Args:
         cfg: `settings.SidecarSettings`.
@@ -32,14 +35,32 @@
         self.follower = follower
         self.directory = directory
         self.port = None
-        self._token = secrets.token_hex(8)
-        self._held = None
+        self._agent = None
         self._wanted = {}
         self._served = {}
         self._stopped = threading.Event()
 
     def start(self):
         """Act on each configuration in the background."""
+        platform = self.cfg.platform
+        store = platform.weight_store
+        self._engine = engines.HttpEngine(
+            httpio.Address.parse(self.cfg.upstream)
+        )
+        self._agent = weights.TransferAgent(
+            self.cfg.name,
+            self.cfg.deployment_key,
+            self._list_members,
+            httpio.Address.parse(platform.origin),
+            httpio.Address.parse(store) if store else None,
+            self.cfg.link_bytes_per_s,
+        ).start()
+        self._chunks = weights.ChunkApp(
+            self._agent, self.cfg.deployment_key, self._agent.upload_share
+        )
+        self._slot = engines.WeightsSlot(
+            self.cfg.host, self.port, self._agent.transfer
+        )
         thread = threading.Thread(
             target=self._run, name='placement', daemon=True
         )
@@ -47,26 +68,44 @@
         return self
 
     def stop(self):
-        """Take up no further placement."""
+        """Take up no further placement and end the transfer."""
         self._stopped.set()
+        if self._agent is not None:
+            self._agent.stop()
 
     def report(self):
-        """Return the versions wanted and served, by model."""
-        return {'wanted': self._wanted, 'served': self._served}
+        """Return the versions wanted and served, and the transfer."""
+        found = {'wanted': self._wanted, 'served': self._served}
+        if self._agent is not None:
+            transfer = self._agent.report(time.monotonic())
+            found['transfer'] = transfer and attrs.asdict(transfer)
+        return found
 
     def serve(self, path):
         """Return the response to the engine's pull of weights."""
-        held = self._held
-        if held is None or path != self._path(held[0]):
+        if self._agent is None:
             raise errors.InvalidRequestError('unknown weights', step='pull')
-        length = ('Content-Length', str(len(held[1])))
-        return httpio.Response(200, [held[1]], (length,))
+        return self._slot.handle(path)
+
+    def serve_chunks(self, environ):
+        """Return the response to a peer's pull of a chunk."""
+        if self._agent is None:
+            raise errors.InvalidRequestError('no chunks here', step='read')
+        return self._chunks.handle(environ)
+
+    def observe(self, n_sent, n_received):
+        """Count bytes of live requests, to which a transfer yields."""
+        if self._agent is not None:
+            now = time.monotonic()
+            self._agent.upload_share.observe(n_sent, now)
+            self._agent.download_share.observe(n_received, now)
 
     def _run(self):
         seen = None
         revision = 0
         while not self._stopped.is_set():
-            conf = self.follower.wait(revision, WAIT_S)
+            wait_s = WAIT_S if seen else WHOLE_WAIT_S
+            conf = self.follower.wait(revision, wait_s)
             revision = conf.revision
             # The list counts, too: where a holder has gone, another one of
             # the rule's instances takes its place.
@@ -74,29 +113,63 @@
             if now_held == seen or revision == 0:
                 continue
             try:
-                self._apply(conf)
-                seen = now_held
+                seen = now_held if self._apply(conf) else None
             except errors.CatkinshuntError as exc:
                 _log.warning('Placement failed: {}', exc)
                 self._stopped.wait(RETRY_S)
 
     def _apply(self, conf):
+        """Come closer to `conf`; return whether nothing is left to do."""
         placement = control.choose_placement(
             conf.rule_set, self._instance(), self.directory.instances
         )
-        rule, place = placement.rule, placement.place
+        place = placement.place
         if place is None:
-            return
+            return True
         self._wanted = {place.model: place.version}
-        if self._held and self._held[0][:2] == (place.model, place.version):
-            return
-        manifest = self._fetch_manifest(place)
-        data = self._fetch_weights(place, manifest)
-        self._held = ((place.model, place.version), data)
-        self._order(place, manifest, conf.revision)
-        self._served = {place.model: place.version}
+        if self._served == self._wanted:
+            return True
+        wanted = weights.Wanted(
+            place.model, place.version, place.lean_fraction
+        )
+        self._agent.offer(wanted)
+        transfer = self._agent.wait_whole(wanted, WHOLE_WAIT_S)
+        if transfer is None:
+            return False
+        self._order(transfer.manifest, conf.revision)
         _log.info(
-            'Rule {} placed {} {}.', rule.name, place.model, place.version
+            'Rule {} placed {} {}.',
+            placement.rule.name,
+            place.model,
+            place.version,
+        )
+        return True
+
+    def _order(self, manifest, revision):
+        self._engine.load(
+            engines.LoadOrder(
+                model=manifest.model,
+                version=manifest.version,
+                digest=manifest.digest,
+                weights_url=self._slot.make_url(
+                    manifest.model, manifest.version
+                ),
+                fencing_number=revision,
+            )
+        )
+        self._served = {manifest.model: manifest.version}
+
+    def _list_members(self, wanted):
+        """Return the instances that want the same version."""
+        names = control.find_holders(
+            self.follower.current.rule_set,
+            self._instance(),
+            self.directory.instances,
+        )
+        return tuple(
+            weights.Member(one.name, one.data_centre, one.address)
+            for one in self.directory.instances
+            if one.name in names
         )
 
     def _instance(self):
@@ -110,45 +183,3 @@
             region=self.cfg.region,
             address=address,
         )
-
-    def _fetch_manifest(self, place):
-        return json.loads(self._get(place, 'manifest'))
-
-    def _fetch_weights(self, place, manifest):
-        data = self._get(place, 'weights')
-        if hashlib.sha256(data).hexdigest() != manifest['digest']:
-            raise errors.TransferError('wrong digest', step='verify')
-        return data
-
-    def _get(self, place, what):
-        address = httpio.Address.parse(self.cfg.platform.origin)
-        path = f'/models/{place.model}/{place.version}/{what}'
-        reply = httpio.exchange(address, 'GET', path)
-        if reply.status != 200:
-            raise errors.TransferError(
-                f'status {reply.status}', step=what, peer=str(address)
-            )
-        return reply.body
-
-    def _path(self, key):
-        return f'/weights/{self._token}/{key[0]}/{key[1]}'
-
-    def _order(self, place, manifest, fencing_number):
-        path = self._path((place.model, place.version))
-        order = {
-            'order': 'load',
-            'model': place.model,
-            'version': place.version,
-            'digest': manifest['digest'],
-            'weights_url': f'http://{self.cfg.host}:{self.port}{path}',
-            'fencing_number': fencing_number,
-        }
-        upstream = httpio.Address.parse(self.cfg.upstream)
-        body = json.dumps(order).encode()
-        reply = httpio.exchange(
-            upstream, 'POST', '/orders', body, timeout_s=LOAD_TIMEOUT_S
-        )
-        if reply.status != 200:
-            raise errors.OrderError(
-                f'status {reply.status}', step='order', peer=str(upstream)
-            )
