Go on asking a holder in another data centre for a chunk

Cause: what one reply of an instance elsewhere said made a chunk count as held nearby, so its drawer asked again only once that knowledge was old, and a whole data centre waited for one chunk. Ruled out: budgets of the holders, which had room. Now only what neighbours hold keeps a drawer from asking; what others hold only keeps it from the origin.

The sidecar counts bytes of live requests, to which its transfer yields.

--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -6,6 +6,7 @@
 from catkinshunt import metrics
 from catkinshunt.sidecar import _app
 from catkinshunt.sidecar import _placement
+from catkinshunt import weights
 
 
 class SidecarProcess(base.BaseService):
@@ -29,6 +30,7 @@
         app = control.RevisionApp(
             self._app, self._control.keeper, self.cfg.deployment_key
         )
+        app = weights.LiveTrafficApp(app, self._placement.observe)
         self._server = httpio.HttpServer(
             metrics.MeasuredApp(app, registry),
             self.cfg.host,
--- a/catkinshunt/weights/__init__.py
+++ b/catkinshunt/weights/__init__.py
@@ -6,6 +6,7 @@
 from catkinshunt.weights._app import ChunkApp
 from catkinshunt.weights._gate import UploadGate
 from catkinshunt.weights._link import LinkShare
+from catkinshunt.weights._live import LiveTrafficApp
 from catkinshunt.weights._manifest import Manifest
 from catkinshunt.weights._ordered import ChainStrategy
 from catkinshunt.weights._ordered import StripedStrategy
@@ -28,6 +29,7 @@
     'ChunkApp',
     'ChunkStore',
     'LinkShare',
+    'LiveTrafficApp',
     'Manifest',
     'Member',
     'PeerView',
--- a/catkinshunt/weights/_draws.py
+++ b/catkinshunt/weights/_draws.py
@@ -55,7 +55,7 @@
     return sorted(draws, key=lambda draw: -draw.due_at)
 
 
-def choose_draw(view, draw, seen, now):
+def choose_draw(view, draw, near, seen, now):
     """Return the `Pull` by which `draw` is done at `now`, or None.
 
     Earlier drawers are asked before the origin. Without that, every instance
@@ -65,10 +65,11 @@
     Args:
         view: what the instance knows.
         draw: a `Draw` that is due.
+        near: chunks that some neighbour holds; they come from there.
         seen: chunks that some usable peer is known to hold.
         now: the present time, in seconds.
     """
-    if not draw.extra and seen >> draw.chunk & 1:
+    if not draw.extra and near >> draw.chunk & 1:
         return None
     if draw.own_at > now:
         for name in draw.earlier:
@@ -77,6 +78,8 @@
         remote = [name for name in draw.remote if view.usable(name, now)]
         if remote:
             return _ask(view, draw.chunk, remote, now)
+    if not draw.extra and seen >> draw.chunk & 1:
+        return None
     origin = view.peer(base.ORIGIN)
     if max(origin.busy_until, origin.avoid_until) > now:
         return None
--- a/catkinshunt/weights/_swarm.py
+++ b/catkinshunt/weights/_swarm.py
@@ -83,12 +83,12 @@
         waiting[:] = [one for one in waiting if not held >> one.chunk & 1]
         if not waiting:
             return None
-        seen = self._seen(view, now)
+        near, seen = self._seen(view, now)
         late = self._joins_late(view)
         for draw in waiting:
             if not missing >> draw.chunk & 1 or (late and draw.extra):
                 continue
-            pull = _draws.choose_draw(view, draw, seen, now)
+            pull = _draws.choose_draw(view, draw, near, seen, now)
             if pull is not None:
                 return pull
         return None
@@ -98,14 +98,15 @@
         # died with the only copy of a chunk, old knowledge of it would keep
         # every drawer waiting; one notices by a last chunk that never comes.
         if self._is_stuck(view, now):
-            return 0
-        seen = 0
+            return 0, 0
+        near = seen = 0
         asked = set(self.neighbours(view, now))
         for name, peer in view.peers.items():
             fresh = now - peer.observed_at <= self.takeover_s
             if (fresh or name in asked) and view.usable(name, now):
                 seen |= peer.holdings
-        return seen
+                near |= peer.holdings if name in asked else 0
+        return near, seen
 
     def _is_stuck(self, view, now):
         # Peers that hold a chunk and never have a place for this instance
--- a/catkinshunt/weights/tests/test_strategies.py
+++ b/catkinshunt/weights/tests/test_strategies.py
@@ -204,3 +204,25 @@
     view.set_members(MEMBERS[:5])
     assert view.peer('instance-1').holdings == 0b11
     assert not view.usable('instance-9', 0.0)
+
+
+def test_a_drawer_goes_on_asking_a_holder_elsewhere():
+    """A data centre's drawer asks an instance of another one for a chunk.
+
+    What that one replied once counted as held, so the drawer asked again
+    only when the knowledge was old, and its whole data centre waited.
+    """
+    asked = 0
+    for me in NAMES:
+        strategy = make_swarm(origin_copy_s=1e-6, max_pulls=N_CHUNKS)
+        view = make_view(me)
+        for pull in drain(strategy, view, 1.0):
+            if pull.peer == weights.ORIGIN:
+                continue
+            view.observe(pull.peer, 1 << pull.chunk, 0.0, 1.0)
+            view.postpone(pull, 2.0)
+            again = drain(strategy, view, 2.0)
+            assert pull.chunk in {one.chunk for one in again}
+            asked += 1
+            break
+    assert asked
