Read only the changed rules of a stored configuration

Cause: a watcher read all rules of the stored document at each change; a process that knows no other one did so every second, changed or not.

--- a/catkinshunt/configuration/_configuration.py
+++ b/catkinshunt/configuration/_configuration.py
@@ -40,9 +40,15 @@
         return f'Configuration(revision={self.revision})'
 
     @classmethod
-    def from_bytes(cls, value):
+    def from_bytes(cls, value, known=None):
         """Read the document as it is kept in the key-value service.
 
+        Args:
+            value: the document.
+            known: an earlier `Configuration`. Where the edits in the
+                document lead from it to the document, its rules are taken
+                over and only the changed ones are read.
+
         Raises:
             errors.RuleError: the bytes are no accepted configuration.
         """
@@ -50,11 +56,15 @@
             document = checks.load_json(value)
             items = document['rules']
             edits = document.get('edits', ())
-            return cls(
+            found = cls(
                 checks.check_count(document['revision'], 'revision'),
-                tuple(_edits.HeldRule.from_document(item) for item in items),
-                tuple(_edits.Edit.from_document(item) for item in edits),
+                edits=tuple(_edits.Edit.from_document(item) for item in edits),
             )
+            replayed = known and known._replayed_to(found, value)
+            if replayed is not None:
+                return replayed
+            held = (_edits.HeldRule.from_document(item) for item in items)
+            return attrs.evolve(found, held=tuple(held))
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
             raise errors.RuleError(
                 f'not a configuration: {exc!r}', step='read-configuration'
@@ -112,6 +122,21 @@
         edits = _last_edits((*self.edits, edit))
         return Configuration(edit.revision, tuple(held), edits)
 
+    def _replayed_to(self, found, document):
+        """Return this configuration after the edits of `found`.
+
+        None is returned where these do not lead to `document`, byte for
+        byte; then the whole of it has to be read.
+        """
+        edits = found.edits_after(self.revision)
+        if not edits:
+            return None
+        try:
+            replayed = functools.reduce(Configuration.replayed, edits, self)
+        except errors.RuleError:
+            return None
+        return replayed if replayed.document == document else None
+
     def check(self, services=None):
         """Check the rules together, as before an edit is accepted.
 
--- a/catkinshunt/configuration/_source.py
+++ b/catkinshunt/configuration/_source.py
@@ -34,11 +34,13 @@
             entry = self.store.watch(key, self._seen, wait_s)
         else:
             entry = self.store.get(key)
-        if entry is None:
+        if entry is None or entry.revision == self._seen:
             return
         self._seen = entry.revision
         try:
-            found = _configuration.Configuration.from_bytes(entry.value)
+            found = _configuration.Configuration.from_bytes(
+                entry.value, known=self.keeper.current
+            )
         except errors.RuleError as exc:
             # Somebody wrote past the editor. The rules in force stay.
             _log.error('Stored configuration is not usable: {}', exc)
