Measure capacity before processes that reach each other

Cause: the benchmark listed processes without control addresses, so each asked the platform by itself every second, and it wrote whole documents past the editor.

--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -14,8 +14,11 @@
 
 from benchmarks import processes
 from benchmarks import report
+from catkinshunt import configuration
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
+from catkinshunt import kvstore
+from catkinshunt import rules
 from standins import instance_list
 from standins import launch
 
@@ -29,6 +32,10 @@
 MANY_PIECES = 500
 STREAMS = 40
 IDLE_S = 10.0
+SETTLED_S = 1.0
+SETTLED_SHARE = 0.02
+CHANGES = 20
+CHANGE_EVERY_S = 0.5
 FEW_RULES = 10
 MANY_RULES = 1000
 FEW_UPSTREAMS = 1
@@ -45,8 +52,7 @@
     engine: httpio.Address
     sidecar: launch.Launched | None = None
     entry: launch.Launched | None = None
-    store_revision: int = 0
-    revision: int = 0
+    ports: tuple = ()
 
     @classmethod
     def start(cls, launcher, threads=64):
@@ -72,7 +78,9 @@
                 'origin': str(origin),
             },
         }
+        self.ports = launch.free_ports(2)
         side = {
+            'control_port': self.ports[0],
             'name': 'runner-0',
             'service': SERVICE,
             'upstream': str(self.engine),
@@ -81,30 +89,28 @@
         }
         self.sidecar = launcher.process('runner-0', 'sidecar', cfg | side)
         self.list_upstreams(FEW_UPSTREAMS)
-        front = {'name': 'entry-0'}
+        front = {'name': 'entry-0', 'control_port': self.ports[1]}
         self.entry = launcher.process('entry-0', 'entry', cfg | front)
         while not self.ask(1):
             pass
         return self
 
-    def accept(self, count):
+    def accept(self, count, extra=()):
         """Put `count` rules in force, the routing rule last."""
         place = {'place': {'model': MODEL, 'version': VERSION}}
         route = {'route': {'service': SERVICE, 'version': VERSION}}
-        rules = [_rule('place', 'event', {'kind': 'placement'}, place)]
-        rules += [
+        wanted = [_rule('place', 'event', {'kind': 'placement'}, place)]
+        wanted += [
             _rule(f'rule-{at}', 'request', {'account': f'acct-{at}'}, route)
-            for at in range(count)
+            for at in (*range(count), *extra)
         ]
-        rules.append(_rule('route', 'request', {'service': SERVICE}, route))
-        self.revision += 1
-        document = {'revision': self.revision, 'rules': rules}
-        path = f'/kv/catkinshunt/configuration?expected={self.store_revision}'
-        reply = _put(self.store, path, document)
-        self.store_revision = int(reply.headers['Revision'])
+        wanted.append(_rule('route', 'request', {'service': SERVICE}, route))
+        store = kvstore.HttpKeyValueStore(self.store)
+        rule_set = rules.load_rule_set({'rules': wanted})
+        configuration.Editor(store).apply(rule_set)
 
     def list_upstreams(self, count):
-        """List the one sidecar and others of a service not asked for."""
+        """List both processes, and others that nobody asks or reaches."""
         listed = [
             instance_list.Listed(
                 f'runner-{at}',
@@ -115,7 +121,19 @@
             )
             for at in range(count)
         ]
-        rows = [attrs.asdict(item) for item in listed]
+        listed[0] = attrs.evolve(
+            listed[0], control_address=f'127.0.0.1:{self.ports[0]}'
+        )
+        front = instance_list.Listed(
+            'entry-0',
+            '',
+            'centre-1',
+            'region-1',
+            '127.0.0.1:1',
+            control_address=f'127.0.0.1:{self.ports[1]}',
+            role='entry',
+        )
+        rows = [attrs.asdict(item) for item in (front, *listed)]
         _put(self.listing, '/instances', rows)
 
     def ask(self, pieces, account='capacity'):
@@ -172,15 +190,36 @@
     ]
 
 
-def _rss(deployment):
-    return [used.rss_bytes for used in _usage(deployment)]
+def _settle(deployment):
+    """Wait until both processes are through with what has changed."""
+    while True:
+        before = _usage(deployment)
+        threading.Event().wait(SETTLED_S)
+        after = _usage(deployment)
+        used = sum(
+            late.cpu_s - early.cpu_s
+            for early, late in zip(before, after, strict=True)
+        )
+        if used <= SETTLED_SHARE * SETTLED_S:
+            return
+
+
+def _cpu_per_change(deployment):
+    """Return seconds of processor time for one accepted change."""
+    before = _usage(deployment)
+    for change in range(CHANGES):
+        deployment.accept(MANY_RULES, extra=(f'new-{change}',))
+        threading.Event().wait(CHANGE_EVERY_S)
+    _settle(deployment)
+    after = _usage(deployment)
+    return [
+        (late.cpu_s - early.cpu_s) / CHANGES
+        for early, late in zip(before, after, strict=True)
+    ]
 
 
-def _settled_rss(deployment, reading, wanted):
-    """Wait until `reading` gives `wanted`, then return resident bytes."""
-    while reading() != wanted:
-        threading.Event().wait(0.1)
-    return _rss(deployment)
+def _rss(deployment):
+    return [used.rss_bytes for used in _usage(deployment)]
 
 
 def _bytes_per_stream(deployment):
@@ -221,11 +260,13 @@
     per_piece = _slope(many, few, steps)
     before_rules = _rss(deployment)
     deployment.accept(MANY_RULES)
-    threading.Event().wait(IDLE_S / 4)
+    _settle(deployment)
     after_rules = _rss(deployment)
     per_rule = _slope(after_rules, before_rules, MANY_RULES - FEW_RULES)
+    per_change = _cpu_per_change(deployment)
+    after_rules = _rss(deployment)
     deployment.list_upstreams(MANY_UPSTREAMS)
-    threading.Event().wait(IDLE_S / 4)
+    _settle(deployment)
     listed = _rss(deployment)
     upstream_steps = MANY_UPSTREAMS - FEW_UPSTREAMS
     per_listed = _slope(listed, after_rules, upstream_steps)
@@ -236,6 +277,7 @@
         'idle_rss_bytes': idle_rss,
         'idle_cores': idle,
         'idle_cores_1000_listed': idle_listed,
+        'cpu_s_per_change_of_1000_rules': per_change,
         'cpu_s_per_request': few,
         'cpu_s_per_piece': per_piece,
         'rss_bytes_per_rule': per_rule,
