Leave a connection alone once it is kept again

Cause: a stream that ended as it should but was not whole had its connection given back to the pool and closed after that. The next request that took it got an error without a body that anyone could read, and one that had taken it already would have been cut. Found by removing guards one at a time. A reply now knows that its connection is kept again; both new tests fail without that. Further tests for guards that could be removed unnoticed: bookings on fresh connections, versions on resuming, the bound on a stall, unknown after not run.

--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -55,7 +55,7 @@
     version: str
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Opened:
     """A reply whose body is still to be read."""
 
@@ -64,6 +64,8 @@
     resp: http.client.HTTPResponse
     #: The connection drops it when the reply says that it closes.
     sock: socket.socket
+    #: Whether the connection is in the pool again, and so somebody else's.
+    returned: bool = False
 
     @property
     def streamed(self):
@@ -76,7 +78,13 @@
         return self.resp.getheader(headers.ENGINE_MODEL_VERSION, '')
 
     def close(self):
-        """Break the exchange off; the sidecar then cancels it."""
+        """Break the exchange off; the sidecar then cancels it.
+
+        A stream can end as it should and still not be whole; its connection
+        may carry another request by then, which closing it would cut.
+        """
+        if self.returned:
+            return
         self.resp.close()
         self.conn.close()
 
@@ -167,6 +175,7 @@
         # http.client does not notice by itself that `read1` has taken the
         # last byte of a body with a length, and refuses the next request.
         resp.close()
+        opened.returned = True
         self.pool.give_back(opened.address, opened.conn)
 
     def read_whole(self, opened):
--- a/catkinshunt/entry/tests/test_flow.py
+++ b/catkinshunt/entry/tests/test_flow.py
@@ -230,16 +230,45 @@
                 assert flow.texts(reply)[0] == expected
 
 
-def test_unknown_is_never_turned_into_not_run(run):
-    """The first try may have run, and no upstream is left for a second one.
+@pytest.mark.parametrize('prompt', ['p0', 'p1', 'p2', 'p3'])
+def test_unknown_is_never_turned_into_not_run(run, prompt):
+    """One try may have run, and another is refused as not run.
 
-    "Not run" would be a lie, though the last refusal says so for itself.
+    "Not run" would be a lie for the request, whichever came first.
     """
     run.scripted('a', 'models', b'', is_engine=True)
-    reply = run.generate(3)
+    gone = flow.ScriptedUpstream(b'')
+    gone.close()
+    run.upstream('b', 'models', gone.address, is_engine=True)
+    reply = run.generate(3, prompt=prompt)
     assert flow.error_of(reply)['ran'] == 'unknown'
 
 
+def test_booking_never_goes_on_a_kept_connection():
+    """A sidecar may close a kept connection just as a booking is sent on it.
+
+    Nobody could tell whether it ran, and the caller would be told so.
+    """
+    clients = []
+
+    def app(environ, start_response):
+        clients.append((environ['REQUEST_METHOD'], environ['REMOTE_PORT']))
+        given = (
+            (headers.EXCHANGE_ID, environ['HTTP_CATKINSHUNT_EXCHANGE_ID']),
+            ('Content-Length', '2'),
+        )
+        return httpio.Response(200, [b'{}'], given).send(start_response)
+
+    with flow.Flow(desk={}) as run, httpio.HttpServer(app) as server:
+        address = httpio.Address(server.host, server.port)
+        run.directory.add('a', 'desk', address)
+        run.ask('/desk/stock')
+        run.ask('/desk/stock')
+        run.ask('/desk/bookings', {'order': 1})
+    ports = [port for _, port in clients]
+    assert ports[0] == ports[1] != ports[2]
+
+
 def test_half_of_the_upstreams_gone(run):
     """Half of the upstreams die at once while requests go on.
 
--- a/catkinshunt/entry/tests/test_streams.py
+++ b/catkinshunt/entry/tests/test_streams.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from catkinshunt.entry import _request
 from catkinshunt.entry.tests import flow
 from catkinshunt import httpio
+from catkinshunt.httpio import headers
+from catkinshunt import rules
 
 
 @pytest.fixture
@@ -196,3 +199,86 @@
         ['t0', 't1'],
         {'done': True, 'pieces': 2},
     )
+
+
+def test_sidecar_that_does_not_check_versions_mixes_none():
+    """A sidecar of an older release goes on from whatever its engine holds.
+
+    Pieces of two versions would make an answer of neither model.
+    """
+
+    def app(environ, start_response):
+        asked = json.loads(httpio.read_body(environ))
+        resumed = 'resume_from' in asked
+        given = (
+            ('Content-Type', 'application/x-ndjson'),
+            ('Model-Version', 'v2' if resumed else 'v1'),
+            (headers.EXCHANGE_ID, environ['HTTP_CATKINSHUNT_EXCHANGE_ID']),
+        )
+        body = flow.lines(1, pieces=2) if resumed else flow.lines(0)
+        return httpio.Response(200, iter([body]), given).send(start_response)
+
+    with flow.Flow(models={}) as run, httpio.HttpServer(app) as server:
+        address = httpio.Address(server.host, server.port)
+        for name in ('a', 'b'):
+            run.directory.add(name, 'models', address)
+        got = run.generate_broken(2)
+    assert flow.lines(1) not in got
+    assert json.loads(got.splitlines()[-1])['error']['code'] == 'incomplete'
+
+
+def test_stream_that_is_not_whole_leaves_kept_connections_alone():
+    """A stream ends as it should, but a piece is missing.
+
+    Its connection was kept again by then; the entry closed it all the same,
+    and the next request on it failed without an error that anyone could read.
+    """
+
+    def app(environ, start_response):
+        asked = json.loads(httpio.read_body(environ))
+        good = asked['prompt'] == 'good'
+        given = (
+            ('Content-Type', 'application/x-ndjson'),
+            ('Model-Version', 'v1'),
+            (headers.EXCHANGE_ID, environ['HTTP_CATKINSHUNT_EXCHANGE_ID']),
+        )
+        body = flow.lines(0, pieces=1) if good else flow.lines(0)
+        return httpio.Response(200, iter([body]), given).send(start_response)
+
+    with flow.Flow(models={}) as run, httpio.HttpServer(app) as server:
+        address = httpio.Address(server.host, server.port)
+        run.directory.add('a', 'models', address)
+        run.entry_app._retry.max_tries = 1
+        run.generate_broken(1)
+        run.directory.revision += 1
+        run.directory.instances = ()
+        assert run.generate(1, prompt='good').status == 503
+        run.directory.add('b', 'models', address)
+        assert run.generate(1, prompt='good').status == 200
+
+
+def test_wait_for_a_piece_is_bounded(run):
+    run.scripted('a', 'models', flow.chunked(flow.lines(0)), is_engine=True)
+    relay = run.entry_app._relay
+    relay.stall_s = 0.25
+    server = run.servers['a']
+    req = _request.CallerRequest(
+        request_id='r',
+        service='models',
+        path='/generate',
+        method='POST',
+        account='',
+        model=flow.MODEL,
+        idempotency_key='',
+        deadline=20.0,
+        body=b'{}',
+        content_type='',
+    )
+    opened = relay.open(
+        req,
+        rules.Route(service='models'),
+        httpio.Address(server.host, server.port),
+        now=0.0,
+    )
+    assert opened.sock.gettimeout() == 0.25
+    opened.close()
--- a/catkinshunt/routing/tests/test_router.py
+++ b/catkinshunt/routing/tests/test_router.py
@@ -103,6 +103,7 @@
     failed = routing.Observation(old.upstream, routing.Result.FAILED)
     router.observe(failed, 0.1)
     assert new.upstream.state == routing.State.SERVING
+    assert not router.health.knows('u0')
     assert new.upstream.in_flight == 1
 
 
