Load an engine again that was restarted

Cause: a sidecar took an engine to hold what it was last ordered to load. Weighed: taking the 404 of a request as the sign, which costs a refused request and misses an engine without traffic; asking the engine's state once a second on the same machine, chosen.

--- a/catkinshunt/engines/_http.py
+++ b/catkinshunt/engines/_http.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt.engines import base
 from catkinshunt import errors
 from catkinshunt import httpio
 
 LOAD_TIMEOUT_S = 600.0
+REPORT_TIMEOUT_S = 2.0
 
 
 class HttpEngine(base.BaseEngine):
@@ -26,25 +28,40 @@
 
     def load(self, order):
         body = json.dumps({'order': 'load', **attrs.asdict(order)}).encode()
-        try:
-            reply = httpio.exchange(
-                self.address,
-                'POST',
-                '/orders',
-                body,
-                timeout_s=self.timeout_s,
-            )
-        except errors.RequestError as exc:
-            raise errors.OrderError(
-                exc.message, step='load', peer=str(self.address)
-            ) from exc
+        reply = self._exchange('load', '/orders', body, self.timeout_s)
         if reply.status == http.client.CONFLICT:
             raise errors.StaleFencingError(
                 f'number {order.fencing_number} is older than one seen',
                 step='load',
                 peer=str(self.address),
             )
+        self._check_status('load', reply)
+
+    def report(self):
+        reply = self._exchange('report', '/state', None, REPORT_TIMEOUT_S)
+        self._check_status('report', reply)
+        try:
+            return dict(checks.load_json(reply.body)['models'])
+        except (ValueError, KeyError, TypeError) as exc:
+            raise errors.OrderError(
+                f'state cannot be read: {exc!r}',
+                step='report',
+                peer=str(self.address),
+            ) from exc
+
+    def _exchange(self, step, path, body, timeout_s):
+        method = 'GET' if body is None else 'POST'
+        try:
+            return httpio.exchange(
+                self.address, method, path, body, timeout_s=timeout_s
+            )
+        except errors.RequestError as exc:
+            raise errors.OrderError(
+                exc.message, step=step, peer=str(self.address)
+            ) from exc
+
+    def _check_status(self, step, reply):
         if reply.status != http.client.OK:
             raise errors.OrderError(
-                f'status {reply.status}', step='load', peer=str(self.address)
+                f'status {reply.status}', step=step, peer=str(self.address)
             )
--- a/catkinshunt/engines/base.py
+++ b/catkinshunt/engines/base.py
@@ -37,3 +37,11 @@
             StaleFencingError: the engine has seen a newer number.
             OrderError: the engine refused, failed or gave no answer.
         """
+
+    @abc.abstractmethod
+    def report(self):
+        """Return the versions that the engine holds, by model.
+
+        Raises:
+            OrderError: the engine gave no answer.
+        """
--- a/catkinshunt/sidecar/_placement.py
+++ b/catkinshunt/sidecar/_placement.py
@@ -110,7 +110,7 @@
             # The list counts, too: where a holder has gone, another one of
             # the rule's instances takes its place.
             now_held = (revision, self.directory.revision)
-            if now_held == seen or revision == 0:
+            if revision == 0 or (now_held == seen and self._engine_keeps()):
                 continue
             try:
                 seen = now_held if self._apply(conf) else None
@@ -118,6 +118,27 @@
                 _log.warning('Placement failed: {}', exc)
                 self._stopped.wait(RETRY_S)
 
+    def _engine_keeps(self):
+        """Return whether the engine still holds what it was ordered to.
+
+        An engine that restarts comes back empty and tells nobody. Every
+        request sent to it would be refused until the next change of the
+        rules, while this instance counted as a replica that serves.
+        """
+        if not self._served:
+            return True
+        try:
+            held = self._engine.report()
+        except errors.OrderError as exc:
+            # It may come back as it was; orders would fail now anyway.
+            _log.info('Engine not asked: {}', exc)
+            return True
+        if self._served.items() <= held.items():
+            return True
+        _log.warning('Engine holds {} and not {}.', held, self._served)
+        self._served = {}
+        return False
+
     def _apply(self, conf):
         """Come closer to `conf`; return whether nothing is left to do."""
         placement = control.choose_placement(
--- /dev/null
+++ b/catkinshunt/sidecar/tests/test_placement.py
@@ -0,0 +1,84 @@
+"""Tests of keeping an engine at the version that the rules place."""
+
+import json
+
+import pytest
+
+from catkinshunt import httpio
+from catkinshunt import settings
+from catkinshunt import sidecar
+from catkinshunt.tests import deployments
+from standins import engine
+from standins import instance_list
+from standins import key_value
+from standins import origin
+
+MODEL = 'drafts'
+RULES = {
+    'edits': [],
+    'revision': 1,
+    'rules': [
+        {
+            'name': 'place',
+            'when': {'event': {'kind': 'placement'}},
+            'then': {'place': {'model': MODEL, 'version': 'v1'}},
+        }
+    ],
+}
+
+
+def _serve(stack, app):
+    server = stack.enter_context(httpio.HttpServer(app))
+    return httpio.Address(server.host, server.port)
+
+
+@pytest.fixture
+def placed():
+    """Return an engine, the sidecar beside it, and a wait for both."""
+    runner = engine.Engine()
+    source = origin.Origin(chunk_bytes=1024)
+    source.publish(MODEL, 'v1', 10_000)
+    with deployments.contextlib.ExitStack() as stack:
+        store = _serve(stack, key_value.KeyValueService().app)
+        httpio.exchange(
+            store,
+            'PUT',
+            '/kv/catkinshunt/configuration?expected=0',
+            json.dumps(RULES).encode(),
+        )
+        cfg = settings.SidecarSettings(
+            name='runner-1',
+            region='region-1',
+            data_centre='centre-1',
+            deployment_key=deployments.KEY,
+            service='model-servers',
+            upstream=str(_serve(stack, runner.app)),
+            is_engine=True,
+            platform=settings.PlatformSettings(
+                key_value=str(store),
+                instance_list=str(
+                    _serve(stack, instance_list.InstanceList().app)
+                ),
+                origin=str(_serve(stack, source.app)),
+            ),
+        )
+        process = stack.enter_context(sidecar.SidecarProcess(cfg))
+        deployments.wait_until(
+            lambda: process.report()['served'] == {MODEL: 'v1'}, 'placement'
+        )
+        yield runner, process
+
+
+def test_an_engine_that_was_restarted_is_loaded_again(placed):
+    """The engine restarts and comes back empty; its sidecar runs on.
+
+    Each request sent there was refused, and the instance stayed without a
+    model until the next change of the rules.
+    """
+    runner, process = placed
+    runner.restart()
+    deployments.wait_until(lambda: len(runner.orders) == 1, 'second order')
+    deployments.wait_until(
+        lambda: process.report()['served'] == {MODEL: 'v1'}, 'placement'
+    )
+    assert runner.orders[0]['version'] == 'v1'
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -48,6 +48,13 @@
             ('GET', '/state', self._state),
         )
 
+    def restart(self):
+        """Forget all models, orders and fencing numbers."""
+        with self._lock:
+            self._models.clear()
+            self.orders.clear()
+            self._fencing_number = 0
+
     def _order(self, call):
         order = call.json()
         number = order['fencing_number']
