Keep one rendezvous hash for transfers and control

Cause: the same score and order stood twice, with equal digests. The subset of upstreams keeps its own loop: it hashes the entry's name once for thousands of upstreams.

--- a/catkinshunt/rendezvous.py
+++ b/catkinshunt/rendezvous.py
@@ -8,7 +8,8 @@
 def score(key, name):
     """Return the weight of `name` for `key`, equal in every process."""
     text = f'{key}\0{name}'.encode()
-    return hashlib.blake2b(text, digest_size=_SCORE_BYTES).digest()
+    digest = hashlib.blake2b(text, digest_size=_SCORE_BYTES).digest()
+    return int.from_bytes(digest, 'big')
 
 
 def rank(key, names):
--- a/catkinshunt/weights/_rendezvous.py
+++ b/catkinshunt/weights/_rendezvous.py
@@ -1,35 +1,20 @@
-"""Rendezvous hashing over names, by a library hash."""
+"""Rendezvous hashing with the last answers kept.
 
-import functools
-import hashlib
+A transfer asks for the same orders again for each chunk.
+"""
 
-_SCORE_BYTES = 8
+import functools
 
+from catkinshunt import rendezvous
 
-@functools.lru_cache(maxsize=65536)
-def score(*parts):
-    """Return the weight of a tuple of names, equal in every process."""
-    text = '\0'.join(str(part) for part in parts)
-    digest = hashlib.blake2b(text.encode(), digest_size=_SCORE_BYTES).digest()
-    return int.from_bytes(digest, 'big')
+score = functools.lru_cache(maxsize=65536)(rendezvous.score)
 
 
 @functools.lru_cache(maxsize=4096)
 def _rank(key, names):
-    return tuple(sorted(names, key=lambda name: (score(key, name), name)))
+    return tuple(rendezvous.rank(key, names))
 
 
 def rank(key, names):
-    """Return `names` in the order of their weights for `key`.
-
-    A name that joins or leaves moves no other pair of names, so processes
-    whose lists differ by a few names still agree on nearly all.
-
-    Examples:
-        >>> names = rank('chunk-3', ['a', 'b', 'c'])
-        >>> [name for name in names if name != names[0]] == rank(
-        ...     'chunk-3', [name for name in 'abc' if name != names[0]]
-        ... )
-        True
-    """
+    """Return `names` in the order of their weights for `key`."""
     return list(_rank(key, tuple(names)))
