--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -35,6 +35,7 @@
 _FORWARD = 'catkinshunt/sidecar/_forward.py'
 _SIDECAR = 'catkinshunt/sidecar/_app.py'
 _STORE = 'catkinshunt/weights/_store.py'
+_SLOT = 'catkinshunt/engines/_slot.py'
 
 MUTATIONS = (
     # At most once.
@@ -368,4 +369,17 @@
         'except RecursionError as exc:',
         'except ZeroDivisionError as exc:',
     ),
+    # Orders to engines.
+    Mutation(
+        'weights-behind-own-token',
+        _SLOT,
+        'parts[0].encode(), self._token.encode()',
+        'parts[0].encode(), parts[0].encode()',
+    ),
+    Mutation(
+        'engine-asked',
+        'catkinshunt/sidecar/_placement.py',
+        'if self._served.items() <= held.items():',
+        'if True:',
+    ),
 )
