Keep placing and fetching after an unforeseen error

Cause: the threads that keep the placement and begin transfers ended with any error outside the system's own tree. Nothing said so, and the instance stayed at its version. Found by reading; the watcher of the configuration was guarded already. The test of the placement failed before (no second order in 20 s) and passes now; the guard of the transfer has no test of its own. 27 tests of both modules pass.

--- a/catkinshunt/sidecar/_placement.py
+++ b/catkinshunt/sidecar/_placement.py
@@ -110,15 +110,21 @@
             # The list counts, too: where a holder has gone, another one of
             # the rule's instances takes its place.
             now_held = (revision, self.directory.revision)
-            if revision == 0 or (now_held == seen and self._engine_keeps()):
-                continue
             try:
+                if revision == 0 or (now_held == seen and self._keeps()):
+                    continue
                 seen = now_held if self._apply(conf) else None
             except errors.CatkinshuntError as exc:
                 _log.warning('Placement failed: {}', exc)
                 self._stopped.wait(RETRY_S)
+            except Exception as exc:
+                # If the thread ended here, the instance would answer its
+                # requests and stay at its version through every rollout.
+                _log.error('Placement broke: {!r}', exc)
+                seen = None
+                self._stopped.wait(RETRY_S)
 
-    def _engine_keeps(self):
+    def _keeps(self):
         """Return whether the engine still holds what it was ordered to.
 
         An engine that restarts comes back empty and tells nobody. Every
--- a/catkinshunt/sidecar/tests/test_placement.py
+++ b/catkinshunt/sidecar/tests/test_placement.py
@@ -1,6 +1,8 @@
 """Tests of keeping an engine at the version that the rules place."""
 
+import contextlib
 import json
+import threading
 
 import pytest
 
@@ -38,7 +40,7 @@
     runner = engine.Engine()
     source = origin.Origin(chunk_bytes=1024)
     source.publish(MODEL, 'v1', 10_000)
-    with deployments.contextlib.ExitStack() as stack:
+    with contextlib.ExitStack() as stack:
         store = _serve(stack, key_value.KeyValueService().app)
         httpio.exchange(
             store,
@@ -82,3 +84,28 @@
         lambda: process.report()['served'] == {MODEL: 'v1'}, 'placement'
     )
     assert runner.orders[0]['version'] == 'v1'
+
+
+def test_placement_goes_on_after_an_error_that_nobody_foresaw(
+    placed, monkeypatch
+):
+    """A call breaks with an error outside the system's own tree.
+
+    The thread that keeps the placement ended without a word, and the
+    instance stayed at its version through every later rollout.
+    """
+    runner, process = placed
+    engine_client = process._placement._engine
+    report = engine_client.report
+    broken = threading.Event()
+
+    def break_once():
+        if broken.is_set():
+            return report()
+        broken.set()
+        raise ZeroDivisionError('nobody foresaw this')
+
+    monkeypatch.setattr(engine_client, 'report', break_once)
+    assert broken.wait(deployments.WAIT_S)
+    runner.restart()
+    deployments.wait_until(lambda: len(runner.orders) == 1, 'second order')
--- a/catkinshunt/weights/_agent.py
+++ b/catkinshunt/weights/_agent.py
@@ -184,7 +184,14 @@
                 if self._stopped:
                     return
                 wanted = self._wanted
-            self._begin(wanted)
+            try:
+                self._begin(wanted)
+            except Exception as exc:
+                # If the thread ended here, no later version would ever be
+                # fetched, and nothing would say so.
+                _log.error('Transfer did not begin: {!r}', exc)
+                with self._changed:
+                    self._changed.wait(RETRY_S)
 
     def _has_work(self):
         if self._stopped:
