--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -93,9 +93,15 @@
     """A request that ends without its answer.
 
     Args:
-        retry_after_s: seconds after which the caller may come back.
+        retry_after_s: seconds after which the caller may come back; None
+            for what the class says.
     """
 
+    #: Seconds after which the caller may come back where the cause tells
+    #: no better; None where the same request must not or need not be sent
+    #: again. After an unknown outcome a client that repeats by itself could
+    #: have a request without an idempotency key run twice.
+    default_retry_after_s = None
     #: Whether the request ran: 'no', 'yes' or 'unknown'.
     ran = 'unknown'
     #: HTTP status given to the caller.
@@ -105,12 +111,15 @@
 
     def __init__(self, message, *, step='', peer='', retry_after_s=None):
         super().__init__(message, step=step, peer=peer)
+        if retry_after_s is None:
+            retry_after_s = self.default_retry_after_s
         self.retry_after_s = retry_after_s
 
 
 class RefusedError(RequestError):
     """The request was not run and may be sent again."""
 
+    default_retry_after_s = 1.0
     ran = 'no'
     status = 503
     code = 'refused'
@@ -132,6 +141,7 @@
 class InvalidRequestError(RefusedError):
     """Not run: the request itself is wrong."""
 
+    default_retry_after_s = None
     status = 400
     code = 'invalid'
 
@@ -174,6 +184,7 @@
 class WrongVersionError(RequestError):
     """Another model version answered than the request was routed for."""
 
+    default_retry_after_s = 1.0
     ran = 'yes'
     status = 503
     code = 'wrong-version'
@@ -182,6 +193,7 @@
 class IncompleteAnswerError(RequestError):
     """An answer that began and could not be brought to its end."""
 
+    default_retry_after_s = 1.0
     ran = 'yes'
     code = 'incomplete'
 
