Demand a fixed port of a sidecar beside an engine

Weighed: a port of its own only to hold the slot, which is one more setting that can be left out. The new test failed before; 255 tests of settings, commands, examples, bundle and demo pass.

--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -78,8 +78,9 @@
                 'origin': str(origin),
             },
         }
-        self.ports = launch.free_ports(2)
+        self.ports = launch.free_ports(3)
         side = {
+            'port': self.ports[2],
             'control_port': self.ports[0],
             'name': 'runner-0',
             'service': SERVICE,
--- a/benchmarks/bench_memory.py
+++ b/benchmarks/bench_memory.py
@@ -66,6 +66,7 @@
     'service': 'model-servers',
     'upstream': '127.0.0.1:1',
     'is_engine': True,
+    'port': launch.free_ports(1)[0],
 }
 
 
--- a/catkinshunt/cli/tests/test_serve.py
+++ b/catkinshunt/cli/tests/test_serve.py
@@ -21,7 +21,12 @@
         'origin': '127.0.0.1:1',
     },
 }
-SIDECAR = {'service': 's', 'upstream': '127.0.0.1:1', 'is_engine': True}
+SIDECAR = {
+    'service': 's',
+    'upstream': '127.0.0.1:1',
+    'is_engine': True,
+    'port': launch.free_ports(1)[0],
+}
 
 
 @pytest.mark.parametrize(
--- a/catkinshunt/settings/_model.py
+++ b/catkinshunt/settings/_model.py
@@ -37,7 +37,8 @@
         deployment_key: secret that only our own processes hold.
         platform: where the platform's services listen.
         host: address to listen on.
-        port: port for requests; 0 takes a free one.
+        port: port for requests; 0 takes a free one, which a sidecar beside
+            an engine may not.
         control_port: port for the other processes of the system.
         operator_port: port for health and metrics.
         threads: requests served at a time.
@@ -131,6 +132,10 @@
         if self.is_engine and not self.platform.origin:
             allowed = "'host:port', since is_engine is true"
             yield 'platform.origin', 'nothing', allowed
+        if self.is_engine and not self.port:
+            # The bound port is what keeps a second process from giving the
+            # same engine orders; with a port each, both would run.
+            yield 'port', '0', 'a fixed port, since is_engine is true'
 
 
 @attrs.frozen(kw_only=True)
--- a/catkinshunt/settings/tests/test_load.py
+++ b/catkinshunt/settings/tests/test_load.py
@@ -136,6 +136,18 @@
     assert set(found) == {'platform.origin', 'control_port'}
 
 
+def test_sidecar_of_an_engine_needs_a_fixed_port():
+    """Each process beside an engine takes whatever port is free.
+
+    Two of them can run there at once, and both give the engine orders.
+    """
+    platform = SIDECAR['platform'] | {'origin': '127.0.0.1:9002'}
+    found = problems(
+        settings.SidecarSettings, SIDECAR, is_engine=True, platform=platform
+    )
+    assert set(found) == {'port'}
+
+
 @pytest.mark.parametrize('value', [9001, '127.0.0.1:99999', ':80', 'a:'])
 def test_wrong_address(value):
     platform = ENTRY['platform'] | {'key_value': value}
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -76,7 +76,9 @@
             upstream = self._standin('engine', f'{name}/up', piece_s=PIECE_S)
         else:
             upstream = self._standin('plain', f'{name}/up', work_s=BOOKING_S)
+        [port] = launch.free_ports(1)
         cfg = self._settings(name) | {
+            'port': port,
             'service': service.name,
             'upstream': str(upstream.address),
             'is_engine': is_engine,
