--- a/catkinshunt/entry/tests/flow.py
+++ b/catkinshunt/entry/tests/flow.py
@@ -189,6 +189,8 @@
             'service': service,
             'upstream': str(address),
             'is_engine': is_engine,
+            # Demanded beside an engine; nothing listens there here.
+            'port': 8080,
         }
         cfg = settings.structure(cfg | given, settings.SidecarSettings)
         app = sidecar.SidecarApp(cfg, Placement())
--- a/catkinshunt/sidecar/tests/test_app.py
+++ b/catkinshunt/sidecar/tests/test_app.py
@@ -47,6 +47,8 @@
                 'service': 'model-servers',
                 'upstream': f'127.0.0.1:{upstream.port}',
                 'is_engine': True,
+                # Demanded beside an engine; nothing listens there here.
+                'port': 8080,
             },
             settings.SidecarSettings,
         )
--- a/catkinshunt/sidecar/tests/test_forward.py
+++ b/catkinshunt/sidecar/tests/test_forward.py
@@ -28,6 +28,8 @@
         'service': 'models',
         'upstream': str(upstream.address),
         'is_engine': is_engine,
+        # Demanded beside an engine; nothing listens there here.
+        'port': 8080,
     }
     cfg = settings.structure(cfg, settings.SidecarSettings)
     admission = limits.Admission(limits.FairQueue())
--- a/catkinshunt/tests/test_edit_history.py
+++ b/catkinshunt/tests/test_edit_history.py
@@ -34,18 +34,21 @@
     """
     recorder = histories.Recorder()
     stop = threading.Event()
-    faults = threading.Thread(target=_bring_faults, args=(service, stop))
+    # All operators see the same revision before the first of them edits.
+    seen = threading.Barrier(OPERATORS + 1)
+    faults = threading.Thread(target=_bring_faults, args=(service, stop, seen))
     faults.start()
     with futures.ThreadPoolExecutor(OPERATORS) as pool:
-        list(pool.map(lambda who: _edit(recorder, service, who), 'abcd'))
+        list(pool.map(lambda who: _edit(recorder, service, who, seen), 'abcd'))
     stop.set()
     faults.join()
     assert _read(recorder, _editor(service), 'last').held
     histories.check(recorder.operations, histories.Register())
 
 
-def _bring_faults(service, stop):
+def _bring_faults(service, stop, seen):
     rng = random.Random(SEED)
+    seen.wait()
     while not stop.wait(0.02):
         kind = rng.randrange(3)
         service.faults.down = kind == 0
@@ -59,12 +62,14 @@
     return configuration.Editor(store, tries=3, pause_s=0.01)
 
 
-def _edit(recorder, service, who):
+def _edit(recorder, service, who, seen):
     editor = _editor(service)
     left = EDITS
+    current = _read(recorder, editor, who)
+    seen.wait()
     while left:
-        current = _read(recorder, editor, who)
         if current is None:
+            current = _read(recorder, editor, who)
             continue
         name = f'{who}-{left}'
         rule = {
@@ -79,6 +84,7 @@
                 edited = editor.add(rule, expected_revision=before)
             except errors.ConflictError:
                 recorder.complete(operation, None)
+                current = None
                 continue
             except errors.StoreError:
                 # Whether it took effect is not told, or it did not.
@@ -86,6 +92,7 @@
             else:
                 recorder.complete(operation, edited.revision)
         left -= 1
+        current = None
 
 
 def _read(recorder, editor, who):
