Read request headers in one place; drop code without a caller

Cause: entry and sidecar each had the same reader of a header. A settings field, a hook for further control handlers and four constants had no caller left. Behaviour is the same.

--- a/benchmarks/bench_logs.py
+++ b/benchmarks/bench_logs.py
@@ -17,8 +17,6 @@
 LINES = 2000
 REQUESTS = 1000
 ROUNDS = 5
-#: A request writes one line at the entry and one at the sidecar.
-LINES_PER_REQUEST = 2
 _FORMAT = (
     '{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {extra[prefix]}: '
     '[{extra[request_id]}] {message}'
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,9 +10,6 @@
 
 from benchmarks import report
 
-CONTROL_CORES = 0.019
-CONTROL_RSS_MB = 32
-CONTROL_KB_PER_S = 21
 RULES = 1000
 #: Bytes a held instance takes, from ``bench_control``.
 BYTES_PER_LISTED = 544
--- a/catkinshunt/control/_plane.py
+++ b/catkinshunt/control/_plane.py
@@ -42,7 +42,6 @@
         self.directory = instances.Directory()
         self.loop = peers.LoopThread()
         self.pool = peers.PeerPool(cfg.deployment_key, self.loop)
-        self._handlers = []
         self._make_spreading()
         self._server = None
 
@@ -60,15 +59,11 @@
             if watcher.watching
         )
 
-    def add_handler(self, handler):
-        """Serve a further grpclib handler; call it before `start`."""
-        self._handlers.append(handler)
-
     def start(self):
         """Listen, learn what the others know, then keep up with them."""
         self.loop.start()
         self._server = peers.PeerServer(
-            [peering.Handler(self._spreader), *self._handlers],
+            [peering.Handler(self._spreader)],
             self.cfg.host,
             self.cfg.control_port,
             self.cfg.deployment_key,
--- a/catkinshunt/entry/_request.py
+++ b/catkinshunt/entry/_request.py
@@ -67,18 +67,23 @@
         body = httpio.read_body(environ)
         prompt = _Prompt.from_body(path, body)
         return cls(
-            request_id=_header(environ, headers.REQUEST_ID) or _new_id(),
+            request_id=httpio.read_header(environ, headers.REQUEST_ID)
+            or _new_id(),
             service=service,
             path=httpio.make_target('/' + rest, query),
             method=environ['REQUEST_METHOD'],
-            account=_header(environ, headers.ACCOUNT),
+            account=httpio.read_header(environ, headers.ACCOUNT),
             model=prompt.model,
-            idempotency_key=_header(environ, headers.IDEMPOTENCY_KEY),
+            idempotency_key=httpio.read_header(
+                environ, headers.IDEMPOTENCY_KEY
+            ),
             deadline=now + _deadline_s(environ, default_deadline_s),
             body=body,
             content_type=environ.get('CONTENT_TYPE', ''),
             arrived=now,
-            deadline_given=bool(_header(environ, headers.DEADLINE_MS)),
+            deadline_given=bool(
+                httpio.read_header(environ, headers.DEADLINE_MS)
+            ),
             prefix=prompt.prefix,
             first_index=prompt.first_index,
         )
@@ -115,16 +120,12 @@
         )
 
 
-def _header(environ, name):
-    return environ.get('HTTP_' + name.upper().replace('-', '_'), '')
-
-
 def _new_id():
     return uuid.uuid4().hex
 
 
 def _deadline_s(environ, default_s):
-    text = _header(environ, headers.DEADLINE_MS)
+    text = httpio.read_header(environ, headers.DEADLINE_MS)
     if not text:
         return default_s
     if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
--- a/catkinshunt/httpio/__init__.py
+++ b/catkinshunt/httpio/__init__.py
@@ -12,6 +12,7 @@
 from catkinshunt.httpio._wsgi import error_response
 from catkinshunt.httpio._wsgi import make_target
 from catkinshunt.httpio._wsgi import read_body
+from catkinshunt.httpio._wsgi import read_header
 from catkinshunt.httpio._wsgi import Response
 from catkinshunt.httpio import headers
 
@@ -29,5 +30,6 @@
     'make_target',
     'iter_pieces',
     'read_body',
+    'read_header',
     'read_error',
 ]
--- a/catkinshunt/httpio/_wsgi.py
+++ b/catkinshunt/httpio/_wsgi.py
@@ -105,3 +105,13 @@
     if len(body) != length:
         raise errors.InvalidRequestError('body cut short', step='read')
     return body
+
+
+def read_header(environ, name):
+    """Return a request's header, or an empty text.
+
+    Examples:
+        >>> read_header({'HTTP_IDEMPOTENCY_KEY': 'k'}, 'Idempotency-Key')
+        'k'
+    """
+    return environ.get('HTTP_' + name.upper().replace('-', '_'), '')
--- a/catkinshunt/settings/_fields.py
+++ b/catkinshunt/settings/_fields.py
@@ -84,13 +84,6 @@
     )
 
 
-def fraction(default=attrs.NOTHING):
-    """Return a field for a share from 0 to 1."""
-    return make_field(
-        'a number from 0 to 1', lambda value: 0 <= value <= 1, default
-    )
-
-
 def choice(*values, default=attrs.NOTHING):
     """Return a field for one of `values`."""
     return make_field(
--- a/catkinshunt/sidecar/_request.py
+++ b/catkinshunt/sidecar/_request.py
@@ -59,18 +59,20 @@
         default_ms = _DEFAULT_DEADLINE_S * 1000
         left_ms = _number(environ, headers.DEADLINE_MS, default_ms)
         return cls(
-            request_id=_header(environ, headers.REQUEST_ID),
+            request_id=httpio.read_header(environ, headers.REQUEST_ID),
             method=environ['REQUEST_METHOD'],
             path=httpio.make_target(path, environ.get('QUERY_STRING')),
-            account=_header(environ, headers.ACCOUNT),
+            account=httpio.read_header(environ, headers.ACCOUNT),
             weight=_number(environ, headers.WEIGHT, 1.0) or 1.0,
             priority=_priority(environ),
-            model=headers.decode_text(_header(environ, headers.MODEL)),
+            model=headers.decode_text(
+                httpio.read_header(environ, headers.MODEL)
+            ),
             version=headers.decode_text(
-                _header(environ, headers.MODEL_VERSION)
+                httpio.read_header(environ, headers.MODEL_VERSION)
             ),
             deadline=now + left_ms / 1000,
-            attempt_id=_header(environ, headers.ATTEMPT_ID),
+            attempt_id=httpio.read_header(environ, headers.ATTEMPT_ID),
             not_after=_not_after(environ),
             body=httpio.read_body(environ),
             content_type=environ.get('CONTENT_TYPE', ''),
@@ -78,12 +80,8 @@
         )
 
 
-def _header(environ, name):
-    return environ.get('HTTP_' + name.upper().replace('-', '_'), '')
-
-
 def _number(environ, name, default):
-    text = _header(environ, name)
+    text = httpio.read_header(environ, name)
     try:
         value = float(text or default)
     except ValueError:
@@ -96,7 +94,7 @@
 
 
 def _priority(environ):
-    text = _header(environ, headers.PRIORITY) or '0'
+    text = httpio.read_header(environ, headers.PRIORITY) or '0'
     if not text.removeprefix('-').isdecimal():
         raise errors.InvalidRequestError(
             f'{headers.PRIORITY} must be a whole number', step='read'
@@ -105,8 +103,8 @@
 
 
 def _not_after(environ):
-    text = _header(environ, headers.NOT_AFTER)
-    if not text and not _header(environ, headers.ATTEMPT_ID):
+    text = httpio.read_header(environ, headers.NOT_AFTER)
+    if not text and not httpio.read_header(environ, headers.ATTEMPT_ID):
         return math.inf
     try:
         return float(text)
