--- /dev/null
+++ b/catkinshunt/catalog/__init__.py
@@ -0,0 +1,23 @@
+"""What the operator declares and which upstreams are there."""
+
+from catkinshunt.catalog._catalog import Catalog
+from catkinshunt.catalog._catalog import NamedVersion
+from catkinshunt.catalog._model import Declaration
+from catkinshunt.catalog._model import EngineProfile
+from catkinshunt.catalog._model import Origin
+from catkinshunt.catalog._model import Serve
+from catkinshunt.catalog._model import Service
+from catkinshunt.catalog._model import Share
+from catkinshunt.catalog._model import Upstream
+
+__all__ = [
+    'Catalog',
+    'Declaration',
+    'EngineProfile',
+    'NamedVersion',
+    'Origin',
+    'Serve',
+    'Service',
+    'Share',
+    'Upstream',
+]
--- /dev/null
+++ b/catkinshunt/catalog/_catalog.py
@@ -0,0 +1,158 @@
+"""The state of the platform as one process knows it."""
+
+import attrs
+
+from catkinshunt import base
+from catkinshunt import logs
+
+#: Seconds for which an upstream that vanished may still be used where no
+#: other is left. The entries of live upstreams that lapsed in an outage of
+#: the platform's store are back within two seconds; work must have stopped
+#: two seconds after an upstream has gone.
+VANISHED_S = 1.5
+
+_log = logs.get_logger('catalog')
+
+
+@attrs.define
+class NamedVersion:
+    """A version of a model's weights that the operator named.
+
+    Attributes:
+        version: its number; a higher one is newer.
+        since: seconds on the clock of the catalog when it was learnt.
+    """
+
+    version: int
+    since: float
+
+
+class Catalog(base.ParamsMixin):
+    """Keeps the newest declaration, the upstreams, and how fresh they are.
+
+    Args:
+        fresh_s: seconds without word from the store after which the keys
+            of accounts are no longer trusted: a key may have been taken
+            away meanwhile. The clock must count the time of a suspend.
+
+    Examples:
+        >>> catalog = Catalog(fresh_s=3.0)
+        >>> catalog.confirm(now=10.0)
+        >>> catalog.is_fresh(now=12.0), catalog.is_fresh(now=13.5)
+        (True, False)
+    """
+
+    def __init__(self, fresh_s=3.0):
+        self.fresh_s = fresh_s
+        self.declaration = None
+        self.versions = {}
+        self._confirmed_at = None
+        self._upstreams = {}
+        self._vanished = {}
+
+    def confirm(self, now):
+        """Note that the state was the newest one at `now`."""
+        if self._confirmed_at is None or now > self._confirmed_at:
+            self._confirmed_at = now
+
+    def age_s(self, now):
+        """Return the seconds since the state was last confirmed, or None."""
+        if self._confirmed_at is None:
+            return None
+        return now - self._confirmed_at
+
+    def is_fresh(self, now):
+        """Return whether the keys of accounts can be trusted."""
+        age_s = self.age_s(now)
+        return age_s is not None and age_s < self.fresh_s
+
+    def declare(self, declaration):
+        """Put `declaration` in force unless a newer one is."""
+        held = self.declaration
+        if held is not None and declaration.revision <= held.revision:
+            return False
+        self.declaration = declaration
+        _log.info(
+            'Revision {} is in force.',
+            declaration.revision,
+            revision=declaration.revision,
+            rules=len(declaration.rule_set.rules),
+        )
+        return True
+
+    def name_version(self, model, version, now):
+        """Note that the operator wants `version` of `model` served."""
+        held = self.versions.get(model)
+        if held is not None and version <= held.version:
+            return False
+        self.versions[model] = NamedVersion(version, now)
+        _log.info(
+            'Version {} of {} is named.', version, model, version=version
+        )
+        return True
+
+    def put_upstream(self, upstream):
+        """Add or replace an upstream."""
+        known = self._upstreams.get(upstream.id)
+        self._vanished.pop(upstream.id, None)
+        self._upstreams[upstream.id] = upstream
+        if known != upstream:
+            _log.info(
+                'Upstream {} of {} is {}.',
+                upstream.id,
+                upstream.service,
+                'leaving' if upstream.leaving else 'here',
+                address=':'.join(map(str, upstream.address)),
+                versions=upstream.versions,
+            )
+
+    def drop_upstream(self, upstream_id, now):
+        """Take an upstream that vanished out of use, soon for good."""
+        known = self._upstreams.pop(upstream_id, None)
+        if known is None:
+            return
+        self._vanished[upstream_id] = (known, now)
+        _log.info('Upstream {} vanished.', upstream_id)
+
+    def replace_upstreams(self, upstreams, now):
+        """Take over a whole list; those that are missing have vanished."""
+        listed = {upstream.id for upstream in upstreams}
+        for missing in set(self._upstreams) - listed:
+            self.drop_upstream(missing, now)
+        for upstream in upstreams:
+            self.put_upstream(upstream)
+
+    def upstreams(self, service, now):
+        """Return the upstreams of `service` that take new work.
+
+        Those that vanished a moment ago are returned only where there is
+        no other.
+        """
+        found = [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.service == service and not upstream.leaving
+        ]
+        return found or self._just_vanished(service, now)
+
+    def members(self, service):
+        """Return all upstreams of `service`, those that leave as well."""
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.service == service
+        ]
+
+    def find(self, upstream_id):
+        """Return the upstream with this id, or None."""
+        return self._upstreams.get(upstream_id)
+
+    def _just_vanished(self, service, now):
+        for gone, (_, since) in list(self._vanished.items()):
+            if now - since > VANISHED_S:
+                del self._vanished[gone]
+        return [
+            upstream
+            for upstream, _ in self._vanished.values()
+            if upstream.service == service and not upstream.leaving
+        ]
--- /dev/null
+++ b/catkinshunt/dispatch/__init__.py
@@ -0,0 +1,19 @@
+"""Which upstream gets a request, from what is known of their work."""
+
+from catkinshunt.dispatch._choice import Candidate
+from catkinshunt.dispatch._choice import Chooser
+from catkinshunt.dispatch._choice import predict_delay_s
+from catkinshunt.dispatch._state import Job
+from catkinshunt.dispatch._state import Load
+from catkinshunt.dispatch._state import Tracker
+from catkinshunt.dispatch._state import UpstreamState
+
+__all__ = [
+    'Candidate',
+    'Chooser',
+    'Job',
+    'Load',
+    'Tracker',
+    'UpstreamState',
+    'predict_delay_s',
+]
--- /dev/null
+++ b/catkinshunt/dispatch/_choice.py
@@ -0,0 +1,116 @@
+"""Choice of the upstream that is likely to answer first."""
+
+import attrs
+
+from catkinshunt import base
+
+#: Seconds that an upstream elsewhere must be ahead to get the work. Bytes
+#: between data centres cost more than a short wait.
+OTHER_DATA_CENTRE_S = 0.06
+OTHER_REGION_S = 0.09
+#: Seconds that a rate of failures of 1 counts for; one fifth of failures
+#: outweighs a full engine.
+FAILURE_S = 4.0
+#: Seconds that a pause or silence counts for: such an upstream gets work
+#: only where all others are as bad.
+PAUSED_S = 30.0
+SILENT_S = 60.0
+#: Time that one request takes at a plain service, in seconds, where nothing
+#: is known of it; only the order matters.
+PLAIN_WORK_S = 0.05
+
+
+@attrs.frozen
+class Candidate:
+    """An upstream with the seconds that it is likely to take.
+
+    Attributes:
+        delay_s: time until the first byte of the answer.
+        cost_s: delay with what distance and failures count for.
+    """
+
+    upstream: object
+    state: object
+    delay_s: float
+    cost_s: float
+
+
+def predict_delay_s(state, engine, slots, job, now):
+    """Return the likely seconds until `job` gets its first byte.
+
+    An engine reads the prompts that came before, then this one, then makes
+    a pass; beyond its slots, requests wait for others to end.
+
+    Args:
+        state: `UpstreamState`.
+        engine: `catalog.EngineProfile`, or None for a plain service.
+        slots: requests that the upstream works on at once.
+        job: `Job` that is to be sent.
+        now: seconds on the steady clock.
+    """
+    others = state.others(now)
+    count = len(state.jobs) + others
+    if engine is None:
+        return PLAIN_WORK_S * (1 + max(0.0, count + 1 - slots) / slots)
+    unread = sum(other.tokens_in for other in state.jobs if not other.answering)
+    waiting = state.load.waiting if state.load and others else 0
+    unread += min(waiting, others) * engine.usual_prompt
+    read_s = (unread + job.tokens_in) / engine.read_tokens_per_s
+    step_s = engine.step_s + engine.per_request_s * min(count, slots)
+    pass_s = engine.stride * step_s
+    over = max(0.0, count + 1 - slots)
+    answer_s = engine.usual_answer * step_s * 1.5
+    return read_s + pass_s * (1 + count / slots) + over * answer_s / slots
+
+
+class Chooser(base.ParamsMixin):
+    """Orders the upstreams of a service for one request.
+
+    Args:
+        data_centre: where this process stands.
+        regions: region by data centre.
+    """
+
+    def __init__(self, data_centre, regions):
+        self.data_centre = data_centre
+        self.regions = regions
+
+    def choose(self, upstreams, tracker, engine, job, now, avoid=()):
+        """Return the best `Candidate`, or None.
+
+        Args:
+            upstreams: `catalog.Upstream` that may take the request.
+            tracker: `Tracker`.
+            engine: profile of the service's engines, or None.
+            job: `Job` that is to be sent.
+            now: seconds on the steady clock.
+            avoid: keys of upstreams that were tried already.
+        """
+        best = None
+        for upstream in upstreams:
+            if upstream.key in avoid:
+                continue
+            found = self._rate(upstream, tracker, engine, job, now)
+            if best is None or found.cost_s < best.cost_s:
+                best = found
+        return best
+
+    def _rate(self, upstream, tracker, engine, job, now):
+        state = tracker.state(upstream)
+        delay_s = predict_delay_s(state, engine, upstream.slots, job, now)
+        cost_s = delay_s + self._distance_s(upstream)
+        cost_s += FAILURE_S * state.failure_rate(now)
+        if now < state.paused_until:
+            cost_s += PAUSED_S
+        if state.is_silent(now):
+            cost_s += SILENT_S
+        return Candidate(upstream, state, delay_s, cost_s)
+
+    def _distance_s(self, upstream):
+        there = upstream.data_centre
+        if there == self.data_centre:
+            return 0.0
+        here = self.regions.get(self.data_centre)
+        if here is not None and self.regions.get(there) == here:
+            return OTHER_DATA_CENTRE_S
+        return OTHER_REGION_S
--- /dev/null
+++ b/catkinshunt/dispatch/_state.py
@@ -0,0 +1,169 @@
+"""What an entry knows of each upstream from its own requests."""
+
+import attrs
+
+#: Seconds for which a reported load says something about the present.
+REPORT_VALID_S = 1.0
+#: Share of a failure in the running rate of failures; about the last eight
+#: requests count.
+FAILURE_WEIGHT = 0.12
+#: Seconds in which the rate of failures halves without requests, so that an
+#: upstream that recovered gets work again.
+FAILURE_HALF_LIFE_S = 4.0
+#: Seconds of the first pause after a connection could not be made, doubled
+#: with each further failure in a row.
+FIRST_PAUSE_S = 0.4
+#: Longest such pause, in seconds.
+LONGEST_PAUSE_S = 4.0
+#: Seconds without a byte on any connection, while answers are due, after
+#: which an upstream is taken as silent. A pass of an engine that is five
+#: times as slow as usual takes 0.3 s.
+SILENT_S = 0.7
+
+
+@attrs.frozen
+class Load:
+    """Work at an upstream, as it said itself.
+
+    Attributes:
+        running: requests that it works on.
+        waiting: requests in its queue.
+        slots: requests that it works on at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.define(eq=False)
+class Job:
+    """One try at an upstream.
+
+    Attributes:
+        tokens_in: prompt tokens that are to be read.
+        tokens_out: most tokens of the answer.
+        started_at: when it was sent, in seconds on the steady clock.
+        answering: its first byte has come.
+    """
+
+    tokens_in: int = 0
+    tokens_out: int = 0
+    started_at: float = 0.0
+    answering: bool = False
+
+
+@attrs.define(eq=False)
+class UpstreamState:
+    """Jobs, load and failures of one start of an upstream.
+
+    Examples:
+        >>> state = UpstreamState()
+        >>> job = state.begin(Job(), now=1.0)
+        >>> state.is_silent(now=1.5), state.is_silent(now=1.8)
+        (False, True)
+        >>> state.hear(now=1.8)
+        >>> state.is_silent(now=2.0)
+        False
+    """
+
+    jobs: set = attrs.field(factory=set)
+    load: Load | None = None
+    load_at: float = 0.0
+    own_at_load: int = 0
+    expecting_since: float | None = None
+    failures_in_row: int = 0
+    paused_until: float = 0.0
+    _failure_rate: float = 0.0
+    _failure_rate_at: float = 0.0
+
+    def begin(self, job, now):
+        """Count a try that is being sent; returns it."""
+        job.started_at = now
+        if not self.jobs:
+            self.expecting_since = now
+        self.jobs.add(job)
+        return job
+
+    def end(self, job):
+        """Count a try that has ended."""
+        self.jobs.discard(job)
+        if not self.jobs:
+            self.expecting_since = None
+
+    def hear(self, now):
+        """Note that bytes came from the upstream."""
+        if self.expecting_since is not None:
+            self.expecting_since = now
+
+    def report(self, load, now):
+        """Take over the load that the upstream told."""
+        self.load = load
+        self.load_at = now
+        self.own_at_load = len(self.jobs)
+
+    def is_silent(self, now):
+        """Return whether answers are due and no byte has come for long."""
+        since = self.expecting_since
+        return since is not None and now - since > SILENT_S
+
+    def succeed(self, now):
+        """Note a request that went well."""
+        self.failures_in_row = 0
+        self.paused_until = 0.0
+        self._failure_rate = self.failure_rate(now) * (1 - FAILURE_WEIGHT)
+        self._failure_rate_at = now
+
+    def fail(self, now):
+        """Note a request that broke off or failed."""
+        rate = self.failure_rate(now)
+        self._failure_rate = rate + (1 - rate) * FAILURE_WEIGHT
+        self._failure_rate_at = now
+
+    def pause(self, now):
+        """Give no work for a time that grows with failures in a row."""
+        pause_s = FIRST_PAUSE_S * 2**self.failures_in_row
+        self.paused_until = now + min(pause_s, LONGEST_PAUSE_S)
+        self.failures_in_row += 1
+        self.fail(now)
+
+    def rest(self, now, pause_s):
+        """Give no work for `pause_s` seconds, without blame."""
+        self.paused_until = max(self.paused_until, now + pause_s)
+
+    def failure_rate(self, now):
+        """Return the share of requests that failed lately, from 0 to 1."""
+        age_s = max(0.0, now - self._failure_rate_at)
+        return self._failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def others(self, now):
+        """Return the requests that other entries are likely to have there."""
+        if self.load is None:
+            return 0.0
+        age_s = now - self.load_at
+        if age_s > REPORT_VALID_S:
+            return 0.0
+        told = self.load.running + self.load.waiting
+        left = 1 - age_s / REPORT_VALID_S
+        return max(0, told - self.own_at_load) * left
+
+
+class Tracker:
+    """Keeps an `UpstreamState` for each start of an upstream."""
+
+    def __init__(self):
+        self._states = {}
+
+    def state(self, upstream):
+        """Return the state of `upstream`, a new one at first."""
+        found = self._states.get(upstream.key)
+        if found is None:
+            found = self._states[upstream.key] = UpstreamState()
+        return found
+
+    def forget(self, upstreams):
+        """Drop idle states of starts that are not among `upstreams`."""
+        kept = {upstream.key for upstream in upstreams}
+        for key, state in list(self._states.items()):
+            if key not in kept and not state.jobs:
+                del self._states[key]
--- /dev/null
+++ b/catkinshunt/gateway/_context.py
@@ -0,0 +1,62 @@
+"""What all exchanges of one gateway share."""
+
+import attrs
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import dispatch
+from catkinshunt import http1
+from catkinshunt import retries
+from catkinshunt.gateway import base
+
+
+@attrs.define
+class Context:
+    """State and collaborators of a gateway.
+
+    Attributes:
+        clock: seconds on the steady clock.
+        wall: seconds on a clock that counts the time of a suspend too; the
+            age of the catalog is measured on it.
+        retry_ratio: share of the requests of a service that may be sent
+            once more.
+        retry_burst: retries that are allowed beyond that share.
+        random: source of random numbers, such as `random.Random(7)`.
+    """
+
+    catalog: catalogs.Catalog
+    dialect: base.BaseDialect
+    chooser: dispatch.Chooser
+    clock: object
+    wall: object
+    retry_ratio: float
+    retry_burst: float
+    random: object
+    metrics: object
+    tracker: dispatch.Tracker = attrs.field(factory=dispatch.Tracker)
+    stopping_since: float | None = None
+    version_grace_s: float = 8.0
+    _pools: dict = attrs.field(factory=dict)
+    _budgets: dict = attrs.field(factory=dict)
+
+    def pool(self, upstream):
+        """Return the connections to `upstream`."""
+        found = self._pools.get(upstream.key)
+        if found is None:
+            host, port = upstream.address
+            found = http1.Pool(host, port, self.clock)
+            self._pools[upstream.key] = found
+        return found
+
+    def forget_pools(self, upstreams):
+        """Close idle connections to starts that are not listed."""
+        kept = {upstream.key for upstream in upstreams}
+        for key in set(self._pools) - kept:
+            self._pools.pop(key).close_idle()
+
+    def budget(self, service):
+        """Return the `retries.Budget` of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = retries.Budget(self.retry_ratio, self.retry_burst)
+            self._budgets[service] = found
+        return found
--- /dev/null
+++ b/catkinshunt/gateway/_exchange.py
@@ -0,0 +1,557 @@
+"""One request, from its decision to the last byte of its answer."""
+
+import asyncio
+
+import attrs
+
+from catkinshunt import dispatch
+from catkinshunt import errors
+from catkinshunt import http1
+from catkinshunt import logs
+from catkinshunt import retries
+from catkinshunt.gateway import _admission
+from catkinshunt.gateway import _events
+from catkinshunt.gateway import base
+
+#: Seconds after which an exchange looks whether its upstream is silent.
+LOOK_S = 0.2
+#: Bytes of an answer that are held until it is whole, so that one that
+#: breaks off can be asked for again; a longer one is passed on as it comes.
+HELD_BYTES = 1024 * 1024
+#: Seconds for which an upstream that refused a request gets no other one.
+FULL_PAUSE_S = 0.1
+#: The same after it did not hold the name or version that was expected.
+MISDIRECTED_PAUSE_S = 0.5
+#: Seconds after which a caller may come back when no upstream took the
+#: request: about the time in which an engine ends an answer.
+BUSY_RETRY_S = 0.25
+#: Smallest time left that is worth a try, in seconds.
+LEAST_LEFT_S = 0.02
+EVENT_STREAM = 'text/event-stream'
+
+_log = logs.get_logger('exchange')
+
+
+class LateError(errors.OutcomeUnknownError):
+    """The time of the request is over; it may have run."""
+
+    status = 504
+    code = 'late'
+
+
+class SilentError(errors.OutcomeUnknownError):
+    """The upstream sends nothing on any connection."""
+
+    code = 'silent'
+
+
+@attrs.define
+class Progress:
+    """What was sent to the caller, and what was tried.
+
+    Attributes:
+        head_sent: the head of the answer is with the caller.
+        last_id: id of the last event passed on, or None.
+        sends: tries whose request was sent.
+        may_have_run: one of them may have run.
+        tried: keys of the upstreams that were tried.
+        notes: one word on each try, for the log.
+        first_s: seconds until the first byte of the answer, or None.
+    """
+
+    head_sent: bool = False
+    last_id: int | None = None
+    sends: int = 0
+    may_have_run: bool = False
+    tried: set = attrs.field(factory=set)
+    notes: list = attrs.field(factory=list)
+    first_s: float | None = None
+
+
+class Exchange:
+    """Answers one request of a caller.
+
+    Args:
+        context: `Context` of the gateway.
+        conn: `http1.ServerConnection` of the caller.
+        req: the `http1.Request`.
+    """
+
+    def __init__(self, context, conn, req):
+        self.context = context
+        self.conn = conn
+        self.req = req
+        self.ask = None
+        self.decision = None
+        self.progress = Progress()
+        self.end_at = None
+
+    async def run(self):
+        """Answer the request; return whether the connection stays usable."""
+        outcome = 'left'
+        try:
+            await self._answer()
+            outcome = 'answered'
+        except errors.RequestError as exc:
+            outcome = exc.code
+            return self._refuse(exc)
+        finally:
+            self._record(outcome)
+        return self._keeps()
+
+    async def _answer(self):
+        now = self.context.clock()
+        self.ask = self.context.dialect.read_ask(self.req)
+        stopping = self.context.stopping_since
+        if stopping is not None and now - stopping > STOPPING_SERVES_S:
+            raise errors.LeavingError(
+                'this process stops',
+                step='admit',
+                retry_after_s=_admission.STOPPING_RETRY_S,
+            )
+        self.decision = _admission.decide(
+            self.context.catalog,
+            self.ask,
+            self.context.random.random(),
+            self.context.wall(),
+        )
+        limit_s = self.decision.serve.timeout_s
+        if self.ask.deadline_s is not None:
+            limit_s = min(limit_s, self.ask.deadline_s)
+        self.end_at = self.req.received_at + limit_s
+        if self.ask.last_event_id:
+            self.progress.last_id = int(self.ask.last_event_id)
+        self.context.budget(self.decision.service).offer()
+        try:
+            async with asyncio.timeout(self.end_at - now):
+                await self._try_all()
+        except TimeoutError as exc:
+            raise self._late() from exc
+
+    def _late(self):
+        if not self.progress.sends:
+            return errors.OverloadedError(
+                'no upstream took it in time', step='dispatch'
+            )
+        return LateError('the time of the request is over', step='answer')
+
+    # Tries.
+
+    async def _try_all(self):
+        while True:
+            candidate = self._choose()
+            try:
+                await self._try(candidate)
+                return
+            except errors.RequestError as exc:
+                self.progress.notes.append(f'{candidate.upstream.id}:{exc}')
+                self._judge(exc)
+
+    def _judge(self, exc):
+        """Raise what the request ends with unless it may be tried again."""
+        progress = self.progress
+        serve = self.decision.serve
+        progress.may_have_run |= exc.ran != 'no'
+        policy = retries.RetryPolicy(
+            self.context.budget(self.decision.service) if progress.sends else None,
+            max_tries=serve.max_tries,
+            least_left_s=LEAST_LEFT_S,
+        )
+        verdict = policy.check(
+            exc,
+            serve.repeatable,
+            progress.sends,
+            self.end_at,
+            self.context.clock(),
+        )
+        progress.notes.append(verdict.grounds)
+        if verdict.again:
+            return
+        raise self._final(exc)
+
+    def _final(self, exc):
+        if self.progress.may_have_run and exc.ran == 'no':
+            return errors.OutcomeUnknownError(
+                'an earlier try may have run', step='dispatch'
+            )
+        return exc
+
+    def _choose(self):
+        """Return the `dispatch.Candidate` for the next try."""
+        now = self.context.clock()
+        candidate = self.context.chooser.choose(
+            self._upstreams(),
+            self.context.tracker,
+            self._engine(),
+            self._job(),
+            now,
+            avoid=self.progress.tried,
+        )
+        if candidate is None:
+            raise self._final(
+                errors.OverloadedError(
+                    'no upstream is there',
+                    step='choose-upstream',
+                    retry_after_s=BUSY_RETRY_S,
+                )
+            )
+        self.progress.tried.add(candidate.upstream.key)
+        return candidate
+
+    def _engine(self):
+        services = self.context.catalog.declaration.services
+        service = services.get(self.decision.service)
+        return service.engine if service else None
+
+    def _job(self):
+        return dispatch.Job(self.ask.tokens_in, self.ask.tokens_out)
+
+    def _upstreams(self):
+        """Return the upstreams that may take the request."""
+        found = self.context.catalog.upstreams(
+            self.decision.service, self.context.wall()
+        )
+        model = self.ask.model
+        if not model or self._engine() is None:
+            return found
+        holding = [u for u in found if u.versions and model in u.versions]
+        least = self._least_version()
+        if least is None:
+            return holding
+        return [u for u in holding if u.versions[model] >= least]
+
+    def _least_version(self):
+        """Return the oldest version that may still begin, or None for any."""
+        named = self.context.catalog.versions.get(self.ask.model)
+        if named is None:
+            return None
+        age_s = self.context.wall() - named.since
+        return named.version if age_s > self.context.version_grace_s else None
+
+    async def _try(self, candidate):
+        """Make one try; raises an `errors.RequestError` where it failed."""
+        upstream, state = candidate.upstream, candidate.state
+        pool = self.context.pool(upstream)
+        try:
+            # On a connection that lay idle a request can be lost without a
+            # sign whether it ran; what must not run twice takes a new one.
+            fresh = not self.decision.serve.repeatable
+            conn = await pool.take(fresh=fresh)
+        except errors.RefusedError:
+            state.pause(self.context.clock())
+            raise
+        job = state.begin(self._job(), self.context.clock())
+        self.progress.sends += 1
+        whole = False
+        try:
+            conn.send(*self._request_bytes(upstream))
+            relay = Relay(self, conn, state, job, pool.peer)
+            whole = await relay.run()
+            state.succeed(self.context.clock())
+        except errors.RefusedError:
+            raise
+        except errors.RequestError:
+            state.fail(self.context.clock())
+            raise
+        finally:
+            state.end(job)
+            if whole:
+                pool.give_back(conn)
+            else:
+                conn.close()
+
+    def _request_bytes(self, upstream):
+        left_s = self.end_at - self.context.clock()
+        last_id = self.progress.last_id
+        forward = base.Forward(
+            upstream.id,
+            left_s,
+            self.decision.account,
+            self._least_version(),
+            '' if last_id is None else str(last_id),
+        )
+        items = self.context.dialect.upstream_headers(
+            self.req, self.ask, forward
+        )
+        if self.req.body or self.req.method in ('POST', 'PUT', 'PATCH'):
+            items.append(('Content-Length', str(len(self.req.body))))
+        first = f'{self.req.method} {self.req.target} HTTP/1.1'
+        return http1.dump_head(first, items), self.req.body
+
+    def can_move(self, state):
+        """Return whether a try may be given up for one elsewhere."""
+        if not self.decision.serve.repeatable:
+            return False
+        if self.progress.sends >= self.decision.serve.max_tries:
+            return False
+        now = self.context.clock()
+        return any(
+            not self.context.tracker.state(upstream).is_silent(now)
+            for upstream in self._upstreams()
+            if upstream.key not in self.progress.tried
+        )
+
+    # What the caller gets.
+
+    def _keeps(self):
+        return self.req.keep_alive and self.context.stopping_since is None
+
+    def closing_items(self):
+        """Return the headers that tell whether the connection stays."""
+        return [] if self._keeps() else [('Connection', 'close')]
+
+    def note_first(self):
+        """Note that the answer has begun."""
+        if self.progress.first_s is None:
+            self.progress.first_s = (
+                self.context.clock() - self.req.received_at
+            )
+
+    def _refuse(self, exc):
+        """Answer with an error of our own; return whether to go on."""
+        if self.progress.head_sent:
+            # A proper end would make the broken answer look whole.
+            self.conn.abort()
+            return False
+        items = self.context.dialect.reply_headers(self.ask)
+        if exc.retry_after_s is not None and exc.ran == 'no':
+            items.append(('Retry-After', f'{exc.retry_after_s:g}'))
+        keeps = self._keeps() and not isinstance(exc, _admission.StaleError)
+        if not keeps:
+            items.append(('Connection', 'close'))
+        body = f'{exc.code}: {exc.message}\n'.encode()
+        items.append(('Content-Type', 'text/plain'))
+        self.conn.write(http1.dump_reply(exc.status, items, body))
+        return keeps
+
+    def _record(self, outcome):
+        now = self.context.clock()
+        service = self.decision.service if self.decision else ''
+        self.context.metrics.record(
+            service, outcome, now - self.req.received_at, self.progress
+        )
+        _log.info(
+            'Request {} ended as {}.',
+            self.ask.id if self.ask else '?',
+            outcome,
+            request=self.ask.id if self.ask else None,
+            service=service,
+            rule=self.decision.rule if self.decision else None,
+            revision=self.decision.revision if self.decision else None,
+            age_s=round(self.decision.age_s, 3) if self.decision else None,
+            tries=self.progress.notes,
+            sends=self.progress.sends,
+            first_s=_rounded(self.progress.first_s),
+            took_s=_rounded(now - self.req.received_at),
+        )
+
+
+#: Seconds after the signal to stop in which new requests are still served:
+#: the balancer needs two of its questions, a second apart, to notice.
+STOPPING_SERVES_S = 3.0
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 4)
+
+
+class Relay:
+    """Passes the reply of one try on to the caller.
+
+    Args:
+        exchange: the `Exchange`.
+        conn: `http1.ClientConnection` to the upstream.
+        state: its `dispatch.UpstreamState`.
+        job: the `dispatch.Job` of the try.
+        peer: address of the upstream as text.
+    """
+
+    def __init__(self, exchange, conn, state, job, peer):
+        self.exchange = exchange
+        self.context = exchange.context
+        self.conn = conn
+        self.state = state
+        self.job = job
+        self.peer = peer
+        self.sent_at = self.context.clock()
+
+    async def run(self):
+        """Relay the reply; return whether the connection can be kept."""
+        head = await self._read_own_head()
+        note = self.context.dialect.read_reply(head)
+        if note.load is not None:
+            self.state.report(note.load, self.context.clock())
+        self._check(head, note)
+        if self._is_stream(head):
+            await self._relay_events(head)
+        else:
+            await self._relay_whole(head)
+        return self.conn.sent_whole and not note.leaving
+
+    async def _read_own_head(self):
+        """Return the head of the reply to this request.
+
+        A reply to an earlier one can still come on the connection; it is
+        read to its end and dropped.
+        """
+        while True:
+            part = await self._next_part()
+            if not isinstance(part, http1.ReplyHead):
+                continue
+            note = self.context.dialect.read_reply(part)
+            if note.request_id in ('', self.exchange.ask.id):
+                return part
+
+    async def _next_part(self):
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    part = await self.conn.read_part()
+            except TimeoutError:
+                self._check_silence()
+                continue
+            if isinstance(part, http1.Broken):
+                raise errors.OutcomeUnknownError(
+                    part.reason, step='read-reply', peer=self.peer
+                )
+            self.state.hear(self.context.clock())
+            self.job.answering = True
+            return part
+
+    def _check_silence(self):
+        now = self.context.clock()
+        if not self.state.is_silent(now) or now - self.sent_at < LOOK_S:
+            return
+        if self.exchange.can_move(self.state):
+            raise SilentError(
+                'no byte on any connection', step='read-reply', peer=self.peer
+            )
+
+    def _check(self, head, note):
+        """Raise where the reply is not to be passed on."""
+        if head.status == 421 or note.misdirected:
+            self.state.rest(self.context.clock(), MISDIRECTED_PAUSE_S)
+            raise errors.RefusedError(
+                'another upstream or version is there',
+                step='read-reply',
+                peer=self.peer,
+            )
+        if note.not_run:
+            self.state.rest(self.context.clock(), FULL_PAUSE_S)
+            raise errors.OverloadedError(
+                f'upstream refused with {head.status}',
+                step='read-reply',
+                peer=self.peer,
+                retry_after_s=BUSY_RETRY_S,
+            )
+        if head.status in (408, 429, 503):
+            # Such a status promises that the request has not run; without
+            # the upstream's own word it cannot be passed on.
+            raise errors.OutcomeUnknownError(
+                f'upstream answered {head.status}',
+                step='read-reply',
+                peer=self.peer,
+            )
+        if head.status >= 500 and self._may_repeat():
+            raise errors.OutcomeUnknownError(
+                f'upstream failed with {head.status}',
+                step='read-reply',
+                peer=self.peer,
+            )
+
+    def _may_repeat(self):
+        """Return whether another try could turn a failure into an answer."""
+        serve = self.exchange.decision.serve
+        progress = self.exchange.progress
+        return (
+            serve.repeatable
+            and progress.sends < serve.max_tries
+            and self.exchange.can_move(self.state)
+        )
+
+    def _is_stream(self, head):
+        kind = head.headers.get('content-type') or ''
+        return head.status == 200 and kind.startswith(EVENT_STREAM)
+
+    async def _relay_whole(self, head):
+        body = bytearray()
+        while len(body) <= HELD_BYTES:
+            part = await self._next_part()
+            if isinstance(part, http1.End):
+                self._send_whole(head, bytes(body))
+                return
+            body += part.data
+        await self._relay_long(head, bytes(body))
+
+    def _send_whole(self, head, body):
+        self.exchange.note_first()
+        items = head.headers.end_to_end() + self.exchange.closing_items()
+        self.exchange.conn.write(http1.dump_reply(head.status, items, body))
+
+    async def _relay_long(self, head, data):
+        self._send_head(head)
+        while True:
+            self.exchange.conn.write(http1.dump_chunk(data))
+            await self.exchange.conn.drain()
+            part = await self._next_part()
+            if isinstance(part, http1.End):
+                self.exchange.conn.write(http1.LAST_CHUNK)
+                return
+            data = part.data
+
+    async def _relay_events(self, head):
+        splitter = _events.EventSplitter()
+        while True:
+            part = await self._next_part()
+            if isinstance(part, http1.End):
+                break
+            events = self._split(splitter, part.data)
+            data = b''.join(self._fresh(events))
+            if data:
+                self._send_head(head)
+                self.exchange.conn.write(http1.dump_chunk(data))
+                await self.exchange.conn.drain()
+        if splitter.rest:
+            raise errors.OutcomeUnknownError(
+                'the stream ended within an event',
+                step='read-reply',
+                peer=self.peer,
+            )
+        self._send_head(head)
+        self.exchange.conn.write(http1.LAST_CHUNK)
+
+    def _split(self, splitter, data):
+        try:
+            return splitter.feed(data)
+        except _events.BadEventError as exc:
+            raise errors.OutcomeUnknownError(
+                str(exc), step='read-reply', peer=self.peer
+            ) from exc
+
+    def _fresh(self, events):
+        """Yield the bytes of the events that the caller lacks."""
+        progress = self.exchange.progress
+        for event in events:
+            if event.id is None or progress.last_id is None:
+                progress.last_id = event.id
+                yield event.data
+            elif event.id == progress.last_id + 1:
+                progress.last_id = event.id
+                yield event.data
+            elif event.id > progress.last_id:
+                raise errors.OutcomeUnknownError(
+                    f'event {event.id} came after {progress.last_id}',
+                    step='read-reply',
+                    peer=self.peer,
+                )
+
+    def _send_head(self, head):
+        if self.exchange.progress.head_sent:
+            return
+        self.exchange.note_first()
+        self.exchange.progress.head_sent = True
+        items = head.headers.end_to_end()
+        items.append(('Transfer-Encoding', 'chunked'))
+        items.extend(self.exchange.closing_items())
+        first = http1.status_line(head.status)
+        self.exchange.conn.write(http1.dump_head(first, items))
--- /dev/null
+++ b/catkinshunt/gateway/_gateway.py
@@ -0,0 +1,95 @@
+"""Takes callers' connections, and stops without cutting a request."""
+
+import asyncio
+
+from catkinshunt import http1
+from catkinshunt import logs
+from catkinshunt.gateway import _exchange
+
+#: Seconds after the signal to stop in which idle connections stay open; the
+#: balancer has stopped sending new ones by then.
+CLOSE_IDLE_S = 2.6
+#: Pause between looks at what is still in progress while stopping.
+STOP_LOOK_S = 0.1
+
+_log = logs.get_logger('gateway')
+
+
+class Gateway:
+    """Serves callers on one address.
+
+    Args:
+        context: `Context`.
+    """
+
+    def __init__(self, context):
+        self.context = context
+        self._busy = set()
+        self._listener = http1.Listener(
+            self._session, context.clock, self._limits
+        )
+
+    @property
+    def in_progress(self):
+        """Number of requests that are being answered."""
+        return len(self._busy)
+
+    async def start(self, host, port):
+        """Listen on an address; returns self."""
+        await self._listener.start(host, port)
+        return self
+
+    def is_ready(self):
+        """Return whether this process should get new connections."""
+        return (
+            self.context.stopping_since is None
+            and self.context.catalog.declaration is not None
+            and self.context.catalog.is_fresh(self.context.wall())
+        )
+
+    async def stop(self, grace_s):
+        """Answer what is in progress, then close; at most for `grace_s`."""
+        since = self.context.clock()
+        self.context.stopping_since = since
+        _log.info('Stopping with {} requests in progress.', self.in_progress)
+        while self.context.clock() - since < grace_s:
+            await asyncio.sleep(STOP_LOOK_S)
+            if self.context.clock() - since > CLOSE_IDLE_S:
+                self._close_idle()
+                if not self._listener.tasks:
+                    break
+        self._listener.close()
+        _log.info('Stopped with {} requests in progress.', self.in_progress)
+
+    def _close_idle(self):
+        for conn in list(self._listener.tasks.values()):
+            if conn not in self._busy and conn.is_idle:
+                conn.close()
+
+    def _limits(self):
+        declaration = self.context.catalog.declaration
+        return declaration.limits if declaration else http1.Limits()
+
+    async def _session(self, conn):
+        while True:
+            req = await conn.read_request()
+            if req is None:
+                return
+            if isinstance(req, http1.BadRequestError):
+                await self._reject(conn, req)
+                return
+            self._busy.add(conn)
+            try:
+                keeps = await _exchange.Exchange(self.context, conn, req).run()
+            finally:
+                self._busy.discard(conn)
+            if not keeps:
+                return
+            conn.begin_idle()
+
+    async def _reject(self, conn, exc):
+        _log.info('Rejected a request: {}.', exc, status=exc.status)
+        items = [('Connection', 'close'), ('Content-Type', 'text/plain')]
+        body = f'{exc}\n'.encode()
+        conn.write(http1.dump_reply(exc.status, items, body))
+        await asyncio.sleep(http1.LINGER_S)
--- /dev/null
+++ b/catkinshunt/gateway/_metrics.py
@@ -0,0 +1,37 @@
+"""Counters and durations of a gateway."""
+
+from catkinshunt import metrics
+
+
+class GatewayMetrics:
+    """Records how requests ended.
+
+    Args:
+        registry: `metrics.Registry`.
+    """
+
+    def __init__(self, registry=None):
+        self.registry = registry or metrics.Registry()
+        self._ended = self.registry.counter(
+            'requests_total', 'Requests ended.', ('service', 'outcome')
+        )
+        self._duration = self.registry.recorder(
+            'request_duration_seconds', 'Time from request to end of answer.'
+        )
+        self._first = self.registry.recorder(
+            'first_byte_seconds', 'Time from request to the answer\'s begin.'
+        )
+        self._sends = self.registry.counter(
+            'upstream_tries_total', 'Requests sent to upstreams.', ('try',)
+        )
+
+    def record(self, service, outcome, duration_s, progress):
+        """Count one request that has ended."""
+        self._ended.add(service, outcome)
+        self._duration.observe(duration_s)
+        if progress.first_s is not None:
+            self._first.observe(progress.first_s)
+        if progress.sends:
+            self._sends.add('first')
+        if progress.sends > 1:
+            self._sends.add('further', amount=progress.sends - 1)
--- /dev/null
+++ b/catkinshunt/http1/_client.py
@@ -0,0 +1,223 @@
+"""The side of a connection that sends requests and reads replies."""
+
+import asyncio
+import collections
+
+import attrs
+import httptools
+
+from catkinshunt.http1 import _messages
+
+#: Bytes read ahead of the task that relays a reply.
+READ_AHEAD_BYTES = 256 * 1024
+
+
+class ConnectionBrokenError(Exception):
+    """The connection ended, or carried bytes that are no reply."""
+
+
+@attrs.frozen
+class Body:
+    """A part of a reply's body."""
+
+    data: bytes
+
+
+@attrs.frozen
+class End:
+    """The reply is whole."""
+
+
+@attrs.frozen
+class Broken:
+    """Nothing further can be read.
+
+    Attributes:
+        reason: what ended the connection.
+        orderly: the peer closed it without a reset.
+    """
+
+    reason: str
+    orderly: bool = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """Sends one request at a time and yields the parts of its reply.
+
+    The parts are a `ReplyHead`, any number of `Body` and an `End`, or a
+    `Broken` in the place of what is missing.
+
+    Args:
+        clock: gives seconds on the steady clock.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.transport = None
+        self.heard_at = clock()
+        self.idle_since = clock()
+        self.idle_limit_s = None
+        self.reusable = True
+        self.used = False
+        self._parts = collections.deque()
+        self._arrived = asyncio.Event()
+        self._held = 0
+        self._broken = None
+        self._method = 'GET'
+        self._in_reply = False
+        self._until_close = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._items = []
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport):
+        """See `asyncio.Protocol`."""
+        self.transport = transport
+
+    def connection_lost(self, exc):
+        """See `asyncio.Protocol`."""
+        if exc is None:
+            self._end_input('closed by the peer', orderly=True)
+        else:
+            self._end_input(f'{type(exc).__name__}: {exc}')
+
+    def eof_received(self):
+        """See `asyncio.Protocol`."""
+        self._end_input('closed by the peer', orderly=True)
+        return False
+
+    def data_received(self, data):
+        """See `asyncio.Protocol`."""
+        self.heard_at = self.clock()
+        if self._broken is not None:
+            return
+        if not self.used:
+            self._end_input('bytes came before any request')
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._end_input('the peer changed the protocol')
+        except httptools.HttpParserError as exc:
+            self._end_input(f'not a reply: {exc}')
+
+    # httptools
+
+    def on_message_begin(self):
+        """Begin a reply."""
+        self._items = []
+        self._in_reply = True
+        self._until_close = False
+
+    def on_header(self, name, value):
+        """Take one header field."""
+        self._items.append((name.decode('latin-1'), value.decode('latin-1')))
+
+    def on_headers_complete(self):
+        """Hand over the head."""
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            return
+        headers = _messages.Headers(self._items)
+        bodiless = status in (204, 304)
+        framed = bodiless or self._is_framed(headers)
+        self._until_close = not framed
+        if not self._parser.should_keep_alive() or not framed:
+            self.reusable = False
+        self.idle_limit_s = _idle_limit_s(headers)
+        self._put(_messages.ReplyHead(status, headers, bodiless))
+
+    def on_body(self, data):
+        """Take a part of the body."""
+        self._held += len(data)
+        if self._held > READ_AHEAD_BYTES:
+            self.transport.pause_reading()
+        self._put(Body(data))
+
+    def on_message_complete(self):
+        """Note that the reply is whole."""
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            return
+        self._in_reply = False
+        self._put(End())
+
+    # Used by the task of the exchange.
+
+    @property
+    def is_open(self):
+        """Whether another request can be sent."""
+        return (
+            self._broken is None
+            and self.reusable
+            and not self._parts
+            and not self.transport.is_closing()
+        )
+
+    @property
+    def peer_silent_since(self):
+        """When the last byte came, in seconds on the steady clock."""
+        return self.heard_at
+
+    def send(self, head, body=b''):
+        """Send a request; its reply is read by `read_part`."""
+        self.used = True
+        self.transport.write(head + body)
+
+    @property
+    def sent_whole(self):
+        """Whether nothing of the request waits to be sent."""
+        return self.transport.get_write_buffer_size() == 0
+
+    async def read_part(self):
+        """Return the next part of the reply."""
+        while not self._parts:
+            if self._broken is not None:
+                return self._broken
+            self._arrived.clear()
+            await self._arrived.wait()
+        part = self._parts.popleft()
+        if isinstance(part, Body):
+            self._held -= len(part.data)
+            if self._held <= READ_AHEAD_BYTES:
+                self.transport.resume_reading()
+        return part
+
+    def close(self):
+        """Close at once; unread replies are left."""
+        self.reusable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _put(self, part):
+        self._parts.append(part)
+        self._arrived.set()
+
+    def _end_input(self, reason, orderly=False):
+        if self._broken is not None:
+            return
+        if orderly and self._in_reply and self._until_close:
+            # A reply without a length is whole when its connection ends in
+            # order; a reset on the way leaves it unfinished.
+            self._put(End())
+        self._broken = Broken(reason, orderly)
+        self.reusable = False
+        self._arrived.set()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.close()
+
+    def _is_framed(self, headers):
+        encoding = headers.get('transfer-encoding') or ''
+        if 'chunked' in encoding.lower():
+            return True
+        return headers.get('content-length') is not None
+
+
+def _idle_limit_s(headers):
+    """Return the seconds for which the peer keeps the connection, or None."""
+    for word in (headers.get('keep-alive') or '').split(','):
+        name, _, value = word.strip().partition('=')
+        if name.lower() == 'timeout' and value.strip().isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/catkinshunt/http1/_messages.py
@@ -0,0 +1,161 @@
+"""Heads and bodies of HTTP/1.1 messages."""
+
+import attrs
+
+#: Headers that concern one connection only; they are never passed on.
+HOP_BY_HOP = frozenset(
+    [
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ]
+)
+#: Headers that tell where a message ends; the sender writes its own.
+FRAMING = frozenset(['content-length', 'expect'])
+
+REASONS = {
+    200: 'OK',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    404: 'Not Found',
+    408: 'Request Timeout',
+    413: 'Content Too Large',
+    421: 'Misdirected Request',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+
+class Headers:
+    """Header fields in the order of arrival; names ignore case.
+
+    Examples:
+        >>> headers = Headers([('Host', 'a'), ('Connection', 'X-Hop, close')])
+        >>> headers.get('host')
+        'a'
+        >>> headers.end_to_end()
+        [('Host', 'a')]
+    """
+
+    __slots__ = ('items',)
+
+    def __init__(self, items=()):
+        self.items = list(items)
+
+    def get(self, name, default=None):
+        """Return the first value of `name`, or `default`."""
+        name = name.lower()
+        for key, value in self.items:
+            if key.lower() == name:
+                return value
+        return default
+
+    def get_all(self, name):
+        """Return all values of `name` in order."""
+        name = name.lower()
+        return [value for key, value in self.items if key.lower() == name]
+
+    def end_to_end(self, without=frozenset()):
+        """Return the fields that are passed on.
+
+        Args:
+            without: further names to leave out, in lower case.
+        """
+        named = set()
+        for value in self.get_all('connection'):
+            named.update(word.strip().lower() for word in value.split(','))
+        return [
+            (key, value)
+            for key, value in self.items
+            if not _stays(key.lower(), named, without)
+        ]
+
+
+def _stays(name, named, without):
+    return (
+        name in HOP_BY_HOP
+        or name in FRAMING
+        or name in named
+        or name in without
+    )
+
+
+@attrs.define
+class Request:
+    """A request that was read whole.
+
+    Attributes:
+        received_at: seconds on the steady clock when its last byte came.
+        keep_alive: whether the caller keeps the connection for another.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b''
+    received_at: float = 0.0
+    keep_alive: bool = True
+
+    @property
+    def path(self):
+        """The target without its query."""
+        return self.target.partition('?')[0]
+
+
+@attrs.define
+class ReplyHead:
+    """Status and header fields of a reply.
+
+    Attributes:
+        bodiless: the reply has no body whatever its headers say.
+    """
+
+    status: int
+    headers: Headers = attrs.field(factory=Headers)
+    bodiless: bool = False
+
+
+def dump_head(first_line, items):
+    """Return the bytes of a message's head.
+
+    Args:
+        first_line: the request line or status line.
+        items: pairs of header name and value.
+
+    Examples:
+        >>> dump_head('GET / HTTP/1.1', [('Host', 'a')])
+        b'GET / HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n'
+    """
+    lines = [first_line]
+    lines.extend(f'{name}: {value}' for name, value in items)
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+
+
+def dump_reply(status, items, body=b''):
+    """Return the bytes of a whole reply of known length."""
+    head = status_line(status)
+    items = [*items, ('Content-Length', str(len(body)))]
+    return dump_head(head, items) + body
+
+
+def status_line(status):
+    """Return the status line of `status`."""
+    return f'HTTP/1.1 {status} {REASONS.get(status, "Status")}'
+
+
+def dump_chunk(data):
+    """Return `data` as one chunk of a body without a known length."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+LAST_CHUNK = b'0\r\n\r\n'
--- /dev/null
+++ b/catkinshunt/http1/_serve.py
@@ -0,0 +1,111 @@
+"""A small server for replies that are made at once."""
+
+import asyncio
+
+import attrs
+
+from catkinshunt import logs
+from catkinshunt.http1 import _messages
+from catkinshunt.http1 import _server
+
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+
+_log = logs.get_logger('http')
+
+
+@attrs.frozen
+class Reply:
+    """A whole reply."""
+
+    status: int
+    body: bytes = b''
+    items: tuple = ()
+
+
+class Listener:
+    """Accepts connections and runs one task for each.
+
+    Args:
+        session: coroutine function of one `ServerConnection`; the
+            connection is closed when it returns, and it is cancelled when
+            the caller leaves.
+        clock: gives seconds on the steady clock.
+        limits: function that returns the `Limits` in force.
+    """
+
+    def __init__(self, session, clock, limits=_server.Limits):
+        self.session = session
+        self.clock = clock
+        self.limits = limits
+        self.tasks = {}
+        self._server = None
+
+    async def start(self, host, port):
+        """Listen on an address; returns self."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_connection, host, port, backlog=BACKLOG
+        )
+        return self
+
+    def close(self):
+        """Accept no further connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def _make_connection(self):
+        return _server.ServerConnection(
+            self.clock, self.limits, self._connected
+        )
+
+    def _connected(self, conn):
+        task = asyncio.ensure_future(self._run(conn))
+        self.tasks[task] = conn
+        task.add_done_callback(self.tasks.pop)
+        conn.closed.add_done_callback(lambda _: task.cancel())
+
+    async def _run(self, conn):
+        try:
+            await self.session(conn)
+        except asyncio.CancelledError:
+            # The caller has left; whoever worked for it was told.
+            conn.abort()
+        except Exception:
+            _log.exception('A connection ended by an error.')
+            conn.abort()
+        else:
+            conn.close()
+
+
+def answer_with(handler):
+    """Return a session that answers each request by `handler`.
+
+    Args:
+        handler: coroutine function of a `Request` that returns a `Reply`.
+    """
+
+    async def session(conn):
+        while True:
+            req = await conn.read_request()
+            if req is None:
+                return
+            if isinstance(req, _server.BadRequestError):
+                conn.write(_messages.dump_reply(req.status, [_CLOSE]))
+                return
+            reply = await handler(req)
+            keep = [] if req.keep_alive else [_CLOSE]
+            conn.write(
+                _messages.dump_reply(
+                    reply.status, [*reply.items, *keep], reply.body
+                )
+            )
+            if not req.keep_alive:
+                return
+            await conn.drain()
+            conn.begin_idle()
+
+    return session
+
+
+_CLOSE = ('Connection', 'close')
--- /dev/null
+++ b/catkinshunt/http1/_server.py
@@ -0,0 +1,239 @@
+"""The side of a connection that reads requests and writes replies."""
+
+import asyncio
+import collections
+
+import attrs
+import httptools
+
+from catkinshunt.http1 import _messages
+
+#: Bytes a caller may leave unread before the relay waits for it.
+HIGH_WATER_BYTES = 64 * 1024
+#: Pause before a connection is closed whose request was refused unread, so
+#: that the refusal is not lost to the reset which unread bytes cause.
+LINGER_S = 0.2
+#: Longest wait before the limits in force are looked at again.
+LONGEST_WAIT_S = 5.0
+
+
+@attrs.define
+class Limits:
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        header_bytes: most bytes of a request's head.
+        body_bytes: most bytes of a request's body.
+        header_s: seconds within which a head must have come.
+        idle_s: seconds for which a connection may lie unused.
+    """
+
+    header_bytes: int = 64 * 1024
+    body_bytes: int = 8 * 1024 * 1024
+    header_s: float = 10.0
+    idle_s: float = 60.0
+
+
+class BadRequestError(Exception):
+    """A request that cannot be read; carries the status to answer."""
+
+    def __init__(self, status, message):
+        super().__init__(message)
+        self.status = status
+
+
+class ServerConnection(asyncio.Protocol):
+    """Reads requests of one caller, one at a time.
+
+    Args:
+        clock: gives seconds on the steady clock.
+        limits: function that returns the `Limits` in force.
+        on_connected: called with the connection once it is made.
+    """
+
+    def __init__(self, clock, limits, on_connected):
+        self.clock = clock
+        self.limits = limits
+        self.on_connected = on_connected
+        self.transport = None
+        self.closed = asyncio.get_running_loop().create_future()
+        self.reading_since = None
+        self._requests = collections.deque()
+        self._arrived = asyncio.Event()
+        self._parser = httptools.HttpRequestParser(self)
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._begin()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport):
+        """See `asyncio.Protocol`."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        self.on_connected(self)
+
+    def connection_lost(self, exc):
+        """See `asyncio.Protocol`."""
+        self._finish()
+
+    def eof_received(self):
+        """See `asyncio.Protocol`; a caller that ends its side has left."""
+        self._finish()
+        return False
+
+    def pause_writing(self):
+        """See `asyncio.Protocol`."""
+        self._writable.clear()
+
+    def resume_writing(self):
+        """See `asyncio.Protocol`."""
+        self._writable.set()
+
+    def data_received(self, data):
+        """See `asyncio.Protocol`."""
+        if self.reading_since is None:
+            self.reading_since = self.clock()
+            self._arrived.set()
+        self._unread += len(data)
+        try:
+            self._parser.feed_data(data)
+            self._check_sizes()
+        except httptools.HttpParserUpgrade:
+            self._reject(400, 'upgrades are not supported')
+        except httptools.HttpParserError as exc:
+            cause = exc.__context__
+            if isinstance(cause, BadRequestError):
+                self._reject(cause.status, str(cause))
+            else:
+                self._reject(400, 'the request could not be parsed')
+        except BadRequestError as exc:
+            self._reject(exc.status, str(exc))
+
+    # httptools
+
+    def on_url(self, url):
+        """Take a part of the request's target."""
+        self._target += url
+
+    def on_header(self, name, value):
+        """Take one header field."""
+        self._items.append((name.decode('latin-1'), value.decode('latin-1')))
+
+    def on_headers_complete(self):
+        """Note that the head is whole; invite the body if asked to."""
+        self._head_whole = True
+        headers = _messages.Headers(self._items)
+        if (headers.get('expect') or '').lower() == '100-continue':
+            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, data):
+        """Take a part of the body."""
+        self._body += data
+        if len(self._body) > self.limits().body_bytes:
+            raise BadRequestError(413, 'the body is too long')
+
+    def on_message_complete(self):
+        """Hand over the request and begin the next."""
+        req = _messages.Request(
+            self._parser.get_method().decode('latin-1'),
+            self._target.decode('latin-1'),
+            _messages.Headers(self._items),
+            bytes(self._body),
+            self.clock(),
+            self._parser.should_keep_alive(),
+        )
+        self._begin()
+        self._requests.append(req)
+        self._arrived.set()
+
+    # Used by the task of the connection.
+
+    async def read_request(self):
+        """Return the next `Request`, a `BadRequestError`, or None at the end.
+
+        An idle connection ends after the limit; a head that takes too long
+        is returned as an error with status 408.
+        """
+        while not self._requests:
+            wait_s = self._wait_s()
+            if self.closed.done():
+                return None
+            if wait_s <= 0 and self.reading_since is None:
+                return None
+            if wait_s <= 0:
+                return BadRequestError(408, 'the request took too long')
+            await self._await_input(wait_s)
+        return self._requests.popleft()
+
+    def _wait_s(self):
+        limits = self.limits()
+        if self.reading_since is None:
+            return self.idle_since + limits.idle_s - self.clock()
+        return self.reading_since + limits.header_s - self.clock()
+
+    async def _await_input(self, wait_s):
+        self._arrived.clear()
+        try:
+            async with asyncio.timeout(min(wait_s, LONGEST_WAIT_S)):
+                await self._arrived.wait()
+        except TimeoutError:
+            # The caller looks at the time and the limits in force again.
+            return
+
+    @property
+    def is_idle(self):
+        """Whether no part of a request has come since the last reply."""
+        return self.reading_since is None and not self._requests
+
+    def begin_idle(self):
+        """Note that a reply was sent; the connection lies idle from now."""
+        self.idle_since = self.clock()
+
+    def write(self, data):
+        """Send `data` unless the caller has left."""
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    async def drain(self):
+        """Wait until the caller has taken most of what was written."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def close(self):
+        """Close after all that was written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self):
+        """Close at once, so that an unfinished reply looks unfinished."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    # Internals.
+
+    def _begin(self):
+        self._target = b''
+        self._items = []
+        self._body = bytearray()
+        self._head_whole = False
+        self._unread = 0
+        self.reading_since = None
+        self.idle_since = self.clock()
+
+    def _check_sizes(self):
+        if self.reading_since is None or self._head_whole:
+            return
+        if self._unread > self.limits().header_bytes:
+            raise BadRequestError(431, 'the head is too long')
+
+    def _reject(self, status, message):
+        self._requests.append(BadRequestError(status, message))
+        self._arrived.set()
+        self.transport.pause_reading()
+
+    def _finish(self):
+        self._writable.set()
+        self._arrived.set()
+        if not self.closed.done():
+            self.closed.set_result(None)
--- a/catkinshunt/logs/__init__.py
+++ b/catkinshunt/logs/__init__.py
@@ -1,7 +1,15 @@
 """Log lines: short sentences with a fixed prefix for each part."""
 
+from catkinshunt.logs._bounded import BackgroundStream
+from catkinshunt.logs._bounded import LineBudget
 from catkinshunt.logs._configure import configure
 from catkinshunt.logs._logger import get_logger
 from catkinshunt.logs._logger import request
 
-__all__ = ['configure', 'get_logger', 'request']
+__all__ = [
+    'BackgroundStream',
+    'LineBudget',
+    'configure',
+    'get_logger',
+    'request',
+]
--- a/catkinshunt/logs/_configure.py
+++ b/catkinshunt/logs/_configure.py
@@ -13,6 +13,8 @@
 #: Longer messages are cut; a caller's text may have got into one.
 MAX_MESSAGE_CHARS = 2000
 _HIDDEN = '(hidden)'
+#: Severity from which lines are always written; they are few.
+_WARNING = 30
 #: Fields that would carry a caller's words or a key. They are never
 #: written, whoever passes them.
 _HIDDEN_FIELDS = frozenset(
@@ -24,7 +26,9 @@
 _ESCAPES |= {code: f'\\u{code:04x}' for code in (0x85, 0x2028, 0x2029)}
 
 
-def configure(log_format='plain', level='INFO', secrets=(), stream=None):
+def configure(
+    log_format='plain', level='INFO', secrets=(), stream=None, budget=None
+):
     """Send the lines of all loggers to one stream.
 
     Args:
@@ -32,6 +36,7 @@
         level: name of the least severe level that is written.
         secrets: texts that are replaced wherever they turn up.
         stream: a text stream; standard error if None.
+        budget: `LineBudget` for lines below warnings; None for no bound.
 
     Examples:
         >>> import sys
@@ -43,7 +48,8 @@
         20... INFO routing: [r-1] Chose engine-2.
     """
     compose = _compose_json if log_format == 'json' else _compose_plain
-    sink = _Sink(compose, tuple(filter(None, secrets)), stream or sys.stderr)
+    secrets = tuple(filter(None, secrets))
+    sink = _Sink(compose, secrets, stream or sys.stderr, budget)
     loguru.logger.remove()
     # `diagnose` would write the values of variables, keys among them.
     loguru.logger.add(
@@ -64,13 +70,30 @@
 class _Sink:
     """Writes each record as one line."""
 
-    def __init__(self, compose, secrets, stream):
+    def __init__(self, compose, secrets, stream, budget=None):
         self.compose = compose
         self.secrets = secrets
         self.stream = stream
+        self.budget = budget
 
     def __call__(self, message):
-        line = self.compose(message.record)
+        if self.budget is not None and not self._allows(message.record):
+            return
+        self._write(message.record)
+
+    def _allows(self, record):
+        prefix = record['extra'].get('prefix', 'main')
+        if record['level'].no >= _WARNING:
+            return True
+        if not self.budget.allow(prefix, record['time'].timestamp()):
+            return False
+        left_out = self.budget.take_left_out()
+        if left_out:
+            record['extra']['left_out'] = left_out
+        return True
+
+    def _write(self, record):
+        line = self.compose(record)
         for secret in self.secrets:
             line = line.replace(secret, _HIDDEN)
         self.stream.write(line + '\n')
--- /dev/null
+++ b/catkinshunt/platform/_dialect.py
@@ -0,0 +1,118 @@
+"""Headers of callers and upstreams, decoded into the product's types."""
+
+from catkinshunt import dispatch
+from catkinshunt import errors
+from catkinshunt.gateway import base
+
+REQUEST_ID = 'Attempt-Id'
+DEADLINE = 'Deadline-Ms'
+API_KEY = 'Key'
+ACCOUNT = 'Tenant'
+MODEL = 'Model'
+#: Prompt tokens and most output tokens, separated by a comma.
+TOKENS = 'Token-Counts'
+LAST_EVENT = 'Last-Event-Id'
+EXPECTED_UPSTREAM = 'Expect-Instance'
+EXPECTED_VERSION = 'Expect-Version'
+PRIORITY = 'Request-Priority'
+NOT_RUN = 'Not-Executed'
+#: Running and waiting requests and slots, separated by commas.
+LOAD = 'Instance-Load'
+#: Headers that the system sets itself, whatever the caller sent.
+_OWN = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE,
+        API_KEY,
+        ACCOUNT,
+        LAST_EVENT,
+        EXPECTED_UPSTREAM,
+        EXPECTED_VERSION,
+        PRIORITY,
+        'Path',
+    )
+)
+_MS = 1000
+
+
+class PlatformDialect(base.BaseDialect):
+    """The headers of the platform's pages."""
+
+    def read_ask(self, req):
+        """See `base.BaseDialect.read_ask`."""
+        headers = req.headers
+        hosts = headers.get_all('Host')
+        if len(hosts) != 1:
+            raise errors.InvalidRequestError(
+                'one Host header is needed', step='read-request'
+            )
+        tokens_in, tokens_out = _read_tokens(headers.get(TOKENS))
+        return base.Ask(
+            id=headers.get(REQUEST_ID, ''),
+            host=hosts[0].partition(':')[0].lower(),
+            path=req.path,
+            method=req.method,
+            deadline_s=_read_deadline(headers.get(DEADLINE)),
+            api_key=headers.get(API_KEY, ''),
+            model=headers.get(MODEL, ''),
+            tokens_in=tokens_in,
+            tokens_out=tokens_out,
+            last_event_id=_digits(headers.get(LAST_EVENT)),
+        )
+
+    def upstream_headers(self, req, ask, forward):
+        """See `base.BaseDialect.upstream_headers`."""
+        items = req.headers.end_to_end(without=_OWN)
+        left_ms = max(1, int(forward.left_s * _MS))
+        items.append((DEADLINE, str(left_ms)))
+        items.append((EXPECTED_UPSTREAM, forward.upstream_id))
+        if forward.account:
+            items.append((ACCOUNT, forward.account))
+        if forward.last_event_id:
+            items.append((LAST_EVENT, forward.last_event_id))
+        if forward.least_version is not None:
+            items.append((EXPECTED_VERSION, str(forward.least_version)))
+        if forward.priority is not None:
+            items.append((PRIORITY, str(forward.priority)))
+        return items
+
+    def read_reply(self, head):
+        """See `base.BaseDialect.read_reply`."""
+        headers = head.headers
+        connection = (headers.get('Connection') or '').lower()
+        return base.ReplyNote(
+            request_id=headers.get(REQUEST_ID, ''),
+            not_run=headers.get(NOT_RUN) is not None,
+            misdirected=head.status == 421,
+            load=_read_load(headers.get(LOAD)),
+            leaving='close' in connection,
+        )
+
+    def reply_headers(self, ask):
+        """See `base.BaseDialect.reply_headers`."""
+        return [(REQUEST_ID, ask.id)] if ask is not None and ask.id else []
+
+
+def _digits(text):
+    return text if text is not None and text.isdigit() else ''
+
+
+def _read_deadline(text):
+    """Return seconds, or None where the header is missing or no number."""
+    if text is None or not text.strip().isdigit():
+        return None
+    return int(text) / _MS
+
+
+def _read_tokens(text):
+    parts = (text or '').split(',')
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        return 0, 0
+    return int(parts[0]), int(parts[1])
+
+
+def _read_load(text):
+    parts = (text or '').split(',')
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return dispatch.Load(*map(int, parts))
--- /dev/null
+++ b/catkinshunt/platform/_documents.py
@@ -0,0 +1,235 @@
+"""Decodes what the operator and the upstreams write to the store."""
+
+import json
+
+import attrs
+
+from catkinshunt import catalog
+from catkinshunt import http1
+from catkinshunt import rules
+from catkinshunt.platform import _settings
+
+CONFIGURATION_KEY = 'op/config'
+VERSION_PREFIX = 'op/version/'
+UPSTREAM_PREFIX = 'servers/'
+_STATES = ('ready', 'draining')
+_MS = 1000.0
+
+
+class UnreadableError(ValueError):
+    """A value of the store that is not what its key promises."""
+
+
+def _load(value):
+    try:
+        document = json.loads(value)
+    except (ValueError, RecursionError) as exc:
+        raise UnreadableError('not JSON') from exc
+    if not isinstance(document, dict):
+        raise UnreadableError('not an object')
+    return document
+
+
+def _whole(document, name, default=None):
+    value = document.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise UnreadableError(f'{name} is {value!r}, not a whole number')
+    return value
+
+
+def _text(document, name, default=None):
+    value = document.get(name, default)
+    if not isinstance(value, str):
+        raise UnreadableError(f'{name} is {value!r}, not a text')
+    return value
+
+
+def read_upstream(upstream_id, value):
+    """Return the `catalog.Upstream` that wrote `value` about itself.
+
+    Raises:
+        UnreadableError: it names no upstream that can be used. Others may
+            write below the prefix too.
+    """
+    document = _load(value)
+    state = _text(document, 'state')
+    if state not in _STATES:
+        raise UnreadableError(f'state is {state!r}')
+    try:
+        address = _settings.parse_address(_text(document, 'address'))
+    except ValueError as exc:
+        raise UnreadableError(str(exc)) from exc
+    slots = document.get('slots', 1)
+    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+        raise UnreadableError(f'slots is {slots!r}')
+    return catalog.Upstream(
+        id=upstream_id,
+        service=_text(document, 'service'),
+        address=address,
+        data_centre=_text(document, 'zone', ''),
+        born=_whole(document, 'born', 0),
+        leaving=state == 'draining',
+        versions=_read_versions(document),
+        slots=slots,
+    )
+
+
+def _read_versions(document):
+    """Return the version by model that is loaded whole, or None."""
+    models = document.get('models')
+    if models is None:
+        return None
+    if not isinstance(models, list):
+        raise UnreadableError('models is no list')
+    found = {}
+    for model in models:
+        if not isinstance(model, dict):
+            raise UnreadableError('a model is no object')
+        found[_text(model, 'name')] = _whole(model, 'version')
+    return found
+
+
+def read_version(value):
+    """Return (model, version) that the operator named.
+
+    Raises:
+        UnreadableError: it is no version.
+    """
+    document = _load(value)
+    return _text(document, 'model'), _whole(document, 'version')
+
+
+def read_declaration(value):
+    """Return the `catalog.Declaration` in the operator's configuration.
+
+    Raises:
+        UnreadableError: a field is missing or of another type.
+    """
+    document = _load(value)
+    try:
+        return catalog.Declaration(
+            revision=_whole(document, 'version'),
+            rule_set=rules.RuleSet(_read_rules(document)),
+            services={
+                item['name']: _read_service(item)
+                for item in document['services']
+            },
+            accounts=_read_accounts(document),
+            account_priorities=_read_priorities(document),
+            limits=_read_limits(document.get('limits') or {}),
+        )
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise UnreadableError(f'configuration: {exc!r}') from exc
+
+
+def _read_rules(document):
+    """Return one rule for each route, those with longer paths first.
+
+    The operator means the longest path to decide; with the first match
+    deciding, that is the order of the rules.
+    """
+    routes = sorted(
+        document['routes'], key=lambda item: -len(item['path_prefix'])
+    )
+    return [_read_rule(item) for item in routes]
+
+
+def _read_rule(item):
+    clauses = (
+        rules.Clause('host', rules.Equal(item['host'].lower())),
+        rules.Clause('path', rules.Prefix(item['path_prefix'])),
+    )
+    return rules.Rule(
+        item['name'], rules.When('request', clauses), _read_serve(item)
+    )
+
+
+def _read_serve(item):
+    split = item.get('split')
+    if split:
+        shares = [
+            catalog.Share(part['service'], part['weight']) for part in split
+        ]
+    else:
+        shares = [catalog.Share(item['service'], 1)]
+    kind = item.get('route_kind')
+    return catalog.Serve(
+        shares=shares,
+        timeout_s=item['timeout_ms'] / _MS,
+        goal_s=item.get('goal_ms', item['timeout_ms']) / _MS,
+        max_tries=item.get('max_attempts', 1),
+        priority=item.get('priority', 0),
+        idempotent=kind == 'idempotent',
+        streaming=kind == 'streaming',
+        resumable=bool(item.get('resumable')),
+        public=bool(item.get('public')),
+        pause_s=item.get('gap_target_ms', _MS) / _MS,
+    )
+
+
+def _read_service(item):
+    origin = item.get('origin')
+    return catalog.Service(
+        name=item['name'],
+        health_path=item.get('health_path', ''),
+        max_connections=item.get('max_conns', 64),
+        engine=_read_engine(item.get('engine')),
+        origin=None if origin is None else _read_origin(item),
+    )
+
+
+def _read_origin(item):
+    return catalog.Origin(
+        _settings.parse_address(item['origin']),
+        item.get('zone', ''),
+        item.get('link_mbps', 10.0),
+    )
+
+
+def _read_engine(item):
+    if not item:
+        return None
+    usual = item.get('usual') or {}
+    models = item.get('models') or []
+    default = catalog.EngineProfile()
+    return catalog.EngineProfile(
+        slots=item.get('slots', default.slots),
+        step_s=item.get('step_ms', default.step_s * _MS) / _MS,
+        per_request_s=item.get('per_seq_ms', 0.0) / _MS,
+        read_tokens_per_s=item.get('read_per_s', default.read_tokens_per_s),
+        stride=item.get('stride', 1),
+        usual_prompt=usual.get('prompt', default.usual_prompt),
+        usual_answer=usual.get('answer', default.usual_answer),
+        models=[model['name'] for model in models],
+        chunks=item.get('chunks', 0),
+        chunk_bytes=item.get('chunk_bytes', 0),
+        load_s=max((model.get('warm_s', 0.0) for model in models), default=0),
+    )
+
+
+def _read_accounts(document):
+    tenants = document.get('tenants')
+    if tenants is None:
+        return None
+    return {
+        key: tenant['name'] for tenant in tenants for key in tenant['api_keys']
+    }
+
+
+def _read_priorities(document):
+    return {
+        tenant['name']: tenant['priority']
+        for tenant in document.get('tenants') or ()
+        if isinstance(tenant.get('priority'), int)
+    }
+
+
+def _read_limits(item):
+    default = http1.Limits()
+    return attrs.evolve(
+        default,
+        header_bytes=item.get('max_header_bytes', default.header_bytes),
+        body_bytes=item.get('max_body_bytes', default.body_bytes),
+        header_s=item.get('header_timeout_ms', default.header_s * _MS) / _MS,
+        idle_s=item.get('idle_timeout_ms', default.idle_s * _MS) / _MS,
+    )
--- /dev/null
+++ b/catkinshunt/platform/_entry.py
@@ -0,0 +1,108 @@
+"""The entry as a process of the platform."""
+
+import asyncio
+import random
+import signal
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import dispatch
+from catkinshunt import gateway
+from catkinshunt import http1
+from catkinshunt import logs
+from catkinshunt import metrics
+from catkinshunt.platform import _clocks
+from catkinshunt.platform import _dialect
+from catkinshunt.platform import _mirror
+from catkinshunt.platform import _store
+
+#: Share of the time in which a key that was taken away may still be served
+#: for which word from the store counts as fresh. The rest covers the way of
+#: a request and the time between two watches.
+FRESH_SHARE = 0.7
+#: Share of the allowed retries that entries use, for windows that fall
+#: between two bursts.
+RETRY_SHARE = 0.7
+#: Entries that may share the retries beyond the ratio. The settings name no
+#: number; the largest deployment of the users has 16.
+RETRY_SHARERS = 20
+#: Seconds kept back from the time between the signal to stop and the kill.
+STOP_MARGIN_S = 0.4
+#: Seconds by which versions are held to be due before their bound; covers
+#: the way of a request and its time in an engine's queue.
+VERSION_MARGIN_S = 0.5
+METRICS_PATH = '/metrics'
+
+_log = logs.get_logger('entry')
+
+
+async def run(cfg):
+    """Serve as an entry until the signal to stop has been obeyed.
+
+    Args:
+        cfg: `NodeSettings`.
+    """
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    registry = metrics.Registry()
+    context = make_context(cfg, registry)
+    server = await gateway.Gateway(context).start(*cfg.frontend)
+    ready = http1.Listener(
+        http1.answer_with(_ready_handler(server)), _clocks.steady
+    )
+    await ready.start(*cfg.ready)
+    shown = http1.Listener(
+        http1.answer_with(metrics_handler(registry)), _clocks.steady
+    )
+    await shown.start(cfg.ip, cfg.ports[0])
+    follow = asyncio.ensure_future(_make_mirror(cfg, context, registry).run())
+    _log.info('Started entry {}.', cfg.name, data_centre=cfg.data_centre)
+    await stop.wait()
+    await server.stop(cfg.bounds.grace_s - STOP_MARGIN_S)
+    follow.cancel()
+    _log.info('Ended entry {}.', cfg.name)
+
+
+def make_context(cfg, registry):
+    """Return the `gateway.Context` of an entry with these settings."""
+    bounds = cfg.bounds
+    return gateway.Context(
+        catalog=catalogs.Catalog(fresh_s=bounds.revoke_s * FRESH_SHARE),
+        dialect=_dialect.PlatformDialect(),
+        chooser=dispatch.Chooser(cfg.data_centre, cfg.regions),
+        clock=_clocks.steady,
+        wall=_clocks.wall,
+        retry_ratio=bounds.retry_ratio * RETRY_SHARE,
+        retry_burst=max(1.0, bounds.retry_slack / RETRY_SHARERS),
+        random=random.Random(),
+        metrics=gateway.GatewayMetrics(registry),
+        version_grace_s=bounds.version_s - VERSION_MARGIN_S,
+    )
+
+
+def _make_mirror(cfg, context, registry):
+    calls = registry.counter(
+        'store_calls_total', 'Calls to the store.', ('kind', 'result')
+    )
+    client = _store.StoreClient(cfg.store, _clocks.steady, calls)
+    return _mirror.Mirror(
+        client, context.catalog, _clocks.wall, context.random
+    )
+
+
+def _ready_handler(server):
+    async def handle(req):
+        return http1.Reply(200 if server.is_ready() else 503)
+
+    return handle
+
+
+def metrics_handler(registry):
+    """Return a handler that shows the metrics of `registry`."""
+
+    async def handle(req):
+        if req.path != METRICS_PATH:
+            return http1.Reply(404)
+        kind, text = metrics.expose(registry, _clocks.steady())
+        return http1.Reply(200, text, (('Content-Type', kind),))
+
+    return handle
--- /dev/null
+++ b/catkinshunt/platform/_mirror.py
@@ -0,0 +1,146 @@
+"""Keeps a catalog in step with the platform's store."""
+
+import asyncio
+
+from catkinshunt import errors
+from catkinshunt import logs
+from catkinshunt.platform import _documents
+from catkinshunt.platform import _store
+
+#: Seconds that a watch waits where nothing changes. Its return confirms that
+#: what is known is the newest; with a lost connection the age of the catalog
+#: reaches this and the time-out of a call, 2.5 s, below the 3.5 s after
+#: which keys are no longer trusted.
+WATCH_S = 1.5
+#: Shortest wait of a watch; each is a priced call.
+SHORTEST_WATCH_S = 0.3
+#: Pause after a call that failed, doubled up to the longest, in seconds.
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.5
+
+_log = logs.get_logger('store')
+
+
+class Mirror:
+    """Reads the store once, then follows its changes.
+
+    Args:
+        client: `StoreClient`.
+        catalog: `catalog.Catalog` that is kept in step.
+        wall: gives seconds on a clock that counts a suspend too.
+        random: source of random numbers, for the pauses.
+    """
+
+    def __init__(self, client, catalog, wall, random):
+        self.client = client
+        self.catalog = catalog
+        self.wall = wall
+        self.random = random
+        self._revision = None
+        self._revisions = {}
+        self._pause_s = FIRST_PAUSE_S
+        self._lost = False
+
+    async def run(self):
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                if self._revision is None:
+                    await self._read_all()
+                await self._follow()
+            except _store.HistoryGoneError:
+                _log.warning('The history is gone; reading all again.')
+                self._revision = None
+            except errors.StoreError as exc:
+                await self._bear(exc)
+
+    async def _bear(self, exc):
+        if not self._lost:
+            _log.warning('The store is lost: {}.', exc)
+            self._lost = True
+        await asyncio.sleep(self._pause_s * (0.5 + self.random.random()))
+        self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+
+    def _regain(self):
+        self._pause_s = FIRST_PAUSE_S
+        if self._lost:
+            self._lost = False
+            _log.info('The store is back.', revision=self._revision)
+
+    async def _read_all(self):
+        asked_at = self.wall()
+        operator = await self.client.read_prefix('op/')
+        listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
+        for item in operator.items:
+            self._apply(item, asked_at)
+        upstreams = [self._decode_upstream(item) for item in listed.items]
+        self.catalog.replace_upstreams(
+            [upstream for upstream in upstreams if upstream is not None],
+            self.wall(),
+        )
+        self._revisions = {item.key: item.revision for item in listed.items}
+        self._revision = min(operator.revision, listed.revision)
+        self.catalog.confirm(asked_at)
+        self._regain()
+
+    async def _follow(self):
+        age_s = self.catalog.age_s(self.wall())
+        wait_s = max(SHORTEST_WATCH_S, WATCH_S - age_s)
+        asked_at = self.wall()
+        page = await self.client.watch('', self._revision, wait_s)
+        now = self.wall()
+        for item in page.items:
+            self._apply(item, now)
+        self._revision = max(self._revision, page.revision)
+        # An answer can lie unread while the process is suspended, so the
+        # time at which it was read proves nothing.
+        confirmed_at = asked_at if page.items else min(asked_at + wait_s, now)
+        self.catalog.confirm(confirmed_at)
+        self._regain()
+
+    def _apply(self, item, now):
+        if item.key == _documents.CONFIGURATION_KEY:
+            self._apply_configuration(item)
+        elif item.key.startswith(_documents.VERSION_PREFIX):
+            self._apply_version(item, now)
+        elif item.key.startswith(_documents.UPSTREAM_PREFIX):
+            self._apply_upstream(item, now)
+
+    def _apply_configuration(self, item):
+        if item.value is None:
+            return
+        try:
+            self.catalog.declare(_documents.read_declaration(item.value))
+        except _documents.UnreadableError as exc:
+            _log.error('Kept the old configuration: {}.', exc)
+
+    def _apply_version(self, item, now):
+        if item.value is None:
+            return
+        try:
+            model, version = _documents.read_version(item.value)
+        except _documents.UnreadableError as exc:
+            _log.error('Left aside {}: {}.', item.key, exc)
+            return
+        self.catalog.name_version(model, version, now)
+
+    def _apply_upstream(self, item, now):
+        if item.revision <= self._revisions.get(item.key, 0):
+            return
+        self._revisions[item.key] = item.revision
+        upstream = self._decode_upstream(item)
+        if upstream is None:
+            name = item.key.removeprefix(_documents.UPSTREAM_PREFIX)
+            self.catalog.drop_upstream(name, now)
+        else:
+            self.catalog.put_upstream(upstream)
+
+    def _decode_upstream(self, item):
+        if item.value is None:
+            return None
+        name = item.key.removeprefix(_documents.UPSTREAM_PREFIX)
+        try:
+            return _documents.read_upstream(name, item.value)
+        except _documents.UnreadableError as exc:
+            _log.warning('Left aside the entry {}: {}.', item.key, exc)
+            return None
--- /dev/null
+++ b/catkinshunt/platform/_settings.py
@@ -0,0 +1,192 @@
+"""The platform's settings file, decoded into the product's own types."""
+
+import os
+import tomllib
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt import settings
+
+#: Variable that holds the path of the settings file.
+SETTINGS_VARIABLE = 'CATKINSHUNT_CONFIG'
+_MS = 1000.0
+
+
+@attrs.frozen
+class Bounds:
+    """Times and shares that the users hold the system to, in seconds.
+
+    Attributes:
+        drain_s: after it, a leaving upstream must get no new work.
+        grace_s: from the signal to stop to the end by force.
+        revoke_s: after it, a key that was taken away must not be served.
+        version_s: after it, no request may begin on an older version.
+        retry_ratio: share of the requests that may be sent once more.
+        retry_slack: requests sent once more beyond that, by all processes
+            together in a window.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    revoke_s: float = 5.0
+    version_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 100.0
+
+
+@attrs.frozen
+class NodeSettings:
+    """What one process is told about itself and the platform.
+
+    Attributes:
+        name: name of the instance.
+        ip: its address.
+        data_centre: where it stands.
+        regions: region by data centre.
+        frontend: (ip, port) for callers, or None.
+        ready: (ip, port) of the readiness check, or None.
+        ports: first and last port for our own processes.
+        store: (ip, port) of the platform's store.
+        link_mbps: speed of the instance's link.
+        engine: (ip, port) of the engine on this instance, or None.
+        service: service of that engine, or ''.
+    """
+
+    name: str
+    ip: str
+    data_centre: str
+    regions: dict
+    frontend: tuple | None
+    ready: tuple | None
+    ports: tuple
+    store: tuple
+    link_mbps: float
+    engine: tuple | None
+    service: str
+    bounds: Bounds
+
+
+class _Reader:
+    """Reads fields of a document and gathers what is wrong with them."""
+
+    def __init__(self, document, path):
+        self.document = document
+        self.path = path
+        self.problems = []
+
+    def get(self, name, kinds, default=None, required=False):
+        value = self.document
+        for part in name.split('.'):
+            value = value.get(part) if isinstance(value, dict) else None
+        if value is None and not required:
+            return default
+        if isinstance(value, bool) or not isinstance(value, kinds):
+            self._complain(name, value, _describe(kinds))
+            return default
+        return value
+
+    def address(self, name, required=False):
+        text = self.get(name, str, required=required)
+        if text is None:
+            return None
+        try:
+            return parse_address(text)
+        except ValueError:
+            self._complain(name, text, 'an address such as 10.0.0.1:8000')
+            return None
+
+    def _complain(self, name, value, wanted):
+        shown = settings.show(value)
+        self.problems.append(
+            settings.Problem(self.path, name, shown, wanted)
+        )
+
+
+_NUMBER = (int, float)
+
+
+def _describe(kinds):
+    if kinds is _NUMBER:
+        return 'a number'
+    return {str: 'a text', dict: 'a table', list: 'a list'}[kinds]
+
+
+def parse_address(text):
+    """Return (ip, port) of a text such as ``'10.0.0.1:80'``.
+
+    Raises:
+        ValueError: it is no address.
+    """
+    host, _, port = text.rpartition(':')
+    number = int(port)
+    if not host or not 0 < number < 65536:
+        raise ValueError(f'no address: {text!r}')
+    return host, number
+
+
+def load_node_settings(path=None):
+    """Return the `NodeSettings` in the file at `path`.
+
+    Args:
+        path: path of the file; None for the one the platform names.
+
+    Raises:
+        errors.SettingsError: it cannot be read, or fields are wrong; the
+            message names each.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise errors.SettingsError(f'{SETTINGS_VARIABLE} is not set')
+    try:
+        with open(path, 'rb') as file:
+            return read_node_settings(tomllib.load(file), path)
+    except OSError as exc:
+        raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f'{path}: not TOML: {exc}') from exc
+
+
+def read_node_settings(document, path='settings'):
+    """Return the `NodeSettings` in a decoded document."""
+    reader = _Reader(document, path)
+    found = NodeSettings(
+        name=reader.get('node_name', str, required=True),
+        ip=reader.get('ip', str, required=True),
+        data_centre=reader.get('zone', str, required=True),
+        regions=dict(reader.get('zones', dict, {})),
+        frontend=reader.address('listen.frontend'),
+        ready=reader.address('listen.ready'),
+        ports=tuple(reader.get('port_range', list, [0, 0])),
+        store=reader.address('platform.address', required=True),
+        link_mbps=reader.get('limits.link_mbps', _NUMBER, 1000.0),
+        engine=reader.address('app'),
+        service=reader.get('service', str, ''),
+        bounds=_read_bounds(reader),
+    )
+    if reader.problems:
+        raise errors.SettingsError(
+            '\n'.join(str(problem) for problem in reader.problems),
+            problems=tuple(reader.problems),
+        )
+    return found
+
+
+def _read_bounds(reader):
+    default = Bounds()
+
+    def seconds(name, value):
+        return reader.get(f'bounds.{name}', _NUMBER, value * _MS) / _MS
+
+    return Bounds(
+        drain_s=seconds('drain_ms', default.drain_s),
+        grace_s=reader.get('bounds.grace_s', _NUMBER, default.grace_s),
+        revoke_s=seconds('revoke_ms', default.revoke_s),
+        version_s=seconds('version_ms', default.version_s),
+        retry_ratio=reader.get(
+            'bounds.retry_ratio', _NUMBER, default.retry_ratio
+        ),
+        retry_slack=reader.get(
+            'bounds.retry_slack', _NUMBER, default.retry_slack
+        ),
+    )
--- /dev/null
+++ b/catkinshunt/platform/_store.py
@@ -0,0 +1,163 @@
+"""Client of the platform's store."""
+
+import base64
+import binascii
+import json
+import urllib.parse
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt import http1
+
+#: Seconds after which a call is given up. A slow store answers in 0.4 s.
+CALL_S = 1.0
+_MS = 1000
+
+
+class HistoryGoneError(errors.StoreError):
+    """The store no longer has the changes after the revision asked for."""
+
+
+@attrs.frozen
+class Item:
+    """A key of the store, or its deletion.
+
+    Attributes:
+        value: its bytes; None where the key was deleted.
+        revision: of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@attrs.frozen
+class Page:
+    """Items with the store's revision at which they were read."""
+
+    items: tuple
+    revision: int
+    has_more: bool = False
+
+
+class StoreClient:
+    """Reads and watches keys of the store.
+
+    Args:
+        address: (ip, port) of the store.
+        clock: gives seconds on the steady clock.
+        metrics: counts calls by kind and result.
+    """
+
+    def __init__(self, address, clock, metrics=None):
+        host, port = address
+        self.metrics = metrics
+        self._pool = http1.Pool(host, port, clock, connect_s=CALL_S)
+
+    async def read_prefix(self, prefix, stale=False):
+        """Return all items below `prefix` as one `Page`.
+
+        The pages that they come in are no snapshot; the revision returned
+        is that of the first, so that a watch from there misses nothing.
+        """
+        found = []
+        revision = None
+        after = None
+        while True:
+            query = {'path_prefix': prefix}
+            if after is not None:
+                query['after'] = after
+            if stale:
+                query['allow_stale'] = 1
+            page = _read_page(
+                await self._call('read', '/-/kv-range', query), 'entries'
+            )
+            found.extend(page.items)
+            if revision is None:
+                revision = page.revision
+            if not page.has_more or not page.items:
+                return Page(tuple(found), revision)
+            after = page.items[-1].key
+
+    async def watch(self, prefix, after, wait_s):
+        """Return the changes below `prefix` after a revision as a `Page`.
+
+        Waits for at most `wait_s` seconds; the page is empty where nothing
+        changed.
+
+        Raises:
+            HistoryGoneError: everything must be read again.
+        """
+        query = {
+            'path_prefix': prefix,
+            'after': after,
+            'wait_ms': round(wait_s * _MS),
+        }
+        document = await self._call(
+            'watch', '/-/kv-watch', query, timeout_s=wait_s + CALL_S
+        )
+        return _read_page(document, 'events')
+
+    async def _call(self, kind, path, query, timeout_s=CALL_S):
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        result = 'lost'
+        try:
+            head, body = await http1.exchange(
+                self._pool, 'GET', target, timeout_s=timeout_s
+            )
+            result = str(head.status)
+        except errors.RequestError as exc:
+            self._pool.close_idle()
+            raise errors.StoreUnavailableError(
+                exc.message, step=kind, peer=self._pool.peer
+            ) from exc
+        finally:
+            if self.metrics is not None:
+                self.metrics.add(kind, result)
+        if head.status == 410:
+            raise HistoryGoneError('history is gone', step=kind)
+        if head.status != 200:
+            raise errors.StoreUnavailableError(
+                f'the store answered {head.status}',
+                step=kind,
+                peer=self._pool.peer,
+            )
+        return _load(body, kind)
+
+
+def _load(body, kind):
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise errors.StoreUnavailableError(
+            'the store sent no JSON', step=kind
+        ) from exc
+    if not isinstance(document, dict):
+        raise errors.StoreUnavailableError('not an object', step=kind)
+    return document
+
+
+def _read_page(document, field):
+    try:
+        items = tuple(_read_item(item) for item in document[field])
+        return Page(items, document['at'], bool(document.get('has_more')))
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise errors.StoreUnavailableError(
+            f'the store sent an unknown page: {exc!r}', step='read-page'
+        ) from exc
+
+
+def _read_item(item):
+    value = b''
+    if item.get('deleted'):
+        value = None
+    else:
+        try:
+            value = base64.b64decode(item['data'], validate=True)
+        except (binascii.Error, ValueError):
+            # The key is there, but what it holds cannot be read; whoever
+            # decodes the empty value leaves it aside with a log line.
+            value = b''
+    return Item(item['key'], value, item['revision'])
--- a/catkinshunt/rules/_rules.py
+++ b/catkinshunt/rules/_rules.py
@@ -61,45 +61,50 @@
 
 
 class _Index:
-    """Rules of one subject by service, each list still in order.
+    """Rules of one subject by the value of one field, each list in order.
 
-    A list is made when its service is first asked for, so that a process
-    that takes many revisions pays only for the services it serves. Only
-    services that some rule names get a list: a caller who sends invented
+    A list is made when its value is first asked for, so that a process
+    that takes many revisions pays only for the values it meets. Only
+    values that some rule names get a list: a caller who sends invented
     names cannot make the index grow.
     """
 
-    def __init__(self, rules):
+    def __init__(self, rules, field):
         self._rules = rules
+        self._field = field
         self._named = set()
         for rule in rules:
-            condition = rule.when.condition('service')
+            condition = rule.when.condition(field)
             if condition is not None:
                 self._named.update(condition.values() or ())
-        self._by_service = {}
+        self._by_value = {}
         self._rest = tuple(
             rule
             for rule in rules
-            if _open_ended(rule.when.condition('service'))
+            if _open_ended(rule.when.condition(field))
         )
 
-    def candidates(self, service):
-        """Return the rules that may match a subject of `service`."""
-        found = self._by_service.get(service)
+    @property
+    def is_useful(self):
+        """Whether any rule names a value of the field."""
+        return bool(self._named)
+
+    def candidates(self, value):
+        """Return the rules that may match a subject with this value."""
+        found = self._by_value.get(value)
         if found is not None:
             return found
-        if service not in self._named:
+        if value not in self._named:
             return self._rest
-        found = tuple(_admitting(self._rules, service))
-        self._by_service[service] = found
+        found = tuple(self._admitting(value))
+        self._by_value[value] = found
         return found
 
-
-def _admitting(rules, service):
-    for rule in rules:
-        condition = rule.when.condition('service')
-        if condition is None or condition.matches(service):
-            yield rule
+    def _admitting(self, value):
+        for rule in self._rules:
+            condition = rule.when.condition(self._field)
+            if condition is None or condition.matches(value):
+                yield rule
 
 
 def _open_ended(condition):
@@ -125,14 +130,23 @@
     @_indexes.default
     def _make_indexes(self):
         return {
-            keyword: _Index([r for r in self.rules if keyword == _subject(r)])
-            for keyword in _subjects.SUBJECTS
+            keyword: self._index(keyword, cls.indexed)
+            for keyword, cls in _subjects.SUBJECTS.items()
         }
 
+    def _index(self, keyword, fields):
+        """Return the first useful index of a subject, with its field."""
+        rules = [rule for rule in self.rules if keyword == _subject(rule)]
+        for field in fields:
+            index = _Index(rules, field)
+            if index.is_useful:
+                return field, index
+        return fields[0], _Index(rules, fields[0])
+
     def match(self, subject):
         """Return the first `Rule` that matches `subject`, or None."""
-        index = self._indexes[subject.keyword]
-        for rule in index.candidates(subject.service):
+        field, index = self._indexes[subject.keyword]
+        for rule in index.candidates(getattr(subject, field)):
             if rule.when.matches(subject):
                 return rule
         return None
--- a/catkinshunt/rules/_subjects.py
+++ b/catkinshunt/rules/_subjects.py
@@ -10,8 +10,10 @@
     """A caller's request, as far as rules may look at it."""
 
     keyword = 'request'
+    indexed = ('service', 'host')
 
     service: str = ''
+    host: str = ''
     account: str = ''
     model: str = ''
     method: str = ''
@@ -30,6 +32,7 @@
     """
 
     keyword = 'event'
+    indexed = ('service',)
 
     kind: str = ''
     service: str = ''
--- a/catkinshunt/settings/__init__.py
+++ b/catkinshunt/settings/__init__.py
@@ -11,6 +11,7 @@
 from catkinshunt.settings._model import ROLES
 from catkinshunt.settings._model import SidecarSettings
 from catkinshunt.settings._problem import Problem
+from catkinshunt.settings._problem import show
 
 __all__ = [
     'EntrySettings',
@@ -23,5 +24,6 @@
     'load_document',
     'load_settings',
     'load_text',
+    'show',
     'structure',
 ]
