Bring each version of the weights from sidecar to sidecar

Cause: nobody moved weights on the users' platform, so added engines stayed empty and no engine took a newer version; requests were refused once the time for older versions was over.

Each chunk's source is worked out by rendezvous hashing over the listed members, without a message: one takes it from the origin, one in each data centre crosses the link, the others take it nearby.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -10,6 +10,8 @@
 #: the platform's store are back within two seconds; work must have stopped
 #: two seconds after an upstream has gone.
 VANISHED_S = 1.5
+#: Upstreams that one log line names at most.
+MOST_NAMED = 20
 
 _log = logs.get_logger('catalog')
 
@@ -93,10 +95,7 @@
 
     def put_upstream(self, upstream):
         """Add or replace an upstream."""
-        known = self._upstreams.get(upstream.id)
-        self._vanished.pop(upstream.id, None)
-        self._upstreams[upstream.id] = upstream
-        if known != upstream:
+        if self._keep(upstream):
             _log.info(
                 'Upstream {} of {} is {}.',
                 upstream.id,
@@ -119,8 +118,14 @@
         listed = {upstream.id for upstream in upstreams}
         for missing in set(self._upstreams) - listed:
             self.drop_upstream(missing, now)
-        for upstream in upstreams:
-            self.put_upstream(upstream)
+        changed = [u.id for u in upstreams if self._keep(u)]
+        if changed:
+            _log.info(
+                'Listed {} upstreams, {} of them new or changed.',
+                len(upstreams),
+                len(changed),
+                changed=changed[:MOST_NAMED],
+            )
 
     def upstreams(self, service, now):
         """Return the upstreams of `service` that take new work.
@@ -147,6 +152,13 @@
         """Return the upstream with this id, or None."""
         return self._upstreams.get(upstream_id)
 
+    def _keep(self, upstream):
+        """Add or replace `upstream`; return whether it differs."""
+        known = self._upstreams.get(upstream.id)
+        self._vanished.pop(upstream.id, None)
+        self._upstreams[upstream.id] = upstream
+        return known != upstream
+
     def _just_vanished(self, service, now):
         for gone, (_, since) in list(self._vanished.items()):
             if now - since > VANISHED_S:
--- a/catkinshunt/dispatch/_choice.py
+++ b/catkinshunt/dispatch/_choice.py
@@ -52,7 +52,9 @@
     count = len(state.jobs) + others
     if engine is None:
         return PLAIN_WORK_S * (1 + max(0.0, count + 1 - slots) / slots)
-    unread = sum(other.tokens_in for other in state.jobs if not other.answering)
+    unread = sum(
+        other.tokens_in for other in state.jobs if not other.answering
+    )
     waiting = state.load.waiting if state.load and others else 0
     unread += min(waiting, others) * engine.usual_prompt
     read_s = (unread + job.tokens_in) / engine.read_tokens_per_s
--- a/catkinshunt/gateway/_events.py
+++ b/catkinshunt/gateway/_events.py
@@ -61,9 +61,7 @@
 
 
 def _find_end(data):
-    ends = [
-        at + len(mark) for mark in _ENDS if (at := data.find(mark)) >= 0
-    ]
+    ends = [at + len(mark) for mark in _ENDS if (at := data.find(mark)) >= 0]
     return min(ends, default=-1)
 
 
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -6,12 +6,12 @@
 
 from catkinshunt import dispatch
 from catkinshunt import errors
-from catkinshunt import http1
-from catkinshunt import logs
-from catkinshunt import retries
 from catkinshunt.gateway import _admission
 from catkinshunt.gateway import _events
 from catkinshunt.gateway import base
+from catkinshunt import http1
+from catkinshunt import logs
+from catkinshunt import retries
 
 #: Seconds after which an exchange looks whether its upstream is silent.
 LOOK_S = 0.2
@@ -153,7 +153,9 @@
         serve = self.decision.serve
         progress.may_have_run |= exc.ran != 'no'
         policy = retries.RetryPolicy(
-            self.context.budget(self.decision.service) if progress.sends else None,
+            self.context.budget(self.decision.service)
+            if progress.sends
+            else None,
             max_tries=serve.max_tries,
             least_left_s=LEAST_LEFT_S,
         )
@@ -303,9 +305,7 @@
     def note_first(self):
         """Note that the answer has begun."""
         if self.progress.first_s is None:
-            self.progress.first_s = (
-                self.context.clock() - self.req.received_at
-            )
+            self.progress.first_s = self.context.clock() - self.req.received_at
 
     def _refuse(self, exc):
         """Answer with an error of our own; return whether to go on."""
--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -19,7 +19,7 @@
             'request_duration_seconds', 'Time from request to end of answer.'
         )
         self._first = self.registry.recorder(
-            'first_byte_seconds', 'Time from request to the answer\'s begin.'
+            'first_byte_seconds', "Time from request to the answer's begin."
         )
         self._sends = self.registry.counter(
             'upstream_tries_total', 'Requests sent to upstreams.', ('try',)
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -6,8 +6,9 @@
 
 from catkinshunt import catalog
 from catkinshunt import http1
-from catkinshunt import rules
 from catkinshunt.platform import _settings
+from catkinshunt import rules
+from catkinshunt import spread
 
 CONFIGURATION_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
@@ -20,7 +21,12 @@
     """A value of the store that is not what its key promises."""
 
 
-def _load(value):
+def load(value):
+    """Return the JSON object in `value`.
+
+    Raises:
+        UnreadableError: it is none.
+    """
     try:
         document = json.loads(value)
     except (ValueError, RecursionError) as exc:
@@ -51,7 +57,7 @@
         UnreadableError: it names no upstream that can be used. Others may
             write below the prefix too.
     """
-    document = _load(value)
+    document = load(value)
     state = _text(document, 'state')
     if state not in _STATES:
         raise UnreadableError(f'state is {state!r}')
@@ -89,13 +95,38 @@
     return found
 
 
+def read_report(value):
+    """Return the `spread.EngineReport` of an engine.
+
+    Raises:
+        UnreadableError: it is none.
+    """
+    document = load(value)
+    return spread.EngineReport(
+        versions=_read_versions(document) or {},
+        busy=bool(document.get('busy')),
+    )
+
+
+def read_staged(value):
+    """Return the indices of the chunks that are staged.
+
+    Raises:
+        UnreadableError: it is no list of them.
+    """
+    held = load(value).get('held')
+    if not isinstance(held, list):
+        raise UnreadableError('held is no list')
+    return [index for index in held if type(index) is int and index >= 0]
+
+
 def read_version(value):
     """Return (model, version) that the operator named.
 
     Raises:
         UnreadableError: it is no version.
     """
-    document = _load(value)
+    document = load(value)
     return _text(document, 'model'), _whole(document, 'version')
 
 
@@ -105,7 +136,7 @@
     Raises:
         UnreadableError: a field is missing or of another type.
     """
-    document = _load(value)
+    document = load(value)
     try:
         return catalog.Declaration(
             revision=_whole(document, 'version'),
--- /dev/null
+++ b/catkinshunt/platform/_engine.py
@@ -0,0 +1,176 @@
+"""The engine of a sidecar's instance, and the origin of weights."""
+
+import hashlib
+import json
+import urllib.parse
+
+from catkinshunt import errors
+from catkinshunt import http1
+from catkinshunt.platform import _documents
+from catkinshunt.spread import base
+from catkinshunt import weights
+
+#: Seconds after which a call to the engine is given up.
+ENGINE_S = 1.5
+#: Seconds after which a chunk of the origin is given up; ten members share
+#: its link at the begin of a transfer.
+ORIGIN_S = 4.0
+
+
+async def _call(pool, method, path, query=None, body=b'', timeout_s=ENGINE_S):
+    """Return (status, body) of one call.
+
+    Raises:
+        errors.TransferError: there was no answer.
+    """
+    target = path
+    if query:
+        target += '?' + urllib.parse.urlencode(query)
+    items = [('Content-Type', 'application/json')] if method == 'POST' else []
+    try:
+        head, reply = await http1.exchange(
+            pool, method, target, items, body, timeout_s
+        )
+    except errors.RequestError as exc:
+        raise errors.TransferError(
+            exc.message, step=f'{method} {path}', peer=pool.peer
+        ) from exc
+    return head.status, reply
+
+
+class PlatformEngine(base.BaseEngine):
+    """The engine beside a sidecar.
+
+    Args:
+        address: (ip, port) of the engine.
+        clock: gives seconds on the steady clock.
+    """
+
+    def __init__(self, address, clock):
+        self._pool = http1.Pool(*address, clock)
+
+    async def report(self):
+        """See `base.BaseEngine.report`."""
+        status, body = await _call(self._pool, 'GET', '/-/report')
+        if status != 200:
+            raise errors.TransferError(
+                f'the engine reported {status}', step='report'
+            )
+        try:
+            return _documents.read_report(body)
+        except _documents.UnreadableError as exc:
+            raise errors.TransferError(str(exc), step='report') from exc
+
+    async def put_chunk(self, model, index, data):
+        """See `base.BaseEngine.put_chunk`."""
+        status, _ = await _call(
+            self._pool,
+            'PUT',
+            f'/-/stage-put/{model}',
+            {'number': index},
+            data,
+        )
+        if status >= 300:
+            raise errors.TransferError(
+                f'the engine answered {status}', step='stage chunk'
+            )
+
+    async def get_chunk(self, model, index):
+        """See `base.BaseEngine.get_chunk`."""
+        status, body = await _call(
+            self._pool, 'GET', f'/-/stage-get/{model}', {'number': index}
+        )
+        return body if status == 200 else None
+
+    async def staged(self, model):
+        """See `base.BaseEngine.staged`."""
+        status, body = await _call(self._pool, 'GET', f'/-/stage-get/{model}')
+        if status == 404:
+            return []
+        try:
+            return _documents.read_staged(body)
+        except _documents.UnreadableError as exc:
+            raise errors.TransferError(str(exc), step='list stage') from exc
+
+    async def load(self, model, version):
+        """See `base.BaseEngine.load`."""
+        order = {
+            'operation': 'start',
+            'model': model,
+            'version': version,
+            'mode': 'queue',
+        }
+        status, body = await _call(
+            self._pool, 'POST', '/-/order', body=json.dumps(order).encode()
+        )
+        if status not in (200, 202):
+            raise errors.OrderError(
+                f'the engine answered {status}: {body[:100]!r}', step='load'
+            )
+
+
+class PlatformOrigin(base.BaseOrigin):
+    """The origin of weights.
+
+    Args:
+        locate: returns the `catalog.Origin` in force, or None.
+        clock: gives seconds on the steady clock.
+    """
+
+    def __init__(self, locate, clock):
+        self.locate = locate
+        self.clock = clock
+        self._pool = None
+
+    async def manifest(self, model, version):
+        """See `base.BaseOrigin.manifest`."""
+        body = await self._get(f'/-/manifest/{model}', {'version': version})
+        try:
+            return _read_manifest(body, model, version)
+        except _documents.UnreadableError as exc:
+            raise errors.ManifestError(str(exc), step='manifest') from exc
+
+    async def chunk(self, model, version, index):
+        """See `base.BaseOrigin.chunk`."""
+        return await self._get(
+            f'/-/piece/{model}', {'number': index, 'version': version}
+        )
+
+    async def _get(self, path, query):
+        status, body = await _call(
+            self._take_pool(), 'GET', path, query, timeout_s=ORIGIN_S
+        )
+        if status != 200:
+            raise errors.TransferError(
+                f'the origin answered {status}', step=path
+            )
+        return body
+
+    def _take_pool(self):
+        origin = self.locate()
+        if origin is None:
+            raise errors.TransferError('no origin is known', step='origin')
+        host, port = origin.address
+        if self._pool is None or self._pool.peer != f'{host}:{port}':
+            self._pool = http1.Pool(host, port, self.clock)
+        return self._pool
+
+
+def _read_manifest(body, model, version):
+    document = _documents.load(body)
+    digests = document.get('digests')
+    size = document.get('chunk_bytes')
+    if document.get('version') != version or not isinstance(digests, list):
+        raise _documents.UnreadableError('another manifest')
+    if not isinstance(size, int) or size <= 0:
+        raise _documents.UnreadableError(f'chunk_bytes is {size!r}')
+    if not all(isinstance(digest, str) for digest in digests):
+        raise _documents.UnreadableError('a digest is no text')
+    return weights.Manifest(
+        model=model,
+        version=str(version),
+        size_bytes=size * len(digests),
+        chunk_bytes=size,
+        chunks=tuple(digests),
+        digest=hashlib.sha256(''.join(digests).encode()).hexdigest(),
+    )
--- a/catkinshunt/platform/_settings.py
+++ b/catkinshunt/platform/_settings.py
@@ -98,9 +98,7 @@
 
     def _complain(self, name, value, wanted):
         shown = settings.show(value)
-        self.problems.append(
-            settings.Problem(self.path, name, shown, wanted)
-        )
+        self.problems.append(settings.Problem(self.path, name, shown, wanted))
 
 
 _NUMBER = (int, float)
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -3,7 +3,16 @@
 import asyncio
 import signal
 
+from catkinshunt import catalog as catalogs
+from catkinshunt import http1
 from catkinshunt import logs
+from catkinshunt import metrics
+from catkinshunt.platform import _clocks
+from catkinshunt.platform import _engine
+from catkinshunt.platform import _entry
+from catkinshunt.platform import _outlook
+from catkinshunt.platform import _store
+from catkinshunt import spread
 
 _log = logs.get_logger('sidecar')
 
@@ -16,5 +25,54 @@
     """
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-    _log.info('Started sidecar {}.', cfg.name)
+    registry = metrics.Registry()
+    shown = http1.Listener(
+        http1.answer_with(_entry.metrics_handler(registry)), _clocks.steady
+    )
+    await shown.start(cfg.ip, cfg.ports[0])
+    tasks = await _start(cfg, registry)
+    _log.info('Started sidecar {}.', cfg.name, engine=cfg.engine)
     await stop.wait()
+    for task in tasks:
+        task.cancel()
+    _log.info('Ended sidecar {}.', cfg.name)
+
+
+async def _start(cfg, registry):
+    """Start what looks after the engine; return its tasks."""
+    if cfg.engine is None:
+        return []
+    calls = registry.counter(
+        'store_calls_total', 'Calls to the store.', ('kind', 'result')
+    )
+    moved = registry.counter(
+        'chunk_bytes_total', 'Bytes of chunks by way.', ('way',)
+    )
+    outlook = _outlook.StoreOutlook(
+        cfg,
+        _store.StoreClient(cfg.store, _clocks.steady, calls),
+        catalogs.Catalog(),
+        _clocks.wall,
+        cfg.bounds.version_s,
+    )
+    shelf = spread.Shelf()
+    chunk_port = cfg.ports[0] + 1
+    agent = spread.Agent(
+        spread.Member(cfg.ip, cfg.data_centre),
+        outlook,
+        _engine.PlatformEngine(cfg.engine, _clocks.steady),
+        _engine.PlatformOrigin(outlook.origin, _clocks.steady),
+        spread.PeerClient(chunk_port, _clocks.steady),
+        shelf,
+        _clocks.steady,
+        cfg.link_mbps,
+        moved,
+    )
+    server = spread.ChunkServer(
+        shelf, _clocks.steady, cfg.link_mbps, moved, agent.note_asked
+    )
+    await server.start(cfg.ip, chunk_port)
+    return [
+        asyncio.ensure_future(outlook.run()),
+        asyncio.ensure_future(agent.run()),
+    ]
--- a/catkinshunt/rules/_rules.py
+++ b/catkinshunt/rules/_rules.py
@@ -79,9 +79,7 @@
                 self._named.update(condition.values() or ())
         self._by_value = {}
         self._rest = tuple(
-            rule
-            for rule in rules
-            if _open_ended(rule.when.condition(field))
+            rule for rule in rules if _open_ended(rule.when.condition(field))
         )
 
     @property
--- /dev/null
+++ b/catkinshunt/spread/_agent.py
@@ -0,0 +1,222 @@
+"""Brings the engine of one sidecar to the version that is wanted."""
+
+import asyncio
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt import logs
+from catkinshunt.spread import _fetcher
+from catkinshunt.spread import _holding
+from catkinshunt.spread import _plan
+from catkinshunt.spread import _stage
+
+#: Pause between looks at the engine, in seconds.
+LOOK_S = 0.25
+#: Seconds after which an order that shows no effect is given again.
+ORDER_PATIENCE_S = 3.0
+#: Time of one copy over the time that the link alone would need; measured
+#: with heads, checks and other traffic on the link.
+COPY_OVERHEAD = 1.15
+_MBIT = 1e6 / 8
+
+_log = logs.get_logger('agent')
+
+
+@attrs.frozen
+class Wanted:
+    """A version that the engine should serve.
+
+    Attributes:
+        due_at: when requests need it, on the clock of the catalog.
+    """
+
+    model: str
+    version: int
+    due_at: float
+
+
+class Agent:
+    """Fetches wanted versions, gives them to peers, and orders loads.
+
+    Args:
+        me: `Member` of this sidecar.
+        outlook: `BaseOutlook` on the operator's wishes and the members.
+        engine: `base.BaseEngine`.
+        origin: `base.BaseOrigin`.
+        peers: `PeerClient`.
+        shelf: `Shelf`.
+        clock: gives seconds on the steady clock.
+        link_mbps: speed of the instance's link.
+        counter: counts bytes by source.
+    """
+
+    def __init__(
+        self, me, outlook, engine, origin, peers, shelf, clock, link_mbps,
+        counter,
+    ):  # fmt: skip
+        self.me = me
+        self.outlook = outlook
+        self.engine = engine
+        self.origin = origin
+        self.peers = peers
+        self.shelf = shelf
+        self.clock = clock
+        self.link_mbps = link_mbps
+        self.counter = counter
+        self._transfer = None
+        self._fetching = None
+        self._ordered = None
+        self._ordered_at = 0.0
+        self._providing = set()
+
+    async def run(self):
+        """Keep the engine at the wanted version until cancelled."""
+        while True:
+            try:
+                await self._look()
+            except errors.CatkinshuntError as exc:
+                _log.warning('Could not look after the engine: {}.', exc)
+            await asyncio.sleep(LOOK_S)
+
+    def note_asked(self, model, version):
+        """Learn of a version from a peer that asks for it.
+
+        A sidecar that is cut off from the store hears of new versions so.
+        """
+        self.outlook.hear_of(model, version)
+        holding = self.shelf.find(model, version)
+        if holding is None and (model, version) not in self._providing:
+            self._providing.add((model, version))
+            asyncio.ensure_future(self._provide(model, version))
+
+    async def _look(self):
+        report = await self.engine.report()
+        wanted = await self.outlook.wanted(report)
+        if wanted is None:
+            return
+        if report.versions.get(wanted.model) == wanted.version:
+            return
+        holding = self.shelf.holding(wanted.model, wanted.version)
+        if holding.is_whole and not self._is_fetching():
+            await self._load(report, holding)
+        else:
+            self._fetch(wanted)
+
+    # Transfers.
+
+    def _is_fetching(self):
+        return self._transfer is not None and not self._transfer.done()
+
+    def _fetch(self, wanted):
+        """Begin the transfer of `wanted` unless another one goes first."""
+        if self._is_fetching():
+            if self._fetching.version == wanted.version:
+                return
+            if self._finishes_first(wanted):
+                return
+            _log.info(
+                'Dropped version {} for version {}.',
+                self._fetching.version,
+                wanted.version,
+                left_share=self._holding_of(self._fetching).left_share,
+            )
+            self._transfer.cancel()
+        self._fetching = wanted
+        self._transfer = asyncio.ensure_future(self._run_transfer(wanted))
+
+    def _holding_of(self, wanted):
+        return self.shelf.holding(wanted.model, wanted.version)
+
+    def _finishes_first(self, newer):
+        older = self._fetching
+        now = self.outlook.now()
+        profile = self.outlook.profile()
+        return _plan.finish_older_first(
+            self._holding_of(older).left_share,
+            self._copy_s(profile),
+            profile.load_s,
+            older.due_at - now,
+            newer.due_at - now,
+        )
+
+    def _copy_s(self, profile):
+        size = profile.chunks * profile.chunk_bytes
+        return size / (self.link_mbps * _MBIT) * COPY_OVERHEAD
+
+    async def _run_transfer(self, wanted):
+        began = self.clock()
+        holding = self._holding_of(wanted)
+        try:
+            plan = await self._plan(wanted.model, wanted.version)
+            await self._fetcher(holding, plan).run()
+        except errors.CatkinshuntError as exc:
+            _log.warning('A transfer failed: {}.', exc, version=wanted.version)
+            return
+        except ExceptionGroup as group:
+            _log.warning(
+                'A transfer failed: {}.',
+                group.exceptions[0],
+                version=wanted.version,
+            )
+            return
+        _log.info(
+            'Version {} of {} is whole.',
+            wanted.version,
+            wanted.model,
+            took_s=round(self.clock() - began, 3),
+        )
+
+    async def _plan(self, model, version):
+        members = await self.outlook.members()
+        return _plan.Plan(
+            self.me, members, self.outlook.regions, model, version
+        )
+
+    def _fetcher(self, holding, plan):
+        async def keep(index, data):
+            await self.engine.put_chunk(holding.model, index, data)
+
+        return _fetcher.Fetcher(
+            holding,
+            plan,
+            self.peers,
+            self.origin,
+            self.clock,
+            keep,
+            self.counter,
+        )
+
+    # Giving to peers what the engine has.
+
+    async def _provide(self, model, version):
+        """Put what is staged beside the engine within reach of peers."""
+        try:
+            report = await self.engine.report()
+            if report.versions.get(model) != version:
+                return
+            plan = await self._plan(model, version)
+            holding = _holding.Holding(model, version)
+            await self._fetcher(holding, plan).fetch_manifest()
+            taken = await _stage.restore(holding, self.engine)
+            self.shelf.add(holding)
+            _log.info('Gives version {} of {}.', version, model, chunks=taken)
+        except errors.CatkinshuntError as exc:
+            _log.warning('Cannot give version {}: {}.', version, exc)
+        finally:
+            self._providing.discard((model, version))
+
+    # Orders.
+
+    async def _load(self, report, holding):
+        if report.busy:
+            return
+        key = (holding.model, holding.version)
+        waited_s = self.clock() - self._ordered_at
+        if self._ordered == key and waited_s < ORDER_PATIENCE_S:
+            return
+        await _stage.settle(holding, self.engine)
+        self._ordered = key
+        self._ordered_at = self.clock()
+        await self.engine.load(*key)
+        _log.info('Ordered version {} of {}.', key[1], key[0])
--- /dev/null
+++ b/catkinshunt/spread/_holding.py
@@ -0,0 +1,139 @@
+"""The chunks of one version that a sidecar has in memory."""
+
+import asyncio
+
+import attrs
+
+from catkinshunt import errors
+
+
+@attrs.define
+class Holding:
+    """Verified chunks of one version.
+
+    Attributes:
+        manifest: `weights.Manifest` of the version.
+        chunks: bytes by index.
+    """
+
+    model: str
+    version: int
+    manifest: object = None
+    chunks: dict = attrs.field(factory=dict)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def missing(self):
+        """Indices of the chunks that are not here, in order."""
+        if self.manifest is None:
+            return None
+        every = range(len(self.manifest.chunks))
+        return [index for index in every if index not in self.chunks]
+
+    @property
+    def is_whole(self):
+        """Whether all chunks are here."""
+        return self.manifest is not None and not self.missing
+
+    @property
+    def left_share(self):
+        """Share of the chunks that is missing, from 0 to 1."""
+        if self.manifest is None:
+            return 1.0
+        return len(self.missing) / len(self.manifest.chunks)
+
+    def put(self, index, data):
+        """Add a chunk after checking it.
+
+        Raises:
+            errors.CorruptChunkError: it is not the chunk of the manifest.
+        """
+        self.chunks[index] = self.manifest.check(index, data)
+        self._announce()
+
+    def describe(self, manifest):
+        """Take over the manifest."""
+        self.manifest = manifest
+        self._announce()
+
+    def forget(self):
+        """Drop the manifest and all chunks that were checked by it."""
+        self.manifest = None
+        self.chunks.clear()
+
+    async def wait_for(self, index, wait_s):
+        """Return the chunk, waiting for it, or None.
+
+        Args:
+            index: its index, or `MANIFEST` for the manifest's bytes.
+            wait_s: longest wait in seconds.
+        """
+        try:
+            async with asyncio.timeout(wait_s):
+                while self._find(index) is None:
+                    changed = self._changed
+                    await changed.wait()
+        except TimeoutError:
+            return None
+        return self._find(index)
+
+    def _find(self, index):
+        if index == MANIFEST:
+            return None if self.manifest is None else self.manifest.dumps()
+        return self.chunks.get(index)
+
+    def _announce(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+#: Stands for the manifest where a chunk's index is asked for.
+MANIFEST = -1
+
+
+class Shelf:
+    """The versions that a sidecar has or is fetching; the last two stay.
+
+    Args:
+        kept: versions of a model that are kept.
+    """
+
+    def __init__(self, kept=2):
+        self.kept = kept
+        self._holdings = {}
+
+    def holding(self, model, version):
+        """Return the `Holding`, a new one at first."""
+        key = (model, version)
+        if key not in self._holdings:
+            self._holdings[key] = Holding(model, version)
+            self._shorten(model)
+        return self._holdings[key]
+
+    def add(self, holding):
+        """Keep `holding` unless its version is here already."""
+        self._holdings.setdefault((holding.model, holding.version), holding)
+        self._shorten(holding.model)
+
+    def find(self, model, version):
+        """Return the `Holding`, or None."""
+        return self._holdings.get((model, version))
+
+    def _shorten(self, model):
+        versions = sorted(v for m, v in self._holdings if m == model)
+        for version in versions[: -self.kept]:
+            del self._holdings[(model, version)]
+
+
+def check_manifest(manifest, model, version):
+    """Return `manifest` if it describes this version.
+
+    Raises:
+        errors.ManifestError: it describes another one.
+    """
+    if manifest.model != model or manifest.version != str(version):
+        raise errors.ManifestError(
+            f'manifest of {manifest.model} {manifest.version}',
+            step='read manifest',
+        )
+    return manifest
--- /dev/null
+++ b/catkinshunt/spread/base.py
@@ -0,0 +1,94 @@
+"""What a sidecar needs from its engine and from the origin of weights."""
+
+import abc
+
+import attrs
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine says of itself.
+
+    Attributes:
+        versions: version by model that it serves with all layers.
+        busy: an order is in progress.
+    """
+
+    versions: dict
+    busy: bool = False
+
+
+class BaseEngine(abc.ABC):
+    """The engine on the sidecar's own instance.
+
+    All calls raise an `errors.CatkinshuntError` where it gives no answer.
+    """
+
+    @abc.abstractmethod
+    async def report(self):
+        """Return the `EngineReport` of this moment."""
+
+    @abc.abstractmethod
+    async def put_chunk(self, model, index, data):
+        """Stage one chunk beside the engine."""
+
+    @abc.abstractmethod
+    async def get_chunk(self, model, index):
+        """Return a staged chunk, or None."""
+
+    @abc.abstractmethod
+    async def staged(self, model):
+        """Return the indices of all staged chunks."""
+
+    @abc.abstractmethod
+    async def load(self, model, version):
+        """Order the engine to serve what is staged as `version`.
+
+        Requests in progress are finished first. The order may have been
+        taken though no answer came; `report` then tells.
+
+        Raises:
+            errors.OrderError: the engine refuses.
+        """
+
+
+class BaseOrigin(abc.ABC):
+    """Where the weights of new versions come from."""
+
+    @abc.abstractmethod
+    async def manifest(self, model, version):
+        """Return the `weights.Manifest` of a version."""
+
+    @abc.abstractmethod
+    async def chunk(self, model, version, index):
+        """Return the bytes of a chunk, unchecked."""
+
+
+class BaseOutlook(abc.ABC):
+    """What a sidecar knows of the operator's wishes and of its peers.
+
+    Attributes:
+        regions: region by data centre.
+    """
+
+    regions: dict
+
+    @abc.abstractmethod
+    def now(self):
+        """Return seconds on the clock in which versions are due."""
+
+    @abc.abstractmethod
+    async def wanted(self, report):
+        """Return the `Wanted` version of the engine, or None."""
+
+    @abc.abstractmethod
+    async def members(self):
+        """Return the `Member` objects of the service as of now."""
+
+    @abc.abstractmethod
+    def profile(self):
+        """Return the `catalog.EngineProfile` of the service."""
+
+    @abc.abstractmethod
+    def hear_of(self, model, version):
+        """Note that a peer asks for this version."""
