Share chunks out evenly and finish an older version where it pays

Cause: a copy took 7.5 s where the link needs 5.2, so version 3, named 4 s after version 2, came 10 s after its name and version 2 never. The busiest member owned 1.5 times the mean of the chunks; a request named one chunk and waited though others were there. Restarted sidecars fetched anew what lay staged. SIGHUP ended a process.

Now owners are bounded, one request names all chunks that a source is to give, staged chunks are taken back, versions are due one by one, and half of the engines load while the others serve.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -10,6 +10,8 @@
 #: the platform's store are back within two seconds; work must have stopped
 #: two seconds after an upstream has gone.
 VANISHED_S = 1.5
+#: Versions of a model that are remembered; they are due one by one.
+MOST_VERSIONS = 8
 #: Upstreams that one log line names at most.
 MOST_NAMED = 20
 
@@ -47,7 +49,7 @@
     def __init__(self, fresh_s=3.0):
         self.fresh_s = fresh_s
         self.declaration = None
-        self.versions = {}
+        self._versions = {}
         self._confirmed_at = None
         self._upstreams = {}
         self._vanished = {}
@@ -84,15 +86,42 @@
 
     def name_version(self, model, version, now):
         """Note that the operator wants `version` of `model` served."""
-        held = self.versions.get(model)
+        held = self.newest_version(model)
         if held is not None and version <= held.version:
             return False
-        self.versions[model] = NamedVersion(version, now)
+        known = self._versions.setdefault(model, [])
+        known.append(NamedVersion(version, now))
+        del known[:-MOST_VERSIONS]
         _log.info(
             'Version {} of {} is named.', version, model, version=version
         )
         return True
 
+    def newest_version(self, model):
+        """Return the newest `NamedVersion` of a model, or None."""
+        known = self._versions.get(model)
+        return known[-1] if known else None
+
+    def named_since(self, model, version):
+        """Return when a version was learnt, or None."""
+        for named in self._versions.get(model, ()):
+            if named.version == version:
+                return named.since
+        return None
+
+    def due_version(self, model, grace_s, now):
+        """Return the newest version named `grace_s` seconds ago, or None.
+
+        A newer one that was named since does not put it off: requests that
+        begin on an older one would be wrong from then on.
+        """
+        due = [
+            named.version
+            for named in self._versions.get(model, ())
+            if now - named.since > grace_s
+        ]
+        return due[-1] if due else None
+
     def put_upstream(self, upstream):
         """Add or replace an upstream."""
         if self._keep(upstream):
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -224,11 +224,9 @@
 
     def _least_version(self):
         """Return the oldest version that may still begin, or None for any."""
-        named = self.context.catalog.versions.get(self.ask.model)
-        if named is None:
-            return None
-        age_s = self.context.wall() - named.since
-        return named.version if age_s > self.context.version_grace_s else None
+        return self.context.catalog.due_version(
+            self.ask.model, self.context.version_grace_s, self.context.wall()
+        )
 
     async def _try(self, candidate):
         """Make one try; raises an `errors.RequestError` where it failed."""
@@ -269,7 +267,6 @@
             upstream.id,
             left_s,
             self.decision.account,
-            self._least_version(),
             '' if last_id is None else str(last_id),
         )
         items = self.context.dialect.upstream_headers(
--- a/catkinshunt/gateway/base.py
+++ b/catkinshunt/gateway/base.py
@@ -39,7 +39,6 @@
         upstream_id: the upstream that must answer.
         left_s: seconds that it may take.
         account: name of the account, or ''.
-        least_version: version of the weights that must answer, or None.
         last_event_id: id of the last event passed on, or ''.
         priority: rank among the waiting requests, or None.
     """
@@ -47,7 +46,6 @@
     upstream_id: str
     left_s: float
     account: str = ''
-    least_version: int | None = None
     last_event_id: str = ''
     priority: int | None = None
 
--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -70,8 +70,6 @@
             items.append((ACCOUNT, forward.account))
         if forward.last_event_id:
             items.append((LAST_EVENT, forward.last_event_id))
-        if forward.least_version is not None:
-            items.append((EXPECTED_VERSION, str(forward.least_version)))
         if forward.priority is not None:
             items.append((PRIORITY, str(forward.priority)))
         return items
--- a/catkinshunt/platform/_engine.py
+++ b/catkinshunt/platform/_engine.py
@@ -100,9 +100,14 @@
             'version': version,
             'mode': 'queue',
         }
-        status, body = await _call(
-            self._pool, 'POST', '/-/order', body=json.dumps(order).encode()
-        )
+        try:
+            status, body = await _call(
+                self._pool, 'POST', '/-/order', body=json.dumps(order).encode()
+            )
+        except errors.TransferError as exc:
+            if isinstance(exc.__cause__, errors.RefusedError):
+                raise
+            raise base.OrderLostError(exc.message, step='load') from exc
         if status not in (200, 202):
             raise errors.OrderError(
                 f'the engine answered {status}: {body[:100]!r}', step='load'
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 
 from catkinshunt import catalog as catalogs
 from catkinshunt import dispatch
@@ -13,6 +12,7 @@
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _dialect
 from catkinshunt.platform import _mirror
+from catkinshunt.platform import _signals
 from catkinshunt.platform import _store
 
 #: Share of the time in which a key that was taken away may still be served
@@ -41,8 +41,7 @@
     Args:
         cfg: `NodeSettings`.
     """
-    stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    stop = _signals.watch_signals()
     registry = metrics.Registry()
     context = make_context(cfg, registry)
     server = await gateway.Gateway(context).start(*cfg.frontend)
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -1,6 +1,7 @@
 """Keeps a catalog in step with the platform's store."""
 
 import asyncio
+import math
 
 from catkinshunt import errors
 from catkinshunt import logs
@@ -69,10 +70,13 @@
 
     async def _read_all(self):
         asked_at = self.wall()
+        first = self.catalog.declaration is None
         operator = await self.client.read_prefix('op/')
         listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
         for item in operator.items:
-            self._apply(item, asked_at)
+            # How long a version has been named cannot be seen; a process
+            # that has just started takes it as long ago.
+            self._apply(item, -math.inf if first else asked_at)
         upstreams = [self._decode_upstream(item) for item in listed.items]
         self.catalog.replace_upstreams(
             [upstream for upstream in upstreams if upstream is not None],
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -122,7 +122,7 @@
         if profile is None or not profile.models or not profile.chunks:
             return None
         model = profile.models[0]
-        named = self.catalog.versions.get(model)
+        named = self.catalog.newest_version(model)
         if named is not None:
             due_at = named.since + self.due_s
             return spread.Wanted(model, named.version, due_at)
@@ -130,6 +130,11 @@
             return None
         return spread.Wanted(model, FIRST_VERSION, self.wall())
 
+    def due_at(self, model, version):
+        """See `spread.BaseOutlook.due_at`."""
+        since = self.catalog.named_since(model, version)
+        return self.wall() if since is None else since + self.due_s
+
     async def members(self):
         """See `spread.BaseOutlook.members`."""
         now = self.wall()
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -1,7 +1,6 @@
 """The sidecar as a process of the platform."""
 
 import asyncio
-import signal
 
 from catkinshunt import catalog as catalogs
 from catkinshunt import http1
@@ -11,6 +10,7 @@
 from catkinshunt.platform import _engine
 from catkinshunt.platform import _entry
 from catkinshunt.platform import _outlook
+from catkinshunt.platform import _signals
 from catkinshunt.platform import _store
 from catkinshunt import spread
 
@@ -23,8 +23,7 @@
     Args:
         cfg: `NodeSettings`.
     """
-    stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    stop = _signals.watch_signals()
     registry = metrics.Registry()
     shown = http1.Listener(
         http1.answer_with(_entry.metrics_handler(registry)), _clocks.steady
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -10,14 +10,23 @@
 from catkinshunt.spread import _holding
 from catkinshunt.spread import _plan
 from catkinshunt.spread import _stage
+from catkinshunt.spread import base
 
 #: Pause between looks at the engine, in seconds.
 LOOK_S = 0.25
 #: Seconds after which an order that shows no effect is given again.
 ORDER_PATIENCE_S = 3.0
+#: Pause before an order whose answer was lost is given again, in seconds.
+ORDER_AGAIN_S = 0.3
 #: Time of one copy over the time that the link alone would need; measured
 #: with heads, checks and other traffic on the link.
-COPY_OVERHEAD = 1.15
+COPY_OVERHEAD = 1.12
+#: Groups in which engines that serve load a version, so that the others go
+#: on meanwhile. A copy leaves about two seconds until a version is due; an
+#: engine ends its answers and loads in about one and a half.
+WAVES = 2
+#: Seconds before a version is due at which the last group loads.
+LAST_WAVE_LEAD_S = 1.0
 _MBIT = 1e6 / 8
 
 _log = logs.get_logger('agent')
@@ -69,6 +78,8 @@
         self._ordered = None
         self._ordered_at = 0.0
         self._providing = set()
+        self._waves = {}
+        self._stage_turn = asyncio.Lock()
 
     async def run(self):
         """Keep the engine at the wanted version until cancelled."""
@@ -98,10 +109,25 @@
         if report.versions.get(wanted.model) == wanted.version:
             return
         holding = self.shelf.holding(wanted.model, wanted.version)
-        if holding.is_whole and not self._is_fetching():
-            await self._load(report, holding)
-        else:
+        if not holding.is_whole:
             self._fetch(wanted)
+        ready = self._newest_whole(report, wanted)
+        if ready is not None:
+            await self._load(report, ready)
+
+    def _newest_whole(self, report, wanted):
+        """Return the newest whole `Holding` that the engine lacks, or None.
+
+        A version that was named before the wanted one counts too: requests
+        may need it before the wanted one has come.
+        """
+        serves = report.versions.get(wanted.model, 0)
+        whole = [
+            holding
+            for holding in self.shelf.of(wanted.model)
+            if holding.is_whole and serves < holding.version <= wanted.version
+        ]
+        return max(whole, key=lambda h: h.version, default=None)
 
     # Transfers.
 
@@ -149,7 +175,12 @@
         holding = self._holding_of(wanted)
         try:
             plan = await self._plan(wanted.model, wanted.version)
-            await self._fetcher(holding, plan).run()
+            fetcher = self._fetcher(holding, plan)
+            await fetcher.fetch_manifest()
+            self._waves[wanted.version] = plan.wave(WAVES)
+            # After a restart most chunks may lie beside the engine already.
+            restored = await _stage.restore(holding, self.engine)
+            await fetcher.run()
         except errors.CatkinshuntError as exc:
             _log.warning('A transfer failed: {}.', exc, version=wanted.version)
             return
@@ -165,17 +196,24 @@
             wanted.version,
             wanted.model,
             took_s=round(self.clock() - began, 3),
+            restored=restored,
         )
 
     async def _plan(self, model, version):
         members = await self.outlook.members()
         return _plan.Plan(
-            self.me, members, self.outlook.regions, model, version
+            self.me,
+            members,
+            self.outlook.regions,
+            model,
+            version,
+            self.outlook.profile().chunks,
         )
 
     def _fetcher(self, holding, plan):
         async def keep(index, data):
-            await self.engine.put_chunk(holding.model, index, data)
+            async with self._stage_turn:
+                await self.engine.put_chunk(holding.model, index, data)
 
         return _fetcher.Fetcher(
             holding,
@@ -209,14 +247,37 @@
     # Orders.
 
     async def _load(self, report, holding):
-        if report.busy:
+        if report.busy or not self._is_turn(report, holding):
             return
         key = (holding.model, holding.version)
         waited_s = self.clock() - self._ordered_at
         if self._ordered == key and waited_s < ORDER_PATIENCE_S:
             return
-        await _stage.settle(holding, self.engine)
-        self._ordered = key
-        self._ordered_at = self.clock()
-        await self.engine.load(*key)
-        _log.info('Ordered version {} of {}.', key[1], key[0])
+        # The engine loads what is staged when it takes the order. Chunks of
+        # another version put there meanwhile would give mixed weights, so
+        # none is put until it is known whether the order was taken.
+        async with self._stage_turn:
+            await _stage.settle(holding, self.engine)
+            self._ordered = key
+            self._ordered_at = self.clock()
+            await self._order(*key)
+
+    def _is_turn(self, report, holding):
+        """Return whether it is this member's turn to load."""
+        if not report.versions.get(holding.model):
+            return True
+        if self._waves.get(holding.version, 0) == 0:
+            return True
+        due_at = self.outlook.due_at(holding.model, holding.version)
+        return self.outlook.now() >= due_at - LAST_WAVE_LEAD_S
+
+    async def _order(self, model, version):
+        while True:
+            try:
+                await self.engine.load(model, version)
+            except base.OrderLostError as exc:
+                _log.warning('The answer to an order was lost: {}.', exc)
+                await asyncio.sleep(ORDER_AGAIN_S)
+                continue
+            _log.info('Ordered version {} of {}.', version, model)
+            return
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -8,10 +8,8 @@
 from catkinshunt.spread import _plan
 from catkinshunt import weights
 
-#: Chunks asked for at once: of members of the own data centre, and of the
-#: origin or members elsewhere. Two keep the link busy while one is checked.
-LOCAL_WORKERS = 3
-REMOTE_WORKERS = 2
+#: Chunks asked of the origin at once; two hide its delay.
+ORIGIN_WORKERS = 2
 #: Seconds for which a source that gave no answer is left out.
 BLAME_S = 1.5
 #: Times that a source without the chunk is asked again before the next.
@@ -48,6 +46,9 @@
         self.counter = counter
         self._blamed = {}
         self._corrupt_in_row = 0
+        self._asked = {}
+        self._tried = {}
+        self._group = None
 
     async def run(self):
         """Fetch what is missing; returns when all of it is here.
@@ -56,19 +57,82 @@
             errors.ManifestError: no chunk fits the manifest any more; it
                 was dropped with what it had let in.
         """
-        await self.fetch_manifest()
-        local, remote = [], []
-        for index in self.holding.missing:
-            (local if self.plan.is_local(index) else remote).append(index)
-        workers = [self._work(remote) for _ in range(REMOTE_WORKERS)]
-        workers += [self._work(local) for _ in range(LOCAL_WORKERS)]
-        async with asyncio.TaskGroup() as group:
-            for worker in workers:
-                group.create_task(worker)
-
-    async def _work(self, indices):
-        while indices:
-            await self._fetch(indices.pop(0))
+        async with asyncio.TaskGroup() as self._group:
+            for index in self.holding.missing:
+                self._assign(index)
+
+    def _assign(self, index):
+        """Give a chunk to the worker of its best source."""
+        tried = self._tried.setdefault(index, set())
+        usable = self._usable(self.plan.sources(index))
+        source = next((s for s in usable if s not in tried), None)
+        if source is None:
+            tried.clear()
+            source = _plan.ORIGIN
+        asked = self._asked.setdefault(source, [])
+        asked.append(index)
+        workers = ORIGIN_WORKERS if source == _plan.ORIGIN else 1
+        if len(asked) <= workers:
+            self._group.create_task(self._work(source))
+
+    async def _work(self, source):
+        """Ask one source for its chunks until none is left to it."""
+        asked = self._asked[source]
+        strikes = 0
+        while asked:
+            self._check_manifest()
+            if await self._ask_one(source, asked):
+                strikes = 0
+                continue
+            strikes += 1
+            if strikes >= PATIENCE or self._is_blamed(source):
+                await self._hand_over(source, asked)
+
+    async def _hand_over(self, source, asked):
+        """Give the chunks of a source that fails to their next sources."""
+        indices, asked[:] = list(asked), []
+        if source == _plan.ORIGIN:
+            await asyncio.sleep(RETRY_S)
+        for index in indices:
+            self._tried[index].add(source)
+            self._assign(index)
+
+    async def _ask_one(self, source, asked):
+        """Ask for one of the chunks; return whether one came."""
+        if source == _plan.ORIGIN:
+            names = [asked.pop(0)]
+        else:
+            names = list(asked)
+        got = None
+        try:
+            got, data = await self._ask(source, names)
+            self.holding.put(got, data)
+        except errors.SourceBusyError:
+            return False
+        except errors.CorruptChunkError as exc:
+            self._corrupt_in_row += 1
+            self._warn(source, exc)
+            return False
+        except errors.TransferError as exc:
+            self._blame(source, exc)
+            return False
+        finally:
+            if source == _plan.ORIGIN and names[0] not in self.holding.chunks:
+                asked.append(names[0])
+        if got in asked:
+            asked.remove(got)
+        self._corrupt_in_row = 0
+        way = 'origin' if source == _plan.ORIGIN else 'peer'
+        self.counter.add(way, amount=len(data))
+        await self.keep(got, data)
+        return True
+
+    async def _ask(self, source, names):
+        model, version = self.holding.model, self.holding.version
+        if source == _plan.ORIGIN:
+            data = await self.origin.chunk(model, version, names[0])
+            return names[0], data
+        return await self.peers.chunk(source, model, version, names)
 
     async def fetch_manifest(self):
         """Fetch the manifest unless it is here."""
@@ -96,15 +160,6 @@
             return False
         return True
 
-    async def _fetch(self, index):
-        while index not in self.holding.chunks:
-            self._check_manifest()
-            for source in self._usable(self.plan.sources(index)):
-                if await self._chunk_from(source, index):
-                    break
-            else:
-                await asyncio.sleep(RETRY_S)
-
     def _check_manifest(self):
         """Drop the manifest where all sources differ from it.
 
@@ -119,40 +174,11 @@
             step='fetch chunk',
         )
 
-    async def _chunk_from(self, source, index):
-        for _ in range(PATIENCE):
-            try:
-                data = await self._ask(source, index)
-                self.holding.put(index, data)
-            except errors.SourceBusyError:
-                continue
-            except errors.CorruptChunkError as exc:
-                self._corrupt_in_row += 1
-                self._warn(source, exc)
-                return False
-            except errors.TransferError as exc:
-                self._blame(source, exc)
-                return False
-            self._corrupt_in_row = 0
-            self.counter.add(
-                'origin' if source == _plan.ORIGIN else 'peer',
-                amount=len(data),
-            )
-            await self.keep(index, data)
-            return True
-        return False
-
-    async def _ask(self, source, index):
-        model, version = self.holding.model, self.holding.version
-        if source == _plan.ORIGIN:
-            return await self.origin.chunk(model, version, index)
-        return await self.peers.chunk(source, model, version, index)
-
     def _usable(self, sources):
-        now = self.clock()
-        return [
-            source for source in sources if self._blamed.get(source, 0) <= now
-        ]
+        return [s for s in sources if not self._is_blamed(s)]
+
+    def _is_blamed(self, source):
+        return self._blamed.get(source, 0) > self.clock()
 
     def _blame(self, source, exc):
         self._blamed[source] = self.clock() + BLAME_S
--- a/catkinshunt/spread/_holding.py
+++ b/catkinshunt/spread/_holding.py
@@ -61,21 +61,29 @@
         self.manifest = None
         self.chunks.clear()
 
-    async def wait_for(self, index, wait_s):
-        """Return the chunk, waiting for it, or None.
+    async def wait_for_any(self, indices, wait_s):
+        """Wait until one of these is here; return whether one is.
 
         Args:
-            index: its index, or `MANIFEST` for the manifest's bytes.
+            indices: indices of chunks, or `MANIFEST` alone.
             wait_s: longest wait in seconds.
         """
         try:
             async with asyncio.timeout(wait_s):
-                while self._find(index) is None:
+                while self.find_any(indices) is None:
                     changed = self._changed
                     await changed.wait()
         except TimeoutError:
-            return None
-        return self._find(index)
+            return False
+        return True
+
+    def find_any(self, indices):
+        """Return (index, bytes) of the first that is here, or None."""
+        for index in indices:
+            data = self._find(index)
+            if data is not None:
+                return index, data
+        return None
 
     def _find(self, index):
         if index == MANIFEST:
@@ -115,6 +123,10 @@
         self._holdings.setdefault((holding.model, holding.version), holding)
         self._shorten(holding.model)
 
+    def of(self, model):
+        """Return the holdings of a model."""
+        return [h for (name, _), h in self._holdings.items() if name == model]
+
     def find(self, model, version):
         """Return the `Holding`, or None."""
         return self._holdings.get((model, version))
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -12,10 +12,16 @@
 #: Bytes that are written at once; at 3.65 Mbit/s they take 9 ms, so that an
 #: event of a stream on the same link waits no longer than that.
 SLICE_BYTES = 4096
+#: Pause between looks whether a version has become known, in seconds.
+LOOK_S = 0.05
 #: Share of the link that chunks may take; the rest is for live answers.
-LINK_SHARE = 0.9
+LINK_SHARE = 0.95
 #: Bytes of heads and packets beside a slice.
-OVERHEAD = 1.06
+OVERHEAD = 1.04
+#: Header that names the chunk in a reply.
+INDEX = 'Chunk-Index'
+#: Chunks that one request may name.
+MOST_NAMED = 64
 _MBIT = 1e6 / 8
 
 _log = logs.get_logger('chunks')
@@ -60,6 +66,7 @@
         self.on_asked = on_asked
         self.clock = clock
         self.counter = counter
+        self._turn = asyncio.Lock()
         self._pacer = Pacer(link_mbps * _MBIT * LINK_SHARE / OVERHEAD)
         self._listener = http1.Listener(self._session, clock)
 
@@ -73,39 +80,42 @@
             req = await conn.read_request()
             if req is None or isinstance(req, http1.BadRequestError):
                 return
-            data = await self._find(req.path)
-            if data is None:
-                conn.write(http1.dump_reply(503, []))
-            else:
-                await self._send(conn, data)
+            await self._answer(conn, req.path)
             conn.begin_idle()
 
-    async def _find(self, path):
-        words = path.strip('/').split('/')
-        try:
-            kind, model, version, index = words
-            version, index = int(version), int(index)
-        except ValueError:
+    async def _answer(self, conn, path):
+        found = _read_path(path)
+        if found is None:
             _log.warning('Left aside a request for {}.', path[:100])
-            return None
-        if kind != 'chunks':
-            return None
+            conn.write(http1.dump_reply(404, []))
+            return
+        model, version, indices = found
         self.on_asked(model, version)
+        holding = await self._wait_for(model, version, indices)
+        # Chunks go out one after the other: the one that is sent is whole
+        # soon and can be passed on, where ten at once would all be late.
+        async with self._turn:
+            data = holding.find_any(indices) if holding else None
+            if data is None:
+                conn.write(http1.dump_reply(503, []))
+            else:
+                await self._send(conn, *data)
+
+    async def _wait_for(self, model, version, indices):
+        """Return the `Holding` once one of the chunks is here, or None."""
         end_at = self.clock() + LONGEST_WAIT_S
         holding = self.shelf.find(model, version)
         while holding is None and self.clock() < end_at:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(LOOK_S)
             holding = self.shelf.find(model, version)
-        if holding is None:
-            return None
-        return await holding.wait_for(index, max(0, end_at - self.clock()))
-
-    async def _send(self, conn, data):
-        conn.write(
-            http1.dump_head(
-                http1.status_line(200), [('Content-Length', str(len(data)))]
-            )
-        )
+        if holding is not None:
+            wait_s = max(0.0, end_at - self.clock())
+            await holding.wait_for_any(indices, wait_s)
+        return holding
+
+    async def _send(self, conn, index, data):
+        items = [(INDEX, str(index)), ('Content-Length', str(len(data)))]
+        conn.write(http1.dump_head(http1.status_line(200), items))
         for at in range(0, len(data), SLICE_BYTES):
             part = data[at : at + SLICE_BYTES]
             await asyncio.sleep(self._pacer.delay_s(len(part), self.clock()))
@@ -114,6 +124,18 @@
         self.counter.add('given', amount=len(data))
 
 
+def _read_path(path):
+    """Return (model, version, indices) of a request, or None."""
+    words = path.strip('/').split('/')
+    if len(words) != 4 or words[0] != 'chunks':
+        return None
+    try:
+        indices = [int(word) for word in words[3].split(',')]
+        return words[1], int(words[2]), indices[:MOST_NAMED]
+    except ValueError:
+        return None
+
+
 class PeerClient:
     """Asks other sidecars for chunks.
 
@@ -129,8 +151,8 @@
         self.timeout_s = timeout_s
         self._pools = {}
 
-    async def chunk(self, peer, model, version, index):
-        """Return the bytes of a chunk, unchecked, or of the manifest.
+    async def chunk(self, peer, model, version, indices):
+        """Return (index, bytes) of one of these chunks, unchecked.
 
         Raises:
             errors.SourceBusyError: the peer does not have it yet.
@@ -140,7 +162,8 @@
         if pool is None:
             pool = http1.Pool(peer, self.port, self.clock)
             self._pools[peer] = pool
-        target = f'/chunks/{model}/{version}/{index}'
+        names = ','.join(map(str, indices[:MOST_NAMED]))
+        target = f'/chunks/{model}/{version}/{names}'
         try:
             head, body = await http1.exchange(
                 pool, 'GET', target, timeout_s=self.timeout_s
@@ -153,8 +176,15 @@
             raise errors.SourceBusyError(
                 'not there yet', step='fetch chunk', peer=peer
             )
-        return body
+        index = head.headers.get(INDEX, '')
+        if not index.removeprefix('-').isdigit() or int(index) not in indices:
+            raise errors.TransferError(
+                f'sent chunk {index!r}', step='fetch chunk', peer=peer
+            )
+        return int(index), body
 
     async def manifest(self, peer, model, version):
         """Return the bytes of the manifest."""
-        return await self.chunk(peer, model, version, _holding.MANIFEST)
+        indices = [_holding.MANIFEST]
+        _, body = await self.chunk(peer, model, version, indices)
+        return body
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -1,13 +1,18 @@
 """Which source gives which chunk, agreed without a message.
 
-Every sidecar knows the members of its service from the store. For each chunk
-it ranks them by rendezvous hashing; the first of all takes the chunk from
-the origin, the first of each data centre takes it from there, and the others
-take it from the first of their data centre. So a chunk leaves the origin
-once and crosses a link between data centres once, and each member gives
-about as much as it takes.
+Every sidecar knows the members of its service from the store. Each chunk has
+an owner, who takes it from the origin. In every other data centre one member
+takes it from the owner; the rest take it from the member of their own data
+centre. So a chunk leaves the origin once and enters each data centre once.
+
+Owners are found by rendezvous hashing with a bound on the chunks of each, so
+that sidecars whose lists differ by a member still agree on most, and nobody
+has to give much more than it takes: without the bound the busiest of ten
+members gave 1.5 times the mean, and a copy took 7.5 s instead of 6.
 """
 
+import math
+
 import attrs
 
 from catkinshunt import rendezvous
@@ -42,33 +47,38 @@
         regions: region by data centre.
         model: name of the model.
         version: its version.
+        chunks: number of chunks.
 
     Examples:
         >>> here = [Member(name, 'larisa-a') for name in ('a', 'b', 'c')]
-        >>> plans = [Plan(me, here, {}, 'drafts', 2) for me in here]
+        >>> plans = [Plan(me, here, {}, 'drafts', 2, 6) for me in here]
         >>> firsts = [plan.sources(0)[0] for plan in plans]
         >>> firsts.count('origin')
         1
     """
 
-    def __init__(self, me, members, regions, model, version):
+    def __init__(self, me, members, regions, model, version, chunks=0):
         self.me = me
         self.members = [m for m in members if m.name != me.name] + [me]
         self.regions = regions
         self.model = model
         self.version = version
+        self.chunks = chunks
+        self._receivers = None
 
     def sources(self, index):
         """Return the names of sources for a chunk, best first."""
         ranked = self._rank(index)
+        receivers = self._receivers_of(index)
         order = [
             *self._holders_near(ranked),
-            *self._holders_far(ranked),
-            *self._before_me(ranked, self.me.data_centre),
+            *self._holders_far(receivers, ranked),
+            *self._receivers_before(receivers),
+            *self._others_near(ranked),
         ]
-        if ranked[0] is not self.me:
-            order += self._first_of_all(ranked)
-        names = [member.name for member in order]
+        names = [member.name for member in order if member is not self.me]
+        if receivers[0] is self.me and not any(map(self._holds, order)):
+            return [ORIGIN]
         return [*dict.fromkeys(names), ORIGIN]
 
     def manifest_sources(self):
@@ -79,46 +89,46 @@
         circle of members waits for each other.
         """
         ranked = self._rank('manifest')
-        order = self._before_me(ranked, self.me.data_centre)
-        if ranked[0] is not self.me:
-            order.append(ranked[0])
+        before = ranked[: ranked.index(self.me)]
+        near = [m for m in before if self._is_near(m)]
+        order = [*near[:1], *before[:1]]
         names = [member.name for member in order]
         return [*dict.fromkeys(names), ORIGIN]
 
-    def is_local(self, index):
-        """Return whether the best source stands in the own data centre."""
-        best = self.sources(index)[0]
-        return any(
-            member.name == best and member.data_centre == self.me.data_centre
-            for member in self.members
-        )
+    def wave(self, waves):
+        """Return in which of `waves` groups this member loads, from 0."""
+        names = sorted(member.name for member in self.members)
+        order = rendezvous.rank(f'{self.model}/{self.version}', names)
+        return order.index(self.me.name) % waves
 
-    def _rank(self, index):
+    def _rank(self, key):
         names = {member.name: member for member in self.members}
-        key = f'{self.model}/{self.version}/{index}'
+        key = f'{self.model}/{self.version}/{key}'
         return [names[name] for name in rendezvous.rank(key, names)]
 
     def _holds(self, member):
         return member.versions.get(self.model) == self.version
 
+    def _is_near(self, member):
+        return member.data_centre == self.me.data_centre
+
     def _holders_near(self, ranked):
         return [
             member
             for member in ranked
             if member is not self.me
             and self._holds(member)
-            and member.data_centre == self.me.data_centre
+            and self._is_near(member)
         ]
 
-    def _holders_far(self, ranked):
+    def _holders_far(self, receivers, ranked):
         """Return holders elsewhere, if this member is to cross the link."""
-        own = [m for m in ranked if m.data_centre == self.me.data_centre]
-        if own[0] is not self.me:
+        if self.me not in receivers:
             return []
         far = [
             member
             for member in ranked
-            if self._holds(member) and member.data_centre != own[0].data_centre
+            if self._holds(member) and not self._is_near(member)
         ]
         return sorted(far, key=self._distance)
 
@@ -126,30 +136,59 @@
         here = self.regions.get(self.me.data_centre)
         return 0 if self.regions.get(member.data_centre) == here else 1
 
-    def _before_me(self, ranked, data_centre):
-        """Return members of the data centre that are asked before others."""
-        found = []
-        for member in ranked:
-            if member is self.me:
-                break
-            if member.data_centre == data_centre:
-                found.append(member)
-        return found
+    def _receivers_before(self, receivers):
+        """Return the receiver that this member takes the chunk from."""
+        if self.me in receivers:
+            return receivers[:1]
+        near = [m for m in receivers if self._is_near(m)]
+        return [*near, receivers[0]]
 
-    def _first_of_all(self, ranked):
-        """Return the first member of each data centre, in order of rank."""
-        firsts = {}
-        for member in ranked:
-            firsts.setdefault(member.data_centre, member)
-        return [m for m in firsts.values() if m is not self.me]
+    def _others_near(self, ranked):
+        """Return members nearby that are asked when the others fail."""
+        if self.me in ranked[:1]:
+            return []
+        before = ranked[: ranked.index(self.me)]
+        return [member for member in before if self._is_near(member)]
+
+    def _receivers_of(self, index):
+        if self._receivers is None:
+            self._receivers = self._share_out()
+        found = self._receivers.get(index)
+        return found or self._rank(index)[:1]
+
+    def _share_out(self):
+        """Return by chunk its owner, then one member of each other place."""
+        bound = math.ceil(self.chunks / len(self.members))
+        owned = dict.fromkeys((m.name for m in self.members), 0)
+        taken = dict(owned)
+        places = {}
+        for member in self.members:
+            places.setdefault(member.data_centre, []).append(member)
+        found = {}
+        for index in range(self.chunks):
+            ranked = self._rank(index)
+            owner = next(m for m in ranked if owned[m.name] < bound)
+            owned[owner.name] += 1
+            found[index] = [owner]
+            for place, there in places.items():
+                if place == owner.data_centre:
+                    continue
+                limit = math.ceil(self.chunks / len(there))
+                receiver = min(
+                    (m for m in ranked if m.data_centre == place),
+                    key=lambda m: taken[m.name] * len(there) // limit,
+                )
+                taken[receiver.name] += 1
+                found[index].append(receiver)
+        return found
 
 
 def finish_older_first(left_share, copy_s, load_s, older_due_s, newer_due_s):
     """Return whether a transfer goes on although a newer version was named.
 
-    The older version is dropped where the newer one alone would be whole
-    before the older is due: nothing is gained by it then. It is also dropped
-    where finishing it would make the newer one late.
+    From the moment a version is due until one at least as new is loaded, no
+    request can begin. Both ways are compared by how long that lasts; the
+    older version is dropped where that is no worse.
 
     Args:
         left_share: share of the older version that is missing, 0 to 1.
@@ -165,7 +204,9 @@
         False
     """
     newer_alone_s = copy_s + load_s
-    if newer_alone_s <= older_due_s:
-        return False
-    both_s = left_share * copy_s + copy_s + load_s
-    return both_s <= newer_due_s
+    dropped_gap_s = max(0.0, newer_alone_s - max(0.0, older_due_s))
+    older_s = left_share * copy_s + load_s
+    newer_s = left_share * copy_s + copy_s + load_s
+    finished_gap_s = max(0.0, older_s - max(0.0, older_due_s))
+    finished_gap_s += max(0.0, newer_s - newer_due_s)
+    return finished_gap_s < dropped_gap_s
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from catkinshunt import errors
+
 
 @attrs.frozen
 class EngineReport:
@@ -18,6 +20,10 @@
     busy: bool = False
 
 
+class OrderLostError(errors.OrderError):
+    """The answer to an order was lost; it may have been taken."""
+
+
 class BaseEngine(abc.ABC):
     """The engine on the sidecar's own instance.
 
@@ -44,10 +50,11 @@
     async def load(self, model, version):
         """Order the engine to serve what is staged as `version`.
 
-        Requests in progress are finished first. The order may have been
-        taken though no answer came; `report` then tells.
+        Requests in progress are finished first. The same order may be given
+        again.
 
         Raises:
+            OrderLostError: no answer came; the order may have been taken.
             errors.OrderError: the engine refuses.
         """
 
@@ -81,6 +88,10 @@
     async def wanted(self, report):
         """Return the `Wanted` version of the engine, or None."""
 
+    @abc.abstractmethod
+    def due_at(self, model, version):
+        """Return when requests need this version."""
+
     @abc.abstractmethod
     async def members(self):
         """Return the `Member` objects of the service as of now."""
