--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -39,6 +39,12 @@
     code = 'late'
 
 
+class OutdatedError(errors.OutcomeUnknownError):
+    """The upstream had not begun when its version became too old."""
+
+    code = 'outdated'
+
+
 class SilentError(errors.OutcomeUnknownError):
     """The upstream sends nothing on any connection."""
 
@@ -222,12 +228,27 @@
             return holding
         return [u for u in holding if u.versions[model] >= least]
 
-    def _least_version(self):
-        """Return the oldest version that may still begin, or None for any."""
+    def _least_version(self, lead_s=0.0):
+        """Return the oldest version that may still begin, or None for any.
+
+        Args:
+            lead_s: seconds from now for which it is asked.
+        """
         return self.context.catalog.due_version(
-            self.ask.model, self.context.version_grace_s, self.context.wall()
+            self.ask.model,
+            self.context.version_grace_s,
+            self.context.wall() + lead_s,
         )
 
+    def is_outdated(self, upstream, lead_s):
+        """Return whether no request may begin there `lead_s` from now."""
+        least = self._least_version(lead_s)
+        if least is None or self._engine() is None:
+            return False
+        known = self.context.catalog.find(upstream.id) or upstream
+        version = (known.versions or {}).get(self.ask.model)
+        return version is not None and version < least
+
     async def _try(self, candidate):
         """Make one try; raises an `errors.RequestError` where it failed."""
         upstream, state = candidate.upstream, candidate.state
@@ -245,7 +266,7 @@
         whole = False
         try:
             conn.send(*self._request_bytes(upstream))
-            relay = Relay(self, conn, state, job, pool.peer)
+            relay = Relay(self, conn, candidate, job, pool.peer)
             whole = await relay.run()
             state.succeed(self.context.clock())
         except errors.RefusedError:
@@ -358,16 +379,17 @@
     Args:
         exchange: the `Exchange`.
         conn: `http1.ClientConnection` to the upstream.
-        state: its `dispatch.UpstreamState`.
+        candidate: the `dispatch.Candidate` that was chosen.
         job: the `dispatch.Job` of the try.
         peer: address of the upstream as text.
     """
 
-    def __init__(self, exchange, conn, state, job, peer):
+    def __init__(self, exchange, conn, candidate, job, peer):
         self.exchange = exchange
         self.context = exchange.context
         self.conn = conn
-        self.state = state
+        self.upstream = candidate.upstream
+        self.state = candidate.state
         self.job = job
         self.peer = peer
         self.sent_at = self.context.clock()
@@ -405,6 +427,7 @@
                 async with asyncio.timeout(LOOK_S):
                     part = await self.conn.read_part()
             except TimeoutError:
+                self._check_version()
                 self._check_silence()
                 continue
             if isinstance(part, http1.Broken):
@@ -415,6 +438,21 @@
             self.job.answering = True
             return part
 
+    def _check_version(self):
+        """Give the try up where it would begin on a version too old.
+
+        A request can wait at a full engine for seconds, and would then get
+        an answer from weights that should no longer serve.
+        """
+        if self.job.answering:
+            return
+        if self.exchange.is_outdated(self.upstream, LOOK_S):
+            raise OutdatedError(
+                'not begun before its version was due',
+                step='read-reply',
+                peer=self.peer,
+            )
+
     def _check_silence(self):
         now = self.context.clock()
         if not self.state.is_silent(now) or now - self.sent_at < LOOK_S:
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -27,8 +27,9 @@
 RETRY_SHARERS = 20
 #: Seconds kept back from the time between the signal to stop and the kill.
 STOP_MARGIN_S = 0.4
-#: Seconds by which versions are held to be due before their bound; covers
-#: the way of a request and its time in an engine's queue.
+#: Seconds before the bound at which a version is due. It covers the way of a
+#: request and the usual time until it begins; one that has not begun by then
+#: is taken back.
 VERSION_MARGIN_S = 0.5
 METRICS_PATH = '/metrics'
 
