Hold requests for a moment while engines load; late ones go behind

An engine about to load refuses though it has room; it was asked again after 0.1 s, which spent the retry budget.

Now a request waits up to 1 s for an upstream; one past its goal gets a later rank at the engine; an engine that refuses with room is left alone for 0.8 s; the second group of engines loads 0.5 s before the version is due (before 1 s). The manifest comes from the origin; chunks that are passed on go first; the agent looks as soon as a version is whole.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -1,5 +1,7 @@
 """The state of the platform as one process knows it."""
 
+import asyncio
+
 import attrs
 
 from catkinshunt import base
@@ -53,6 +55,15 @@
         self._confirmed_at = None
         self._upstreams = {}
         self._vanished = {}
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self):
+        """Return once a version or an upstream has changed."""
+        await self._changed.wait()
+
+    def _announce(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     def confirm(self, now):
         """Note that the state was the newest one at `now`."""
@@ -95,6 +106,7 @@
         _log.info(
             'Version {} of {} is named.', version, model, version=version
         )
+        self._announce()
         return True
 
     def newest_version(self, model):
@@ -186,6 +198,8 @@
         known = self._upstreams.get(upstream.id)
         self._vanished.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
+        if known != upstream:
+            self._announce()
         return known != upstream
 
     def _just_vanished(self, service, now):
--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -4,9 +4,9 @@
 
 from catkinshunt import catalog as catalogs
 from catkinshunt import dispatch
+from catkinshunt.gateway import base
 from catkinshunt import http1
 from catkinshunt import retries
-from catkinshunt.gateway import base
 
 
 @attrs.define
@@ -37,6 +37,21 @@
     version_grace_s: float = 8.0
     _pools: dict = attrs.field(factory=dict)
     _budgets: dict = attrs.field(factory=dict)
+    _deadlines: dict = attrs.field(factory=dict)
+
+    def waited_before(self, decision, ask):
+        """Return how long the caller waited before this try, in seconds.
+
+        A caller that comes back has less time left than others of its rule;
+        it does not tell when it first asked.
+        """
+        if ask.deadline_s is None:
+            return 0.0
+        longest_s = self._deadlines.get(decision.rule, 0.0)
+        if ask.deadline_s > longest_s:
+            self._deadlines[decision.rule] = ask.deadline_s
+            return 0.0
+        return longest_s - ask.deadline_s
 
     def pool(self, upstream):
         """Return the connections to `upstream`."""
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -25,6 +25,17 @@
 #: Seconds after which a caller may come back when no upstream took the
 #: request: about the time in which an engine ends an answer.
 BUSY_RETRY_S = 0.25
+#: Seconds for which a request waits for an upstream that may take it.
+HOLD_S = 1.0
+#: Seconds after which a caller may come back when none was there by then.
+NO_UPSTREAM_RETRY_S = 0.8
+#: Seconds for which an upstream is left alone that refuses though it has
+#: free slots: it is about to load another version.
+LOADING_PAUSE_S = 0.8
+#: Rank, from 0 (first) to 9, of a request that can still be in time, and of
+#: one that cannot. Late ones go behind, so that they make no others late.
+IN_TIME_PRIORITY = 4
+LATE_PRIORITY = 7
 #: Smallest time left that is worth a try, in seconds.
 LEAST_LEFT_S = 0.02
 EVENT_STREAM = 'text/event-stream'
@@ -145,7 +156,7 @@
 
     async def _try_all(self):
         while True:
-            candidate = self._choose()
+            candidate = await self._choose()
             try:
                 await self._try(candidate)
                 return
@@ -184,27 +195,55 @@
             )
         return exc
 
-    def _choose(self):
-        """Return the `dispatch.Candidate` for the next try."""
-        now = self.context.clock()
-        candidate = self.context.chooser.choose(
+    async def _choose(self):
+        """Return the `dispatch.Candidate` for the next try.
+
+        Where no upstream can take the request yet, such as while all load
+        the version that is due, it waits for one for a moment.
+        """
+        hold_until = self.context.clock() + HOLD_S
+        while True:
+            candidate = self._find_candidate()
+            if candidate is not None:
+                self.progress.tried.add(candidate.upstream.key)
+                return candidate
+            left_s = hold_until - self.context.clock()
+            if left_s <= 0 or not self._is_worth_waiting():
+                raise self._final(
+                    errors.OverloadedError(
+                        'no upstream is there',
+                        step='choose-upstream',
+                        retry_after_s=NO_UPSTREAM_RETRY_S,
+                    )
+                )
+            await self._wait_for_change(left_s)
+
+    def _find_candidate(self):
+        return self.context.chooser.choose(
             self._upstreams(),
             self.context.tracker,
             self._engine(),
             self._job(),
-            now,
+            self.context.clock(),
             avoid=self.progress.tried,
         )
-        if candidate is None:
-            raise self._final(
-                errors.OverloadedError(
-                    'no upstream is there',
-                    step='choose-upstream',
-                    retry_after_s=BUSY_RETRY_S,
-                )
-            )
-        self.progress.tried.add(candidate.upstream.key)
-        return candidate
+
+    def _is_worth_waiting(self):
+        """Return whether an upstream is there that may soon take it."""
+        if self.progress.sends:
+            return False
+        service = self.decision.service
+        return any(
+            not upstream.leaving
+            for upstream in self.context.catalog.members(service)
+        )
+
+    async def _wait_for_change(self, left_s):
+        try:
+            async with asyncio.timeout(left_s):
+                await self.context.catalog.wait_for_change()
+        except TimeoutError:
+            return
 
     def _engine(self):
         services = self.context.catalog.declaration.services
@@ -289,6 +328,7 @@
             left_s,
             self.decision.account,
             '' if last_id is None else str(last_id),
+            self._priority(),
         )
         items = self.context.dialect.upstream_headers(
             self.req, self.ask, forward
@@ -298,6 +338,15 @@
         first = f'{self.req.method} {self.req.target} HTTP/1.1'
         return http1.dump_head(first, items), self.req.body
 
+    def _priority(self):
+        """Return the rank of the request at an engine, or None."""
+        if self._engine() is None:
+            return None
+        waited_s = self.context.clock() - self.req.received_at
+        waited_s += self.context.waited_before(self.decision, self.ask)
+        late = waited_s > self.decision.serve.goal_s
+        return LATE_PRIORITY if late else IN_TIME_PRIORITY
+
     def can_move(self, state):
         """Return whether a try may be given up for one elsewhere."""
         if not self.decision.serve.repeatable:
@@ -472,7 +521,7 @@
                 peer=self.peer,
             )
         if note.not_run:
-            self.state.rest(self.context.clock(), FULL_PAUSE_S)
+            self._rest(note)
             raise errors.OverloadedError(
                 f'upstream refused with {head.status}',
                 step='read-reply',
@@ -494,6 +543,13 @@
                 peer=self.peer,
             )
 
+    def _rest(self, note):
+        """Leave an upstream alone that has just refused a request."""
+        load = note.load
+        has_room = load is not None and load.running < load.slots
+        pause_s = LOADING_PAUSE_S if has_room else FULL_PAUSE_S
+        self.state.rest(self.context.clock(), pause_s)
+
     def _may_repeat(self):
         """Return whether another try could turn a failure into an answer."""
         serve = self.exchange.decision.serve
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -130,6 +130,10 @@
             return None
         return spread.Wanted(model, FIRST_VERSION, self.wall())
 
+    async def wait_for_version(self):
+        """See `spread.BaseOutlook.wait_for_version`."""
+        await self.catalog.wait_for_change()
+
     def due_at(self, model, version):
         """See `spread.BaseOutlook.due_at`."""
         since = self.catalog.named_since(model, version)
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -26,7 +26,7 @@
 #: engine ends its answers and loads in about one and a half.
 WAVES = 2
 #: Seconds before a version is due at which the last group loads.
-LAST_WAVE_LEAD_S = 1.0
+LAST_WAVE_LEAD_S = 0.5
 _MBIT = 1e6 / 8
 
 _log = logs.get_logger('agent')
@@ -79,6 +79,7 @@
         self._ordered_at = 0.0
         self._providing = set()
         self._waves = {}
+        self._whole = asyncio.Event()
         self._stage_turn = asyncio.Lock()
 
     async def run(self):
@@ -88,7 +89,26 @@
                 await self._look()
             except errors.CatkinshuntError as exc:
                 _log.warning('Could not look after the engine: {}.', exc)
-            await asyncio.sleep(LOOK_S)
+            except Exception:
+                # An unforeseen error must not end the care for the engine;
+                # it would keep an old version until requests are refused.
+                _log.exception('Could not look after the engine.')
+            await self._pause()
+
+    async def _pause(self):
+        """Wait until the next look, a new version, or a whole one."""
+        named = asyncio.ensure_future(self.outlook.wait_for_version())
+        whole = asyncio.ensure_future(self._whole.wait())
+        try:
+            await asyncio.wait(
+                (named, whole),
+                timeout=LOOK_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            named.cancel()
+            whole.cancel()
+            self._whole.clear()
 
     def note_asked(self, model, version):
         """Learn of a version from a peer that asks for it.
@@ -191,6 +211,7 @@
                 version=wanted.version,
             )
             return
+        self._whole.set()
         _log.info(
             'Version {} of {} is whole.',
             wanted.version,
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -132,7 +132,8 @@
         if source == _plan.ORIGIN:
             data = await self.origin.chunk(model, version, names[0])
             return names[0], data
-        return await self.peers.chunk(source, model, version, names)
+        relays = self.plan.is_far(source)
+        return await self.peers.chunk(source, model, version, names, relays)
 
     async def fetch_manifest(self):
         """Fetch the manifest unless it is here."""
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -1,6 +1,7 @@
 """Chunks between sidecars, over HTTP."""
 
 import asyncio
+import heapq
 
 from catkinshunt import errors
 from catkinshunt import http1
@@ -15,11 +16,13 @@
 #: Pause between looks whether a version has become known, in seconds.
 LOOK_S = 0.05
 #: Share of the link that chunks may take; the rest is for live answers.
-LINK_SHARE = 0.95
+LINK_SHARE = 1.0
 #: Bytes of heads and packets beside a slice.
 OVERHEAD = 1.04
 #: Header that names the chunk in a reply.
 INDEX = 'Chunk-Index'
+#: Header of a request by one who passes the chunk on to others.
+RELAY = 'Chunk-Relay'
 #: Chunks that one request may name.
 MOST_NAMED = 64
 _MBIT = 1e6 / 8
@@ -50,6 +53,39 @@
         return begin - now
 
 
+class Turns:
+    """Lets one at a time go on, those of a lower rank first."""
+
+    def __init__(self):
+        self._busy = False
+        self._waiting = []
+        self._count = 0
+
+    async def take(self, rank):
+        """Wait for the turn; `leave` gives it to the next."""
+        if not self._busy:
+            self._busy = True
+            return
+        self._count += 1
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (rank, self._count, turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.leave()
+            raise
+
+    def leave(self):
+        """Give the turn to the next who still waits."""
+        while self._waiting:
+            _, _, turn = heapq.heappop(self._waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._busy = False
+
+
 class ChunkServer:
     """Gives chunks to other sidecars, one after the other.
 
@@ -66,7 +102,7 @@
         self.on_asked = on_asked
         self.clock = clock
         self.counter = counter
-        self._turn = asyncio.Lock()
+        self._turns = Turns()
         self._pacer = Pacer(link_mbps * _MBIT * LINK_SHARE / OVERHEAD)
         self._listener = http1.Listener(self._session, clock)
 
@@ -80,10 +116,11 @@
             req = await conn.read_request()
             if req is None or isinstance(req, http1.BadRequestError):
                 return
-            await self._answer(conn, req.path)
+            await self._answer(conn, req)
             conn.begin_idle()
 
-    async def _answer(self, conn, path):
+    async def _answer(self, conn, req):
+        path = req.path
         found = _read_path(path)
         if found is None:
             _log.warning('Left aside a request for {}.', path[:100])
@@ -94,12 +131,17 @@
         holding = await self._wait_for(model, version, indices)
         # Chunks go out one after the other: the one that is sent is whole
         # soon and can be passed on, where ten at once would all be late.
-        async with self._turn:
+        # Those who pass it on to others go first, so that all links are soon
+        # busy.
+        await self._turns.take(0 if req.headers.get(RELAY) else 1)
+        try:
             data = holding.find_any(indices) if holding else None
             if data is None:
                 conn.write(http1.dump_reply(503, []))
             else:
                 await self._send(conn, *data)
+        finally:
+            self._turns.leave()
 
     async def _wait_for(self, model, version, indices):
         """Return the `Holding` once one of the chunks is here, or None."""
@@ -151,9 +193,16 @@
         self.timeout_s = timeout_s
         self._pools = {}
 
-    async def chunk(self, peer, model, version, indices):
+    async def chunk(self, peer, model, version, indices, relays=False):
         """Return (index, bytes) of one of these chunks, unchecked.
 
+        Args:
+            peer: address of the sidecar.
+            model: name of the model.
+            version: its version.
+            indices: chunks, any of which will do.
+            relays: whether others wait for this member to pass them on.
+
         Raises:
             errors.SourceBusyError: the peer does not have it yet.
             errors.TransferError: the peer gave no answer.
@@ -166,7 +215,11 @@
         target = f'/chunks/{model}/{version}/{names}'
         try:
             head, body = await http1.exchange(
-                pool, 'GET', target, timeout_s=self.timeout_s
+                pool,
+                'GET',
+                target,
+                [(RELAY, '1')] if relays else (),
+                timeout_s=self.timeout_s,
             )
         except errors.RequestError as exc:
             raise errors.TransferError(
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -19,6 +19,8 @@
 
 #: Name of the origin among the sources.
 ORIGIN = 'origin'
+#: Members that are asked for the manifest where the origin fails.
+MOST_ASKED = 3
 
 
 @attrs.frozen
@@ -84,16 +86,20 @@
     def manifest_sources(self):
         """Return the names of sources for the manifest, best first.
 
-        Members that serve the version need not have its manifest, so they
-        do not go first; each asks only those of a better rank, and no
-        circle of members waits for each other.
+        It is small, and all wait for it, so each takes it from the origin;
+        handed on from member to member it came up to 0.4 s later. Where the
+        origin fails, members of a better rank are asked, so that no circle
+        of members waits for each other.
         """
         ranked = self._rank('manifest')
         before = ranked[: ranked.index(self.me)]
-        near = [m for m in before if self._is_near(m)]
-        order = [*near[:1], *before[:1]]
-        names = [member.name for member in order]
-        return [*dict.fromkeys(names), ORIGIN]
+        return [ORIGIN, *(member.name for member in before[:MOST_ASKED])]
+
+    def is_far(self, name):
+        """Return whether a member stands in another data centre."""
+        return any(
+            m.name == name and not self._is_near(m) for m in self.members
+        )
 
     def wave(self, waves):
         """Return in which of `waves` groups this member loads, from 0."""
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -88,6 +88,10 @@
     async def wanted(self, report):
         """Return the `Wanted` version of the engine, or None."""
 
+    @abc.abstractmethod
+    async def wait_for_version(self):
+        """Return once a version that was not known has been named."""
+
     @abc.abstractmethod
     def due_at(self, model, version):
         """Return when requests need this version."""
