--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -596,12 +596,15 @@
             part = await self._next_part()
             if isinstance(part, http1.End):
                 break
-            events = self._split(splitter, part.data)
-            data = b''.join(self._fresh(events))
-            if data:
+            fresh, missing = self._fresh(self._split(splitter, part.data))
+            if fresh:
                 self._send_head(head)
-                self.exchange.conn.write(http1.dump_chunk(data))
+                self.exchange.conn.write(http1.dump_chunk(fresh))
                 await self.exchange.conn.drain()
+            if missing:
+                raise errors.OutcomeUnknownError(
+                    missing, step='read-reply', peer=self.peer
+                )
         if splitter.rest:
             raise errors.OutcomeUnknownError(
                 'the stream ended within an event',
@@ -620,21 +623,24 @@
             ) from exc
 
     def _fresh(self, events):
-        """Yield the bytes of the events that the caller lacks."""
+        """Return the bytes that the caller lacks, and what is missing.
+
+        What comes before a gap still goes to the caller: it is counted as
+        passed on, and the next upstream goes on behind it.
+        """
         progress = self.exchange.progress
+        fresh = []
         for event in events:
-            if event.id is None or progress.last_id is None:
-                progress.last_id = event.id
-                yield event.data
-            elif event.id == progress.last_id + 1:
-                progress.last_id = event.id
-                yield event.data
-            elif event.id > progress.last_id:
-                raise errors.OutcomeUnknownError(
-                    f'event {event.id} came after {progress.last_id}',
-                    step='read-reply',
-                    peer=self.peer,
-                )
+            last_id = progress.last_id
+            if None not in (event.id, last_id):
+                if event.id <= last_id:
+                    continue
+                if event.id > last_id + 1:
+                    gap = f'event {event.id} came after {last_id}'
+                    return b''.join(fresh), gap
+            progress.last_id = event.id
+            fresh.append(event.data)
+        return b''.join(fresh), ''
 
     def _send_head(self, head):
         if self.exchange.progress.head_sent:
--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -34,6 +34,11 @@
         """Number of requests that are being answered."""
         return len(self._busy)
 
+    @property
+    def port(self):
+        """The port that is listened on."""
+        return self._listener.port
+
     async def start(self, host, port):
         """Listen on an address; returns self."""
         await self._listener.start(host, port)
--- /dev/null
+++ b/catkinshunt/gateway/tests/scene.py
@@ -0,0 +1,291 @@
+"""A gateway between callers and fake upstreams, in one event loop."""
+
+import asyncio
+import contextlib
+import random
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import dispatch
+from catkinshunt import gateway
+from catkinshunt import http1
+from catkinshunt import platform
+from catkinshunt import rules
+
+HOST = 'shop.example'
+MODEL = 'drafts'
+
+
+class FakeUpstream:
+    """Answers requests as told, and remembers them.
+
+    Args:
+        name: its id.
+        answer: coroutine function of (head, writer, upstream).
+    """
+
+    def __init__(self, name, answer, service='plain', versions=None):
+        self.name = name
+        self.answer = answer
+        self.service = service
+        self.versions = versions
+        self.heads = []
+        self.closed = asyncio.Event()
+        self.port = None
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def stop(self):
+        self._server.close()
+
+    def entry(self, **changes):
+        """Return the `catalog.Upstream` that stands for this one."""
+        fields = {
+            'id': self.name,
+            'service': self.service,
+            'address': ('127.0.0.1', self.port),
+            'data_centre': 'larisa-a',
+            'versions': self.versions,
+            'slots': 4,
+        }
+        return catalogs.Upstream(**{**fields, **changes})
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b'\r\n\r\n')).decode()
+                length = field(head, 'Content-Length')
+                if length:
+                    await reader.readexactly(int(length))
+                self.heads.append(head)
+                work = asyncio.ensure_future(self.answer(head, writer, self))
+                gone = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    (work, gone), return_when=asyncio.FIRST_COMPLETED
+                )
+                if gone.done():
+                    work.cancel()
+                    self.closed.set()
+                    return
+                gone.cancel()
+                await asyncio.wait((gone,))
+                if await work == 'close':
+                    writer.close()
+                    return
+
+
+def field(head, name):
+    """Return the value of a header in `head`, or ''."""
+    for line in head.split('\r\n'):
+        key, _, value = line.partition(':')
+        if key.lower() == name.lower():
+            return value.strip()
+    return ''
+
+
+def reply(head, status=200, body=b'done', items=()):
+    """Return the bytes of an upstream's own reply."""
+    items = [
+        ('Attempt-Id', field(head, 'Attempt-Id')),
+        ('Server-Stamp', 'stamp'),
+        *items,
+    ]
+    return http1.dump_reply(status, items, body)
+
+
+def answering(status=200, body=b'done', items=()):
+    """Return an answer that replies at once."""
+
+    async def answer(head, writer, upstream):
+        writer.write(reply(head, status, body, items))
+
+    return answer
+
+
+def refusing():
+    """Return an answer that says that the request was not run."""
+    return answering(503, b'', [('Not-Executed', '1')])
+
+
+def event(number):
+    return f'id: {number}\ndata: part {number}\n\n'.encode()
+
+
+def streaming(last, breaks_after=None, hangs=False):
+    """Return an answer that sends events up to `last`.
+
+    Args:
+        last: number of the last event.
+        breaks_after: event after which the connection ends, or None.
+        hangs: whether it falls silent there instead.
+    """
+
+    async def answer(head, writer, upstream):
+        begin = int(field(head, 'Last-Event-Id') or 0) + 1
+        writer.write(
+            http1.dump_head(
+                http1.status_line(200),
+                [
+                    ('Attempt-Id', field(head, 'Attempt-Id')),
+                    ('Server-Stamp', upstream.name),
+                    ('Content-Type', 'text/event-stream'),
+                    ('Transfer-Encoding', 'chunked'),
+                ],
+            )
+        )
+        for number in range(begin, last + 1):
+            writer.write(http1.dump_chunk(event(number)))
+            await writer.drain()
+            if number == breaks_after:
+                # Half an event comes too; the caller must not get it.
+                writer.write(http1.dump_chunk(event(number + 1)[:9]))
+                await writer.drain()
+                if hangs:
+                    await asyncio.sleep(60)
+                return 'close'
+        writer.write(http1.LAST_CHUNK)
+
+    return answer
+
+
+def make_rules(**changes):
+    """Return rules for a plain, a booking and a streaming path."""
+    plain = {'shares': [catalogs.Share('plain', 1)], 'timeout_s': 2.0}
+    model = {'shares': [catalogs.Share('model', 1)], 'timeout_s': 6.0}
+    kinds = {
+        '/read/': {**plain, 'idempotent': True, 'max_tries': 2},
+        '/book/': plain,
+        '/open/': {**plain, 'public': True},
+        '/chat/': {
+            **model,
+            'streaming': True,
+            'resumable': True,
+            'max_tries': 2,
+        },
+        '/once/': {**model, 'streaming': True},
+    }
+    return [
+        rules.Rule(
+            path,
+            rules.When(
+                'request',
+                [
+                    rules.Clause('host', rules.Equal(HOST)),
+                    rules.Clause('path', rules.Prefix(path)),
+                ],
+            ),
+            catalogs.Serve(**{**fields, **changes}),
+        )
+        for path, fields in kinds.items()
+    ]
+
+
+def declare(**changes):
+    """Return a declaration with an account and two services."""
+    fields = {
+        'revision': 1,
+        'rule_set': rules.RuleSet(make_rules()),
+        'services': {
+            'plain': catalogs.Service('plain'),
+            'model': catalogs.Service(
+                'model',
+                engine=catalogs.EngineProfile(slots=4, models=[MODEL]),
+            ),
+        },
+        'accounts': {'k1': 'workshop'},
+    }
+    return catalogs.Declaration(**{**fields, **changes})
+
+
+@contextlib.asynccontextmanager
+async def scene(*upstreams, retry_burst=10.0, **changes):
+    """Start a gateway before `upstreams`; yields a `Scene`."""
+    loop = asyncio.get_running_loop()
+    context = gateway.Context(
+        catalog=catalogs.Catalog(fresh_s=3.0),
+        dialect=platform.PlatformDialect(),
+        chooser=dispatch.Chooser('larisa-a', {}),
+        clock=loop.time,
+        wall=loop.time,
+        retry_ratio=0.1,
+        retry_burst=retry_burst,
+        random=random.Random(3),
+        metrics=gateway.GatewayMetrics(),
+    )
+    context.catalog.declare(declare(**changes))
+    context.catalog.confirm(loop.time())
+    for upstream in upstreams:
+        await upstream.start()
+        context.catalog.put_upstream(upstream.entry())
+    server = await gateway.Gateway(context).start('127.0.0.1', 0)
+    try:
+        yield Scene(context, server)
+    finally:
+        for upstream in upstreams:
+            upstream.stop()
+
+
+class Scene:
+    """A running gateway."""
+
+    def __init__(self, context, server):
+        self.context = context
+        self.server = server
+
+    async def open(self):
+        """Return (reader, writer) of a new connection."""
+        return await asyncio.open_connection('127.0.0.1', self.server.port)
+
+    async def ask(self, path, method='GET', body=b'', **headers):
+        """Send one request; return (status, head, bytes of the body).
+
+        The body is None where the reply broke off.
+        """
+        reader, writer = await self.open()
+        await send(writer, path, method, body, **headers)
+        found = await read_reply(reader)
+        writer.close()
+        return found
+
+
+async def send(writer, path, method='GET', body=b'', **headers):
+    """Send one request."""
+    fields = {
+        'Host': HOST,
+        'Attempt-Id': 'a1',
+        'Key': 'k1',
+        'Deadline-Ms': '5000',
+        **{name.replace('_', '-'): text for name, text in headers.items()},
+    }
+    items = [(name, text) for name, text in fields.items() if text]
+    items.append(('Content-Length', str(len(body))))
+    writer.write(http1.dump_head(f'{method} {path} HTTP/1.1', items) + body)
+    await writer.drain()
+
+
+async def read_reply(reader):
+    """Return (status, head, body) of a reply; the body None if broken."""
+    async with asyncio.timeout(10):
+        try:
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None, '', None
+        status = int(head.split()[1])
+        try:
+            return status, head, await _read_body(reader, head)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return status, head, None
+
+
+async def _read_body(reader, head):
+    if field(head, 'Transfer-Encoding') != 'chunked':
+        return await reader.readexactly(int(field(head, 'Content-Length')))
+    body = b''
+    while True:
+        size = int(await reader.readuntil(b'\r\n'), 16)
+        body += (await reader.readexactly(size + 2))[:-2]
+        if not size:
+            return body
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -49,6 +49,11 @@
         )
         return self
 
+    @property
+    def port(self):
+        """The port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
     def close(self):
         """Accept no further connections."""
         if self._server is not None:
--- /dev/null
+++ b/catkinshunt/http1/tests/test_client.py
@@ -0,0 +1,210 @@
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from catkinshunt import errors
+from catkinshunt import http1
+
+REPLY = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+@contextlib.asynccontextmanager
+async def upstream(handle, **options):
+    """Run an upstream whose connections `handle` serves; yields a `Pool`."""
+    server = await asyncio.start_server(handle, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    clock = asyncio.get_running_loop().time
+    try:
+        yield http1.Pool('127.0.0.1', port, clock, **options)
+    finally:
+        server.close()
+
+
+def replying(*replies):
+    """Return a handler that sends one of `replies` for each request."""
+
+    async def handle(reader, writer):
+        for reply in replies:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(reply)
+            await writer.drain()
+        writer.close()
+
+    return handle
+
+
+async def read_all(conn):
+    parts = []
+    while True:
+        part = await asyncio.wait_for(conn.read_part(), 5)
+        parts.append(part)
+        if isinstance(part, (http1.End, http1.Broken)):
+            return parts
+
+
+async def ask(pool):
+    conn = await pool.take()
+    conn.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    return conn, await read_all(conn)
+
+
+def last_part(reply):
+    async def main():
+        async with upstream(replying(reply)) as pool:
+            _, parts = await ask(pool)
+            return parts[-1]
+
+    return asyncio.run(main())
+
+
+def test_reads_a_whole_reply():
+    assert isinstance(last_part(REPLY), http1.End)
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+        b'HTTP/1.1 200 OK\r\nConte',
+        b'\x00\x01 no reply at all\r\n\r\n',
+        b'',
+    ],
+)
+def test_a_reply_that_breaks_off_is_never_whole(reply):
+    """An upstream that dies in the middle of an answer ends its connection.
+
+    Taken as the end of the answer, a caller would get half of it as if it
+    were all; so each of these ends as broken.
+    """
+    assert isinstance(last_part(reply), http1.Broken)
+
+
+def test_a_reply_without_length_is_whole_at_an_orderly_end():
+    part = last_part(b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok')
+    assert isinstance(part, http1.End)
+
+
+def test_a_reply_without_length_is_broken_by_a_reset():
+    """Without a length, only the manner of the end tells whole from half."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok')
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        sock = writer.get_extra_info('socket')
+        # With this, closing the socket resets the connection.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        writer.transport.abort()
+
+    async def main():
+        async with upstream(handle) as pool:
+            _, parts = await ask(pool)
+            return parts[-1]
+
+    assert isinstance(asyncio.run(main()), http1.Broken)
+
+
+def test_a_connection_with_a_second_reply_is_not_used_again():
+    """A faulty upstream answers one request twice.
+
+    The second answer would be read as that of the next request, and its
+    caller would get somebody else's answer.
+    """
+
+    async def main():
+        async with upstream(replying(REPLY + REPLY)) as pool:
+            conn, _ = await ask(pool)
+            pool.give_back(conn)
+            again = await pool.take()
+            return conn, again
+
+    conn, again = asyncio.run(main())
+    assert again is not conn
+
+
+def test_a_connection_with_unasked_bytes_is_not_used_again():
+    """An extra answer can come later, while the connection lies idle."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(REPLY)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(REPLY)
+        await writer.drain()
+        await reader.read()
+
+    async def main():
+        async with upstream(handle) as pool:
+            conn, _ = await ask(pool)
+            pool.give_back(conn)
+            while conn.is_open:
+                await asyncio.sleep(0.01)
+            return conn, await pool.take()
+
+    conn, again = asyncio.run(main())
+    assert again is not conn
+
+
+def test_an_idle_connection_is_used_again_within_its_limit():
+    reply = (
+        b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n'
+        b'Content-Length: 2\r\n\r\nok'
+    )
+
+    async def main():
+        now = [0.0]
+        async with upstream(replying(reply, reply)) as pool:
+            pool.clock = lambda: now[0]
+            conn, _ = await ask(pool)
+            pool.give_back(conn)
+            soon = await pool.take()
+            pool.give_back(soon)
+            now[0] += 0.6
+            late = await pool.take()
+            return conn, soon, late
+
+    conn, soon, late = asyncio.run(main())
+    assert soon is conn
+    assert late is not conn
+
+
+def test_no_connection_means_not_run():
+    async def main():
+        server = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        pool = http1.Pool('127.0.0.1', port, lambda: 0.0)
+        await pool.take()
+
+    with pytest.raises(errors.RefusedError):
+        asyncio.run(main())
+
+
+def test_a_lost_reply_of_a_small_call_is_unknown():
+    async def main():
+        async with upstream(replying(b'')) as pool:
+            await http1.exchange(pool, 'POST', '/order', body=b'{}')
+
+    with pytest.raises(errors.OutcomeUnknownError):
+        asyncio.run(main())
+
+
+def test_a_small_call_is_given_up_in_time():
+    async def handle(reader, writer):
+        await reader.read()
+
+    async def main():
+        async with upstream(handle) as pool:
+            await http1.exchange(pool, 'GET', '/', timeout_s=0.05)
+
+    with pytest.raises(errors.OutcomeUnknownError):
+        asyncio.run(main())
--- /dev/null
+++ b/catkinshunt/http1/tests/test_server.py
@@ -0,0 +1,178 @@
+import asyncio
+import contextlib
+
+from catkinshunt import http1
+
+
+@contextlib.asynccontextmanager
+async def serving(session, limits=http1.Limits):
+    """Serve `session` on a free port; yields a function that connects."""
+    loop = asyncio.get_running_loop()
+    listener = http1.Listener(session, loop.time, limits)
+    await listener.start('127.0.0.1', 0)
+    port = listener.port
+
+    async def connect():
+        return await asyncio.open_connection('127.0.0.1', port)
+
+    try:
+        yield connect
+    finally:
+        listener.close()
+
+
+async def echo(req):
+    body = f'{req.method} {req.target} '.encode() + req.body
+    return http1.Reply(200, body)
+
+
+async def talk(connect, data):
+    """Send `data`, end the side, and return all that comes back."""
+    reader, writer = await connect()
+    writer.write(data)
+    await writer.drain()
+    found = await asyncio.wait_for(reader.read(65536), 5)
+    writer.close()
+    return found
+
+
+def test_answers_requests_one_after_the_other():
+    async def main():
+        async with serving(http1.answer_with(echo)) as connect:
+            reader, writer = await connect()
+            writer.write(b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n')
+            writer.write(
+                b'POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi'
+            )
+            found = b''
+            while b'POST /b hi' not in found:
+                found += await asyncio.wait_for(reader.read(65536), 5)
+            writer.close()
+            return found
+
+    found = asyncio.run(main())
+    assert found.index(b'GET /a ') < found.index(b'POST /b hi')
+
+
+def test_reads_a_body_in_chunks():
+    async def main():
+        async with serving(http1.answer_with(echo)) as connect:
+            return await talk(
+                connect,
+                b'POST /c HTTP/1.1\r\nHost: x\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n'
+                b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+            )
+
+    assert b'POST /c abcde' in asyncio.run(main())
+
+
+def test_refuses_a_body_with_two_lengths():
+    """A request that gives a length and chunks can hide a second request.
+
+    A front that believes the one and an upstream that believes the other
+    would run the hidden request as somebody else's. The caller sees a 400.
+    """
+
+    async def main():
+        async with serving(http1.answer_with(echo)) as connect:
+            return await talk(
+                connect,
+                b'POST /d HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /e HTTP/1.1',
+            )
+
+    found = asyncio.run(main())
+    assert found.startswith(b'HTTP/1.1 400')
+    assert b'/e' not in found
+
+
+def test_refuses_a_head_that_is_too_long():
+    """A caller that sends headers without end would fill the memory.
+
+    It gets a 431, and the connection ends.
+    """
+
+    def limits():
+        return http1.Limits(header_bytes=1000)
+
+    async def main():
+        async with serving(http1.answer_with(echo), limits) as connect:
+            head = b'GET / HTTP/1.1\r\nHost: x\r\nX: ' + b'y' * 2000
+            return await talk(connect, head)
+
+    assert asyncio.run(main()).startswith(b'HTTP/1.1 431')
+
+
+def test_refuses_a_body_that_is_too_long():
+    """A body past the limit would fill the memory; the caller gets a 413."""
+
+    def limits():
+        return http1.Limits(body_bytes=10)
+
+    async def main():
+        async with serving(http1.answer_with(echo), limits) as connect:
+            return await talk(
+                connect,
+                b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n'
+                + b'z' * 20,
+            )
+
+    assert asyncio.run(main()).startswith(b'HTTP/1.1 413')
+
+
+def test_gives_up_a_head_that_does_not_end():
+    """A caller that sends half a head and stops would hold a connection.
+
+    After the limit it gets a 408.
+    """
+
+    def limits():
+        return http1.Limits(header_s=0.1)
+
+    async def main():
+        async with serving(http1.answer_with(echo), limits) as connect:
+            return await talk(connect, b'GET / HTTP/1.1\r\nHo')
+
+    assert asyncio.run(main()).startswith(b'HTTP/1.1 408')
+
+
+def test_closes_an_idle_connection_without_a_reply():
+    def limits():
+        return http1.Limits(idle_s=0.1)
+
+    async def main():
+        async with serving(http1.answer_with(echo), limits) as connect:
+            reader, writer = await connect()
+            found = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            return found
+
+    assert asyncio.run(main()) == b''
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it():
+    """Work for a caller that has gone is lost, and takes the place of others.
+
+    The task of the connection is cancelled as soon as the close arrives.
+    """
+
+    async def main():
+        began = asyncio.Event()
+        ended = asyncio.Event()
+
+        async def slow(req):
+            began.set()
+            try:
+                await asyncio.sleep(60)
+            finally:
+                ended.set()
+
+        async with serving(http1.answer_with(slow)) as connect:
+            _, writer = await connect()
+            writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            await asyncio.wait_for(began.wait(), 5)
+            writer.close()
+            await asyncio.wait_for(ended.wait(), 5)
+
+    asyncio.run(main())
