--- /dev/null
+++ b/catkinshunt/catalog/tests/test_catalog.py
@@ -0,0 +1,59 @@
+from catkinshunt import catalog as catalogs
+
+
+def upstream(name, **changes):
+    fields = {'id': name, 'service': 'desk', 'address': ('10.0.0.1', 80)}
+    return catalogs.Upstream(**{**fields, **changes})
+
+
+def test_a_later_version_does_not_put_off_the_one_before():
+    """Two versions are named two seconds apart.
+
+    Each is due on its own time. Counted from the last name only, requests
+    would begin on the oldest version beyond the bound of the middle one.
+    """
+    catalog = catalogs.Catalog()
+    catalog.name_version('drafts', 2, now=0.0)
+    catalog.name_version('drafts', 3, now=2.0)
+    due = [catalog.due_version('drafts', 8.0, now) for now in (7, 9, 11)]
+    assert due == [None, 2, 3]
+
+
+def test_an_older_version_is_not_taken():
+    catalog = catalogs.Catalog()
+    assert catalog.name_version('drafts', 3, now=0.0)
+    assert not catalog.name_version('drafts', 2, now=1.0)
+    assert catalog.newest_version('drafts').version == 3
+
+
+def test_an_upstream_that_leaves_gets_no_work():
+    catalog = catalogs.Catalog()
+    catalog.put_upstream(upstream('u1'))
+    catalog.put_upstream(upstream('u2'))
+    catalog.put_upstream(upstream('u1', leaving=True))
+    assert [u.id for u in catalog.upstreams('desk', 0.0)] == ['u2']
+
+
+def test_a_vanished_upstream_is_not_used_beside_others():
+    catalog = catalogs.Catalog()
+    catalog.put_upstream(upstream('u1'))
+    catalog.put_upstream(upstream('u2'))
+    catalog.drop_upstream('u1', now=0.0)
+    assert [u.id for u in catalog.upstreams('desk', 0.1)] == ['u2']
+
+
+def test_a_vanished_upstream_that_comes_back_is_used():
+    catalog = catalogs.Catalog()
+    catalog.put_upstream(upstream('u1'))
+    catalog.drop_upstream('u1', now=0.0)
+    catalog.put_upstream(upstream('u1'))
+    assert [u.id for u in catalog.upstreams('desk', 9.0)] == ['u1']
+
+
+def test_the_present_time_decides_how_fresh_the_state_is():
+    catalog = catalogs.Catalog(fresh_s=3.0)
+    assert not catalog.is_fresh(0.0)
+    catalog.confirm(5.0)
+    catalog.confirm(4.0)
+    assert catalog.is_fresh(7.9)
+    assert not catalog.is_fresh(8.0)
--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
+from catkinshunt.gateway import _exchange
 from catkinshunt import http1
 from catkinshunt import logs
-from catkinshunt.gateway import _exchange
 
 #: Seconds after the signal to stop in which idle connections stay open; the
 #: balancer has stopped sending new ones by then.
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from catkinshunt import logs
 from catkinshunt.http1 import _messages
 from catkinshunt.http1 import _server
+from catkinshunt import logs
 
 #: Connections that may wait to be accepted.
 BACKLOG = 1024
--- /dev/null
+++ b/catkinshunt/platform/tests/fakes.py
@@ -0,0 +1,86 @@
+"""A store in memory that answers as it is told."""
+
+import asyncio
+import json
+
+from catkinshunt import errors
+from catkinshunt import platform
+
+
+class FakeStore:
+    """Keys with revisions; reads, watches and faults."""
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.down = False
+        self.history_from = 0
+        self.calls = []
+        self._changed = asyncio.Event()
+
+    def put(self, key, document):
+        value = document
+        if not isinstance(document, bytes):
+            value = json.dumps(document).encode()
+        self._change(key, value)
+
+    def delete(self, key):
+        self._change(key, None)
+
+    def forget_history(self):
+        """Drop what a watch would need to go on."""
+        self.history_from = self.revision + 1
+        self.revision += 1
+        self._wake()
+
+    def _change(self, key, value):
+        self.revision += 1
+        item = platform.Item(key, value, self.revision)
+        self.items[key] = item
+        if value is None:
+            del self.items[key]
+        self.events.append(item)
+        self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def read_prefix(self, prefix, stale=False):
+        await self._begin('read')
+        found = [i for k, i in self.items.items() if k.startswith(prefix)]
+        return platform.Page(tuple(found), self.revision)
+
+    async def watch(self, prefix, after, wait_s):
+        await self._begin('watch')
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self._since(prefix, after):
+                    changed = self._changed
+                    if after < self.history_from:
+                        raise platform.HistoryGoneError('gone')
+                    await changed.wait()
+        except TimeoutError:
+            pass
+        return platform.Page(tuple(self._since(prefix, after)), self.revision)
+
+    def _since(self, prefix, after):
+        return [
+            item
+            for item in self.events
+            if item.revision > after and item.key.startswith(prefix)
+        ]
+
+    async def _begin(self, kind):
+        self.calls.append(kind)
+        await asyncio.sleep(0)
+        if self.down:
+            raise errors.StoreUnavailableError('down', step=kind)
+
+
+async def until(condition, timeout_s=3.0):
+    """Wait until `condition` holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/catkinshunt/platform/tests/test_dialect.py
@@ -0,0 +1,95 @@
+import pytest
+
+from catkinshunt import errors
+from catkinshunt import gateway
+from catkinshunt import http1
+from catkinshunt import platform
+
+DIALECT = platform.PlatformDialect()
+
+
+def request(*items):
+    items = [('Host', 'Shop.example:80'), *items]
+    return http1.Request('GET', '/a/b?c=1', http1.Headers(items))
+
+
+def test_a_request_is_decoded():
+    ask = DIALECT.read_ask(
+        request(
+            ('Attempt-Id', 'a1'),
+            ('Deadline-Ms', '1500'),
+            ('Key', 'k1'),
+            ('Token-Counts', '1460,80'),
+            ('Last-Event-Id', '12'),
+        )
+    )
+    assert ask == gateway.Ask(
+        id='a1',
+        host='shop.example',
+        path='/a/b',
+        deadline_s=1.5,
+        api_key='k1',
+        tokens_in=1460,
+        tokens_out=80,
+        last_event_id='12',
+    )
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('Deadline-Ms', 'soon'),
+        ('Deadline-Ms', '-5'),
+        ('Token-Counts', '12'),
+        ('Token-Counts', 'a,b'),
+        ('Last-Event-Id', 'x'),
+    ],
+)
+def test_a_header_that_cannot_be_read_counts_as_missing(name, value):
+    assert DIALECT.read_ask(request((name, value))) == DIALECT.read_ask(
+        request()
+    )
+
+
+def test_two_hosts_are_refused():
+    """With two hosts, this process and an upstream could each read another."""
+    with pytest.raises(errors.InvalidRequestError):
+        DIALECT.read_ask(request(('Host', 'other.example')))
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    req = request(
+        ('Connection', 'close, X-Hop'),
+        ('X-Hop', '1'),
+        ('Transfer-Encoding', 'chunked'),
+        ('Expect-Version', '9'),
+        ('Request-Priority', '0'),
+        ('X-Kept', 'yes'),
+    )
+    ask = DIALECT.read_ask(req)
+    items = DIALECT.upstream_headers(req, ask, gateway.Forward('i-1', 0.0004))
+    assert dict(items) == {
+        'Host': 'Shop.example:80',
+        'X-Kept': 'yes',
+        'Deadline-Ms': '1',
+        'Expect-Instance': 'i-1',
+    }
+
+
+def test_a_reply_is_decoded():
+    head = http1.ReplyHead(
+        503,
+        http1.Headers(
+            [
+                ('Attempt-Id', 'a1'),
+                ('Not-Executed', '1'),
+                ('Instance-Load', '3,0,8'),
+                ('Connection', 'Close'),
+            ]
+        ),
+    )
+    note = DIALECT.read_reply(head)
+    assert note.not_run
+    assert note.leaving
+    assert (note.load.running, note.load.slots) == (3, 8)
+    assert DIALECT.read_reply(http1.ReplyHead(200)).load is None
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -8,8 +8,8 @@
 from catkinshunt import catalog
 from catkinshunt import errors
 from catkinshunt import spread
-from catkinshunt import weights
 from catkinshunt.spread import _agent
+from catkinshunt import weights
 
 MODEL = 'drafts'
 CHUNKS = 6
