--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -114,10 +114,10 @@
         known = self._versions.get(model)
         return known[-1] if known else None
 
-    def named_since(self, model, version):
-        """Return when a version was learnt, or None."""
+    def named_after(self, model, version):
+        """Return when the first version after `version` was learnt."""
         for named in self._versions.get(model, ()):
-            if named.version == version:
+            if named.version > version:
                 return named.since
         return None
 
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -21,6 +21,8 @@
 #: that turn to it after others failed. With two connections each, 31 members
 #: passed the 48 that it takes, and a copy took 9.5 to 12 s instead of 6.
 ORIGIN_SHARE = 0.5
+BITS_PER_BYTE = 8
+BITS_PER_MBIT = 1e6
 #: Version that engines are at where the operator has named none.
 FIRST_VERSION = 1
 
@@ -121,6 +123,14 @@
             return 1
         return max(1, int(origin.max_connections * ORIGIN_SHARE))
 
+    def origin_copy_s(self):
+        """See `spread.BaseOutlook.origin_copy_s`."""
+        origin, profile = self.origin(), self.profile()
+        if origin is None or profile is None:
+            return 0.0
+        size = profile.chunks * profile.chunk_bytes
+        return size * BITS_PER_BYTE / (origin.link_mbps * BITS_PER_MBIT)
+
     def hear_of(self, model, version):
         """See `spread.BaseOutlook.hear_of`."""
         profile = self.profile()
@@ -145,9 +155,9 @@
         """See `spread.BaseOutlook.wait_for_version`."""
         await self.catalog.wait_for_change()
 
-    def due_at(self, model, version):
-        """See `spread.BaseOutlook.due_at`."""
-        since = self.catalog.named_since(model, version)
+    def due_after(self, model, version):
+        """See `spread.BaseOutlook.due_after`."""
+        since = self.catalog.named_after(model, version)
         return self.wall() if since is None else since + self.due_s
 
     async def members(self):
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -21,11 +21,14 @@
 #: Time of one copy over the time that the link alone would need; measured
 #: with heads, checks and other traffic on the link.
 COPY_OVERHEAD = 1.12
-#: Groups in which engines that serve load a version, so that the others go
-#: on meanwhile. A copy leaves about two seconds until a version is due; an
-#: engine ends its answers and loads in about one and a half.
-WAVES = 2
-#: Seconds before a version is due at which the last group loads.
+#: Groups in which engines that serve load a version, one after the other, so
+#: that the others go on meanwhile.
+WAVES = 3
+#: Seconds in which an engine ends its answers and loads; groups need not
+#: follow each other more slowly.
+WAVE_S = 1.6
+#: Seconds before the version is due at which the last group begins at the
+#: latest; from then on the engines with the older one get no requests.
 LAST_WAVE_LEAD_S = 0.5
 _MBIT = 1e6 / 8
 
@@ -45,6 +48,27 @@
     due_at: float
 
 
+def turn_at(wave, whole_at, due_at):
+    """Return when an engine of a group loads a version.
+
+    Groups follow each other as slowly as the time until the version is due
+    allows. Engines that load together take no new requests together.
+
+    Args:
+        wave: number of the group, from 0.
+        whole_at: when the version was whole, in seconds.
+        due_at: when engines with the older version get no more requests.
+
+    Examples:
+        >>> [turn_at(wave, 10.0, 20.0) for wave in range(3)]
+        [10.0, 11.6, 13.2]
+        >>> [turn_at(wave, 10.0, 11.5) for wave in range(3)]
+        [10.0, 10.5, 11.0]
+    """
+    left_s = max(0.0, due_at - LAST_WAVE_LEAD_S - whole_at)
+    return whole_at + wave * min(WAVE_S, left_s / (WAVES - 1))
+
+
 class Agent:
     """Fetches wanted versions, gives them to peers, and orders loads.
 
@@ -79,6 +103,7 @@
         self._ordered_at = 0.0
         self._providing = set()
         self._waves = {}
+        self._whole_at = {}
         self._whole = asyncio.Event()
         self._stage_turn = asyncio.Lock()
 
@@ -245,6 +270,7 @@
             self.clock,
             keep,
             self.counter,
+            self.outlook.origin_copy_s(),
         )
 
     # Giving to peers what the engine has.
@@ -286,12 +312,14 @@
 
     def _is_turn(self, report, holding):
         """Return whether it is this member's turn to load."""
-        if not report.versions.get(holding.model):
+        serves = report.versions.get(holding.model)
+        if not serves:
             return True
-        if self._waves.get(holding.version, 0) == 0:
-            return True
-        due_at = self.outlook.due_at(holding.model, holding.version)
-        return self.outlook.now() >= due_at - LAST_WAVE_LEAD_S
+        now = self.outlook.now()
+        whole_at = self._whole_at.setdefault(holding.version, now)
+        wave = self._waves.get(holding.version, 0)
+        due_at = self.outlook.due_after(holding.model, serves)
+        return now >= turn_at(wave, whole_at, due_at)
 
     async def _order(self, model, version):
         while True:
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -10,8 +10,13 @@
 
 #: Seconds for which a source that gave no answer is left out.
 BLAME_S = 1.5
-#: Times that a source without the chunk is asked again before the next.
-PATIENCE = 2
+#: Times that a source without the chunk is asked, each for a second, before
+#: its chunks are taken elsewhere; at least, and for each second in which the
+#: origin can give one copy. Owners that share a slow origin have nothing for
+#: a while; asked twice only, all turned to the origin at once, which then
+#: sent 2.4 copies, and a transfer took 13 s instead of 6.5.
+LEAST_PATIENCE = 2
+PATIENCE_PER_S = 1.0
 #: Pause after all sources of a chunk failed, in seconds.
 RETRY_S = 0.2
 #: Chunks in a row that differ from the manifest before it is taken as
@@ -32,9 +37,13 @@
         clock: gives seconds on the steady clock.
         keep: coroutine function of (index, data) that stages a chunk.
         counter: counts bytes by source.
+        origin_copy_s: seconds in which the origin can give one copy.
     """
 
-    def __init__(self, holding, plan, peers, origin, clock, keep, counter):
+    def __init__(
+        self, holding, plan, peers, origin, clock, keep, counter,
+        origin_copy_s=0.0,
+    ):  # fmt: skip
         self.holding = holding
         self.plan = plan
         self.peers = peers
@@ -42,6 +51,7 @@
         self.clock = clock
         self.keep = keep
         self.counter = counter
+        self.patience = LEAST_PATIENCE + round(origin_copy_s * PATIENCE_PER_S)
         self._blamed = {}
         self._corrupt_in_row = 0
         self._asked = {}
@@ -82,7 +92,7 @@
                 strikes = 0
                 continue
             strikes += 1
-            if strikes >= PATIENCE or self._is_blamed(source):
+            if strikes >= self.patience or self._is_blamed(source):
                 await self._hand_over(source, asked)
 
     async def _hand_over(self, source, asked):
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -93,8 +93,12 @@
         """Return once a version that was not known has been named."""
 
     @abc.abstractmethod
-    def due_at(self, model, version):
-        """Return when requests need this version."""
+    def due_after(self, model, version):
+        """Return when engines at `version` get no more requests.
+
+        That is when the first version after it is due; later ones do not
+        put it off.
+        """
 
     @abc.abstractmethod
     async def members(self):
@@ -108,6 +112,10 @@
     def most_owners(self):
         """Return how many members may ask the origin at once."""
 
+    @abc.abstractmethod
+    def origin_copy_s(self):
+        """Return the seconds in which the origin can give one copy."""
+
     @abc.abstractmethod
     def hear_of(self, model, version):
         """Note that a peer asks for this version."""
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -165,8 +165,8 @@
         await self._named.wait()
         self._named.clear()
 
-    def due_at(self, model, version):
-        return next(w.due_at for w in self.versions if w.version == version)
+    def due_after(self, model, version):
+        return min(w.due_at for w in self.versions if w.version > version)
 
     async def members(self):
         return self.listed
@@ -179,5 +179,8 @@
     def most_owners(self):
         return 20
 
+    def origin_copy_s(self):
+        return 0.0
+
     def hear_of(self, model, version):
         self.heard.append((model, version))
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -156,11 +156,11 @@
 def test_an_engine_that_serves_waits_for_its_turn(monkeypatch):
     """All engines are whole at about the same time.
 
-    If all load at once nobody serves meanwhile; the second group goes on
+    If all load at once nobody serves meanwhile; the last group goes on
     until shortly before the version is due.
     """
     monkeypatch.setattr(_agent, 'LAST_WAVE_LEAD_S', 0.2)
-    monkeypatch.setattr(spread.Plan, 'wave', lambda self, waves: 1)
+    monkeypatch.setattr(spread.Plan, 'wave', lambda self, waves: waves - 1)
 
     async def main(sidecar):
         sidecar.outlook.name(2, due_s=0.8)
@@ -176,6 +176,22 @@
     assert left_s <= 0.25
 
 
+def test_a_newer_version_does_not_put_off_the_turn(monkeypatch):
+    """Version 2 is named, and version 3 long before version 2 is due.
+
+    Engines with version 1 get no requests once version 2 is due. Waiting
+    for the time of version 3 they would stand idle in between.
+    """
+    monkeypatch.setattr(spread.Plan, 'wave', lambda self, waves: waves - 1)
+
+    async def main(sidecar):
+        sidecar.outlook.name(2, due_s=0.2)
+        sidecar.outlook.name(3, due_s=60.0)
+        await sidecar.until(lambda: sidecar.engine.version == 3)
+
+    run(main, engine=fakes.FakeEngine(version=1))
+
+
 def test_an_error_nobody_thought_of_does_not_end_the_care():
     async def main(sidecar):
         original = sidecar.engine.report
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -114,10 +114,10 @@
     assert same >= 60
 
 
-def test_both_waves_have_members():
+def test_all_waves_have_members():
     made = plans(members({'a': 4, 'b': 3, 'c': 3}))
-    waves = collections.Counter(plan.wave(2) for plan in made.values())
-    assert waves == {0: 5, 1: 5}
+    waves = collections.Counter(plan.wave(3) for plan in made.values())
+    assert waves == {0: 4, 1: 3, 2: 3}
 
 
 @pytest.mark.parametrize(
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -14,7 +14,7 @@
 class Transfer:
     """One transfer of version 2 to a member."""
 
-    def __init__(self, peers=None, listed=(ME,)):
+    def __init__(self, peers=None, listed=(ME,), origin_copy_s=0.0):
         self.holding = spread.Holding(fakes.MODEL, 2)
         self.origin = fakes.FakeOrigin()
         self.peers = peers or fakes.FakePeers()
@@ -29,6 +29,7 @@
             asyncio.get_running_loop().time,
             self._keep,
             self.counter,
+            origin_copy_s,
         )
 
     async def _keep(self, index, data):
@@ -118,6 +119,26 @@
     assert found.holding.is_whole
 
 
+def test_a_slow_origin_is_not_asked_by_all():
+    """The origin is slow, so an owner has nothing for some seconds.
+
+    Had the others no patience, all would turn to the origin, and it would
+    be slower still. The owner gets its chunk after four empty answers.
+    """
+
+    class LatePeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            if len(self.asked) < 4:
+                self.asked.append(peer)
+                raise errors.SourceBusyError('not there yet', peer=peer)
+            return await super().chunk(peer, model, version, indices, relays)
+
+    peers = LatePeers(a1=EVERY)
+    found = transfer(peers=peers, listed=listed('a1', a1=2), origin_copy_s=3.0)
+    assert found.holding.is_whole
+    assert not found.origin.given
+
+
 def test_a_damaged_manifest_is_dropped():
     """The manifest itself is damaged on its way, so no chunk ever fits.
 
