Take a narrow member's share elsewhere; count an engine listed twice once

The margin is now 0.75 s (0.5 before). (2) An engine that started again was listed twice; shares did not add up, and the transfer failed at once, again and again, until the old entry was gone (seen in incident inc-bc04). (3) All wait for a member with a narrow link, which never fails. Its share is taken elsewhere when it would need twice the time of a copy and most others do not.

--- a/catkinshunt/platform/_deploy.py
+++ b/catkinshunt/platform/_deploy.py
@@ -3,8 +3,8 @@
 import tomllib
 
 from catkinshunt import errors
-from catkinshunt import settings
 from catkinshunt.platform import _settings
+from catkinshunt import settings
 
 _ROLE_TEXTS = ('run', 'on')
 _CLASSES = ('edge', 'side')
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -167,16 +167,16 @@
             page = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
             self.catalog.replace_upstreams(list(_read_all(page.items)), now)
             self._listed_at = now
-        return [
-            spread.Member(
-                upstream.address[0],
-                upstream.data_centre,
-                upstream.versions or {},
-                upstream.leaving,
-            )
+        listed = [
+            upstream
             for upstream in self.catalog.members(self.cfg.service)
             if not upstream.leaving
         ]
+        listed.sort(key=lambda upstream: upstream.born)
+        return [
+            spread.Member(u.address[0], u.data_centre, u.versions or {})
+            for u in listed
+        ]
 
 
 def _read_all(items):
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -29,7 +29,7 @@
 WAVE_S = 1.6
 #: Seconds before the version is due at which the last group begins at the
 #: latest; from then on the engines with the older one get no requests.
-LAST_WAVE_LEAD_S = 0.5
+LAST_WAVE_LEAD_S = 0.75
 _MBIT = 1e6 / 8
 
 _log = logs.get_logger('agent')
@@ -63,7 +63,7 @@
         >>> [turn_at(wave, 10.0, 20.0) for wave in range(3)]
         [10.0, 11.6, 13.2]
         >>> [turn_at(wave, 10.0, 11.5) for wave in range(3)]
-        [10.0, 10.5, 11.0]
+        [10.0, 10.375, 10.75]
     """
     left_s = max(0.0, due_at - LAST_WAVE_LEAD_S - whole_at)
     return whole_at + wave * min(WAVE_S, left_s / (WAVES - 1))
@@ -231,11 +231,14 @@
             return
         except ExceptionGroup as group:
             _log.warning(
-                'A transfer failed: {}.',
+                'A transfer failed: {!r}.',
                 group.exceptions[0],
                 version=wanted.version,
             )
             return
+        except Exception:
+            _log.exception('A transfer failed.')
+            return
         self._whole.set()
         _log.info(
             'Version {} of {} is whole.',
@@ -270,6 +273,7 @@
             self.clock,
             keep,
             self.counter,
+            self._copy_s(self.outlook.profile()),
             self.outlook.origin_copy_s(),
         )
 
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -1,6 +1,8 @@
 """Fetches all chunks of one version."""
 
 import asyncio
+import collections
+import math
 
 from catkinshunt import errors
 from catkinshunt import logs
@@ -8,6 +10,14 @@
 from catkinshunt.spread import _plan
 from catkinshunt import weights
 
+#: Share of the time of a copy after which the speed of sources is judged.
+JUDGE_AFTER = 0.9
+#: A source is slow that would end after this many times the time of a copy,
+#: where most others end within the second number. Judged after half of the
+#: time, and by 1.6, usual delays at the begin counted as slow: twice the
+#: bytes between regions, and the origin sent five copies instead of two.
+SLOW_END = 2.0
+USUAL_END = 1.4
 #: Seconds for which a source that gave no answer is left out.
 BLAME_S = 1.5
 #: Times that a source without the chunk is asked, each for a second, before
@@ -37,12 +47,13 @@
         clock: gives seconds on the steady clock.
         keep: coroutine function of (index, data) that stages a chunk.
         counter: counts bytes by source.
+        copy_s: seconds that a whole copy takes.
         origin_copy_s: seconds in which the origin can give one copy.
     """
 
     def __init__(
         self, holding, plan, peers, origin, clock, keep, counter,
-        origin_copy_s=0.0,
+        copy_s=math.inf, origin_copy_s=0.0,
     ):  # fmt: skip
         self.holding = holding
         self.plan = plan
@@ -51,10 +62,14 @@
         self.clock = clock
         self.keep = keep
         self.counter = counter
+        self.copy_s = copy_s
         self.patience = LEAST_PATIENCE + round(origin_copy_s * PATIENCE_PER_S)
         self._blamed = {}
         self._corrupt_in_row = 0
         self._asked = {}
+        self._given = collections.Counter()
+        self._last_s = {}
+        self._began = clock()
         self._tried = {}
         self._group = None
 
@@ -65,6 +80,7 @@
             errors.ManifestError: no chunk fits the manifest any more; it
                 was dropped with what it had let in.
         """
+        self._began = self.clock()
         async with asyncio.TaskGroup() as self._group:
             for index in self.holding.missing:
                 self._assign(index)
@@ -90,14 +106,55 @@
             self._check_manifest()
             if await self._ask_one(source, asked):
                 strikes = 0
+                self._given[source] += 1
+                self._last_s[source] = self.clock() - self._began
+                if self._is_slow(source):
+                    await self._hand_over(source, asked, kept=1)
                 continue
             strikes += 1
             if strikes >= self.patience or self._is_blamed(source):
                 await self._hand_over(source, asked)
 
-    async def _hand_over(self, source, asked):
-        """Give the chunks of a source that fails to their next sources."""
-        indices, asked[:] = list(asked), []
+    def _end_s(self, source):
+        """Return when a source ends at its speed, in seconds from the begin.
+
+        The time of its last chunk where nothing is left to it.
+        """
+        elapsed_s = self.clock() - self._began
+        left = len(self._asked[source])
+        if not left:
+            return self._last_s.get(source, elapsed_s)
+        return elapsed_s * (1 + left / max(1, self._given[source]))
+
+    def _is_slow(self, source):
+        """Return whether a source is far slower than most of the others.
+
+        A member whose link is narrowed still gives a chunk now and then; all
+        that wait for its share would be late with it. Where all are equally
+        slow, the own link is the cause and other sources would not help.
+        """
+        if self.clock() - self._began < JUDGE_AFTER * self.copy_s:
+            return False
+        if len(self._asked[source]) < 2 or source == _plan.ORIGIN:
+            return False
+        others = sorted(self._end_s(s) for s in self._asked if s != source)
+        if not others:
+            return False
+        usual_s = others[len(others) // 2]
+        return (
+            self._end_s(source) > SLOW_END * self.copy_s
+            and usual_s < USUAL_END * self.copy_s
+        )
+
+    async def _hand_over(self, source, asked, kept=0):
+        """Give chunks of a source that fails or lags to their next sources.
+
+        Args:
+            source: the source.
+            asked: what is left to it; shortened to `kept` chunks.
+            kept: chunks that stay with it.
+        """
+        indices, asked[:] = asked[kept:], asked[:kept]
         if source == _plan.ORIGIN:
             await asyncio.sleep(RETRY_S)
         for index in indices:
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -32,13 +32,11 @@
         name: unique among the members; the address of its instance.
         data_centre: where it stands.
         versions: version by model that its engine serves.
-        leaving: it is about to go.
     """
 
     name: str
     data_centre: str = ''
     versions: dict = attrs.field(factory=dict)
-    leaving: bool = False
 
 
 class Plan:
@@ -66,7 +64,9 @@
         self, me, members, regions, model, version, chunks=0, most_owners=20
     ):
         self.me = me
-        self.members = [m for m in members if m.name != me.name] + [me]
+        # An engine that started again can be listed twice for a while.
+        named = {member.name: member for member in members}
+        self.members = list({**named, me.name: me}.values())
         self.regions = regions
         self.model = model
         self.version = version
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -87,6 +87,21 @@
     assert len(asking) == 24
 
 
+def test_an_engine_that_is_listed_twice_counts_once():
+    """An engine starts again under a new id while its old entry remains.
+
+    Its instance is then listed twice. Counted as two, the shares did not add
+    up, and no transfer could begin until the old entry was gone.
+    """
+    listed = members({'a': 3, 'b': 2})
+    twice = [*listed, listed[0], listed[1]]
+    for name, plan in plans(twice).items():
+        again = plans(listed)[name]
+        assert [plan.sources(i) for i in range(96)] == [
+            again.sources(i) for i in range(96)
+        ]
+
+
 def test_the_origin_is_always_the_last_resort():
     for plan in plans(members({'a': 3, 'b': 2})).values():
         for index in range(20):
