--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -367,6 +367,10 @@
             return False
         if self.progress.sends >= self.decision.serve.max_tries:
             return False
+        # With the budget spent the request would end here, while the
+        # upstream that it waits for may still answer.
+        if not self.context.budget(self.decision.service).has_token():
+            return False
         now = self.context.clock()
         return any(
             not self.context.tracker.state(upstream).is_silent(now)
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -73,6 +73,28 @@
     assert run(main)[2] == whole(6)
 
 
+def test_a_silent_engine_is_waited_for_when_no_retry_is_left():
+    """An engine is silent for a second, and the retry budget is spent.
+
+    Given up, the request would fail for want of another try; the engine
+    goes on after the pause, and the caller gets its whole answer.
+    """
+
+    async def pauses(head, writer, upstream):
+        await asyncio.sleep(1.2)
+        await scenes.streaming(3)(head, writer, upstream)
+
+    async def main():
+        first = engine('u1', pauses)
+        second = engine('u2', pauses)
+        async with scenes.scene(first, second, retry_burst=0.5) as scene:
+            return await chat(scene), len(first.heads) + len(second.heads)
+
+    (_, _, body), sends = run(main)
+    assert body == whole(3)
+    assert sends == 1
+
+
 def test_a_stream_that_cannot_go_on_never_looks_whole():
     """The only engine breaks off and nobody can go on.
 
--- a/catkinshunt/retries/_budget.py
+++ b/catkinshunt/retries/_budget.py
@@ -45,6 +45,11 @@
             self._tokens = held - 1 if held >= 1 else held
             return held >= 1
 
+    def has_token(self):
+        """Return whether `choose` would give a token now."""
+        with self._lock:
+            return self._held() >= 1
+
     def report(self):
         """Return the tokens held."""
         with self._lock:
