--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -51,7 +51,7 @@
     registry = metrics.Registry()
     context = make_context(cfg, registry)
     server = await gateway.Gateway(context).start(*cfg.frontend)
-    _show_gauges(registry, server, context)
+    show_gauges(registry, server, context)
     ready = http1.Listener(
         http1.answer_with(_ready_handler(server)), _clocks.steady
     )
@@ -60,7 +60,7 @@
         http1.answer_with(metrics_handler(registry)), _clocks.steady
     )
     await shown.start(cfg.ip, cfg.ports[0])
-    follow = asyncio.ensure_future(_make_mirror(cfg, context, registry).run())
+    follow = asyncio.ensure_future(make_mirror(cfg, context, registry).run())
     tidy = asyncio.ensure_future(_tidy(context))
     _log.info('Started entry {}.', cfg.name, data_centre=cfg.data_centre)
     await stop.wait()
@@ -94,7 +94,7 @@
         context.forget(context.catalog.all_upstreams())
 
 
-def _show_gauges(registry, server, context):
+def show_gauges(registry, server, context):
     """Show what the entry knows and holds at each scrape."""
     catalog = context.catalog
 
@@ -135,7 +135,8 @@
     return -1.0 if age_s is None else age_s
 
 
-def _make_mirror(cfg, context, registry):
+def make_mirror(cfg, context, registry):
+    """Return the `Mirror` that feeds the catalog of `context`."""
     calls = registry.counter(
         'store_calls_total', 'Calls to the store.', ('kind', 'result')
     )
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -41,12 +41,8 @@
     """Start what looks after the engine; return its tasks."""
     if cfg.engine is None:
         return []
-    calls = registry.counter(
-        'store_calls_total', 'Calls to the store.', ('kind', 'result')
-    )
-    moved = registry.counter(
-        'chunk_bytes_total', 'Bytes of chunks by way.', ('way',)
-    )
+    shelf = spread.Shelf()
+    calls, moved = make_metrics(registry, shelf)
     outlook = _outlook.StoreOutlook(
         cfg,
         _store.StoreClient(cfg.store, _clocks.steady, calls),
@@ -54,7 +50,6 @@
         _clocks.wall,
         cfg.bounds.version_s,
     )
-    shelf = spread.Shelf()
     chunk_port = cfg.ports[0] + 1
     agent = spread.Agent(
         spread.Member(cfg.ip, cfg.data_centre),
@@ -67,6 +62,18 @@
         cfg.link_mbps,
         moved,
     )
+    server = spread.ChunkServer(
+        shelf, _clocks.steady, cfg.link_mbps, moved, agent.note_asked
+    )
+    await server.start(cfg.ip, chunk_port)
+    return [
+        asyncio.ensure_future(outlook.run()),
+        asyncio.ensure_future(agent.run()),
+    ]
+
+
+def make_metrics(registry, shelf):
+    """Return the counters of store calls and of moved bytes."""
     registry.gauge(
         'versions_whole',
         'Newest version that is here whole, by model.',
@@ -79,11 +86,10 @@
         shelf.missing,
         ('model', 'version'),
     )
-    server = spread.ChunkServer(
-        shelf, _clocks.steady, cfg.link_mbps, moved, agent.note_asked
+    calls = registry.counter(
+        'store_calls_total', 'Calls to the store.', ('kind', 'result')
     )
-    await server.start(cfg.ip, chunk_port)
-    return [
-        asyncio.ensure_future(outlook.run()),
-        asyncio.ensure_future(agent.run()),
-    ]
+    moved = registry.counter(
+        'chunk_bytes_total', 'Bytes of chunks by way.', ('way',)
+    )
+    return calls, moved
--- /dev/null
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -0,0 +1,68 @@
+import asyncio
+import pathlib
+import re
+
+from catkinshunt import gateway
+from catkinshunt import metrics
+from catkinshunt import platform
+from catkinshunt import spread
+from catkinshunt.platform import _entry
+from catkinshunt.platform import _sidecar
+from catkinshunt.platform.tests import test_settings
+
+PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
+
+
+def entry_registry():
+    cfg = platform.read_node_settings(test_settings.DOCUMENT)
+    registry = metrics.Registry()
+    context = _entry.make_context(cfg, registry)
+    context.budget('desk').offer()
+    server = gateway.Gateway(context)
+    _entry.show_gauges(registry, server, context)
+    _entry.make_mirror(cfg, context, registry)
+    return registry
+
+
+def sidecar_registry():
+    registry = metrics.Registry()
+    shelf = spread.Shelf()
+    shelf.holding('drafts', 2)
+    _sidecar.make_metrics(registry, shelf)
+    return registry
+
+
+def test_the_page_names_just_the_metrics_that_are_served():
+    """An engineer looks for a metric of the page and it is not there.
+
+    Or a metric is there and nobody knows what to do about it.
+    """
+    named = set(re.findall(r'^\| `catkinshunt_(\w+)`', PAGE.read_text(), re.M))
+    served = {
+        family.name
+        for registry in (entry_registry(), sidecar_registry())
+        for family in registry.report()
+    }
+    assert named == served
+
+
+def test_metrics_are_served_as_text():
+    async def main():
+        handle = _entry.metrics_handler(entry_registry())
+        request = type('Request', (), {'path': '/metrics'})
+        other = type('Request', (), {'path': '/'})
+        return await handle(request), await handle(other)
+
+    shown, other = asyncio.run(main())
+    assert shown.status == 200
+    assert b'catkinshunt_catalog_age_seconds -1.0' in shown.body
+    assert b'catkinshunt_retry_budget_tokens{service="desk"}' in shown.body
+    assert other.status == 404
+
+
+def test_a_scrape_of_a_sidecar_works():
+    asyncio.run(
+        _entry.metrics_handler(sidecar_registry())(
+            type('Request', (), {'path': '/metrics'})
+        )
+    )
