--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -5,10 +5,10 @@
 from catkinshunt import gateway
 from catkinshunt import metrics
 from catkinshunt import platform
-from catkinshunt import spread
 from catkinshunt.platform import _entry
 from catkinshunt.platform import _sidecar
 from catkinshunt.platform.tests import test_settings
+from catkinshunt import spread
 
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
 
--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,55 @@
+"""Runs the soak: ``python -m standins.soak --seed=1 --duration_s=20``."""
+
+import asyncio
+import collections
+import sys
+import tempfile
+
+import fire
+
+from catkinshunt import logs
+from standins.soak import _soak
+
+
+def main(
+    seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
+    folder=None,
+):  # fmt: skip
+    """Run seeds one after the other; ends with 1 if a promise was broken.
+
+    Args:
+        seed: the first seed.
+        seeds: how many seeds.
+        duration_s: seconds for each.
+        entries: entries in each.
+        sidecars: engines with a sidecar in each.
+        callers: callers in each.
+        folder: where logs stay; a new one under the temporary folder if None.
+    """
+    logs.configure(level='ERROR')
+    failed = 0
+    for number in range(seed, seed + seeds):
+        place = folder or tempfile.mkdtemp(prefix=f'soak-{number}-')
+        broken, summary = asyncio.run(
+            run_seed(place, number, duration_s, entries, sidecars, callers)
+        )
+        print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
+        for sentence in broken[:20]:
+            print(f'  {sentence}')
+        failed += bool(broken)
+    print(f'{seeds - failed} passed, {failed} failed')
+    sys.exit(1 if failed else 0)
+
+
+async def run_seed(folder, seed, duration_s, entries, sidecars, callers):
+    """Run one seed; return what was broken, and a summary."""
+    soak = _soak.Soak(folder, seed, entries, sidecars, callers)
+    broken = await soak.run(duration_s)
+    answers = collections.Counter(a.status for a in soak.records.answers)
+    shown = ', '.join(f'{k}: {v}' for k, v in answers.most_common())
+    runs = len(soak.records.runs)
+    return broken, f'answers {shown}; {runs} runs, version {soak.version}'
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/standins/soak/_platform.py
@@ -0,0 +1,265 @@
+"""Stand-ins for the store, engines, a plain service and the origin."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import urllib.parse
+
+from catkinshunt import http1
+from standins.soak import _records
+
+MODEL = 'drafts'
+CHUNKS = 8
+CHUNK_BYTES = 4096
+#: Seconds between two events of a stream.
+EVENT_S = 0.05
+#: Seconds that a booking takes.
+BOOK_S = 0.03
+
+
+def chunk(version, index):
+    """Return the bytes of a chunk."""
+    seed = hashlib.sha256(f'{version}/{index}'.encode()).digest()
+    return seed * (CHUNK_BYTES // len(seed))
+
+
+async def listen(handler, host, port, clock):
+    """Serve `handler` on an address; returns the listener."""
+    session = http1.answer_with(handler)
+    return await http1.Listener(session, clock).start(host, port)
+
+
+def as_json(document, status=200):
+    """Return a reply with a JSON body."""
+    return http1.Reply(status, json.dumps(document).encode())
+
+
+def query_of(req):
+    """Return the query of a request as a mapping."""
+    return dict(urllib.parse.parse_qsl(req.target.partition('?')[2]))
+
+
+class Store:
+    """Keys with revisions and watches.
+
+    Attributes:
+        fault: None, ``'refuse'``, ``'silent'`` or ``'slow'``.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.oldest = 0
+        self.fault = None
+        self._changed = asyncio.Event()
+
+    def put(self, key, document):
+        """Write `document`; None deletes the key."""
+        self.revision += 1
+        item = {'key': key, 'revision': self.revision, 'deleted': True}
+        self.items.pop(key, None)
+        if document is not None:
+            data = base64.b64encode(json.dumps(document).encode()).decode()
+            item = {'key': key, 'data': data, 'revision': self.revision}
+            self.items[key] = item
+        self.events.append(item)
+        self._wake()
+
+    def compact(self):
+        """Forget the history; watches must read all again."""
+        self.revision += 1
+        self.oldest = self.revision
+        self.events.clear()
+        self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def answer(self, req):
+        """Answer one call."""
+        if self.fault == 'refuse':
+            return as_json({}, 503)
+        if self.fault == 'silent':
+            await asyncio.sleep(60)
+        if self.fault == 'slow':
+            await asyncio.sleep(0.4)
+        query = query_of(req)
+        prefix = query.get('path_prefix', '')
+        if req.path == '/-/kv-range':
+            found = [i for k, i in self.items.items() if k.startswith(prefix)]
+            return as_json({'entries': found, 'at': self.revision})
+        return await self._watch(query, prefix)
+
+    async def _watch(self, query, prefix):
+        after = int(query['after'])
+        try:
+            async with asyncio.timeout(int(query['wait_ms']) / 1000):
+                while True:
+                    if after < self.oldest:
+                        return as_json({}, 410)
+                    found = [
+                        item
+                        for item in self.events
+                        if item['revision'] > after
+                        and item['key'].startswith(prefix)
+                    ]
+                    if found:
+                        return as_json({'events': found, 'at': self.revision})
+                    await self._changed.wait()
+        except TimeoutError:
+            return as_json({'events': [], 'at': self.revision})
+
+
+class Upstream:
+    """A runner: an engine where it has a stage, else a plain service.
+
+    Attributes:
+        fault: None, ``'reset'``, ``'silent'``, ``'full'`` or ``'lose'``.
+    """
+
+    def __init__(self, name, service, records, clock, version=None):
+        self.name = name
+        self.service = service
+        self.records = records
+        self.clock = clock
+        self.version = version
+        self.stage = {}
+        self.busy = False
+        self.fault = None
+        if version:
+            self.stage = {i: chunk(version, i) for i in range(CHUNKS)}
+
+    async def start(self, host, port):
+        """Listen on an address; returns self."""
+        await http1.Listener(self._session, self.clock).start(host, port)
+        return self
+
+    def entry(self, address, zone, state='ready'):
+        """Return what the runner writes about itself."""
+        found = {
+            'service': self.service,
+            'address': address,
+            'zone': zone,
+            'slots': 16,
+            'state': state,
+            'born': 1,
+        }
+        if self.version is not None:
+            found['models'] = self._models()
+        return found
+
+    def _models(self):
+        if not self.version:
+            return []
+        return [{'name': MODEL, 'version': self.version, 'adapters': []}]
+
+    async def _session(self, conn):
+        while True:
+            req = await conn.read_request()
+            if req is None or isinstance(req, http1.BadRequestError):
+                return
+            if req.path.startswith('/-/'):
+                reply = await self._control(req)
+                conn.write(http1.dump_reply(reply.status, [], reply.body))
+            elif not await self._work(conn, req):
+                conn.abort()
+                return
+            conn.begin_idle()
+
+    async def _control(self, req):
+        number = int(query_of(req).get('number', -1))
+        if req.path == '/-/report':
+            return as_json({'models': self._models(), 'busy': self.busy})
+        if req.path.startswith('/-/stage-put/'):
+            self.stage[number] = req.body
+            return http1.Reply(200)
+        if req.path.startswith('/-/stage-get/'):
+            if number < 0:
+                return as_json({'held': sorted(self.stage)})
+            data = self.stage.get(number)
+            return http1.Reply(404 if data is None else 200, data or b'')
+        return self._order(json.loads(req.body))
+
+    def _order(self, order):
+        version = order['version']
+        if self.version != version:
+            held = {
+                next(
+                    (v for v in range(1, 99) if chunk(v, i) == data), 'unknown'
+                )
+                for i, data in self.stage.items()
+            }
+            if len(self.stage) < CHUNKS:
+                held.add('missing')
+            self.records.loads.append((self.name, held))
+            self.version = version
+        return as_json({}, 202)
+
+    async def _work(self, conn, req):
+        """Answer a caller's request; return whether to go on."""
+        request = req.headers.get('Attempt-Id')
+        items = [('Attempt-Id', request), ('Server-Stamp', self.name)]
+        if self.fault == 'full' or self.version == 0:
+            items.append(('Not-Executed', '1'))
+            conn.write(http1.dump_reply(503, items))
+            return True
+        if self.fault == 'silent':
+            await asyncio.sleep(60)
+        first = int(req.headers.get('Last-Event-Id') or 0) + 1
+        self.records.runs.append(
+            _records.Run(
+                request,
+                self.name,
+                self.clock(),
+                self.version or 0,
+                req.headers.get('Tenant', ''),
+                first,
+            )
+        )
+        if self.version is None:
+            return await self._book(conn, request, items)
+        return await self._stream(conn, request, items, first)
+
+    async def _book(self, conn, request, items):
+        await asyncio.sleep(BOOK_S)
+        if self.fault in ('reset', 'lose'):
+            return False
+        body = _records.whole_body(request, 'book')
+        conn.write(http1.dump_reply(200, items, body))
+        return True
+
+    async def _stream(self, conn, request, items, first):
+        items.append(('Content-Type', 'text/event-stream'))
+        items.append(('Transfer-Encoding', 'chunked'))
+        conn.write(http1.dump_head(http1.status_line(200), items))
+        for number in range(first, _records.EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            if self.fault == 'reset':
+                return False
+            data = _records.event(request, number)
+            conn.write(http1.dump_chunk(data))
+            await conn.drain()
+        conn.write(http1.LAST_CHUNK)
+        return True
+
+
+async def answer_origin(req):
+    """Answer a call to the origin of weights."""
+    version = int(query_of(req)['version'])
+    if req.path.startswith('/-/manifest/'):
+        digests = [
+            hashlib.sha256(chunk(version, i)).hexdigest()
+            for i in range(CHUNKS)
+        ]
+        return as_json(
+            {
+                'model': MODEL,
+                'version': version,
+                'chunk_bytes': CHUNK_BYTES,
+                'digests': digests,
+            }
+        )
+    return http1.Reply(200, chunk(version, int(query_of(req)['number'])))
--- /dev/null
+++ b/standins/soak/_proxy.py
@@ -0,0 +1,86 @@
+"""A loopback proxy that harms the connections that pass through it."""
+
+import asyncio
+import contextlib
+
+_READ_BYTES = 64 * 1024
+#: Seconds by which bytes are held up while a link is slow.
+DELAY_S = 0.15
+FAULTS = ('slow', 'reset', 'silent', 'one_way', 'refuse')
+
+
+class Proxy:
+    """Forwards connections to one address.
+
+    Attributes:
+        name: what stands behind it.
+        place: address that it listens on.
+        fault: None, or one of `FAULTS`. With ``'one_way'`` bytes towards
+            the target pass and those back are held until it ends.
+    """
+
+    def __init__(self, host, port):
+        self.host = host
+        self.port = port
+        self.name = ''
+        self.place = ''
+        self._fault = None
+        self._healed = asyncio.Event()
+        self._healed.set()
+        self._writers = set()
+
+    async def start(self, host, port):
+        """Listen on an address; returns self."""
+        await asyncio.start_server(self._serve, host, port)
+        return self
+
+    @property
+    def fault(self):
+        """The fault in force, or None."""
+        return self._fault
+
+    @fault.setter
+    def fault(self, fault):
+        self._fault = fault
+        if fault is None:
+            self._healed.set()
+        else:
+            self._healed.clear()
+        if fault in ('reset', 'refuse'):
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        if self._fault == 'refuse':
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.host, self.port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, far_writer}
+        self._writers |= both
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, back=False),
+                self._pump(far_reader, writer, back=True),
+            )
+        finally:
+            self._writers -= both
+
+    async def _pump(self, reader, writer, back):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(_READ_BYTES):
+                if self._fault == 'slow':
+                    await asyncio.sleep(DELAY_S)
+                if self._fault == 'silent' or (
+                    back and self._fault == 'one_way'
+                ):
+                    await self._healed.wait()
+                writer.write(data)
+                await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.close()
--- /dev/null
+++ b/standins/soak/_records.py
@@ -0,0 +1,142 @@
+"""What callers and upstreams saw, and the promises held against it."""
+
+import collections
+
+import attrs
+
+#: Seconds beyond a bound that a run on a busy machine may need to be seen.
+SLACK_S = 0.5
+
+
+@attrs.define
+class Answer:
+    """What one caller got for one try.
+
+    Attributes:
+        kind: ``'chat'`` or ``'book'``.
+        status: status of the reply; None where the connection ended first.
+        body: its bytes; None where it broke off.
+    """
+
+    request: str
+    kind: str
+    key: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int | None = None
+    body: bytes | None = None
+
+
+@attrs.define
+class Run:
+    """A request that an upstream began to work on."""
+
+    request: str
+    upstream: str
+    at: float
+    version: int = 0
+    account: str = ''
+    first_event: int = 1
+
+
+class Records:
+    """Gathers what was seen.
+
+    Args:
+        version_s: seconds after which a named version must be served.
+        revoke_s: seconds after which a removed key must not be.
+        drain_s: seconds after which a leaving upstream gets no new work.
+    """
+
+    def __init__(self, version_s, revoke_s, drain_s):
+        self.version_s = version_s
+        self.revoke_s = revoke_s
+        self.drain_s = drain_s
+        self.answers = []
+        self.runs = []
+        self.loads = []
+        self.named = []
+        self.revoked = {}
+        self.left = {}
+        self.store_faults = []
+
+    def is_calm(self, begin, end):
+        """Return whether the store had no fault in a span of time."""
+        return not any(
+            since < end and begin < until for since, until in self.store_faults
+        )
+
+    def find_broken(self):
+        """Return one sentence for each promise that was broken."""
+        runs = collections.defaultdict(list)
+        for run in self.runs:
+            runs[run.request].append(run)
+        found = []
+        for answer in self.answers:
+            found += _check_answer(answer, runs[answer.request])
+            found += self._check_key(answer, runs[answer.request])
+        for run in self.runs:
+            found += self._check_run(run)
+        found += [
+            f'{upstream} loaded chunks of versions {sorted(versions)}'
+            for upstream, versions in self.loads
+            if len(versions) != 1
+        ]
+        return found
+
+    def _check_key(self, answer, runs):
+        since = self.revoked.get(answer.key)
+        if since is None or answer.sent_at < since + self.revoke_s:
+            return []
+        return [
+            f'{answer.request} ran with key {answer.key}, removed '
+            f'{answer.sent_at - since:.2f} s before it was sent'
+            for _ in runs[:1]
+        ]
+
+    def _check_run(self, run):
+        for version, since in self.named:
+            late_s = run.at - since - self.version_s
+            calm = self.is_calm(since, run.at)
+            if 0 < run.version < version and late_s > SLACK_S and calm:
+                yield (
+                    f'{run.request} began on version {run.version}, '
+                    f'{late_s:.2f} s after version {version} was due'
+                )
+        since = self.left.get(run.upstream)
+        if since is not None and self.is_calm(since - 3, run.at):
+            late_s = run.at - since - self.drain_s
+            if late_s > SLACK_S:
+                yield (
+                    f'{run.request} reached {run.upstream} {late_s:.2f} s '
+                    'after it had to be left alone'
+                )
+
+
+def _check_answer(answer, runs):
+    if answer.kind == 'book' and len(runs) > 1:
+        yield f'{answer.request} ran {len(runs)} times'
+    if answer.kind == 'book' and answer.status in (408, 421, 429, 503):
+        if runs:
+            yield f'{answer.request} got {answer.status} and ran'
+    if answer.status == 200 and answer.body is not None:
+        if answer.body != whole_body(answer.request, answer.kind):
+            yield f'{answer.request} got another answer: {answer.body[:80]!r}'
+    if answer.status == 200 and not runs:
+        yield f'{answer.request} was answered and never ran'
+
+
+#: Events of each stream.
+EVENTS = 6
+
+
+def event(request, number):
+    """Return the bytes of one event of the answer to `request`."""
+    return f'id: {number}\ndata: {request} {number}\n\n'.encode()
+
+
+def whole_body(request, kind):
+    """Return the whole answer to `request`."""
+    if kind == 'book':
+        return f'booked {request}'.encode()
+    return b''.join(event(request, n) for n in range(1, EVENTS + 1))
--- /dev/null
+++ b/standins/soak/_soak.py
@@ -0,0 +1,341 @@
+"""Starts everything, lets faults come in series, and checks."""
+
+import asyncio
+import itertools
+import os
+import pathlib
+import random
+import signal
+
+from catkinshunt import http1
+from standins.soak import _callers
+from standins.soak import _platform
+from standins.soak import _processes
+from standins.soak import _proxy
+from standins.soak import _records
+
+VERSION_S = 4.0
+REVOKE_S = 2.0
+DRAIN_S = 1.0
+ZONES = ('larisa-a', 'piraeus-a')
+ENGINE_PORT, PLAIN_PORT, FRONT_PORT, READY_PORT = 8704, 8708, 8005, 8002
+INNER_PORTS = (7700, 7715)
+PROXY_PORT, STORE_PORT, ORIGIN_PORT = 8705, 8007, 8006
+#: Most seconds between two faults, and most that one lasts.
+PAUSE_S, FAULT_S = 1.0, 2.5
+
+
+class Soak:
+    """One seeded run.
+
+    Args:
+        folder: for settings and logs.
+        seed: decides everything that is left to chance.
+        entries: number of entries.
+        sidecars: number of engines with a sidecar each.
+        callers: number of callers.
+    """
+
+    def __init__(self, folder, seed=1, entries=2, sidecars=4, callers=6):
+        self.folder = pathlib.Path(folder)
+        self.random = random.Random(seed)
+        self.sizes = (entries, sidecars, callers)
+        self.clock = asyncio.get_running_loop().time
+        self.records = _records.Records(VERSION_S, REVOKE_S, DRAIN_S)
+        self.store = _platform.Store()
+        self.processes, self.proxies, self.upstreams = [], [], {}
+        self.keys = ['k0', 'k1', 'k2', 'k3']
+        self.version, self.revision = 1, 1
+        # Ports are the same on all instances, so each gets an address of
+        # its own; the process id keeps two runs apart.
+        self._net = f'127.{16 + os.getpid() % 200}'
+        self._hosts = itertools.count(1)
+
+    async def run(self, duration_s):
+        """Run for a time; return the promises that were broken."""
+        publish = asyncio.ensure_future(self._publish())
+        try:
+            await self._start()
+            await self._work(self.clock() + duration_s)
+        finally:
+            publish.cancel()
+            for process in self.processes:
+                await asyncio.to_thread(process.end)
+        return self.records.find_broken()
+
+    async def _work(self, until):
+        """Let callers work while faults come, until a time on the clock."""
+        work = [caller.run(until) for caller in self._make_callers()]
+        await asyncio.gather(*work, self._harm(until - FAULT_S))
+
+    # Start.
+
+    def _host(self):
+        number = next(self._hosts)
+        return f'{self._net}.{number // 200}.{number % 200 + 1}'
+
+    async def _start(self):
+        entries, sidecars, _ = self.sizes
+        self.base = self._host()
+        await _platform.listen(
+            self.store.answer, self.base, STORE_PORT, self.clock
+        )
+        await _platform.listen(
+            _platform.answer_origin, self.base, ORIGIN_PORT, self.clock
+        )
+        self._configure()
+        for number in range(2):
+            await self._add_upstream(f'p{number}', 'desk', None, PLAIN_PORT)
+        for number in range(sidecars):
+            version = 1 if number < sidecars - 1 else 0
+            name = f'e{number}'
+            host = await self._add_upstream(
+                name, 'engines', version, ENGINE_PORT
+            )
+            await self._add_process(f'side-{number}', 'sidecar', host)
+        for number in range(entries):
+            await self._add_process(f'edge-{number}', 'entry', self._host())
+        self.fronts = [p.place for p in self.proxies if p.name.startswith('ed')]
+        await self._until_ready()
+
+    async def _add_upstream(self, name, service, version, port):
+        host = self._host()
+        upstream = _platform.Upstream(
+            name, service, self.records, self.clock, version
+        )
+        await upstream.start(host, port)
+        proxy = await _proxy.Proxy(host, port).start(host, PROXY_PORT)
+        proxy.name, proxy.place = name, host
+        self.proxies.append(proxy)
+        self.upstreams[name] = (upstream, host)
+        self._write_upstream(name)
+        return host
+
+    def _write_upstream(self, name, state='ready'):
+        upstream, host = self.upstreams[name]
+        zone = ZONES[int(name[1:]) % len(ZONES)]
+        entry = upstream.entry(f'{host}:{PROXY_PORT}', zone, state)
+        self.store.put(f'servers/{name}', entry)
+
+    async def _add_process(self, name, role, host):
+        """Start a process with a way of its own to the store."""
+        proxy = _proxy.Proxy(self.base, STORE_PORT)
+        await proxy.start(host, STORE_PORT)
+        proxy.name, proxy.place = name, host
+        self.proxies.append(proxy)
+        path = self.folder / f'{name}.toml'
+        path.write_text(self._settings(name, role, host))
+        process = _processes.Process(
+            name, role, str(path), str(self.folder / f'{name}.log')
+        )
+        process.start()
+        self.processes.append(process)
+
+    def _settings(self, name, role, host):
+        zone = ZONES[int(name[-1]) % len(ZONES)]
+        lines = [
+            f'node_name = "{name}"',
+            f'ip = "{host}"',
+            f'zone = "{zone}"',
+            f'port_range = [{INNER_PORTS[0]}, {INNER_PORTS[1]}]',
+        ]
+        if role == 'sidecar':
+            lines.append(f'app = "{host}:{ENGINE_PORT}"')
+            lines.append('service = "engines"')
+        lines.append('[zones]')
+        lines += [f'{zone} = "{zone}-region"' for zone in ZONES]
+        lines.append('[listen]')
+        if role == 'entry':
+            lines.append(f'frontend = "{host}:{FRONT_PORT}"')
+            lines.append(f'ready = "{host}:{READY_PORT}"')
+        lines += ['[limits]', 'link_mbps = 100.0']
+        lines += ['[platform]', f'address = "{host}:{STORE_PORT}"']
+        lines += [
+            '[bounds]',
+            f'version_ms = {int(VERSION_S * 1000)}',
+            f'revoke_ms = {int(REVOKE_S * 1000)}',
+            f'drain_ms = {int(DRAIN_S * 1000)}',
+            'grace_s = 6',
+        ]
+        return '\n'.join(lines) + '\n'
+
+    def _configure(self):
+        """Write the next configuration."""
+        self.revision += self.random.randint(1, 3)
+        engine = {
+            'slots': 16,
+            'models': [{'name': _platform.MODEL, 'warm_s': 0.1}],
+            'chunks': _platform.CHUNKS,
+            'chunk_bytes': _platform.CHUNK_BYTES,
+        }
+        routes = [
+            _route('chat', 'engines', 'streaming', 2),
+            _route('book', 'desk', 'non_idempotent', 1),
+        ]
+        origin = f'{self.base}:{ORIGIN_PORT}'
+        self.store.put(
+            'op/config',
+            {
+                'version': self.revision,
+                'routes': routes,
+                'services': [
+                    {'name': 'engines', 'engine': engine},
+                    {'name': 'desk'},
+                    {'name': 'origin', 'origin': origin, 'max_conns': 30},
+                ],
+                'tenants': [{'name': 't', 'api_keys': list(self.keys)}],
+                'limits': {'idle_timeout_ms': 5000},
+            },
+        )
+
+    async def _until_ready(self):
+        async with asyncio.timeout(30):
+            for host in self.fronts:
+                pool = http1.Pool(host, READY_PORT, self.clock)
+                while not await _is_ready(pool):
+                    await asyncio.sleep(0.1)
+
+    def _make_callers(self):
+        pools = [
+            http1.Pool(host, FRONT_PORT, self.clock) for host in self.fronts
+        ]
+        for number in range(self.sizes[2]):
+            yield _callers.Caller(
+                f'c{number}',
+                pools,
+                self.records,
+                lambda: self.random.choice(('k0', *self.keys, 'k3')),
+                random.Random(self.random.random()),
+                self.clock,
+            )
+
+    async def _publish(self):
+        """Write to the store what engines say of themselves."""
+        known = {}
+        while True:
+            for name, (upstream, _) in self.upstreams.items():
+                if known.get(name) != upstream.version:
+                    known[name] = upstream.version
+                    if name not in self.records.left:
+                        self._write_upstream(name)
+            await asyncio.sleep(0.1)
+
+    # Faults.
+
+    async def _harm(self, until):
+        """Let faults come in series that overlap."""
+        faults = [
+            self._harm_link,
+            self._harm_upstream,
+            self._harm_store,
+            self._freeze,
+            self._kill,
+            self._stop,
+            self._name_version,
+            self._remove_key,
+            self._change,
+        ]
+        running = []
+        while self.clock() < until:
+            fault = self.random.choice(faults)
+            length_s = self.random.uniform(0.2, FAULT_S)
+            running.append(asyncio.ensure_future(fault(length_s)))
+            await asyncio.sleep(self.random.uniform(0.0, PAUSE_S))
+        await asyncio.gather(*running)
+
+    async def _harm_link(self, length_s):
+        proxy = self.random.choice(self.proxies)
+        proxy.fault = self.random.choice(_proxy.FAULTS)
+        since = self.clock()
+        await asyncio.sleep(length_s)
+        proxy.fault = None
+        self._note_store_fault(since)
+
+    async def _harm_upstream(self, length_s):
+        upstream, _ = self.random.choice(list(self.upstreams.values()))
+        faults = ('reset', 'silent', 'full', 'lose')
+        upstream.fault = self.random.choice(faults)
+        await asyncio.sleep(length_s)
+        upstream.fault = None
+
+    async def _harm_store(self, length_s):
+        since = self.clock()
+        kind = self.random.choice(('refuse', 'silent', 'slow', 'compact'))
+        if kind == 'compact':
+            self.store.compact()
+        else:
+            self.store.fault = kind
+            await asyncio.sleep(length_s)
+            self.store.fault = None
+        self._note_store_fault(since)
+
+    def _note_store_fault(self, since):
+        """Note a time in which processes may have been out of touch."""
+        self.records.store_faults.append((since, self.clock() + 3.0))
+
+    async def _freeze(self, length_s):
+        process = self.random.choice(self.processes)
+        since = self.clock()
+        process.freeze()
+        await asyncio.sleep(length_s)
+        process.thaw()
+        self._note_store_fault(since)
+
+    async def _kill(self, length_s):
+        process = self.random.choice(self.processes)
+        since = self.clock()
+        process.send(signal.SIGKILL)
+        await asyncio.sleep(length_s / 4)
+        await asyncio.to_thread(process.popen.wait)
+        process.start()
+        self._note_store_fault(since)
+
+    async def _stop(self, length_s):
+        process = self.random.choice(self.processes)
+        since = self.clock()
+        process.send(signal.SIGHUP)
+        process.send(signal.SIGTERM)
+        if process.frozen:
+            process.thaw()
+        await asyncio.to_thread(process.popen.wait)
+        process.start()
+        self._note_store_fault(since)
+
+    async def _name_version(self, length_s):
+        self.version += 1
+        self.store.put(
+            f'op/version/{_platform.MODEL}',
+            {'model': _platform.MODEL, 'version': self.version},
+        )
+        self.records.named.append((self.version, self.clock()))
+
+    async def _remove_key(self, length_s):
+        if len(self.keys) > 1:
+            key = self.keys.pop()
+            self._configure()
+            self.records.revoked[key] = self.clock()
+
+    async def _change(self, length_s):
+        self._configure()
+
+
+def _route(name, service, kind, tries):
+    return {
+        'name': name,
+        'host': _callers.HOST,
+        'path_prefix': f'/{name}/',
+        'route_kind': kind,
+        'timeout_ms': 6000,
+        'goal_ms': 500,
+        'service': service,
+        'max_attempts': tries,
+        'resumable': kind == 'streaming',
+    }
+
+
+async def _is_ready(pool):
+    try:
+        head, _ = await http1.exchange(pool, 'GET', '/', timeout_s=0.5)
+    except Exception:
+        return False
+    return head.status == 200
