--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # These give the same figures on every run.
 DETERMINISTIC = bench_limits bench_retries bench_routing
 
-.PHONY: help setup demo test lint format bench bounds mutants fuzz binary
+.PHONY: help setup demo test lint format bench bounds mutants fuzz binary soak
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | \
@@ -43,5 +43,14 @@
 fuzz: setup ## Fuzz the readers of what comes over a socket for longer
 	FUZZ_EXAMPLES=3000 $(PY) -m pytest catkinshunt/tests/test_fuzz.py
 
+SEED ?= 1
+SEEDS ?= 5
+DURATION_S ?= 20
+SIDECARS ?= 4
+
+soak: setup ## Run the platform's programs under faults, seed by seed
+	$(PY) -m standins.soak --seed=$(SEED) --seeds=$(SEEDS) \
+	  --duration_s=$(DURATION_S) --sidecars=$(SIDECARS)
+
 mutants: setup ## Remove each guard of docs/proofs.md and show its proof fail
 	$(PY) -m benchmarks.mutants
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -95,7 +95,9 @@
             await self._add_process(f'side-{number}', 'sidecar', host)
         for number in range(entries):
             await self._add_process(f'edge-{number}', 'entry', self._host())
-        self.fronts = [p.place for p in self.proxies if p.name.startswith('ed')]
+        self.fronts = [
+            p.place for p in self.proxies if p.name.startswith('ed')
+        ]
         await self._until_ready()
 
     async def _add_upstream(self, name, service, version, port):
