--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -24,6 +24,8 @@
 #: Most seconds between two faults, and most that one lasts.
 PAUSE_S, FAULT_S = 1.0, 2.5
 
+_RUNS = itertools.count()
+
 
 class Soak:
     """One seeded run.
@@ -47,8 +49,8 @@
         self.keys = ['k0', 'k1', 'k2', 'k3']
         self.version, self.revision = 1, 1
         # Ports are the same on all instances, so each gets an address of
-        # its own; the process id keeps two runs apart.
-        self._net = f'127.{16 + os.getpid() % 200}'
+        # its own; process id and count keep runs apart.
+        self._net = f'127.{16 + (os.getpid() + next(_RUNS)) % 200}'
         self._hosts = itertools.count(1)
 
     async def run(self, duration_s):
