Let the soak wait for the process that it signalled

Also: members go back to the owners while the origin is down, instead of all asking it when it is back; the test fails before.

--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -91,8 +91,12 @@
         usable = self._usable(self.plan.sources(index))
         source = next((s for s in usable if s not in tried), None)
         if source is None:
+            # Begin again with the best one. While the origin is down all
+            # wait for the owners; if each turned to the origin instead, it
+            # would send ten copies when it is back, 4 s for what the owners
+            # need half a second for.
             tried.clear()
-            source = _plan.ORIGIN
+            source = (usable or self.plan.sources(index))[0]
         asked = self._asked.setdefault(source, [])
         asked.append(index)
         if len(asked) == 1:
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -182,6 +182,36 @@
     assert not found.origin.given
 
 
+def test_members_wait_for_the_owners_while_the_origin_is_down(monkeypatch):
+    """The origin goes down in the middle of a transfer.
+
+    Owners lack some chunks, and all others wait for them. When it is back,
+    the owners must get them first: asked by every member for the same
+    chunks, it would take seconds to answer any of them.
+    """
+    monkeypatch.setattr(_fetcher, 'RETRY_S', 0.01)
+
+    async def main():
+        held = {2: [0, 1, 2]}
+        found = Transfer(fakes.FakePeers(a1=held), listed('a1'))
+        monkeypatch.setattr(
+            spread.Plan, 'sources', lambda self, index: ['a1', 'origin']
+        )
+        await found.fetcher.fetch_manifest()
+        found.origin.down = True
+        running = asyncio.ensure_future(found.fetcher.run())
+        await asyncio.sleep(0.3)
+        found.origin.down = False
+        held[2] = range(fakes.CHUNKS)
+        async with asyncio.timeout(5):
+            await running
+        return found
+
+    found = asyncio.run(main())
+    assert found.holding.is_whole
+    assert not found.origin.given
+
+
 def test_a_slow_origin_is_not_asked_by_all():
     """The origin is slow, so an owner has nothing for some seconds.
 
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -288,20 +288,23 @@
     async def _kill(self, length_s):
         process = self.random.choice(self.processes)
         since = self.clock()
+        # Faults overlap: another one may start the process again meanwhile.
+        popen = process.popen
         process.send(signal.SIGKILL)
         await asyncio.sleep(length_s / 4)
-        await asyncio.to_thread(process.popen.wait)
+        await asyncio.to_thread(popen.wait)
         process.start()
         self._note_store_fault(since)
 
     async def _stop(self, length_s):
         process = self.random.choice(self.processes)
         since = self.clock()
+        popen = process.popen
         process.send(signal.SIGHUP)
         process.send(signal.SIGTERM)
         if process.frozen:
             process.thaw()
-        await asyncio.to_thread(process.popen.wait)
+        await asyncio.to_thread(popen.wait)
         process.start()
         self._note_store_fault(since)
 
