Let sidecars read the configuration only for the origin

Cause: at a cold start all sidecars read the whole configuration at once; with 1,480 more routes that fills the links between regions for seconds, and entries wait for it. Only the members that ask the origin (15 at most) need a thing of it, its address; models and versions are in the names of versions and in runners' entries, sizes in the manifest.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -110,6 +110,10 @@
         self._announce()
         return True
 
+    def named_models(self):
+        """Return the models of which a version was named."""
+        return list(self._versions)
+
     def newest_version(self, model):
         """Return the newest `NamedVersion` of a model, or None."""
         known = self._versions.get(model)
--- a/catkinshunt/platform/_engine.py
+++ b/catkinshunt/platform/_engine.py
@@ -121,7 +121,8 @@
     """The origin of weights.
 
     Args:
-        locate: returns the `catalog.Origin` in force, or None.
+        locate: coroutine function that returns the `catalog.Origin` in
+            force, or None.
         clock: gives seconds on the steady clock.
     """
 
@@ -151,7 +152,7 @@
 
     async def _get(self, path, query):
         status, body = await _call(
-            self._take_pool(), 'GET', path, query, timeout_s=ORIGIN_S
+            await self._take_pool(), 'GET', path, query, timeout_s=ORIGIN_S
         )
         if status != 200:
             raise errors.TransferError(
@@ -159,8 +160,11 @@
             )
         return body
 
-    def _take_pool(self):
-        origin = self.locate()
+    async def _take_pool(self):
+        try:
+            origin = await self.locate()
+        except errors.StoreError as exc:
+            raise errors.TransferError(exc.message, step='origin') from exc
         if origin is None:
             raise errors.TransferError('no origin is known', step='origin')
         host, port = origin.address
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -11,21 +11,15 @@
 #: Seconds that a watch for new versions waits. A sidecar needs no proof that
 #: what it knows is the newest, so it waits long; each watch is a priced call.
 WATCH_S = 10.0
-#: Keys that the operator writes.
-OPERATOR_PREFIX = 'op/'
 #: Pause after a call that failed, in seconds.
 PAUSE_S = 0.4
 #: Seconds for which the list of members is used again.
 MEMBERS_S = 1.5
-#: Share of the origin's connections that is used. After a loss of power the
-#: origin still counts the connections of before, and a third is for members
-#: that turn to it after others failed. With a half in use and kept open, 45
-#: members were reset for 15 s after a loss of power, and nobody was served.
-ORIGIN_SHARE = 0.33
+#: Speed that is assumed of an origin that was not asked yet, in Mbit/s; the
+#: slowest of the users' deployments has 4.38.
+SLOWEST_ORIGIN_MBPS = 4.0
 BITS_PER_BYTE = 8
 BITS_PER_MBIT = 1e6
-#: Version that engines are at where the operator has named none.
-FIRST_VERSION = 1
 
 _log = logs.get_logger('store')
 
@@ -67,90 +61,90 @@
                 await asyncio.sleep(PAUSE_S)
 
     async def _follow(self):
-        if self._revision is None:
-            page = await self.client.read_prefix(OPERATOR_PREFIX)
+        first = self._revision is None
+        if first:
+            page = await self.client.read_prefix(_documents.VERSION_PREFIX)
         else:
             page = await self.client.watch(
-                self._prefix(), self._revision, WATCH_S
+                _documents.VERSION_PREFIX, self._revision, WATCH_S
             )
-        first = self._revision is None
         for item in page.items:
             self._apply(item, self.wall() - (self.due_s if first else 0))
         self._revision = page.revision
 
-    def _prefix(self):
-        """Return what is watched: versions, once the services are known.
-
-        One of 1,480 routes takes over two seconds on a shared link; several
-        would fill the narrow link of the instance, and none of them is used.
-        """
-        if self.catalog.declaration is None:
-            return OPERATOR_PREFIX
-        return _documents.VERSION_PREFIX
-
     def _apply(self, item, since):
         if item.value is None:
             return
         try:
-            if item.key == _documents.CONFIGURATION_KEY:
-                self.catalog.declare(_documents.read_declaration(item.value))
-            elif item.key.startswith(_documents.VERSION_PREFIX):
-                model, version = _documents.read_version(item.value)
-                self.catalog.name_version(model, version, since)
+            model, version = _documents.read_version(item.value)
         except _documents.UnreadableError as exc:
             _log.error('Left aside {}: {}.', item.key, exc)
+            return
+        self.catalog.name_version(model, version, since)
 
     def now(self):
         """See `spread.BaseOutlook.now`."""
         return self.wall()
 
-    def profile(self):
-        """See `spread.BaseOutlook.profile`."""
-        declaration = self.catalog.declaration
-        if declaration is None:
-            return None
-        service = declaration.services.get(self.cfg.service)
-        return service.engine if service else None
+    async def origin(self):
+        """Return the `catalog.Origin` in force, or None.
 
-    def origin(self):
-        """Return the `catalog.Origin` in force, or None."""
+        The configuration is read when the origin is asked first, so by few
+        members. One of 1,600 routes takes over two seconds where fifteen
+        processes read it over one link; after a loss of power all of them
+        would wait for it at once, and entries need it more.
+        """
+        if self.catalog.declaration is None:
+            page = await self.client.read_prefix(_documents.CONFIGURATION_KEY)
+            for item in page.items:
+                self._declare(item)
         declaration = self.catalog.declaration
         return declaration.origin if declaration else None
 
-    def most_owners(self):
-        """See `spread.BaseOutlook.most_owners`."""
-        origin = self.origin()
-        if origin is None:
-            return 1
-        return max(1, int(origin.max_connections * ORIGIN_SHARE))
+    def _declare(self, item):
+        if item.key != _documents.CONFIGURATION_KEY:
+            return
+        try:
+            self.catalog.declare(_documents.read_declaration(item.value))
+        except _documents.UnreadableError as exc:
+            _log.error('Left aside {}: {}.', item.key, exc)
 
-    def origin_copy_s(self):
+    def origin_copy_s(self, size):
         """See `spread.BaseOutlook.origin_copy_s`."""
-        origin, profile = self.origin(), self.profile()
-        if origin is None or profile is None:
-            return 0.0
-        size = profile.chunks * profile.chunk_bytes
-        return size * BITS_PER_BYTE / (origin.link_mbps * BITS_PER_MBIT)
+        declaration = self.catalog.declaration
+        origin = declaration.origin if declaration else None
+        mbps = origin.link_mbps if origin else SLOWEST_ORIGIN_MBPS
+        return size * BITS_PER_BYTE / (mbps * BITS_PER_MBIT)
 
     def hear_of(self, model, version):
         """See `spread.BaseOutlook.hear_of`."""
-        profile = self.profile()
-        if profile is not None and model in profile.models:
-            self.catalog.name_version(model, version, self.wall())
+        self.catalog.name_version(model, version, self.wall())
 
     async def wanted(self, report):
         """See `spread.BaseOutlook.wanted`."""
-        profile = self.profile()
-        if profile is None or not profile.models or not profile.chunks:
-            return None
-        model = profile.models[0]
-        named = self.catalog.newest_version(model)
-        if named is not None:
+        for model in self.catalog.named_models():
+            named = self.catalog.newest_version(model)
             due_at = named.since + self.due_s
             return spread.Wanted(model, named.version, due_at)
-        if report.versions.get(model):
+        if report.versions:
+            return None
+        return await self._served_by_others()
+
+    async def _served_by_others(self):
+        """Return the newest version that others serve, or None.
+
+        Where the operator has named none, an added engine gets what the
+        engines that were there from the begin hold.
+        """
+        served = [
+            (version, model)
+            for member in await self.members()
+            for model, version in member.versions.items()
+        ]
+        if not served:
             return None
-        return spread.Wanted(model, FIRST_VERSION, self.wall())
+        version, model = max(served)
+        return spread.Wanted(model, version, self.wall())
 
     async def wait_for_version(self):
         """See `spread.BaseOutlook.wait_for_version`."""
--- /dev/null
+++ b/catkinshunt/platform/tests/test_outlook.py
@@ -0,0 +1,112 @@
+import asyncio
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import platform
+from catkinshunt.platform import _outlook
+from catkinshunt.platform.tests import fakes
+from catkinshunt.platform.tests import test_documents as documents
+from catkinshunt.platform.tests import test_settings
+from catkinshunt import spread
+
+DUE_S = 8.0
+
+
+def run(main):
+    async def inside():
+        store = fakes.FakeStore()
+        store.put(
+            'op/config',
+            documents.configuration(
+                services=[
+                    {'name': 'origin', 'origin': '10.9.9.9:80', 'zone': 'a'}
+                ]
+            ),
+        )
+        cfg = platform.read_node_settings(
+            {**test_settings.DOCUMENT, 'service': 'engines'}
+        )
+        clock = asyncio.get_running_loop().time
+        outlook = _outlook.StoreOutlook(
+            cfg, store, catalogs.Catalog(), clock, DUE_S
+        )
+        task = asyncio.ensure_future(outlook.run())
+        try:
+            await fakes.until(lambda: 'read' in store.calls)
+            return await main(outlook, store)
+        finally:
+            task.cancel()
+
+    return asyncio.run(inside())
+
+
+def report(version=0):
+    return spread.EngineReport({'drafts': version} if version else {})
+
+
+def name(store, version):
+    store.put('op/version/drafts', {'model': 'drafts', 'version': version})
+
+
+def test_the_newest_named_version_is_wanted():
+    async def main(outlook, store):
+        name(store, 2)
+        await fakes.until(lambda: outlook.catalog.named_models())
+        return await outlook.wanted(report(1))
+
+    wanted = run(main)
+    assert (wanted.model, wanted.version) == ('drafts', 2)
+
+
+def test_an_added_engine_gets_what_the_others_serve():
+    """An engine is added before any version was named.
+
+    Nothing in the store says which version it should hold; the entries of
+    those that were there from the begin do.
+    """
+
+    async def main(outlook, store):
+        store.put('servers/i-1', documents.UPSTREAM)
+        return await outlook.wanted(report()), await outlook.wanted(report(1))
+
+    empty, serving = run(main)
+    assert (empty.model, empty.version) == ('drafts', 2)
+    assert serving is None
+
+
+def test_the_configuration_is_read_only_for_the_origin():
+    """After a loss of power all processes start at the same moment.
+
+    A large configuration read by each of them fills the links between
+    regions for seconds, while entries wait for it.
+    """
+
+    async def main(outlook, store):
+        store.put('servers/i-1', documents.UPSTREAM)
+        await outlook.wanted(report())
+        before = outlook.catalog.declaration
+        origin = await outlook.origin()
+        return before, origin
+
+    before, origin = run(main)
+    assert before is None
+    assert origin.address == ('10.9.9.9', 80)
+
+
+def test_a_version_named_while_it_runs_has_its_whole_time():
+    async def main(outlook, store):
+        name(store, 2)
+        await fakes.until(lambda: outlook.catalog.named_models())
+        since = outlook.due_after('drafts', 1) - outlook.now()
+        return since
+
+    assert run(main) > DUE_S - 1
+
+
+def test_leaving_engines_are_no_members():
+    async def main(outlook, store):
+        store.put('servers/i-1', documents.UPSTREAM)
+        leaving = {**documents.UPSTREAM, 'state': 'draining'}
+        store.put('servers/i-2', {**leaving, 'address': '10.1.0.10:8080'})
+        return await outlook.members()
+
+    assert [member.name for member in run(main)] == ['10.1.0.9']
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -30,6 +30,9 @@
 #: Seconds before the version is due at which the last group begins at the
 #: latest; from then on the engines with the older one get no requests.
 LAST_WAVE_LEAD_S = 0.75
+#: Seconds that an engine takes to load a version once it has ended its
+#: answers; 0.3 s on the users' deployments.
+LOAD_S = 0.3
 _MBIT = 1e6 / 8
 
 _log = logs.get_logger('agent')
@@ -201,18 +204,19 @@
 
     def _finishes_first(self, newer):
         older = self._fetching
+        holding = self._holding_of(older)
+        if holding.manifest is None:
+            return False
         now = self.outlook.now()
-        profile = self.outlook.profile()
         return _plan.finish_older_first(
-            self._holding_of(older).left_share,
-            self._copy_s(profile),
-            profile.load_s,
+            holding.left_share,
+            self._copy_s(holding.manifest.size_bytes),
+            LOAD_S,
             older.due_at - now,
             newer.due_at - now,
         )
 
-    def _copy_s(self, profile):
-        size = profile.chunks * profile.chunk_bytes
+    def _copy_s(self, size):
         return size / (self.link_mbps * _MBIT) * COPY_OVERHEAD
 
     async def _run_transfer(self, wanted):
@@ -256,8 +260,6 @@
             self.outlook.regions,
             model,
             version,
-            self.outlook.profile().chunks,
-            self.outlook.most_owners(),
         )
 
     def _fetcher(self, holding, plan):
@@ -273,8 +275,8 @@
             self.clock,
             keep,
             self.counter,
-            self._copy_s(self.outlook.profile()),
-            self.outlook.origin_copy_s(),
+            self._copy_s,
+            self.outlook.origin_copy_s,
         )
 
     # Giving to peers what the engine has.
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -47,13 +47,14 @@
         clock: gives seconds on the steady clock.
         keep: coroutine function of (index, data) that stages a chunk.
         counter: counts bytes by source.
-        copy_s: seconds that a whole copy takes.
-        origin_copy_s: seconds in which the origin can give one copy.
+        copy_s: function of the bytes of a copy that returns the seconds
+            which it takes.
+        origin_copy_s: the same for the origin.
     """
 
     def __init__(
         self, holding, plan, peers, origin, clock, keep, counter,
-        copy_s=math.inf, origin_copy_s=0.0,
+        copy_s=lambda size: math.inf, origin_copy_s=lambda size: 0.0,
     ):  # fmt: skip
         self.holding = holding
         self.plan = plan
@@ -63,7 +64,9 @@
         self.keep = keep
         self.counter = counter
         self.copy_s = copy_s
-        self.patience = LEAST_PATIENCE + round(origin_copy_s * PATIENCE_PER_S)
+        self.origin_copy_s = origin_copy_s
+        self._copy_s = math.inf
+        self._patience = LEAST_PATIENCE
         self._blamed = {}
         self._corrupt_in_row = 0
         self._asked = {}
@@ -81,10 +84,19 @@
                 was dropped with what it had let in.
         """
         self._began = self.clock()
+        self._judge_by(self.holding.manifest)
         async with asyncio.TaskGroup() as self._group:
             for index in self.holding.missing:
                 self._assign(index)
 
+    def _judge_by(self, manifest):
+        """Take over what the manifest says of the size of a copy."""
+        size = manifest.size_bytes
+        self.plan.describe(len(manifest.chunks))
+        self._copy_s = self.copy_s(size)
+        patience = self.origin_copy_s(size) * PATIENCE_PER_S
+        self._patience = LEAST_PATIENCE + round(patience)
+
     def _assign(self, index):
         """Give a chunk to the worker of its best source."""
         tried = self._tried.setdefault(index, set())
@@ -125,7 +137,7 @@
                     await self._hand_over(source, asked, kept=1)
                 continue
             strikes += 1
-            if strikes >= self.patience or self._is_blamed(source):
+            if strikes >= self._patience or self._is_blamed(source):
                 await self._hand_over(source, asked)
 
     def _end_s(self, source):
@@ -146,7 +158,7 @@
         that wait for its share would be late with it. Where all are equally
         slow, the own link is the cause and other sources would not help.
         """
-        if self.clock() - self._began < JUDGE_AFTER * self.copy_s:
+        if self.clock() - self._began < JUDGE_AFTER * self._copy_s:
             return False
         if len(self._asked[source]) < 2 or source == _plan.ORIGIN:
             return False
@@ -155,8 +167,8 @@
             return False
         usual_s = others[len(others) // 2]
         return (
-            self._end_s(source) > SLOW_END * self.copy_s
-            and usual_s < USUAL_END * self.copy_s
+            self._end_s(source) > SLOW_END * self._copy_s
+            and usual_s < USUAL_END * self._copy_s
         )
 
     async def _hand_over(self, source, asked, kept=0):
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -20,6 +20,12 @@
 
 #: Name of the origin among the sources.
 ORIGIN = 'origin'
+#: Members that take chunks from the origin, which accepts 48 connections on
+#: the users' deployments. After a loss of power it still counts those of
+#: before, and a third is for members that turn to it after others failed.
+#: With 24 and kept open, 45 members were reset for 15 s after a loss of
+#: power, and nobody was served.
+MOST_OWNERS = 15
 #: Owners that are asked for the manifest before the origin.
 MOST_ASKED = 3
 
@@ -48,9 +54,7 @@
         regions: region by data centre.
         model: name of the model.
         version: its version.
-        chunks: number of chunks.
-        most_owners: members that may take chunks from the origin, which
-            accepts a bounded number of connections.
+        chunks: number of chunks; 0 until the manifest is known.
 
     Examples:
         >>> here = [Member(name, 'larisa-a') for name in ('a', 'b', 'c')]
@@ -60,9 +64,7 @@
         1
     """
 
-    def __init__(
-        self, me, members, regions, model, version, chunks=0, most_owners=20
-    ):
+    def __init__(self, me, members, regions, model, version, chunks=0):
         self.me = me
         # An engine that started again can be listed twice for a while.
         named = {member.name: member for member in members}
@@ -71,9 +73,13 @@
         self.model = model
         self.version = version
         self.chunks = chunks
-        self.most_owners = most_owners
         self._ranked = {}
-        self._owners = self._rank('owners')[:most_owners]
+        self._owners = self._rank('owners')[:MOST_OWNERS]
+        self._receivers = None
+
+    def describe(self, chunks):
+        """Share out `chunks` chunks among the members."""
+        self.chunks = chunks
         self._receivers = None
 
     def sources(self, index):
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -109,16 +109,8 @@
         """Return the `Member` objects of the service as of now."""
 
     @abc.abstractmethod
-    def profile(self):
-        """Return the `catalog.EngineProfile` of the service."""
-
-    @abc.abstractmethod
-    def most_owners(self):
-        """Return how many members may ask the origin at once."""
-
-    @abc.abstractmethod
-    def origin_copy_s(self):
-        """Return the seconds in which the origin can give one copy."""
+    def origin_copy_s(self, size):
+        """Return the seconds in which the origin can give `size` bytes."""
 
     @abc.abstractmethod
     def hear_of(self, model, version):
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from catkinshunt import catalog
 from catkinshunt import errors
 from catkinshunt import spread
 from catkinshunt.spread import _agent
@@ -175,15 +174,7 @@
     async def members(self):
         return self.listed
 
-    def profile(self):
-        return catalog.EngineProfile(
-            models=[MODEL], chunks=CHUNKS, chunk_bytes=100, load_s=0.1
-        )
-
-    def most_owners(self):
-        return 20
-
-    def origin_copy_s(self):
+    def origin_copy_s(self, size):
         return 0.0
 
     def hear_of(self, model, version):
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -80,11 +80,11 @@
     listed = members({'a': 20, 'b': 20, 'c': 20})
     asking = set()
     for me in listed:
-        plan = spread.Plan(me, listed, REGIONS, 'drafts', 2, 96, 24)
+        plan = spread.Plan(me, listed, REGIONS, 'drafts', 2, 96)
         firsts = [plan.sources(index)[0] for index in range(96)]
         if spread.ORIGIN in [*firsts, plan.manifest_sources()[0]]:
             asking.add(me.name)
-    assert len(asking) == 24
+    assert len(asking) == 15
 
 
 def test_an_engine_that_is_listed_twice_counts_once():
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -152,7 +152,9 @@
     async def main():
         clock = asyncio.get_running_loop().time
         began = clock()
-        found = Transfer(peers, listed('a1', 'a2', a1=2, a2=2), copy_s=0.4)
+        found = Transfer(
+            peers, listed('a1', 'a2', a1=2, a2=2), copy_s=lambda size: 0.4
+        )
         await found.run()
         return found, clock() - began
 
@@ -176,7 +178,7 @@
     found = transfer(
         peers=SlowPeers(a1=EVERY, a2=EVERY),
         listed=listed('a1', 'a2', a1=2, a2=2),
-        copy_s=0.05,
+        copy_s=lambda size: 0.05,
     )
     assert found.holding.is_whole
     assert not found.origin.given
@@ -227,7 +229,9 @@
             return await super().chunk(peer, model, version, indices, relays)
 
     peers = LatePeers(a1=EVERY)
-    found = transfer(peers=peers, listed=listed('a1', a1=2), origin_copy_s=3.0)
+    found = transfer(
+        peers=peers, listed=listed('a1', a1=2), origin_copy_s=lambda size: 3.0
+    )
     assert found.holding.is_whole
     assert not found.origin.given
 
