--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -13,6 +13,9 @@
 #: Bytes that are written at once; at 3.65 Mbit/s they take 9 ms, so that an
 #: event of a stream on the same link waits no longer than that.
 SLICE_BYTES = 4096
+#: Seconds within which a connection must be made. The first packets wait
+#: behind all else on a link between regions, over 0.6 s after a cold start.
+CONNECT_S = 1.5
 #: Pause between looks whether a version has become known, in seconds.
 LOOK_S = 0.05
 #: Share of the link that chunks may take; the rest is for live answers.
@@ -214,7 +217,7 @@
         """
         pool = self._pools.get(peer)
         if pool is None:
-            pool = http1.Pool(peer, self.port, self.clock)
+            pool = http1.Pool(peer, self.port, self.clock, connect_s=CONNECT_S)
             self._pools[peer] = pool
         names = ','.join(map(str, indices[:MOST_NAMED]))
         target = f'/chunks/{model}/{version}/{names}'
