--- a/catkinshunt/cli/_check.py
+++ b/catkinshunt/cli/_check.py
@@ -4,7 +4,6 @@
 
 import catkinshunt
 from catkinshunt import errors
-from catkinshunt import platform
 from catkinshunt import settings
 
 _KINDS = {
@@ -28,7 +27,7 @@
     for path in paths:
         try:
             if path.endswith('.toml'):
-                kind = platform.check_file(path)
+                kind = _check_platform_file(path)
             else:
                 kind = _kind(path)
                 settings.load_settings(path, _KINDS[kind])
@@ -39,6 +38,22 @@
     return 2 if wrong else 0
 
 
+def _check_platform_file(path):
+    """Check a TOML file of the users' platform; return what it is for.
+
+    The programs of the platform need a compiled parser, which the one-file
+    build cannot carry.
+    """
+    try:
+        from catkinshunt import platform
+    except ImportError as exc:
+        raise errors.SettingsError(
+            f'{path}: cannot be checked without {exc.name}; run the command '
+            'from the installed sources'
+        ) from exc
+    return platform.check_file(path)
+
+
 def _kind(path):
     """Return what the file at `path` is for, judged by its fields."""
     document = settings.load_document(path)
--- a/catkinshunt/cli/tests/test_explain.py
+++ b/catkinshunt/cli/tests/test_operations.py
@@ -47,3 +47,18 @@
     assert 'no line names request a9' in capsys.readouterr().err
     assert _main.run(['explain', 'a9', str(tmp_path / 'none.log')]) == 2
     assert 'No such file' in capsys.readouterr().err
+
+
+def test_files_of_the_platform_are_checked(tmp_path, capsys):
+    good = write(
+        tmp_path / 'system.toml',
+        'build = "true"',
+        '[roles.a]',
+        'run = "x"',
+        'on = "edge"',
+    )
+    assert _main.run(['check-settings', good]) == 0
+    assert 'good settings, platform deployment' in capsys.readouterr().out
+    bad = write(tmp_path / 'node.toml', 'ip = 4')
+    assert _main.run(['check-settings', bad]) == 2
+    assert 'ip: got 4, allowed: a text' in capsys.readouterr().err
