--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -17,6 +17,7 @@
         self.down = False
         self.history_from = 0
         self.calls = []
+        self.sent = []
         self._changed = asyncio.Event()
 
     def put(self, key, document):
@@ -63,7 +64,9 @@
                     await changed.wait()
         except TimeoutError:
             pass
-        return platform.Page(tuple(self._since(prefix, after)), self.revision)
+        found = self._since(prefix, after)
+        self.sent += [item.key for item in found]
+        return platform.Page(tuple(found), self.revision)
 
     def _since(self, prefix, after):
         return [
