Ask each source by one worker only

Cause: when the patience with the only usable source ended, its chunks came back to it and one more worker asked for them; each then asked for every chunk, again and again more.

--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -70,6 +70,7 @@
         self._blamed = {}
         self._corrupt_in_row = 0
         self._asked = {}
+        self._working = set()
         self._given = collections.Counter()
         self._last_s = {}
         self._began = clock()
@@ -111,7 +112,8 @@
             source = (usable or self.plan.sources(index))[0]
         asked = self._asked.setdefault(source, [])
         asked.append(index)
-        if len(asked) == 1:
+        if source not in self._working:
+            self._working.add(source)
             self._group.create_task(self._work(source))
 
     async def _work(self, source):
@@ -120,6 +122,7 @@
         try:
             await self._ask_all(source, asked)
         finally:
+            self._working.discard(source)
             # The origin takes few connections; one that lies idle here
             # would be missing elsewhere.
             if source == _plan.ORIGIN:
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -193,9 +193,14 @@
     """
     monkeypatch.setattr(_fetcher, 'RETRY_S', 0.01)
 
+    class PatientPeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            await asyncio.sleep(0.01)
+            return await super().chunk(peer, model, version, indices, relays)
+
     async def main():
         held = {2: [0, 1, 2]}
-        found = Transfer(fakes.FakePeers(a1=held), listed('a1'))
+        found = Transfer(PatientPeers(a1=held), listed('a1'))
         monkeypatch.setattr(
             spread.Plan, 'sources', lambda self, index: ['a1', 'origin']
         )
@@ -204,6 +209,7 @@
         running = asyncio.ensure_future(found.fetcher.run())
         await asyncio.sleep(0.3)
         found.origin.down = False
+        await asyncio.sleep(0.3)
         held[2] = range(fakes.CHUNKS)
         async with asyncio.timeout(5):
             await running
@@ -236,6 +242,36 @@
     assert not found.origin.given
 
 
+def test_a_source_is_asked_by_one_worker_only():
+    """The only source has nothing for a while.
+
+    Its chunks come back to it each time its patience ends. If each time one
+    more worker asked for them, every chunk would come several times.
+    """
+    asking = []
+
+    class EmptyPeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            asking.append(1)
+            most.append(len(asking))
+            try:
+                await asyncio.sleep(0.005)
+                if len(most) < 40:
+                    raise errors.SourceBusyError('not there yet', peer=peer)
+                return await super().chunk(peer, model, version, indices)
+            finally:
+                asking.pop()
+
+    most = []
+
+    def prepare(found):
+        found.fetcher.plan.sources = lambda index: ['a1']
+
+    found = transfer(prepare, peers=EmptyPeers(a1=EVERY), listed=listed('a1'))
+    assert found.holding.is_whole
+    assert max(most) == 1
+
+
 def test_a_damaged_manifest_is_dropped():
     """The manifest itself is damaged on its way, so no chunk ever fits.
 
