--- /dev/null
+++ b/catkinshunt/gateway/tests/dialect.py
@@ -0,0 +1,56 @@
+"""A dialect of the tests' own."""
+
+from catkinshunt import dispatch
+from catkinshunt import errors
+from catkinshunt.gateway import base
+
+_OWN = frozenset(
+    ['left-ms', 'api-key', 'account', 'upstream', 'rank', 'last-event-id']
+)
+
+
+class PlainDialect(base.BaseDialect):
+    """Headers with plain names."""
+
+    def read_ask(self, req):
+        headers = req.headers
+        left_ms = headers.get('Left-Ms')
+        if left_ms is not None and not left_ms.isdigit():
+            raise errors.InvalidRequestError('Left-Ms is no number')
+        tokens_in, tokens_out = headers.get('Tokens', '0,0').split(',')
+        return base.Ask(
+            id=headers.get('Request-Id', ''),
+            host=headers.get('Host', ''),
+            path=req.path,
+            method=req.method,
+            deadline_s=None if left_ms is None else int(left_ms) / 1000,
+            api_key=headers.get('Api-Key', ''),
+            model=headers.get('Model', ''),
+            tokens_in=int(tokens_in),
+            tokens_out=int(tokens_out),
+            last_event_id=headers.get('Last-Event-Id', ''),
+        )
+
+    def upstream_headers(self, req, ask, forward):
+        items = req.headers.end_to_end(without=_OWN)
+        items.append(('Left-Ms', str(int(forward.left_s * 1000))))
+        items.append(('Upstream', forward.upstream_id))
+        items.append(('Account', forward.account))
+        items.append(('Last-Event-Id', forward.last_event_id))
+        if forward.priority is not None:
+            items.append(('Rank', str(forward.priority)))
+        return items
+
+    def read_reply(self, head):
+        headers = head.headers
+        load = headers.get('Load')
+        return base.ReplyNote(
+            request_id=headers.get('Request-Id', ''),
+            not_run=headers.get('Not-Run') is not None,
+            misdirected=head.status == 421,
+            load=dispatch.Load(*map(int, load.split(','))) if load else None,
+            leaving='close' in (headers.get('Connection') or '').lower(),
+        )
+
+    def reply_headers(self, ask):
+        return [('Request-Id', ask.id)] if ask is not None else []
--- a/catkinshunt/gateway/tests/scene.py
+++ b/catkinshunt/gateway/tests/scene.py
@@ -7,8 +7,8 @@
 from catkinshunt import catalog as catalogs
 from catkinshunt import dispatch
 from catkinshunt import gateway
+from catkinshunt.gateway.tests import dialect
 from catkinshunt import http1
-from catkinshunt import platform
 from catkinshunt import rules
 
 HOST = 'shop.example'
@@ -89,8 +89,8 @@
 def reply(head, status=200, body=b'done', items=()):
     """Return the bytes of an upstream's own reply."""
     items = [
-        ('Attempt-Id', field(head, 'Attempt-Id')),
-        ('Server-Stamp', 'stamp'),
+        ('Request-Id', field(head, 'Request-Id')),
+        ('Stamp', 'stamp'),
         *items,
     ]
     return http1.dump_reply(status, items, body)
@@ -107,7 +107,7 @@
 
 def refusing():
     """Return an answer that says that the request was not run."""
-    return answering(503, b'', [('Not-Executed', '1')])
+    return answering(503, b'', [('Not-Run', '1')])
 
 
 def event(number):
@@ -129,8 +129,8 @@
             http1.dump_head(
                 http1.status_line(200),
                 [
-                    ('Attempt-Id', field(head, 'Attempt-Id')),
-                    ('Server-Stamp', upstream.name),
+                    ('Request-Id', field(head, 'Request-Id')),
+                    ('Stamp', upstream.name),
                     ('Content-Type', 'text/event-stream'),
                     ('Transfer-Encoding', 'chunked'),
                 ],
@@ -206,7 +206,7 @@
     loop = asyncio.get_running_loop()
     context = gateway.Context(
         catalog=catalogs.Catalog(fresh_s=3.0),
-        dialect=platform.PlatformDialect(),
+        dialect=dialect.PlainDialect(),
         chooser=dispatch.Chooser('larisa-a', {}),
         clock=loop.time,
         wall=loop.time,
@@ -255,9 +255,9 @@
     """Send one request."""
     fields = {
         'Host': HOST,
-        'Attempt-Id': 'a1',
-        'Key': 'k1',
-        'Deadline-Ms': '5000',
+        'Request-Id': 'a1',
+        'Api-Key': 'k1',
+        'Left-Ms': '5000',
         **{name.replace('_', '-'): text for name, text in headers.items()},
     }
     items = [(name, text) for name, text in fields.items() if text]
--- a/catkinshunt/gateway/tests/test_exchange.py
+++ b/catkinshunt/gateway/tests/test_exchange.py
@@ -22,7 +22,7 @@
 
     (status, head, body), heads = run(main)
     assert (status, body) == (201, b'booked')
-    assert field(head, 'Server-Stamp') == 'stamp'
+    assert field(head, 'Stamp') == 'stamp'
     assert field(head, 'X-Own') == 'kept'
     assert len(heads) == 1
 
@@ -37,11 +37,11 @@
     async def main():
         upstream = scenes.FakeUpstream('u1', scenes.answering())
         async with scenes.scene(upstream) as scene:
-            await scene.ask('/read/1', Tenant='somebody-else')
+            await scene.ask('/read/1', Account='somebody-else')
         return upstream.heads[0]
 
     head = run(main)
-    assert field(head, 'Tenant') == 'workshop'
+    assert field(head, 'Account') == 'workshop'
     assert 'k1' not in head
     assert 'somebody-else' not in head
 
@@ -52,9 +52,9 @@
     async def main():
         upstream = scenes.FakeUpstream('u1', scenes.answering())
         async with scenes.scene(upstream) as scene:
-            await scene.ask('/book/1', Deadline_Ms='700')
-            await scene.ask('/book/1', Deadline_Ms='60000')
-        return [int(field(h, 'Deadline-Ms')) for h in upstream.heads]
+            await scene.ask('/book/1', Left_Ms='700')
+            await scene.ask('/book/1', Left_Ms='60000')
+        return [int(field(h, 'Left-Ms')) for h in upstream.heads]
 
     short, long = run(main)
     assert 600 <= short <= 700
@@ -75,7 +75,7 @@
     async def main():
         upstream = scenes.FakeUpstream('u1', scenes.answering())
         async with scenes.scene(upstream) as scene:
-            found = await scene.ask(path, Key=key)
+            found = await scene.ask(path, Api_Key=key)
             return found[0], len(upstream.heads)
 
     assert run(main) == (status, 1 if status == 200 else 0)
@@ -98,7 +98,7 @@
             return (
                 ready,
                 await scene.ask('/read/1'),
-                await scene.ask('/open/1', Key=''),
+                await scene.ask('/open/1', Api_Key=''),
             )
 
     ready, (status, head, _), public = run(main)
@@ -195,7 +195,7 @@
     status, head, _ = run(main)
     assert status == 502
     assert not field(head, 'Retry-After')
-    assert not field(head, 'Server-Stamp')
+    assert not field(head, 'Stamp')
 
 
 def test_a_refusal_after_a_try_that_may_have_run_does_not_promise():
@@ -244,7 +244,7 @@
     """
 
     async def answer(head, writer, upstream):
-        other = head.replace('Attempt-Id: a1', 'Attempt-Id: a0')
+        other = head.replace('Request-Id: a1', 'Request-Id: a0')
         writer.write(scenes.reply(other, body=b'not yours'))
         writer.write(scenes.reply(head, body=b'yours'))
 
@@ -288,7 +288,7 @@
         async with scenes.scene(upstream) as scene:
             clock = asyncio.get_running_loop().time
             began = clock()
-            found = await scene.ask('/book/1', Deadline_Ms='300')
+            found = await scene.ask('/book/1', Left_Ms='300')
             return found[0], clock() - began
 
     status, took_s = run(main)
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -4,7 +4,7 @@
 from catkinshunt.gateway import _events
 from catkinshunt.gateway.tests import scene as scenes
 
-CHAT = {'Model': scenes.MODEL, 'Token_Counts': '100,20'}
+CHAT = {'Model': scenes.MODEL, 'Tokens': '100,20'}
 
 
 def run(main):
@@ -51,7 +51,7 @@
 
     (_, head, body), heads = run(main)
     assert body == whole(6)
-    assert scenes.field(head, 'Server-Stamp') == 'u1'
+    assert scenes.field(head, 'Stamp') == 'u1'
     assert scenes.field(heads[0], 'Last-Event-Id') == '3'
 
 
@@ -257,12 +257,9 @@
     async def main():
         upstream = engine('u1', scenes.streaming(1))
         async with scenes.scene(upstream) as scene:
-            await chat(scene, Deadline_Ms='6000')
-            await chat(scene, Deadline_Ms='4000')
-            return [
-                int(scenes.field(head, 'Request-Priority'))
-                for head in upstream.heads
-            ]
+            await chat(scene, Left_Ms='6000')
+            await chat(scene, Left_Ms='4000')
+            return [int(scenes.field(head, 'Rank')) for head in upstream.heads]
 
     fresh, again = run(main)
     assert fresh < again
