--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -50,7 +50,8 @@
         self.version, self.revision = 1, 1
         # Ports are the same on all instances, so each gets an address of
         # its own; process id and count keep runs apart.
-        self._net = f'127.{16 + (os.getpid() + next(_RUNS)) % 200}'
+        network = 16 + os.getpid() % 200
+        self._net = f'127.{network}.{next(_RUNS) % 250}'
         self._hosts = itertools.count(1)
 
     async def run(self, duration_s):
@@ -73,8 +74,7 @@
     # Start.
 
     def _host(self):
-        number = next(self._hosts)
-        return f'{self._net}.{number // 200}.{number % 200 + 1}'
+        return f'{self._net}.{next(self._hosts)}'
 
     async def _start(self):
         entries, sidecars, _ = self.sizes
