--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -308,7 +308,7 @@
             if whole:
                 pool.give_back(conn)
             else:
-                conn.close()
+                conn.reset()
 
     def _request_bytes(self, upstream, job):
         left_s = self.end_at - self.context.clock()
--- a/catkinshunt/gateway/tests/scene.py
+++ b/catkinshunt/gateway/tests/scene.py
@@ -30,6 +30,7 @@
         self.versions = versions
         self.heads = []
         self.closed = asyncio.Event()
+        self.was_reset = False
         self.port = None
         self._server = None
 
@@ -68,6 +69,7 @@
                 )
                 if gone.done():
                     work.cancel()
+                    self.was_reset = gone.exception() is not None
                     self.closed.set()
                     return
                 gone.cancel()
--- a/catkinshunt/gateway/tests/test_exchange.py
+++ b/catkinshunt/gateway/tests/test_exchange.py
@@ -258,7 +258,9 @@
 def test_a_caller_that_leaves_ends_the_work_at_the_upstream():
     """A caller gives up before its answer has come.
 
-    The upstream would go on for nobody; its connection is closed at once.
+    The upstream would go on for nobody; its connection is closed at once,
+    and by a reset: a request that is still on its way, such as to an instance
+    that stands still, is dropped then and not run when it wakes.
     """
 
     async def slow(head, writer, upstream):
@@ -273,8 +275,9 @@
                 await asyncio.sleep(0.01)
             writer.close()
             await asyncio.wait_for(upstream.closed.wait(), 2)
+        return upstream.was_reset
 
-    run(main)
+    assert run(main)
 
 
 def test_a_request_gets_its_final_answer_when_its_time_is_over():
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import socket
+import struct
 
 import attrs
 import httptools
@@ -10,6 +12,9 @@
 
 #: Bytes read ahead of the task that relays a reply.
 READ_AHEAD_BYTES = 256 * 1024
+#: Value of the option to linger with which closing a socket resets it: on,
+#: for no time.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class ConnectionBrokenError(Exception):
@@ -190,6 +195,20 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self):
+        """Close at once, so that what is still on its way is dropped.
+
+        Bytes sent to an instance that stands still, or behind a cut, arrive
+        when it is over, though the caller has long left; after an orderly
+        close the upstream would work on them for nobody.
+        """
+        sock = self.transport.get_extra_info('socket')
+        if sock is not None and not self.transport.is_closing():
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.close()
+
     def _put(self, part):
         self._parts.append(part)
         self._arrived.set()
