Share retries by the number of entries that are alive

Cause: each entry kept a twentieth of the retries allowed beyond the ratio, since it did not know how many entries there are. With two engines in five standing still five retries an entry were soon spent, callers left without an answer, and runs went on for nobody.

Each entry now keeps a key in the store under a lease, all entries see each other through the watch that they keep anyway, and each takes the burst over the largest number seen within a minute (four at least, for one that has just started). Ruled out: a smaller fixed number, which is wrong for 16 entries; counting entries at the sidecars, which only see those that send.

The known red test of streams asked for twelve retries of an entry that has five, a figure that no longer exists; it now asks for all sixteen requests of an engine with the share that an entry of four has.

--- a/catkinshunt/catalog/__init__.py
+++ b/catkinshunt/catalog/__init__.py
@@ -9,6 +9,7 @@
 from catkinshunt.catalog._model import Service
 from catkinshunt.catalog._model import Share
 from catkinshunt.catalog._model import Upstream
+from catkinshunt.catalog._roster import Roster
 
 __all__ = [
     'Catalog',
@@ -16,6 +17,7 @@
     'EngineProfile',
     'NamedVersion',
     'Origin',
+    'Roster',
     'Serve',
     'Service',
     'Share',
--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -80,6 +80,12 @@
             for service, budget in self._budgets.items()
         }
 
+    def limit_retries(self, burst):
+        """Allow `burst` retries beyond the share of the requests."""
+        self.retry_burst = burst
+        for budget in self._budgets.values():
+            budget.burst = burst
+
     def budget(self, service):
         """Return the `retries.Budget` of a service."""
         found = self._budgets.get(service)
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -3,6 +3,7 @@
 from catkinshunt import catalog as catalogs
 from catkinshunt.gateway import _events
 from catkinshunt.gateway.tests import scene as scenes
+from catkinshunt import retries
 
 CHAT = {'Model': scenes.MODEL, 'Tokens': '100,20'}
 
@@ -74,13 +75,14 @@
 
 
 def test_all_streams_of_an_engine_that_stands_still_move():
-    """An engine stands still with twelve requests, and others have room.
+    """An engine stands still with sixteen requests, and others have room.
 
-    Each entry keeps five retries beyond a share of its requests, since it
-    does not know how many entries there are. With these spent, the other
-    callers wait until they give up, and the engine works on their requests
-    when it wakes, for nobody.
+    With the retries of an entry spent, the other callers wait until they
+    give up, and the engine works on their requests when it wakes, for
+    nobody. An entry of four that share 80 retries has enough for all that
+    run on an engine.
     """
+    burst = retries.BurstShare(burst=80.0).choose(now=0.0)
 
     async def still(head, writer, upstream):
         await asyncio.sleep(60)
@@ -88,16 +90,16 @@
     async def main():
         dark = engine('u1', still)
         other = engine('u2', scenes.streaming(2))
-        async with scenes.scene(dark, other, retry_burst=5.0) as scene:
+        async with scenes.scene(dark, other, retry_burst=burst) as scene:
             tracker = scene.context.tracker
             tracker.state(other.entry()).rest(scene.context.clock(), 0.3)
             asked = [
                 chat(scene, Request_Id=f'a{n}', Left_Ms='3000')
-                for n in range(12)
+                for n in range(16)
             ]
             return [reply[0] for reply in await asyncio.gather(*asked)]
 
-    assert run(main) == [200] * 12
+    assert run(main) == [200] * 16
 
 
 def test_a_silent_engine_is_waited_for_when_no_retry_is_left():
--- a/catkinshunt/platform/__init__.py
+++ b/catkinshunt/platform/__init__.py
@@ -6,18 +6,22 @@
 from catkinshunt.platform._documents import read_upstream
 from catkinshunt.platform._documents import read_version
 from catkinshunt.platform._documents import UnreadableError
+from catkinshunt.platform._membership import Membership
 from catkinshunt.platform._mirror import Mirror
 from catkinshunt.platform._settings import load_node_settings
 from catkinshunt.platform._settings import NodeSettings
 from catkinshunt.platform._settings import read_node_settings
 from catkinshunt.platform._store import HistoryGoneError
 from catkinshunt.platform._store import Item
+from catkinshunt.platform._store import LeaseGoneError
 from catkinshunt.platform._store import Page
 from catkinshunt.platform._store import StoreClient
 
 __all__ = [
     'HistoryGoneError',
     'Item',
+    'LeaseGoneError',
+    'Membership',
     'Mirror',
     'NodeSettings',
     'Page',
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -1,10 +1,9 @@
 """Decodes what the operator and the upstreams write to the store."""
 
-import json
-
 import attrs
 
 from catkinshunt import catalog
+from catkinshunt import checks
 from catkinshunt import http1
 from catkinshunt.platform import _settings
 from catkinshunt import rules
@@ -13,6 +12,8 @@
 CONFIGURATION_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
 UPSTREAM_PREFIX = 'servers/'
+#: Keys of our own: one for each entry that is alive.
+ENTRY_PREFIX = 'catkinshunt/entries/'
 _STATES = ('ready', 'draining')
 _MS = 1000.0
 
@@ -28,8 +29,8 @@
         UnreadableError: it is none.
     """
     try:
-        document = json.loads(value)
-    except (ValueError, RecursionError) as exc:
+        document = checks.load_json(value)
+    except ValueError as exc:
         raise UnreadableError('not JSON') from exc
     if not isinstance(document, dict):
         raise UnreadableError('not an object')
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -1,6 +1,7 @@
 """The entry as a process of the platform."""
 
 import asyncio
+import contextlib
 import random
 
 from catkinshunt import catalog as catalogs
@@ -11,9 +12,11 @@
 from catkinshunt import metrics
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _dialect
+from catkinshunt.platform import _membership
 from catkinshunt.platform import _mirror
 from catkinshunt.platform import _signals
 from catkinshunt.platform import _store
+from catkinshunt import retries
 
 #: Share of the time in which a key that was taken away may still be served
 #: for which word from the store counts as fresh. The rest covers the way of
@@ -22,9 +25,12 @@
 #: Share of the allowed retries that entries use, for windows that fall
 #: between two bursts.
 RETRY_SHARE = 0.7
-#: Entries that may share the retries beyond the ratio. The settings name no
-#: number; the largest deployment of the users has 16.
-RETRY_SHARERS = 20
+#: Share of the retries beyond the ratio that entries use, for one that has
+#: just started again with a full budget.
+BURST_SHARE = 0.8
+#: Seconds between two looks at the share of the retries, which grows when a
+#: larger number of entries is long past.
+SHARE_S = 10.0
 #: Seconds kept back from the time between the signal to stop and the kill, for
 #: ending what is left and the last log lines; with 0.4 s two processes of a
 #: day were killed in the middle of it.
@@ -60,13 +66,25 @@
         http1.answer_with(metrics_handler(registry)), _clocks.steady
     )
     await shown.start(cfg.ip, cfg.ports[0])
-    follow = asyncio.ensure_future(make_mirror(cfg, context, registry).run())
-    tidy = asyncio.ensure_future(_tidy(context))
+    client = make_store_client(cfg, registry)
+    roster = catalogs.Roster()
+    mirror = make_mirror(client, context, roster)
+    member = _membership.Membership(client, roster, cfg.name)
+    tasks = [
+        asyncio.ensure_future(work)
+        for work in (
+            mirror.run(),
+            member.run(),
+            _share_retries(cfg, context, roster),
+            _tidy(context),
+        )
+    ]
     _log.info('Started entry {}.', cfg.name, data_centre=cfg.data_centre)
     await stop.wait()
     await server.stop(cfg.bounds.grace_s - STOP_MARGIN_S)
-    follow.cancel()
-    tidy.cancel()
+    for task in tasks:
+        task.cancel()
+    await member.leave()
     _log.info('Ended entry {}.', cfg.name)
 
 
@@ -80,13 +98,30 @@
         clock=_clocks.steady,
         wall=_clocks.wall,
         retry_ratio=bounds.retry_ratio * RETRY_SHARE,
-        retry_burst=max(1.0, bounds.retry_slack / RETRY_SHARERS),
+        retry_burst=make_burst_share(cfg).choose(_clocks.steady()),
         random=random.Random(),
         metrics=gateway.GatewayMetrics(registry),
         version_grace_s=bounds.version_s - VERSION_MARGIN_S,
     )
 
 
+def make_burst_share(cfg):
+    """Return the `retries.BurstShare` of an entry with these settings."""
+    return retries.BurstShare(cfg.bounds.retry_slack * BURST_SHARE)
+
+
+async def _share_retries(cfg, context, roster):
+    """Bound the retries to what is left for one of the entries alive."""
+    share = make_burst_share(cfg)
+    while True:
+        now = _clocks.steady()
+        share.see(len(roster.names()), now)
+        context.limit_retries(share.choose(now))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SHARE_S):
+                await roster.wait_for_change()
+
+
 async def _tidy(context):
     """Drop what is kept of upstreams that are gone, now and then."""
     while True:
@@ -135,14 +170,18 @@
     return -1.0 if age_s is None else age_s
 
 
-def make_mirror(cfg, context, registry):
-    """Return the `Mirror` that feeds the catalog of `context`."""
+def make_store_client(cfg, registry):
+    """Return the `StoreClient` of an entry, whose calls are counted."""
     calls = registry.counter(
         'store_calls_total', 'Calls to the store.', ('kind', 'result')
     )
-    client = _store.StoreClient(cfg.store, _clocks.steady, calls)
+    return _store.StoreClient(cfg.store, _clocks.steady, calls)
+
+
+def make_mirror(client, context, roster):
+    """Return the `Mirror` that feeds the catalog of `context`."""
     return _mirror.Mirror(
-        client, context.catalog, _clocks.wall, context.random
+        client, context.catalog, roster, _clocks.wall, context.random
     )
 
 
--- /dev/null
+++ b/catkinshunt/platform/_membership.py
@@ -0,0 +1,72 @@
+"""Lists an entry in the store for as long as it lives."""
+
+import asyncio
+
+from catkinshunt import errors
+from catkinshunt import logs
+from catkinshunt.platform import _documents
+from catkinshunt.platform import _store
+
+#: Seconds after which an entry that no longer renews its lease is no longer
+#: listed. It is longer than a usual outage of the store, after which all
+#: entries would have to be listed again at once.
+LEASE_S = 15.0
+#: Seconds between two renewals; two may be lost.
+RENEW_S = 5.0
+#: Pause after a call that failed, in seconds.
+PAUSE_S = 1.0
+
+_log = logs.get_logger('membership')
+
+
+class Membership:
+    """Keeps the key of one entry, bound to a lease.
+
+    Args:
+        client: `StoreClient`.
+        roster: `catalog.Roster` that shows whether the key is there.
+        name: name of the instance.
+    """
+
+    def __init__(self, client, roster, name):
+        self.client = client
+        self.roster = roster
+        self.name = name
+        self._lease = None
+
+    async def run(self):
+        """Keep the entry listed until cancelled."""
+        lost = False
+        while True:
+            try:
+                await self._keep()
+                lost = False
+                await asyncio.sleep(RENEW_S)
+            except _store.LeaseGoneError:
+                self._lease = None
+            except errors.StoreError as exc:
+                if not lost:
+                    _log.warning('The lease was not renewed: {}.', exc)
+                lost = True
+                await asyncio.sleep(PAUSE_S)
+
+    async def _keep(self):
+        # A write whose answer was lost may arrive late and bind the key to
+        # an older lease. It vanishes with that one; the roster shows it.
+        if self._lease is not None and self.roster.has(self.name):
+            await self.client.renew_lease(self._lease)
+            return
+        lease = await self.client.grant_lease(LEASE_S)
+        key = _documents.ENTRY_PREFIX + self.name
+        await self.client.write(key, b'{}', lease)
+        self._lease = lease
+        _log.info('Listed as entry {}.', self.name, lease=lease)
+
+    async def leave(self):
+        """End the lease, so that others no longer count this entry."""
+        if self._lease is None:
+            return
+        try:
+            await self.client.end_lease(self._lease)
+        except errors.StoreError as exc:
+            _log.warning('The lease ends by itself: {}.', exc)
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -32,13 +32,15 @@
     Args:
         client: `StoreClient`.
         catalog: `catalog.Catalog` that is kept in step.
+        roster: `catalog.Roster` that is kept in step.
         wall: gives seconds on a clock that counts a suspend too.
         random: source of random numbers, for the pauses.
     """
 
-    def __init__(self, client, catalog, wall, random):
+    def __init__(self, client, catalog, roster, wall, random):
         self.client = client
         self.catalog = catalog
+        self.roster = roster
         self.wall = wall
         self.random = random
         self._revision = None
@@ -77,6 +79,7 @@
         first = self.catalog.declaration is None
         operator = await self.client.read_prefix('op/')
         listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
+        entries = await self.client.read_prefix(_documents.ENTRY_PREFIX)
         for item in operator.items:
             # How long a version has been named cannot be seen; a process
             # that has just started takes it as long ago.
@@ -86,6 +89,7 @@
             [upstream for upstream in upstreams if upstream is not None],
             self.wall(),
         )
+        self.roster.replace(map(_entry_name, entries.items))
         self._revisions = {item.key: item.revision for item in listed.items}
         self._revision = min(operator.revision, listed.revision)
         self.catalog.confirm(asked_at)
@@ -115,6 +119,8 @@
             self._apply_version(item, now)
         elif item.key.startswith(_documents.UPSTREAM_PREFIX):
             self._apply_upstream(item, now)
+        elif item.key.startswith(_documents.ENTRY_PREFIX):
+            self._apply_entry(item)
 
     def _apply_configuration(self, item):
         if item.value is None:
@@ -134,6 +140,12 @@
             return
         self.catalog.name_version(model, version, now)
 
+    def _apply_entry(self, item):
+        if item.value is None:
+            self.roster.drop(_entry_name(item))
+        else:
+            self.roster.put(_entry_name(item))
+
     def _apply_upstream(self, item, now):
         if item.revision <= self._revisions.get(item.key, 0):
             return
@@ -154,3 +166,7 @@
         except _documents.UnreadableError as exc:
             _log.warning('Left aside the entry {}: {}.', item.key, exc)
             return None
+
+
+def _entry_name(item):
+    return item.key.removeprefix(_documents.ENTRY_PREFIX)
--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from catkinshunt import checks
 from catkinshunt import errors
 from catkinshunt import http1
 
@@ -19,6 +20,10 @@
     """The store no longer has the changes after the revision asked for."""
 
 
+class LeaseGoneError(errors.StoreError):
+    """The lease has ended, and its keys are gone."""
+
+
 @attrs.frozen
 class Item:
     """A key of the store, or its deletion.
@@ -43,7 +48,7 @@
 
 
 class StoreClient:
-    """Reads and watches keys of the store.
+    """Reads, watches and writes keys of the store.
 
     Args:
         address: (ip, port) of the store.
@@ -56,7 +61,7 @@
         self.metrics = metrics
         self._pool = http1.Pool(host, port, clock, connect_s=CALL_S)
 
-    async def read_prefix(self, prefix, stale=False):
+    async def read_prefix(self, prefix):
         """Return all items below `prefix` as one `Page`.
 
         The pages that they come in are no snapshot; the revision returned
@@ -69,8 +74,6 @@
             query = {'path_prefix': prefix}
             if after is not None:
                 query['after'] = after
-            if stale:
-                query['allow_stale'] = 1
             page = _read_page(
                 await self._call('read', '/-/kv-range', query), 'entries'
             )
@@ -100,37 +103,95 @@
         )
         return _read_page(document, 'events')
 
+    async def grant_lease(self, ttl_s):
+        """Return the id of a new lease that lasts `ttl_s` seconds."""
+        document = await self._change(
+            'grant-lease', '/-/kv-lease', {'ttl_ms': round(ttl_s * _MS)}
+        )
+        lease = document.get('lease')
+        if isinstance(lease, bool) or not isinstance(lease, int):
+            raise errors.StoreUnavailableError(
+                f'no lease in the answer: {lease!r}', step='grant-lease'
+            )
+        return lease
+
+    async def renew_lease(self, lease):
+        """Let a lease last for its whole time again.
+
+        Raises:
+            LeaseGoneError: it has ended.
+        """
+        await self._change('renew-lease', f'/-/kv-keep/{lease}')
+
+    async def end_lease(self, lease):
+        """End a lease and remove its keys.
+
+        Raises:
+            LeaseGoneError: it has ended before.
+        """
+        await self._change(
+            'end-lease', f'/-/kv-lease-end/{lease}', method='DELETE'
+        )
+
+    async def write(self, key, value, lease=0):
+        """Write `key`, whatever it held; it lasts as long as the lease.
+
+        Raises:
+            LeaseGoneError: the lease has ended.
+        """
+        data = base64.b64encode(value).decode()
+        row = {'key': key, 'data': data, 'lease': lease}
+        document = {'expected': [], 'write': [row], 'remove': []}
+        await self._change('write', '/-/kv-txn', document)
+
+    async def _change(self, kind, path, document=None, method='POST'):
+        body = b'' if document is None else json.dumps(document).encode()
+        items = [('Content-Type', 'application/json')] if body else []
+        return await self._exchange(kind, method, path, items, body)
+
     async def _call(self, kind, path, query, timeout_s=CALL_S):
         target = f'{path}?{urllib.parse.urlencode(query)}'
+        return await self._exchange(kind, 'GET', target, timeout_s=timeout_s)
+
+    async def _exchange(
+        self, kind, method, target, items=(), body=b'', timeout_s=CALL_S
+    ):
         result = 'lost'
         try:
-            head, body = await http1.exchange(
-                self._pool, 'GET', target, timeout_s=timeout_s
+            head, reply = await http1.exchange(
+                self._pool, method, target, items, body, timeout_s
             )
             result = str(head.status)
-        except errors.RequestError as exc:
+        except errors.RefusedError as exc:
             self._pool.close_idle()
             raise errors.StoreUnavailableError(
                 exc.message, step=kind, peer=self._pool.peer
             ) from exc
+        except errors.RequestError as exc:
+            self._pool.close_idle()
+            raise errors.StoreUnknownError(
+                exc.message, step=kind, peer=self._pool.peer
+            ) from exc
         finally:
             if self.metrics is not None:
                 self.metrics.add(kind, result)
         if head.status == 410:
             raise HistoryGoneError('history is gone', step=kind)
+        if head.status == 404:
+            raise LeaseGoneError('the lease has ended', step=kind)
         if head.status != 200:
             raise errors.StoreUnavailableError(
                 f'the store answered {head.status}',
                 step=kind,
                 peer=self._pool.peer,
             )
-        return _load(body, kind)
+        return _load(reply, kind)
 
 
 def _load(body, kind):
     try:
-        document = json.loads(body)
-    except (ValueError, RecursionError) as exc:
+        document = checks.load_json(body)
+    except ValueError as exc:
         raise errors.StoreUnavailableError(
             'the store sent no JSON', step=kind
         ) from exc
--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -18,6 +18,7 @@
         self.history_from = 0
         self.calls = []
         self.sent = []
+        self.leases = {}
         self._changed = asyncio.Event()
 
     def put(self, key, document):
@@ -48,7 +49,7 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def read_prefix(self, prefix, stale=False):
+    async def read_prefix(self, prefix):
         await self._begin('read')
         found = [i for k, i in self.items.items() if k.startswith(prefix)]
         return platform.Page(tuple(found), self.revision)
@@ -68,6 +69,36 @@
         self.sent += [item.key for item in found]
         return platform.Page(tuple(found), self.revision)
 
+    async def grant_lease(self, ttl_s):
+        await self._begin('grant')
+        lease = len(self.calls)
+        self.leases[lease] = set()
+        return lease
+
+    async def renew_lease(self, lease):
+        await self._begin('renew')
+        self._check_lease(lease)
+
+    async def end_lease(self, lease):
+        await self._begin('end')
+        self._check_lease(lease)
+        self.expire(lease)
+
+    async def write(self, key, value, lease=0):
+        await self._begin('write')
+        self._check_lease(lease)
+        self.leases[lease].add(key)
+        self.put(key, value)
+
+    def expire(self, lease):
+        """End a lease with all its keys."""
+        for key in self.leases.pop(lease):
+            self.delete(key)
+
+    def _check_lease(self, lease):
+        if lease not in self.leases:
+            raise platform.LeaseGoneError('no such lease')
+
     def _since(self, prefix, after):
         return [
             item
--- /dev/null
+++ b/catkinshunt/platform/tests/test_membership.py
@@ -0,0 +1,86 @@
+import asyncio
+import contextlib
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import platform
+from catkinshunt.platform import _membership
+from catkinshunt.platform.tests import fakes
+
+KEY = 'catkinshunt/entries/edge-1'
+
+
+@contextlib.asynccontextmanager
+async def listed(monkeypatch):
+    """An entry that keeps itself listed, and looks often."""
+    monkeypatch.setattr(_membership, 'RENEW_S', 0.02)
+    monkeypatch.setattr(_membership, 'PAUSE_S', 0.02)
+    store = fakes.FakeStore()
+    roster = catalogs.Roster()
+    member = platform.Membership(store, roster, 'edge-1')
+    task = asyncio.ensure_future(member.run())
+    try:
+        await fakes.until(lambda: KEY in store.items)
+        roster.put('edge-1')
+        yield store, roster, member
+    finally:
+        task.cancel()
+
+
+def test_the_lease_is_renewed_without_further_writes(monkeypatch):
+    async def main():
+        async with listed(monkeypatch) as (store, _, _):
+            await fakes.until(lambda: store.calls.count('renew') > 3)
+            return store.calls.count('write')
+
+    assert asyncio.run(main()) == 1
+
+
+def test_an_entry_whose_lease_ended_is_listed_again(monkeypatch):
+    """The store lost the lease in an outage that was longer than it.
+
+    The others would share the retries among too few for as long as the
+    entry lives.
+    """
+
+    async def main():
+        async with listed(monkeypatch) as (store, _, _):
+            store.down = True
+            store.expire(*store.leases)
+            store.down = False
+            await fakes.until(lambda: KEY in store.items)
+
+    asyncio.run(main())
+
+
+def test_an_entry_whose_key_vanished_is_listed_again(monkeypatch):
+    """A write arrives late and binds the key to a lease that nobody renews.
+
+    The key vanishes with that lease, while the newer one is renewed in
+    vain.
+    """
+
+    async def main():
+        async with listed(monkeypatch) as (store, roster, _):
+            store.delete(KEY)
+            roster.drop('edge-1')
+            await fakes.until(lambda: KEY in store.items)
+
+    asyncio.run(main())
+
+
+def test_an_entry_that_stops_is_listed_no_longer(monkeypatch):
+    async def main():
+        async with listed(monkeypatch) as (store, _, member):
+            await member.leave()
+            return KEY in store.items
+
+    assert not asyncio.run(main())
+
+
+def test_stopping_goes_on_without_the_store(monkeypatch):
+    async def main():
+        async with listed(monkeypatch) as (store, _, member):
+            store.down = True
+            await member.leave()
+
+    asyncio.run(main())
--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -20,7 +20,7 @@
     context.budget('desk').offer()
     server = gateway.Gateway(context)
     _entry.show_gauges(registry, server, context)
-    _entry.make_mirror(cfg, context, registry)
+    _entry.make_store_client(cfg, registry)
     return registry
 
 
--- a/catkinshunt/platform/tests/test_mirror.py
+++ b/catkinshunt/platform/tests/test_mirror.py
@@ -15,11 +15,16 @@
     def __init__(self):
         self.store = fakes.FakeStore()
         self.catalog = catalogs.Catalog(fresh_s=3.0)
+        self.roster = catalogs.Roster()
         self.now_s = 100.0
         loop = asyncio.get_running_loop()
         self.wall = lambda: loop.time() + self.now_s
         self.mirror = platform.Mirror(
-            self.store, self.catalog, self.wall, random.Random(1)
+            self.store,
+            self.catalog,
+            self.roster,
+            self.wall,
+            random.Random(1),
         )
 
     @contextlib.asynccontextmanager
@@ -179,3 +184,26 @@
         return catalog.due_version('drafts', 8.0, followed.wall())
 
     assert run(main, prepare) == 3
+
+
+def test_entries_that_come_and_go_are_counted():
+    async def main(followed):
+        followed.store.put('catkinshunt/entries/edge-2', {})
+        await fakes.until(lambda: followed.roster.names() == ['edge-2'])
+        followed.store.delete('catkinshunt/entries/edge-2')
+        await fakes.until(lambda: not followed.roster.names())
+
+    run(main)
+
+
+def test_entries_are_read_anew_where_the_history_is_gone():
+    async def main(followed):
+        await fakes.until(lambda: followed.roster.names() == ['edge-1'])
+        followed.store.down = True
+        followed.store.delete('catkinshunt/entries/edge-1')
+        followed.store.put('catkinshunt/entries/edge-3', {})
+        followed.store.forget_history()
+        followed.store.down = False
+        await fakes.until(lambda: followed.roster.names() == ['edge-3'])
+
+    run(main, lambda f: f.store.put('catkinshunt/entries/edge-1', {}))
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -21,7 +21,11 @@
         store.put('op/config', documents.configuration())
         mirrors = [
             platform.Mirror(
-                store, catalogs.Catalog(), loop.time, random.Random(number)
+                store,
+                catalogs.Catalog(),
+                catalogs.Roster(),
+                loop.time,
+                random.Random(number),
             )
             for number in range(3)
         ]
--- a/catkinshunt/retries/__init__.py
+++ b/catkinshunt/retries/__init__.py
@@ -3,5 +3,6 @@
 from catkinshunt.retries._budget import Budget
 from catkinshunt.retries._policy import RetryPolicy
 from catkinshunt.retries._policy import Verdict
+from catkinshunt.retries._shares import BurstShare
 
-__all__ = ['Budget', 'RetryPolicy', 'Verdict']
+__all__ = ['Budget', 'BurstShare', 'RetryPolicy', 'Verdict']
--- a/catkinshunt/retries/_budget.py
+++ b/catkinshunt/retries/_budget.py
@@ -36,7 +36,7 @@
     def offer(self):
         """Count one request, not its retries."""
         with self._lock:
-            self._tokens = min(self.burst, self._held() + self.ratio)
+            self._tokens = self._held() + self.ratio
 
     def choose(self):
         """Take a token for one retry; return whether there was one."""
@@ -62,4 +62,5 @@
             # A new process may retry at once: an upstream that leaves in its
             # first seconds would otherwise cost its callers a refusal.
             self._tokens = float(self.burst)
-        return self._tokens
+        # The burst may be set anew while the budget is in use.
+        return min(self.burst, self._tokens)
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -6,6 +6,8 @@
 import json
 import urllib.parse
 
+import attrs
+
 from catkinshunt import http1
 from standins.soak import _records
 
@@ -40,8 +42,17 @@
     return dict(urllib.parse.parse_qsl(req.target.partition('?')[2]))
 
 
+@attrs.define
+class Lease:
+    """Keys that go with a lease, and the timer that ends it."""
+
+    ttl_s: float
+    keys: set = attrs.field(factory=set)
+    timer: asyncio.TimerHandle | None = None
+
+
 class Store:
-    """Keys with revisions and watches.
+    """Keys with revisions, watches and leases.
 
     Attributes:
         fault: None, ``'refuse'``, ``'silent'`` or ``'slow'``.
@@ -53,6 +64,8 @@
         self.revision = 1
         self.oldest = 0
         self.fault = None
+        self.granted = 0
+        self.leases = {}
         self._changed = asyncio.Event()
 
     def put(self, key, document):
@@ -91,7 +104,51 @@
         if req.path == '/-/kv-range':
             found = [i for k, i in self.items.items() if k.startswith(prefix)]
             return as_json({'entries': found, 'at': self.revision})
-        return await self._watch(query, prefix)
+        if req.path == '/-/kv-watch':
+            return await self._watch(query, prefix)
+        return self._change(req)
+
+    def _change(self, req):
+        """Answer a call that grants, renews or ends a lease, or writes."""
+        document = json.loads(req.body or b'{}')
+        name = req.path.rpartition('/')[2]
+        if name == 'kv-lease':
+            self.granted += 1
+            self._hold(self.granted, document['ttl_ms'] / 1000)
+            return as_json({'lease': self.granted, **document})
+        if name == 'kv-txn':
+            return self._write(document['write'])
+        lease = int(name)
+        if lease not in self.leases:
+            return as_json({}, 404)
+        if req.method == 'DELETE':
+            self.expire(lease)
+        else:
+            self._hold(lease, self.leases[lease].ttl_s)
+        return as_json({})
+
+    def _write(self, rows):
+        if any(row['lease'] not in self.leases for row in rows):
+            return as_json({}, 404)
+        for row in rows:
+            self.leases[row['lease']].keys.add(row['key'])
+            self.put(row['key'], json.loads(base64.b64decode(row['data'])))
+        return as_json({'revision': self.revision})
+
+    def _hold(self, lease, ttl_s):
+        """Let a lease last for `ttl_s` seconds from now."""
+        held = self.leases.setdefault(lease, Lease(ttl_s))
+        if held.timer is not None:
+            held.timer.cancel()
+        loop = asyncio.get_running_loop()
+        held.timer = loop.call_later(ttl_s, self.expire, lease)
+
+    def expire(self, lease):
+        """End a lease and remove its keys."""
+        held = self.leases.pop(lease)
+        held.timer.cancel()
+        for key in held.keys:
+            self.put(key, None)
 
     async def _watch(self, query, prefix):
         after = int(query['after'])
