Ask a member without a chunk once, and dead sources now and then

Cause: with the origin away for six seconds, members gave up on the owner of a chunk and asked members nearby, which wait for this member in turn, six times a second each. Found by logging each chunk with its source.

A member that is not the best source is asked once and at most two are.

--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -27,6 +27,11 @@
 #: sent 2.4 copies, and a transfer took 13 s instead of 6.5.
 LEAST_PATIENCE = 2
 PATIENCE_PER_S = 1.0
+#: Sources nearby that are asked, once each, when the best one has nothing.
+#: They wait for this member themselves; asked as often as the best one, they
+#: kept chunks for seven seconds after the owner had them (38 members, origin
+#: away for six seconds).
+MOST_FALLBACKS = 2
 #: Pause after all sources of a chunk failed, in seconds.
 RETRY_S = 0.2
 #: Chunks in a row that differ from the manifest before it is taken as
@@ -68,6 +73,7 @@
         self._copy_s = math.inf
         self._patience = LEAST_PATIENCE
         self._blamed = {}
+        self._failing = set()
         self._corrupt_in_row = 0
         self._asked = {}
         self._working = set()
@@ -101,7 +107,7 @@
     def _assign(self, index):
         """Give a chunk to the worker of its best source."""
         tried = self._tried.setdefault(index, set())
-        usable = self._usable(self.plan.sources(index))
+        usable = self._usable(self._sources(index))
         source = next((s for s in usable if s not in tried), None)
         if source is None:
             # Begin again with the best one. While the origin is down all
@@ -109,13 +115,18 @@
             # would send ten copies when it is back, 4 s for what the owners
             # need half a second for.
             tried.clear()
-            source = (usable or self.plan.sources(index))[0]
+            source = (usable or self._sources(index))[0]
         asked = self._asked.setdefault(source, [])
         asked.append(index)
         if source not in self._working:
             self._working.add(source)
             self._group.create_task(self._work(source))
 
+    def _sources(self, index):
+        """Return the sources of a chunk: the best, a few others, the last."""
+        best, *others = self.plan.sources(index)
+        return [best, *others[:-1][:MOST_FALLBACKS], *others[-1:]]
+
     async def _work(self, source):
         """Ask one source for its chunks until none is left to it."""
         asked = self._asked[source]
@@ -142,6 +153,8 @@
             strikes += 1
             if strikes >= self._patience or self._is_blamed(source):
                 await self._hand_over(source, asked)
+            else:
+                self._hand_back(source, asked)
 
     def _end_s(self, source):
         """Return when a source ends at its speed, in seconds from the begin.
@@ -183,12 +196,24 @@
             kept: chunks that stay with it.
         """
         indices, asked[:] = asked[kept:], asked[:kept]
-        if source == _plan.ORIGIN:
+        if self._is_blamed(source):
+            # Where no source is left, all ten members asked the dead one 60
+            # times a second.
             await asyncio.sleep(RETRY_S)
         for index in indices:
             self._tried[index].add(source)
             self._assign(index)
 
+    def _hand_back(self, source, asked):
+        """Give chunks that a fallback lacks to their next sources."""
+        lent = [i for i in asked if self.plan.sources(i)[0] != source]
+        if source == _plan.ORIGIN:
+            return
+        for index in lent:
+            asked.remove(index)
+            self._tried[index].add(source)
+            self._assign(index)
+
     async def _ask_one(self, source, asked):
         """Ask for one of the chunks; return whether one came."""
         if source == _plan.ORIGIN:
@@ -213,6 +238,7 @@
                 asked.append(names[0])
         if got in asked:
             asked.remove(got)
+        self._praise(source)
         self._corrupt_in_row = 0
         way = 'origin' if source == _plan.ORIGIN else 'peer'
         self.counter.add(way, amount=len(data))
@@ -281,7 +307,15 @@
 
     def _blame(self, source, exc):
         self._blamed[source] = self.clock() + BLAME_S
-        self._warn(source, exc)
+        if source not in self._failing:
+            self._failing.add(source)
+            self._warn(source, exc)
+
+    def _praise(self, source):
+        """Note that a source gave something."""
+        if source in self._failing:
+            self._failing.discard(source)
+            _log.info('Source {} gives again.', source)
 
     def _warn(self, source, exc):
         _log.warning(
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -220,6 +220,68 @@
     assert not found.origin.given
 
 
+def test_members_that_wait_themselves_do_not_hold_up_a_chunk(monkeypatch):
+    """The origin is down for longer than the owner of a chunk is asked.
+
+    The others nearby wait for this member to pass the chunk on. Asked as
+    often as the owner, they kept it for seconds after the owner had it, and
+    whole data centres lacked one chunk of 96 when the version was due.
+    """
+    monkeypatch.setattr(_fetcher, 'RETRY_S', 0.01)
+    wait_s = 0.1
+
+    class WaitingPeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            if not self.shelves[peer][2]:
+                await asyncio.sleep(wait_s)
+            return await super().chunk(peer, model, version, indices, relays)
+
+    async def main():
+        nearby = ['a2', 'a3', 'a4', 'a5']
+        peers = WaitingPeers(a1={2: []}, **{name: {2: []} for name in nearby})
+        found = Transfer(
+            peers, listed('a1', *nearby), origin_copy_s=lambda size: 4.0
+        )
+        monkeypatch.setattr(
+            spread.Plan,
+            'sources',
+            lambda self, index: ['a1', *nearby, 'origin'],
+        )
+        await found.fetcher.fetch_manifest()
+        found.origin.down = True
+        running = asyncio.ensure_future(found.fetcher.run())
+        await asyncio.sleep(0.9)
+        peers.shelves['a1'][2] = range(fakes.CHUNKS)
+        async with asyncio.timeout(8 * wait_s):
+            await running
+        return found
+
+    assert asyncio.run(main()).holding.is_whole
+
+
+def test_sources_that_are_all_gone_are_asked_now_and_then():
+    """The owner of a chunk was removed, and the origin is down.
+
+    Asked without a pause, the two cost each member 60 connections and log
+    lines a second for as long as the origin was away.
+    """
+
+    async def main():
+        found = Transfer(listed=listed('a1'))
+        found.peers.dead.add('a1')
+        await found.fetcher.fetch_manifest()
+        found.origin.down = True
+        running = asyncio.ensure_future(found.fetcher.run())
+        await asyncio.sleep(1.0)
+        asked = len(found.peers.asked)
+        found.origin.down = False
+        async with asyncio.timeout(5):
+            await running
+        return asked
+
+    assert asyncio.run(main()) < 20
+
+
 def test_a_slow_origin_is_not_asked_by_all():
     """The origin is slow, so an owner has nothing for some seconds.
 
