--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -23,6 +23,9 @@
     dispatch.Rank.DOUBTFUL: 6,
     dispatch.Rank.LATE: 7,
 }
+#: Share of the retry burst that is kept for requests at upstreams that break
+#: or stand still.
+MOVE_SHARE = 0.5
 #: Seconds after the signal to stop in which new requests are still served:
 #: the balancer needs two of its questions, a second apart, to notice.
 STOPPING_SERVES_S = 3.0
@@ -171,6 +174,7 @@
             else None,
             max_tries=serve.max_tries,
             least_left_s=LEAST_LEFT_S,
+            reserve=self.context.retry_burst * MOVE_SHARE,
         )
         verdict = policy.check(
             exc,
--- a/catkinshunt/retries/_budget.py
+++ b/catkinshunt/retries/_budget.py
@@ -38,12 +38,17 @@
         with self._lock:
             self._tokens = self._held() + self.ratio
 
-    def choose(self):
-        """Take a token for one retry; return whether there was one."""
+    def choose(self, reserve=0.0):
+        """Take a token for one retry; return whether there was one.
+
+        Args:
+            reserve: tokens that must be left, for retries that matter more.
+        """
         with self._lock:
             held = self._held()
-            self._tokens = held - 1 if held >= 1 else held
-            return held >= 1
+            enough = held >= 1 + reserve
+            self._tokens = held - 1 if enough else held
+            return enough
 
     def has_token(self):
         """Return whether `choose` would give a token now."""
--- a/catkinshunt/retries/_policy.py
+++ b/catkinshunt/retries/_policy.py
@@ -4,6 +4,7 @@
 
 from catkinshunt import base
 from catkinshunt import checks
+from catkinshunt import errors
 
 
 @attrs.frozen
@@ -21,6 +22,10 @@
         budget: a `Budget`, or None for no bound, the benchmark's baseline.
         max_tries: most tries of one request, the first one counted.
         least_left_s: time to the deadline below which a try is in vain.
+        reserve: tokens of the budget that refusals for want of room leave
+            to other failures. In a burst most engines are full, and these
+            retries seldom help; when an engine then stands still, its
+            requests can only move with what is left.
 
     Examples:
         >>> from catkinshunt import errors
@@ -33,10 +38,13 @@
         False
     """
 
-    def __init__(self, budget=None, max_tries=3, least_left_s=0.02):
+    def __init__(
+        self, budget=None, max_tries=3, least_left_s=0.02, reserve=0.0
+    ):
         self.budget = budget
         self.max_tries = max_tries
         self.least_left_s = least_left_s
+        self.reserve = reserve
 
     def offer(self):
         """Count one request towards the budget."""
@@ -63,6 +71,10 @@
             return Verdict(False, f'{tries} tries made')
         if deadline - now < self.least_left_s:
             return Verdict(False, 'deadline too near')
-        if self.budget is not None and not self.budget.choose():
+        if self.budget is not None and not self._choose(exc):
             return Verdict(False, 'retry budget spent')
         return Verdict(True, 'not run' if exc.ran == 'no' else 'idempotent')
+
+    def _choose(self, exc):
+        is_full = isinstance(exc, errors.OverloadedError)
+        return self.budget.choose(self.reserve if is_full else 0.0)
--- a/catkinshunt/retries/tests/test_retries.py
+++ b/catkinshunt/retries/tests/test_retries.py
@@ -68,3 +68,21 @@
 def test_wrong_ratio_is_named():
     with pytest.raises(ValueError, match='ratio'):
         retries.Budget(ratio=2).offer()
+
+
+def test_refusals_of_full_upstreams_leave_tokens_for_others():
+    """In a burst all engines are full, and then one stands still.
+
+    With the budget spent on engines that had no room, the requests at the
+    one that stands still could not move, and their callers left.
+    """
+    budget = retries.Budget(ratio=0.1, burst=4.0)
+    policy = retries.RetryPolicy(budget, reserve=2.0)
+    full = errors.OverloadedError('full')
+    broken = errors.OutcomeUnknownError('reset')
+
+    def check(exc):
+        return policy.check(exc, True, tries=1, deadline=9.0, now=0.0).again
+
+    assert [check(full) for _ in range(4)] == [True, True, False, False]
+    assert [check(broken) for _ in range(3)] == [True, True, False]
