--- a/catkinshunt/dispatch/_state.py
+++ b/catkinshunt/dispatch/_state.py
@@ -121,12 +121,8 @@
 
     def is_silent(self, now):
         """Return whether answers are due and no byte has come for long."""
-        return self.silent_s(now) > SILENT_S
-
-    def silent_s(self, now):
-        """Return the seconds for which answers are due and no byte came."""
         since = self.expecting_since
-        return 0.0 if since is None else now - since
+        return since is not None and now - since > SILENT_S
 
     def succeed(self, now):
         """Note a request that went well."""
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -374,17 +374,14 @@
 
     def can_move(self):
         """Return whether a try may be given up for one elsewhere."""
-        # With the budget spent the request would end here, while the
-        # upstream that it waits for may still answer.
-        budget = self.context.budget(self.decision.service)
-        return budget.has_token() and self.has_alternative()
-
-    def has_alternative(self):
-        """Return whether another upstream could answer the request."""
         if not self.decision.serve.repeatable:
             return False
         if self.progress.sends >= self.decision.serve.max_tries:
             return False
+        # With the budget spent the request would end here, while the
+        # upstream that it waits for may still answer.
+        if not self.context.budget(self.decision.service).has_token():
+            return False
         now = self.context.clock()
         return any(
             not self.context.tracker.state(upstream).is_silent(now)
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -8,12 +8,6 @@
 
 #: Seconds after which an exchange looks whether its upstream is silent.
 LOOK_S = 0.2
-#: Seconds of silence after which a request is given up although no retry is
-#: left for it, where another upstream could answer. Its caller can then come
-#: back, where it would leave without an answer soon after, and the upstream
-#: work for nobody when it goes on. Longer than the pauses of engines that
-#: are only slow, 1.2 s at most; shorter than the 2 s that callers wait.
-HOPELESS_S = 1.5
 #: Bytes of an answer that are held until it is whole, so that one that
 #: breaks off can be asked for again; a longer one is passed on as it comes.
 HELD_BYTES = 1024 * 1024
@@ -130,10 +124,7 @@
         now = self.context.clock()
         if not self.state.is_silent(now) or now - self.sent_at < LOOK_S:
             return
-        hopeless = self.state.silent_s(now) > HOPELESS_S
-        if self.exchange.can_move() or (
-            hopeless and self.exchange.has_alternative()
-        ):
+        if self.exchange.can_move():
             raise SilentError(
                 'no byte on any connection', step='read-reply', peer=self.peer
             )
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -124,32 +124,6 @@
     assert sends == 1
 
 
-def test_an_engine_that_stands_still_is_left_when_no_retry_is_left():
-    """An engine stands still for seconds, and the retry budget is spent.
-
-    The caller would wait in vain until it leaves, and the engine would work
-    on its request when it goes on, for nobody. With an answer in time it
-    asks again, and another engine has room.
-    """
-
-    async def still(head, writer, upstream):
-        await asyncio.sleep(60)
-
-    async def main():
-        first = engine('u1', still)
-        second = engine('u2', scenes.streaming(3))
-        async with scenes.scene(first, second, retry_burst=0.5) as scene:
-            tracker = scene.context.tracker
-            tracker.state(second.entry()).rest(scene.context.clock(), 1.0)
-            began = scene.context.clock()
-            refused = await chat(scene, Left_Ms='5000')
-            return refused[0], scene.context.clock() - began
-
-    status, took_s = run(main)
-    assert status == 502
-    assert took_s < 2.2
-
-
 def test_a_stream_that_cannot_go_on_never_looks_whole():
     """The only engine breaks off and nobody can go on.
 
