--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -75,6 +75,33 @@
 
 
 def test_all_streams_of_an_engine_that_stands_still_move():
+    """An engine stands still with twelve requests, and others have room.
+
+    Each entry keeps five retries beyond a share of its requests, since it
+    does not know how many entries there are. With these spent, the other
+    callers wait until they give up, and the engine works on their requests
+    when it wakes, for nobody.
+    """
+
+    async def still(head, writer, upstream):
+        await asyncio.sleep(60)
+
+    async def main():
+        dark = engine('u1', still)
+        other = engine('u2', scenes.streaming(2))
+        async with scenes.scene(dark, other, retry_burst=5.0) as scene:
+            tracker = scene.context.tracker
+            tracker.state(other.entry()).rest(scene.context.clock(), 0.3)
+            asked = [
+                chat(scene, Request_Id=f'a{n}', Left_Ms='3000')
+                for n in range(12)
+            ]
+            return [reply[0] for reply in await asyncio.gather(*asked)]
+
+    assert run(main) == [200] * 12
+
+
+def test_an_entry_of_four_moves_all_streams_of_an_engine():
     """An engine stands still with sixteen requests, and others have room.
 
     With the retries of an entry spent, the other callers wait until they
