--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -164,8 +164,61 @@
     Mutation(
         'retry-budget',
         'catkinshunt/retries/_budget.py',
-        'return held >= 1',
-        'return True',
+        'enough = held >= 1 + reserve',
+        'enough = True',
+    ),
+    Mutation(
+        'retries-kept-for-moves',
+        'catkinshunt/retries/_policy.py',
+        'self.budget.choose(self.reserve if is_full else 0.0)',
+        'self.budget.choose()',
+    ),
+    Mutation(
+        'retries-shared-by-number',
+        'catkinshunt/retries/_shares.py',
+        'return max(1.0, self.burst / sharers)',
+        'return self.burst',
+    ),
+    Mutation(
+        'smaller-burst-binds',
+        'catkinshunt/retries/_budget.py',
+        'return min(self.burst, self._tokens)',
+        'return self._tokens',
+    ),
+    # Queues past capacity.
+    Mutation(
+        'various-deadlines-are-no-return',
+        'catkinshunt/dispatch/_returns.py',
+        'granted.longest_share < self.constant_share',
+        'False',
+    ),
+    Mutation(
+        'learnt-delay-corrects',
+        'catkinshunt/dispatch/_forecast.py',
+        'return predicted_s * self.scale(now)',
+        'return predicted_s',
+    ),
+    # Weights on their way.
+    Mutation(
+        'fallbacks-are-asked-once',
+        'catkinshunt/spread/_fetcher.py',
+        'self._hand_back(source, asked)',
+        'pass',
+    ),
+    Mutation(
+        'dead-sources-are-asked-after-a-pause',
+        'catkinshunt/spread/_fetcher.py',
+        """if self._is_blamed(source):
+            # Where""",
+        """if False:
+            # Where""",
+    ),
+    # Entries that are listed.
+    Mutation(
+        'vanished-entry-is-listed-again',
+        'catkinshunt/platform/_membership.py',
+        'and self.roster.has(self.name)',
+        '',
     ),
     # A refusal that says "not run" is true.
     Mutation(
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -58,7 +58,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 return await self._exchange(answer)
-        except (TimeoutError, OSError, http1.ConnectionBrokenError):
+        except (TimeoutError, OSError):
             return None
         finally:
             answer.ended_at = self.clock()
