Wake waiting tasks by one class

Catalog, roster and holding, and two stand-ins, each swapped an event by hand to wake those that wait; Changes does it for all.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -1,11 +1,11 @@
 """The state of the platform as one process knows it."""
 
-import asyncio
 import collections
 
 import attrs
 
 from catkinshunt import base
+from catkinshunt import changes
 from catkinshunt import logs
 
 #: Seconds for which an upstream that vanished may still be used where no
@@ -56,15 +56,11 @@
         self._confirmed_at = None
         self._upstreams = {}
         self._vanished = {}
-        self._changed = asyncio.Event()
+        self._changes = changes.Changes()
 
     async def wait_for_change(self):
         """Return once a version or an upstream has changed."""
-        await self._changed.wait()
-
-    def _announce(self):
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        await self._changes.wait()
 
     def confirm(self, now):
         """Note that the state was the newest one at `now`."""
@@ -107,7 +103,7 @@
         _log.info(
             'Version {} of {} is named.', version, model, version=version
         )
-        self._announce()
+        self._changes.announce()
         return True
 
     def named_models(self):
@@ -215,7 +211,7 @@
         self._vanished.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         if known != upstream:
-            self._announce()
+            self._changes.announce()
         return known != upstream
 
     def _just_vanished(self, service, now):
--- a/catkinshunt/catalog/_roster.py
+++ b/catkinshunt/catalog/_roster.py
@@ -1,8 +1,7 @@
 """The entries that are alive, as one of them knows them."""
 
-import asyncio
-
 from catkinshunt import base
+from catkinshunt import changes
 
 
 class Roster(base.ParamsMixin):
@@ -18,7 +17,7 @@
 
     def __init__(self):
         self._names = set()
-        self._changed = asyncio.Event()
+        self._changes = changes.Changes()
 
     def names(self):
         """Return the names of the entries that are alive, sorted."""
@@ -42,11 +41,10 @@
 
     async def wait_for_change(self):
         """Return when an entry has come or gone."""
-        await self._changed.wait()
+        await self._changes.wait()
 
     def _set(self, names):
         if names == self._names:
             return
         self._names = names
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._changes.announce()
--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from catkinshunt import changes
 from catkinshunt import errors
 from catkinshunt import platform
 
@@ -19,7 +20,7 @@
         self.calls = []
         self.sent = []
         self.leases = {}
-        self._changed = asyncio.Event()
+        self._changes = changes.Changes()
 
     def put(self, key, document):
         value = document
@@ -34,7 +35,7 @@
         """Drop what a watch would need to go on."""
         self.history_from = self.revision + 1
         self.revision += 1
-        self._wake()
+        self._changes.announce()
 
     def _change(self, key, value):
         self.revision += 1
@@ -43,11 +44,7 @@
         if value is None:
             del self.items[key]
         self.events.append(item)
-        self._wake()
-
-    def _wake(self):
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._changes.announce()
 
     async def read_prefix(self, prefix):
         await self._begin('read')
@@ -59,10 +56,9 @@
         try:
             async with asyncio.timeout(wait_s):
                 while not self._since(prefix, after):
-                    changed = self._changed
                     if after < self.history_from:
                         raise platform.HistoryGoneError('gone')
-                    await changed.wait()
+                    await self._changes.wait()
         except TimeoutError:
             pass
         found = self._since(prefix, after)
--- a/catkinshunt/spread/_holding.py
+++ b/catkinshunt/spread/_holding.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from catkinshunt import changes
 from catkinshunt import errors
 
 
@@ -20,7 +21,7 @@
     version: int
     manifest: object = None
     chunks: dict = attrs.field(factory=dict)
-    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _changes: changes.Changes = attrs.field(factory=changes.Changes)
 
     @property
     def missing(self):
@@ -49,12 +50,12 @@
             errors.CorruptChunkError: it is not the chunk of the manifest.
         """
         self.chunks[index] = self.manifest.check(index, data)
-        self._announce()
+        self._changes.announce()
 
     def describe(self, manifest):
         """Take over the manifest."""
         self.manifest = manifest
-        self._announce()
+        self._changes.announce()
 
     def forget(self):
         """Drop the manifest and all chunks that were checked by it."""
@@ -71,8 +72,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 while self.find_any(indices) is None:
-                    changed = self._changed
-                    await changed.wait()
+                    await self._changes.wait()
         except TimeoutError:
             return False
         return True
@@ -90,10 +90,6 @@
             return None if self.manifest is None else self.manifest.dumps()
         return self.chunks.get(index)
 
-    def _announce(self):
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-
 
 #: Stands for the manifest where a chunk's index is asked for.
 MANIFEST = -1
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from catkinshunt import changes
 from catkinshunt import http1
 from standins.soak import _records
 
@@ -66,7 +67,7 @@
         self.fault = None
         self.granted = 0
         self.leases = {}
-        self._changed = asyncio.Event()
+        self._changes = changes.Changes()
 
     def put(self, key, document):
         """Write `document`; None deletes the key."""
@@ -78,18 +79,14 @@
             item = {'key': key, 'data': data, 'revision': self.revision}
             self.items[key] = item
         self.events.append(item)
-        self._wake()
+        self._changes.announce()
 
     def compact(self):
         """Forget the history; watches must read all again."""
         self.revision += 1
         self.oldest = self.revision
         self.events.clear()
-        self._wake()
-
-    def _wake(self):
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
+        self._changes.announce()
 
     async def answer(self, req):
         """Answer one call."""
@@ -165,7 +162,7 @@
                     ]
                     if found:
                         return as_json({'events': found, 'at': self.revision})
-                    await self._changed.wait()
+                    await self._changes.wait()
         except TimeoutError:
             return as_json({'events': [], 'at': self.revision})
 
