Share metrics, store client and outage lines among processes

The sidecar took its handler of metrics from the entry, and both opened the address and counted store calls on their own; _process has these now. Three loops told of a lost store, each in its way; Outage does, and so the sidecar and the lease tell of the return too, which they did not. The store client had one branch twice.

--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -14,8 +14,8 @@
 from catkinshunt.platform import _dialect
 from catkinshunt.platform import _membership
 from catkinshunt.platform import _mirror
+from catkinshunt.platform import _process
 from catkinshunt.platform import _signals
-from catkinshunt.platform import _store
 from catkinshunt import retries
 
 #: Share of the time in which a key that was taken away may still be served
@@ -42,7 +42,6 @@
 VERSION_MARGIN_S = 0.75
 #: Seconds between two removals of what upstreams that are gone left behind.
 TIDY_S = 10.0
-METRICS_PATH = '/metrics'
 
 _log = logs.get_logger('entry')
 
@@ -62,11 +61,8 @@
         http1.answer_with(_ready_handler(server)), _clocks.steady
     )
     await ready.start(*cfg.ready)
-    shown = http1.Listener(
-        http1.answer_with(metrics_handler(registry)), _clocks.steady
-    )
-    await shown.start(cfg.ip, cfg.ports[0])
-    client = make_store_client(cfg, registry)
+    await _process.serve_metrics(cfg, registry)
+    client = _process.make_store_client(cfg, registry)
     roster = catalogs.Roster()
     mirror = make_mirror(client, context, roster)
     member = _membership.Membership(client, roster, cfg.name)
@@ -170,14 +166,6 @@
     return -1.0 if age_s is None else age_s
 
 
-def make_store_client(cfg, registry):
-    """Return the `StoreClient` of an entry, whose calls are counted."""
-    calls = registry.counter(
-        'store_calls_total', 'Calls to the store.', ('kind', 'result')
-    )
-    return _store.StoreClient(cfg.store, _clocks.steady, calls)
-
-
 def make_mirror(client, context, roster):
     """Return the `Mirror` that feeds the catalog of `context`."""
     return _mirror.Mirror(
@@ -190,15 +178,3 @@
         return http1.Reply(200 if server.is_ready() else 503)
 
     return handle
-
-
-def metrics_handler(registry):
-    """Return a handler that shows the metrics of `registry`."""
-
-    async def handle(req):
-        if req.path != METRICS_PATH:
-            return http1.Reply(404)
-        kind, text = metrics.expose(registry, _clocks.steady())
-        return http1.Reply(200, text, (('Content-Type', kind),))
-
-    return handle
--- a/catkinshunt/platform/_membership.py
+++ b/catkinshunt/platform/_membership.py
@@ -5,6 +5,7 @@
 from catkinshunt import errors
 from catkinshunt import logs
 from catkinshunt.platform import _documents
+from catkinshunt.platform import _outage
 from catkinshunt.platform import _store
 
 #: Seconds after which an entry that no longer renews its lease is no longer
@@ -36,18 +37,18 @@
 
     async def run(self):
         """Keep the entry listed until cancelled."""
-        lost = False
+        outage = _outage.Outage(
+            _log, 'The lease was not renewed: {}.', 'The lease is renewed.'
+        )
         while True:
             try:
                 await self._keep()
-                lost = False
+                outage.end()
                 await asyncio.sleep(RENEW_S)
             except _store.LeaseGoneError:
                 self._lease = None
             except errors.StoreError as exc:
-                if not lost:
-                    _log.warning('The lease was not renewed: {}.', exc)
-                lost = True
+                outage.begin(exc)
                 await asyncio.sleep(PAUSE_S)
 
     async def _keep(self):
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -7,6 +7,7 @@
 from catkinshunt import logs
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
+from catkinshunt.platform import _outage
 from catkinshunt.platform import _store
 
 #: Seconds that a watch waits where nothing changes. Its return confirms that
@@ -47,7 +48,9 @@
         self._revision = None
         self._revisions = {}
         self._pause_s = FIRST_PAUSE_S
-        self._lost = False
+        self._outage = _outage.Outage(
+            _log, 'The store is lost: {}.', 'The store is back.'
+        )
 
     async def run(self):
         """Follow the store until cancelled."""
@@ -63,17 +66,13 @@
                 await self._bear(exc)
 
     async def _bear(self, exc):
-        if not self._lost:
-            _log.warning('The store is lost: {}.', exc)
-            self._lost = True
+        self._outage.begin(exc)
         await asyncio.sleep(self._pause_s * (0.5 + self.random.random()))
         self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
 
     def _regain(self):
         self._pause_s = FIRST_PAUSE_S
-        if self._lost:
-            self._lost = False
-            _log.info('The store is back.', revision=self._revision)
+        self._outage.end(revision=self._revision)
 
     async def _read_all(self):
         asked_at = self.wall()
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -6,6 +6,7 @@
 from catkinshunt import logs
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
+from catkinshunt.platform import _outage
 from catkinshunt.platform import _store
 from catkinshunt import spread
 
@@ -46,17 +47,17 @@
 
     async def run(self):
         """Follow the store until cancelled."""
-        lost = False
+        outage = _outage.Outage(
+            _log, 'The store is lost: {}.', 'The store is back.'
+        )
         while True:
             try:
                 await self._follow()
-                lost = False
+                outage.end()
             except _store.HistoryGoneError:
                 self._revision = None
             except errors.StoreError as exc:
-                if not lost:
-                    _log.warning('The store is lost: {}.', exc)
-                lost = True
+                outage.begin(exc)
                 await asyncio.sleep(PAUSE_S)
 
     async def _follow(self):
--- /dev/null
+++ b/catkinshunt/platform/_process.py
@@ -0,0 +1,36 @@
+"""What every process of the platform has."""
+
+from catkinshunt import http1
+from catkinshunt import metrics
+from catkinshunt.platform import _clocks
+from catkinshunt.platform import _store
+
+METRICS_PATH = '/metrics'
+
+
+async def serve_metrics(cfg, registry):
+    """Show the metrics of `registry` on the first port of the settings."""
+    shown = http1.Listener(
+        http1.answer_with(metrics_handler(registry)), _clocks.steady
+    )
+    await shown.start(cfg.ip, cfg.ports[0])
+
+
+def metrics_handler(registry):
+    """Return a handler that shows the metrics of `registry`."""
+
+    async def handle(req):
+        if req.path != METRICS_PATH:
+            return http1.Reply(404)
+        kind, text = metrics.expose(registry, _clocks.steady())
+        return http1.Reply(200, text, (('Content-Type', kind),))
+
+    return handle
+
+
+def make_store_client(cfg, registry):
+    """Return a `StoreClient` whose calls are counted in `registry`."""
+    calls = registry.counter(
+        'store_calls_total', 'Calls to the store.', ('kind', 'result')
+    )
+    return _store.StoreClient(cfg.store, _clocks.steady, calls)
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -3,15 +3,13 @@
 import asyncio
 
 from catkinshunt import catalog as catalogs
-from catkinshunt import http1
 from catkinshunt import logs
 from catkinshunt import metrics
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _engine
-from catkinshunt.platform import _entry
 from catkinshunt.platform import _outlook
+from catkinshunt.platform import _process
 from catkinshunt.platform import _signals
-from catkinshunt.platform import _store
 from catkinshunt import spread
 
 _log = logs.get_logger('sidecar')
@@ -25,10 +23,7 @@
     """
     stop = _signals.watch_signals()
     registry = metrics.Registry()
-    shown = http1.Listener(
-        http1.answer_with(_entry.metrics_handler(registry)), _clocks.steady
-    )
-    await shown.start(cfg.ip, cfg.ports[0])
+    await _process.serve_metrics(cfg, registry)
     tasks = await _start(cfg, registry)
     _log.info('Started sidecar {}.', cfg.name, engine=cfg.engine)
     await stop.wait()
@@ -42,10 +37,10 @@
     if cfg.engine is None:
         return []
     shelf = spread.Shelf()
-    calls, moved = make_metrics(registry, shelf)
+    moved = make_metrics(registry, shelf)
     outlook = _outlook.StoreOutlook(
         cfg,
-        _store.StoreClient(cfg.store, _clocks.steady, calls),
+        _process.make_store_client(cfg, registry),
         catalogs.Catalog(),
         _clocks.wall,
         cfg.bounds.version_s,
@@ -73,7 +68,7 @@
 
 
 def make_metrics(registry, shelf):
-    """Return the counters of store calls and of moved bytes."""
+    """Show what is on the shelf; return the counter of moved bytes."""
     registry.gauge(
         'versions_whole',
         'Newest version that is here whole, by model.',
@@ -86,10 +81,6 @@
         shelf.missing,
         ('model', 'version'),
     )
-    calls = registry.counter(
-        'store_calls_total', 'Calls to the store.', ('kind', 'result')
-    )
-    moved = registry.counter(
+    return registry.counter(
         'chunk_bytes_total', 'Bytes of chunks by way.', ('way',)
     )
-    return calls, moved
--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -162,16 +162,15 @@
                 self._pool, method, target, items, body, timeout_s
             )
             result = str(head.status)
-        except errors.RefusedError as exc:
-            self._pool.close_idle()
-            raise errors.StoreUnavailableError(
-                exc.message, step=kind, peer=self._pool.peer
-            ) from exc
         except errors.RequestError as exc:
             self._pool.close_idle()
-            raise errors.StoreUnknownError(
-                exc.message, step=kind, peer=self._pool.peer
-            ) from exc
+            refused = isinstance(exc, errors.RefusedError)
+            error = (
+                errors.StoreUnavailableError
+                if refused
+                else errors.StoreUnknownError
+            )
+            raise error(exc.message, step=kind, peer=self._pool.peer) from exc
         finally:
             if self.metrics is not None:
                 self.metrics.add(kind, result)
--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -6,6 +6,7 @@
 from catkinshunt import metrics
 from catkinshunt import platform
 from catkinshunt.platform import _entry
+from catkinshunt.platform import _process
 from catkinshunt.platform import _sidecar
 from catkinshunt.platform.tests import test_settings
 from catkinshunt import spread
@@ -20,7 +21,7 @@
     context.budget('desk').offer()
     server = gateway.Gateway(context)
     _entry.show_gauges(registry, server, context)
-    _entry.make_store_client(cfg, registry)
+    _process.make_store_client(cfg, registry)
     return registry
 
 
@@ -29,6 +30,8 @@
     shelf = spread.Shelf()
     shelf.holding('drafts', 2)
     _sidecar.make_metrics(registry, shelf)
+    cfg = platform.read_node_settings(test_settings.DOCUMENT)
+    _process.make_store_client(cfg, registry)
     return registry
 
 
@@ -48,7 +51,7 @@
 
 def test_metrics_are_served_as_text():
     async def main():
-        handle = _entry.metrics_handler(entry_registry())
+        handle = _process.metrics_handler(entry_registry())
         request = type('Request', (), {'path': '/metrics'})
         other = type('Request', (), {'path': '/'})
         return await handle(request), await handle(other)
@@ -62,7 +65,7 @@
 
 def test_a_scrape_of_a_sidecar_works():
     asyncio.run(
-        _entry.metrics_handler(sidecar_registry())(
+        _process.metrics_handler(sidecar_registry())(
             type('Request', (), {'path': '/metrics'})
         )
     )
--- /dev/null
+++ b/catkinshunt/platform/tests/test_outage.py
@@ -0,0 +1,24 @@
+from catkinshunt.platform import _outage
+
+
+class Log:
+    def __init__(self):
+        self.lines = []
+
+    def warning(self, text, exc):
+        self.lines.append(text.format(exc))
+
+    def info(self, text, **fields):
+        self.lines.append((text, fields))
+
+
+def test_a_loss_and_a_return_are_told_once():
+    """Each of a dozen calls fails in an outage, and then all go well."""
+    log = Log()
+    outage = _outage.Outage(log, 'lost: {}', 'back')
+    outage.end()
+    outage.begin('no answer')
+    outage.begin('refused')
+    outage.end(revision=7)
+    outage.end(revision=8)
+    assert log.lines == ['lost: no answer', ('back', {'revision': 7})]
