Bound the fallbacks of a chunk in the plan, and work them out once

The fetcher cut the plan's list of sources to size and asked for it again at each look: with 1,000 members one list takes 3.2 ms, and a member that waits for 90 chunks asked 90 times a second. The plan gives two fallbacks at most and keeps its answer until the number of chunks is known. The list is the same as before.

--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -27,11 +27,6 @@
 #: sent 2.4 copies, and a transfer took 13 s instead of 6.5.
 LEAST_PATIENCE = 2
 PATIENCE_PER_S = 1.0
-#: Sources nearby that are asked, once each, when the best one has nothing.
-#: They wait for this member themselves; asked as often as the best one, they
-#: kept chunks for seven seconds after the owner had them (38 members, origin
-#: away for six seconds).
-MOST_FALLBACKS = 2
 #: Pause after all sources of a chunk failed, in seconds.
 RETRY_S = 0.2
 #: Chunks in a row that differ from the manifest before it is taken as
@@ -107,7 +102,7 @@
     def _assign(self, index):
         """Give a chunk to the worker of its best source."""
         tried = self._tried.setdefault(index, set())
-        usable = self._usable(self._sources(index))
+        usable = self._usable(self.plan.sources(index))
         source = next((s for s in usable if s not in tried), None)
         if source is None:
             # Begin again with the best one. While the origin is down all
@@ -115,18 +110,13 @@
             # would send ten copies when it is back, 4 s for what the owners
             # need half a second for.
             tried.clear()
-            source = (usable or self._sources(index))[0]
+            source = (usable or self.plan.sources(index))[0]
         asked = self._asked.setdefault(source, [])
         asked.append(index)
         if source not in self._working:
             self._working.add(source)
             self._group.create_task(self._work(source))
 
-    def _sources(self, index):
-        """Return the sources of a chunk: the best, a few others, the last."""
-        best, *others = self.plan.sources(index)
-        return [best, *others[:-1][:MOST_FALLBACKS], *others[-1:]]
-
     async def _work(self, source):
         """Ask one source for its chunks until none is left to it."""
         asked = self._asked[source]
@@ -205,14 +195,19 @@
             self._assign(index)
 
     def _hand_back(self, source, asked):
-        """Give chunks that a fallback lacks to their next sources."""
-        lent = [i for i in asked if self.plan.sources(i)[0] != source]
+        """Give chunks that a fallback lacks to their next sources.
+
+        A member nearby waits for this one itself. Asked as often as the
+        best source, it kept chunks for seven seconds after the owner had
+        them (38 members, origin away for six seconds).
+        """
         if source == _plan.ORIGIN:
             return
-        for index in lent:
-            asked.remove(index)
-            self._tried[index].add(source)
-            self._assign(index)
+        for index in list(asked):
+            if self.plan.sources(index)[0] != source:
+                asked.remove(index)
+                self._tried[index].add(source)
+                self._assign(index)
 
     async def _ask_one(self, source, asked):
         """Ask for one of the chunks; return whether one came."""
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -26,6 +26,9 @@
 #: With 24 and kept open, 45 members were reset for 15 s after a loss of
 #: power, and nobody was served.
 MOST_OWNERS = 15
+#: Members that are asked for a chunk when the best one has nothing, before
+#: the origin. Those nearby wait for this member themselves.
+MOST_FALLBACKS = 2
 #: Owners that are asked for the manifest before the origin.
 MOST_ASKED = 3
 
@@ -76,14 +79,26 @@
         self._ranked = {}
         self._owners = self._rank('owners')[:MOST_OWNERS]
         self._receivers = None
+        self._sources = {}
 
     def describe(self, chunks):
         """Share out `chunks` chunks among the members."""
         self.chunks = chunks
         self._receivers = None
+        self._sources.clear()
 
     def sources(self, index):
-        """Return the names of sources for a chunk, best first."""
+        """Return the names of sources for a chunk, best first.
+
+        They are worked out once: a member that waits asks for them again
+        and again, and with many members each time takes milliseconds.
+        """
+        found = self._sources.get(index)
+        if found is None:
+            found = self._sources[index] = self._order_sources(index)
+        return found
+
+    def _order_sources(self, index):
         ranked = self._rank(index)
         receivers = self._receivers_of(index)
         order = [
@@ -95,7 +110,7 @@
         names = [member.name for member in order if member is not self.me]
         if receivers[0] is self.me and not any(map(self._holds, order)):
             return [ORIGIN]
-        return [*dict.fromkeys(names), ORIGIN]
+        return [*list(dict.fromkeys(names))[: 1 + MOST_FALLBACKS], ORIGIN]
 
     def manifest_sources(self):
         """Return the names of sources for the manifest, best first.
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -108,6 +108,33 @@
             assert plan.sources(index)[-1] == spread.ORIGIN
 
 
+def test_few_are_asked_before_the_origin():
+    """Members nearby lack a chunk for the same reason as this one.
+
+    Asked one by one, ten of them kept it for seconds while its owner had
+    got it.
+    """
+    for plan in plans(members({'a': 12})).values():
+        for index in range(96):
+            assert len(plan.sources(index)) <= 4
+
+
+def test_a_plan_that_is_described_again_shares_out_anew():
+    """The number of chunks is known only with the manifest.
+
+    Sources from before would leave chunks with owners that nobody else
+    agrees on.
+    """
+    listed = members({'a': 4, 'b': 3})
+    early = spread.Plan(listed[0], listed, REGIONS, 'drafts', 2)
+    late = spread.Plan(listed[0], listed, REGIONS, 'drafts', 2, 96)
+    for index in range(96):
+        early.sources(index)
+    early.describe(96)
+    for index in range(96):
+        assert early.sources(index) == late.sources(index)
+
+
 def test_members_that_differ_by_one_agree_on_most_owners():
     """A member leaves while others begin a transfer.
 
