Take the choice of an upstream out of the exchange; rank once

The rank was worked out for the log before the connection was made and again for the request; it is worked out once, when sent, and the log shows that one, as a note of its own. A status that the dialect judges is not judged again by the relay. Two tests of an engine that stands still share their set-up; their assertions stand. Behaviour is unchanged but for the place of the rank in the log line.

--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -1,5 +1,7 @@
 """What all exchanges of one gateway share."""
 
+import collections
+
 import attrs
 
 from catkinshunt import catalog as catalogs
@@ -40,7 +42,9 @@
     version_grace_s: float = 8.0
     _pools: dict = attrs.field(factory=dict)
     _budgets: dict = attrs.field(factory=dict)
-    _forecasts: dict = attrs.field(factory=dict)
+    _forecasts: dict = attrs.field(
+        factory=lambda: collections.defaultdict(dispatch.Forecast)
+    )
 
     def pool(self, upstream):
         """Return the connections to `upstream`."""
@@ -85,7 +89,4 @@
 
     def forecast(self, service):
         """Return the `dispatch.Forecast` of a service."""
-        found = self._forecasts.get(service)
-        if found is None:
-            found = self._forecasts[service] = dispatch.Forecast()
-        return found
+        return self._forecasts[service]
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -8,6 +8,7 @@
 from catkinshunt import errors
 from catkinshunt.gateway import _admission
 from catkinshunt.gateway import _relay
+from catkinshunt.gateway import _selection
 from catkinshunt.gateway import base
 from catkinshunt import http1
 from catkinshunt import logs
@@ -84,6 +85,7 @@
         self.req = req
         self.ask = None
         self.decision = None
+        self.selection = None
         self.progress = Progress()
         self.end_at = None
 
@@ -116,14 +118,16 @@
             self.context.random.random(),
             self.context.wall(),
         )
+        self.selection = _selection.Selection(
+            self.context, self.ask, self.decision
+        )
         limit_s = self.decision.serve.timeout_s
         if self.ask.deadline_s is not None:
             limit_s = min(limit_s, self.ask.deadline_s)
-        self.end_at = self.req.received_at + limit_s
-        if self.ask.deadline_s is not None:
             self.progress.before_s = self.context.returns.waited_s(
                 self.decision.rule, self.ask.deadline_s
             )
+        self.end_at = self.req.received_at + limit_s
         if self.ask.last_event_id:
             self.progress.last_id = int(self.ask.last_event_id)
         self.context.budget(self.decision.service).offer()
@@ -158,7 +162,6 @@
         state = candidate.state
         self.progress.notes.append(
             f'chose {candidate.upstream.id}: likely {candidate.delay_s:.3f} s,'
-            f' {self._rank(candidate).name.lower()},'
             f' {len(state.jobs)} own jobs,'
             f' {state.failure_rate(self.context.clock()):.2f} failing'
         )
@@ -203,12 +206,12 @@
         """
         hold_until = self.context.clock() + HOLD_S
         while True:
-            candidate = self._find_candidate()
+            candidate = self.selection.find(self.progress.tried)
             if candidate is not None:
                 self.progress.tried.add(candidate.upstream.key)
                 return candidate
             left_s = hold_until - self.context.clock()
-            if left_s <= 0 or not self._is_worth_waiting():
+            if left_s <= 0 or not self._may_wait():
                 raise self._final(
                     errors.OverloadedError(
                         'no upstream is there',
@@ -217,78 +220,11 @@
                     )
                 )
             began = self.context.clock()
-            await self._wait_for_change(left_s)
+            await self.selection.wait_for_change(left_s)
             self.progress.waited_s += self.context.clock() - began
 
-    def _find_candidate(self):
-        return self.context.chooser.choose(
-            self._upstreams(),
-            self.context.tracker,
-            self._engine(),
-            self._job(),
-            self.context.clock(),
-            avoid=self.progress.tried,
-        )
-
-    def _is_worth_waiting(self):
-        """Return whether an upstream is there that may soon take it."""
-        if self.progress.sends:
-            return False
-        service = self.decision.service
-        return any(
-            not upstream.leaving
-            for upstream in self.context.catalog.members(service)
-        )
-
-    async def _wait_for_change(self, left_s):
-        try:
-            async with asyncio.timeout(left_s):
-                await self.context.catalog.wait_for_change()
-        except TimeoutError:
-            return
-
-    def _engine(self):
-        services = self.context.catalog.declaration.services
-        service = services.get(self.decision.service)
-        return service.engine if service else None
-
-    def _job(self):
-        return dispatch.Job(self.ask.tokens_in, self.ask.tokens_out)
-
-    def _upstreams(self):
-        """Return the upstreams that may take the request."""
-        found = self.context.catalog.upstreams(
-            self.decision.service, self.context.wall()
-        )
-        model = self.ask.model
-        if not model or self._engine() is None:
-            return found
-        holding = [u for u in found if u.versions and model in u.versions]
-        least = self._least_version()
-        if least is None:
-            return holding
-        return [u for u in holding if u.versions[model] >= least]
-
-    def _least_version(self, lead_s=0.0):
-        """Return the oldest version that may still begin, or None for any.
-
-        Args:
-            lead_s: seconds from now for which it is asked.
-        """
-        return self.context.catalog.due_version(
-            self.ask.model,
-            self.context.version_grace_s,
-            self.context.wall() + lead_s,
-        )
-
-    def is_outdated(self, upstream, lead_s):
-        """Return whether no request may begin there `lead_s` from now."""
-        least = self._least_version(lead_s)
-        if least is None or self._engine() is None:
-            return False
-        known = self.context.catalog.find(upstream.id) or upstream
-        version = (known.versions or {}).get(self.ask.model)
-        return version is not None and version < least
+    def _may_wait(self):
+        return not self.progress.sends and self.selection.is_worth_waiting()
 
     async def _try(self, candidate):
         """Make one try; raises an `errors.RequestError` where it failed."""
@@ -302,9 +238,10 @@
         except errors.RefusedError:
             state.pause(self.context.clock())
             raise
-        job = state.begin(self._job(), self.context.clock())
+        job = state.begin(self.selection.make_job(), self.context.clock())
         job.likely_s = candidate.delay_s
         job.rank = self._rank(candidate)
+        self.progress.notes.append(f'sent as {job.rank.name.lower()}')
         self.progress.sends += 1
         sent_at = self.context.clock()
         whole = False
@@ -368,7 +305,7 @@
 
     def _priority(self, job):
         """Return the rank of the request at an engine, or None."""
-        if self._engine() is None:
+        if self.selection.engine() is None:
             return None
         return PRIORITIES[job.rank]
 
@@ -382,12 +319,7 @@
         # upstream that it waits for may still answer.
         if not self.context.budget(self.decision.service).has_token():
             return False
-        now = self.context.clock()
-        return any(
-            not self.context.tracker.state(upstream).is_silent(now)
-            for upstream in self._upstreams()
-            if upstream.key not in self.progress.tried
-        )
+        return self.selection.has_other(self.progress.tried)
 
     # What the caller gets.
 
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -113,7 +113,7 @@
         """
         if self.job.answering:
             return
-        if self.exchange.is_outdated(self.upstream, LOOK_S):
+        if self.exchange.selection.is_outdated(self.upstream, LOOK_S):
             raise OutdatedError(
                 'not begun before its version was due',
                 step='read-reply',
@@ -131,7 +131,7 @@
 
     def _check(self, head, note):
         """Raise where the reply is not to be passed on."""
-        if head.status == 421 or note.misdirected:
+        if note.misdirected:
             self.state.rest(self.context.clock(), MISDIRECTED_PAUSE_S)
             raise errors.RefusedError(
                 'another upstream or version is there',
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -74,13 +74,11 @@
     assert run(main)[2] == whole(6)
 
 
-def test_all_streams_of_an_engine_that_stands_still_move():
-    """An engine stands still with twelve requests, and others have room.
+def ask_while_one_stands_still(count, retry_burst):
+    """Return what asks `count` requests of the first of two engines.
 
-    Each entry keeps five retries beyond a share of its requests, since it
-    does not know how many entries there are. With these spent, the other
-    callers wait until they give up, and the engine works on their requests
-    when it wakes, for nobody.
+    It stands still, and the other has room a little later. The coroutine
+    function returns the statuses.
     """
 
     async def still(head, writer, upstream):
@@ -89,16 +87,27 @@
     async def main():
         dark = engine('u1', still)
         other = engine('u2', scenes.streaming(2))
-        async with scenes.scene(dark, other, retry_burst=5.0) as scene:
+        async with scenes.scene(dark, other, retry_burst=retry_burst) as scene:
             tracker = scene.context.tracker
             tracker.state(other.entry()).rest(scene.context.clock(), 0.3)
             asked = [
                 chat(scene, Request_Id=f'a{n}', Left_Ms='3000')
-                for n in range(12)
+                for n in range(count)
             ]
             return [reply[0] for reply in await asyncio.gather(*asked)]
 
-    assert run(main) == [200] * 12
+    return main
+
+
+def test_all_streams_of_an_engine_that_stands_still_move():
+    """An engine stands still with twelve requests, and others have room.
+
+    Each entry keeps five retries beyond a share of its requests, since it
+    does not know how many entries there are. With these spent, the other
+    callers wait until they give up, and the engine works on their requests
+    when it wakes, for nobody.
+    """
+    assert run(ask_while_one_stands_still(12, 5.0)) == [200] * 12
 
 
 def test_an_entry_of_four_moves_all_streams_of_an_engine():
@@ -110,23 +119,7 @@
     run on an engine.
     """
     burst = retries.BurstShare(burst=80.0).choose(now=0.0)
-
-    async def still(head, writer, upstream):
-        await asyncio.sleep(60)
-
-    async def main():
-        dark = engine('u1', still)
-        other = engine('u2', scenes.streaming(2))
-        async with scenes.scene(dark, other, retry_burst=burst) as scene:
-            tracker = scene.context.tracker
-            tracker.state(other.entry()).rest(scene.context.clock(), 0.3)
-            asked = [
-                chat(scene, Request_Id=f'a{n}', Left_Ms='3000')
-                for n in range(16)
-            ]
-            return [reply[0] for reply in await asyncio.gather(*asked)]
-
-    assert run(main) == [200] * 16
+    assert run(ask_while_one_stands_still(16, burst)) == [200] * 16
 
 
 def test_a_silent_engine_is_waited_for_when_no_retry_is_left():
