List a refusal that is untrue of an earlier try as known red

Traced by keeping the replies that callers judge wrong: a booking was dispatched, its entry was killed, the caller came back with its key to the other entry while the key-value service was away, and was told "ran no", though the order had run once.

Not mended: an existing test holds that a first try in an outage says "no", and an entry cannot tell a first try from a second.

--- a/catkinshunt/claims/tests/test_ledger.py
+++ b/catkinshunt/claims/tests/test_ledger.py
@@ -201,6 +201,22 @@
     assert claim.state == claims.State.GRANTED
 
 
+def test_a_second_try_in_an_outage_does_not_say_that_nothing_ran():
+    """An entry dies with a booking dispatched, and the service is away.
+
+    The caller comes back with its key to another entry. Told "not run", it
+    would book under a new key, and the booking that ran would stand twice.
+    """
+    store = fakes.FakeStore()
+    with make_ledger(store) as first, make_ledger(store) as second:
+        ask(second, 'warm', key='other')
+        assert ask(first, 'a').state == claims.State.GRANTED
+        store.down = True
+        with pytest.raises(errors.RefusedError) as caught:
+            ask(second, 'b')
+        assert caught.value.ran != 'no'
+
+
 def test_claim_given_up_while_its_write_is_slow_is_taken_back():
     """The service is so slow that the claim outlasts its time."""
     store = fakes.FakeStore()
