End the lease while the last requests are answered

Cause: a process that stops waited for the store to end its lease after everything else. A store out of reach takes a connection and a call, two seconds, and one is kept back before the kill. The test with a silent store fails where the lease is ended last.

--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -77,13 +77,26 @@
     ]
     _log.info('Started entry {}.', cfg.name, data_centre=cfg.data_centre)
     await stop.wait()
-    await server.stop(cfg.bounds.grace_s - STOP_MARGIN_S)
+    await stop_serving(server, member, cfg.bounds.grace_s - STOP_MARGIN_S)
     for task in tasks:
         task.cancel()
-    await member.leave()
     _log.info('Ended entry {}.', cfg.name)
 
 
+async def stop_serving(server, member, grace_s):
+    """Answer what is in progress, and end the lease meanwhile.
+
+    Waited for at the end, a store out of reach would hold the process for
+    two seconds more, beyond the one that is kept back, and it would be
+    killed with its last log lines unwritten.
+    """
+    leaving = asyncio.ensure_future(member.leave())
+    try:
+        await server.stop(grace_s)
+    finally:
+        leaving.cancel()
+
+
 def make_context(cfg, registry):
     """Return the `gateway.Context` of an entry with these settings."""
     bounds = cfg.bounds
--- a/catkinshunt/platform/_membership.py
+++ b/catkinshunt/platform/_membership.py
@@ -34,13 +34,14 @@
         self.roster = roster
         self.name = name
         self._lease = None
+        self._leaves = False
 
     async def run(self):
-        """Keep the entry listed until cancelled."""
+        """Keep the entry listed until it leaves."""
         outage = _outage.Outage(
             _log, 'The lease was not renewed: {}.', 'The lease is renewed.'
         )
-        while True:
+        while not self._leaves:
             try:
                 await self._keep()
                 outage.end()
@@ -65,6 +66,7 @@
 
     async def leave(self):
         """End the lease, so that others no longer count this entry."""
+        self._leaves = True
         if self._lease is None:
             return
         try:
--- a/catkinshunt/platform/tests/test_membership.py
+++ b/catkinshunt/platform/tests/test_membership.py
@@ -3,6 +3,7 @@
 
 from catkinshunt import catalog as catalogs
 from catkinshunt import platform
+from catkinshunt.platform import _entry
 from catkinshunt.platform import _membership
 from catkinshunt.platform.tests import fakes
 
@@ -84,3 +85,38 @@
             await member.leave()
 
     asyncio.run(main())
+
+
+def test_a_silent_store_does_not_hold_up_the_stop(monkeypatch):
+    """The store gives no answer while a process stops.
+
+    Waited for when all requests had ended, the call lasted beyond the time
+    to stop, and the process was killed with its last log lines unwritten.
+    """
+
+    class Server:
+        async def stop(self, grace_s):
+            await asyncio.sleep(grace_s)
+
+    async def main():
+        async with listed(monkeypatch) as (store, _, member):
+            monkeypatch.setattr(
+                store, 'end_lease', lambda lease: asyncio.sleep(60)
+            )
+            async with asyncio.timeout(0.5):
+                await _entry.stop_serving(Server(), member, 0.05)
+
+    asyncio.run(main())
+
+
+def test_the_lease_ends_while_the_last_requests_are_answered(monkeypatch):
+    class Server:
+        async def stop(self, grace_s):
+            await asyncio.sleep(grace_s)
+
+    async def main():
+        async with listed(monkeypatch) as (store, _, member):
+            await _entry.stop_serving(Server(), member, 0.05)
+            return KEY in store.items
+
+    assert not asyncio.run(main())
