Show which versions are pending; drop none for one that cannot be had; empty engines before they load

A key bound to a lease that ends before the version is due shows late starters that it is not; the lease is given back where its grant took too long. A newer version displaces an older one only when its manifest has come. A sidecar lets nothing in that would last into the loading of its engine. Loading has a module of its own, and the loss of the engine is told once (logs.Outage).

Ruled out: a watch from an older revision to count heartbeats since a version was named (170 events at each start).

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -1,6 +1,7 @@
 """The state of the platform as one process knows it."""
 
 import collections
+import math
 
 import attrs
 
@@ -28,10 +29,13 @@
     Attributes:
         version: its number; a higher one is newer.
         since: seconds on the clock of the catalog when it was learnt.
+        is_pending: it was named before this process started, and others
+            know that it is not due yet.
     """
 
     version: int
     since: float
+    is_pending: bool = False
 
 
 class Catalog(base.ParamsMixin):
@@ -67,6 +71,11 @@
         if self._confirmed_at is None or now > self._confirmed_at:
             self._confirmed_at = now
 
+    @property
+    def confirmed_at(self):
+        """When the state was last known to be the newest, or None."""
+        return self._confirmed_at
+
     def age_s(self, now):
         """Return the seconds since the state was last confirmed, or None."""
         if self._confirmed_at is None:
@@ -106,6 +115,39 @@
         self._changes.announce()
         return True
 
+    def mark_pending(self, model, version, now):
+        """Note that a version that was named before is not due yet."""
+        named = self._find_version(model, version)
+        if named is not None and math.isinf(named.since):
+            named.since = now
+            named.is_pending = True
+            _log.info('Version {} of {} is not due yet.', version, model)
+            self._changes.announce()
+
+    def end_pending(self, model, version):
+        """Note that a version may be due from now on."""
+        named = self._find_version(model, version)
+        if named is not None and named.is_pending:
+            named.since = -math.inf
+            named.is_pending = False
+            _log.info('Version {} of {} is due.', version, model)
+            self._changes.announce()
+
+    def pending_versions(self):
+        """Return pairs of model and version that others know to be pending."""
+        return [
+            (model, named.version)
+            for model, known in self._versions.items()
+            for named in known
+            if named.is_pending
+        ]
+
+    def _find_version(self, model, version):
+        for named in self._versions.get(model, ()):
+            if named.version == version:
+                return named
+        return None
+
     def named_models(self):
         """Return the models of which a version was named."""
         return list(self._versions)
--- a/catkinshunt/platform/_outage.py
+++ b/catkinshunt/logs/_outage.py
@@ -2,13 +2,13 @@
 
 
 class Outage:
-    """Writes one line when the store is lost and one when it is back.
+    """Writes one line when something is lost and one when it is back.
 
     Calls fail by the dozen in an outage; a line for each would hide the
     rest of the log.
 
     Args:
-        log: logger of the part that depends on the store.
+        log: logger of the part that depends on it.
         lost: text of the line on the loss, with a place for the error.
         back: text of the line on the return.
     """
--- a/catkinshunt/platform/tests/test_outage.py
+++ b/catkinshunt/logs/tests/test_outage.py
@@ -1,4 +1,4 @@
-from catkinshunt.platform import _outage
+from catkinshunt import logs
 
 
 class Log:
@@ -15,7 +15,7 @@
 def test_a_loss_and_a_return_are_told_once():
     """Each of a dozen calls fails in an outage, and then all go well."""
     log = Log()
-    outage = _outage.Outage(log, 'lost: {}', 'back')
+    outage = logs.Outage(log, 'lost: {}', 'back')
     outage.end()
     outage.begin('no answer')
     outage.begin('refused')
--- a/catkinshunt/places/_ledger.py
+++ b/catkinshunt/places/_ledger.py
@@ -39,6 +39,9 @@
 MOST_READING_S = 0.05
 #: Seconds after a grant in which its request may still be on the way.
 ARRIVING_S = 0.3
+#: Seconds after which a closed engine that should serve again gets requests
+#: all the same; its own word was lost or it gave up loading.
+REOPEN_S = 3.0
 #: Words for why an ask is refused.
 NO_ROOM = 'no-room'
 RELOADING = 'reloading'
@@ -121,7 +124,7 @@
             return [(peer, _messages.Granted(ask.number, self.held))]
         if key in self._queue or key in self._late:
             return [(peer, _messages.Queued(ask.number))]
-        if now + ask.lasts_s > self._closes_at:
+        if self._is_too_long(ask, now):
             return [self._refuse(key, RELOADING, now)]
         if self._may_begin(ask, now) and not self._goes_behind(ask):
             return [self._grant(key, ask, now)]
@@ -212,6 +215,12 @@
     def _room(self):
         return self._slots + self.spare - self.held
 
+    def _is_too_long(self, ask, now):
+        """Return whether an answer would last into the loading."""
+        if now > self._opens_at + REOPEN_S:
+            return False
+        return now + ask.lasts_s > self._closes_at
+
     def _reads_soon_at(self):
         """Return when the engine has read most of what it was given."""
         return self._read_at - MOST_READING_S
@@ -254,7 +263,7 @@
             if not self._may_begin(ask, now):
                 break
             del line[key]
-            if now + ask.lasts_s > self._closes_at:
+            if self._is_too_long(ask, now):
                 replies.append(self._refuse(key, RELOADING, now))
             else:
                 replies.append(self._grant(key, ask, now))
--- a/catkinshunt/places/tests/test_ledger.py
+++ b/catkinshunt/places/tests/test_ledger.py
@@ -208,3 +208,11 @@
     ledger.done('a', 1, now=0.2)
     assert ledger.ask('c', late, now=0.3)[0][1].kind == 'refused'
     assert ledger.ask('c', late, now=0.7)[0][1].kind == 'granted'
+
+
+def test_a_closed_engine_is_not_left_alone_for_ever():
+    """The order to load failed, or the word that it serves was lost."""
+    ledger = places.Ledger(spare=0)
+    ledger.close(closes_at=1.0, opens_at=1.5)
+    assert kinds(ledger.ask('a', ask(1), now=2.0)) == [('a', 'refused', 1)]
+    assert kinds(ledger.ask('a', ask(1), now=6.0)) == [('a', 'granted', 1)]
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -34,6 +34,25 @@
     catalog.name_version(model, version, since)
 
 
+def apply_pending(item, catalog, now):
+    """Note whether a version is not due yet.
+
+    Args:
+        item: `Item` of the key that shows it.
+        catalog: `catalog.Catalog`.
+        now: seconds on the clock of the catalog.
+    """
+    try:
+        model, version = _documents.read_pending_key(item.key)
+    except _documents.UnreadableError as exc:
+        _log.warning('Left aside {}: {}.', item.key, exc)
+        return
+    if item.value is None:
+        catalog.end_pending(model, version)
+    else:
+        catalog.mark_pending(model, version, now)
+
+
 def decode_upstream(item):
     """Return the `catalog.Upstream` of an item, or None for none."""
     if item.value is None:
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -12,8 +12,11 @@
 CONFIGURATION_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
 UPSTREAM_PREFIX = 'servers/'
-#: Keys of our own: one for each entry that is alive.
-ENTRY_PREFIX = 'catkinshunt/entries/'
+#: Keys of our own: one for each entry that is alive, and one for each
+#: version that was named and is not due yet.
+OWN_PREFIX = 'catkinshunt/'
+ENTRY_PREFIX = OWN_PREFIX + 'entries/'
+PENDING_PREFIX = OWN_PREFIX + 'pending/'
 _STATES = ('ready', 'draining')
 _MS = 1000.0
 
@@ -22,6 +25,23 @@
     """A value of the store that is not what its key promises."""
 
 
+def pending_key(model, version):
+    """Return the key that shows a version as not due yet."""
+    return f'{PENDING_PREFIX}{model}/{version}'
+
+
+def read_pending_key(key):
+    """Return (model, version) of such a key.
+
+    Raises:
+        UnreadableError: it is none.
+    """
+    model, _, version = key.removeprefix(PENDING_PREFIX).rpartition('/')
+    if not model or not version.isdigit():
+        raise UnreadableError(f'{key[:80]!r} names no version')
+    return model, int(version)
+
+
 def load(value):
     """Return the JSON object in `value`.
 
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -15,6 +15,7 @@
 from catkinshunt.platform import _dialect
 from catkinshunt.platform import _membership
 from catkinshunt.platform import _mirror
+from catkinshunt.platform import _pending
 from catkinshunt.platform import _process
 from catkinshunt.platform import _signals
 from catkinshunt import retries
@@ -68,11 +69,20 @@
     roster = catalogs.Roster()
     mirror = make_mirror(client, context, roster)
     member = _membership.Membership(client, roster, cfg.name)
+    pending = _pending.PendingVersions(
+        client,
+        context.catalog,
+        roster,
+        cfg.name,
+        context.version_grace_s,
+        _clocks.wall,
+    )
     tasks = [
         asyncio.ensure_future(work)
         for work in (
             mirror.run(),
             member.run(),
+            pending.run(),
             _share_retries(cfg, context, roster),
             _tidy(context),
         )
--- a/catkinshunt/platform/_membership.py
+++ b/catkinshunt/platform/_membership.py
@@ -5,7 +5,6 @@
 from catkinshunt import errors
 from catkinshunt import logs
 from catkinshunt.platform import _documents
-from catkinshunt.platform import _outage
 from catkinshunt.platform import _store
 
 #: Seconds after which an entry that no longer renews its lease is no longer
@@ -38,7 +37,7 @@
 
     async def run(self):
         """Keep the entry listed until it leaves."""
-        outage = _outage.Outage(
+        outage = logs.Outage(
             _log, 'The lease was not renewed: {}.', 'The lease is renewed.'
         )
         while not self._leaves:
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -7,7 +7,6 @@
 from catkinshunt import logs
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
-from catkinshunt.platform import _outage
 from catkinshunt.platform import _store
 
 #: Seconds that a watch waits where nothing changes. Its return confirms that
@@ -48,7 +47,7 @@
         self._revision = None
         self._revisions = {}
         self._pause_s = FIRST_PAUSE_S
-        self._outage = _outage.Outage(
+        self._outage = logs.Outage(
             _log, 'The store is lost: {}.', 'The store is back.'
         )
 
@@ -79,20 +78,39 @@
         first = self.catalog.declaration is None
         operator = await self.client.read_prefix('op/')
         listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
-        entries = await self.client.read_prefix(_documents.ENTRY_PREFIX)
+        own = await self.client.read_prefix(_documents.OWN_PREFIX)
+        # How long a version has been named cannot be seen; a process that
+        # has just started takes it as long ago, others as at the moment when
+        # it was not named yet for certain.
+        since = self.catalog.confirmed_at
+        if first or since is None:
+            since = -math.inf
         for item in operator.items:
-            # How long a version has been named cannot be seen; a process
-            # that has just started takes it as long ago.
-            self._apply(item, -math.inf if first else asked_at)
+            self._apply(item, since)
+        self._read_pending(own.items, asked_at)
         self.catalog.replace_upstreams(
             _apply.decode_upstreams(listed.items), self.wall()
         )
-        self.roster.replace(map(_entry_name, entries.items))
+        self.roster.replace(
+            _entry_name(item)
+            for item in own.items
+            if item.key.startswith(_documents.ENTRY_PREFIX)
+        )
         self._revisions = {item.key: item.revision for item in listed.items}
         self._revision = min(operator.revision, listed.revision)
         self.catalog.confirm(asked_at)
         self._regain()
 
+    def _read_pending(self, items, asked_at):
+        """Take over which versions are pending; the others are not."""
+        shown = {item.key for item in items}
+        for model, version in self.catalog.pending_versions():
+            if _documents.pending_key(model, version) not in shown:
+                self.catalog.end_pending(model, version)
+        for item in items:
+            if item.key.startswith(_documents.PENDING_PREFIX):
+                _apply.apply_pending(item, self.catalog, asked_at)
+
     async def _follow(self):
         age_s = self.catalog.age_s(self.wall())
         wait_s = max(SHORTEST_WATCH_S, WATCH_S - age_s)
@@ -119,6 +137,8 @@
             self._apply_upstream(item, now)
         elif item.key.startswith(_documents.ENTRY_PREFIX):
             self._apply_entry(item)
+        elif item.key.startswith(_documents.PENDING_PREFIX):
+            _apply.apply_pending(item, self.catalog, now)
 
     def _apply_entry(self, item):
         if item.value is None:
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -6,7 +6,6 @@
 from catkinshunt import logs
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
-from catkinshunt.platform import _outage
 from catkinshunt.platform import _store
 from catkinshunt import spread
 
@@ -47,7 +46,7 @@
 
     async def run(self):
         """Follow the store until cancelled."""
-        outage = _outage.Outage(
+        outage = logs.Outage(
             _log, 'The store is lost: {}.', 'The store is back.'
         )
         while True:
--- /dev/null
+++ b/catkinshunt/platform/_pending.py
@@ -0,0 +1,95 @@
+"""Shows in the store which versions are not due yet, for late starters."""
+
+import asyncio
+import math
+
+from catkinshunt import errors
+from catkinshunt import logs
+from catkinshunt.platform import _documents
+from catkinshunt import rendezvous
+
+#: Entries that write the key of a version; one of them may die meanwhile.
+WRITERS = 2
+#: Shortest lease that is worth its two calls, and that the store grants, in
+#: seconds.
+LEAST_LEASE_S = 1.0
+#: Seconds that a lease ends before the version is due, for the way of its
+#: grant; one that took longer is given back.
+MARGIN_S = 0.4
+
+_log = logs.get_logger('versions')
+
+
+class PendingVersions:
+    """Keeps a key for each version that was named and is not due yet.
+
+    An entry that starts finds a named version in the store, and cannot tell
+    whether that was a moment ago or long since. Taking it as due, it refused
+    all requests for up to eight seconds while engines were still loading.
+    The key is bound to a lease that ends no later than the version is due,
+    so while it is there the version is not.
+
+    Args:
+        client: `StoreClient`.
+        catalog: `catalog.Catalog` in which versions are named.
+        roster: `catalog.Roster` of the entries.
+        name: name of this entry.
+        grace_s: seconds after which a named version is due.
+        wall: gives seconds on the clock of the catalog.
+    """
+
+    def __init__(self, client, catalog, roster, name, grace_s, wall):
+        self.client = client
+        self.catalog = catalog
+        self.roster = roster
+        self.name = name
+        self.grace_s = grace_s
+        self.wall = wall
+        self._written = set()
+
+    async def run(self):
+        """Write keys until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                for model, named in self._find_new():
+                    group.create_task(self._write(model, named))
+                await self.catalog.wait_for_change()
+
+    def _find_new(self):
+        """Return pairs of model and version that this entry is to show."""
+        found = []
+        for model in self.catalog.named_models():
+            named = self.catalog.newest_version(model)
+            key = (model, named.version)
+            if key in self._written:
+                continue
+            self._written.add(key)
+            if not named.is_pending and self._is_writer(*key):
+                found.append((model, named))
+        return found
+
+    def _is_writer(self, model, version):
+        names = sorted({*self.roster.names(), self.name})
+        ranked = rendezvous.rank(f'{model}/{version}', names)
+        return self.name in ranked[:WRITERS]
+
+    async def _write(self, model, named):
+        """Write the key of one version, unless it is due too soon."""
+        due_at = named.since + self.grace_s
+        lease_s = due_at - self.wall() - MARGIN_S
+        if not math.isfinite(lease_s) or lease_s < LEAST_LEASE_S:
+            return
+        try:
+            lease = await self.client.grant_lease(lease_s)
+            if self.wall() + lease_s > due_at:
+                await self.client.end_lease(lease)
+                return
+            key = _documents.pending_key(model, named.version)
+            await self.client.write(key, b'{}', lease)
+        except errors.StoreError as exc:
+            _log.warning(
+                'Version {} of {} is not shown as pending: {}.',
+                named.version,
+                model,
+                exc,
+            )
--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -20,6 +20,7 @@
         self.calls = []
         self.sent = []
         self.leases = {}
+        self.granted_s = []
         self._changes = changes.Changes()
 
     def put(self, key, document):
@@ -69,6 +70,7 @@
         await self._begin('grant')
         lease = len(self.calls)
         self.leases[lease] = set()
+        self.granted_s.append(ttl_s)
         return lease
 
     async def renew_lease(self, lease):
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -8,32 +8,21 @@
 from catkinshunt import logs
 from catkinshunt.spread import _fetcher
 from catkinshunt.spread import _holding
+from catkinshunt.spread import _loading
 from catkinshunt.spread import _plan
 from catkinshunt.spread import _stage
 from catkinshunt.spread import base
 
-#: Pause between looks at the engine, in seconds.
+#: Pause between looks at the engine, in seconds, and while it is being
+#: emptied or loads: it stands idle until its end is seen.
 LOOK_S = 0.25
-#: Seconds after which an order that shows no effect is given again.
-ORDER_PATIENCE_S = 3.0
-#: Pause before an order whose answer was lost is given again, in seconds.
-ORDER_AGAIN_S = 0.3
+LOADING_LOOK_S = 0.05
+#: Seconds for which the manifest of a newer version is asked for before the
+#: other one goes on without it, to be asked again at the next look.
+ASK_S = 2.0
 #: Time of one copy over the time that the link alone would need; measured
 #: with heads, checks and other traffic on the link.
 COPY_OVERHEAD = 1.12
-#: Groups in which engines that serve load a version, one after the other, so
-#: that the others go on meanwhile.
-WAVES = 3
-#: Seconds in which an engine ends its answers and loads; groups need not
-#: follow each other more slowly.
-WAVE_S = 1.6
-#: Seconds before the version is due at which the last group begins at the
-#: latest; from then on the engines with the older one get no requests.
-LAST_WAVE_LEAD_S = 0.75
-#: Seconds that an engine takes to load a version once it has ended its
-#: answers; 0.3 s on the users' deployments.
-LOAD_S = 0.3
-
 _log = logs.get_logger('agent')
 
 
@@ -50,27 +39,6 @@
     due_at: float
 
 
-def turn_at(wave, whole_at, due_at):
-    """Return when an engine of a group loads a version.
-
-    Groups follow each other as slowly as the time until the version is due
-    allows. Engines that load together take no new requests together.
-
-    Args:
-        wave: number of the group, from 0.
-        whole_at: when the version was whole, in seconds.
-        due_at: when engines with the older version get no more requests.
-
-    Examples:
-        >>> [turn_at(wave, 10.0, 20.0) for wave in range(3)]
-        [10.0, 11.6, 13.2]
-        >>> [turn_at(wave, 10.0, 11.5) for wave in range(3)]
-        [10.0, 10.375, 10.75]
-    """
-    left_s = max(0.0, due_at - LAST_WAVE_LEAD_S - whole_at)
-    return whole_at + wave * min(WAVE_S, left_s / (WAVES - 1))
-
-
 class Agent:
     """Fetches wanted versions, gives them to peers, and orders loads.
 
@@ -102,14 +70,17 @@
         self.counter = counter
         self.door = door
         self._transfer = None
+        self._asking = None
         self._fetching = None
-        self._ordered = None
-        self._ordered_at = 0.0
         self._providing = set()
-        self._waves = {}
-        self._whole_at = {}
-        self._whole = asyncio.Event()
+        self._news = asyncio.Event()
         self._stage_turn = asyncio.Lock()
+        self._loader = _loading.Loader(
+            engine, outlook, door, clock, self._stage_turn
+        )
+        self._outage = logs.Outage(
+            _log, 'The engine is lost: {}.', 'The engine is back.'
+        )
 
     async def run(self):
         """Keep the engine at the wanted version until cancelled."""
@@ -117,7 +88,7 @@
             try:
                 await self._look()
             except errors.CatkinshuntError as exc:
-                _log.warning('Could not look after the engine: {}.', exc)
+                self._outage.begin(exc)
             except Exception:
                 # An unforeseen error must not end the care for the engine;
                 # it would keep an old version until requests are refused.
@@ -127,17 +98,17 @@
     async def _pause(self):
         """Wait until the next look, a new version, or a whole one."""
         named = asyncio.ensure_future(self.outlook.wait_for_version())
-        whole = asyncio.ensure_future(self._whole.wait())
+        news = asyncio.ensure_future(self._news.wait())
         try:
             await asyncio.wait(
-                (named, whole),
-                timeout=LOOK_S,
+                (named, news),
+                timeout=LOADING_LOOK_S if self._loader.is_busy else LOOK_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
             named.cancel()
-            whole.cancel()
-            self._whole.clear()
+            news.cancel()
+            self._news.clear()
 
     def note_asked(self, model, version):
         """Learn of a version from a peer that asks for it.
@@ -152,7 +123,9 @@
 
     async def _look(self):
         report = await self.engine.report()
+        self._outage.end()
         self.door.correct(report.present)
+        self._loader.note(report)
         wanted = await self.outlook.wanted(report)
         if wanted is None:
             return
@@ -163,7 +136,7 @@
             self._fetch(wanted)
         ready = self._newest_whole(report, wanted)
         if ready is not None:
-            await self._load(report, ready)
+            await self._loader.step(report, ready)
 
     def _newest_whole(self, report, wanted):
         """Return the newest whole `Holding` that the engine lacks, or None.
@@ -189,7 +162,7 @@
         if self._is_fetching():
             if self._fetching.version == wanted.version:
                 return
-            if self._finishes_first(wanted):
+            if self._finishes_first(wanted) or not self._can_be_had(wanted):
                 return
             _log.info(
                 'Dropped version {} for version {}.',
@@ -201,6 +174,33 @@
         self._fetching = wanted
         self._transfer = asyncio.ensure_future(self._run_transfer(wanted))
 
+    def _can_be_had(self, newer):
+        """Return whether a source gives the newer version.
+
+        The origin may be away. Dropped for a version that cannot be had, the
+        older one is missing too when it is due, and nobody serves until the
+        origin is back and the newer one has come: eight seconds instead of
+        three.
+        """
+        if self._holding_of(newer).manifest is not None:
+            return True
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.ensure_future(self._ask_for(newer))
+        return False
+
+    async def _ask_for(self, newer):
+        """Fetch the manifest of a version while another is on its way."""
+        try:
+            plan = await self._plan(newer.model, newer.version)
+            fetcher = self._fetcher(self._holding_of(newer), plan)
+            async with asyncio.timeout(ASK_S):
+                await fetcher.fetch_manifest()
+            self._news.set()
+        except (errors.CatkinshuntError, TimeoutError) as exc:
+            _log.warning(
+                'Version {} cannot be had yet: {!r}.', newer.version, exc
+            )
+
     def _holding_of(self, wanted):
         return self.shelf.holding(wanted.model, wanted.version)
 
@@ -213,7 +213,7 @@
         return _plan.finish_older_first(
             holding.left_share,
             self._copy_s(holding.manifest.size_bytes),
-            LOAD_S,
+            _loading.LOAD_S,
             older.due_at - now,
             newer.due_at - now,
         )
@@ -228,7 +228,7 @@
             plan = await self._plan(wanted.model, wanted.version)
             fetcher = self._fetcher(holding, plan)
             await fetcher.fetch_manifest()
-            self._waves[wanted.version] = plan.wave(WAVES)
+            self._loader.set_wave(wanted.version, plan.wave(_loading.WAVES))
             # After a restart most chunks may lie beside the engine already.
             restored = await _stage.restore(holding, self.engine)
             await fetcher.run()
@@ -245,7 +245,7 @@
         except Exception:
             _log.exception('A transfer failed.')
             return
-        self._whole.set()
+        self._news.set()
         _log.info(
             'Version {} of {} is whole.',
             wanted.version,
@@ -299,43 +299,3 @@
             _log.warning('Cannot give version {}: {}.', version, exc)
         finally:
             self._providing.discard((model, version))
-
-    # Orders.
-
-    async def _load(self, report, holding):
-        if report.busy or not self._is_turn(report, holding):
-            return
-        key = (holding.model, holding.version)
-        waited_s = self.clock() - self._ordered_at
-        if self._ordered == key and waited_s < ORDER_PATIENCE_S:
-            return
-        # The engine loads what is staged when it takes the order. Chunks of
-        # another version put there meanwhile would give mixed weights, so
-        # none is put until it is known whether the order was taken.
-        async with self._stage_turn:
-            await _stage.settle(holding, self.engine)
-            self._ordered = key
-            self._ordered_at = self.clock()
-            await self._order(*key)
-
-    def _is_turn(self, report, holding):
-        """Return whether it is this member's turn to load."""
-        serves = report.versions.get(holding.model)
-        if not serves:
-            return True
-        now = self.outlook.now()
-        whole_at = self._whole_at.setdefault(holding.version, now)
-        wave = self._waves.get(holding.version, 0)
-        due_at = self.outlook.due_after(holding.model, serves)
-        return now >= turn_at(wave, whole_at, due_at)
-
-    async def _order(self, model, version):
-        while True:
-            try:
-                await self.engine.load(model, version)
-            except base.OrderLostError as exc:
-                _log.warning('The answer to an order was lost: {}.', exc)
-                await asyncio.sleep(ORDER_AGAIN_S)
-                continue
-            _log.info('Ordered version {} of {}.', version, model)
-            return
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -257,7 +257,11 @@
 
     async def _fetch_manifest(self):
         while self.holding.manifest is None:
-            for source in self._usable(self.plan.manifest_sources()):
+            sources = self.plan.manifest_sources()
+            # Where none is left the best one is asked all the same: whoever
+            # takes it from the origin learns so that it is back. Left out for
+            # BLAME_S, its first chunk came 1.4 to 2.1 s after its return.
+            for source in self._usable(sources) or sources[:1]:
                 if await self._manifest_from(source):
                     return
             await asyncio.sleep(RETRY_S)
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -2,7 +2,7 @@
 import contextlib
 
 from catkinshunt import spread
-from catkinshunt.spread import _agent
+from catkinshunt.spread import _loading
 from catkinshunt.spread.tests import fakes
 
 ME = spread.Member('a0', 'a')
@@ -116,7 +116,7 @@
         sidecar.outlook.name(2)
         await sidecar.until(lambda: sidecar.engine.version == 2)
         sidecar.engine.version = 0
-        sidecar.agent._ordered_at -= 10
+        sidecar.agent._loader._ordered_at -= 10
         given = len(sidecar.origin.given)
         await sidecar.until(lambda: sidecar.engine.version == 2)
         return len(sidecar.origin.given) - given
@@ -160,7 +160,7 @@
     If all load at once nobody serves meanwhile; the last group goes on
     until shortly before the version is due.
     """
-    monkeypatch.setattr(_agent, 'LAST_WAVE_LEAD_S', 0.2)
+    monkeypatch.setattr(_loading, 'LAST_WAVE_LEAD_S', 0.2)
     monkeypatch.setattr(spread.Plan, 'wave', lambda self, waves: waves - 1)
 
     async def main(sidecar):
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -220,6 +220,26 @@
     assert not found.origin.given
 
 
+def test_an_owner_notices_at_once_that_the_origin_is_back(monkeypatch):
+    """A version is named while the origin is away for seconds.
+
+    Until its manifest is here nothing is fetched, and the time that passes
+    after the return of the origin is missing when the version is due.
+    """
+    monkeypatch.setattr(_fetcher, 'RETRY_S', 0.01)
+
+    async def main():
+        found = Transfer(fakes.FakePeers(), [])
+        found.origin.down = True
+        asking = asyncio.ensure_future(found.fetcher.fetch_manifest())
+        await asyncio.sleep(0.05)
+        found.origin.down = False
+        async with asyncio.timeout(_fetcher.BLAME_S / 3):
+            await asking
+
+    asyncio.run(main())
+
+
 def test_members_that_wait_themselves_do_not_hold_up_a_chunk(monkeypatch):
     """The origin is down for longer than the owner of a chunk is asked.
 
