--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -1,6 +1,7 @@
 """Brings the engine of one sidecar to the version that is wanted."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -22,7 +23,7 @@
 ASK_S = 2.0
 #: Time of one copy over the time that the link alone would need; measured
 #: with heads, checks and other traffic on the link.
-COPY_OVERHEAD = 1.12
+COPY_OVERHEAD = 1.2
 _log = logs.get_logger('agent')
 
 
@@ -131,12 +132,32 @@
             return
         if report.versions.get(wanted.model) == wanted.version:
             return
-        holding = self.shelf.holding(wanted.model, wanted.version)
-        if not holding.is_whole:
+        if not self._holding_of(wanted).is_whole:
             self._fetch(wanted)
+        await self._move(report, wanted)
+
+    async def _move(self, report, wanted):
+        """Bring the engine to the next version that it can have."""
         ready = self._newest_whole(report, wanted)
-        if ready is not None:
-            await self._loader.step(report, ready)
+        newest = self._holding_of(wanted)
+        if ready is None and self._fetching is not None:
+            ready = self._holding_of(self._fetching)
+        serves = report.versions.get(wanted.model, 0)
+        if ready is None or ready.manifest is None or ready.version <= serves:
+            return
+        newer_s = math.inf
+        if ready is not newest:
+            newer_s = self._whole_in_s(newest)
+        await self._loader.step(
+            report, ready, self._whole_in_s(ready), newer_s
+        )
+
+    def _whole_in_s(self, holding):
+        """Return in how many seconds a version is likely to be whole."""
+        if holding.manifest is None:
+            return math.inf
+        copy_s = self._copy_s(holding.manifest.size_bytes)
+        return holding.left_share * copy_s
 
     def _newest_whole(self, report, wanted):
         """Return the newest whole `Holding` that the engine lacks, or None.
--- a/catkinshunt/spread/_loading.py
+++ b/catkinshunt/spread/_loading.py
@@ -1,6 +1,9 @@
 """Decides when an engine loads a version, and gives the orders."""
 
 import asyncio
+import math
+
+import attrs
 
 from catkinshunt import logs
 from catkinshunt.spread import _stage
@@ -13,8 +16,8 @@
 #: Groups in which engines that serve load a version, one after the other, so
 #: that the others go on meanwhile.
 WAVES = 3
-#: Seconds in which an engine ends its answers and loads; groups need not
-#: follow each other more slowly.
+#: Seconds in which an engine runs empty and loads; groups need not follow
+#: each other more slowly.
 WAVE_S = 1.6
 #: Seconds before the version is due at which the last group begins at the
 #: latest; from then on the engines with the older one get no requests.
@@ -24,29 +27,64 @@
 #: Seconds that an engine takes to load a version once it has ended its
 #: answers; 0.3 s on the users' deployments.
 LOAD_S = 0.3
+#: Seconds that an engine may stand idle between two versions rather than load
+#: both: running empty and loading keeps it from work for 1.2 s each time, and
+#: while it stands idle it ends its answers for 0.9 s.
+MOST_IDLE_S = 2.9
+#: Seconds before the turn of an engine from which on it is looked at often.
+NEAR_S = 0.5
 
 _log = logs.get_logger('agent')
 
 
-def turn_at(wave, whole_at, due_at):
-    """Return when an engine of a group loads a version.
+@attrs.frozen
+class Move:
+    """What is known of the way of one engine to a version.
+
+    Attributes:
+        whole_in_s: seconds until the version is whole here; below 0 where it
+            has been for so long.
+        due_in_s: seconds until engines with what it serves get no more
+            requests.
+        wave: number of its group, from 0.
+        newer_whole_in_s: seconds until a newer version is whole here;
+            infinite where none is on its way.
+    """
+
+    whole_in_s: float
+    due_in_s: float
+    wave: int = 0
+    newer_whole_in_s: float = math.inf
+
+
+def turn_in_s(move):
+    """Return in how many seconds the engine is to load; infinite for not.
 
     Groups follow each other as slowly as the time until the version is due
-    allows. Engines that load together take no new requests together.
+    allows, since engines that load together take no requests together. Where
+    a newer version comes soon after, the last group leaves this one out: it
+    serves until the version is due, and loads the newer one first. With two
+    versions four seconds apart all ten engines had to load the second one
+    within 1.4 s, and for two seconds hardly a request began.
 
     Args:
-        wave: number of the group, from 0.
-        whole_at: when the version was whole, in seconds.
-        due_at: when engines with the older version get no more requests.
+        move: `Move`.
 
     Examples:
-        >>> [turn_at(wave, 10.0, 20.0) for wave in range(3)]
-        [10.0, 11.6, 13.2]
-        >>> [turn_at(wave, 10.0, 11.5) for wave in range(3)]
-        [10.0, 10.375, 10.75]
+        >>> [turn_in_s(Move(0.0, 10.0, wave)) for wave in range(3)]
+        [0.0, 1.6, 3.2]
+        >>> [turn_in_s(Move(0.0, 1.75, wave)) for wave in range(3)]
+        [0.0, 0.5, 1.0]
+        >>> [turn_in_s(Move(0.0, 1.75, wave, 4.0)) for wave in range(3)]
+        [0.0, 1.0, inf]
     """
-    left_s = max(0.0, due_at - LAST_WAVE_LEAD_S - whole_at)
-    return whole_at + wave * min(WAVE_S, left_s / (WAVES - 1))
+    waves = WAVES
+    if move.newer_whole_in_s - max(0.0, move.due_in_s) <= MOST_IDLE_S:
+        waves -= 1
+    if move.wave >= waves:
+        return math.inf
+    left_s = max(0.0, move.due_in_s - LAST_WAVE_LEAD_S - move.whole_in_s)
+    return move.whole_in_s + move.wave * min(WAVE_S, left_s / (waves - 1))
 
 
 class Loader:
@@ -71,11 +109,14 @@
         self._waves = {}
         self._whole_at = {}
         self._closed_for = None
+        self._turn_at = 0.0
 
     @property
     def is_busy(self):
-        """Whether the engine is being emptied or loads."""
-        return self._closed_for is not None
+        """Whether the engine is about to load, or loads."""
+        if self._closed_for is None:
+            return False
+        return self.clock() > self._turn_at - NEAR_S
 
     def set_wave(self, version, wave):
         """Note in which group the engine loads a version."""
@@ -96,24 +137,26 @@
                 took_s=round(self.clock() - self._ordered_at, 3),
             )
 
-    async def step(self, report, holding):
-        """Do what is due to bring the engine to a version that is whole.
+    async def step(self, report, holding, whole_in_s, newer_whole_in_s):
+        """Do what is due to bring the engine to a version.
 
         Args:
             report: the `base.EngineReport` of this moment.
-            holding: the whole `Holding`.
+            holding: the `Holding` of the version.
+            whole_in_s: seconds until it is likely to be whole; 0 if it is.
+            newer_whole_in_s: the same for a newer version on its way.
         """
         if report.busy:
             return
         key = (holding.model, holding.version)
-        left_s = self._turn_in_s(report, holding)
-        if self._closed_for != key:
-            self._closed_for = key
-            self.door.close(left_s + EMPTYING_S, left_s + EMPTYING_S + LOAD_S)
-        waited_s = self.clock() - self._ordered_at
-        if left_s > 0 or (
-            self._ordered == key and waited_s < ORDER_PATIENCE_S
-        ):
+        if not report.versions.get(holding.model):
+            left_s = whole_in_s
+        else:
+            left_s = turn_in_s(
+                self._move(report, holding, whole_in_s, newer_whole_in_s)
+            )
+        self._prepare(key, left_s)
+        if left_s > 0 or not holding.is_whole or self._was_ordered(key):
             return
         # The engine loads what is staged when it takes the order. Chunks of
         # another version put there meanwhile would give mixed weights, so
@@ -124,16 +167,35 @@
             self._ordered_at = self.clock()
             await self._order(*key)
 
-    def _turn_in_s(self, report, holding):
-        """Return in how many seconds the engine is to load."""
-        serves = report.versions.get(holding.model)
-        if not serves:
-            return 0.0
+    def _move(self, report, holding, whole_in_s, newer_whole_in_s):
+        serves = report.versions[holding.model]
         now = self.outlook.now()
-        whole_at = self._whole_at.setdefault(holding.version, now)
-        wave = self._waves.get(holding.version, 0)
-        due_at = self.outlook.due_after(holding.model, serves)
-        return max(0.0, turn_at(wave, whole_at, due_at) - now)
+        if holding.is_whole:
+            whole_at = self._whole_at.setdefault(holding.version, now)
+            whole_in_s = whole_at - now
+        return Move(
+            whole_in_s,
+            self.outlook.due_after(holding.model, serves) - now,
+            self._waves.get(holding.version, 0),
+            newer_whole_in_s,
+        )
+
+    def _prepare(self, key, left_s):
+        """Let the engine run empty until its turn."""
+        if math.isinf(left_s):
+            if self._closed_for is not None:
+                self._closed_for = None
+                self.door.open()
+            return
+        self._closed_for = key
+        self._turn_at = self.clock() + left_s
+        closes_in_s = left_s + EMPTYING_S
+        self.door.close(closes_in_s, closes_in_s + LOAD_S)
+
+    def _was_ordered(self, key):
+        """Return whether the order was given and may still take effect."""
+        waited_s = self.clock() - self._ordered_at
+        return self._ordered == key and waited_s < ORDER_PATIENCE_S
 
     async def _order(self, model, version):
         while True:
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 
+from catkinshunt import errors
 from catkinshunt import spread
 from catkinshunt.spread import _loading
 from catkinshunt.spread.tests import fakes
@@ -233,3 +234,39 @@
         return sidecar.shelf.find(fakes.MODEL, 1)
 
     assert asyncio.run(main()).is_whole
+
+
+def test_a_version_is_not_dropped_for_one_that_cannot_be_had():
+    """A newer version is named, and the origin goes away in that moment.
+
+    Peers hold all that is missing of the older one. Dropped, neither is
+    there when the older one is due, and nobody serves.
+    """
+
+    async def main():
+        sidecar = Sidecar(fakes.FakeEngine(version=1))
+        held = asyncio.Event()
+        original = sidecar.origin.chunk
+
+        async def chunk(model, version, index):
+            if version == 2:
+                await held.wait()
+            return await original(model, version, index)
+
+        async def manifest(model, version):
+            if version == 3:
+                raise errors.TransferError('down', step='manifest')
+            return fakes.manifest(version)
+
+        sidecar.origin.chunk = chunk
+        sidecar.origin.manifest = manifest
+        async with sidecar.running():
+            sidecar.outlook.name(2, due_s=0.5)
+            older = sidecar.shelf.holding(fakes.MODEL, 2)
+            await sidecar.until(lambda: older.manifest is not None)
+            sidecar.outlook.name(3, due_s=30.0)
+            await asyncio.sleep(0.1)
+            held.set()
+            await sidecar.until(lambda: sidecar.engine.version == 2)
+
+    asyncio.run(main())
