--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -29,6 +29,8 @@
 PATIENCE_PER_S = 1.0
 #: Pause after all sources of a chunk failed, in seconds.
 RETRY_S = 0.2
+#: Seconds between two log lines on what a transfer waits for.
+REPORT_S = 1.0
 #: Chunks in a row that differ from the manifest before it is taken as
 #: damaged; sources that send one bad chunk in ten never reach it.
 MOST_CORRUPT = 8
@@ -87,9 +89,35 @@
         """
         self._began = self.clock()
         self._judge_by(self.holding.manifest)
-        async with asyncio.TaskGroup() as self._group:
-            for index in self.holding.missing:
-                self._assign(index)
+        reports = asyncio.ensure_future(self._report())
+        try:
+            async with asyncio.TaskGroup() as self._group:
+                for index in self.holding.missing:
+                    self._assign(index)
+        finally:
+            reports.cancel()
+
+    async def _report(self):
+        """Write now and then which sources the transfer waits for.
+
+        A version that comes late is otherwise told by its end alone, and one
+        that never comes by nothing.
+        """
+        while True:
+            await asyncio.sleep(REPORT_S)
+            waits_for = {
+                source: len(asked)
+                for source, asked in self._asked.items()
+                if asked
+            }
+            _log.info(
+                'Waits for {} chunks of version {}.',
+                len(self.holding.missing),
+                self.holding.version,
+                waits_for=waits_for,
+                given=dict(self._given),
+                blamed=[s for s in waits_for if self._is_blamed(s)],
+            )
 
     def _judge_by(self, manifest):
         """Take over what the manifest says of the size of a copy."""
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import loguru
 import pytest
 
 from catkinshunt import errors
@@ -354,6 +355,34 @@
     assert max(most) == 1
 
 
+def test_a_transfer_that_lasts_tells_what_it_waits_for(monkeypatch):
+    """The only source has nothing, so a version does not come.
+
+    Without a line on it the log is silent until the transfer ends, and
+    nobody can tell which source everyone waits for.
+    """
+    monkeypatch.setattr(_fetcher, 'REPORT_S', 0.01)
+    lines = []
+    sink = loguru.logger.add(lambda line: lines.append(line.record['extra']))
+
+    async def main():
+        found = Transfer(listed=listed('a1', a1=2))
+        found.peers.shelves['a1'] = {2: range(1, fakes.CHUNKS)}
+        found.fetcher.plan.sources = lambda index: ['a1']
+        running = asyncio.ensure_future(found.run())
+        while not any('waits_for' in line for line in lines):
+            await asyncio.sleep(0.005)
+        running.cancel()
+
+    try:
+        asyncio.run(main())
+    finally:
+        loguru.logger.remove(sink)
+    (told,) = [line for line in lines if 'waits_for' in line]
+    assert told['waits_for'] == {'a1': 1}
+    assert told['given'] == {'a1': fakes.CHUNKS - 1}
+
+
 def test_a_damaged_manifest_is_dropped():
     """The manifest itself is damaged on its way, so no chunk ever fits.
 
