Fetch from the members known before while the store is away

What callers saw: version 3 was named 3 s before the store went away for 3.3 s; 20 sidecars that began with it then could not list the members, and none of them fetched anything until the store was back. Cause: each transfer reads the list anew, and fails where it cannot; while an engine is about to load, its sidecar looks 20 times a second, and each look began the transfer again (191 failed transfers in four seconds, each a call to a store that was overloaded).

Now the list from before serves while the store is away, and a failed transfer is begun again after 0.4 s. A member that has gone meanwhile is left out when it does not answer, as always. A process that has no list yet still waits for the store.

Tests of both fail without it: the list is missing, 22 tries in 0.2 s.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -211,6 +211,18 @@
         'return self._rounds[index] >= members',
         'return True',
     ),
+    Mutation(
+        'members-stay-known',
+        'catkinshunt/platform/_outlook.py',
+        'if self._listed_at is None:\n                raise',
+        'raise',
+    ),
+    Mutation(
+        'failed-transfer-pauses',
+        'catkinshunt/spread/_agent.py',
+        'elif self.clock() < self._again_at:',
+        'elif False:',
+    ),
     Mutation(
         'dead-sources-are-asked-after-a-pause',
         'catkinshunt/spread/_fetcher.py',
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -43,6 +43,11 @@
         self.regions = cfg.regions
         self._revision = None
         self._listed_at = None
+        self._list_outage = logs.Outage(
+            _log,
+            'Goes on with the members known before: {}.',
+            'The members are listed again.',
+        )
 
     async def run(self):
         """Follow the store until cancelled."""
@@ -142,11 +147,7 @@
         """See `spread.BaseOutlook.members`."""
         now = self.wall()
         if self._listed_at is None or now - self._listed_at > MEMBERS_S:
-            page = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
-            self.catalog.replace_upstreams(
-                _apply.decode_upstreams(page.items), now
-            )
-            self._listed_at = now
+            await self._list_members(now)
         listed = [
             upstream
             for upstream in self.catalog.members(self.cfg.service)
@@ -157,3 +158,22 @@
             spread.Member(u.address[0], u.data_centre, u.versions or {})
             for u in listed
         ]
+
+    async def _list_members(self, now):
+        """Read the members; keep those known before while the store is away.
+
+        A version that is named shortly before an outage of the store could
+        otherwise not be fetched until its end, while all who have it live.
+        """
+        try:
+            page = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
+        except errors.StoreError as exc:
+            if self._listed_at is None:
+                raise
+            self._list_outage.begin(exc)
+            return
+        self._list_outage.end()
+        self.catalog.replace_upstreams(
+            _apply.decode_upstreams(page.items), now
+        )
+        self._listed_at = now
--- a/catkinshunt/platform/tests/test_outlook.py
+++ b/catkinshunt/platform/tests/test_outlook.py
@@ -110,3 +110,27 @@
         return await outlook.members()
 
     assert [member.name for member in run(main)] == ['10.1.0.9']
+
+
+def test_members_stay_known_while_the_store_is_away(monkeypatch):
+    """The store goes away while a version is to be fetched.
+
+    Its list of members cannot be read anew then. Without the one from before
+    no transfer begins until the store is back, though all members and the
+    origin are there; callers get no answer once the version is due.
+    """
+    monkeypatch.setattr(_outlook, 'MEMBERS_S', 0.0)
+
+    async def main(outlook, store):
+        store.put('servers/i-1', documents.UPSTREAM)
+        before = await outlook.members()
+        store.down = True
+        during = await outlook.members()
+        store.down = False
+        store.delete('servers/i-1')
+        return before, during, await outlook.members()
+
+    before, during, after = run(main)
+    assert [member.name for member in before] == ['10.1.0.9']
+    assert during == before
+    assert after == []
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -19,6 +19,10 @@
 #: emptied or loads: it stands idle until its end is seen.
 LOOK_S = 0.25
 LOADING_LOOK_S = 0.05
+#: Pause after a transfer that failed, in seconds. Without it one that cannot
+#: begin, since the list of members cannot be read, is tried 20 times a second
+#: by all members, for as long as the store is away.
+AGAIN_S = 0.4
 #: Seconds for which the manifest of a newer version is asked for before the
 #: other one goes on without it, to be asked again at the next look.
 ASK_S = 2.0
@@ -72,6 +76,7 @@
         self.counter = counter
         self.door = door
         self._transfer = None
+        self._again_at = -math.inf
         self._asking = None
         self._fetching = None
         self._providing = set()
@@ -203,6 +208,8 @@
                 left_share=self._holding_of(self._fetching).left_share,
             )
             self._transfer.cancel()
+        elif self.clock() < self._again_at:
+            return
         self._fetching = wanted
         self._forget_progress()
         self._transfer = asyncio.ensure_future(self._run_transfer(wanted))
@@ -264,29 +271,32 @@
         return size / (self.link_mbps * base.BYTES_PER_MBIT) * COPY_OVERHEAD
 
     async def _run_transfer(self, wanted):
-        began = self.clock()
-        holding = self._holding_of(wanted)
         try:
-            plan = await self._plan(wanted.model, wanted.version)
-            fetcher = self._fetcher(holding, plan)
-            await fetcher.fetch_manifest()
-            self._loader.set_wave(wanted.version, plan.wave(_loading.WAVES))
-            # After a restart most chunks may lie beside the engine already.
-            restored = await _stage.restore(holding, self.engine)
-            await fetcher.run()
+            await self._bring(wanted)
+            return
         except errors.CatkinshuntError as exc:
             _log.warning('A transfer failed: {}.', exc, version=wanted.version)
-            return
         except ExceptionGroup as group:
             _log.warning(
                 'A transfer failed: {!r}.',
                 group.exceptions[0],
                 version=wanted.version,
             )
-            return
         except Exception:
             _log.exception('A transfer failed.')
-            return
+        self._again_at = self.clock() + AGAIN_S
+
+    async def _bring(self, wanted):
+        """Fetch a version until it is whole."""
+        began = self.clock()
+        holding = self._holding_of(wanted)
+        plan = await self._plan(wanted.model, wanted.version)
+        fetcher = self._fetcher(holding, plan)
+        await fetcher.fetch_manifest()
+        self._loader.set_wave(wanted.version, plan.wave(_loading.WAVES))
+        # After a restart most chunks may lie beside the engine already.
+        restored = await _stage.restore(holding, self.engine)
+        await fetcher.run()
         self._news.set()
         _log.info(
             'Version {} of {} is whole.',
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -270,3 +270,28 @@
             await sidecar.until(lambda: sidecar.engine.version == 2)
 
     asyncio.run(main())
+
+
+def test_a_transfer_that_cannot_begin_is_tried_after_a_pause():
+    """The store is away, so the members cannot be listed.
+
+    While an engine is about to load its sidecar looks 20 times a second, and
+    each look began the transfer again: hundreds of calls to a store that was
+    overloaded already, and as many log lines.
+    """
+    calls = []
+
+    async def main(sidecar):
+        async def members():
+            calls.append(1)
+            raise errors.StoreUnavailableError('down', step='read')
+
+        sidecar.outlook.members = members
+        sidecar.outlook.name(2)
+        await sidecar.until(lambda: calls)
+        for _ in range(20):
+            sidecar.agent._news.set()
+            await asyncio.sleep(0.01)
+
+    run(main)
+    assert len(calls) == 1
