Let the sidecar of an engine end its version

Version 2 was named at 18.8 s and due at 32.2 s. A large configuration came at the same moment; entries of one data centre read it over a busy link and heard of the version at 19.4 to 20.2 s, up to 1.4 s late, while they keep 0.75 s for that. Each counted from when it had heard, so it let requests begin until 32.7 s. The sidecars there had heard at 18.87 s: their watch is on versions alone.

Now a sidecar gives no place at its engine once the version that it serves is too old, 0.6 s before it is due. All entries ask it, whatever they know themselves. A version that a sidecar found when it started ends nothing, since it cannot know how long ago it was named; an entry that gets no answer from a sidecar still goes by its own count.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -231,6 +231,13 @@
         """if False:
             # Where""",
     ),
+    # No request begins on a version too old.
+    Mutation(
+        'sidecar-ends-a-version',
+        'catkinshunt/places/_ledger.py',
+        'if now + ask.read_s >= self._expires_at:',
+        'if False:',
+    ),
     # Entries that are listed.
     Mutation(
         'vanished-entry-is-listed-again',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -31,11 +31,14 @@
         since: seconds on the clock of the catalog when it was learnt.
         is_pending: it was named before this process started, and others
             know that it is not due yet.
+        found: it was there when the store was read, and may have been named
+            long before `since`.
     """
 
     version: int
     since: float
     is_pending: bool = False
+    found: bool = False
 
 
 class Catalog(base.ParamsMixin):
@@ -101,13 +104,20 @@
         )
         return True
 
-    def name_version(self, model, version, now):
-        """Note that the operator wants `version` of `model` served."""
+    def name_version(self, model, version, now, found=False):
+        """Note that the operator wants `version` of `model` served.
+
+        Args:
+            model: name of the model.
+            version: its version.
+            now: seconds on the clock of the catalog.
+            found: it may have been named long before `now`.
+        """
         held = self.newest_version(model)
         if held is not None and version <= held.version:
             return False
         known = self._versions.setdefault(model, [])
-        known.append(NamedVersion(version, now))
+        known.append(NamedVersion(version, now, found=found))
         del known[:-MOST_VERSIONS]
         _log.info(
             'Version {} of {} is named.', version, model, version=version
@@ -157,11 +167,11 @@
         known = self._versions.get(model)
         return known[-1] if known else None
 
-    def named_after(self, model, version):
-        """Return when the first version after `version` was learnt."""
+    def first_after(self, model, version):
+        """Return the first `NamedVersion` after `version`, or None."""
         for named in self._versions.get(model, ()):
             if named.version > version:
-                return named.since
+                return named
         return None
 
     def due_version(self, model, grace_s, now):
--- a/catkinshunt/places/_ledger.py
+++ b/catkinshunt/places/_ledger.py
@@ -96,6 +96,7 @@
         self._short_until = -math.inf
         self._closes_at = math.inf
         self._opens_at = math.inf
+        self._expires_at = math.inf
 
     @property
     def held(self):
@@ -210,13 +211,31 @@
         self._opens_at = math.inf
         return self._give(now)
 
+    def expire(self, expires_at):
+        """Give no place to a request that would begin after `expires_at`.
+
+        What the engine serves is too old from then on. Its sidecar hears of
+        a new version at once; an entry that was reading a large configuration
+        over a busy link heard of it 1.4 s later, and let requests begin on
+        the old version for as long after it was due.
+
+        Args:
+            expires_at: in seconds on the steady clock; infinite for never.
+        """
+        self._expires_at = expires_at
+
     # Parts of a decision.
 
     def _room(self):
         return self._slots + self.spare - self.held
 
     def _is_too_long(self, ask, now):
-        """Return whether an answer would last into the loading."""
+        """Return whether an answer would last into the loading.
+
+        Or begin after what the engine serves has expired.
+        """
+        if now + ask.read_s >= self._expires_at:
+            return True
         if now > self._opens_at + REOPEN_S:
             return False
         return now + ask.lasts_s > self._closes_at
--- a/catkinshunt/places/_server.py
+++ b/catkinshunt/places/_server.py
@@ -64,6 +64,10 @@
         """See `base.BaseDoor.open`."""
         self._send(self.ledger.open(self.clock()))
 
+    def expire(self, expires_in_s):
+        """See `base.BaseDoor.expire`."""
+        self.ledger.expire(self.clock() + expires_in_s)
+
     def _send(self, replies):
         for peer, message in replies:
             self._transport.sendto(_messages.dump(message), peer)
--- a/catkinshunt/places/base.py
+++ b/catkinshunt/places/base.py
@@ -22,3 +22,12 @@
     @abc.abstractmethod
     def open(self):
         """Let requests in again."""
+
+    @abc.abstractmethod
+    def expire(self, expires_in_s):
+        """Let no request in that would begin after `expires_in_s`.
+
+        Args:
+            expires_in_s: seconds until what the engine serves is too old;
+                infinite where that is not known.
+        """
--- a/catkinshunt/places/tests/test_ledger.py
+++ b/catkinshunt/places/tests/test_ledger.py
@@ -216,3 +216,40 @@
     ledger.close(closes_at=1.0, opens_at=1.5)
     assert kinds(ledger.ask('a', ask(1), now=2.0)) == [('a', 'refused', 1)]
     assert kinds(ledger.ask('a', ask(1), now=6.0)) == [('a', 'granted', 1)]
+
+
+def test_nothing_begins_on_a_version_that_has_expired():
+    """An entry hears late of a new version, behind a large configuration.
+
+    It goes on to ask for places at engines with the old one after that is
+    too old; a caller gets an answer from weights that were withdrawn.
+    """
+    ledger = places.Ledger(spare=0)
+    ledger.expire(1.0)
+    assert kinds(ledger.ask('a', ask(1), now=0.9)) == [('a', 'granted', 1)]
+    ((_, reply),) = ledger.ask('b', ask(2), now=1.0)
+    assert reply.reason == places.RELOADING
+    ((_, reply),) = ledger.ask('b', ask(3, moving=True), now=9.0)
+    assert reply.reason == places.RELOADING
+
+
+def test_a_request_is_not_read_past_the_end_of_a_version():
+    ledger = places.Ledger(spare=0)
+    ledger.expire(1.0)
+    ((_, reply),) = ledger.ask('b', ask(2, read_s=0.2), now=0.9)
+    assert reply.reason == places.RELOADING
+
+
+def test_those_that_wait_are_refused_when_a_version_expires():
+    ledger = full_ledger()
+    ledger.expire(0.2)
+    ledger.ask('b', ask(10), now=0.1)
+    ((peer, refused),) = ledger.done('a', 1, now=0.25)
+    assert (peer, refused.reason) == ('b', places.RELOADING)
+
+
+def test_a_version_that_was_loaded_lets_requests_begin_again():
+    ledger = places.Ledger(spare=0)
+    ledger.expire(1.0)
+    ledger.expire(float('inf'))
+    assert kinds(ledger.ask('a', ask(1), now=2.0)) == [('a', 'granted', 1)]
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -16,13 +16,14 @@
         _log.error('Kept the old configuration: {}.', exc)
 
 
-def apply_version(item, catalog, since):
+def apply_version(item, catalog, since, found=False):
     """Note the version that the operator named.
 
     Args:
         item: `Item` that names it.
         catalog: `catalog.Catalog`.
         since: seconds on the clock of the catalog when it was named.
+        found: it may have been named long before that.
     """
     if item.value is None:
         return
@@ -31,7 +32,7 @@
     except _documents.UnreadableError as exc:
         _log.error('Left aside {}: {}.', item.key, exc)
         return
-    catalog.name_version(model, version, since)
+    catalog.name_version(model, version, since, found)
 
 
 def apply_pending(item, catalog, now):
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -1,6 +1,7 @@
 """A sidecar's view of the store, with few calls."""
 
 import asyncio
+import math
 
 from catkinshunt import errors
 from catkinshunt import logs
@@ -16,6 +17,9 @@
 PAUSE_S = 0.4
 #: Seconds for which the list of members is used again.
 MEMBERS_S = 1.5
+#: Seconds before a version is due from which on no request begins on the one
+#: before: the time from a place to the first token, 0.3 s behind others.
+EXPIRY_MARGIN_S = 0.6
 #: Speed that is assumed of an origin that was not asked yet, in Mbit/s; the
 #: slowest of the users' deployments has 4.38.
 SLOWEST_ORIGIN_MBPS = 4.0
@@ -74,7 +78,7 @@
             )
         for item in page.items:
             since = self.wall() - (self.due_s if first else 0)
-            _apply.apply_version(item, self.catalog, since)
+            _apply.apply_version(item, self.catalog, since, found=first)
         self._revision = page.revision
 
     def now(self):
@@ -140,8 +144,17 @@
 
     def due_after(self, model, version):
         """See `spread.BaseOutlook.due_after`."""
-        since = self.catalog.named_after(model, version)
-        return self.wall() if since is None else since + self.due_s
+        newer = self.catalog.first_after(model, version)
+        return self.wall() if newer is None else newer.since + self.due_s
+
+    def expires_at(self, model, version):
+        """See `spread.BaseOutlook.expires_at`."""
+        newer = self.catalog.first_after(model, version)
+        # How long ago a version was named that stood in the store at the
+        # start is not known; others may still use the one before.
+        if newer is None or newer.found:
+            return math.inf
+        return newer.since + self.due_s - EXPIRY_MARGIN_S
 
     async def members(self):
         """See `spread.BaseOutlook.members`."""
--- a/catkinshunt/platform/tests/test_outlook.py
+++ b/catkinshunt/platform/tests/test_outlook.py
@@ -102,6 +102,48 @@
     assert run(main) > DUE_S - 1
 
 
+def test_a_version_expires_before_a_newer_one_is_due():
+    async def main(outlook, store):
+        calm = outlook.expires_at('drafts', 1)
+        name(store, 2)
+        await fakes.until(lambda: outlook.catalog.named_models())
+        named_at = outlook.now()
+        name(store, 3)
+        await fakes.until(
+            lambda: outlook.catalog.newest_version('drafts').version == 3
+        )
+        return calm, named_at, outlook.expires_at('drafts', 1)
+
+    calm, named_at, expires_at = run(main)
+    assert calm == float('inf')
+    assert expires_at <= named_at + DUE_S - _outlook.EXPIRY_MARGIN_S
+
+
+def test_a_version_found_at_the_start_expires_nothing():
+    """A sidecar is killed as a version is named, and is back at once.
+
+    It cannot know how long ago that was. Taking the old version as expired
+    it would keep all requests from its engine, eight seconds too early.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        name(store, 2)
+        cfg = platform.read_node_settings(
+            {**test_settings.DOCUMENT, 'service': 'engines'}
+        )
+        clock = asyncio.get_running_loop().time
+        outlook = _outlook.StoreOutlook(
+            cfg, store, catalogs.Catalog(), clock, DUE_S
+        )
+        task = asyncio.ensure_future(outlook.run())
+        await fakes.until(lambda: outlook.catalog.named_models())
+        task.cancel()
+        return outlook.expires_at('drafts', 1)
+
+    assert asyncio.run(main()) == float('inf')
+
+
 def test_leaving_engines_are_no_members():
     async def main(outlook, store):
         store.put('servers/i-1', documents.UPSTREAM)
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -134,6 +134,7 @@
         self._outage.end()
         self.door.correct(report.present)
         self._loader.note(report)
+        self._expire(report)
         wanted = await self.outlook.wanted(report)
         if wanted is None:
             return
@@ -143,6 +144,15 @@
             self._fetch(wanted)
         await self._move(report, wanted)
 
+    def _expire(self, report):
+        """Let no request begin once the engine's version is too old."""
+        times = [
+            self.outlook.expires_at(model, version)
+            for model, version in report.versions.items()
+        ]
+        expires_at = min(times, default=math.inf)
+        self.door.expire(expires_at - self.outlook.now())
+
     async def _move(self, report, wanted):
         """Bring the engine to the next version that it can have."""
         ready = self._newest_whole(report, wanted)
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -109,6 +109,13 @@
         put it off.
         """
 
+    @abc.abstractmethod
+    def expires_at(self, model, version):
+        """Return when requests may no longer begin on `version`.
+
+        Infinite where that is not known, such as after a restart.
+        """
+
     @abc.abstractmethod
     async def members(self):
         """Return the `Member` objects of the service as of now."""
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 
 import attrs
 
@@ -105,6 +106,7 @@
 
     def __init__(self):
         self.told = []
+        self.expires_in_s = None
 
     def correct(self, present):
         self.told.append(('correct', present))
@@ -115,6 +117,9 @@
     def open(self):
         self.told.append(('open',))
 
+    def expire(self, expires_in_s):
+        self.expires_in_s = expires_in_s
+
 
 class FakeEngine(spread.BaseEngine):
     """An engine that loads what is staged when it takes an order.
@@ -188,6 +193,10 @@
     def due_after(self, model, version):
         return min(w.due_at for w in self.versions if w.version > version)
 
+    def expires_at(self, model, version):
+        later = [w.due_at for w in self.versions if w.version > version]
+        return min(later, default=math.inf)
+
     async def members(self):
         return self.listed
 
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -65,6 +65,31 @@
     assert run(main) == whole(2)
 
 
+def test_the_door_knows_when_the_version_of_its_engine_expires():
+    """A newer version is named, and cannot be had before it is due.
+
+    Entries may hear of it too late; their requests would begin on the old
+    one for as long. The door closes in time, and opens after the load.
+    """
+
+    async def main(sidecar):
+        door = sidecar.agent.door
+        await sidecar.until(lambda: door.expires_in_s is not None)
+        calm_s = door.expires_in_s
+        sidecar.origin.down = True
+        sidecar.outlook.name(2, due_s=3.0)
+        await sidecar.until(lambda: door.expires_in_s != calm_s)
+        named_s = door.expires_in_s
+        sidecar.origin.down = False
+        await sidecar.until(lambda: door.expires_in_s == calm_s)
+        return calm_s, named_s, sidecar.engine.version
+
+    calm_s, named_s, version = run(main, engine=fakes.FakeEngine(1))
+    assert calm_s == float('inf')
+    assert named_s <= 3.0
+    assert version == 2
+
+
 def test_chunks_that_turned_bad_are_put_again_before_the_order():
     """Staged chunks can turn bad after they were checked.
 
