Show sidecars where the origin is by a key of its own

What callers saw: after a loss of power all requests of two data centres were refused for six to nine seconds, and models answered 17 s later. Cause: each sidecar that fetches from the origin read the whole configuration (1,731 rules) for one address in it, over the link between regions that the entries needed for the same: they had it at 43.4 to 46.5 s after a restart at 37.3 s. A call without a byte for a second is given up and begun again, which filled the link further.

Now two entries keep a small key with the origin as the configuration names it, and a sidecar reads that; the configuration only where no entry has shown the key yet. It is looked up again after 10 s, so that an origin that moves is found; before, the first address was kept for ever.

Weighed: telling it from sidecar to sidecar needs one that knows it after a loss of power, and none does.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -231,6 +231,12 @@
         """if False:
             # Where""",
     ),
+    Mutation(
+        'origin-is-shown-alone',
+        'catkinshunt/platform/_outlook.py',
+        'await self._shown_origin() or await',
+        'await',
+    ),
     # No request begins on a version too old.
     Mutation(
         'sidecar-ends-a-version',
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -1,5 +1,7 @@
 """Decodes what the operator and the upstreams write to the store."""
 
+import json
+
 import attrs
 
 from catkinshunt import catalog
@@ -12,11 +14,12 @@
 CONFIGURATION_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
 UPSTREAM_PREFIX = 'servers/'
-#: Keys of our own: one for each entry that is alive, and one for each
-#: version that was named and is not due yet.
+#: Keys of our own: one for each entry that is alive, one for each version that
+#: was named and is not due yet, and one for the origin of weights.
 OWN_PREFIX = 'catkinshunt/'
 ENTRY_PREFIX = OWN_PREFIX + 'entries/'
 PENDING_PREFIX = OWN_PREFIX + 'pending/'
+ORIGIN_KEY = OWN_PREFIX + 'origin'
 _STATES = ('ready', 'draining')
 _MS = 1000.0
 
@@ -42,6 +45,40 @@
     return model, int(version)
 
 
+def dump_origin(origin):
+    """Return the value of the key that shows a `catalog.Origin`."""
+    host, port = origin.address
+    document = {
+        'address': f'{host}:{port}',
+        'data_centre': origin.data_centre,
+        'link_mbps': origin.link_mbps,
+        'max_connections': origin.max_connections,
+    }
+    return json.dumps(document).encode()
+
+
+def read_shown_origin(value):
+    """Return the `catalog.Origin` that the value of its key shows.
+
+    Raises:
+        UnreadableError: it shows none.
+    """
+    document = load(value)
+    mbps = document.get('link_mbps')
+    if isinstance(mbps, bool) or not isinstance(mbps, (int, float)):
+        raise UnreadableError(f'link_mbps is {mbps!r}')
+    try:
+        address = _settings.parse_address(_text(document, 'address'))
+    except ValueError as exc:
+        raise UnreadableError(str(exc)) from exc
+    return catalog.Origin(
+        address,
+        _text(document, 'data_centre', ''),
+        mbps,
+        _whole(document, 'max_connections'),
+    )
+
+
 def load(value):
     """Return the JSON object in `value`.
 
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -15,6 +15,7 @@
 from catkinshunt.platform import _dialect
 from catkinshunt.platform import _membership
 from catkinshunt.platform import _mirror
+from catkinshunt.platform import _origin_key
 from catkinshunt.platform import _pending
 from catkinshunt.platform import _process
 from catkinshunt.platform import _signals
@@ -77,12 +78,14 @@
         context.version_grace_s,
         _clocks.wall,
     )
+    origin = _origin_key.OriginKey(client, context.catalog, roster, cfg.name)
     tasks = [
         asyncio.ensure_future(work)
         for work in (
             mirror.run(),
             member.run(),
             pending.run(),
+            origin.run(),
             _share_retries(cfg, context, roster),
             _tidy(context),
         )
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -17,6 +17,8 @@
 PAUSE_S = 0.4
 #: Seconds for which the list of members is used again.
 MEMBERS_S = 1.5
+#: Seconds for which the address of the origin is used again.
+ORIGIN_S = 10.0
 #: Seconds before a version is due from which on no request begins on the one
 #: before: the time from a place to the first token, 0.3 s behind others.
 EXPIRY_MARGIN_S = 0.6
@@ -46,6 +48,13 @@
         self.due_s = due_s
         self.regions = cfg.regions
         self._revision = None
+        self._origin = None
+        self._origin_at = -math.inf
+        self._origin_outage = logs.Outage(
+            _log,
+            'Goes on with the origin known before: {}.',
+            'The origin is looked up again.',
+        )
         self._listed_at = None
         self._list_outage = logs.Outage(
             _log,
@@ -88,24 +97,52 @@
     async def origin(self):
         """Return the `catalog.Origin` in force, or None.
 
-        The configuration is read when the origin is asked first, so by few
-        members. A large one (1,600 routes) takes over two seconds where 15
-        processes read it over one link; after a loss of power all of them
-        would wait for it at once, and entries need it more.
+        Looked up when it is asked for, so by few members, and again now and
+        then, since it may move.
+        """
+        now = self.wall()
+        if self._origin is None or now - self._origin_at > ORIGIN_S:
+            await self._look_up_origin(now)
+        return self._origin
+
+    async def _look_up_origin(self, now):
+        try:
+            found = await self._shown_origin() or await self._named_origin()
+        except errors.StoreError as exc:
+            if self._origin is None:
+                raise
+            self._origin_outage.begin(exc)
+            return
+        self._origin_outage.end()
+        self._origin = found
+        self._origin_at = now
+
+    async def _shown_origin(self):
+        """Return the origin that entries show by a key of its own."""
+        page = await self.client.read_prefix(_documents.ORIGIN_KEY)
+        for item in page.items:
+            try:
+                return _documents.read_shown_origin(item.value)
+            except _documents.UnreadableError as exc:
+                _log.warning('Left aside {}: {}.', item.key, exc)
+        return None
+
+    async def _named_origin(self):
+        """Return the origin that the configuration names.
+
+        A large one takes over two seconds where 15 processes read it over
+        one link, so it is read only where no entry has shown the origin yet.
         """
-        if self.catalog.declaration is None:
-            page = await self.client.read_prefix(_documents.CONFIGURATION_KEY)
-            for item in page.items:
-                if item.key == _documents.CONFIGURATION_KEY:
-                    _apply.apply_configuration(item, self.catalog)
+        page = await self.client.read_prefix(_documents.CONFIGURATION_KEY)
+        for item in page.items:
+            if item.key == _documents.CONFIGURATION_KEY:
+                _apply.apply_configuration(item, self.catalog)
         declaration = self.catalog.declaration
         return declaration.origin if declaration else None
 
     def origin_copy_s(self, size):
         """See `spread.BaseOutlook.origin_copy_s`."""
-        declaration = self.catalog.declaration
-        origin = declaration.origin if declaration else None
-        mbps = origin.link_mbps if origin else SLOWEST_ORIGIN_MBPS
+        mbps = self._origin.link_mbps if self._origin else SLOWEST_ORIGIN_MBPS
         return size / (mbps * spread.BYTES_PER_MBIT)
 
     def hear_of(self, model, version):
--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -84,8 +84,9 @@
 
     async def write(self, key, value, lease=0):
         await self._begin('write')
-        self._check_lease(lease)
-        self.leases[lease].add(key)
+        if lease:
+            self._check_lease(lease)
+            self.leases[lease].add(key)
         self.put(key, value)
 
     def expire(self, lease):
--- /dev/null
+++ b/catkinshunt/platform/tests/test_origin_key.py
@@ -0,0 +1,78 @@
+import asyncio
+import contextlib
+import json
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import platform
+from catkinshunt.platform import _documents
+from catkinshunt.platform import _origin_key
+from catkinshunt.platform.tests import fakes
+from catkinshunt.platform.tests import test_documents as documents
+
+
+def declare(catalog, address, version=1):
+    """Put a configuration into force that names an origin."""
+    services = [{'name': 'origin', 'origin': address, 'zone': 'a'}]
+    document = documents.configuration(services=services, version=version)
+    catalog.declare(platform.read_declaration(json.dumps(document).encode()))
+
+
+@contextlib.asynccontextmanager
+async def running(store, names):
+    """Run the writer of each entry; gives their catalogs."""
+    found, tasks = [], []
+    for name in names:
+        roster = catalogs.Roster()
+        roster.replace(names)
+        catalog = catalogs.Catalog()
+        key = _origin_key.OriginKey(store, catalog, roster, name)
+        tasks.append(asyncio.ensure_future(key.run()))
+        found.append(catalog)
+    try:
+        yield found
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def shown(store):
+    """Return the address that the key shows, or None."""
+    item = store.items.get(_documents.ORIGIN_KEY)
+    return item and _documents.read_shown_origin(item.value).address[0]
+
+
+def test_few_entries_show_where_the_origin_is(monkeypatch):
+    """Each call of the store is priced, and its rate is bounded."""
+    monkeypatch.setattr(_origin_key, 'LOOK_S', 0.01)
+
+    async def main():
+        store = fakes.FakeStore()
+        names = [f'entry-{number}' for number in range(8)]
+        async with running(store, names) as found:
+            for catalog in found:
+                declare(catalog, '10.9.9.9:80')
+            await fakes.until(lambda: shown(store) == '10.9.9.9')
+            for _ in range(10):
+                await asyncio.sleep(0.01)
+            calls = len(store.calls)
+            for catalog in found:
+                declare(catalog, '10.9.9.8:80', version=2)
+            await fakes.until(lambda: shown(store) == '10.9.9.8')
+        return calls
+
+    assert asyncio.run(main()) <= 2 * _origin_key.WRITERS
+
+
+def test_the_key_is_written_once_the_store_is_back(monkeypatch):
+    monkeypatch.setattr(_origin_key, 'LOOK_S', 0.01)
+
+    async def main():
+        store = fakes.FakeStore()
+        store.down = True
+        async with running(store, ['entry-1']) as (catalog,):
+            declare(catalog, '10.9.9.9:80')
+            await fakes.until(lambda: store.calls)
+            store.down = False
+            await fakes.until(lambda: shown(store) == '10.9.9.9')
+
+    asyncio.run(main())
--- a/catkinshunt/platform/tests/test_outlook.py
+++ b/catkinshunt/platform/tests/test_outlook.py
@@ -2,6 +2,7 @@
 
 from catkinshunt import catalog as catalogs
 from catkinshunt import platform
+from catkinshunt.platform import _documents
 from catkinshunt.platform import _outlook
 from catkinshunt.platform.tests import fakes
 from catkinshunt.platform.tests import test_documents as documents
@@ -92,6 +93,51 @@
     assert origin.address == ('10.9.9.9', 80)
 
 
+def test_a_shown_origin_spares_the_configuration():
+    """After a loss of power all sidecars and entries start together.
+
+    The large configuration, read by each sidecar that fetches from the
+    origin, fills the links between regions, and for nine seconds entries
+    there have no configuration: callers are refused.
+    """
+
+    async def main(outlook, store):
+        shown = catalogs.Origin(('10.9.9.7', 80), 'a', 4.38, 48)
+        store.put(_documents.ORIGIN_KEY, _documents.dump_origin(shown))
+        found = await outlook.origin()
+        return found == shown, outlook.catalog.declaration
+
+    assert run(main) == (True, None)
+
+
+def test_an_origin_that_moves_is_found_again(monkeypatch):
+    """The origin gets another address while sidecars run.
+
+    One that kept the first address for ever would fetch no version again.
+    """
+    monkeypatch.setattr(_outlook, 'ORIGIN_S', 0.0)
+
+    async def main(outlook, store):
+        found = []
+        for host in ('10.9.9.7', '10.9.9.8'):
+            shown = catalogs.Origin((host, 80))
+            store.put(_documents.ORIGIN_KEY, _documents.dump_origin(shown))
+            found.append((await outlook.origin()).address[0])
+        store.down = True
+        found.append((await outlook.origin()).address[0])
+        return found
+
+    assert run(main) == ['10.9.9.7', '10.9.9.8', '10.9.9.8']
+
+
+def test_a_damaged_key_of_the_origin_is_left_aside():
+    async def main(outlook, store):
+        store.put(_documents.ORIGIN_KEY, b'{"address": 7}')
+        return await outlook.origin()
+
+    assert run(main).address == ('10.9.9.9', 80)
+
+
 def test_a_version_named_while_it_runs_has_its_whole_time():
     async def main(outlook, store):
         name(store, 2)
