Let owners pass on less, as they have more to give

Cause: where only some members take chunks from the origin (15 of 31), those gave these to all nearby and one of each other data centre, and besides passed on as many of the chunks that enter their data centre as the rest: half as much again as the mean, and all waited for them.

Now what enters a data centre is shared out by what each gives in all.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -211,6 +211,12 @@
         'return self._rounds[index] >= members',
         'return True',
     ),
+    Mutation(
+        'owners-pass-on-less',
+        'catkinshunt/spread/_plan.py',
+        'gives = {m.name: owned[m.name] * to_give for m in there}',
+        'gives = {m.name: 0 for m in there}',
+    ),
     Mutation(
         'members-stay-known',
         'catkinshunt/platform/_outlook.py',
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -241,27 +241,43 @@
             )
             owned[owner.name] += 1
             found[index] = [owner]
-        for place in sorted({m.data_centre for m in self.members}):
-            self._add_receivers(found, place)
+        places = collections.Counter(m.data_centre for m in self.members)
+        for place in sorted(places):
+            self._add_receivers(found, place, places, owned)
         return found
 
-    def _add_receivers(self, found, place):
-        """Add a member of `place` to each chunk that is owned elsewhere."""
-        there = sum(m.data_centre == place for m in self.members)
+    def _add_receivers(self, found, place, places, owned):
+        """Add a member of `place` to each chunk that is owned elsewhere.
+
+        Owners have much to give already: each chunk to all nearby and to one
+        member of each other place. With as many to pass on as the others, 15
+        owners of 31 members gave half as much again as the mean, and all
+        waited for them: 8.4 s for a copy in place of 6.9.
+
+        Args:
+            found: owner by index of a chunk; is extended.
+            place: name of the data centre.
+            places: members by data centre.
+            owned: chunks by the name of their owner.
+        """
+        there = [m for m in self.members if m.data_centre == place]
         entering = [
             index
             for index, (owner, *_) in found.items()
             if owner.data_centre != place
         ]
-        bound = math.ceil(len(entering) / there)
-        taken = collections.Counter()
+        to_pass_on = max(1, len(there) - 1)
+        to_give = len(there) - 1 + len(places) - 1
+        gives = {m.name: owned[m.name] * to_give for m in there}
+        mean = (sum(gives.values()) + len(entering) * to_pass_on) / len(there)
         for index in entering:
+            near = [m for m in self._rank(index) if m.data_centre == place]
+            # Where owners alone give more than the mean, whoever gives least.
             receiver = next(
-                member
-                for member in self._rank(index)
-                if member.data_centre == place and taken[member.name] < bound
+                (m for m in near if gives[m.name] + to_pass_on / 2 <= mean),
+                min(near, key=lambda m: gives[m.name]),
             )
-            taken[receiver.name] += 1
+            gives[receiver.name] += to_pass_on
             found[index].append(receiver)
 
 
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -63,6 +63,45 @@
     assert max(given.values()) <= 1.2 * mean
 
 
+def test_owners_of_a_large_service_give_no_more_than_others():
+    """Of many members only some take chunks from the origin.
+
+    With as many chunks to pass on as the others besides, they gave half as
+    much again as the mean, and a copy took 8.4 s in place of 7.0.
+    """
+    made = plans(members({'a': 11, 'b': 10, 'c': 10}))
+    given = collections.Counter(
+        plan.sources(index)[0] for plan in made.values() for index in range(96)
+    )
+    del given[spread.ORIGIN]
+    mean = sum(given.values()) / 31
+    assert max(given.values()) <= 1.2 * mean
+
+
+def test_the_next_member_stands_in_for_an_owner_that_is_away():
+    """The owner of a chunk dies.
+
+    One member takes the chunk from the origin in its place, and the others
+    take it from that one. Were each to ask the origin, its link would carry
+    the chunk thirty times.
+    """
+    made = plans(members({'a': 4, 'b': 3, 'c': 3}))
+    for index in range(96):
+        (owner,) = [
+            name
+            for name, plan in made.items()
+            if plan.sources(index)[0] == spread.ORIGIN
+        ]
+        firsts = []
+        for name, plan in made.items():
+            if name != owner:
+                plan.leave_out(frozenset([owner]))
+                firsts.append(plan.sources(index)[0])
+                plan.leave_out(frozenset())
+        assert firsts.count(spread.ORIGIN) == 1
+        assert owner not in firsts
+
+
 def test_a_new_member_takes_from_those_nearby_that_hold_it():
     old = members({'a': 2, 'b': 2}, {'drafts': 2})
     new = spread.Member('a9', 'a')
