Wait for nobody who will not have a chunk soon

What callers saw: a version was whole after 10 to 15 s also where the origin had sent it once, 5 s after its name. Two causes, seen by what transfers wait for. Engines that had just been added ended the transfer of the version before first (until 23.3 s of a version named at 18.8 s), while the others awaited a tenth of the chunks from them. And links that were narrowed went on giving a chunk now and then.

Now whoever does not fetch a version says so at once, and is left out as if it could not be reached; the next member stands in for it. Whoever gets less than 0.45 of what most others have, and of what its own link should have brought, takes that as a narrow link, and gives nothing of that version: each chunk it gave would come late, and its engine's answers need the link. Members tell in each reply how much they have.

Weighed: judging others by their speed is there (after 0.9 of a copy) and comes too late for a version that is due after two and a half.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -217,6 +217,18 @@
         'gives = {m.name: owned[m.name] * to_give for m in there}',
         'gives = {m.name: 0 for m in there}',
     ),
+    Mutation(
+        'who-begins-late-says-so',
+        'catkinshunt/spread/_peers.py',
+        "[(UNABLE, '1')]",
+        '[]',
+    ),
+    Mutation(
+        'narrow-links-give-nothing',
+        'catkinshunt/spread/_fetcher.py',
+        'if usual >= LEAST_SHARE and has < SLOW_PART * usual:',
+        'if False:',
+    ),
     Mutation(
         'members-stay-known',
         'catkinshunt/platform/_outlook.py',
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -218,6 +218,10 @@
         self.retry_after_s = retry_after_s
 
 
+class SourceUnableError(SourceBusyError):
+    """A source that will not have a version soon enough to pass it on."""
+
+
 class CorruptChunkError(TransferError):
     """A chunk whose digest is not the one in the manifest."""
 
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -281,8 +281,10 @@
         return size / (self.link_mbps * base.BYTES_PER_MBIT) * COPY_OVERHEAD
 
     async def _run_transfer(self, wanted):
+        holding = self._holding_of(wanted)
+        holding.begin()
         try:
-            await self._bring(wanted)
+            await self._bring(wanted, holding)
             return
         except errors.CatkinshuntError as exc:
             _log.warning('A transfer failed: {}.', exc, version=wanted.version)
@@ -294,12 +296,13 @@
             )
         except Exception:
             _log.exception('A transfer failed.')
+        finally:
+            holding.end()
         self._again_at = self.clock() + AGAIN_S
 
-    async def _bring(self, wanted):
+    async def _bring(self, wanted, holding):
         """Fetch a version until it is whole."""
         began = self.clock()
-        holding = self._holding_of(wanted)
         plan = await self._plan(wanted.model, wanted.version)
         fetcher = self._fetcher(holding, plan)
         await fetcher.fetch_manifest()
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -30,6 +30,15 @@
 #: sent 2.4 copies, and a transfer took 13 s instead of 6.5.
 LEAST_PATIENCE = 2
 PATIENCE_PER_S = 1.0
+#: A member gives nothing of a version where it has less than this part of what
+#: most others have, and less than this part of what its link should have
+#: brought; with a quarter of the link it has 0.25 of both.
+SLOW_PART = 0.45
+#: Peers that must have told what they have, the share of a version that most
+#: must have, and the seconds after the begin from which on that is judged.
+LEAST_TOLD = 3
+LEAST_SHARE = 0.12
+JUDGE_LINK_S = 1.0
 #: Pause after all sources of a chunk failed, in seconds.
 RETRY_S = 0.2
 #: Seconds between two log lines on what a transfer waits for.
@@ -156,6 +165,8 @@
     def _sources_of(self, index):
         """Return the sources of a chunk among those that can be reached."""
         away = {s for s in self._blamed if self._is_blamed(s)}
+        if self.holding.is_slow:
+            away.add(self.plan.me.name)
         self.plan.leave_out(frozenset(away - {_plan.ORIGIN}))
         return self.plan.sources(index)
 
@@ -186,6 +197,7 @@
         strikes = 0
         while asked:
             self._check_manifest()
+            self._judge_own_link()
             if source == _plan.ORIGIN and self._recall(asked):
                 continue
             if await self._ask_one(source, asked):
@@ -264,6 +276,42 @@
                 self._tried[index].add(source)
                 self._assign(index)
 
+    def _judge_own_link(self):
+        """Give nothing of this version where far less comes here.
+
+        Others wait for what passes through it, each for seconds: with three
+        of 31 links narrowed to a quarter, all had a version after 14 to 18 s
+        instead of 8, and the engines behind those links were out of reach.
+        """
+        elapsed_s = self.clock() - self._began
+        has = 1 - self.holding.left_share
+        is_early = JUDGE_LINK_S <= elapsed_s <= self._copy_s
+        if self.holding.is_slow or not is_early:
+            return
+        # One that began later than the others is no reason to leave it out.
+        if has >= SLOW_PART * elapsed_s / self._copy_s:
+            return
+        usual = self._usual_share()
+        if usual >= LEAST_SHARE and has < SLOW_PART * usual:
+            _log.info(
+                'Gives nothing of version {}; its link is too narrow.',
+                self.holding.version,
+                has=round(has, 3),
+                usual=usual,
+            )
+            self.holding.give_nothing()
+
+    def _usual_share(self):
+        """Return what most peers have, or 0 where too few told it."""
+        holding = self.holding
+        told = [
+            self.peers.share(source, holding.model, holding.version)
+            for source in self._asked
+            if source != _plan.ORIGIN
+        ]
+        told = sorted(share for share in told if share is not None)
+        return told[len(told) // 2] if len(told) >= LEAST_TOLD else 0.0
+
     def _recall(self, asked):
         """Give chunks back to members that can be reached again.
 
@@ -293,6 +341,9 @@
         try:
             got, data = await self._ask(source, names)
             self.holding.put(got, data)
+        except errors.SourceUnableError as exc:
+            self._blame(source, exc)
+            return False
         except errors.SourceBusyError:
             self._failures.pop(source, None)
             return False
@@ -352,6 +403,9 @@
             self.holding.describe(
                 _holding.check_manifest(found, model, version)
             )
+        except errors.SourceUnableError as exc:
+            self._blame(source, exc)
+            return False
         except errors.SourceBusyError:
             return False
         except errors.TransferError as exc:
--- a/catkinshunt/spread/_holding.py
+++ b/catkinshunt/spread/_holding.py
@@ -15,12 +15,16 @@
     Attributes:
         manifest: `weights.Manifest` of the version.
         chunks: bytes by index.
+        filled: a transfer fills it now.
+        is_slow: far less comes here than elsewhere, so nothing is given.
     """
 
     model: str
     version: int
     manifest: object = None
     chunks: dict = attrs.field(factory=dict)
+    filled: bool = False
+    is_slow: bool = False
     _changes: changes.Changes = attrs.field(factory=changes.Changes)
 
     @property
@@ -57,6 +61,25 @@
         self.manifest = manifest
         self._changes.announce()
 
+    @property
+    def is_awaited(self):
+        """Whether what is missing comes here soon, to be passed on."""
+        return self.filled and not self.is_slow
+
+    def begin(self):
+        """Note that a transfer fills it from now on."""
+        self.filled = True
+
+    def end(self):
+        """Note that no transfer fills it any more."""
+        self.filled = False
+        self._changes.announce()
+
+    def give_nothing(self):
+        """Let others take all chunks elsewhere from now on."""
+        self.is_slow = True
+        self._changes.announce()
+
     def forget(self):
         """Drop the manifest and all chunks that were checked by it."""
         self.manifest = None
@@ -65,20 +88,24 @@
     async def wait_for_any(self, indices, wait_s):
         """Wait until one of these is here; return whether one is.
 
+        It does not wait where none is on its way.
+
         Args:
             indices: indices of chunks, or `MANIFEST` alone.
             wait_s: longest wait in seconds.
         """
         try:
             async with asyncio.timeout(wait_s):
-                while self.find_any(indices) is None:
+                while self.find_any(indices) is None and self.is_awaited:
                     await self._changes.wait()
         except TimeoutError:
             return False
-        return True
+        return self.find_any(indices) is not None
 
     def find_any(self, indices):
-        """Return (index, bytes) of the first that is here, or None."""
+        """Return (index, bytes) of the first that can be given, or None."""
+        if self.is_slow:
+            return None
         for index in indices:
             data = self._find(index)
             if data is not None:
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -31,6 +31,14 @@
 INDEX = 'Chunk-Index'
 #: Header of a request by one who passes the chunk on to others.
 RELAY = 'Chunk-Relay'
+#: Header of a reply: share of the version that is here, in thousandths.
+SHARE = 'Chunk-Share'
+#: Header of a reply by one that will not have what is missing soon.
+UNABLE = 'Chunk-Unable'
+#: Seconds for which a request waits until its version is fetched here. Whoever
+#: is asked for a new version hears of it by that, and begins at once; one that
+#: has to end an older transfer first says so, instead of being waited for.
+BEGIN_S = 0.3
 #: Chunks that one request may name.
 MOST_NAMED = 64
 
@@ -150,18 +158,21 @@
         await self._turns.take(0 if req.headers.get(RELAY) else 1)
         try:
             data = holding.find_any(indices) if holding else None
-            if data is None:
+            if data is not None:
+                await self._send(conn, *data, 1 - holding.left_share)
+            elif holding is not None and holding.is_awaited:
                 conn.write(http1.dump_reply(503, []))
             else:
-                await self._send(conn, *data)
+                conn.write(http1.dump_reply(503, [(UNABLE, '1')]))
         finally:
             self._turns.leave()
 
     async def _wait_for(self, model, version, indices):
         """Return the `Holding` once one of the chunks is here, or None."""
         end_at = self.clock() + LONGEST_WAIT_S
+        begin_at = self.clock() + BEGIN_S
         holding = self.shelf.find(model, version)
-        while holding is None and self.clock() < end_at:
+        while not _is_of_use(holding, indices) and self.clock() < begin_at:
             await asyncio.sleep(LOOK_S)
             holding = self.shelf.find(model, version)
         if holding is not None:
@@ -169,8 +180,12 @@
             await holding.wait_for_any(indices, wait_s)
         return holding
 
-    async def _send(self, conn, index, data):
-        items = [(INDEX, str(index)), ('Content-Length', str(len(data)))]
+    async def _send(self, conn, index, data, share):
+        items = [
+            (INDEX, str(index)),
+            (SHARE, str(round(1000 * share))),
+            ('Content-Length', str(len(data))),
+        ]
         conn.write(http1.dump_head(http1.status_line(200), items))
         for at in range(0, len(data), SLICE_BYTES):
             part = data[at : at + SLICE_BYTES]
@@ -180,6 +195,13 @@
         self.counter.add('given', amount=len(data))
 
 
+def _is_of_use(holding, indices):
+    """Return whether a holding has or gets one of the chunks."""
+    if holding is None:
+        return False
+    return holding.is_awaited or holding.find_any(indices) is not None
+
+
 def _read_path(path):
     """Return (model, version, indices) of a request, or None."""
     words = path.strip('/').split('/')
@@ -206,6 +228,14 @@
         self.clock = clock
         self.timeout_s = timeout_s
         self._pools = {}
+        self._shares = {}
+
+    def share(self, peer, model, version):
+        """Return the share of a version that a peer had, or None.
+
+        As its last reply told it.
+        """
+        return self._shares.get((peer, model, version))
 
     async def chunk(self, peer, model, version, indices, relays=False):
         """Return (index, bytes) of one of these chunks, unchecked.
@@ -218,6 +248,7 @@
             relays: whether others wait for this member to pass them on.
 
         Raises:
+            errors.SourceUnableError: the peer will not have it soon.
             errors.SourceBusyError: the peer does not have it yet.
             errors.TransferError: the peer gave no answer.
         """
@@ -239,10 +270,17 @@
             raise errors.TransferError(
                 exc.message, step='fetch chunk', peer=peer
             ) from exc
+        if head.headers.get(UNABLE):
+            raise errors.SourceUnableError(
+                'will not have it soon', step='fetch chunk', peer=peer
+            )
         if head.status != 200:
             raise errors.SourceBusyError(
                 'not there yet', step='fetch chunk', peer=peer
             )
+        share = head.headers.get(SHARE, '')
+        if share.isdigit():
+            self._shares[(peer, model, version)] = int(share) / 1000
         index = head.headers.get(INDEX, '')
         if not index.removeprefix('-').isdigit() or int(index) not in indices:
             raise errors.TransferError(
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -89,7 +89,8 @@
         """Take nothing from members that cannot be reached.
 
         Args:
-            names: frozenset of their names, instead of those before.
+            names: frozenset of their names, instead of those before; this
+                member is among them where others do not wait for it.
         """
         if names != self._away:
             self._away = names
@@ -132,6 +133,10 @@
         """Return who is to get a chunk sooner in this data centre."""
         ranked = [*receivers, *self._rank(index)]
         line = self._line(next(filter(self._is_near, ranked)), index)
+        if self.me.name in self._away:
+            # Nobody waits for what passes through here.
+            line.remove(self.me)
+            return self._reachable(line)
         return self._reachable(line[: line.index(self.me)])
 
     def _owners_for(self, home, index, before):
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -84,6 +84,13 @@
         self.asked = []
         self.dead = set()
         self.corrupt = set()
+        self.shares = {}
+
+    def share(self, peer, model, version):
+        return self.shares.get(peer)
+
+    async def spare_chunk(self, peer, model, version, indices):
+        return await self.chunk(peer, model, version, indices)
 
     async def chunk(self, peer, model, version, indices, relays=False):
         await asyncio.sleep(0)
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -14,6 +14,7 @@
 
 from catkinshunt import errors
 from catkinshunt import spread
+from catkinshunt.spread import _agent
 from catkinshunt.spread import _holding
 from catkinshunt.spread import _peers
 from catkinshunt.spread.tests import fakes
@@ -83,6 +84,11 @@
         """Bytes of one version."""
         return self.chunks * self.chunk_bytes
 
+    @property
+    def copy_s(self):
+        """Seconds of one copy over the link of one member."""
+        return self.copy_bytes / (self.link_mbps * spread.BYTES_PER_MBIT)
+
 
 class Box:
     """One instance with its sidecar, which can die and start again."""
@@ -105,6 +111,7 @@
         self.alive = True
         self.turns = _peers.Turns()
         self.holding = spread.Holding(fakes.MODEL, version)
+        self.holding.begin()
         self._task = asyncio.ensure_future(self._fetch())
 
     def kill(self):
@@ -135,7 +142,7 @@
             self.holding.version,
         )
         origin = SwarmOrigin(self)
-        link_s = swarm.scale.copy_bytes / self.down.bytes_per_s
+        copy_s = swarm.scale.copy_s * _agent.COPY_OVERHEAD
         origin_s = swarm.scale.copy_bytes / swarm.origin.bytes_per_s
         return spread.Fetcher(
             self.holding,
@@ -145,7 +152,7 @@
             asyncio.get_running_loop().time,
             self._keep,
             fakes.Counter(),
-            lambda size: link_s,
+            lambda size: copy_s,
             lambda size: origin_s,
         )
 
@@ -189,6 +196,11 @@
     def __init__(self, box):
         self.box = box
         self.swarm = box.swarm
+        self.shares = {}
+
+    def share(self, peer, model, version):
+        """Return the share of the version that a peer had, or None."""
+        return self.shares.get(peer)
 
     async def chunk(self, peer, model, version, indices, relays=False):
         """Return (index, bytes) of one of these chunks."""
@@ -211,20 +223,24 @@
 
     async def _receive(self, box, version, indices, relays):
         holding, turns = box.holding, box.turns
+        peer = box.member.name
         if holding is None or holding.version != version:
-            await asyncio.sleep(_peers.LONGEST_WAIT_S)
-            raise errors.SourceBusyError('unknown', peer=box.member.name)
+            await asyncio.sleep(_peers.BEGIN_S)
+            raise errors.SourceUnableError('not fetched', peer=peer)
         await holding.wait_for_any(indices, _peers.LONGEST_WAIT_S)
         await turns.take(0 if relays else 1)
         try:
             found = holding.find_any(indices)
+            if found is None and not holding.is_awaited:
+                raise errors.SourceUnableError('left out', peer=peer)
             if found is None:
-                raise errors.SourceBusyError('busy', peer=box.member.name)
+                raise errors.SourceBusyError('not there yet', peer=peer)
+            self.shares[peer] = 1 - holding.left_share
             await box.up.carry(self.swarm.scale.chunk_bytes)
         finally:
             turns.leave()
         if not box.alive:
-            raise errors.TransferError('reset', peer=box.member.name)
+            raise errors.TransferError('reset', peer=peer)
         await self._cross(box)
         await self.box.down.carry(self.swarm.scale.chunk_bytes)
         return found
--- a/catkinshunt/spread/tests/test_peers.py
+++ b/catkinshunt/spread/tests/test_peers.py
@@ -11,6 +11,7 @@
     async def main():
         holding = spread.Holding(fakes.MODEL, 2)
         holding.describe(fakes.manifest(2))
+        holding.begin()
         waiting = asyncio.ensure_future(holding.wait_for_any([3, 4], 5.0))
         await asyncio.sleep(0)
         holding.put(4, fakes.chunk(2, 4))
@@ -56,6 +57,61 @@
     assert raw == fakes.manifest(2).dumps()
 
 
+def ask_server(prepare, ask):
+    """Ask a server for chunk 1 of version 2 after `prepare` of its shelf."""
+
+    async def main():
+        clock = asyncio.get_running_loop().time
+        shelf = spread.Shelf()
+        prepare(shelf)
+        server = spread.ChunkServer(
+            shelf, clock, 100.0, fakes.Counter(), lambda model, version: None
+        )
+        await server.start('127.0.0.1', 0)
+        client = spread.PeerClient(server.port, clock)
+        began = clock()
+        try:
+            await ask(client)('127.0.0.1', fakes.MODEL, 2, [1])
+        except errors.SourceBusyError as exc:
+            return type(exc), clock() - began
+        return None, clock() - began
+
+    return asyncio.run(main())
+
+
+def begin_transfer(shelf):
+    holding = shelf.holding(fakes.MODEL, 2)
+    holding.describe(fakes.manifest(2))
+    holding.begin()
+    return holding
+
+
+def test_a_member_says_that_it_does_not_fetch_a_version():
+    """A member ends the transfer of an older version first.
+
+    Those who are to take chunks of the newer one from it would wait for it
+    for seconds each, as if it were about to have them.
+    """
+    kind, took_s = ask_server(lambda shelf: None, lambda c: c.chunk)
+    assert kind is errors.SourceUnableError
+    assert took_s < 1.0
+
+
+def test_a_member_with_a_narrow_link_gives_nothing():
+    def prepare(shelf):
+        holding = begin_transfer(shelf)
+        holding.put(1, fakes.chunk(2, 1))
+        holding.give_nothing()
+
+    kind, _ = ask_server(prepare, lambda c: c.chunk)
+    assert kind is errors.SourceUnableError
+
+
+def test_a_member_that_waits_for_a_chunk_itself_says_so():
+    kind, _ = ask_server(begin_transfer, lambda c: c.chunk)
+    assert kind is errors.SourceBusyError
+
+
 def test_those_who_pass_chunks_on_go_first():
     async def main():
         turns = spread.Turns()
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -102,6 +102,18 @@
         assert owner not in firsts
 
 
+def test_whoever_is_left_out_takes_all_from_others():
+    """The link of a member is narrow, and it gives nothing.
+
+    It must not wait for the origin as if others waited for it.
+    """
+    listed = members({'a': 4, 'b': 3})
+    plan = spread.Plan(listed[0], listed, REGIONS, 'drafts', 2, 96)
+    plan.leave_out(frozenset([listed[0].name]))
+    firsts = {plan.sources(index)[0] for index in range(96)}
+    assert firsts <= {'a1', 'a2', 'a3'}
+
+
 def test_a_new_member_takes_from_those_nearby_that_hold_it():
     old = members({'a': 2, 'b': 2}, {'drafts': 2})
     new = spread.Member('a9', 'a')
--- a/catkinshunt/spread/tests/test_swarm.py
+++ b/catkinshunt/spread/tests/test_swarm.py
@@ -8,49 +8,71 @@
 THREE_PLACES = swarm.Scale({'larisa': 11, 'piraeus': 10, 'sindos': 10})
 #: Seconds until a sidecar that was killed is back.
 DOWN_S = 0.8
-#: Times of one copy over the own link within which all are to have it, also
-#: where some die: a version is due after two and a half, and loading takes
-#: the rest.
+#: Times of one copy over the own link within which all are to have it where
+#: nothing fails, and where some die: a version is due after two and a half,
+#: and loading takes the rest.
+MOST_CALM_TIMES = 1.5
 MOST_LINK_TIMES = 2.0
 #: Copies that the origin is to send at most: a chunk once, and once more
 #: where whoever was to pass it on has died.
 MOST_COPIES = 2.0
 
 
-def link_s(scale):
-    """Return the seconds of one copy over the link of one member."""
-    return scale.copy_bytes / swarm.Link(scale.link_mbps).bytes_per_s
+class Fault:
+    """Members that are dead, begin late or have a narrow link."""
+
+    def __init__(self, scale, numbers):
+        self.swarm = swarm.Swarm(scale)
+        self.boxes = [
+            self.swarm.boxes[self.swarm.members[number].name]
+            for number in numbers
+        ]
+
+    async def name(self, back_s):
+        """Name a version; the members that are away begin later."""
+        for box in self.boxes:
+            box.kill()
+        self.swarm.name(2)
+        await asyncio.sleep(back_s)
+        for box in self.boxes:
+            box.start(2)
+
+    def narrow(self, share):
+        """Leave a share of their links to these members."""
+        for box in self.boxes:
+            box.up.bytes_per_s *= share
+            box.down.bytes_per_s *= share
+
+    def ends_s(self):
+        """Return when the other members had the version, in order."""
+        others = [b for b in self.swarm.boxes.values() if b not in self.boxes]
+        assert all(box.whole_at is not None for box in others)
+        return sorted(box.whole_at for box in others)
 
 
 def spread_with_deaths(scale, dead, down_s=DOWN_S):
     """Name a version to a swarm in which some members are dead."""
 
     async def day():
-        found = swarm.Swarm(scale)
-        boxes = [found.boxes[found.members[number].name] for number in dead]
-        for box in boxes:
-            box.kill()
-        found.name(2)
-        await asyncio.sleep(down_s)
-        for box in boxes:
-            box.start(2)
-        await found.wait(8 * link_s(scale))
-        return found
+        fault = Fault(scale, dead)
+        await fault.name(back_s=down_s)
+        await fault.swarm.wait(8 * scale.copy_s)
+        return fault.swarm
 
     return swarm.play(day)
 
 
-def check_spread(found):
+def check_spread(found, most_times=MOST_LINK_TIMES):
     """Hold the time of the last member and the bytes of the origin."""
     ends_s = found.ends_s()
     assert len(ends_s) == len(found.members)
-    assert ends_s[-1] <= MOST_LINK_TIMES * link_s(found.scale)
+    assert ends_s[-1] <= most_times * found.scale.copy_s
     assert found.origin_copies <= MOST_COPIES
 
 
 def test_without_failures_the_origin_sends_a_version_once():
-    found = spread_with_deaths(THREE_PLACES, dead=())
-    check_spread(found)
+    found = spread_with_deaths(THREE_PLACES, dead=(), down_s=0.0)
+    check_spread(found, MOST_CALM_TIMES)
     # Beside the chunks each owner takes the manifest.
     assert found.origin_copies < 1.1
 
@@ -67,3 +89,63 @@
     """
     found = spread_with_deaths(THREE_PLACES, dead=(3, 4, 10, 13, 22))
     check_spread(found)
+
+
+def test_members_that_begin_late_do_not_hold_up_the_others():
+    """Four added engines end the transfer of an older version first.
+
+    Others are to take a tenth of the chunks from them. They are there and
+    answer, so nothing seems to fail, and a version came after 15 s.
+    """
+
+    async def day():
+        fault = Fault(THREE_PLACES, (2, 10, 17, 27))
+        await fault.name(back_s=THREE_PLACES.copy_s)
+        await fault.swarm.wait(8 * THREE_PLACES.copy_s)
+        return fault
+
+    ends_s = swarm.play(day).ends_s()
+    assert ends_s[-1] <= MOST_LINK_TIMES * THREE_PLACES.copy_s
+
+
+def test_members_with_narrow_links_do_not_hold_up_the_others():
+    """The links of three members are narrowed to a quarter.
+
+    They go on giving a chunk now and then; all others had the version after
+    14 to 18 s, too late for the moment at which it was due.
+    """
+
+    async def day():
+        fault = Fault(THREE_PLACES, (4, 14, 24))
+        fault.narrow(0.25)
+        fault.swarm.name(2)
+        await fault.swarm.wait(8 * THREE_PLACES.copy_s)
+        return fault
+
+    fault = swarm.play(day)
+    assert fault.ends_s()[-1] <= MOST_LINK_TIMES * THREE_PLACES.copy_s
+    assert all(box.whole_at for box in fault.boxes)
+    assert fault.swarm.origin_copies <= MOST_COPIES
+
+
+def test_a_member_that_stands_still_does_not_hold_up_the_others():
+    """A member stands still in the middle of a transfer, for six seconds.
+
+    It gives no sign; whoever waits for it notices after some seconds and
+    takes its chunks from the member that stands in for it.
+    """
+
+    async def day():
+        fault = Fault(THREE_PLACES, (14,))
+        fault.swarm.name(2)
+        await asyncio.sleep(THREE_PLACES.copy_s / 3)
+        for box in fault.boxes:
+            box.frozen = True
+        await asyncio.sleep(6.0)
+        for box in fault.boxes:
+            box.frozen = False
+        await fault.swarm.wait(8 * THREE_PLACES.copy_s)
+        return fault
+
+    ends_s = swarm.play(day).ends_s()
+    assert ends_s[-1] <= MOST_LINK_TIMES * THREE_PLACES.copy_s
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -383,6 +383,57 @@
     assert told['given'] == {'a1': fakes.CHUNKS - 1}
 
 
+def test_a_source_that_will_not_have_it_is_left_at_once():
+    """A member does not fetch the version that others await from it.
+
+    Asked again and again, as one that is about to have it, it held up its
+    share for seconds.
+    """
+
+    class UnablePeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            if peer == 'a1':
+                self.asked.append((peer, tuple(indices)))
+                raise errors.SourceUnableError('not fetched', peer=peer)
+            return await super().chunk(peer, model, version, indices, relays)
+
+    peers = UnablePeers(a2=EVERY)
+    found = transfer(peers=peers, listed=listed('a1', 'a2', a1=2, a2=2))
+    assert found.holding.is_whole
+    assert [peer for peer, _ in peers.asked].count('a1') == 1
+    assert not found.origin.given
+
+
+def test_a_narrow_own_link_is_noticed(monkeypatch):
+    """Far less comes here than to all others.
+
+    Others wait for what this member is to pass on, so it lets them take it
+    elsewhere from then on.
+    """
+    monkeypatch.setattr(_fetcher, 'JUDGE_LINK_S', 0.01)
+
+    class SlowPeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            await asyncio.sleep(0.1)
+            return await super().chunk(peer, model, version, indices, relays)
+
+    names = ['a1', 'a2', 'a3']
+    peers = SlowPeers(**dict.fromkeys(names, EVERY))
+    peers.shares = dict.fromkeys(names, 0.9)
+
+    def prepare(found):
+        found.fetcher.plan.sources = lambda index: [
+            names[index % 3],
+            'origin',
+        ]
+
+    found = transfer(
+        prepare, peers=peers, listed=listed(*names), copy_s=lambda size: 0.15
+    )
+    assert found.holding.is_whole
+    assert found.holding.is_slow
+
+
 def test_a_damaged_manifest_is_dropped():
     """The manifest itself is damaged on its way, so no chunk ever fits.
 
