Let idle sources give what busy ones are slow to give

Cause: a member that stands in for others, or whose link is narrow, has more to give than the rest; all waited for the last of its chunks, which others nearby had by then.

A source that has given its share is asked for the last chunks that wait at the busiest one; it answers at once, and only if it gives to nobody else. Between data centres it is not done, since that way is for what enters them.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -229,6 +229,12 @@
         'if usual >= LEAST_SHARE and has < SLOW_PART * usual:',
         'if False:',
     ),
+    Mutation(
+        'idle-sources-relieve',
+        'catkinshunt/spread/_fetcher.py',
+        'return longest if len(longest) >= LEAST_RELIEVED else []',
+        'return []',
+    ),
     Mutation(
         'members-stay-known',
         'catkinshunt/platform/_outlook.py',
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -39,6 +39,11 @@
 LEAST_TOLD = 3
 LEAST_SHARE = 0.12
 JUDGE_LINK_S = 1.0
+#: Chunks that must wait at a busy source before an idle one is asked for the
+#: last of them; the busy one is about to give the first.
+LEAST_RELIEVED = 2
+#: Pause after an idle source had none of them, in seconds.
+RELIEF_PAUSE_S = 0.5
 #: Pause after all sources of a chunk failed, in seconds.
 RETRY_S = 0.2
 #: Seconds between two log lines on what a transfer waits for.
@@ -186,6 +191,10 @@
         asked = self._asked[source]
         try:
             await self._ask_all(source, asked)
+            while self._may_relieve(source) and not asked:
+                await self._relieve(source)
+            if asked:
+                await self._ask_all(source, asked)
         finally:
             self._working.discard(source)
             # The origin takes few connections; one that lies idle here
@@ -213,6 +222,51 @@
             else:
                 self._hand_back(source, asked)
 
+    def _may_relieve(self, source):
+        """Return whether an idle source may give what busy ones are to give.
+
+        Only nearby: the way between data centres is for what enters them.
+        """
+        if source == _plan.ORIGIN or self.plan.is_far(source):
+            return False
+        if self.holding.is_slow:
+            # The own link is what all wait for.
+            return False
+        return not self._is_blamed(source) and bool(self._busiest(source))
+
+    def _busiest(self, idle):
+        """Return the longest list of chunks that waits at another source."""
+        lists = [
+            asked for source, asked in self._asked.items() if source != idle
+        ]
+        longest = max(lists, key=len, default=[])
+        return longest if len(longest) >= LEAST_RELIEVED else []
+
+    async def _relieve(self, source):
+        """Ask an idle source for the last chunks that wait at a busy one.
+
+        A member that stands in for others, or whose link is narrow, has more
+        to give than the rest. What it has given to some is there elsewhere.
+        """
+        names = self._busiest(source)[:0:-1]
+        holding = self.holding
+        try:
+            got, data = await self.peers.spare_chunk(
+                source, holding.model, holding.version, names
+            )
+            holding.put(got, data)
+        except errors.SourceBusyError:
+            await asyncio.sleep(RELIEF_PAUSE_S)
+            return
+        except errors.TransferError as exc:
+            self._blame(source, exc)
+            return
+        for asked in self._asked.values():
+            if got in asked:
+                asked.remove(got)
+        self.counter.add('peer', amount=len(data))
+        await self.keep(got, data)
+
     def _end_s(self, source):
         """Return when a source ends at its speed, in seconds from the begin.
 
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -31,6 +31,8 @@
 INDEX = 'Chunk-Index'
 #: Header of a request by one who passes the chunk on to others.
 RELAY = 'Chunk-Relay'
+#: Header of a request that is not to wait until one of the chunks is here.
+SPARE = 'Chunk-Spare'
 #: Header of a reply: share of the version that is here, in thousandths.
 SHARE = 'Chunk-Share'
 #: Header of a reply by one that will not have what is missing soon.
@@ -76,6 +78,11 @@
         self._waiting = []
         self._count = 0
 
+    @property
+    def is_free(self):
+        """Whether nobody has the turn."""
+        return not self._busy
+
     async def take(self, rank):
         """Wait for the turn; `leave` gives it to the next."""
         if not self._busy:
@@ -150,20 +157,27 @@
             return
         model, version, indices = found
         self.on_asked(model, version)
-        holding = await self._wait_for(model, version, indices)
+        if req.headers.get(SPARE):
+            holding = self.shelf.find(model, version)
+            gives = self._turns.is_free
+        else:
+            holding = await self._wait_for(model, version, indices)
+            gives = True
+        if not gives or holding is None or not holding.find_any(indices):
+            conn.write(http1.dump_reply(503, _refusal(holding)))
+            return
         # Chunks go out one after the other: the one that is sent is whole
         # soon and can be passed on, where ten at once would all be late.
         # Those who pass it on to others go first, so that all links are soon
         # busy.
         await self._turns.take(0 if req.headers.get(RELAY) else 1)
         try:
-            data = holding.find_any(indices) if holding else None
-            if data is not None:
-                await self._send(conn, *data, 1 - holding.left_share)
-            elif holding is not None and holding.is_awaited:
-                conn.write(http1.dump_reply(503, []))
+            # A newer version may have taken its place meanwhile.
+            data = holding.find_any(indices)
+            if data is None:
+                conn.write(http1.dump_reply(503, _refusal(holding)))
             else:
-                conn.write(http1.dump_reply(503, [(UNABLE, '1')]))
+                await self._send(conn, *data, 1 - holding.left_share)
         finally:
             self._turns.leave()
 
@@ -195,6 +209,13 @@
         self.counter.add('given', amount=len(data))
 
 
+def _refusal(holding):
+    """Return the headers of a reply without a chunk."""
+    if holding is not None and (holding.is_awaited or holding.is_whole):
+        return []
+    return [(UNABLE, '1')]
+
+
 def _is_of_use(holding, indices):
     """Return whether a holding has or gets one of the chunks."""
     if holding is None:
@@ -252,6 +273,20 @@
             errors.SourceBusyError: the peer does not have it yet.
             errors.TransferError: the peer gave no answer.
         """
+        items = [(RELAY, '1')] if relays else []
+        return await self._fetch(peer, model, version, indices, items)
+
+    async def spare_chunk(self, peer, model, version, indices):
+        """Return (index, bytes) of one of these if the peer is idle.
+
+        Raises:
+            errors.SourceBusyError: it has none, or gives to others.
+            errors.TransferError: the peer gave no answer.
+        """
+        items = [(SPARE, '1')]
+        return await self._fetch(peer, model, version, indices, items)
+
+    async def _fetch(self, peer, model, version, indices, items):
         pool = self._pools.get(peer)
         if pool is None:
             pool = http1.Pool(peer, self.port, self.clock, connect_s=CONNECT_S)
@@ -263,7 +298,7 @@
                 pool,
                 'GET',
                 target,
-                [(RELAY, '1')] if relays else (),
+                items,
                 timeout_s=self.timeout_s,
             )
         except errors.RequestError as exc:
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -204,6 +204,13 @@
 
     async def chunk(self, peer, model, version, indices, relays=False):
         """Return (index, bytes) of one of these chunks."""
+        return await self._ask(peer, version, indices, 0 if relays else 1)
+
+    async def spare_chunk(self, peer, model, version, indices):
+        """Return (index, bytes) of one of these if the peer is idle."""
+        return await self._ask(peer, version, indices, None)
+
+    async def _ask(self, peer, version, indices, rank):
         box = self.swarm.boxes[peer]
         await asyncio.sleep(DELAY_S)
         if not box.alive:
@@ -212,7 +219,7 @@
             async with asyncio.timeout(SILENT_S):
                 while box.frozen:
                     await asyncio.sleep(AGAIN_S)
-                return await self._receive(box, version, indices, relays)
+                return await self._receive(box, version, indices, rank)
         except TimeoutError as exc:
             raise errors.TransferError('silent', peer=peer) from exc
 
@@ -221,20 +228,26 @@
         _, data = await self.chunk(peer, model, version, [_holding.MANIFEST])
         return data
 
-    async def _receive(self, box, version, indices, relays):
+    async def _receive(self, box, version, indices, rank):
         holding, turns = box.holding, box.turns
         peer = box.member.name
         if holding is None or holding.version != version:
             await asyncio.sleep(_peers.BEGIN_S)
             raise errors.SourceUnableError('not fetched', peer=peer)
-        await holding.wait_for_any(indices, _peers.LONGEST_WAIT_S)
-        await turns.take(0 if relays else 1)
+        if rank is not None:
+            await holding.wait_for_any(indices, _peers.LONGEST_WAIT_S)
+        elif not turns.is_free:
+            raise errors.SourceBusyError('gives to others', peer=peer)
+        found = holding.find_any(indices)
+        if found is None and not (holding.is_awaited or holding.is_whole):
+            raise errors.SourceUnableError('left out', peer=peer)
+        if found is None:
+            raise errors.SourceBusyError('not there yet', peer=peer)
+        await turns.take(1 if rank is None else rank)
         try:
             found = holding.find_any(indices)
-            if found is None and not holding.is_awaited:
-                raise errors.SourceUnableError('left out', peer=peer)
             if found is None:
-                raise errors.SourceBusyError('not there yet', peer=peer)
+                raise errors.SourceUnableError('left out', peer=peer)
             self.shares[peer] = 1 - holding.left_share
             await box.up.carry(self.swarm.scale.chunk_bytes)
         finally:
--- a/catkinshunt/spread/tests/test_peers.py
+++ b/catkinshunt/spread/tests/test_peers.py
@@ -112,6 +112,16 @@
     assert kind is errors.SourceBusyError
 
 
+def test_an_idle_member_is_not_waited_for():
+    """Whoever asks for what others are slow to give asks several members.
+
+    Each would hold up the chunk for a second if it waited for it.
+    """
+    kind, took_s = ask_server(begin_transfer, lambda c: c.spare_chunk)
+    assert kind is errors.SourceBusyError
+    assert took_s < 0.5
+
+
 def test_those_who_pass_chunks_on_go_first():
     async def main():
         turns = spread.Turns()
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -404,6 +404,31 @@
     assert not found.origin.given
 
 
+def test_an_idle_source_gives_what_a_busy_one_is_slow_to_give():
+    """One member has far more to give than the others.
+
+    It stands in for some that died, and all would wait for the last of its
+    chunks, though others nearby have got them by then.
+    """
+
+    class BusyPeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relays=False):
+            if peer == 'a1':
+                await asyncio.sleep(0.2)
+            return await super().chunk(peer, model, version, indices, relays)
+
+    def prepare(found):
+        found.fetcher.plan.sources = lambda index: [
+            'a2' if index == 0 else 'a1',
+            'origin',
+        ]
+
+    peers = BusyPeers(a1=EVERY, a2=EVERY)
+    found = transfer(prepare, peers=peers, listed=listed('a1', 'a2'))
+    assert found.holding.is_whole
+    assert [peer for peer, _ in peers.asked].count('a1') <= 2
+
+
 def test_a_narrow_own_link_is_noticed(monkeypatch):
     """Far less comes here than to all others.
 
