Fetch no version before the store has told which one is named

What callers saw: after a loss of power requests of models were answered only 4 s after the processes were back, 2 s of it for nothing. Cause: a sidecar whose engine holds nothing takes the newest version that other engines are listed with, which is right where the operator has named none; after a restart it did so before it had read what is named. All 31 went for version 2, heard of version 3 a moment later, and had to get its manifest before it took the place of the other ("Version 3 cannot be had yet" after 2 s).

Now nothing is wanted before the named versions have been read. And a manifest is waited for also where its transfer has not begun, since that is the order in which a newer version takes over; else everybody asks the origin for it.

Tests fail without it.

--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -155,7 +155,10 @@
             named = self.catalog.newest_version(model)
             due_at = named.since + self.due_s
             return spread.Wanted(model, named.version, due_at)
-        if report.versions:
+        # Before the store has told what is named, what others are listed with
+        # may be a version that is no longer wanted. After a loss of power all
+        # members fetched that one first, and the named one two seconds later.
+        if report.versions or self._revision is None:
             return None
         return await self._served_by_others()
 
--- a/catkinshunt/platform/tests/test_outlook.py
+++ b/catkinshunt/platform/tests/test_outlook.py
@@ -93,6 +93,36 @@
     assert origin.address == ('10.9.9.9', 80)
 
 
+def test_nothing_is_wanted_before_the_store_tells_what_is_named():
+    """All machines lose their power after a new version was named.
+
+    Their sidecars start before the store has told them its name. The engines
+    are still listed with the version before, and a sidecar that went by that
+    would fetch it first; callers wait for the new one meanwhile.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        store.put('servers/i-1', documents.UPSTREAM)
+        cfg = platform.read_node_settings(
+            {**test_settings.DOCUMENT, 'service': 'engines'}
+        )
+        clock = asyncio.get_running_loop().time
+        outlook = _outlook.StoreOutlook(
+            cfg, store, catalogs.Catalog(), clock, DUE_S
+        )
+        early = await outlook.wanted(report())
+        name(store, 3)
+        task = asyncio.ensure_future(outlook.run())
+        await fakes.until(lambda: outlook.catalog.named_models())
+        task.cancel()
+        return early, await outlook.wanted(report())
+
+    early, late = asyncio.run(main())
+    assert early is None
+    assert late.version == 3
+
+
 def test_a_shown_origin_spares_the_configuration():
     """After a loss of power all sidecars and entries start together.
 
--- a/catkinshunt/spread/_holding.py
+++ b/catkinshunt/spread/_holding.py
@@ -61,9 +61,14 @@
         self.manifest = manifest
         self._changes.announce()
 
-    @property
-    def is_awaited(self):
-        """Whether what is missing comes here soon, to be passed on."""
+    def awaits(self, indices):
+        """Return whether one of these comes here soon, to be passed on.
+
+        The manifest comes before the transfer begins: a newer version takes
+        the place of the one before only when its manifest is here.
+        """
+        if MANIFEST in indices:
+            return True
         return self.filled and not self.is_slow
 
     def begin(self):
@@ -96,7 +101,7 @@
         """
         try:
             async with asyncio.timeout(wait_s):
-                while self.find_any(indices) is None and self.is_awaited:
+                while self.find_any(indices) is None and self.awaits(indices):
                     await self._changes.wait()
         except TimeoutError:
             return False
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -164,7 +164,7 @@
             holding = await self._wait_for(model, version, indices)
             gives = True
         if not gives or holding is None or not holding.find_any(indices):
-            conn.write(http1.dump_reply(503, _refusal(holding)))
+            conn.write(http1.dump_reply(503, _refusal(holding, indices)))
             return
         # Chunks go out one after the other: the one that is sent is whole
         # soon and can be passed on, where ten at once would all be late.
@@ -175,7 +175,7 @@
             # A newer version may have taken its place meanwhile.
             data = holding.find_any(indices)
             if data is None:
-                conn.write(http1.dump_reply(503, _refusal(holding)))
+                conn.write(http1.dump_reply(503, _refusal(holding, indices)))
             else:
                 await self._send(conn, *data, 1 - holding.left_share)
         finally:
@@ -209,9 +209,9 @@
         self.counter.add('given', amount=len(data))
 
 
-def _refusal(holding):
+def _refusal(holding, indices):
     """Return the headers of a reply without a chunk."""
-    if holding is not None and (holding.is_awaited or holding.is_whole):
+    if holding is not None and (holding.awaits(indices) or holding.is_whole):
         return []
     return [(UNABLE, '1')]
 
@@ -220,7 +220,7 @@
     """Return whether a holding has or gets one of the chunks."""
     if holding is None:
         return False
-    return holding.is_awaited or holding.find_any(indices) is not None
+    return holding.awaits(indices) or holding.find_any(indices) is not None
 
 
 def _read_path(path):
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -239,7 +239,7 @@
         elif not turns.is_free:
             raise errors.SourceBusyError('gives to others', peer=peer)
         found = holding.find_any(indices)
-        if found is None and not (holding.is_awaited or holding.is_whole):
+        if found is None and not (holding.awaits(indices) or holding.is_whole):
             raise errors.SourceUnableError('left out', peer=peer)
         if found is None:
             raise errors.SourceBusyError('not there yet', peer=peer)
--- a/catkinshunt/spread/tests/test_peers.py
+++ b/catkinshunt/spread/tests/test_peers.py
@@ -4,6 +4,7 @@
 
 from catkinshunt import errors
 from catkinshunt import spread
+from catkinshunt.spread import _peers
 from catkinshunt.spread.tests import fakes
 
 
@@ -107,6 +108,32 @@
     assert kind is errors.SourceUnableError
 
 
+def test_a_manifest_is_waited_for_before_the_transfer_begins():
+    """A newer version is named while the one before is on its way.
+
+    Whoever is to pass its manifest on asks for it first and goes on with the
+    older one until then. Said not to come, it was asked of the origin by all.
+    """
+
+    async def main():
+        clock = asyncio.get_running_loop().time
+        shelf = spread.Shelf()
+        holding = shelf.holding(fakes.MODEL, 2)
+        server = spread.ChunkServer(
+            shelf, clock, 100.0, fakes.Counter(), lambda model, version: None
+        )
+        await server.start('127.0.0.1', 0)
+        client = spread.PeerClient(server.port, clock)
+        asking = asyncio.ensure_future(
+            client.manifest('127.0.0.1', fakes.MODEL, 2)
+        )
+        await asyncio.sleep(1.5 * _peers.BEGIN_S)
+        holding.describe(fakes.manifest(2))
+        return await asking
+
+    assert asyncio.run(main()) == fakes.manifest(2).dumps()
+
+
 def test_a_member_that_waits_for_a_chunk_itself_says_so():
     kind, _ = ask_server(begin_transfer, lambda c: c.chunk)
     assert kind is errors.SourceBusyError
