Count what was asked in vain before turning to the origin

Cause: a chunk was taken to the next member only after its source had been asked as often as is right before turning to the origin, six times a second each on the grown deployments. That is two decisions in one: another member is asked at little cost, the origin at much.

Now a source that lacks a chunk is left after two tries, and the origin is turned to only when the chunk was asked for in vain often enough for each member that stands before this one. A damaged chunk counts as asked in vain.

--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -24,12 +24,15 @@
 BLAME_S = 1.5
 MOST_BLAME_S = 12.0
 #: Times that a source without the chunk is asked, each for a second, before
-#: its chunks are taken elsewhere; at least, and for each second in which the
-#: origin can give one copy. Owners that share a slow origin have nothing for
-#: a while; asked twice only, all turned to the origin at once, which then
-#: sent 2.4 copies, and a transfer took 13 s instead of 6.5.
-LEAST_PATIENCE = 2
-PATIENCE_PER_S = 1.0
+#: its chunks are taken from the next member.
+PATIENCE = 2
+#: Times that a chunk is asked for in vain before a member turns to the origin
+#: for it: at least, and for each second in which the origin can give one copy;
+#: both for each member that stands before it. Owners that share a slow origin
+#: have nothing for a while; asked twice only, all turned to the origin at
+#: once, which then sent 2.4 copies, and a transfer took 13 s instead of 6.5.
+LEAST_VAIN = 2
+VAIN_PER_S = 1.0
 #: A member gives nothing of a version where it has less than this part of what
 #: most others have, and less than this part of what its link should have
 #: brought; with a quarter of the link it has 0.25 of both.
@@ -85,7 +88,7 @@
         self.copy_s = copy_s
         self.origin_copy_s = origin_copy_s
         self._copy_s = math.inf
-        self._patience = LEAST_PATIENCE
+        self._most_vain = LEAST_VAIN
         self._blamed = {}
         self._failing = set()
         self._corrupt_in_row = 0
@@ -95,7 +98,7 @@
         self._last_s = {}
         self._began = clock()
         self._tried = {}
-        self._rounds = collections.Counter()
+        self._vain = collections.Counter()
         self._failures = collections.Counter()
         self._group = None
 
@@ -143,8 +146,8 @@
         size = manifest.size_bytes
         self.plan.describe(len(manifest.chunks))
         self._copy_s = self.copy_s(size)
-        patience = self.origin_copy_s(size) * PATIENCE_PER_S
-        self._patience = LEAST_PATIENCE + round(patience)
+        vain = self.origin_copy_s(size) * VAIN_PER_S
+        self._most_vain = LEAST_VAIN + round(vain)
 
     def _assign(self, index):
         """Give a chunk to the worker of its best source."""
@@ -159,7 +162,6 @@
             # would send ten copies when it is back, 4 s for what the owners
             # need half a second for.
             tried.clear()
-            self._rounds[index] += 1
             source = (usable or self._sources_of(index))[0]
         asked = self._asked.setdefault(source, [])
         asked.append(index)
@@ -178,13 +180,13 @@
     def _may_ask_origin(self, index, usable):
         """Return whether this member takes a chunk from the origin itself.
 
-        At once where nobody is left who stands before it. Else after as many
-        rounds as there are members to ask: were all to turn to the origin
-        when the owner of a chunk dies, its link would carry the chunk for
-        each of them, and the whole transfer would wait for it.
+        At once where nobody is left who stands before it. Else the later, the
+        more members there are to ask: were all to turn to the origin when the
+        owner of a chunk dies, its link would carry the chunk for each of
+        them, and the whole transfer would wait for it.
         """
         members = sum(source != _plan.ORIGIN for source in usable)
-        return self._rounds[index] >= members
+        return self._vain[index] >= members * self._most_vain
 
     async def _work(self, source):
         """Ask one source for its chunks until none is left to it."""
@@ -217,7 +219,7 @@
                     await self._hand_over(source, asked, kept=1)
                 continue
             strikes += 1
-            if strikes >= self._patience or self._is_blamed(source):
+            if strikes >= PATIENCE or self._is_blamed(source):
                 await self._hand_over(source, asked)
             else:
                 self._hand_back(source, asked)
@@ -400,9 +402,11 @@
             return False
         except errors.SourceBusyError:
             self._failures.pop(source, None)
+            self._vain.update(names)
             return False
         except errors.CorruptChunkError as exc:
             self._corrupt_in_row += 1
+            self._vain.update(names)
             self._warn(source, exc)
             return False
         except errors.TransferError as exc:
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -120,6 +120,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def give_up(self):
+        """Fetch this version no more, but give what is here."""
+        self._task.cancel()
+        self.holding.end()
+
     async def _fetch(self):
         while not self.holding.is_whole:
             with contextlib.suppress(errors.CatkinshuntError, ExceptionGroup):
@@ -182,6 +187,8 @@
 
     async def _receive(self, size):
         await asyncio.sleep(DELAY_S)
+        if self.swarm.origin_down:
+            raise errors.TransferError('no connection', peer='origin')
         try:
             async with asyncio.timeout(ORIGIN_SILENT_S):
                 await self.swarm.origin.carry(size)
@@ -280,6 +287,7 @@
             for number in range(count)
         ]
         self.origin = Link(scale.origin_mbps)
+        self.origin_down = False
         self.boxes = {m.name: Box(self, m) for m in self.members}
         self._between = {}
         self._manifests = {}
