Let one entry of a region follow the store for all

Cause: each entry reads every configuration over the one link of its region; so do five of them, and a storm of 18 takes half a minute of that link.

Now the first entry of a region that is alive reads and watches the store, and the others follow it: by the same interface, so nothing else knows. Each page says since when what it tells is proved to be the newest, counted from when it was asked for; one whose proof is older than 1.3 s, that gives no sign, or that does not read from the store itself is left, and the store asked directly, for 1 s and then longer. With the waits it stays below 2 s, the shortest bound of a configuration. One that has just started says so to those who ask for what was before; they ask the store. A version is as old as the reader knows it. Entries tell address and region in the key that they keep anyway.

Weighed: the gossip of catkinshunt.dissemination has rounds, and its time grows with the number of entries; a region is small, and one step is enough. Coalescing a storm at the reader is left.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -208,7 +208,7 @@
     Mutation(
         'one-member-stands-in',
         'catkinshunt/spread/_fetcher.py',
-        'return self._rounds[index] >= members',
+        'return self._vain[index] >= members * self._most_vain',
         'return True',
     ),
     Mutation(
@@ -255,6 +255,42 @@
         """if False:
             # Where""",
     ),
+    Mutation(
+        'reader-without-proof-is-left',
+        'catkinshunt/feed/_regional.py',
+        'if self.wall() - page.proved_at < STALE_S:',
+        'if True:',
+    ),
+    Mutation(
+        'reader-tells-only-what-it-knows',
+        'catkinshunt/feed/_view.py',
+        'return after >= self._floor',
+        'return True',
+    ),
+    Mutation(
+        'deletions-are-handed-on',
+        'catkinshunt/feed/_view.py',
+        'self._deleted[item.key] = item',
+        'pass',
+    ),
+    Mutation(
+        'unread-answers-prove-nothing',
+        'catkinshunt/feed/_peer.py',
+        'proved_at = asked_at + told.held_s - told.proved_ago_s',
+        'proved_at = self.wall() - told.proved_ago_s',
+    ),
+    Mutation(
+        'readers-that-start-are-waited-for',
+        'catkinshunt/feed/_regional.py',
+        'if self.wall() - self._began < START_PATIENCE_S:',
+        'if False:',
+    ),
+    Mutation(
+        'names-are-as-old-as-the-reader-knows',
+        'catkinshunt/feed/_view.py',
+        'ages = [now - self._seen_at.get(item.key, now) for item in items]',
+        'ages = []',
+    ),
     Mutation(
         'origin-is-shown-alone',
         'catkinshunt/platform/_outlook.py',
@@ -268,6 +304,12 @@
         'if now + ask.read_s >= self._expires_at:',
         'if False:',
     ),
+    Mutation(
+        'silent-sidecars-end-a-version-sooner',
+        'catkinshunt/gateway/_seat.py',
+        'if self.selection.is_outdated(upstream, UNHEARD_LEAD_S):',
+        'if False:',
+    ),
     # Entries that are listed.
     Mutation(
         'vanished-entry-is-listed-again',
--- a/catkinshunt/catalog/__init__.py
+++ b/catkinshunt/catalog/__init__.py
@@ -9,9 +9,11 @@
 from catkinshunt.catalog._model import Service
 from catkinshunt.catalog._model import Share
 from catkinshunt.catalog._model import Upstream
+from catkinshunt.catalog._roster import Home
 from catkinshunt.catalog._roster import Roster
 
 __all__ = [
+    'Home',
     'Catalog',
     'Declaration',
     'EngineProfile',
--- a/catkinshunt/catalog/_roster.py
+++ b/catkinshunt/catalog/_roster.py
@@ -1,11 +1,26 @@
 """The entries that are alive, as one of them knows them."""
 
+import attrs
+
 from catkinshunt import base
 from catkinshunt import changes
 
 
+@attrs.frozen
+class Home:
+    """Where an entry runs.
+
+    Attributes:
+        host: its address.
+        region: its region.
+    """
+
+    host: str
+    region: str
+
+
 class Roster(base.ParamsMixin):
-    """Keeps the names of the entries that are listed in the store.
+    """Keeps the entries that are listed in the store.
 
     Examples:
         >>> roster = Roster()
@@ -16,35 +31,50 @@
     """
 
     def __init__(self):
-        self._names = set()
+        self._entries = {}
         self._changes = changes.Changes()
 
     def names(self):
         """Return the names of the entries that are alive, sorted."""
-        return sorted(self._names)
+        return sorted(self._entries)
+
+    def homes(self):
+        """Return the `Home` of each entry that told it, by name."""
+        return {
+            name: home
+            for name, home in self._entries.items()
+            if home is not None
+        }
 
     def has(self, name):
         """Return whether the entry `name` is listed."""
-        return name in self._names
+        return name in self._entries
+
+    def replace(self, entries):
+        """Take these in place of all that were known.
 
-    def replace(self, names):
-        """Take `names` in place of all that were known."""
-        self._set(set(names))
+        Args:
+            entries: names, or homes by name.
+        """
+        if not isinstance(entries, dict):
+            entries = dict.fromkeys(entries)
+        self._set(entries)
 
-    def put(self, name):
+    def put(self, name, home=None):
         """Note that the entry `name` is listed."""
-        self._set(self._names | {name})
+        self._set({**self._entries, name: home})
 
     def drop(self, name):
         """Note that the entry `name` is no longer listed."""
-        self._set(self._names - {name})
+        kept = {n: home for n, home in self._entries.items() if n != name}
+        self._set(kept)
 
     async def wait_for_change(self):
         """Return when an entry has come or gone."""
         await self._changes.wait()
 
-    def _set(self, names):
-        if names == self._names:
+    def _set(self, entries):
+        if entries == self._entries:
             return
-        self._names = names
+        self._entries = entries
         self._changes.announce()
--- /dev/null
+++ b/catkinshunt/feed/_regional.py
@@ -0,0 +1,214 @@
+"""Lets one process of a region read from the service, for all of them."""
+
+import asyncio
+import math
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt.feed import _peer
+from catkinshunt.feed import _view
+from catkinshunt.feed import base
+from catkinshunt import logs
+from catkinshunt import rendezvous
+
+#: Seconds for which changes are waited for at another process. A short wait
+#: shows soon that it stands still; such a call costs the service nothing.
+PEER_WAIT_S = 0.4
+#: The same at the service, where others follow it through this process: what
+#: they know is proved anew by each answer.
+SOURCE_WAIT_S = 0.6
+#: Seconds for which a process that gave no answer is not asked, at first and
+#: at most.
+FIRST_PAUSE_S = 1.0
+MOST_PAUSE_S = 16.0
+#: Seconds without proof after which what another process tells is too old: it
+#: may be cut off from the service, which then is asked directly. With the two
+#: waits and one read it stays below 2 s, the shortest bound within which a
+#: configuration must be in force.
+STALE_S = 1.3
+#: Seconds after its last answer for which this process counts as one that
+#: reads from the service itself.
+DIRECT_S = 4.0
+#: Seconds for which a process that has just started asks one that is not
+#: there yet again, and the pause between two tries. After a loss of power all
+#: start at the same moment.
+START_PATIENCE_S = 0.6
+START_PAUSE_S = 0.1
+
+_log = logs.get_logger('feed')
+
+
+@attrs.define
+class _Pause:
+    """How long a process that gave no answer is not asked."""
+
+    until: float
+    for_s: float
+
+
+class RegionalFeed(base.BaseFeed):
+    """Follows the service through one process of the region.
+
+    Each large configuration, read by every entry of a region over one link,
+    took seconds: five changes in four seconds came eleven seconds late, and
+    after a loss of power all requests were refused for as long. Here the
+    first one that is alive reads it and hands it on; each watch is a priced
+    call, and there is one for a region. Where that process gives no answer,
+    or has no proof that what it knows is new, the service is asked directly.
+
+    Args:
+        source: `base.BaseFeed` of the service.
+        roster: `catalog.Roster` with the homes of the entries.
+        name: name of this entry.
+        region: its region.
+        make_peer: function of a host that returns its `PeerFeed`.
+        wall: gives seconds on the clock of the view.
+        prefixes: prefixes of all that is followed; those below the last one
+            tell which processes there are, and are read directly.
+    """
+
+    def __init__(
+        self, source, roster, name, region, make_peer, wall, prefixes
+    ):  # fmt: skip
+        self.source = source
+        self.roster = roster
+        self.name = name
+        self.region = region
+        self.make_peer = make_peer
+        self.wall = wall
+        self.prefixes = prefixes
+        self.view = _view.View(prefixes)
+        self._direct_at = -math.inf
+        self._peers = {}
+        self._pauses = {}
+        self._asked = None
+        self._began = wall()
+
+    @property
+    def is_direct(self):
+        """Whether this process reads from the service itself."""
+        return self.wall() - self._direct_at < DIRECT_S
+
+    async def read_prefix(self, prefix):
+        """See `base.BaseFeed.read_prefix`."""
+        page = None
+        if prefix != self.prefixes[-1]:
+            page = await self._read_at_peer(prefix)
+        if page is None:
+            asked_at = self.wall()
+            page = await self.source.read_prefix(prefix)
+            page = attrs.evolve(page, proved_at=asked_at)
+            self._note_direct()
+        self.view.take_read(prefix, page, self.wall())
+        return page
+
+    async def watch(self, prefix, after, wait_s):
+        """See `base.BaseFeed.watch`."""
+        page = await self._watch_at_peer(prefix, after)
+        if page is None:
+            page = await self._watch_source(prefix, after, wait_s)
+        self.view.take_changes(page, self.wall())
+        return page
+
+    async def _watch_source(self, prefix, after, wait_s):
+        if len(self._members()) > 1:
+            wait_s = min(wait_s, SOURCE_WAIT_S)
+        asked_at = self.wall()
+        try:
+            page = await self.source.watch(prefix, after, wait_s)
+        except errors.StoreError:
+            # Others ask elsewhere at once.
+            self._direct_at = -math.inf
+            raise
+        self._note_direct()
+        # An answer can lie unread while the process is suspended, so the
+        # time at which it was read proves nothing.
+        proved_at = asked_at
+        if not page.items:
+            proved_at = min(asked_at + wait_s, self.wall())
+        return attrs.evolve(page, proved_at=proved_at)
+
+    def _note_direct(self):
+        self._direct_at = self.wall()
+
+    async def _read_at_peer(self, prefix):
+        """Return what a process nearby knows, or None."""
+        while (name := self._first()) is not None:
+            try:
+                page = await self._peer(name).read_prefix(prefix)
+            except errors.StoreError as exc:
+                if self.wall() - self._began < START_PATIENCE_S:
+                    await asyncio.sleep(START_PAUSE_S)
+                    continue
+                self._pause(name, exc)
+                return None
+            if self._is_new(page, name):
+                return page
+        return None
+
+    async def _watch_at_peer(self, prefix, after):
+        """Return the changes that a process nearby tells, or None."""
+        name = self._first()
+        if name is None:
+            return None
+        try:
+            page = await self._peer(name).watch(prefix, after, PEER_WAIT_S)
+        except _peer.HistoryGoneError:
+            # It has started a moment ago; the service knows more.
+            return None
+        except errors.StoreError as exc:
+            self._pause(name, exc)
+            return None
+        return page if self._is_new(page, name) else None
+
+    def _is_new(self, page, name):
+        """Return whether it is proved that little can have changed since."""
+        if self.wall() - page.proved_at < STALE_S:
+            self._pauses.pop(name, None)
+            return True
+        self._pause(name, 'what it knows is too old')
+        return False
+
+    def _first(self):
+        """Return who reads for this region, or None for this process.
+
+        Whoever gave no answer a moment ago is passed over.
+        """
+        now = self.wall()
+        for name in rendezvous.rank(self.region, self._members()):
+            if name == self.name:
+                return None
+            pause = self._pauses.get(name)
+            if pause is None or pause.until <= now:
+                self._show(name)
+                return name
+        return None
+
+    def _members(self):
+        """Return the names of the entries of this region, its own too."""
+        homes = self.roster.homes()
+        names = {n for n, home in homes.items() if home.region == self.region}
+        return names | {self.name}
+
+    def _show(self, name):
+        if name != self._asked:
+            self._asked = name
+            _log.info('Follows the service through {}.', name)
+
+    def _peer(self, name):
+        host = self.roster.homes()[name].host
+        if host not in self._peers:
+            self._peers[host] = self.make_peer(host)
+        return self._peers[host]
+
+    def _pause(self, name, reason):
+        known = self._pauses.get(name)
+        for_s = FIRST_PAUSE_S
+        if known is not None:
+            for_s = min(2 * known.for_s, MOST_PAUSE_S)
+        self._pauses[name] = _Pause(self.wall() + for_s, for_s)
+        self._asked = None
+        _log.warning(
+            'Does not follow the service through {}: {}.', name, reason
+        )
--- /dev/null
+++ b/catkinshunt/feed/_view.py
@@ -0,0 +1,122 @@
+"""The items of the service as one process knows them, to be handed on."""
+
+import collections
+
+from catkinshunt import changes
+from catkinshunt.feed import base
+
+#: Deletions that are remembered; whoever missed an older one reads all again.
+MOST_DELETED = 2000
+
+
+class View:
+    """Keeps what pages told, and answers for others like the service.
+
+    Args:
+        prefixes: prefixes that must have been read before changes are told.
+
+    Examples:
+        >>> view = View(prefixes=('op/',))
+        >>> view.take_read('op/', base.Page((), 7), now=1.0)
+        >>> item = base.Item('op/config', b'{}', 9)
+        >>> view.take_changes(base.Page((item,), 9), now=2.0)
+        >>> [item.key for item in view.changes('', 8, now=2.5).items]
+        ['op/config']
+    """
+
+    def __init__(self, prefixes):
+        self.prefixes = prefixes
+        self.proved_at = None
+        self._items = {}
+        self._deleted = collections.OrderedDict()
+        self._seen_at = {}
+        self._read_at = {}
+        self._floor = 0
+        self._news = changes.Changes()
+
+    @property
+    def is_complete(self):
+        """Whether all that others ask for has been read."""
+        return all(prefix in self._read_at for prefix in self.prefixes)
+
+    @property
+    def revision(self):
+        """Revision up to which changes are known."""
+        return min(self._read_at.values(), default=0)
+
+    def has_read(self, prefix):
+        """Return whether all items below `prefix` are known."""
+        return prefix in self._read_at
+
+    async def wait(self):
+        """Return once something has been taken in."""
+        await self._news.wait()
+
+    def take_read(self, prefix, page, now):
+        """Take in all items below `prefix`."""
+        for key in [key for key in self._items if key.startswith(prefix)]:
+            del self._items[key]
+        self._items.update((item.key, item) for item in page.items)
+        self._read_at[prefix] = page.revision
+        # What was deleted before that cannot be told.
+        self._floor = max(self._floor, page.revision)
+        self._prove(page, now)
+
+    def take_changes(self, page, now):
+        """Take in changes behind all that was read."""
+        for item in page.items:
+            self._take(item, now - page.seen_ago_s)
+        for prefix, revision in self._read_at.items():
+            self._read_at[prefix] = max(revision, page.revision)
+        self._prove(page, now)
+
+    def _take(self, item, seen_at):
+        known = self._items.get(item.key)
+        if known is not None and item.revision <= known.revision:
+            return
+        self._seen_at[item.key] = seen_at
+        if item.value is not None:
+            self._items[item.key] = item
+            self._deleted.pop(item.key, None)
+            return
+        self._items.pop(item.key, None)
+        self._deleted[item.key] = item
+        self._deleted.move_to_end(item.key)
+        while len(self._deleted) > MOST_DELETED:
+            _, dropped = self._deleted.popitem(last=False)
+            self._floor = max(self._floor, dropped.revision)
+
+    def _prove(self, page, now):
+        proved_at = now if page.proved_at is None else page.proved_at
+        self.proved_at = max(proved_at, self.proved_at or proved_at)
+        self._news.announce()
+
+    def below(self, prefix):
+        """Return all items below `prefix` as a `Page`."""
+        items = [i for k, i in self._items.items() if k.startswith(prefix)]
+        return base.Page(
+            tuple(items), self._read_at[prefix], proved_at=self.proved_at
+        )
+
+    def knows_since(self, after):
+        """Return whether all changes after a revision are known."""
+        return after >= self._floor
+
+    def changes(self, prefix, after, now):
+        """Return the changes below `prefix` after a revision as a `Page`."""
+        every = [*self._items.values(), *self._deleted.values()]
+        items = sorted(
+            (
+                item
+                for item in every
+                if item.revision > after and item.key.startswith(prefix)
+            ),
+            key=lambda item: item.revision,
+        )
+        ages = [now - self._seen_at.get(item.key, now) for item in items]
+        return base.Page(
+            tuple(items),
+            max(self.revision, after),
+            proved_at=self.proved_at,
+            seen_ago_s=max(ages, default=0.0),
+        )
--- a/catkinshunt/platform/__init__.py
+++ b/catkinshunt/platform/__init__.py
@@ -1,5 +1,8 @@
 """Adapter to the users' platform; translates and decides nothing."""
 
+from catkinshunt.feed import HistoryGoneError
+from catkinshunt.feed import Item
+from catkinshunt.feed import Page
 from catkinshunt.platform._deploy import check_file
 from catkinshunt.platform._dialect import PlatformDialect
 from catkinshunt.platform._documents import read_declaration
@@ -11,10 +14,7 @@
 from catkinshunt.platform._settings import load_node_settings
 from catkinshunt.platform._settings import NodeSettings
 from catkinshunt.platform._settings import read_node_settings
-from catkinshunt.platform._store import HistoryGoneError
-from catkinshunt.platform._store import Item
 from catkinshunt.platform._store import LeaseGoneError
-from catkinshunt.platform._store import Page
 from catkinshunt.platform._store import StoreClient
 
 __all__ = [
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -54,6 +54,17 @@
         catalog.mark_pending(model, version, now)
 
 
+def decode_home(item):
+    """Return the `catalog.Home` of an entry's item, or None for none.
+
+    An entry that does not tell it is there all the same.
+    """
+    try:
+        return _documents.read_home(item.value)
+    except _documents.UnreadableError:
+        return None
+
+
 def decode_upstream(item):
     """Return the `catalog.Upstream` of an item, or None for none."""
     if item.value is None:
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -11,12 +11,15 @@
 from catkinshunt import rules
 from catkinshunt import spread
 
-CONFIGURATION_KEY = 'op/config'
-VERSION_PREFIX = 'op/version/'
+OPERATOR_PREFIX = 'op/'
+CONFIGURATION_KEY = OPERATOR_PREFIX + 'config'
+VERSION_PREFIX = OPERATOR_PREFIX + 'version/'
 UPSTREAM_PREFIX = 'servers/'
 #: Keys of our own: one for each entry that is alive, one for each version that
 #: was named and is not due yet, and one for the origin of weights.
 OWN_PREFIX = 'catkinshunt/'
+#: All that an entry follows.
+FOLLOWED_PREFIXES = (OPERATOR_PREFIX, UPSTREAM_PREFIX, OWN_PREFIX)
 ENTRY_PREFIX = OWN_PREFIX + 'entries/'
 PENDING_PREFIX = OWN_PREFIX + 'pending/'
 ORIGIN_KEY = OWN_PREFIX + 'origin'
@@ -45,6 +48,21 @@
     return model, int(version)
 
 
+def dump_home(home):
+    """Return the value of the key of an entry, from its `catalog.Home`."""
+    return json.dumps({'host': home.host, 'region': home.region}).encode()
+
+
+def read_home(value):
+    """Return the `catalog.Home` in the value of an entry's key.
+
+    Raises:
+        UnreadableError: there is none.
+    """
+    document = load(value)
+    return catalog.Home(_text(document, 'host'), _text(document, 'region'))
+
+
 def dump_origin(origin):
     """Return the value of the key that shows a `catalog.Origin`."""
     host, port = origin.address
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -6,6 +6,7 @@
 
 from catkinshunt import catalog as catalogs
 from catkinshunt import dispatch
+from catkinshunt import feed
 from catkinshunt import gateway
 from catkinshunt import http1
 from catkinshunt import logs
@@ -13,6 +14,7 @@
 from catkinshunt import places
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _dialect
+from catkinshunt.platform import _documents
 from catkinshunt.platform import _membership
 from catkinshunt.platform import _mirror
 from catkinshunt.platform import _origin_key
@@ -68,8 +70,13 @@
     await _process.serve_metrics(cfg, registry)
     client = _process.make_store_client(cfg, registry)
     roster = catalogs.Roster()
-    mirror = make_mirror(client, context, roster)
-    member = _membership.Membership(client, roster, cfg.name)
+    followed = make_feed(cfg, client, roster)
+    await feed.FeedServer(followed, _clocks.wall, _clocks.steady).start(
+        cfg.ip, _process.feed_port(cfg)
+    )
+    mirror = make_mirror(followed, context, roster)
+    home = catalogs.Home(cfg.ip, _region(cfg))
+    member = _membership.Membership(client, roster, cfg.name, home)
     pending = _pending.PendingVersions(
         client,
         context.catalog,
@@ -198,6 +205,29 @@
     return -1.0 if age_s is None else age_s
 
 
+def _region(cfg):
+    return cfg.regions.get(cfg.data_centre, cfg.data_centre)
+
+
+def make_feed(cfg, client, roster):
+    """Return the `feed.RegionalFeed` of an entry with these settings."""
+
+    def make_peer(host):
+        return feed.PeerFeed(
+            host, _process.feed_port(cfg), _clocks.steady, _clocks.wall
+        )
+
+    return feed.RegionalFeed(
+        client,
+        roster,
+        cfg.name,
+        _region(cfg),
+        make_peer,
+        _clocks.wall,
+        _documents.FOLLOWED_PREFIXES,
+    )
+
+
 def make_mirror(client, context, roster):
     """Return the `Mirror` that feeds the catalog of `context`."""
     return _mirror.Mirror(
--- a/catkinshunt/platform/_membership.py
+++ b/catkinshunt/platform/_membership.py
@@ -26,12 +26,14 @@
         client: `StoreClient`.
         roster: `catalog.Roster` that shows whether the key is there.
         name: name of the instance.
+        home: its `catalog.Home`, for others of its region; None for none.
     """
 
-    def __init__(self, client, roster, name):
+    def __init__(self, client, roster, name, home=None):
         self.client = client
         self.roster = roster
         self.name = name
+        self.home = home
         self._lease = None
         self._leaves = False
 
@@ -59,7 +61,10 @@
             return
         lease = await self.client.grant_lease(LEASE_S)
         key = _documents.ENTRY_PREFIX + self.name
-        await self.client.write(key, b'{}', lease)
+        value = b'{}'
+        if self.home is not None:
+            value = _documents.dump_home(self.home)
+        await self.client.write(key, value, lease)
         self._lease = lease
         _log.info('Listed as entry {}.', self.name, lease=lease)
 
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -4,10 +4,10 @@
 import math
 
 from catkinshunt import errors
+from catkinshunt import feed
 from catkinshunt import logs
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
-from catkinshunt.platform import _store
 
 #: Seconds that a watch waits where nothing changes. Its return confirms that
 #: what is known is the newest; with a lost connection the age of the catalog
@@ -31,7 +31,7 @@
     """Reads the store once, then follows its changes.
 
     Args:
-        client: `StoreClient`.
+        client: `feed.BaseFeed` of the store.
         catalog: `catalog.Catalog` that is kept in step.
         roster: `catalog.Roster` that is kept in step.
         wall: gives seconds on a clock that counts a suspend too.
@@ -58,7 +58,7 @@
                 if self._revision is None:
                     await self._read_all()
                 await self._follow()
-            except _store.HistoryGoneError:
+            except feed.HistoryGoneError:
                 _log.warning('The history is gone; reading all again.')
                 self._revision = None
             except errors.StoreError as exc:
@@ -76,9 +76,17 @@
     async def _read_all(self):
         asked_at = self.wall()
         first = self.catalog.declaration is None
-        operator = await self.client.read_prefix('op/')
-        listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
+        # First of all who else is there: one of them may know the rest.
         own = await self.client.read_prefix(_documents.OWN_PREFIX)
+        self.roster.replace(
+            {
+                _entry_name(item): _apply.decode_home(item)
+                for item in own.items
+                if item.key.startswith(_documents.ENTRY_PREFIX)
+            }
+        )
+        operator = await self.client.read_prefix(_documents.OPERATOR_PREFIX)
+        listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
         # How long a version has been named cannot be seen; a process that
         # has just started takes it as long ago, others as at the moment when
         # it was not named yet for certain.
@@ -91,14 +99,10 @@
         self.catalog.replace_upstreams(
             _apply.decode_upstreams(listed.items), self.wall()
         )
-        self.roster.replace(
-            _entry_name(item)
-            for item in own.items
-            if item.key.startswith(_documents.ENTRY_PREFIX)
-        )
         self._revisions = {item.key: item.revision for item in listed.items}
-        self._revision = min(operator.revision, listed.revision)
-        self.catalog.confirm(asked_at)
+        pages = (own, operator, listed)
+        self._revision = min(page.revision for page in pages)
+        self.catalog.confirm(min(_proved_at(page, asked_at) for page in pages))
         self._regain()
 
     def _read_pending(self, items, asked_at):
@@ -118,12 +122,12 @@
         page = await self.client.watch('', self._revision, wait_s)
         now = self.wall()
         for item in page.items:
-            self._apply(item, now)
+            self._apply(item, now - page.seen_ago_s)
         self._revision = max(self._revision, page.revision)
         # An answer can lie unread while the process is suspended, so the
         # time at which it was read proves nothing.
         confirmed_at = asked_at if page.items else min(asked_at + wait_s, now)
-        self.catalog.confirm(confirmed_at)
+        self.catalog.confirm(_proved_at(page, confirmed_at))
         self._regain()
         if page.items:
             await asyncio.sleep(SETTLE_S)
@@ -144,7 +148,7 @@
         if item.value is None:
             self.roster.drop(_entry_name(item))
         else:
-            self.roster.put(_entry_name(item))
+            self.roster.put(_entry_name(item), _apply.decode_home(item))
 
     def _apply_upstream(self, item, now):
         if item.revision <= self._revisions.get(item.key, 0):
@@ -157,5 +161,10 @@
             self.catalog.put_upstream(upstream)
 
 
+def _proved_at(page, read_at):
+    """Return when nothing newer than a page was there for certain."""
+    return read_at if page.proved_at is None else page.proved_at
+
+
 def _entry_name(item):
     return item.key.removeprefix(_documents.ENTRY_PREFIX)
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -4,10 +4,10 @@
 import math
 
 from catkinshunt import errors
+from catkinshunt import feed
 from catkinshunt import logs
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
-from catkinshunt.platform import _store
 from catkinshunt import spread
 
 #: Seconds that a watch for new versions waits. A sidecar needs no proof that
@@ -71,7 +71,7 @@
             try:
                 await self._follow()
                 outage.end()
-            except _store.HistoryGoneError:
+            except feed.HistoryGoneError:
                 self._revision = None
             except errors.StoreError as exc:
                 outage.begin(exc)
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -18,6 +18,11 @@
     return cfg.ports[0] + 2
 
 
+def feed_port(cfg):
+    """Return the port on which entries hand on what the store tells."""
+    return cfg.ports[0] + 3
+
+
 async def serve_metrics(cfg, registry):
     """Show the metrics of `registry` on the first port of the settings."""
     shown = http1.Listener(
--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -5,10 +5,9 @@
 import json
 import urllib.parse
 
-import attrs
-
 from catkinshunt import checks
 from catkinshunt import errors
+from catkinshunt import feed
 from catkinshunt import http1
 
 #: Seconds after which a call is given up. A slow store answers in 0.4 s.
@@ -16,38 +15,11 @@
 _MS = 1000
 
 
-class HistoryGoneError(errors.StoreError):
-    """The store no longer has the changes after the revision asked for."""
-
-
 class LeaseGoneError(errors.StoreError):
     """The lease has ended, and its keys are gone."""
 
 
-@attrs.frozen
-class Item:
-    """A key of the store, or its deletion.
-
-    Attributes:
-        value: its bytes; None where the key was deleted.
-        revision: of its last change.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@attrs.frozen
-class Page:
-    """Items with the store's revision at which they were read."""
-
-    items: tuple
-    revision: int
-    has_more: bool = False
-
-
-class StoreClient:
+class StoreClient(feed.BaseFeed):
     """Reads, watches and writes keys of the store.
 
     Args:
@@ -81,7 +53,7 @@
             if revision is None:
                 revision = page.revision
             if not page.has_more or not page.items:
-                return Page(tuple(found), revision)
+                return feed.Page(tuple(found), revision)
             after = page.items[-1].key
 
     async def watch(self, prefix, after, wait_s):
@@ -91,7 +63,7 @@
         changed.
 
         Raises:
-            HistoryGoneError: everything must be read again.
+            feed.HistoryGoneError: everything must be read again.
         """
         query = {
             'path_prefix': prefix,
@@ -175,7 +147,7 @@
             if self.metrics is not None:
                 self.metrics.add(kind, result)
         if head.status == 410:
-            raise HistoryGoneError('history is gone', step=kind)
+            raise feed.HistoryGoneError('history is gone', step=kind)
         if head.status == 404:
             raise LeaseGoneError('the lease has ended', step=kind)
         if head.status != 200:
@@ -202,7 +174,7 @@
 def _read_page(document, field):
     try:
         items = tuple(_read_item(item) for item in document[field])
-        return Page(items, document['at'], bool(document.get('has_more')))
+        return feed.Page(items, document['at'], bool(document.get('has_more')))
     except (KeyError, TypeError, AttributeError) as exc:
         raise errors.StoreUnavailableError(
             f'the store sent an unknown page: {exc!r}', step='read-page'
@@ -220,4 +192,4 @@
             # The key is there, but what it holds cannot be read; whoever
             # decodes the empty value leaves it aside with a log line.
             value = b''
-    return Item(item['key'], value, item['revision'])
+    return feed.Item(item['key'], value, item['revision'])
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -1,10 +1,167 @@
 import asyncio
+import contextlib
 import random
 
 from catkinshunt import catalog as catalogs
+from catkinshunt import errors
+from catkinshunt import feed
+from catkinshunt.feed import _regional
 from catkinshunt import platform
+from catkinshunt.platform import _documents
 from catkinshunt.platform.tests import fakes
 from catkinshunt.platform.tests import test_documents as documents
+from catkinshunt import rendezvous
+
+import pytest
+
+REGION = 'attiki'
+
+
+class Entry:
+    """One entry of a region on an address of its own."""
+
+    def __init__(self, region, number, home_region=REGION):
+        self.name = f'edge-{number}'
+        self.host = f'127.0.0.{number}'
+        self.region = region
+        self.home = catalogs.Home(self.host, home_region)
+        self.store = Door(region.store)
+        self.catalog = catalogs.Catalog(fresh_s=3.0)
+        self.roster = catalogs.Roster()
+        self.offset_s = 0.0
+        self.feed = feed.RegionalFeed(
+            self.store,
+            self.roster,
+            self.name,
+            home_region,
+            self._make_peer,
+            self.wall,
+            _documents.FOLLOWED_PREFIXES,
+        )
+        self.server = feed.FeedServer(self.feed, self.wall, self.wall)
+        self.mirror = platform.Mirror(
+            self.feed, self.catalog, self.roster, self.wall, random.Random(1)
+        )
+        self.task = None
+
+    def wall(self):
+        return asyncio.get_running_loop().time() + self.offset_s
+
+    def _make_peer(self, host):
+        return Neighbour(host, self.region.ports, self.wall)
+
+    async def start(self):
+        await self.server.start(self.host, 0)
+        self.region.ports[self.host] = self.server.port
+        self.task = asyncio.ensure_future(self.mirror.run())
+
+    async def kill(self):
+        self.task.cancel()
+        self.server.close()
+        for task in list(self.server._listener.tasks):
+            task.cancel()
+
+    @property
+    def revision(self):
+        declaration = self.catalog.declaration
+        return declaration.revision if declaration else None
+
+
+class Neighbour(feed.BaseFeed):
+    """Another entry, which refuses connections until it has started."""
+
+    def __init__(self, host, ports, wall):
+        self.host = host
+        self.ports = ports
+        self.wall = wall
+
+    async def read_prefix(self, prefix):
+        return await self._peer().read_prefix(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        return await self._peer().watch(prefix, after, wait_s)
+
+    def _peer(self):
+        if self.host not in self.ports:
+            raise errors.StoreUnavailableError('refused', step='connect')
+        port = self.ports[self.host]
+        return feed.PeerFeed(self.host, port, self.wall, self.wall)
+
+
+class Door(feed.BaseFeed):
+    """The way of one entry to the store, which can be cut."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+        self.calls = []
+
+    async def read_prefix(self, prefix):
+        await self._pass('read ' + prefix)
+        return await self.store.read_prefix(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        await self._pass('watch')
+        page = await self.store.watch(prefix, after, wait_s)
+        await self._pass('answer')
+        return page
+
+    async def _pass(self, call):
+        self.calls.append(call)
+        if self.is_cut:
+            await asyncio.sleep(0.02)
+            raise errors.StoreUnavailableError('cut off', step=call)
+
+
+class Region:
+    """Entries that follow one store."""
+
+    def __init__(self, count=3):
+        self.store = fakes.FakeStore()
+        self.ports = {}
+        self.store.put('op/config', documents.configuration())
+        self.store.put('servers/i-1', documents.UPSTREAM)
+        self.entries = [Entry(self, number + 1) for number in range(count)]
+        for entry in self.entries:
+            self.list(entry)
+
+    def list(self, entry):
+        key = _documents.ENTRY_PREFIX + entry.name
+        self.store.put(key, _documents.dump_home(entry.home))
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        for entry in self.entries:
+            await entry.start()
+        try:
+            await self.until(lambda entry: entry.revision == 7)
+            await fakes.until(lambda: self.reader() is not None)
+            await fakes.until(lambda: len(self.followers()) == 2)
+            yield self
+        finally:
+            for entry in self.entries:
+                await entry.kill()
+
+    async def until(self, condition, entries=None):
+        entries = self.entries if entries is None else entries
+        await fakes.until(lambda: all(map(condition, entries)))
+
+    def reader(self):
+        """Return the entry that the others of the region ask."""
+        found = [e for e in self.entries if e.feed._first() is None]
+        return found[0] if len(found) == 1 else None
+
+    def followers(self):
+        reader = self.reader()
+        return [e for e in self.entries if e is not reader]
+
+
+def run(main):
+    async def inside():
+        async with Region().running() as region:
+            return await main(region)
+
+    return asyncio.run(inside())
 
 
 def test_entries_of_one_region_read_a_configuration_once():
@@ -15,35 +172,180 @@
     are over three seconds old: a caller of an added path gets a 404.
     """
 
+    async def main(region):
+        region.store.sent.clear()
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9)
+        return region.store.sent.count('op/config')
+
+    assert run(main) == 1
+
+
+def test_entries_that_start_together_read_a_configuration_once():
+    """All machines lose their power, and all entries start at once.
+
+    Five of a region that each read 1,700 rules over one link had them nine
+    seconds later, and refused all callers until then. The one that is to
+    read them may be the last to start.
+    """
+
     async def main():
-        loop = asyncio.get_running_loop()
-        store = fakes.FakeStore()
-        store.put('op/config', documents.configuration())
-        mirrors = [
-            platform.Mirror(
-                store,
-                catalogs.Catalog(),
-                catalogs.Roster(),
-                loop.time,
-                random.Random(number),
+        region = Region()
+        names = [entry.name for entry in region.entries]
+        first = rendezvous.rank(REGION, names)[0]
+        region.entries.sort(key=lambda entry: entry.name == first)
+        for entry in region.entries:
+            await entry.start()
+            await asyncio.sleep(0.1)
+        await region.until(lambda entry: entry.revision == 7)
+        for entry in region.entries:
+            await entry.kill()
+        return [e.store.calls.count('read op/') for e in region.entries]
+
+    assert asyncio.run(main()) == [0, 0, 1]
+
+
+def test_all_go_on_when_the_entry_that_reads_dies():
+    """The entry that reads for the others is killed.
+
+    They ask the store themselves at once; a caller notices nothing.
+    """
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        await reader.kill()
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9, others)
+
+    run(main)
+
+
+def test_all_go_on_when_the_entry_that_reads_is_cut_off(monkeypatch):
+    """The entry that reads for the others loses its way to the store.
+
+    It goes on answering with what it knew. The others notice that it has no
+    proof any more, and ask the store before a key that was taken away could
+    still be served.
+    """
+    monkeypatch.setattr(_regional, 'PEER_WAIT_S', 0.1)
+    monkeypatch.setattr(_regional, 'STALE_S', 0.4)
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        reader.store.is_cut = True
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9, others)
+        return [e.catalog.age_s(e.wall()) for e in others]
+
+    assert max(run(main)) < 2.0
+
+
+def test_what_is_deleted_is_handed_on():
+    async def main(region):
+        region.store.delete('servers/i-1')
+        await region.until(lambda e: e.catalog.find('i-1') is None)
+        region.store.put('servers/i-1', documents.UPSTREAM)
+        await region.until(lambda e: e.catalog.find('i-1') is not None)
+
+    run(main)
+
+
+def test_one_that_has_just_started_is_passed_over():
+    """The entry that reads starts again, and does not know what was before.
+
+    Those that ask for changes from before its start go on by the store; a
+    change that it cannot know of would be missing for ever.
+    """
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        for entry in others:
+            entry.task.cancel()
+        await reader.kill()
+        region.store.delete('servers/i-1')
+        number = region.entries.index(reader)
+        again = Entry(region, int(reader.name[-1]))
+        region.entries[number] = again
+        await again.start()
+        await fakes.until(lambda: again.revision == 7)
+        for entry in others:
+            entry.task = asyncio.ensure_future(entry.mirror.run())
+        await region.until(lambda e: e.catalog.find('i-1') is None, others)
+
+    run(main)
+
+
+def test_an_answer_of_a_neighbour_that_lies_unread_proves_nothing():
+    """The process is suspended while an answer lies unread.
+
+    Counted from the moment at which it was read, it would make a state of
+    half a minute ago look new.
+    """
+
+    async def main(region):
+        follower = region.followers()[0]
+        calls = follower.store.calls
+        follower.offset_s += 30.0
+        before = len(calls)
+        await fakes.until(lambda: len(calls) > before)
+        ages = []
+        await fakes.until(
+            lambda: (
+                ages.append(follower.catalog.age_s(follower.wall()))
+                or ages[-1] < 3.0
             )
-            for number in range(3)
+        )
+        return ages[0]
+
+    assert run(main) > 25
+
+
+def test_a_version_is_as_old_as_the_reader_knows_it(monkeypatch):
+    """A neighbour hears of a named version later than the one that reads.
+
+    Counted from then, it would serve the older version for longer than is
+    allowed.
+    """
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        slow = others[0]
+        slow.task.cancel()
+        region.store.put(
+            'op/version/drafts', {'model': 'drafts', 'version': 3}
+        )
+        await fakes.until(lambda: reader.catalog.newest_version('drafts'))
+        await asyncio.sleep(0.5)
+        slow.task = asyncio.ensure_future(slow.mirror.run())
+        await fakes.until(lambda: slow.catalog.newest_version('drafts'))
+        return [
+            entry.catalog.newest_version('drafts').since
+            for entry in (reader, slow)
         ]
-        tasks = [asyncio.ensure_future(mirror.run()) for mirror in mirrors]
-        try:
-            await fakes.until(
-                lambda: all(m.catalog.declaration for m in mirrors)
-            )
-            store.sent.clear()
-            store.put('op/config', documents.configuration(version=9))
-            await fakes.until(
-                lambda: all(
-                    m.catalog.declaration.revision == 9 for m in mirrors
-                )
-            )
-        finally:
-            for task in tasks:
-                task.cancel()
-        return store.sent.count('op/config')
 
-    assert asyncio.run(main()) == 1
+    known, heard = run(main)
+    assert heard <= known + 0.1
+
+
+def test_entries_of_another_region_are_not_asked():
+    async def main(region):
+        other = Entry(region, 9, home_region='thessalia')
+        region.entries.append(other)
+        region.list(other)
+        await other.start()
+        await fakes.until(lambda: other.revision == 7)
+        return other.store.calls.count('read op/')
+
+    assert run(main) == 1
+
+
+def test_a_neighbour_that_talks_nonsense_is_not_followed():
+    async def main():
+        peer = feed.PeerFeed('127.0.0.1', 0, lambda: 0.0, lambda: 0.0)
+        with pytest.raises(errors.StoreError):
+            await peer.watch('', 3, 0.1)
+
+    asyncio.run(main())
+    for data in (b'', b'{}', b'{"items": [[1]]}', b'[]'):
+        with pytest.raises(errors.StoreUnavailableError):
+            feed.load(data, 'peer')
