--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -225,9 +225,9 @@
     ),
     Mutation(
         'narrow-links-give-nothing',
-        'catkinshunt/spread/_fetcher.py',
-        'if usual >= LEAST_SHARE and has < SLOW_PART * usual:',
-        'if False:',
+        'catkinshunt/spread/_speeds.py',
+        'return usual >= LEAST_SHARE and share < SLOW_PART * usual',
+        'return False',
     ),
     Mutation(
         'idle-sources-relieve',
@@ -250,7 +250,7 @@
     Mutation(
         'dead-sources-are-asked-after-a-pause',
         'catkinshunt/spread/_fetcher.py',
-        """if self._is_blamed(source):
+        """if self._health.is_away(source):
             # Where""",
         """if False:
             # Where""",
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -6,23 +6,12 @@
 
 from catkinshunt import errors
 from catkinshunt import logs
+from catkinshunt.spread import _health
 from catkinshunt.spread import _holding
 from catkinshunt.spread import _plan
+from catkinshunt.spread import _speeds
 from catkinshunt import weights
 
-#: Share of the time of a copy after which the speed of sources is judged.
-JUDGE_AFTER = 0.9
-#: A source is slow that would end after this many times the time of a copy,
-#: where most others end within the second number. Judged after half of the
-#: time, and by 1.6, usual delays at the begin counted as slow: twice the
-#: bytes between regions, and the origin sent five copies instead of two.
-SLOW_END = 2.0
-USUAL_END = 1.4
-#: Seconds for which a source that gave no answer is left out, at first; for
-#: a member twice as long after each further try, up to the longest. Each try
-#: of one that stands still takes seconds in which its chunks wait.
-BLAME_S = 1.5
-MOST_BLAME_S = 12.0
 #: Times that a source without the chunk is asked, each for a second, before
 #: its chunks are taken from the next member.
 PATIENCE = 2
@@ -33,15 +22,6 @@
 #: once, which then sent 2.4 copies, and a transfer took 13 s instead of 6.5.
 LEAST_VAIN = 2
 VAIN_PER_S = 1.0
-#: A member gives nothing of a version where it has less than this part of what
-#: most others have, and less than this part of what its link should have
-#: brought; with a quarter of the link it has 0.25 of both.
-SLOW_PART = 0.45
-#: Peers that must have told what they have, the share of a version that most
-#: must have, and the seconds after the begin from which on that is judged.
-LEAST_TOLD = 3
-LEAST_SHARE = 0.12
-JUDGE_LINK_S = 1.0
 #: Chunks that must wait at a busy source before an idle one is asked for the
 #: last of them; the busy one is about to give the first.
 LEAST_RELIEVED = 2
@@ -87,19 +67,14 @@
         self.counter = counter
         self.copy_s = copy_s
         self.origin_copy_s = origin_copy_s
-        self._copy_s = math.inf
+        self._health = _health.SourceHealth(holding, clock)
+        self._speeds = _speeds.Speeds(clock)
         self._most_vain = LEAST_VAIN
-        self._blamed = {}
-        self._failing = set()
         self._corrupt_in_row = 0
         self._asked = {}
         self._working = set()
-        self._given = collections.Counter()
-        self._last_s = {}
-        self._began = clock()
         self._tried = {}
         self._vain = collections.Counter()
-        self._failures = collections.Counter()
         self._group = None
 
     async def run(self):
@@ -109,7 +84,6 @@
             errors.ManifestError: no chunk fits the manifest any more; it
                 was dropped with what it had let in.
         """
-        self._began = self.clock()
         self._judge_by(self.holding.manifest)
         reports = asyncio.ensure_future(self._report())
         try:
@@ -127,32 +101,28 @@
         """
         while True:
             await asyncio.sleep(REPORT_S)
-            waits_for = {
-                source: len(asked)
-                for source, asked in self._asked.items()
-                if asked
-            }
+            waits_for = {s: left for s, left in self._left().items() if left}
             _log.info(
                 'Waits for {} chunks of version {}.',
                 len(self.holding.missing),
                 self.holding.version,
                 waits_for=waits_for,
-                given=dict(self._given),
-                blamed=[s for s in waits_for if self._is_blamed(s)],
+                given=dict(self._speeds.given),
+                blamed=[s for s in waits_for if self._health.is_away(s)],
             )
 
     def _judge_by(self, manifest):
         """Take over what the manifest says of the size of a copy."""
         size = manifest.size_bytes
         self.plan.describe(len(manifest.chunks))
-        self._copy_s = self.copy_s(size)
+        self._speeds.begin(self.copy_s(size))
         vain = self.origin_copy_s(size) * VAIN_PER_S
         self._most_vain = LEAST_VAIN + round(vain)
 
     def _assign(self, index):
         """Give a chunk to the worker of its best source."""
         tried = self._tried.setdefault(index, set())
-        usable = self._usable(self._sources_of(index))
+        usable = self._health.usable(self._sources_of(index))
         if _plan.ORIGIN in usable and not self._may_ask_origin(index, usable):
             usable.remove(_plan.ORIGIN)
         source = next((s for s in usable if s not in tried), None)
@@ -171,10 +141,10 @@
 
     def _sources_of(self, index):
         """Return the sources of a chunk among those that can be reached."""
-        away = {s for s in self._blamed if self._is_blamed(s)}
+        away = self._health.members_away()
         if self.holding.is_slow:
             away.add(self.plan.me.name)
-        self.plan.leave_out(frozenset(away - {_plan.ORIGIN}))
+        self.plan.leave_out(frozenset(away))
         return self.plan.sources(index)
 
     def _may_ask_origin(self, index, usable):
@@ -213,17 +183,20 @@
                 continue
             if await self._ask_one(source, asked):
                 strikes = 0
-                self._given[source] += 1
-                self._last_s[source] = self.clock() - self._began
-                if self._is_slow(source):
+                self._speeds.note(source)
+                if self._speeds.is_slow(source, self._left()):
                     await self._hand_over(source, asked, kept=1)
                 continue
             strikes += 1
-            if strikes >= PATIENCE or self._is_blamed(source):
+            if strikes >= PATIENCE or self._health.is_away(source):
                 await self._hand_over(source, asked)
             else:
                 self._hand_back(source, asked)
 
+    def _left(self):
+        """Return how many chunks are left to each source."""
+        return {source: len(asked) for source, asked in self._asked.items()}
+
     def _may_relieve(self, source):
         """Return whether an idle source may give what busy ones are to give.
 
@@ -234,7 +207,7 @@
         if self.holding.is_slow:
             # The own link is what all wait for.
             return False
-        return not self._is_blamed(source) and bool(self._busiest(source))
+        return not self._health.is_away(source) and bool(self._busiest(source))
 
     def _busiest(self, idle):
         """Return the longest list of chunks that waits at another source."""
@@ -261,7 +234,7 @@
             await asyncio.sleep(RELIEF_PAUSE_S)
             return
         except errors.TransferError as exc:
-            self._blame(source, exc)
+            self._health.blame(source, exc)
             return
         for asked in self._asked.values():
             if got in asked:
@@ -269,37 +242,6 @@
         self.counter.add('peer', amount=len(data))
         await self.keep(got, data)
 
-    def _end_s(self, source):
-        """Return when a source ends at its speed, in seconds from the begin.
-
-        The time of its last chunk where nothing is left to it.
-        """
-        elapsed_s = self.clock() - self._began
-        left = len(self._asked[source])
-        if not left:
-            return self._last_s.get(source, elapsed_s)
-        return elapsed_s * (1 + left / max(1, self._given[source]))
-
-    def _is_slow(self, source):
-        """Return whether a source is far slower than most of the others.
-
-        A member whose link is narrowed still gives a chunk now and then; all
-        that wait for its share would be late with it. Where all are equally
-        slow, the own link is the cause and other sources would not help.
-        """
-        if self.clock() - self._began < JUDGE_AFTER * self._copy_s:
-            return False
-        if len(self._asked[source]) < 2 or source == _plan.ORIGIN:
-            return False
-        others = sorted(self._end_s(s) for s in self._asked if s != source)
-        if not others:
-            return False
-        usual_s = others[len(others) // 2]
-        return (
-            self._end_s(source) > SLOW_END * self._copy_s
-            and usual_s < USUAL_END * self._copy_s
-        )
-
     async def _hand_over(self, source, asked, kept=0):
         """Give chunks of a source that fails or lags to their next sources.
 
@@ -309,7 +251,7 @@
             kept: chunks that stay with it.
         """
         indices, asked[:] = asked[kept:], asked[:kept]
-        if self._is_blamed(source):
+        if self._health.is_away(source):
             # Where no source is left, all ten members asked the dead one 60
             # times a second.
             await asyncio.sleep(RETRY_S)
@@ -333,40 +275,24 @@
                 self._assign(index)
 
     def _judge_own_link(self):
-        """Give nothing of this version where far less comes here.
-
-        Others wait for what passes through it, each for seconds: with three
-        of 31 links narrowed to a quarter, all had a version after 14 to 18 s
-        instead of 8, and the engines behind those links were out of reach.
-        """
-        elapsed_s = self.clock() - self._began
-        has = 1 - self.holding.left_share
-        is_early = JUDGE_LINK_S <= elapsed_s <= self._copy_s
-        if self.holding.is_slow or not is_early:
-            return
-        # One that began later than the others is no reason to leave it out.
-        if has >= SLOW_PART * elapsed_s / self._copy_s:
-            return
-        usual = self._usual_share()
-        if usual >= LEAST_SHARE and has < SLOW_PART * usual:
-            _log.info(
-                'Gives nothing of version {}; its link is too narrow.',
-                self.holding.version,
-                has=round(has, 3),
-                usual=usual,
-            )
-            self.holding.give_nothing()
-
-    def _usual_share(self):
-        """Return what most peers have, or 0 where too few told it."""
+        """Give nothing of this version where far less comes here."""
         holding = self.holding
+        if holding.is_slow:
+            return
+        share = 1 - holding.left_share
         told = [
             self.peers.share(source, holding.model, holding.version)
             for source in self._asked
             if source != _plan.ORIGIN
         ]
-        told = sorted(share for share in told if share is not None)
-        return told[len(told) // 2] if len(told) >= LEAST_TOLD else 0.0
+        shares = [share for share in told if share is not None]
+        if self._speeds.is_own_link_narrow(share, shares):
+            _log.info(
+                'Gives nothing of version {}; its link is too narrow.',
+                holding.version,
+                has=round(share, 3),
+            )
+            holding.give_nothing()
 
     def _recall(self, asked):
         """Give chunks back to members that can be reached again.
@@ -378,7 +304,7 @@
             index
             for index in asked
             if not self._may_ask_origin(
-                index, self._usable(self._sources_of(index))
+                index, self._health.usable(self._sources_of(index))
             )
         ]
         for index in recalled:
@@ -398,26 +324,26 @@
             got, data = await self._ask(source, names)
             self.holding.put(got, data)
         except errors.SourceUnableError as exc:
-            self._blame(source, exc)
+            self._health.blame(source, exc)
             return False
         except errors.SourceBusyError:
-            self._failures.pop(source, None)
+            self._health.note_answer(source)
             self._vain.update(names)
             return False
         except errors.CorruptChunkError as exc:
             self._corrupt_in_row += 1
             self._vain.update(names)
-            self._warn(source, exc)
+            self._health.warn(source, exc)
             return False
         except errors.TransferError as exc:
-            self._blame(source, exc)
+            self._health.blame(source, exc)
             return False
         finally:
             if source == _plan.ORIGIN and names[0] not in self.holding.chunks:
                 asked.append(names[0])
         if got in asked:
             asked.remove(got)
-        self._praise(source)
+        self._health.praise(source)
         self._corrupt_in_row = 0
         way = 'origin' if source == _plan.ORIGIN else 'peer'
         self.counter.add(way, amount=len(data))
@@ -445,7 +371,7 @@
             # Where none is left the best one is asked all the same: whoever
             # takes it from the origin learns so that it is back. Left out for
             # BLAME_S, its first chunk came 1.4 to 2.1 s after its return.
-            for source in self._usable(sources) or sources[:1]:
+            for source in self._health.usable(sources) or sources[:1]:
                 if await self._manifest_from(source):
                     return
             await asyncio.sleep(RETRY_S)
@@ -462,12 +388,12 @@
                 _holding.check_manifest(found, model, version)
             )
         except errors.SourceUnableError as exc:
-            self._blame(source, exc)
+            self._health.blame(source, exc)
             return False
         except errors.SourceBusyError:
             return False
         except errors.TransferError as exc:
-            self._blame(source, exc)
+            self._health.blame(source, exc)
             return False
         return True
 
@@ -484,35 +410,3 @@
             f'{self._corrupt_in_row} chunks in a row differ from it',
             step='fetch chunk',
         )
-
-    def _usable(self, sources):
-        return [s for s in sources if not self._is_blamed(s)]
-
-    def _is_blamed(self, source):
-        return self._blamed.get(source, 0) > self.clock()
-
-    def _blame(self, source, exc):
-        for_s = BLAME_S
-        if source != _plan.ORIGIN:
-            for_s = min(BLAME_S * 2 ** self._failures[source], MOST_BLAME_S)
-        self._failures[source] += 1
-        self._blamed[source] = self.clock() + for_s
-        if source not in self._failing:
-            self._failing.add(source)
-            self._warn(source, exc)
-
-    def _praise(self, source):
-        """Note that a source gave something."""
-        self._failures.pop(source, None)
-        if source in self._failing:
-            self._failing.discard(source)
-            _log.info('Source {} gives again.', source)
-
-    def _warn(self, source, exc):
-        _log.warning(
-            'Source {} failed: {}.',
-            source,
-            exc,
-            model=self.holding.model,
-            version=self.holding.version,
-        )
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -6,6 +6,8 @@
 from catkinshunt import errors
 from catkinshunt import spread
 from catkinshunt.spread import _fetcher
+from catkinshunt.spread import _health
+from catkinshunt.spread import _speeds
 from catkinshunt.spread.tests import fakes
 
 ME = spread.Member('a0', 'a')
@@ -235,7 +237,7 @@
         asking = asyncio.ensure_future(found.fetcher.fetch_manifest())
         await asyncio.sleep(0.05)
         found.origin.down = False
-        async with asyncio.timeout(_fetcher.BLAME_S / 3):
+        async with asyncio.timeout(_health.BLAME_S / 3):
             await asking
 
     asyncio.run(main())
@@ -435,7 +437,7 @@
     Others wait for what this member is to pass on, so it lets them take it
     elsewhere from then on.
     """
-    monkeypatch.setattr(_fetcher, 'JUDGE_LINK_S', 0.01)
+    monkeypatch.setattr(_speeds, 'JUDGE_LINK_S', 0.01)
 
     class SlowPeers(fakes.FakePeers):
         async def chunk(self, peer, model, version, indices, relays=False):
@@ -481,7 +483,7 @@
 
 
 def test_an_origin_that_is_down_is_asked_again(monkeypatch):
-    monkeypatch.setattr(_fetcher, 'BLAME_S', 0.05)
+    monkeypatch.setattr(_health, 'BLAME_S', 0.05)
     monkeypatch.setattr(_fetcher, 'RETRY_S', 0.01)
 
     async def main():
