--- a/catkinshunt/platform/tests/test_outlook.py
+++ b/catkinshunt/platform/tests/test_outlook.py
@@ -12,6 +12,14 @@
 DUE_S = 8.0
 
 
+def make_outlook(store):
+    cfg = platform.read_node_settings(
+        {**test_settings.DOCUMENT, 'service': 'engines'}
+    )
+    clock = asyncio.get_running_loop().time
+    return _outlook.StoreOutlook(cfg, store, catalogs.Catalog(), clock, DUE_S)
+
+
 def run(main):
     async def inside():
         store = fakes.FakeStore()
@@ -23,13 +31,7 @@
                 ]
             ),
         )
-        cfg = platform.read_node_settings(
-            {**test_settings.DOCUMENT, 'service': 'engines'}
-        )
-        clock = asyncio.get_running_loop().time
-        outlook = _outlook.StoreOutlook(
-            cfg, store, catalogs.Catalog(), clock, DUE_S
-        )
+        outlook = make_outlook(store)
         task = asyncio.ensure_future(outlook.run())
         try:
             await fakes.until(lambda: 'read' in store.calls)
@@ -104,13 +106,7 @@
     async def main():
         store = fakes.FakeStore()
         store.put('servers/i-1', documents.UPSTREAM)
-        cfg = platform.read_node_settings(
-            {**test_settings.DOCUMENT, 'service': 'engines'}
-        )
-        clock = asyncio.get_running_loop().time
-        outlook = _outlook.StoreOutlook(
-            cfg, store, catalogs.Catalog(), clock, DUE_S
-        )
+        outlook = make_outlook(store)
         early = await outlook.wanted(report())
         name(store, 3)
         task = asyncio.ensure_future(outlook.run())
@@ -205,13 +201,7 @@
     async def main():
         store = fakes.FakeStore()
         name(store, 2)
-        cfg = platform.read_node_settings(
-            {**test_settings.DOCUMENT, 'service': 'engines'}
-        )
-        clock = asyncio.get_running_loop().time
-        outlook = _outlook.StoreOutlook(
-            cfg, store, catalogs.Catalog(), clock, DUE_S
-        )
+        outlook = make_outlook(store)
         task = asyncio.ensure_future(outlook.run())
         await fakes.until(lambda: outlook.catalog.named_models())
         task.cancel()
