Promise nothing of earlier tries while their record cannot be seen

Cause: an entry spoke of its own try only, where the promise is about the key.

Now a claim that cannot be written or read is refused with "record-unseen", which says that nothing was dispatched now and leaves open whether an earlier try ran; the same key may be sent again.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -324,6 +324,12 @@
         "if exc.ran == 'no' and self._may_have_run:",
         'if False:',
     ),
+    Mutation(
+        'unseen-record-promises-nothing',
+        _CLAIMS,
+        'return errors.RecordUnseenError(',
+        'return errors.RefusedError(',
+    ),
     Mutation(
         'store-unknown-told-apart',
         'catkinshunt/kvstore/_http.py',
--- a/catkinshunt/claims/_ledger.py
+++ b/catkinshunt/claims/_ledger.py
@@ -157,8 +157,10 @@
             raise self._refusal('the key-value service is not reached')
 
     def _refusal(self, message, cause=None):
-        return errors.RefusedError(
-            f'{message}; nothing was dispatched',
+        # An entry that died may have run an earlier try of the same key. Told
+        # "not run", its caller would book again under a new key.
+        return errors.RecordUnseenError(
+            f'{message}; nothing was dispatched now',
             step='claim',
             peer=getattr(cause, 'peer', ''),
             retry_after_s=self.outage_pause_s,
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -138,6 +138,16 @@
     code = 'leaving'
 
 
+class RecordUnseenError(RefusedError):
+    """Not run now; whether an earlier try ran cannot be seen.
+
+    The caller may send the same key again, and must not take another one.
+    """
+
+    ran = 'unknown'
+    code = 'record-unseen'
+
+
 class InvalidRequestError(RefusedError):
     """Not run: the request itself is wrong."""
 
