--- a/catkinshunt/feed/_view.py
+++ b/catkinshunt/feed/_view.py
@@ -16,12 +16,12 @@
         prefixes: prefixes that must have been read before changes are told.
 
     Examples:
-        >>> view = View(prefixes=('op/',))
-        >>> view.take_read('op/', base.Page((), 7), now=1.0)
-        >>> item = base.Item('op/config', b'{}', 9)
+        >>> view = View(prefixes=('rules/',))
+        >>> view.take_read('rules/', base.Page((), 7), now=1.0)
+        >>> item = base.Item('rules/first', b'{}', 9)
         >>> view.take_changes(base.Page((item,), 9), now=2.0)
         >>> [item.key for item in view.changes('', 8, now=2.5).items]
-        ['op/config']
+        ['rules/first']
     """
 
     def __init__(self, prefixes):
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -48,6 +48,7 @@
 
     def __init__(self):
         self.given = []
+        self.asks = 0
         self.corrupt = set()
         self.bad_manifests = 0
         self.down = False
@@ -63,6 +64,7 @@
         return manifest(version, model)
 
     async def chunk(self, model, version, index):
+        self.asks += 1
         await asyncio.sleep(0)
         if self.down:
             raise errors.TransferError('down', step='chunk')
