List as red that a storm of configurations is read piece by piece

A stream was silent for a second over a link full of configurations, was given up for another engine, and none could be reached (connect timed out). Traced to its end by the log of the entry: its state was 4.6 s old. Cause: a watch gives each configuration of a storm whole; 18 of some 1,700 rules take six seconds of the link of a region, also where one entry reads them for all.

The test holds that three of twelve are read; all twelve are today.

--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -204,6 +204,27 @@
     assert asyncio.run(main()) == [0, 0, 1]
 
 
+def test_a_storm_of_configurations_is_not_read_piece_by_piece():
+    """The operator changes the configuration a dozen times in a row.
+
+    The watch gives each of them whole, though only the newest is needed.
+    Eighteen large ones fill the link of a region for six seconds; requests
+    and events of streams that cross it wait as long, and a caller's stream
+    breaks off. One at the begin, one on the way and the last are enough.
+    """
+
+    async def main(region):
+        region.store.sent.clear()
+        for version in range(8, 20):
+            document = documents.configuration(version=version)
+            region.store.put('op/config', document)
+            await asyncio.sleep(0.02)
+        await region.until(lambda entry: entry.revision == 19)
+        return region.store.sent.count('op/config')
+
+    assert run(main) <= 3
+
+
 def test_all_go_on_when_the_entry_that_reads_dies():
     """The entry that reads for the others is killed.
 
