Leave chunks with the source that is the first to have them

Cause: a member whose source answered twice that a chunk was not there yet gave it to the next member, who lacked it as well. While the origin was away all chunks wandered in this way; when it was back, members waited for a second each at sources that did not have them, two thirds of all links lay idle, and chunks that had been asked for in vain were taken from the origin a second time.

Ruled out: a shorter pause before the origin is asked again (0.4 s instead of 1.5 s, no difference: of 15 owners one is always about to ask); serving those first who miss least (away 12.8 s, but calm 10.1 s and 1.48 copies); taking back what a member holds against others when it was cut off itself (no difference), and letting it ask stand-ins before the origin (20 s: owner and stand-in wait for each other).

Change: only a source that fails loses its chunks. Where a chunk is not there yet, fallbacks hand it back, and the best source keeps it unless it was asked for so often that the origin may be.

--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import enum
 import math
 
 from catkinshunt import errors
@@ -38,6 +39,14 @@
 _log = logs.get_logger('transfer')
 
 
+class _Outcome(enum.Enum):
+    """What came of asking a source."""
+
+    GIVEN = 'given'
+    NOT_THERE = 'not there yet'
+    FAILED = 'failed'
+
+
 class Fetcher:
     """Fills one `Holding` from the sources of a `Plan`.
 
@@ -181,16 +190,19 @@
             self._judge_own_link()
             if source == _plan.ORIGIN and self._recall(asked):
                 continue
-            if await self._ask_one(source, asked):
+            outcome = await self._ask_one(source, asked)
+            if outcome is _Outcome.GIVEN:
                 strikes = 0
                 self._speeds.note(source)
                 if self._speeds.is_slow(source, self._left()):
                     await self._hand_over(source, asked, kept=1)
                 continue
             strikes += 1
-            if strikes >= PATIENCE or self._health.is_away(source):
+            if self._health.is_away(source):
                 await self._hand_over(source, asked)
-            else:
+            elif strikes >= PATIENCE and outcome is _Outcome.FAILED:
+                await self._hand_over(source, asked)
+            elif outcome is _Outcome.NOT_THERE:
                 self._hand_back(source, asked)
 
     def _left(self):
@@ -262,14 +274,16 @@
     def _hand_back(self, source, asked):
         """Give chunks that a fallback lacks to their next sources.
 
-        A member nearby waits for this one itself. Asked as often as the
-        best source, it kept chunks for seven seconds after the owner had
-        them (38 members, origin away for six seconds).
+        A member nearby waits for this one itself. The best source is the
+        first to have a chunk, so its own stay with it: while the origin is
+        away, members would otherwise ask each other for what nobody has, and
+        ask the wrong ones when it is back.
         """
-        if source == _plan.ORIGIN:
-            return
         for index in list(asked):
-            if self.plan.sources(index)[0] != source:
+            sources = self._sources_of(index)
+            if source != sources[0] or self._may_ask_origin(
+                index, self._health.usable(sources)
+            ):
                 asked.remove(index)
                 self._tried[index].add(source)
                 self._assign(index)
@@ -314,7 +328,7 @@
         return bool(recalled)
 
     async def _ask_one(self, source, asked):
-        """Ask for one of the chunks; return whether one came."""
+        """Ask for one of the chunks; return the `_Outcome`."""
         if source == _plan.ORIGIN:
             names = [asked.pop(0)]
         else:
@@ -325,19 +339,19 @@
             self.holding.put(got, data)
         except errors.SourceUnableError as exc:
             self._health.blame(source, exc)
-            return False
+            return _Outcome.FAILED
         except errors.SourceBusyError:
             self._health.note_answer(source)
             self._vain.update(names)
-            return False
+            return _Outcome.NOT_THERE
         except errors.CorruptChunkError as exc:
             self._corrupt_in_row += 1
             self._vain.update(names)
             self._health.warn(source, exc)
-            return False
+            return _Outcome.FAILED
         except errors.TransferError as exc:
             self._health.blame(source, exc)
-            return False
+            return _Outcome.FAILED
         finally:
             if source == _plan.ORIGIN and names[0] not in self.holding.chunks:
                 asked.append(names[0])
@@ -348,7 +362,7 @@
         way = 'origin' if source == _plan.ORIGIN else 'peer'
         self.counter.add(way, amount=len(data))
         await self.keep(got, data)
-        return True
+        return _Outcome.GIVEN
 
     async def _ask(self, source, names):
         model, version = self.holding.model, self.holding.version
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import hashlib
 import selectors
@@ -185,6 +186,7 @@
     async def chunk(self, model, version, index):
         """See `spread.BaseOrigin.chunk`."""
         await self._receive(self.swarm.scale.chunk_bytes)
+        self.swarm.origin_given[index] += 1
         return self.swarm.chunk(version, index)
 
     def release(self):
@@ -293,6 +295,7 @@
         ]
         self.origin = Link(scale.origin_mbps)
         self.origin_down = False
+        self.origin_given = collections.Counter()
         self.boxes = {m.name: Box(self, m) for m in self.members}
         self._between = {}
         self._manifests = {}
--- a/catkinshunt/spread/tests/test_swarm.py
+++ b/catkinshunt/spread/tests/test_swarm.py
@@ -9,6 +9,14 @@
 #: The same with 12 added engines, eight of which begin late.
 GROWN = swarm.Scale({'larisa': 13, 'piraeus': 17, 'sindos': 13})
 LATE = (11, 12, 26, 27, 28, 29, 30, 42)
+#: 76 members in five data centres.
+FIVE_PLACES = swarm.Scale(
+    {'larisa': 16, 'piraeus': 15, 'sindos': 15, 'patra': 15, 'iraklio': 15},
+    region_mbps=12.0,
+)
+#: Times that the origin's link needs for what is missing within which the
+#: origin is to have given it, once it is back.
+MOST_RETURN_TIMES = 1.2
 #: Seconds until a sidecar that was killed is back.
 DOWN_S = 0.8
 #: Times of one copy over the own link within which all are to have it where
@@ -159,3 +167,28 @@
 
     ends_s = swarm.play(day).ends_s()
     assert ends_s[-1] <= MOST_LINK_TIMES * THREE_PLACES.copy_s
+
+
+def test_an_origin_that_returns_gives_each_missing_chunk_once():
+    """While it is away, members must not scatter what nobody has."""
+
+    async def day():
+        found = swarm.Swarm(FIVE_PLACES)
+        found.name(2)
+        await asyncio.sleep(2.5)
+        found.origin_down = True
+        await asyncio.sleep(6.0)
+        found.origin_down = False
+        missing = FIVE_PLACES.chunks - len(found.origin_given)
+        returned_at = asyncio.get_running_loop().time()
+        while len(found.origin_given) < FIVE_PLACES.chunks:
+            await asyncio.sleep(0.01)
+        took_s = asyncio.get_running_loop().time() - returned_at
+        await found.wait(8 * FIVE_PLACES.copy_s)
+        needed_s = missing * FIVE_PLACES.chunk_bytes / found.origin.bytes_per_s
+        return found, took_s / needed_s
+
+    found, times = swarm.play(day)
+    assert max(found.origin_given.values()) == 1
+    assert times <= MOST_RETURN_TIMES
+    assert len(found.ends_s()) == len(found.members)
