Let one entry read from the store for all regions

Cause: the first entry of each region read every configuration from the store, so each link between two regions carried all of them as base64 text.

Change: the first entry of one region, by rendezvous hashing of the regions, reads; the first of each other region follows it, and the rest follow theirs as before. A request from another region is answered only by one that reads from the store itself, so that nobody follows in a circle. A region out of reach is paused as a whole, not entry by entry. A new proof is told at once, so that it is as old behind two entries as behind one. Who is asked moved out of the feed into `feed/_readers.py`, which decides by names, pauses and the present time.

`test_entries_of_another_region_are_not_asked` held that each region reads for itself. It is replaced by the stricter `test_one_entry_of_a_region_asks_another_region` and `test_a_configuration_crosses_no_link_as_the_store_sends_it`: of two regions only one reads, and one entry of the other asks it.

Not taken: the region of the store as the one that reads. It would have to be measured by all and agreed on; any one spares the links of the others.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -252,8 +252,26 @@
     Mutation(
         'reader-without-proof-is-left',
         'catkinshunt/feed/_regional.py',
-        'if self.wall() - page.proved_at < STALE_S:',
-        'if True:',
+        'if now - page.proved_at >= STALE_S:',
+        'if False:',
+    ),
+    Mutation(
+        'one-reader-for-all-regions',
+        'catkinshunt/feed/_readers.py',
+        'return None if far is None else Reader(far, is_far=True)',
+        'return None',
+    ),
+    Mutation(
+        'region-out-of-reach-is-paused',
+        'catkinshunt/feed/_readers.py',
+        'self._pause(_REGIONS_KEY, now)',
+        'pass',
+    ),
+    Mutation(
+        'proofs-are-told-at-once',
+        'catkinshunt/feed/_server.py',
+        'view.revision > after or view.proved_at > proved_at',
+        'view.revision > after',
     ),
     Mutation(
         'reader-tells-only-what-it-knows',
--- a/catkinshunt/feed/_peer.py
+++ b/catkinshunt/feed/_peer.py
@@ -29,10 +29,13 @@
         port: port of its `FeedServer`.
         clock: gives seconds on the steady clock.
         wall: gives seconds on the clock of the view.
+        is_far: whether it stands in another region, and must read from the
+            service itself.
     """
 
-    def __init__(self, host, port, clock, wall):
+    def __init__(self, host, port, clock, wall, is_far=False):
         self.wall = wall
+        self.is_far = is_far
         self._pool = http1.Pool(host, port, clock, connect_s=CONNECT_S)
 
     async def read_prefix(self, prefix, wait_s=_server.LONGEST_WAIT_S):
@@ -46,6 +49,7 @@
         return await self._ask(_server.WATCH_PATH, query, wait_s)
 
     async def _ask(self, path, query, wait_s):
+        query['far'] = int(self.is_far)
         target = f'{path}?{urllib.parse.urlencode(query)}'
         asked_at = self.wall()
         try:
--- a/catkinshunt/feed/_regional.py
+++ b/catkinshunt/feed/_regional.py
@@ -7,10 +7,10 @@
 
 from catkinshunt import errors
 from catkinshunt.feed import _peer
+from catkinshunt.feed import _readers
 from catkinshunt.feed import _view
 from catkinshunt.feed import base
 from catkinshunt import logs
-from catkinshunt import rendezvous
 
 #: Seconds for which changes are waited for at another process. A short wait
 #: shows soon that it stands still; such a call costs the service nothing.
@@ -18,10 +18,6 @@
 #: The same at the service, where others follow it through this process: what
 #: they know is proved anew by each answer.
 SOURCE_WAIT_S = 0.6
-#: Seconds for which a process that gave no answer is not asked, at first and
-#: at most.
-FIRST_PAUSE_S = 1.0
-MOST_PAUSE_S = 16.0
 #: Share of all that is known from which on a value counts as large. To read
 #: all again costs less than twice as much then.
 LARGE_SHARE = 0.5
@@ -42,30 +38,22 @@
 _log = logs.get_logger('feed')
 
 
-@attrs.define
-class _Pause:
-    """How long a process that gave no answer is not asked."""
-
-    until: float
-    for_s: float
-
-
 class RegionalFeed(base.BaseFeed):
-    """Follows the service through one process of the region.
+    """Follows the service through another process, or directly.
 
-    Each large configuration, read by every entry of a region over one link,
-    took seconds: five changes in four seconds came eleven seconds late, and
-    after a loss of power all requests were refused for as long. Here the
-    first one that is alive reads it and hands it on; each watch is a priced
-    call, and there is one for a region. Where that process gives no answer,
-    or has no proof that what it knows is new, the service is asked directly.
+    A large configuration, read by every entry of a region over one link,
+    takes seconds, and after a loss of power all requests are refused for as
+    long. Here one process reads it and hands it on, see `_readers.Readers`.
+    Where that one gives no answer, or has no proof that what it knows is
+    new, the service is asked directly.
 
     Args:
         source: `base.BaseFeed` of the service.
         roster: `catalog.Roster` with the homes of the entries.
         name: name of this entry.
         region: its region.
-        make_peer: function of a host that returns its `PeerFeed`.
+        make_peer: function of a host, and of whether it stands in another
+            region, that returns its `PeerFeed`.
         wall: gives seconds on the clock of the view.
         prefixes: prefixes of all that is followed; those below the last one
             tell which processes there are, and are read directly.
@@ -75,17 +63,16 @@
         self, source, roster, name, region, make_peer, wall, prefixes
     ):  # fmt: skip
         self.source = source
+        self.readers = _readers.Readers(roster, name, region)
         self.roster = roster
-        self.name = name
-        self.region = region
         self.make_peer = make_peer
         self.wall = wall
         self.prefixes = prefixes
         self.view = _view.View(prefixes)
         self._is_busy = False
         self._direct_at = -math.inf
+        self._far_at = -math.inf
         self._peers = {}
-        self._pauses = {}
         self._asked = None
         self._began = wall()
 
@@ -94,6 +81,16 @@
         """Whether this process reads from the service itself."""
         return self.wall() - self._direct_at < DIRECT_S
 
+    def may_tell(self, is_far):
+        """Return whether others may rely on what this process knows.
+
+        Those of another region rely on one that reads from the service
+        itself, so that two never follow each other.
+        """
+        if self.is_direct:
+            return True
+        return not is_far and self.wall() - self._far_at < DIRECT_S
+
     async def read_prefix(self, prefix):
         """See `base.BaseFeed.read_prefix`."""
         page = None
@@ -150,7 +147,7 @@
         return any(len(item.value or b'') >= least for item in page.items)
 
     async def _watch_source(self, prefix, after, wait_s):
-        if len(self._members()) > 1:
+        if len(self.roster.names()) > 1:
             wait_s = min(wait_s, SOURCE_WAIT_S)
         asked_at = self.wall()
         page = await self.source.watch(prefix, after, wait_s)
@@ -165,82 +162,63 @@
         self._direct_at = self.wall()
 
     async def _read_at_peer(self, prefix):
-        """Return what a process nearby knows, or None."""
-        while (name := self._first()) is not None:
+        """Return what another process knows, or None."""
+        while (reader := self._choose()) is not None:
             try:
-                page = await self._peer(name).read_prefix(prefix)
+                page = await self._peer(reader).read_prefix(prefix)
             except errors.StoreError as exc:
                 if self.wall() - self._began < START_PATIENCE_S:
                     await asyncio.sleep(START_PAUSE_S)
                     continue
-                self._pause(name, exc)
+                self._blame(reader, exc)
                 return None
-            if self._is_new(page, name):
+            if self._is_new(page, reader):
                 return page
         return None
 
     async def _watch_at_peer(self, prefix, after):
-        """Return the changes that a process nearby tells, or None."""
-        name = self._first()
-        if name is None:
+        """Return the changes that another process tells, or None."""
+        reader = self._choose()
+        if reader is None:
             return None
         try:
-            page = await self._peer(name).watch(prefix, after, PEER_WAIT_S)
+            page = await self._peer(reader).watch(prefix, after, PEER_WAIT_S)
         except _peer.HistoryGoneError:
             # It has started a moment ago; the service knows more.
             return None
         except errors.StoreError as exc:
-            self._pause(name, exc)
+            self._blame(reader, exc)
             return None
-        return page if self._is_new(page, name) else None
+        return page if self._is_new(page, reader) else None
 
-    def _is_new(self, page, name):
+    def _is_new(self, page, reader):
         """Return whether it is proved that little can have changed since."""
-        if self.wall() - page.proved_at < STALE_S:
-            self._pauses.pop(name, None)
-            return True
-        self._pause(name, 'what it knows is too old')
-        return False
-
-    def _first(self):
-        """Return who reads for this region, or None for this process.
-
-        Whoever gave no answer a moment ago is passed over.
-        """
         now = self.wall()
-        for name in rendezvous.rank(self.region, self._members()):
-            if name == self.name:
-                return None
-            pause = self._pauses.get(name)
-            if pause is None or pause.until <= now:
-                self._show(name)
-                return name
-        return None
-
-    def _members(self):
-        """Return the names of the entries of this region, its own too."""
-        homes = self.roster.homes()
-        names = {n for n, home in homes.items() if home.region == self.region}
-        return names | {self.name}
-
-    def _show(self, name):
-        if name != self._asked:
-            self._asked = name
-            _log.info('Follows the service through {}.', name)
-
-    def _peer(self, name):
-        host = self.roster.homes()[name].host
-        if host not in self._peers:
-            self._peers[host] = self.make_peer(host)
-        return self._peers[host]
-
-    def _pause(self, name, reason):
-        known = self._pauses.get(name)
-        for_s = FIRST_PAUSE_S
-        if known is not None:
-            for_s = min(2 * known.for_s, MOST_PAUSE_S)
-        self._pauses[name] = _Pause(self.wall() + for_s, for_s)
+        if now - page.proved_at >= STALE_S:
+            self._blame(reader, 'what it knows is too old')
+            return False
+        self.readers.praise(reader)
+        if reader.is_far:
+            self._far_at = now
+        return True
+
+    def _choose(self):
+        reader = self.readers.choose(self.wall())
+        if reader is not None and reader != self._asked:
+            self._asked = reader
+            _log.info('Follows the service through {}.', reader.name)
+        return reader
+
+    def _peer(self, reader):
+        host = self.roster.homes()[reader.name].host
+        key = (host, reader.is_far)
+        if key not in self._peers:
+            self._peers[key] = self.make_peer(host, reader.is_far)
+        return self._peers[key]
+
+    def _blame(self, reader, reason):
+        self.readers.blame(reader, self.wall())
         self._asked = None
         _log.warning(
-            'Does not follow the service through {}: {}.', name, reason
+            'Does not follow the service through {}: {}.', reader.name, reason
         )
--- a/catkinshunt/feed/_server.py
+++ b/catkinshunt/feed/_server.py
@@ -13,7 +13,7 @@
 #: Seconds for which a request waits at most.
 LONGEST_WAIT_S = 2.0
 #: Status of an answer that the changes asked for are no longer known, and of
-#: one that this process does not read from the service itself.
+#: one that nobody may rely on what this process knows.
 GONE = 410
 NOT_DIRECT = 503
 
@@ -55,35 +55,42 @@
             prefix = query.get('prefix', '')
             wait_s = min(float(query.get('wait_s', 0)), LONGEST_WAIT_S)
             after = int(query.get('after', 0))
+            is_far = bool(int(query.get('far', 0)))
         except ValueError:
             _log.warning('Left aside a request for {}.', req.target[:100])
             return http1.Reply(400)
         if url.path == READ_PATH:
-            return await self._read(prefix, wait_s)
+            return await self._read(prefix, wait_s, is_far)
         if url.path == WATCH_PATH:
-            return await self._watch(prefix, after, wait_s)
+            return await self._watch(prefix, after, wait_s, is_far)
         return http1.Reply(404)
 
-    async def _read(self, prefix, wait_s):
+    async def _read(self, prefix, wait_s, is_far):
         view = self.feed.view
         began = self.wall()
         # One that follows another by now will not read it from the service.
         await self._wait(
             lambda: view.has_read(prefix) or view.is_complete, wait_s
         )
-        if not (self.feed.is_direct and view.has_read(prefix)):
+        if not (self.feed.may_tell(is_far) and view.has_read(prefix)):
             return http1.Reply(NOT_DIRECT)
         return self._tell(view.below(prefix), began)
 
-    async def _watch(self, prefix, after, wait_s):
+    async def _watch(self, prefix, after, wait_s, is_far):
         view = self.feed.view
         began = self.wall()
-        if not (self.feed.is_direct and view.is_complete):
+        if not (self.feed.may_tell(is_far) and view.is_complete):
             return http1.Reply(NOT_DIRECT)
         if not view.knows_since(after):
             return http1.Reply(GONE)
-        await self._wait(lambda: view.revision > after, wait_s)
-        if not self.feed.is_direct:
+        proved_at = view.proved_at
+        # A new proof is told at once. Told at the end of each wait only, it
+        # would be too old behind two processes.
+        await self._wait(
+            lambda: view.revision > after or view.proved_at > proved_at,
+            wait_s,
+        )
+        if not self.feed.may_tell(is_far):
             return http1.Reply(NOT_DIRECT)
         return self._tell(view.changes(prefix, after, self.wall()), began)
 
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -15,6 +15,9 @@
 import pytest
 
 REGION = 'attiki'
+#: Seconds within which a proof is to pass two entries of one machine.
+WAY_S = 0.2
+TWO_REGIONS = ('attiki', 'thessalia')
 
 
 class Entry:
@@ -47,8 +50,8 @@
     def wall(self):
         return asyncio.get_running_loop().time() + self.offset_s
 
-    def _make_peer(self, host):
-        return Neighbour(host, self.region.ports, self.wall)
+    def _make_peer(self, host, is_far):
+        return Neighbour(host, self.region.ports, self.wall, is_far)
 
     async def start(self):
         await self.server.start(self.host, 0)
@@ -61,6 +64,11 @@
         for task in list(self.server._listener.tasks):
             task.cancel()
 
+    @property
+    def reads(self):
+        """Whether this entry reads from the store itself."""
+        return self.feed.readers.choose(self.wall()) is None
+
     @property
     def revision(self):
         declaration = self.catalog.declaration
@@ -70,10 +78,11 @@
 class Neighbour(feed.BaseFeed):
     """Another entry, which refuses connections until it has started."""
 
-    def __init__(self, host, ports, wall):
+    def __init__(self, host, ports, wall, is_far):
         self.host = host
         self.ports = ports
         self.wall = wall
+        self.is_far = is_far
 
     async def read_prefix(self, prefix):
         return await self._peer().read_prefix(prefix)
@@ -85,7 +94,9 @@
         if self.host not in self.ports:
             raise errors.StoreUnavailableError('refused', step='connect')
         port = self.ports[self.host]
-        return feed.PeerFeed(self.host, port, self.wall, self.wall)
+        return feed.PeerFeed(
+            self.host, port, self.wall, self.wall, self.is_far
+        )
 
 
 class Door(feed.BaseFeed):
@@ -113,14 +124,17 @@
 
 
 class Region:
-    """Entries that follow one store."""
+    """Entries of one region, or of several, that follow one store."""
 
-    def __init__(self, count=3):
+    def __init__(self, count=3, regions=(REGION,)):
         self.store = fakes.FakeStore()
         self.ports = {}
         self.store.put('op/config', documents.configuration())
         self.store.put('servers/i-1', documents.UPSTREAM)
-        self.entries = [Entry(self, number + 1) for number in range(count)]
+        homes = [region for region in regions for _ in range(count)]
+        self.entries = [
+            Entry(self, number, home) for number, home in enumerate(homes, 1)
+        ]
         for entry in self.entries:
             self.list(entry)
 
@@ -135,7 +149,9 @@
         try:
             await self.until(lambda entry: entry.revision == 7)
             await fakes.until(lambda: self.reader() is not None)
-            await fakes.until(lambda: len(self.followers()) == 2)
+            await fakes.until(
+                lambda: len(self.followers()) == len(self.entries) - 1
+            )
             yield self
         finally:
             for entry in self.entries:
@@ -146,8 +162,8 @@
         await fakes.until(lambda: all(map(condition, entries)))
 
     def reader(self):
-        """Return the entry that the others of the region ask."""
-        found = [e for e in self.entries if e.feed._first() is None]
+        """Return the entry that reads from the store for the others."""
+        found = [e for e in self.entries if e.reads]
         return found[0] if len(found) == 1 else None
 
     def followers(self):
@@ -155,9 +171,9 @@
         return [e for e in self.entries if e is not reader]
 
 
-def run(main):
+def run(main, regions=(REGION,)):
     async def inside():
-        async with Region().running() as region:
+        async with Region(regions=regions).running() as region:
             return await main(region)
 
     return asyncio.run(inside())
@@ -365,16 +381,88 @@
     assert heard <= known + 0.1
 
 
-def test_entries_of_another_region_are_not_asked():
+def test_a_configuration_crosses_no_link_as_the_store_sends_it():
+    """Read by each region, a storm of them fills the links between regions.
+
+    Entries that wait behind such a link refuse their callers.
+    """
+
+    async def main(region):
+        region.store.sent.clear()
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9)
+        return region.store.sent.count('op/config')
+
+    assert run(main, TWO_REGIONS) == 1
+
+
+def test_one_entry_of_a_region_asks_another_region():
+    """Asked by each entry, a link would carry every value several times."""
+
     async def main(region):
-        other = Entry(region, 9, home_region='thessalia')
-        region.entries.append(other)
-        region.list(other)
-        await other.start()
-        await fakes.until(lambda: other.revision == 7)
-        return other.store.calls.count('read op/')
+        reader = region.reader()
+        asking = [
+            entry
+            for entry in region.followers()
+            if entry.home.region != reader.home.region
+            and entry.feed.readers.first_near(entry.wall()) is None
+        ]
+        return len(asking)
 
-    assert run(main) == 1
+    assert run(main, TWO_REGIONS) == 1
+
+
+def test_proofs_reach_all_regions_before_they_are_too_old():
+    """Behind two entries a proof would be too old, and all ask the store."""
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        for entry in others:
+            entry.store.calls.clear()
+        read_s, followed_s = [], []
+        for _ in range(50):
+            await asyncio.sleep(0.05)
+            now = reader.wall()
+            read_s.append(reader.catalog.age_s(now))
+            followed_s += [entry.catalog.age_s(now) for entry in others]
+        calls = [call for entry in others for call in entry.store.calls]
+        return max(read_s), max(followed_s), calls
+
+    read_s, followed_s, calls = run(main, TWO_REGIONS)
+    assert followed_s < min(read_s + WAY_S, _regional.STALE_S)
+    assert calls == []
+
+
+def test_a_region_goes_on_when_the_one_that_reads_for_all_dies():
+    """The others would otherwise answer by rules that are too old."""
+
+    async def main(region):
+        home = region.reader().home.region
+        lost = [e for e in region.entries if e.home.region == home]
+        for entry in lost:
+            await entry.kill()
+        region.store.put('op/config', documents.configuration(version=9))
+        others = [e for e in region.entries if e not in lost]
+        await region.until(lambda entry: entry.revision == 9, others)
+
+    run(main, TWO_REGIONS)
+
+
+def test_a_region_goes_on_when_the_one_that_reads_for_all_is_cut_off(
+    monkeypatch,
+):
+    """It goes on answering with what it knew, without proof."""
+    monkeypatch.setattr(_regional, 'PEER_WAIT_S', 0.1)
+    monkeypatch.setattr(_regional, 'STALE_S', 0.4)
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        reader.store.is_cut = True
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9, others)
+        return [e.catalog.age_s(e.wall()) for e in others]
+
+    assert max(run(main, TWO_REGIONS)) < 2.0
 
 
 def test_a_neighbour_that_talks_nonsense_is_not_followed():
