Leave out of comments how values were chosen

One constant came from the users' deployments: the speed assumed of an origin that nobody has asked yet, 4 Mbit/s. No test changes; those of the six packages pass.

--- a/catkinshunt/dispatch/_choice.py
+++ b/catkinshunt/dispatch/_choice.py
@@ -21,12 +21,10 @@
 PLAIN_WORK_S = 0.05
 #: Passes of a full engine until the first token of a request that just got
 #: room: half of the one under way, its own, and what others read beside it.
-#: By replay 0.15 to 0.25 s do equally well, 0.3 s worse.
 FIRST_TOKEN_PASSES = 3.0
-#: Prompts that are read beside a pass of an engine while an answer lasts. At
-#: the load at which engines are emptied for another version, a median answer
-#: takes 0.8 s; with 0.8 prompts nearly all were taken for twice as long, and
-#: refused two seconds before the engine loaded.
+#: Prompts that are read beside a pass of an engine while an answer lasts.
+#: Taken too high, an engine that is to load refuses answers that would have
+#: ended before.
 READS_PER_PASS = 0.3
 
 
@@ -50,10 +48,8 @@
 
     An engine reads the prompts that came before, then this one, then makes
     a pass; beyond its slots, requests wait for others to end. The caller
-    ranks a request late that is likely to miss its goal. In a burst past
-    what the engines can do (tests/burst.py, 55 requests a second before five
-    engines), 0.96 and 0.85 of the first tokens are in time so, and 0.80 and
-    0.31 where all wait in order, by two seeds.
+    ranks a request late that is likely to miss its goal, so that past
+    capacity the others are in time.
 
     Args:
         state: `UpstreamState`.
--- a/catkinshunt/dispatch/_forecast.py
+++ b/catkinshunt/dispatch/_forecast.py
@@ -4,8 +4,7 @@
 from catkinshunt import checks
 from catkinshunt.dispatch import _state
 
-#: Share of the newest delay in the running means; about the last ten count,
-#: which one of 15 entries sees within two seconds of a burst.
+#: Share of the newest delay in the running means; about the last ten count.
 NEWEST_WEIGHT = 0.1
 #: Bounds of the correction. Predictions are made from what one entry knows
 #: of engines that all use, and are right where there is no queue.
@@ -22,12 +21,9 @@
     """Learns by how much delays exceed what was predicted for them.
 
     An entry sees only its own requests and, now and then, how many others
-    an engine has. In a burst past what the engines can do, requests that it
-    took for early ones waited five times as long as it thought: so many
-    were put first that none of them was in time. With the correction fewer
-    are put first, and those are in time: by replay (tests/crowd.py, 90
-    requests a second before six engines) 0.46 of all behind five entries
-    and 0.53 behind 15, against 0.15 and 0.20 without.
+    an engine has. In a burst past what the engines can do it would put so
+    many requests first that none of them is in time. With the correction
+    fewer are put first, and those are in time.
 
     Args:
         newest_weight: share of the newest delay in the running means.
--- a/catkinshunt/dispatch/_returns.py
+++ b/catkinshunt/dispatch/_returns.py
@@ -11,9 +11,8 @@
 #: Difference between deadlines, in seconds, that is no sign of waiting.
 SAME_S = 0.02
 #: Share of the requests of a service whose callers grant the longest time,
-#: from which on a shorter one tells that the caller waited before. In a burst
-#: a third or less of the callers come back; where the times that callers
-#: grant differ by a fifth, 3 in 100 are near the longest.
+#: from which on a shorter one tells that the caller waited before. Where
+#: callers grant various times, few are near the longest.
 CONSTANT_SHARE = 0.3
 #: Share that is assumed at first, so that one that starts in the middle of a
 #: burst tells returned callers from its second request on.
@@ -21,8 +20,7 @@
 #: Share of the newest request in that share; about the last ten count.
 NEWEST_WEIGHT = 0.1
 #: Times granted in calm seconds that are remembered for each service, and
-#: how many are needed before they tell anything; an entry sees as many in the
-#: first three seconds of a day.
+#: how many are needed before they tell anything.
 REMEMBERED = 200
 LEAST_REMEMBERED = 15
 #: Share of the remembered times that may be shorter than the usual ones, and
@@ -64,8 +62,7 @@
     the times granted in calm seconds tell how short a first one may be.
 
     Past capacity, a refused caller that comes back cannot be in time. Taken
-    for a new one it gets a place that another would have been in time with:
-    at 1.5 times the capacity 0.4 of the places went to them so.
+    for a new one it gets a place that another would have been in time with.
 
     Args:
         constant_share: share of requests near the longest time, from which
--- a/catkinshunt/gateway/_seat.py
+++ b/catkinshunt/gateway/_seat.py
@@ -7,17 +7,16 @@
 
 #: Engines that are asked for a place. The first one lets the request wait,
 #: the others say at once whether they have room: an entry does not know how
-#: busy engines are with requests of others. By replay 0.957 of the first
-#: tokens are in time at 0.9 times the capacity, with one engine asked 0.870;
-#: at 1.2 times 0.69 and 0.58. Six serve fewer: 0.61.
+#: busy engines are with requests of others. Each further one takes a round
+#: trip from the time that is left.
 MOST_ASKED = 3
 #: Share of the slots of an engine that one entry uses where the sidecar gives
 #: no answer; the others do the same.
 UNCOUNTED_SHARE = 0.25
 #: Seconds before a version is due from which on an engine with the one before
 #: gets no request where its sidecar gives no answer. Nobody else keeps them
-#: from it then, and what keeps the answer holds up the request as well: over
-#: a link between regions that was full, it took 0.95 s.
+#: from it then, and a full link that keeps the answer holds up the request
+#: as well.
 UNHEARD_LEAD_S = 1.5
 #: Seconds for which a stream that broke off waits for a place elsewhere; its
 #: caller leaves after a longer pause.
--- a/catkinshunt/places/_ledger.py
+++ b/catkinshunt/places/_ledger.py
@@ -9,10 +9,8 @@
 from catkinshunt.places import _messages
 
 #: Places beyond the slots of the engine. One request waits in the engine, so
-#: that a slot that becomes free between two passes is filled at once; with
-#: two or three of them the wait is longer than what it gains (by replay at
-#: 1.6 times the capacity 0.50 in time with one, 0.42 with two, 0.31 with
-#: three).
+#: that a slot that becomes free between two passes is filled at once; more
+#: would wait there for longer than that gains.
 SPARE = 1
 #: Shortest and longest time after which a caller is told to come back, in
 #: seconds. It is late by then in any case, and where the engines are full a
@@ -28,14 +26,11 @@
 LATE_MEMORY_S = 1.0
 LEAST_LATE_RATE = 0.5
 #: Seconds after an ask in time found no room for which late ones get none
-#: either. The next one in time comes soon, and the place is worth more to it:
-#: past capacity a tenth of the places went to late ones before.
+#: either. The next one in time comes soon, and the place is worth more to it.
 SHORT_S = 0.5
 #: Seconds of reading that an engine may have ahead and still get a request
 #: that is to be in time: prompts are read one after the other, and the answer
-#: of each begins when all that came before are read. By replay 0.986 of the
-#: first tokens are in time at 0.9 times the capacity, 0.957 without; with
-#: 0.15 s 0.984.
+#: of each begins when all that came before are read.
 MOST_READING_S = 0.05
 #: Seconds after a grant in which its request may still be on the way.
 ARRIVING_S = 0.3
@@ -63,9 +58,7 @@
     waited for seconds in the engine's queue, were late when they began, and
     kept those out that could have been in time. Here each request waits at
     its entry until the engine has room, the newest first: the ones that have
-    waited longest are those that will miss their goal. By replay
-    (`make experiment`, 1.6 times the capacity, five entries) 0.50 of the
-    first tokens are in time, without it 0.25; with 15 entries 0.50 and 0.30.
+    waited longest are those that will miss their goal.
 
     Args:
         spare: places beyond the slots of the engine.
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -15,10 +15,10 @@
 #: which keys are no longer trusted.
 WATCH_S = 1.8
 #: Seconds after a change before the next watch, so that changes that come
-#: together are told together. 31 engines that load a version would otherwise
-#: cost each entry over 100 calls; leaving upstreams are known 0.25 s later.
+#: together, such as of engines that load a version, are told together. What
+#: an entry knows of leaving upstreams is older by as much.
 SETTLE_S = 0.25
-#: Shortest wait of a watch; each is a priced call.
+#: Shortest wait of a watch, in seconds; each is a call of the store's rate.
 SHORTEST_WATCH_S = 0.3
 #: Pause after a call that failed, doubled up to the longest, in seconds.
 FIRST_PAUSE_S = 0.05
--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -11,7 +11,7 @@
 from catkinshunt import spread
 
 #: Seconds that a watch for new versions waits. A sidecar needs no proof that
-#: what it knows is the newest, so it waits long; each watch is a priced call.
+#: what it knows is the newest, so it waits long; all share the store's rate.
 WATCH_S = 10.0
 #: Pause after a call that failed, in seconds.
 PAUSE_S = 0.4
@@ -20,11 +20,8 @@
 #: Seconds for which the address of the origin is used again.
 ORIGIN_S = 10.0
 #: Seconds before a version is due from which on no request begins on the one
-#: before: the time from a place to the first token, 0.3 s behind others.
+#: before: the time from a place to the first token, behind others.
 EXPIRY_MARGIN_S = 0.6
-#: Speed that is assumed of an origin that was not asked yet, in Mbit/s; the
-#: slowest of the users' deployments has 4.38.
-SLOWEST_ORIGIN_MBPS = 4.0
 
 _log = logs.get_logger('store')
 
@@ -142,7 +139,9 @@
 
     def origin_copy_s(self, size):
         """See `spread.BaseOutlook.origin_copy_s`."""
-        mbps = self._origin.link_mbps if self._origin else SLOWEST_ORIGIN_MBPS
+        # An origin that is not known yet is taken to be as fast as this link.
+        known = self.cfg if self._origin is None else self._origin
+        mbps = known.link_mbps
         return size / (mbps * spread.BYTES_PER_MBIT)
 
     def hear_of(self, model, version):
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -26,8 +26,8 @@
 #: Seconds for which the manifest of a newer version is asked for before the
 #: other one goes on without it, to be asked again at the next look.
 ASK_S = 2.0
-#: Time of one copy over the time that the link alone would need; measured
-#: with heads, checks and other traffic on the link.
+#: Time of one copy over the time that the link alone would need: heads,
+#: checks and other traffic share it.
 COPY_OVERHEAD = 1.2
 _log = logs.get_logger('agent')
 
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -19,8 +19,8 @@
 #: Times that a chunk is asked for in vain before a member turns to the origin
 #: for it: at least, and for each second in which the origin can give one copy;
 #: both for each member that stands before it. Owners that share a slow origin
-#: have nothing for a while; asked twice only, all turned to the origin at
-#: once, which then sent 2.4 copies, and a transfer took 13 s instead of 6.5.
+#: have nothing for a while; asked twice only, all would turn to the origin at
+#: once.
 LEAST_VAIN = 2
 VAIN_PER_S = 1.0
 #: Chunks that must wait at a busy source before an idle one is asked for the
@@ -138,8 +138,7 @@
         if source is None:
             # Begin again with the best one. While the origin is down all
             # wait for the owners; if each turned to the origin instead, it
-            # would send ten copies when it is back, 4 s for what the owners
-            # need half a second for.
+            # would send a copy to each when it is back.
             tried.clear()
             source = (usable or self._sources_of(index))[0]
         asked = self._asked.setdefault(source, [])
@@ -264,8 +263,7 @@
         """
         indices, asked[:] = asked[kept:], asked[:kept]
         if self._health.is_away(source):
-            # Where no source is left, all ten members asked the dead one 60
-            # times a second.
+            # Where no source is left, a dead one is not asked in a tight loop.
             await asyncio.sleep(RETRY_S)
         for index in indices:
             self._tried[index].add(source)
--- a/catkinshunt/spread/_loading.py
+++ b/catkinshunt/spread/_loading.py
@@ -24,8 +24,8 @@
 LAST_WAVE_LEAD_S = 0.75
 #: Seconds from the order in which answers that were let in may still end.
 EMPTYING_S = 0.4
-#: Seconds that an engine takes to load a version once it has ended its
-#: answers; 0.3 s on the users' deployments.
+#: Seconds that an engine is taken to need for loading a version, once it has
+#: ended its answers.
 LOAD_S = 0.3
 #: Seconds that an engine may stand idle between two versions rather than load
 #: both: running empty and loading keeps it from work for 1.2 s each time, and
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -21,9 +21,7 @@
 LOOK_S = 0.05
 #: Share of the link that chunks may take; the rest is for live answers. Many
 #: senders share the way into a receiver, and near its full speed requests and
-#: events wait there for several chunks: first tokens took 0.2 s instead of
-#: 0.13 in the middle and 0.38 instead of 0.21 for one in ten. A copy takes as
-#: long with 0.9; with 0.8 it is late.
+#: events wait there for several chunks.
 LINK_SHARE = 0.9
 #: Bytes of heads and packets beside a slice.
 OVERHEAD = 1.04
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -10,8 +10,7 @@
 
 Owners are found by rendezvous hashing with a bound on the chunks of each, so
 that sidecars whose lists differ by a member still agree on most, and nobody
-has to give much more than it takes: without the bound the busiest of ten
-members gave 1.5 times the mean, and a copy took 7.5 s instead of 6.
+has to give much more than it takes.
 """
 
 import collections
@@ -23,11 +22,9 @@
 
 #: Name of the origin among the sources.
 ORIGIN = 'origin'
-#: Members that take chunks from the origin, which accepts 48 connections on
-#: the users' deployments. After a loss of power it still counts those of
-#: before, and a third is for members that turn to it after others failed.
-#: With 24 and kept open, 45 members were reset for 15 s after a loss of
-#: power, and nobody was served.
+#: Members that take chunks from the origin. It accepts a limited number of
+#: connections, still counts those of before after a loss of power, and others
+#: turn to it as well where their sources fail.
 MOST_OWNERS = 15
 #: Members that are asked for a chunk when the best one has nothing, before
 #: the origin. Those nearby wait for this member themselves.
@@ -255,9 +252,8 @@
         """Add a member of `place` to each chunk that is owned elsewhere.
 
         Owners have much to give already: each chunk to all nearby and to one
-        member of each other place. With as many to pass on as the others, 15
-        owners of 31 members gave half as much again as the mean, and all
-        waited for them: 8.4 s for a copy in place of 7.0.
+        member of each other place. With as many to pass on as the others,
+        all would wait for them.
 
         Args:
             found: owner by index of a chunk; is extended.
--- a/catkinshunt/spread/_speeds.py
+++ b/catkinshunt/spread/_speeds.py
@@ -8,9 +8,8 @@
 #: Share of the time of a copy after which the speed of sources is judged.
 JUDGE_AFTER = 0.9
 #: A source is slow that would end after this many times the time of a copy,
-#: where most others end within the second number. Judged after half of the
-#: time, and by 1.6, usual delays at the begin counted as slow: twice the
-#: bytes between regions, and the origin sent five copies instead of two.
+#: where most others end within the second number. Usual delays at the begin
+#: must not count as slow: the chunks would be taken from the origin again.
 SLOW_END = 2.0
 USUAL_END = 1.4
 #: A member gives nothing of a version where it has less than this part of what
@@ -93,10 +92,7 @@
     def is_own_link_narrow(self, share, shares):
         """Return whether far less comes here than elsewhere.
 
-        Others wait for what passes through this member, each for seconds:
-        with three of 31 links narrowed to a quarter, all had a version after
-        14 to 18 s instead of 8, and the engines behind those links were out
-        of reach.
+        Others wait for what passes through this member, each for seconds.
 
         Args:
             share: share of the version that is here.
