--- a/catkinshunt/platform/_outlook.py
+++ b/catkinshunt/platform/_outlook.py
@@ -137,6 +137,19 @@
         declaration = self.catalog.declaration
         return declaration.origin if declaration else None
 
+    async def origin_connections(self):
+        """See `spread.BaseOutlook.origin_connections`.
+
+        Read from the key of the origin only: a large configuration that all
+        members read at once would fill the links between regions.
+        """
+        if self._origin is None:
+            try:
+                self._origin = await self._shown_origin()
+            except errors.StoreError as exc:
+                _log.warning('The connections of the origin: {}.', exc)
+        return self._origin.max_connections if self._origin else None
+
     def origin_copy_s(self, size):
         """See `spread.BaseOutlook.origin_copy_s`."""
         # An origin that is not known yet is taken to be as fast as this link.
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -320,13 +320,16 @@
         )
 
     async def _plan(self, model, version):
-        members = await self.outlook.members()
+        members, connections = await asyncio.gather(
+            self.outlook.members(), self.outlook.origin_connections()
+        )
         return _plan.Plan(
             self.me,
             members,
             self.outlook.regions,
             model,
             version,
+            connections=connections or _plan.UNKNOWN_CONNECTIONS,
         )
 
     def _fetcher(self, holding, plan):
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -22,10 +22,12 @@
 
 #: Name of the origin among the sources.
 ORIGIN = 'origin'
-#: Members that take chunks from the origin. It accepts a limited number of
-#: connections, still counts those of before after a loss of power, and others
-#: turn to it as well where their sources fail.
-MOST_OWNERS = 15
+#: Share of the connections that the origin accepts for which there are members
+#: that take chunks from it. After a loss of power it still counts those of
+#: before, and others turn to it as well where their sources fail.
+OWNER_SHARE = 0.4
+#: Connections that an origin is taken to accept where it is not known.
+UNKNOWN_CONNECTIONS = 20
 #: Members that are asked for a chunk when the best one has nothing, before
 #: the origin. Those nearby wait for this member themselves.
 MOST_FALLBACKS = 2
@@ -58,6 +60,7 @@
         model: name of the model.
         version: its version.
         chunks: number of chunks; 0 until the manifest is known.
+        connections: connections that the origin accepts.
 
     Examples:
         >>> here = [Member(name, 'larisa-a') for name in ('a', 'b', 'c')]
@@ -67,7 +70,10 @@
         1
     """
 
-    def __init__(self, me, members, regions, model, version, chunks=0):
+    def __init__(
+        self, me, members, regions, model, version, chunks=0,
+        connections=UNKNOWN_CONNECTIONS,
+    ):  # fmt: skip
         self.me = me
         # An engine that started again can be listed twice for a while.
         named = {member.name: member for member in members}
@@ -77,7 +83,8 @@
         self.version = version
         self.chunks = chunks
         self._ranked = {}
-        self._owners = self._rank('owners')[:MOST_OWNERS]
+        most = max(1, int(OWNER_SHARE * connections))
+        self._owners = self._rank('owners')[:most]
         self._receivers = None
         self._sources = {}
         self._away = frozenset()
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -120,6 +120,13 @@
     async def members(self):
         """Return the `Member` objects of the service as of now."""
 
+    @abc.abstractmethod
+    async def origin_connections(self):
+        """Return how many connections the origin accepts, None if unknown.
+
+        Members that know different numbers choose different sources.
+        """
+
     @abc.abstractmethod
     def origin_copy_s(self, size):
         """Return the seconds in which the origin can give `size` bytes."""
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -209,6 +209,9 @@
     async def members(self):
         return self.listed
 
+    async def origin_connections(self):
+        return 40
+
     def origin_copy_s(self, size):
         return 0.0
 
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -79,6 +79,7 @@
     link_mbps: float = 3.65
     origin_mbps: float = 4.38
     region_mbps: float = 11.5
+    origin_connections: int = 48
 
     @property
     def copy_bytes(self):
@@ -151,6 +152,7 @@
             {},
             fakes.MODEL,
             self.holding.version,
+            connections=swarm.scale.origin_connections,
         )
         origin = SwarmOrigin(self)
         copy_s = swarm.scale.copy_s * _agent.COPY_OVERHEAD
