End waits in a circle for a chunk

Cause: each member chooses sources by the members that it knows, and shares them out with bounds, so lists that differ by one member give other owners for some chunks. Two members, or three, then wait for each other. As long as waiting members asked fallbacks in turn, such circles ended by chance after some seconds; since chunks stay with their source they lasted until the origin was asked.

Ruled out: handing over again where few chunks are missing. It ends no circle whose members are each other's fallbacks.

Change: whoever asks says who it is, and an answer without a chunk tells whom its sender waits for, so that each member of a circle finds all of it. The first of them by name takes the chunk from the origin.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -291,6 +291,12 @@
         'return gone + [',
         'return [',
     ),
+    Mutation(
+        'waiting-in-a-circle-ends',
+        'catkinshunt/spread/_fetcher.py',
+        'if self._break_loops(source, asked):',
+        'if False:',
+    ),
     Mutation(
         'first-source-keeps-its-chunks',
         'catkinshunt/spread/_fetcher.py',
--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -221,11 +221,15 @@
 
     Args:
         retry_after_s: seconds after which it may be asked again.
+        chains: by index of a chunk, whom the source waits for itself.
     """
 
-    def __init__(self, message, *, step='', peer='', retry_after_s=None):
+    def __init__(
+        self, message, *, step='', peer='', retry_after_s=None, chains=None
+    ):  # fmt: skip
         super().__init__(message, step=step, peer=peer)
         self.retry_after_s = retry_after_s
+        self.chains = chains or {}
 
 
 class SourceUnableError(SourceBusyError):
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -54,7 +54,7 @@
         outlook,
         _engine.PlatformEngine(cfg.engine, _clocks.steady),
         _engine.PlatformOrigin(outlook.origin, _clocks.steady),
-        spread.PeerClient(chunk_port, _clocks.steady),
+        spread.PeerClient(chunk_port, _clocks.steady, name=cfg.ip),
         shelf,
         _clocks.steady,
         cfg.link_mbps,
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -82,6 +82,7 @@
         self._corrupt_in_row = 0
         self._asked = {}
         self._working = set()
+        self._looped = set()
         self._tried = {}
         self._vain = collections.Counter()
         self._group = None
@@ -135,12 +136,15 @@
         if _plan.ORIGIN in usable and not self._may_ask_origin(index, usable):
             usable.remove(_plan.ORIGIN)
         source = next((s for s in usable if s not in tried), None)
+        if index in self._looped:
+            source = _plan.ORIGIN
         if source is None:
             # Begin again with the best one. While the origin is down all
             # wait for the owners; if each turned to the origin instead, it
             # would send a copy to each when it is back.
             tried.clear()
             source = (usable or self._sources_of(index))[0]
+        self.holding.waits.ask(index, source)
         asked = self._asked.setdefault(source, [])
         asked.append(index)
         if source not in self._working:
@@ -163,6 +167,8 @@
         owner of a chunk dies, its link would carry the chunk for each of
         them, and the whole transfer would wait for it.
         """
+        if index in self._looped:
+            return True
         members = sum(source != _plan.ORIGIN for source in usable)
         return self._vain[index] >= members * self._most_vain
 
@@ -187,6 +193,8 @@
         while asked:
             self._check_manifest()
             self._judge_own_link()
+            if self._break_loops(source, asked):
+                continue
             if source == _plan.ORIGIN and self._recall(asked):
                 continue
             outcome = await self._ask_one(source, asked)
@@ -286,6 +294,34 @@
                 self._tried[index].add(source)
                 self._assign(index)
 
+    def _break_loops(self, source, asked):
+        """Take from the origin what members wait for from each other.
+
+        One of them does so, the others go on waiting. Returns whether there
+        was such a chunk.
+        """
+        if source == _plan.ORIGIN:
+            return False
+        me, now = self.plan.me.name, self.clock()
+        looped = [
+            index
+            for index in asked
+            if me == min(self.holding.waits.loop(index, me, now), default='')
+        ]
+        for index in looped:
+            asked.remove(index)
+            self._looped.add(index)
+            self._assign(index)
+        if looped:
+            _log.info(
+                'Takes {} chunks of version {} from the origin; {} waits '
+                'for this member too.',
+                len(looped),
+                self.holding.version,
+                source,
+            )
+        return bool(looped)
+
     def _judge_own_link(self):
         """Give nothing of this version where far less comes here."""
         holding = self.holding
@@ -338,9 +374,11 @@
         except errors.SourceUnableError as exc:
             self._health.blame(source, exc)
             return _Outcome.FAILED
-        except errors.SourceBusyError:
+        except errors.SourceBusyError as exc:
             self._health.note_answer(source)
             self._vain.update(names)
+            for index, chain in exc.chains.items():
+                self.holding.waits.hear(index, source, chain)
             return _Outcome.NOT_THERE
         except errors.CorruptChunkError as exc:
             self._corrupt_in_row += 1
--- a/catkinshunt/spread/_holding.py
+++ b/catkinshunt/spread/_holding.py
@@ -6,6 +6,7 @@
 
 from catkinshunt import changes
 from catkinshunt import errors
+from catkinshunt.spread import _waits
 
 
 @attrs.define
@@ -17,6 +18,7 @@
         chunks: bytes by index.
         filled: a transfer fills it now.
         is_slow: far less comes here than elsewhere, so nothing is given.
+        waits: who waits for whom.
     """
 
     model: str
@@ -25,6 +27,7 @@
     chunks: dict = attrs.field(factory=dict)
     filled: bool = False
     is_slow: bool = False
+    waits: _waits.Waits = attrs.field(factory=_waits.Waits)
     _changes: changes.Changes = attrs.field(factory=changes.Changes)
 
     @property
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -7,6 +7,7 @@
 from catkinshunt import http1
 from catkinshunt import logs
 from catkinshunt.spread import _holding
+from catkinshunt.spread import _waits
 from catkinshunt.spread import base
 
 #: Seconds for which a request for a chunk may wait until the chunk is here.
@@ -33,6 +34,10 @@
 SPARE = 'Chunk-Spare'
 #: Header of a reply: share of the version that is here, in thousandths.
 SHARE = 'Chunk-Share'
+#: Header of a request: the member that asks.
+ASKER = 'Chunk-Asker'
+#: Header of a reply without a chunk: whom its sender waits for.
+CHAINS = 'Chunk-Chains'
 #: Header of a reply by one that will not have what is missing soon.
 UNABLE = 'Chunk-Unable'
 #: Seconds for which a request waits until its version is fetched here. Whoever
@@ -159,6 +164,7 @@
             holding = self.shelf.find(model, version)
             gives = self._turns.is_free
         else:
+            self._note_asker(req.headers.get(ASKER), found)
             holding = await self._wait_for(model, version, indices)
             gives = True
         if not gives or holding is None or not holding.find_any(indices):
@@ -179,6 +185,14 @@
         finally:
             self._turns.leave()
 
+    def _note_asker(self, asker, wanted):
+        model, version, indices = wanted
+        holding = self.shelf.find(model, version)
+        if holding is None or not asker:
+            return
+        for index in indices:
+            holding.waits.note_asker(index, asker, self.clock())
+
     async def _wait_for(self, model, version, indices):
         """Return the `Holding` once one of the chunks is here, or None."""
         end_at = self.clock() + LONGEST_WAIT_S
@@ -210,7 +224,8 @@
 def _refusal(holding, indices):
     """Return the headers of a reply without a chunk."""
     if holding is not None and (holding.awaits(indices) or holding.is_whole):
-        return []
+        chains = holding.waits.chains(indices)
+        return [(CHAINS, _waits.dump_chains(chains))] if chains else []
     return [(UNABLE, '1')]
 
 
@@ -221,6 +236,18 @@
     return holding.awaits(indices) or holding.find_any(indices) is not None
 
 
+def _read_chains(head, peer):
+    """Return the chains that a reply tells; none where they are unreadable."""
+    text = head.headers.get(CHAINS)
+    if not text:
+        return {}
+    try:
+        return _waits.load_chains(text)
+    except ValueError as exc:
+        _log.warning('Left aside what {} waits for: {}.', peer, exc)
+        return {}
+
+
 def _read_path(path):
     """Return (model, version, indices) of a request, or None."""
     words = path.strip('/').split('/')
@@ -240,9 +267,11 @@
         port: port of all sidecars.
         clock: gives seconds on the steady clock.
         timeout_s: seconds after which a request is given up.
+        name: of the member that asks.
     """
 
-    def __init__(self, port, clock, timeout_s=3.0):
+    def __init__(self, port, clock, timeout_s=3.0, name=''):
+        self.name = name
         self.port = port
         self.clock = clock
         self.timeout_s = timeout_s
@@ -272,6 +301,8 @@
             errors.TransferError: the peer gave no answer.
         """
         items = [(RELAY, '1')] if relays else []
+        if self.name:
+            items.append((ASKER, self.name))
         return await self._fetch(peer, model, version, indices, items)
 
     async def spare_chunk(self, peer, model, version, indices):
@@ -309,7 +340,10 @@
             )
         if head.status != 200:
             raise errors.SourceBusyError(
-                'not there yet', step='fetch chunk', peer=peer
+                'not there yet',
+                step='fetch chunk',
+                peer=peer,
+                chains=_read_chains(head, peer),
             )
         share = head.headers.get(SHARE, '')
         if share.isdigit():
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -148,7 +148,7 @@
         swarm = self.swarm
         plan = spread.Plan(
             self.member,
-            swarm.members,
+            swarm.listed_at(self.member),
             {},
             fakes.MODEL,
             self.holding.version,
@@ -251,6 +251,7 @@
             await asyncio.sleep(_peers.BEGIN_S)
             raise errors.SourceUnableError('not fetched', peer=peer)
         if rank is not None:
+            self._note_asker(holding, indices)
             await holding.wait_for_any(indices, _peers.LONGEST_WAIT_S)
         elif not turns.is_free:
             raise errors.SourceBusyError('gives to others', peer=peer)
@@ -258,7 +259,11 @@
         if found is None and not (holding.awaits(indices) or holding.is_whole):
             raise errors.SourceUnableError('left out', peer=peer)
         if found is None:
-            raise errors.SourceBusyError('not there yet', peer=peer)
+            raise errors.SourceBusyError(
+                'not there yet',
+                peer=peer,
+                chains=holding.waits.chains(indices),
+            )
         await turns.take(1 if rank is None else rank)
         try:
             found = holding.find_any(indices)
@@ -274,6 +279,11 @@
         await self.box.down.carry(self.swarm.scale.chunk_bytes)
         return found
 
+    def _note_asker(self, holding, indices):
+        now = asyncio.get_running_loop().time()
+        for index in indices:
+            holding.waits.note_asker(index, self.box.member.name, now)
+
     async def _cross(self, box):
         here, there = self.box.member.data_centre, box.member.data_centre
         if here != there:
@@ -296,12 +306,18 @@
             for number in range(count)
         ]
         self.origin = Link(scale.origin_mbps)
+        self.missed = {}
         self.origin_down = False
         self.origin_given = collections.Counter()
         self.boxes = {m.name: Box(self, m) for m in self.members}
         self._between = {}
         self._manifests = {}
 
+    def listed_at(self, member):
+        """Return the members that one of them knows."""
+        missed = self.missed.get(member.name, ())
+        return [m for m in self.members if m.name not in missed]
+
     def between(self, one, other):
         """Return the link from one data centre to another."""
         if (one, other) not in self._between:
--- a/catkinshunt/spread/tests/test_swarm.py
+++ b/catkinshunt/spread/tests/test_swarm.py
@@ -1,9 +1,12 @@
 """Many members fetch one version together over slow links."""
 
 import asyncio
+import random
 
 from catkinshunt.spread.tests import swarm
 
+import pytest
+
 #: 31 members in three data centres, as they stood in the incident.
 THREE_PLACES = swarm.Scale({'larisa': 11, 'piraeus': 10, 'sindos': 10})
 #: The same with 12 added engines, eight of which begin late.
@@ -192,3 +195,20 @@
     assert max(found.origin_given.values()) == 1
     assert times <= MOST_RETURN_TIMES
     assert len(found.ends_s()) == len(found.members)
+
+
+@pytest.mark.parametrize('missed', [1, 4])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_members_with_other_lists_do_not_wait_for_each_other(seed, missed):
+    """Each misses other members that have just come, and chooses otherwise."""
+
+    async def day():
+        found = swarm.Swarm(FIVE_PLACES)
+        rng = random.Random(seed)
+        names = [member.name for member in found.members]
+        found.missed = {name: rng.sample(names, missed) for name in names}
+        found.name(2)
+        await found.wait(8 * FIVE_PLACES.copy_s)
+        return found
+
+    check_spread(swarm.play(day))
