Let an entry that the store turns away ask the others of its region

Cause: the first entry of a region read from the store or not at all. A region that was paused as a whole, since its reader had said that it does not read, was out of use for longer than needed.

Change: after a call to the store in vain, an entry asks for two seconds those of its region that read from it. A whole region is paused only where nobody answered.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -258,8 +258,14 @@
     Mutation(
         'one-reader-for-all-regions',
         'catkinshunt/feed/_readers.py',
-        'return None if far is None else Reader(far, is_far=True)',
-        'return None',
+        'if far is not None:',
+        'if False:',
+    ),
+    Mutation(
+        'whoever-is-turned-away-asks-others',
+        'catkinshunt/feed/_readers.py',
+        'if now < self._unserved_until:',
+        'if False:',
     ),
     Mutation(
         'region-out-of-reach-is-paused',
--- a/catkinshunt/feed/_peer.py
+++ b/catkinshunt/feed/_peer.py
@@ -21,6 +21,10 @@
     """The changes after the revision asked for are no longer known."""
 
 
+class NotReadingError(errors.StoreUnavailableError):
+    """The process is there, but nobody may rely on what it knows."""
+
+
 class PeerFeed(base.BaseFeed):
     """Reads and watches at one other process.
 
@@ -29,13 +33,12 @@
         port: port of its `FeedServer`.
         clock: gives seconds on the steady clock.
         wall: gives seconds on the clock of the view.
-        is_far: whether it stands in another region, and must read from the
-            service itself.
+        must_read: whether it must read from the service itself.
     """
 
-    def __init__(self, host, port, clock, wall, is_far=False):
+    def __init__(self, host, port, clock, wall, must_read=False):
         self.wall = wall
-        self.is_far = is_far
+        self.must_read = must_read
         self._pool = http1.Pool(host, port, clock, connect_s=CONNECT_S)
 
     async def read_prefix(self, prefix, wait_s=_server.LONGEST_WAIT_S):
@@ -49,7 +52,7 @@
         return await self._ask(_server.WATCH_PATH, query, wait_s)
 
     async def _ask(self, path, query, wait_s):
-        query['far'] = int(self.is_far)
+        query['reads'] = int(self.must_read)
         target = f'{path}?{urllib.parse.urlencode(query)}'
         asked_at = self.wall()
         try:
@@ -64,7 +67,7 @@
         if head.status == _server.GONE:
             raise HistoryGoneError('history is gone', step='ask-peer')
         if head.status != 200:
-            raise errors.StoreUnavailableError(
+            raise NotReadingError(
                 f'answered {head.status}',
                 step='ask-peer',
                 peer=self._pool.peer,
--- a/catkinshunt/feed/_readers.py
+++ b/catkinshunt/feed/_readers.py
@@ -1,5 +1,7 @@
 """Decides through whom a process follows the key-value service."""
 
+import math
+
 import attrs
 
 from catkinshunt import rendezvous
@@ -8,6 +10,9 @@
 #: at most.
 FIRST_PAUSE_S = 1.0
 MOST_PAUSE_S = 16.0
+#: Seconds for which a process that the service did not answer asks others
+#: that read from it.
+UNSERVED_S = 2.0
 #: Key by which all agree on the region that reads for the others.
 _REGIONS_KEY = 'regions'
 
@@ -19,10 +24,13 @@
     Attributes:
         name: its name.
         is_far: it stands in another region.
+        must_read: it is relied on only if it reads from the service itself,
+            so that no two follow each other.
     """
 
     name: str
     is_far: bool = False
+    must_read: bool = False
 
 
 @attrs.define
@@ -40,7 +48,9 @@
     first one of one region that all agree on, and only that one reads from
     the service: a large value would otherwise cross every link between two
     regions as the service sends it. Whoever gives no answer is passed over,
-    and the first one of a region then reads from the service itself.
+    and the first one of a region then reads from the service itself. Where
+    that is in vain, it asks the others of its region: the service may be out
+    of reach for some and not for all.
 
     Args:
         roster: `catalog.Roster`.
@@ -53,6 +63,7 @@
         self.name = name
         self.region = region
         self._pauses = {}
+        self._unserved_until = -math.inf
 
     def choose(self, now):
         """Return the `Reader` to ask now, or None for the service."""
@@ -60,7 +71,12 @@
         if near is not None:
             return Reader(near)
         far = self._first_far(now)
-        return None if far is None else Reader(far, is_far=True)
+        if far is not None:
+            return Reader(far, is_far=True, must_read=True)
+        if now < self._unserved_until:
+            other = self._first_behind(now)
+            return None if other is None else Reader(other, must_read=True)
+        return None
 
     def first_near(self, now):
         """Return who reads for this region, or None for this process."""
@@ -72,10 +88,20 @@
         if reader.is_far:
             self._pauses.pop(_REGIONS_KEY, None)
 
-    def blame(self, reader, now):
-        """Leave out a reader for a while."""
+    def note_unserved(self, now):
+        """Note that the service gave this process no answer."""
+        self._unserved_until = now + UNSERVED_S
+
+    def blame(self, reader, now, answered=False):
+        """Leave out a reader for a while.
+
+        Args:
+            reader: the `Reader`.
+            now: present time in seconds.
+            answered: it is within reach, but does not know enough.
+        """
         self._pause(reader.name, now)
-        if reader.is_far:
+        if reader.is_far and not answered:
             # Were its neighbours asked next, all that follow this process
             # would wait for a region out of reach, one time-out after another.
             self._pause(_REGIONS_KEY, now)
@@ -96,6 +122,13 @@
                 return name
         return None
 
+    def _first_behind(self, now):
+        """Return one of this region that may read in place of this one."""
+        for name in rendezvous.rank(self.region, self._members(self.region)):
+            if name != self.name and not self._is_paused(name, now):
+                return name
+        return None
+
     def _members(self, region):
         """Return the names of the entries of a region."""
         homes = self.roster.homes()
--- a/catkinshunt/feed/_regional.py
+++ b/catkinshunt/feed/_regional.py
@@ -52,8 +52,8 @@
         roster: `catalog.Roster` with the homes of the entries.
         name: name of this entry.
         region: its region.
-        make_peer: function of a host, and of whether it stands in another
-            region, that returns its `PeerFeed`.
+        make_peer: function of a host, and of whether the process there must
+            read from the service itself, that returns its `PeerFeed`.
         wall: gives seconds on the clock of the view.
         prefixes: prefixes of all that is followed; those below the last one
             tell which processes there are, and are read directly.
@@ -81,15 +81,15 @@
         """Whether this process reads from the service itself."""
         return self.wall() - self._direct_at < DIRECT_S
 
-    def may_tell(self, is_far):
-        """Return whether others may rely on what this process knows.
+    def may_tell(self, must_read):
+        """Return whether another may rely on what this process knows.
 
-        Those of another region rely on one that reads from the service
-        itself, so that two never follow each other.
+        Args:
+            must_read: only if this process reads from the service itself.
         """
         if self.is_direct:
             return True
-        return not is_far and self.wall() - self._far_at < DIRECT_S
+        return not must_read and self.wall() - self._far_at < DIRECT_S
 
     async def read_prefix(self, prefix):
         """See `base.BaseFeed.read_prefix`."""
@@ -97,13 +97,20 @@
         if prefix != self.prefixes[-1]:
             page = await self._read_at_peer(prefix)
         if page is None:
-            asked_at = self.wall()
-            page = await self.source.read_prefix(prefix)
-            page = attrs.evolve(page, proved_at=asked_at)
-            self._note_direct()
+            page = await self._read_source(prefix)
         self.view.take_read(prefix, page, self.wall())
         return page
 
+    async def _read_source(self, prefix):
+        asked_at = self.wall()
+        try:
+            page = await self.source.read_prefix(prefix)
+        except errors.StoreError:
+            self._note_unserved()
+            raise
+        self._note_direct()
+        return attrs.evolve(page, proved_at=asked_at)
+
     async def watch(self, prefix, after, wait_s):
         """See `base.BaseFeed.watch`."""
         page = await self._watch_at_peer(prefix, after)
@@ -122,8 +129,7 @@
             else:
                 page = await self._watch_source(prefix, after, wait_s)
         except errors.StoreError:
-            # Others ask elsewhere at once.
-            self._direct_at = -math.inf
+            self._note_unserved()
             raise
         self._note_direct()
         self._is_busy = self._has_large(page)
@@ -158,6 +164,11 @@
             proved_at = min(asked_at + wait_s, self.wall())
         return attrs.evolve(page, proved_at=proved_at)
 
+    def _note_unserved(self):
+        # Others ask elsewhere at once.
+        self._direct_at = -math.inf
+        self.readers.note_unserved(self.wall())
+
     def _note_direct(self):
         self._direct_at = self.wall()
 
@@ -195,7 +206,7 @@
         """Return whether it is proved that little can have changed since."""
         now = self.wall()
         if now - page.proved_at >= STALE_S:
-            self._blame(reader, 'what it knows is too old')
+            self._blame(reader, 'what it knows is too old', answered=True)
             return False
         self.readers.praise(reader)
         if reader.is_far:
@@ -211,13 +222,14 @@
 
     def _peer(self, reader):
         host = self.roster.homes()[reader.name].host
-        key = (host, reader.is_far)
+        key = (host, reader.must_read)
         if key not in self._peers:
-            self._peers[key] = self.make_peer(host, reader.is_far)
+            self._peers[key] = self.make_peer(host, reader.must_read)
         return self._peers[key]
 
-    def _blame(self, reader, reason):
-        self.readers.blame(reader, self.wall())
+    def _blame(self, reader, reason, answered=False):
+        answered = answered or isinstance(reason, _peer.NotReadingError)
+        self.readers.blame(reader, self.wall(), answered)
         self._asked = None
         _log.warning(
             'Does not follow the service through {}: {}.', reader.name, reason
--- a/catkinshunt/feed/_server.py
+++ b/catkinshunt/feed/_server.py
@@ -55,31 +55,31 @@
             prefix = query.get('prefix', '')
             wait_s = min(float(query.get('wait_s', 0)), LONGEST_WAIT_S)
             after = int(query.get('after', 0))
-            is_far = bool(int(query.get('far', 0)))
+            must_read = bool(int(query.get('reads', 0)))
         except ValueError:
             _log.warning('Left aside a request for {}.', req.target[:100])
             return http1.Reply(400)
         if url.path == READ_PATH:
-            return await self._read(prefix, wait_s, is_far)
+            return await self._read(prefix, wait_s, must_read)
         if url.path == WATCH_PATH:
-            return await self._watch(prefix, after, wait_s, is_far)
+            return await self._watch(prefix, after, wait_s, must_read)
         return http1.Reply(404)
 
-    async def _read(self, prefix, wait_s, is_far):
+    async def _read(self, prefix, wait_s, must_read):
         view = self.feed.view
         began = self.wall()
         # One that follows another by now will not read it from the service.
         await self._wait(
             lambda: view.has_read(prefix) or view.is_complete, wait_s
         )
-        if not (self.feed.may_tell(is_far) and view.has_read(prefix)):
+        if not (self.feed.may_tell(must_read) and view.has_read(prefix)):
             return http1.Reply(NOT_DIRECT)
         return self._tell(view.below(prefix), began)
 
-    async def _watch(self, prefix, after, wait_s, is_far):
+    async def _watch(self, prefix, after, wait_s, must_read):
         view = self.feed.view
         began = self.wall()
-        if not (self.feed.may_tell(is_far) and view.is_complete):
+        if not (self.feed.may_tell(must_read) and view.is_complete):
             return http1.Reply(NOT_DIRECT)
         if not view.knows_since(after):
             return http1.Reply(GONE)
@@ -90,7 +90,7 @@
             lambda: view.revision > after or view.proved_at > proved_at,
             wait_s,
         )
-        if not self.feed.may_tell(is_far):
+        if not self.feed.may_tell(must_read):
             return http1.Reply(NOT_DIRECT)
         return self._tell(view.changes(prefix, after, self.wall()), began)
 
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -212,13 +212,13 @@
 def make_feed(cfg, client, roster):
     """Return the `feed.RegionalFeed` of an entry with these settings."""
 
-    def make_peer(host, is_far):
+    def make_peer(host, must_read):
         return feed.PeerFeed(
             host,
             _process.feed_port(cfg),
             _clocks.steady,
             _clocks.wall,
-            is_far,
+            must_read,
         )
 
     return feed.RegionalFeed(
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -17,6 +17,8 @@
 REGION = 'attiki'
 #: Seconds within which a proof is to pass two entries of one machine.
 WAY_S = 0.2
+#: Seconds without proof after which an entry trusts no key.
+FRESH_S = 3.0
 TWO_REGIONS = ('attiki', 'thessalia')
 
 
@@ -29,7 +31,7 @@
         self.region = region
         self.home = catalogs.Home(self.host, home_region)
         self.store = Door(region.store)
-        self.catalog = catalogs.Catalog(fresh_s=3.0)
+        self.catalog = catalogs.Catalog(fresh_s=FRESH_S)
         self.roster = catalogs.Roster()
         self.offset_s = 0.0
         self.feed = feed.RegionalFeed(
@@ -50,8 +52,8 @@
     def wall(self):
         return asyncio.get_running_loop().time() + self.offset_s
 
-    def _make_peer(self, host, is_far):
-        return Neighbour(host, self.region.ports, self.wall, is_far)
+    def _make_peer(self, host, must_read):
+        return Neighbour(host, self.region.ports, self.wall, must_read)
 
     async def start(self):
         await self.server.start(self.host, 0)
@@ -78,11 +80,11 @@
 class Neighbour(feed.BaseFeed):
     """Another entry, which refuses connections until it has started."""
 
-    def __init__(self, host, ports, wall, is_far):
+    def __init__(self, host, ports, wall, must_read):
         self.host = host
         self.ports = ports
         self.wall = wall
-        self.is_far = is_far
+        self.must_read = must_read
 
     async def read_prefix(self, prefix):
         return await self._peer().read_prefix(prefix)
@@ -95,7 +97,7 @@
             raise errors.StoreUnavailableError('refused', step='connect')
         port = self.ports[self.host]
         return feed.PeerFeed(
-            self.host, port, self.wall, self.wall, self.is_far
+            self.host, port, self.wall, self.wall, self.must_read
         )
 
 
@@ -105,6 +107,7 @@
     def __init__(self, store):
         self.store = store
         self.is_cut = False
+        self.is_refused = False
         self.calls = []
 
     async def read_prefix(self, prefix):
@@ -119,6 +122,8 @@
 
     async def _pass(self, call):
         self.calls.append(call)
+        if self.is_refused:
+            raise errors.StoreUnavailableError('answered 503', step=call)
         if self.is_cut:
             await asyncio.sleep(60)
 
@@ -294,6 +299,23 @@
     assert max(run(main)) < 2.0
 
 
+def test_one_that_the_store_turns_away_asks_the_others():
+    """The others of its region know all; its callers would be refused."""
+
+    async def main(region):
+        reader = region.reader()
+        reader.store.is_refused = True
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9)
+        ages = []
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            ages.append(reader.catalog.age_s(reader.wall()))
+        return max(ages)
+
+    assert run(main) < FRESH_S
+
+
 def test_what_is_deleted_is_handed_on():
     async def main(region):
         region.store.delete('servers/i-1')
