Take upstreams that seem alike in an order of each entry's own

Cause: among upstreams with the same cost the first of the list was chosen, by all entries. An entry knows its own requests and, for a second, what an engine has told; with 36 entries before 76 engines most engines seem alike, and all entries asked the first ones for a place while the others were idle.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -297,6 +297,12 @@
         'return gone + [',
         'return [',
     ),
+    Mutation(
+        'processes-choose-in-various-orders',
+        'catkinshunt/dispatch/_choice.py',
+        '_score(self.name, found.upstream.id),',
+        '0,',
+    ),
     Mutation(
         'waiting-in-a-circle-ends',
         'catkinshunt/spread/_fetcher.py',
--- a/catkinshunt/dispatch/_choice.py
+++ b/catkinshunt/dispatch/_choice.py
@@ -1,9 +1,12 @@
 """Choice of the upstream that is likely to answer first."""
 
+import functools
+
 import attrs
 
 from catkinshunt import base
 from catkinshunt.dispatch import _state
+from catkinshunt import rendezvous
 
 #: Seconds that an upstream elsewhere must be ahead to get the work. Bytes
 #: between data centres cost more than a short wait.
@@ -26,6 +29,10 @@
 #: Taken too high, an engine that is to load refuses answers that would have
 #: ended before.
 READS_PER_PASS = 0.3
+#: Upstreams whose place in the order of a process is kept.
+KEPT_SCORES = 1 << 14
+
+_score = functools.lru_cache(maxsize=KEPT_SCORES)(rendezvous.score)
 
 
 @attrs.frozen
@@ -120,14 +127,20 @@
 class Chooser(base.ParamsMixin):
     """Orders the upstreams of a service for one request.
 
+    Upstreams that seem alike are taken in an order of this process alone. In
+    one order for all, many processes that each know little of the others'
+    requests would choose the same few upstreams while the rest are idle.
+
     Args:
         data_centre: where this process stands.
         regions: region by data centre.
+        name: name of this process.
     """
 
-    def __init__(self, data_centre, regions):
+    def __init__(self, data_centre, regions, name=''):
         self.data_centre = data_centre
         self.regions = regions
+        self.name = name
 
     def choose(self, upstreams, tracker, engine, job, now, avoid=()):
         """Return the best `Candidate`, or None.
@@ -140,14 +153,18 @@
             now: seconds on the steady clock.
             avoid: keys of upstreams that were tried already.
         """
-        best = None
-        for upstream in upstreams:
-            if upstream.key in avoid:
-                continue
-            found = self._rate(upstream, tracker, engine, job, now)
-            if best is None or found.cost_s < best.cost_s:
-                best = found
-        return best
+        return min(
+            (
+                self._rate(upstream, tracker, engine, job, now)
+                for upstream in upstreams
+                if upstream.key not in avoid
+            ),
+            key=lambda found: (
+                found.cost_s,
+                _score(self.name, found.upstream.id),
+            ),
+            default=None,
+        )
 
     def _rate(self, upstream, tracker, engine, job, now):
         state = tracker.state(upstream)
--- a/catkinshunt/dispatch/tests/test_choice.py
+++ b/catkinshunt/dispatch/tests/test_choice.py
@@ -1,3 +1,4 @@
+import collections
 import random
 
 from catkinshunt import catalog as catalogs
@@ -55,6 +56,20 @@
     assert choose([first, second], tracker).upstream is second
 
 
+def test_processes_that_know_nothing_do_not_choose_the_same_upstream():
+    """Each sees few requests; all would crowd at the first that is listed."""
+    listed = [upstream(f'u{number}') for number in range(30)]
+    job = dispatch.Job(1000, 90)
+    chosen = collections.Counter(
+        dispatch.Chooser('a', REGIONS, f'entry-{number}')
+        .choose(listed, dispatch.Tracker(), ENGINE, job, 0.0)
+        .upstream.id
+        for number in range(60)
+    )
+    assert len(chosen) >= 20
+    assert max(chosen.values()) <= 8
+
+
 def test_work_stays_in_the_data_centre_until_that_costs_time():
     near, far = upstream('u1', 'a'), upstream('u2', 'b')
     tracker = dispatch.Tracker()
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -126,7 +126,7 @@
     return gateway.Context(
         catalog=catalogs.Catalog(fresh_s=bounds.revoke_s * FRESH_SHARE),
         dialect=_dialect.PlatformDialect(),
-        chooser=dispatch.Chooser(cfg.data_centre, cfg.regions),
+        chooser=dispatch.Chooser(cfg.data_centre, cfg.regions, cfg.name),
         clock=_clocks.steady,
         wall=_clocks.wall,
         retry_ratio=bounds.retry_ratio * RETRY_SHARE,
--- a/standins/experiment/_entries.py
+++ b/standins/experiment/_entries.py
@@ -41,7 +41,7 @@
         self.name = name
         self.events = play.events
         self.tracker = dispatch.Tracker()
-        self.chooser = dispatch.Chooser('a', {})
+        self.chooser = dispatch.Chooser('a', {}, name)
         self.returns = dispatch.ReturnDetector()
 
     def come(self, request):
--- a/standins/experiment/tests/test_experiment.py
+++ b/standins/experiment/tests/test_experiment.py
@@ -18,14 +18,17 @@
     return experiment.capacity(drawn, ENGINES)
 
 
-def play(part, seed=1, make_entry=experiment.AskingEntry, **changes):
+def play(
+    part, seed=1, make_entry=experiment.AskingEntry, engines=ENGINES,
+    seconds=SECONDS, **changes,
+):  # fmt: skip
     """Play calm seconds, then `part` times the capacity."""
-    rate = most(seed)
+    rate = most(seed) * engines / ENGINES
     load = experiment.Load(
-        lambda now: rate * (0.5 if now < CALM_S else part), SECONDS
+        lambda now: rate * (0.5 if now < CALM_S else part), seconds
     )
     scenario = experiment.Scenario(
-        load, engines=ENGINES, make_entry=make_entry, seed=seed, **changes
+        load, engines=engines, make_entry=make_entry, seed=seed, **changes
     )
     return experiment.play(scenario)
 
@@ -46,6 +49,16 @@
     assert share >= 0.9 * bound
 
 
+@pytest.mark.parametrize('part', [0.8, 1.2])
+@pytest.mark.parametrize(('entries', 'engines'), [(13, 25), (36, 76)])
+def test_what_is_in_time_does_not_fall_with_size(entries, engines, part):
+    """Many entries, each of which sees few requests, must not crowd."""
+    requests = play(part, 1, engines=engines, seconds=17.0, entries=entries)
+    share = experiment.summarize(requests, WARM_S).in_time
+    bound = experiment.bound_in_time(requests, engines, WARM_S)
+    assert share >= 0.9 * bound
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_asking_for_places_serves_more_in_time_than_sending(seed):
     asked = experiment.summarize(play(1.2, seed), WARM_S)
