Close engines sooner whose link is full of chunks

Change: while a transfer is on its way to the sidecar of an engine, the door counts the engine's version as expired 0.5 s sooner. It costs an engine that cannot have the new version in time half a second of service.

The test failed before its guard; mutant caught. Other ways, left: bounding what many sources send to one member at the same time.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -309,6 +309,12 @@
         'index = min(here, key=lambda index: self._given[index])',
         'index = here[0]',
     ),
+    Mutation(
+        'door-closes-sooner-behind-chunks',
+        'catkinshunt/spread/_agent.py',
+        'expires_in_s -= BUSY_LINK_S',
+        'pass',
+    ),
     Mutation(
         'waiting-in-a-circle-ends',
         'catkinshunt/spread/_fetcher.py',
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -29,6 +29,10 @@
 #: Time of one copy over the time that the link alone would need: heads,
 #: checks and other traffic share it.
 COPY_OVERHEAD = 1.2
+#: Seconds for which a request may wait on its way here behind the chunks of a
+#: transfer. It would begin on a version that is too old by then.
+BUSY_LINK_S = 0.5
+
 _log = logs.get_logger('agent')
 
 
@@ -150,8 +154,10 @@
             self.outlook.expires_at(model, version)
             for model, version in report.versions.items()
         ]
-        expires_at = min(times, default=math.inf)
-        self.door.expire(expires_at - self.outlook.now())
+        expires_in_s = min(times, default=math.inf) - self.outlook.now()
+        if self._is_fetching():
+            expires_in_s -= BUSY_LINK_S
+        self.door.expire(expires_in_s)
 
     async def _move(self, report, wanted):
         """Bring the engine to the next version that it can have."""
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -1,8 +1,10 @@
 import asyncio
 import contextlib
+import math
 
 from catkinshunt import errors
 from catkinshunt import spread
+from catkinshunt.spread import _agent
 from catkinshunt.spread import _loading
 from catkinshunt.spread.tests import fakes
 
@@ -90,6 +92,22 @@
     assert version == 2
 
 
+def test_the_door_closes_sooner_while_chunks_fill_the_link():
+    """A request that waits behind them begins on a version too old."""
+
+    async def main(sidecar):
+        door = sidecar.agent.door
+        sidecar.origin.down = True
+        sidecar.outlook.name(2, due_s=3.0)
+        await sidecar.until(lambda: door.expires_in_s not in (None, math.inf))
+        began = door.expires_in_s
+        await sidecar.until(lambda: door.expires_in_s < began)
+        return door.expires_in_s
+
+    expires_in_s = run(main, engine=fakes.FakeEngine(1))
+    assert expires_in_s <= 3.0 - _agent.BUSY_LINK_S
+
+
 def test_chunks_that_turned_bad_are_put_again_before_the_order():
     """Staged chunks can turn bad after they were checked.
 
