Let requests wait for the first configuration for a moment

Cause: after a loss of power all callers come to entries that start at the same time and know no configuration for 0.6 to 0.9 s.

Change: a request waits up to the second that it may wait for an upstream, or to its own deadline; where nothing is known then, it is refused with 0.8 s to come back. Keys that are too old are refused at once as before, since other entries may know newer ones.

The test failed before (503 at once); mutant caught.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -315,6 +315,12 @@
         'expires_in_s -= BUSY_LINK_S',
         'pass',
     ),
+    Mutation(
+        'first-configuration-is-waited-for',
+        'catkinshunt/gateway/_exchange.py',
+        'await self._wait_for_state(now)',
+        'pass',
+    ),
     Mutation(
         'waiting-in-a-circle-ends',
         'catkinshunt/spread/_fetcher.py',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -66,13 +66,23 @@
         self._changes = changes.Changes()
 
     async def wait_for_change(self):
-        """Return once a version or an upstream has changed."""
+        """Return once a version or an upstream has changed.
+
+        Or once the state has been read for the first time.
+        """
         await self._changes.wait()
 
+    @property
+    def is_known(self):
+        """Whether the state has been read since the start."""
+        return self.declaration is not None and self._confirmed_at is not None
+
     def confirm(self, now):
         """Note that the state was the newest one at `now`."""
-        if self._confirmed_at is None or now > self._confirmed_at:
+        if self._confirmed_at is None:
             self._confirmed_at = now
+            self._changes.announce()
+        self._confirmed_at = max(self._confirmed_at, now)
 
     @property
     def confirmed_at(self):
@@ -102,6 +112,8 @@
             revision=declaration.revision,
             rules=len(declaration.rule_set.rules),
         )
+        if held is None:
+            self._changes.announce()
         return True
 
     def name_version(self, model, version, now, found=False):
--- a/catkinshunt/gateway/_admission.py
+++ b/catkinshunt/gateway/_admission.py
@@ -9,6 +9,8 @@
 #: Seconds after which a caller may try another entry while this one waits
 #: for the platform's store.
 STORE_RETRY_S = 0.3
+#: The same where it has just started, and others are likely to as well.
+STARTING_RETRY_S = 0.8
 #: Seconds after which a caller may come back to another entry while this
 #: one stops.
 STOPPING_RETRY_S = 0.1
@@ -76,7 +78,11 @@
     """
     declaration = catalog.declaration
     if declaration is None:
-        raise StaleError('no configuration is known yet', step='match-rule')
+        raise StaleError(
+            'no configuration is known yet',
+            step='match-rule',
+            retry_after_s=STARTING_RETRY_S,
+        )
     subject = rules.Request(host=ask.host, path=ask.path, method=ask.method)
     rule = declaration.rule_set.match(subject)
     if rule is None:
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -118,6 +118,7 @@
                 step='admit',
                 retry_after_s=_admission.STOPPING_RETRY_S,
             )
+        await self._wait_for_state(now)
         self.decision = _admission.decide(
             self.context.catalog,
             self.ask,
@@ -138,11 +139,33 @@
             self.progress.last_id = int(self.ask.last_event_id)
         self.context.budget(self.decision.service).offer()
         try:
-            async with asyncio.timeout(self.end_at - now):
+            async with asyncio.timeout(self.end_at - self.context.clock()):
                 await self._try_all()
         except TimeoutError as exc:
             raise self._late() from exc
 
+    async def _wait_for_state(self, now):
+        """Wait for a moment where this process has just started.
+
+        After a loss of power all callers come at once, to entries that will
+        know the configuration in less than a second. Refused, they come back
+        to another one that does not know it either, and have no try left.
+        """
+        catalog = self.context.catalog
+        if catalog.is_known:
+            return
+        hold_s = min(HOLD_S, self.ask.deadline_s or HOLD_S)
+        self.progress.hold_until = now + hold_s
+        try:
+            async with asyncio.timeout(hold_s):
+                while not catalog.is_known:
+                    await catalog.wait_for_change()
+        except TimeoutError:
+            # What is missing is told by the decision that follows.
+            return
+        finally:
+            self.progress.waited_s += self.context.clock() - now
+
     def _late(self):
         if not self.progress.sends:
             return errors.OverloadedError(
--- a/catkinshunt/gateway/tests/test_exchange.py
+++ b/catkinshunt/gateway/tests/test_exchange.py
@@ -124,6 +124,23 @@
     assert run(main)[0] == 503
 
 
+def test_a_request_waits_for_the_first_configuration():
+    """After a loss of power all come to entries that know nothing yet."""
+
+    async def main():
+        upstream = scenes.FakeUpstream('u1', scenes.answering())
+        async with scenes.scene(upstream) as scene:
+            catalog = scene.context.catalog
+            known, catalog.declaration = catalog.declaration, None
+            asked = asyncio.ensure_future(scene.ask('/read/1'))
+            await asyncio.sleep(0.1)
+            early = asked.done()
+            catalog.declare(known)
+            return early, (await asked)[0]
+
+    assert run(main) == (False, 200)
+
+
 def test_a_refused_request_goes_to_another_upstream():
     async def main():
         full = scenes.FakeUpstream('u1', scenes.refusing())
