Split asking for chunks from giving them, and manifests from chunks

`spread/_peers.py` held the side that gives and the side that asks, 363 lines; `_client.py` holds the second now. No behaviour changes; tests of spread and platform pass.

--- a/catkinshunt/spread/__init__.py
+++ b/catkinshunt/spread/__init__.py
@@ -2,13 +2,13 @@
 
 from catkinshunt.spread._agent import Agent
 from catkinshunt.spread._agent import Wanted
+from catkinshunt.spread._client import PeerClient
 from catkinshunt.spread._fetcher import Fetcher
 from catkinshunt.spread._holding import Holding
 from catkinshunt.spread._holding import MANIFEST
 from catkinshunt.spread._holding import Shelf
 from catkinshunt.spread._peers import ChunkServer
 from catkinshunt.spread._peers import Pacer
-from catkinshunt.spread._peers import PeerClient
 from catkinshunt.spread._peers import Turns
 from catkinshunt.spread._plan import finish_older_first
 from catkinshunt.spread._plan import Member
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -8,10 +8,9 @@
 from catkinshunt import errors
 from catkinshunt import logs
 from catkinshunt.spread import _health
-from catkinshunt.spread import _holding
+from catkinshunt.spread import _manifests
 from catkinshunt.spread import _plan
 from catkinshunt.spread import _speeds
-from catkinshunt import weights
 
 #: Times that a source without the chunk is asked, each for a second, before
 #: its chunks are taken from the next member.
@@ -410,42 +409,9 @@
 
     async def fetch_manifest(self):
         """Fetch the manifest unless it is here."""
-        try:
-            await self._fetch_manifest()
-        finally:
-            self.origin.release()
-
-    async def _fetch_manifest(self):
-        while self.holding.manifest is None:
-            sources = self.plan.manifest_sources()
-            # Where none is left the best one is asked all the same: whoever
-            # takes it from the origin learns so that it is back. Left out for
-            # BLAME_S, its first chunk came 1.4 to 2.1 s after its return.
-            for source in self._health.usable(sources) or sources[:1]:
-                if await self._manifest_from(source):
-                    return
-            await asyncio.sleep(RETRY_S)
-
-    async def _manifest_from(self, source):
-        model, version = self.holding.model, self.holding.version
-        try:
-            if source == _plan.ORIGIN:
-                found = await self.origin.manifest(model, version)
-            else:
-                raw = await self.peers.manifest(source, model, version)
-                found = weights.Manifest.loads(raw)
-            self.holding.describe(
-                _holding.check_manifest(found, model, version)
-            )
-        except errors.SourceUnableError as exc:
-            self._health.blame(source, exc)
-            return False
-        except errors.SourceBusyError:
-            return False
-        except errors.TransferError as exc:
-            self._health.blame(source, exc)
-            return False
-        return True
+        await _manifests.fetch(
+            self.holding, self.plan, self.peers, self.origin, self._health
+        )
 
     def _check_manifest(self):
         """Drop the manifest where all sources differ from it.
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -1,12 +1,10 @@
-"""Chunks between sidecars, over HTTP."""
+"""Gives chunks to other sidecars, over HTTP."""
 
 import asyncio
 import heapq
 
-from catkinshunt import errors
 from catkinshunt import http1
 from catkinshunt import logs
-from catkinshunt.spread import _holding
 from catkinshunt.spread import _waits
 from catkinshunt.spread import base
 
@@ -15,9 +13,6 @@
 #: Bytes that are written at once; at 3.65 Mbit/s they take 9 ms, so that an
 #: event of a stream on the same link waits no longer than that.
 SLICE_BYTES = 4096
-#: Seconds within which a connection must be made. The first packets wait
-#: behind all else on a link between regions, over 0.6 s after a cold start.
-CONNECT_S = 1.5
 #: Pause between looks whether a version has become known, in seconds.
 LOOK_S = 0.05
 #: Share of the link that chunks may take; the rest is for live answers. Many
@@ -237,18 +232,6 @@
     return holding.awaits(indices) or holding.find_any(indices) is not None
 
 
-def _read_chains(head, peer):
-    """Return the chains that a reply tells; none where they are unreadable."""
-    text = head.headers.get(CHAINS)
-    if not text:
-        return {}
-    try:
-        return _waits.load_chains(text)
-    except ValueError as exc:
-        _log.warning('Left aside what {} waits for: {}.', peer, exc)
-        return {}
-
-
 def _read_path(path):
     """Return (model, version, indices) of a request, or None."""
     words = path.strip('/').split('/')
@@ -259,105 +242,3 @@
         return words[1], int(words[2]), indices[:MOST_NAMED]
     except ValueError:
         return None
-
-
-class PeerClient:
-    """Asks other sidecars for chunks.
-
-    Args:
-        port: port of all sidecars.
-        clock: gives seconds on the steady clock.
-        timeout_s: seconds after which a request is given up.
-        name: of the member that asks.
-    """
-
-    def __init__(self, port, clock, timeout_s=3.0, name=''):
-        self.name = name
-        self.port = port
-        self.clock = clock
-        self.timeout_s = timeout_s
-        self._pools = {}
-        self._shares = {}
-
-    def share(self, peer, model, version):
-        """Return the share of a version that a peer had, or None.
-
-        As its last reply told it.
-        """
-        return self._shares.get((peer, model, version))
-
-    async def chunk(self, peer, model, version, indices, relays=False):
-        """Return (index, bytes) of one of these chunks, unchecked.
-
-        Args:
-            peer: address of the sidecar.
-            model: name of the model.
-            version: its version.
-            indices: chunks, any of which will do.
-            relays: whether others wait for this member to pass them on.
-
-        Raises:
-            errors.SourceUnableError: the peer will not have it soon.
-            errors.SourceBusyError: the peer does not have it yet.
-            errors.TransferError: the peer gave no answer.
-        """
-        items = [(RELAY, '1')] if relays else []
-        if self.name:
-            items.append((ASKER, self.name))
-        return await self._fetch(peer, model, version, indices, items)
-
-    async def spare_chunk(self, peer, model, version, indices):
-        """Return (index, bytes) of one of these if the peer is idle.
-
-        Raises:
-            errors.SourceBusyError: it has none, or gives to others.
-            errors.TransferError: the peer gave no answer.
-        """
-        items = [(SPARE, '1')]
-        return await self._fetch(peer, model, version, indices, items)
-
-    async def _fetch(self, peer, model, version, indices, items):
-        pool = self._pools.get(peer)
-        if pool is None:
-            pool = http1.Pool(peer, self.port, self.clock, connect_s=CONNECT_S)
-            self._pools[peer] = pool
-        names = ','.join(map(str, indices[:MOST_NAMED]))
-        target = f'/chunks/{model}/{version}/{names}'
-        try:
-            head, body = await http1.exchange(
-                pool,
-                'GET',
-                target,
-                items,
-                timeout_s=self.timeout_s,
-            )
-        except errors.RequestError as exc:
-            raise errors.TransferError(
-                exc.message, step='fetch chunk', peer=peer
-            ) from exc
-        if head.headers.get(UNABLE):
-            raise errors.SourceUnableError(
-                'will not have it soon', step='fetch chunk', peer=peer
-            )
-        if head.status != 200:
-            raise errors.SourceBusyError(
-                'not there yet',
-                step='fetch chunk',
-                peer=peer,
-                chains=_read_chains(head, peer),
-            )
-        share = head.headers.get(SHARE, '')
-        if share.isdigit():
-            self._shares[(peer, model, version)] = int(share) / 1000
-        index = head.headers.get(INDEX, '')
-        if not index.removeprefix('-').isdigit() or int(index) not in indices:
-            raise errors.TransferError(
-                f'sent chunk {index!r}', step='fetch chunk', peer=peer
-            )
-        return int(index), body
-
-    async def manifest(self, peer, model, version):
-        """Return the bytes of the manifest."""
-        indices = [_holding.MANIFEST]
-        _, body = await self.chunk(peer, model, version, indices)
-        return body
