Check the version of an engine again once a place is granted

Cause: an entry leaves out engines 0.75 s before their version is due, but a request that was queued for a place by then got it up to 0.44 s later and was sent all the same.

Change: after the wait the engine is judged as at the choice; the place goes back and the request looks for another.

The test: nothing is sent, the refusal is 429; mutant caught.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -321,6 +321,12 @@
         'await self._wait_for_state(now)',
         'pass',
     ),
+    Mutation(
+        'version-is-checked-after-the-wait',
+        'catkinshunt/gateway/_exchange.py',
+        'self._check_version(found)',
+        'pass',
+    ),
     Mutation(
         'waiting-in-a-circle-ends',
         'catkinshunt/spread/_fetcher.py',
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -204,7 +204,9 @@
             return candidate
         began = self.context.clock()
         try:
-            return await finder.find(candidate)
+            found = await finder.find(candidate)
+            self._check_version(found)
+            return found
         except places.NoPlaceError:
             if not self.progress.head_sent:
                 raise
@@ -213,6 +215,20 @@
         finally:
             self.progress.waited_s += self.context.clock() - began
 
+    def _check_version(self, candidate):
+        """Refuse an engine whose time ran out while a place was waited for.
+
+        Raises:
+            places.ReloadingError: no request may begin there any more.
+        """
+        if not self.selection.is_outdated(candidate.upstream, 0.0):
+            return
+        self.progress.reloading.add(candidate.upstream.key)
+        raise places.ReloadingError(
+            f'{candidate.upstream.id}: its version is too old by now',
+            step='take-place',
+        )
+
     def _judge(self, exc):
         """Raise what the request ends with unless it may be tried again."""
         progress = self.progress
--- a/catkinshunt/gateway/tests/test_places.py
+++ b/catkinshunt/gateway/tests/test_places.py
@@ -19,6 +19,7 @@
         self.answers = list(answers)
         self.asks = []
         self.held = 0
+        self.make_asking = FakeAsking
 
     def may_ask(self, host):
         return True
@@ -27,7 +28,7 @@
         ask = make_ask(len(self.asks))
         self.asks.append(ask)
         answer = self.answers.pop(0) if self.answers else places.Granted
-        return FakeAsking(self, ask, answer)
+        return self.make_asking(self, ask, answer)
 
 
 class FakeAsking:
@@ -119,6 +120,32 @@
     assert not old.heads
 
 
+def test_nothing_is_sent_to_an_engine_whose_time_ran_out_meanwhile():
+    """A request that waited for its place would begin on the old version."""
+    old = engine('a', scenes.streaming(3), version=1)
+    door = FakeDoor(places.Queued)
+
+    async def main():
+        async with scenes.scene(old) as scene:
+            context = scene.context
+            context.places = door
+            context.version_grace_s = 8.0
+
+            class Waiting(FakeAsking):
+                async def last_reply(self):
+                    now = context.wall()
+                    context.catalog.name_version(scenes.MODEL, 2, now - 9.0)
+                    return await super().last_reply()
+
+            door.make_asking = Waiting
+            return await scene.ask('/chat/1', 'POST', b'hello', **CHAT)
+
+    status, _, _ = asyncio.run(main())
+    assert status == 429
+    assert not old.heads
+    assert door.held == 0
+
+
 def test_where_no_engine_has_room_nothing_is_sent():
     """Past capacity each engine is full of requests of all entries.
 
