--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -22,7 +22,7 @@
     "raise errors.SourceUnableError('not fetched', peer=peer)",
     "raise errors.SourceBusyError('not fetched', peer=peer)",
 )
-#: No test shows this one by itself any more.
+#: A chunk stays with a fallback that lacks it.
 FALLBACKS = mutations.Mutation(
     'fallbacks-are-asked-once',
     'catkinshunt/spread/_fetcher.py',
@@ -34,6 +34,9 @@
     'narrow-links-give-nothing',
     'owners-pass-on-less',
     'idle-sources-relieve',
+    'first-source-keeps-its-chunks',
+    'waiting-in-a-circle-ends',
+    'various-chunks-go-out-first',
 )
 
 
--- a/benchmarks/spread_cases.py
+++ b/benchmarks/spread_cases.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import random
 
 import attrs
 import loguru
@@ -15,9 +16,12 @@
 from catkinshunt.spread.tests import test_swarm
 
 LARGE = test_swarm.THREE_PLACES
+HUNDRED = test_swarm.FIVE_PLACES
 SMALL = swarm.Scale({'a': 2, 'b': 2, 'c': 2}, origin_mbps=7.3)
 #: Times of one copy after which a case ends, whole or not.
 MOST_TIMES = 6.0
+#: Decides which members one does not know.
+SEED = 1
 
 
 @attrs.frozen
@@ -31,6 +35,7 @@
         answering: they live until then, and are not dead.
         narrow: share of their links that is left to them.
         origin_away: pair of begin and length in seconds, or None.
+        missed: other members that each one does not know.
     """
 
     scale: swarm.Scale
@@ -39,6 +44,7 @@
     answering: bool = False
     narrow: float = 1.0
     origin_away: tuple | None = None
+    missed: int = 0
 
 
 CASES = {
@@ -53,6 +59,9 @@
     ),
     '3 of 31 narrow': Case(LARGE, (4, 14, 24), narrow=0.25),
     'origin away': Case(LARGE, origin_away=(2.5, 6.0)),
+    '76, none': Case(HUNDRED),
+    '76, origin away': Case(HUNDRED, origin_away=(2.5, 6.0)),
+    '76, lists differ': Case(HUNDRED, missed=1),
     '6, none': Case(SMALL),
     '6, 2 dead': Case(SMALL, (0, 3), away_s=0.8),
     '6, 1 narrow': Case(SMALL, (0,), narrow=0.25),
@@ -65,6 +74,11 @@
     async def day():
         fault = test_swarm.Fault(case.scale, case.members)
         fault.narrow(case.narrow)
+        rng = random.Random(SEED)
+        names = [member.name for member in fault.swarm.members]
+        fault.swarm.missed = {
+            name: rng.sample(names, case.missed) for name in names
+        }
         origin = asyncio.ensure_future(_take_origin(fault.swarm, case))
         await fault.name(case.away_s, case.answering)
         await fault.swarm.wait(MOST_TIMES * case.scale.copy_s)
