--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -279,7 +279,8 @@
     run(main)
 
 
-def test_all_go_on_when_the_entry_that_reads_is_cut_off(monkeypatch):
+@pytest.mark.parametrize('regions', [(REGION,), TWO_REGIONS])
+def test_all_go_on_when_the_entry_that_reads_is_cut_off(monkeypatch, regions):
     """The entry that reads for the others loses its way to the store.
 
     It goes on answering with what it knew. The others notice that it has no
@@ -296,7 +297,7 @@
         await region.until(lambda entry: entry.revision == 9, others)
         return [e.catalog.age_s(e.wall()) for e in others]
 
-    assert max(run(main)) < 2.0
+    assert max(run(main, regions)) < 2.0
 
 
 def test_one_that_the_store_turns_away_asks_the_others():
@@ -470,23 +471,6 @@
     run(main, TWO_REGIONS)
 
 
-def test_a_region_goes_on_when_the_one_that_reads_for_all_is_cut_off(
-    monkeypatch,
-):
-    """It goes on answering with what it knew, without proof."""
-    monkeypatch.setattr(_regional, 'PEER_WAIT_S', 0.1)
-    monkeypatch.setattr(_regional, 'STALE_S', 0.4)
-
-    async def main(region):
-        reader, others = region.reader(), region.followers()
-        reader.store.is_cut = True
-        region.store.put('op/config', documents.configuration(version=9))
-        await region.until(lambda entry: entry.revision == 9, others)
-        return [e.catalog.age_s(e.wall()) for e in others]
-
-    assert max(run(main, TWO_REGIONS)) < 2.0
-
-
 def test_a_neighbour_that_talks_nonsense_is_not_followed():
     async def main():
         peer = feed.PeerFeed('127.0.0.1', 0, lambda: 0.0, lambda: 0.0)
