--- a/catkinshunt/feed/tests/test_messages.py
+++ b/catkinshunt/feed/tests/test_messages.py
@@ -11,14 +11,14 @@
 
 
 def tell(value):
-    page = feed.Page((feed.Item('op/config', value, 9),), 9)
+    page = feed.Page((feed.Item('rules/all', value, 9),), 9)
     return _messages.dump(feed.Told(page, 0.5, 0.1))
 
 
 @pytest.mark.parametrize('value', [b'', b'{}', b'\0' * 5000, LARGE, None])
 def test_a_page_is_read_as_it_was_told(value):
     (item,) = feed.load(tell(value), 'peer').page.items
-    assert item == feed.Item('op/config', value, 9)
+    assert item == feed.Item('rules/all', value, 9)
 
 
 def test_a_large_configuration_does_not_fill_the_link_of_who_tells_it():
--- /dev/null
+++ b/catkinshunt/platform/tests/regions.py
@@ -0,0 +1,183 @@
+"""Entries of one or several regions that follow one store, on loopback."""
+
+import asyncio
+import contextlib
+import random
+
+from catkinshunt import catalog as catalogs
+from catkinshunt import errors
+from catkinshunt import feed
+from catkinshunt import platform
+from catkinshunt.platform import _documents
+from catkinshunt.platform.tests import fakes
+from catkinshunt.platform.tests import test_documents as documents
+
+
+REGION = 'attiki'
+#: Seconds within which a proof is to pass two entries of one machine.
+WAY_S = 0.2
+#: Seconds without proof after which an entry trusts no key.
+FRESH_S = 3.0
+TWO_REGIONS = ('attiki', 'thessalia')
+
+
+class Entry:
+    """One entry of a region on an address of its own."""
+
+    def __init__(self, region, number, home_region=REGION):
+        self.name = f'edge-{number}'
+        self.host = f'127.0.0.{number}'
+        self.region = region
+        self.home = catalogs.Home(self.host, home_region)
+        self.store = Door(region.store)
+        self.catalog = catalogs.Catalog(fresh_s=FRESH_S)
+        self.roster = catalogs.Roster()
+        self.offset_s = 0.0
+        self.feed = feed.RegionalFeed(
+            self.store,
+            self.roster,
+            self.name,
+            home_region,
+            self._make_peer,
+            self.wall,
+            _documents.FOLLOWED_PREFIXES,
+        )
+        self.server = feed.FeedServer(self.feed, self.wall, self.wall)
+        self.mirror = platform.Mirror(
+            self.feed, self.catalog, self.roster, self.wall, random.Random(1)
+        )
+        self.task = None
+
+    def wall(self):
+        return asyncio.get_running_loop().time() + self.offset_s
+
+    def _make_peer(self, host, must_read):
+        return Neighbour(host, self.region.ports, self.wall, must_read)
+
+    async def start(self):
+        await self.server.start(self.host, 0)
+        self.region.ports[self.host] = self.server.port
+        self.task = asyncio.ensure_future(self.mirror.run())
+
+    async def kill(self):
+        self.task.cancel()
+        self.server.close()
+        for task in list(self.server._listener.tasks):
+            task.cancel()
+
+    @property
+    def reads(self):
+        """Whether this entry reads from the store itself."""
+        return self.feed.readers.choose(self.wall()) is None
+
+    @property
+    def revision(self):
+        declaration = self.catalog.declaration
+        return declaration.revision if declaration else None
+
+
+class Neighbour(feed.BaseFeed):
+    """Another entry, which refuses connections until it has started."""
+
+    def __init__(self, host, ports, wall, must_read):
+        self.host = host
+        self.ports = ports
+        self.wall = wall
+        self.must_read = must_read
+
+    async def read_prefix(self, prefix):
+        return await self._peer().read_prefix(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        return await self._peer().watch(prefix, after, wait_s)
+
+    def _peer(self):
+        if self.host not in self.ports:
+            raise errors.StoreUnavailableError('refused', step='connect')
+        port = self.ports[self.host]
+        return feed.PeerFeed(
+            self.host, port, self.wall, self.wall, self.must_read
+        )
+
+
+class Door(feed.BaseFeed):
+    """The way of one entry to the store, which can fall silent."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+        self.is_refused = False
+        self.calls = []
+
+    async def read_prefix(self, prefix):
+        await self._pass('read ' + prefix)
+        return await self.store.read_prefix(prefix)
+
+    async def watch(self, prefix, after, wait_s):
+        await self._pass('watch')
+        page = await self.store.watch(prefix, after, wait_s)
+        await self._pass('answer')
+        return page
+
+    async def _pass(self, call):
+        self.calls.append(call)
+        if self.is_refused:
+            raise errors.StoreUnavailableError('answered 503', step=call)
+        if self.is_cut:
+            await asyncio.sleep(60)
+
+
+class Region:
+    """Entries of one region, or of several, that follow one store."""
+
+    def __init__(self, count=3, regions=(REGION,)):
+        self.store = fakes.FakeStore()
+        self.ports = {}
+        self.store.put('op/config', documents.configuration())
+        self.store.put('servers/i-1', documents.UPSTREAM)
+        homes = [region for region in regions for _ in range(count)]
+        self.entries = [
+            Entry(self, number, home) for number, home in enumerate(homes, 1)
+        ]
+        for entry in self.entries:
+            self.list(entry)
+
+    def list(self, entry):
+        key = _documents.ENTRY_PREFIX + entry.name
+        self.store.put(key, _documents.dump_home(entry.home))
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        for entry in self.entries:
+            await entry.start()
+        try:
+            await self.until(lambda entry: entry.revision == 7)
+            await fakes.until(lambda: self.reader() is not None)
+            await fakes.until(
+                lambda: len(self.followers()) == len(self.entries) - 1
+            )
+            yield self
+        finally:
+            for entry in self.entries:
+                await entry.kill()
+
+    async def until(self, condition, entries=None):
+        entries = self.entries if entries is None else entries
+        await fakes.until(lambda: all(map(condition, entries)))
+
+    def reader(self):
+        """Return the entry that reads from the store for the others."""
+        found = [e for e in self.entries if e.reads]
+        return found[0] if len(found) == 1 else None
+
+    def followers(self):
+        reader = self.reader()
+        return [e for e in self.entries if e is not reader]
+
+
+def run(main, regions=(REGION,)):
+    async def inside():
+        async with Region(regions=regions).running() as region:
+            return await main(region)
+
+    return asyncio.run(inside())
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -1,188 +1,15 @@
 import asyncio
-import contextlib
-import random
 
-from catkinshunt import catalog as catalogs
 from catkinshunt import errors
 from catkinshunt import feed
 from catkinshunt.feed import _regional
-from catkinshunt import platform
-from catkinshunt.platform import _documents
 from catkinshunt.platform.tests import fakes
+from catkinshunt.platform.tests import regions
 from catkinshunt.platform.tests import test_documents as documents
 from catkinshunt import rendezvous
 
 import pytest
 
-REGION = 'attiki'
-#: Seconds within which a proof is to pass two entries of one machine.
-WAY_S = 0.2
-#: Seconds without proof after which an entry trusts no key.
-FRESH_S = 3.0
-TWO_REGIONS = ('attiki', 'thessalia')
-
-
-class Entry:
-    """One entry of a region on an address of its own."""
-
-    def __init__(self, region, number, home_region=REGION):
-        self.name = f'edge-{number}'
-        self.host = f'127.0.0.{number}'
-        self.region = region
-        self.home = catalogs.Home(self.host, home_region)
-        self.store = Door(region.store)
-        self.catalog = catalogs.Catalog(fresh_s=FRESH_S)
-        self.roster = catalogs.Roster()
-        self.offset_s = 0.0
-        self.feed = feed.RegionalFeed(
-            self.store,
-            self.roster,
-            self.name,
-            home_region,
-            self._make_peer,
-            self.wall,
-            _documents.FOLLOWED_PREFIXES,
-        )
-        self.server = feed.FeedServer(self.feed, self.wall, self.wall)
-        self.mirror = platform.Mirror(
-            self.feed, self.catalog, self.roster, self.wall, random.Random(1)
-        )
-        self.task = None
-
-    def wall(self):
-        return asyncio.get_running_loop().time() + self.offset_s
-
-    def _make_peer(self, host, must_read):
-        return Neighbour(host, self.region.ports, self.wall, must_read)
-
-    async def start(self):
-        await self.server.start(self.host, 0)
-        self.region.ports[self.host] = self.server.port
-        self.task = asyncio.ensure_future(self.mirror.run())
-
-    async def kill(self):
-        self.task.cancel()
-        self.server.close()
-        for task in list(self.server._listener.tasks):
-            task.cancel()
-
-    @property
-    def reads(self):
-        """Whether this entry reads from the store itself."""
-        return self.feed.readers.choose(self.wall()) is None
-
-    @property
-    def revision(self):
-        declaration = self.catalog.declaration
-        return declaration.revision if declaration else None
-
-
-class Neighbour(feed.BaseFeed):
-    """Another entry, which refuses connections until it has started."""
-
-    def __init__(self, host, ports, wall, must_read):
-        self.host = host
-        self.ports = ports
-        self.wall = wall
-        self.must_read = must_read
-
-    async def read_prefix(self, prefix):
-        return await self._peer().read_prefix(prefix)
-
-    async def watch(self, prefix, after, wait_s):
-        return await self._peer().watch(prefix, after, wait_s)
-
-    def _peer(self):
-        if self.host not in self.ports:
-            raise errors.StoreUnavailableError('refused', step='connect')
-        port = self.ports[self.host]
-        return feed.PeerFeed(
-            self.host, port, self.wall, self.wall, self.must_read
-        )
-
-
-class Door(feed.BaseFeed):
-    """The way of one entry to the store, which can fall silent."""
-
-    def __init__(self, store):
-        self.store = store
-        self.is_cut = False
-        self.is_refused = False
-        self.calls = []
-
-    async def read_prefix(self, prefix):
-        await self._pass('read ' + prefix)
-        return await self.store.read_prefix(prefix)
-
-    async def watch(self, prefix, after, wait_s):
-        await self._pass('watch')
-        page = await self.store.watch(prefix, after, wait_s)
-        await self._pass('answer')
-        return page
-
-    async def _pass(self, call):
-        self.calls.append(call)
-        if self.is_refused:
-            raise errors.StoreUnavailableError('answered 503', step=call)
-        if self.is_cut:
-            await asyncio.sleep(60)
-
-
-class Region:
-    """Entries of one region, or of several, that follow one store."""
-
-    def __init__(self, count=3, regions=(REGION,)):
-        self.store = fakes.FakeStore()
-        self.ports = {}
-        self.store.put('op/config', documents.configuration())
-        self.store.put('servers/i-1', documents.UPSTREAM)
-        homes = [region for region in regions for _ in range(count)]
-        self.entries = [
-            Entry(self, number, home) for number, home in enumerate(homes, 1)
-        ]
-        for entry in self.entries:
-            self.list(entry)
-
-    def list(self, entry):
-        key = _documents.ENTRY_PREFIX + entry.name
-        self.store.put(key, _documents.dump_home(entry.home))
-
-    @contextlib.asynccontextmanager
-    async def running(self):
-        for entry in self.entries:
-            await entry.start()
-        try:
-            await self.until(lambda entry: entry.revision == 7)
-            await fakes.until(lambda: self.reader() is not None)
-            await fakes.until(
-                lambda: len(self.followers()) == len(self.entries) - 1
-            )
-            yield self
-        finally:
-            for entry in self.entries:
-                await entry.kill()
-
-    async def until(self, condition, entries=None):
-        entries = self.entries if entries is None else entries
-        await fakes.until(lambda: all(map(condition, entries)))
-
-    def reader(self):
-        """Return the entry that reads from the store for the others."""
-        found = [e for e in self.entries if e.reads]
-        return found[0] if len(found) == 1 else None
-
-    def followers(self):
-        reader = self.reader()
-        return [e for e in self.entries if e is not reader]
-
-
-def run(main, regions=(REGION,)):
-    async def inside():
-        async with Region(regions=regions).running() as region:
-            return await main(region)
-
-    return asyncio.run(inside())
-
 
 def test_entries_of_one_region_read_a_configuration_once():
     """A configuration of 1,600 routes is read by every entry.
@@ -198,7 +25,7 @@
         await region.until(lambda entry: entry.revision == 9)
         return region.store.sent.count('op/config')
 
-    assert run(main) == 1
+    assert regions.run(main) == 1
 
 
 def test_entries_that_start_together_read_a_configuration_once():
@@ -210,9 +37,9 @@
     """
 
     async def main():
-        region = Region()
+        region = regions.Region()
         names = [entry.name for entry in region.entries]
-        first = rendezvous.rank(REGION, names)[0]
+        first = rendezvous.rank(regions.REGION, names)[0]
         region.entries.sort(key=lambda entry: entry.name == first)
         for entry in region.entries:
             await entry.start()
@@ -243,7 +70,7 @@
         await region.until(lambda entry: entry.revision == 19)
         return region.store.sent.count('op/config')
 
-    assert run(main) <= 3
+    assert regions.run(main) <= 3
 
 
 def test_what_is_deleted_in_a_storm_is_handed_on():
@@ -261,7 +88,7 @@
         region.store.put('servers/i-1', documents.UPSTREAM)
         await region.until(lambda e: e.catalog.find('i-1') is not None)
 
-    run(main)
+    regions.run(main)
 
 
 def test_all_go_on_when_the_entry_that_reads_dies():
@@ -276,11 +103,11 @@
         region.store.put('op/config', documents.configuration(version=9))
         await region.until(lambda entry: entry.revision == 9, others)
 
-    run(main)
+    regions.run(main)
 
 
-@pytest.mark.parametrize('regions', [(REGION,), TWO_REGIONS])
-def test_all_go_on_when_the_entry_that_reads_is_cut_off(monkeypatch, regions):
+@pytest.mark.parametrize('several', [(regions.REGION,), regions.TWO_REGIONS])
+def test_all_go_on_when_the_entry_that_reads_is_cut_off(monkeypatch, several):
     """The entry that reads for the others loses its way to the store.
 
     It goes on answering with what it knew. The others notice that it has no
@@ -297,7 +124,7 @@
         await region.until(lambda entry: entry.revision == 9, others)
         return [e.catalog.age_s(e.wall()) for e in others]
 
-    assert max(run(main, regions)) < 2.0
+    assert max(regions.run(main, several)) < 2.0
 
 
 def test_one_that_the_store_turns_away_asks_the_others():
@@ -314,7 +141,7 @@
             ages.append(reader.catalog.age_s(reader.wall()))
         return max(ages)
 
-    assert run(main) < FRESH_S
+    assert regions.run(main) < regions.FRESH_S
 
 
 def test_what_is_deleted_is_handed_on():
@@ -324,7 +151,7 @@
         region.store.put('servers/i-1', documents.UPSTREAM)
         await region.until(lambda e: e.catalog.find('i-1') is not None)
 
-    run(main)
+    regions.run(main)
 
 
 def test_one_that_has_just_started_is_passed_over():
@@ -341,7 +168,7 @@
         await reader.kill()
         region.store.delete('servers/i-1')
         number = region.entries.index(reader)
-        again = Entry(region, int(reader.name[-1]))
+        again = regions.Entry(region, int(reader.name[-1]))
         region.entries[number] = again
         await again.start()
         await fakes.until(lambda: again.revision == 7)
@@ -349,7 +176,7 @@
             entry.task = asyncio.ensure_future(entry.mirror.run())
         await region.until(lambda e: e.catalog.find('i-1') is None, others)
 
-    run(main)
+    regions.run(main)
 
 
 def test_an_answer_of_a_neighbour_that_lies_unread_proves_nothing():
@@ -374,7 +201,7 @@
         )
         return ages[0]
 
-    assert run(main) > 25
+    assert regions.run(main) > 25
 
 
 def test_a_version_is_as_old_as_the_reader_knows_it(monkeypatch):
@@ -400,7 +227,7 @@
             for entry in (reader, slow)
         ]
 
-    known, heard = run(main)
+    known, heard = regions.run(main)
     assert heard <= known + 0.1
 
 
@@ -416,7 +243,7 @@
         await region.until(lambda entry: entry.revision == 9)
         return region.store.sent.count('op/config')
 
-    assert run(main, TWO_REGIONS) == 1
+    assert regions.run(main, regions.TWO_REGIONS) == 1
 
 
 def test_one_entry_of_a_region_asks_another_region():
@@ -432,7 +259,7 @@
         ]
         return len(asking)
 
-    assert run(main, TWO_REGIONS) == 1
+    assert regions.run(main, regions.TWO_REGIONS) == 1
 
 
 def test_proofs_reach_all_regions_before_they_are_too_old():
@@ -451,8 +278,8 @@
         calls = [call for entry in others for call in entry.store.calls]
         return max(read_s), max(followed_s), calls
 
-    read_s, followed_s, calls = run(main, TWO_REGIONS)
-    assert followed_s < min(read_s + WAY_S, _regional.STALE_S)
+    read_s, followed_s, calls = regions.run(main, regions.TWO_REGIONS)
+    assert followed_s < min(read_s + regions.WAY_S, _regional.STALE_S)
     assert calls == []
 
 
@@ -468,7 +295,7 @@
         others = [e for e in region.entries if e not in lost]
         await region.until(lambda entry: entry.revision == 9, others)
 
-    run(main, TWO_REGIONS)
+    regions.run(main, regions.TWO_REGIONS)
 
 
 def test_a_neighbour_that_talks_nonsense_is_not_followed():
