List as red that silent engines are preferred to ones that let wait

A request reached an engine 1.27 s after its caller's deadline, with three others, while 12 in 100 links of sidecars were narrowed to 0.91 Mbit/s.

--- a/catkinshunt/gateway/tests/test_places.py
+++ b/catkinshunt/gateway/tests/test_places.py
@@ -19,6 +19,7 @@
         self.answers = list(answers)
         self.asks = []
         self.held = 0
+        self.granted = 0
         self.make_asking = FakeAsking
 
     def may_ask(self, host):
@@ -41,6 +42,7 @@
     async def first_reply(self):
         if self.answer is places.Granted:
             self.door.held += 1
+            self.door.granted += 1
             self.reply = places.Granted(self.ask.number, 1)
         elif self.answer is places.Queued:
             self.reply = places.Queued(self.ask.number)
@@ -219,6 +221,17 @@
     assert status == 200
 
 
+def test_a_silent_engine_is_not_preferred_to_one_that_lets_wait():
+    """Behind a narrow link a request comes after its caller has left."""
+    first, second = (engine(name, scenes.streaming(3)) for name in 'ab')
+    door = FakeDoor(places.Queued, None)
+    status, _, _ = play(door, first, second)
+    heads = sorted(len(each.heads) for each in (first, second))
+    assert (status, heads) == (200, [0, 1])
+    assert door.held == 0
+    assert door.granted == 1
+
+
 def test_what_is_refused_elsewhere_does_not_flood_an_uncounted_engine():
     """The sidecar of one engine is dead, and all others are full.
 
