Let a server stop though its loop is woken at the same moment

Cause: `stop` hands the loop what closes all sockets and then wakes it. A task that ends at that moment wakes it too; the loop closes its trigger, and the write that follows meets a closed descriptor, or one that another socket has got meanwhile.

Change: what closes waits until the loop has been woken from here. Only the older programs use this server; the platform's do not.

--- a/catkinshunt/httpio/_server.py
+++ b/catkinshunt/httpio/_server.py
@@ -15,6 +15,8 @@
 #: Above any buffered amount: waitress would spill to a file, and instances
 #: have no disks.
 NEVER_OVERFLOW = 1 << 40
+#: Seconds for which the loop waits until it has been woken.
+_PULL_S = 1.0
 _JOIN_PERIOD_S = 0.02
 
 
@@ -107,7 +109,18 @@
         server.task_dispatcher.shutdown(cancel_pending=True, timeout=1)
         # The loop thread owns the sockets; closing them from here would
         # leave it polling until its time-out.
-        server.trigger.pull_trigger(lambda: _close(server))
+        pulled = threading.Event()
+
+        def close():
+            # A task that ends can wake the loop before the trigger is pulled
+            # here, which would then write to a closed descriptor.
+            pulled.wait(_PULL_S)
+            _close(server)
+
+        try:
+            server.trigger.pull_trigger(close)
+        finally:
+            pulled.set()
         self._thread.join(timeout=2)
 
 
