Name the revision in force in the line of a refused request

The line of a refused request had the age and no revision, since there is no decision to take it from.

Nothing is decided otherwise. The test fails without the change: 'revision' is None for a request that no rule matches.

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -464,7 +464,7 @@
             service=service,
             rule=decision.rule if decision else None,
             account=decision.account if decision else None,
-            revision=decision.revision if decision else None,
+            revision=self._revision(),
             age_s=_rounded(age_s),
             before_s=_rounded(self.progress.before_s),
             waited_s=_rounded(self.progress.waited_s),
@@ -475,6 +475,13 @@
             took_s=_rounded(now - self.req.received_at),
         )
 
+    def _revision(self):
+        """Return the revision that decided, also on a refused request."""
+        if self.decision is not None:
+            return self.decision.revision
+        declaration = self.context.catalog.declaration
+        return declaration.revision if declaration else None
+
 
 def _rounded(seconds):
     return None if seconds is None else round(seconds, 4)
--- a/catkinshunt/gateway/tests/test_exchange.py
+++ b/catkinshunt/gateway/tests/test_exchange.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import loguru
 import pytest
 
 from catkinshunt.gateway.tests import scene as scenes
@@ -109,6 +110,25 @@
     assert public[0] == 200
 
 
+def test_the_line_of_a_refused_request_names_the_revision_in_force():
+    """Without it a 404 by an old configuration looks like a wrong path."""
+    records = []
+    sink = loguru.logger.add(lambda line: records.append(line.record))
+
+    async def main():
+        async with scenes.scene() as scene:
+            return await scene.ask('/unknown/1')
+
+    try:
+        status = run(main)[0]
+    finally:
+        loguru.logger.remove(sink)
+    [extra] = [r['extra'] for r in records if 'outcome' in r['extra']]
+    assert (status, extra['outcome']) == (404, 'no-route')
+    assert extra['revision'] == 1
+    assert extra['age_s'] < 1.0
+
+
 def test_nothing_known_is_no_reason_to_deny():
     """A process that has just started knows no rule and no key.
 
