Deny a path or a key only by a configuration that is proved current

Callers saw: a path of an accepted configuration got 404 3.6 s after its acknowledgement. A denial is final: clients repeat no request after a 401, 403 or 404.

Cause: how old the configuration may be was looked at where a known key is served, and nowhere where a path or a key is missing. An entry without proof denied by what it knew, however old.

A proof is dated by when it was asked for, so what was accepted that long before is in what is known, and no margin is needed. Requests that are served are decided as before.

Both cases of the test failed before (404 and 401 where 503 is due).

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -522,6 +522,12 @@
         'if configuration.revision <= self._current.revision:',
         'if False:',
     ),
+    Mutation(
+        'old-configuration-denies-nothing',
+        'catkinshunt/gateway/_admission.py',
+        'if not catalog.is_current(now):',
+        'if False:',
+    ),
     Mutation(
         'list-only-rises',
         'catkinshunt/instances/_directory.py',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -48,16 +48,21 @@
         fresh_s: seconds without word from the store after which the keys
             of accounts are no longer trusted: a key may have been taken
             away meanwhile. The clock must count the time of a suspend.
+        current_s: the same after which a newer declaration must be in
+            force, so that what this one lacks may be there.
 
     Examples:
-        >>> catalog = Catalog(fresh_s=3.0)
+        >>> catalog = Catalog(fresh_s=3.0, current_s=2.0)
         >>> catalog.confirm(now=10.0)
-        >>> catalog.is_fresh(now=12.0), catalog.is_fresh(now=13.5)
+        >>> catalog.is_fresh(now=12.5), catalog.is_fresh(now=13.5)
+        (True, False)
+        >>> catalog.is_current(now=11.5), catalog.is_current(now=12.5)
         (True, False)
     """
 
-    def __init__(self, fresh_s=3.0):
+    def __init__(self, fresh_s=3.0, current_s=2.0):
         self.fresh_s = fresh_s
+        self.current_s = current_s
         self.declaration = None
         self._versions = {}
         self._confirmed_at = None
@@ -100,6 +105,11 @@
         age_s = self.age_s(now)
         return age_s is not None and age_s < self.fresh_s
 
+    def is_current(self, now):
+        """Return whether what the declaration lacks can be denied."""
+        age_s = self.age_s(now)
+        return age_s is not None and age_s < self.current_s
+
     def declare(self, declaration):
         """Put `declaration` in force unless a newer one is."""
         held = self.declaration
--- a/catkinshunt/gateway/_admission.py
+++ b/catkinshunt/gateway/_admission.py
@@ -74,7 +74,8 @@
     Raises:
         UnknownRouteError: no rule matches.
         UnknownKeyError: the key belongs to no account.
-        StaleError: nothing is known yet, or the keys are too old.
+        StaleError: nothing is known yet, or what is known is too old to
+            serve the key, or to deny the path or the key.
     """
     declaration = catalog.declaration
     if declaration is None:
@@ -86,6 +87,7 @@
     subject = rules.Request(host=ask.host, path=ask.path, method=ask.method)
     rule = declaration.rule_set.match(subject)
     if rule is None:
+        _check_current(catalog, 'match-rule', now)
         raise UnknownRouteError('no rule serves the path', step='match-rule')
     account = _find_account(catalog, declaration, rule.then, ask, now)
     priority = declaration.account_priorities.get(account, rule.then.priority)
@@ -109,5 +111,17 @@
         raise StaleError('the keys of accounts are too old', step='check-key')
     account = declaration.accounts.get(ask.api_key)
     if account is None:
+        _check_current(catalog, 'check-key', now)
         raise UnknownKeyError('no account has the key', step='check-key')
     return account
+
+
+def _check_current(catalog, step, now):
+    """Raise where a newer declaration may have what this one lacks.
+
+    Callers do not come back after a denial, so it must be final.
+    """
+    if not catalog.is_current(now):
+        raise StaleError(
+            'the configuration is too old to deny the request', step=step
+        )
--- a/catkinshunt/gateway/tests/test_exchange.py
+++ b/catkinshunt/gateway/tests/test_exchange.py
@@ -129,6 +129,25 @@
     assert extra['age_s'] < 1.0
 
 
+@pytest.mark.parametrize(
+    ('path', 'key'), [('/unknown/1', 'k1'), ('/read/1', 'k9')]
+)
+def test_an_old_configuration_is_no_reason_to_deny(path, key):
+    """A newer one may have the path or the key; a denied caller is lost."""
+
+    async def main():
+        async with scenes.scene() as scene:
+            base = scene.context.wall
+            early = await scene.ask(path, Api_Key=key)
+            scene.context.wall = lambda: base() + 2.5
+            return early, await scene.ask(path, Api_Key=key)
+
+    early, (status, head, _) = run(main)
+    assert early[0] in (401, 404)
+    assert status == 503
+    assert float(field(head, 'Retry-After')) > 0
+
+
 def test_nothing_known_is_no_reason_to_deny():
     """A process that has just started knows no rule and no key.
 
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -124,7 +124,9 @@
     bounds = cfg.bounds
     rng = random.Random()
     return gateway.Context(
-        catalog=catalogs.Catalog(fresh_s=bounds.revoke_s * FRESH_SHARE),
+        catalog=catalogs.Catalog(
+            fresh_s=bounds.revoke_s * FRESH_SHARE, current_s=bounds.config_s
+        ),
         dialect=_dialect.PlatformDialect(),
         chooser=dispatch.Chooser(cfg.data_centre, cfg.regions, cfg.name),
         clock=_clocks.steady,
--- a/catkinshunt/platform/_settings.py
+++ b/catkinshunt/platform/_settings.py
@@ -20,6 +20,7 @@
     Attributes:
         drain_s: after it, a leaving upstream must get no new work.
         grace_s: from the signal to stop to the end by force.
+        config_s: after it, an accepted configuration must be in force.
         revoke_s: after it, a key that was taken away must not be served.
         version_s: after it, no request may begin on an older version.
         retry_ratio: share of the requests that may be sent once more.
@@ -29,6 +30,7 @@
 
     drain_s: float = 2.0
     grace_s: float = 8.0
+    config_s: float = 2.0
     revoke_s: float = 5.0
     version_s: float = 8.0
     retry_ratio: float = 0.2
@@ -188,6 +190,7 @@
     return Bounds(
         drain_s=seconds('drain_ms', default.drain_s),
         grace_s=reader.get('bounds.grace_s', _NUMBER, default.grace_s),
+        config_s=seconds('config_ms', default.config_s),
         revoke_s=seconds('revoke_ms', default.revoke_s),
         version_s=seconds('version_ms', default.version_s),
         retry_ratio=reader.get(
