Date the proof of each part of the store by its own read

An entry that follows another one takes over how long ago nothing newer was there for certain. After the store's history was gone, the entry that reads for the others reads the parts anew one by one: first who is there (small), then the configuration (450 KB over a link of 10 Mbit/s). The first read dated the proof of all parts, so the others took the old configuration for the newest while the new one was on its way, and would deny its paths and serve keys that it took away.

Change: a view keeps the time of proof by part; that of all is the oldest.

The test failed before: a read of the entries at 5 s dated the proof of the operator's part, last read at 1 s, at 5 s.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -528,6 +528,12 @@
         'if not catalog.is_current(now):',
         'if False:',
     ),
+    Mutation(
+        'proof-of-one-part',
+        'catkinshunt/feed/_view.py',
+        'self._prove((prefix,), page, now)',
+        'self._prove(tuple(self._read_at), page, now)',
+    ),
     Mutation(
         'list-only-rises',
         'catkinshunt/instances/_directory.py',
--- a/catkinshunt/feed/_view.py
+++ b/catkinshunt/feed/_view.py
@@ -26,11 +26,11 @@
 
     def __init__(self, prefixes):
         self.prefixes = prefixes
-        self.proved_at = None
         self._items = {}
         self._deleted = collections.OrderedDict()
         self._seen_at = {}
         self._read_at = {}
+        self._proved_at = {}
         self._floor = 0
         self._news = changes.Changes()
 
@@ -44,6 +44,11 @@
         """Revision up to which changes are known."""
         return min(self._read_at.values(), default=0)
 
+    @property
+    def proved_at(self):
+        """When nothing newer was there for certain; None before any read."""
+        return min(self._proved_at.values(), default=None)
+
     @property
     def size_bytes(self):
         """Bytes of all values."""
@@ -83,7 +88,7 @@
         self._read_at[prefix] = page.revision
         # What was deleted before that cannot be told.
         self._floor = max(self._floor, page.revision)
-        self._prove(page, now)
+        self._prove((prefix,), page, now)
 
     def take_changes(self, page, now):
         """Take in changes behind all that was read."""
@@ -91,7 +96,7 @@
             self._take(item, now - page.seen_ago_s)
         for prefix, revision in self._read_at.items():
             self._read_at[prefix] = max(revision, page.revision)
-        self._prove(page, now)
+        self._prove(tuple(self._read_at), page, now)
 
     def _take(self, item, seen_at):
         known = self._items.get(item.key)
@@ -109,16 +114,20 @@
             _, dropped = self._deleted.popitem(last=False)
             self._floor = max(self._floor, dropped.revision)
 
-    def _prove(self, page, now):
+    def _prove(self, prefixes, page, now):
         proved_at = now if page.proved_at is None else page.proved_at
-        self.proved_at = max(proved_at, self.proved_at or proved_at)
+        for prefix in prefixes:
+            before = self._proved_at.get(prefix, proved_at)
+            self._proved_at[prefix] = max(proved_at, before)
         self._news.announce()
 
     def below(self, prefix):
         """Return all items below `prefix` as a `Page`."""
         items = [i for k, i in self._items.items() if k.startswith(prefix)]
         return base.Page(
-            tuple(items), self._read_at[prefix], proved_at=self.proved_at
+            tuple(items),
+            self._read_at[prefix],
+            proved_at=self._proved_at[prefix],
         )
 
     def knows_since(self, after):
