Do not send all entries to the store when its history is lost

When the store forgets its history, the entry that reads for the others took that answer for an outage: it told the others not to rely on it and asked a neighbour.

A second cause lay behind it: after its new read it no longer knew what had been deleted before, and told all who follow to read anew, from the store.

Change: a lost history is an answer of the store; and a second read is compared with what was known, so that what it lacks is told as deleted. A read of an older state, such as from a neighbour, deletes nothing newer.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -534,6 +534,12 @@
         'self._prove((prefix,), page, now)',
         'self._prove(tuple(self._read_at), page, now)',
     ),
+    Mutation(
+        'second-read-told-as-changes',
+        'catkinshunt/feed/_view.py',
+        'if prefix in self._read_at:',
+        'if False:',
+    ),
     Mutation(
         'list-only-rises',
         'catkinshunt/instances/_directory.py',
--- a/catkinshunt/feed/_regional.py
+++ b/catkinshunt/feed/_regional.py
@@ -128,6 +128,9 @@
                 page = await self._read_changes()
             else:
                 page = await self._watch_source(prefix, after, wait_s)
+        except _peer.HistoryGoneError:
+            self._note_direct()
+            raise
         except errors.StoreError:
             self._note_unserved()
             raise
--- a/catkinshunt/feed/_view.py
+++ b/catkinshunt/feed/_view.py
@@ -62,8 +62,10 @@
         found = {item.key: item for item in page.items}
         gone = [
             base.Item(key, None, page.revision)
-            for key in self._items
-            if key.startswith(prefix) and key not in found
+            for key, item in self._items.items()
+            if key.startswith(prefix)
+            and key not in found
+            and item.revision <= page.revision
         ]
         return gone + [
             item
@@ -81,13 +83,21 @@
         await self._news.wait()
 
     def take_read(self, prefix, page, now):
-        """Take in all items below `prefix`."""
-        for key in [key for key in self._items if key.startswith(prefix)]:
-            del self._items[key]
-        self._items.update((item.key, item) for item in page.items)
-        self._read_at[prefix] = page.revision
-        # What was deleted before that cannot be told.
-        self._floor = max(self._floor, page.revision)
+        """Take in all items below `prefix`.
+
+        Where they were known before, what is missing was deleted since.
+        """
+        if prefix in self._read_at:
+            seen_at = self._proved_at[prefix]
+            for item in self.differing(prefix, page):
+                self._take(item, seen_at)
+            revision = max(self._read_at[prefix], page.revision)
+        else:
+            self._items.update((item.key, item) for item in page.items)
+            revision = page.revision
+            # What was deleted before that cannot be told.
+            self._floor = max(self._floor, revision)
+        self._read_at[prefix] = revision
         self._prove((prefix,), page, now)
 
     def take_changes(self, page, now):
--- a/catkinshunt/feed/tests/test_view.py
+++ b/catkinshunt/feed/tests/test_view.py
@@ -30,3 +30,28 @@
     view = make_view(now=5.0)
     view.take_changes(feed.Page((), 9, proved_at=3.0), now=6.0)
     assert view.proved_at == 5.0
+
+
+def test_what_a_second_read_lacks_is_told_as_deleted():
+    """Who follows would otherwise have to read all again from the store."""
+    view = feed.View(PREFIXES)
+    kept = feed.Item('entries/1', b'', 3)
+    lost = feed.Item('entries/2', b'', 4)
+    view.take_read('operator/', feed.Page((), 7), 1.0)
+    view.take_read('entries/', feed.Page((kept, lost), 7), 1.0)
+    view.take_read('entries/', feed.Page((kept,), 9), 2.0)
+    view.take_read('operator/', feed.Page((), 9), 2.0)
+    assert view.knows_since(7)
+    page = view.changes('', 7, now=2.0)
+    assert page.items == (feed.Item('entries/2', None, 9),)
+    assert page.seen_ago_s == 1.0
+
+
+def test_an_older_read_deletes_nothing():
+    """Another entry may know less; what it lacks may have come since."""
+    view = make_view(now=1.0)
+    fresh = feed.Item('entries/1', b'', 9)
+    view.take_changes(feed.Page((fresh,), 9), now=2.0)
+    view.take_read('entries/', feed.Page((), 8, proved_at=1.5), now=3.0)
+    assert view.below('entries/').items == (fresh,)
+    assert view.revision == 9
--- a/catkinshunt/platform/tests/regions.py
+++ b/catkinshunt/platform/tests/regions.py
@@ -107,6 +107,7 @@
         self.store = store
         self.is_cut = False
         self.is_refused = False
+        self.has_lost_history = False
         self.calls = []
 
     async def read_prefix(self, prefix):
@@ -117,6 +118,9 @@
         await self._pass('watch')
         page = await self.store.watch(prefix, after, wait_s)
         await self._pass('answer')
+        if self.has_lost_history:
+            self.has_lost_history = False
+            raise feed.HistoryGoneError('history is gone', step='watch')
         return page
 
     async def _pass(self, call):
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -127,6 +127,26 @@
     assert max(regions.run(main, several)) < 2.0
 
 
+def test_a_lost_history_does_not_send_all_to_the_store():
+    """The store forgets its history as a large configuration is written.
+
+    The entry that reads for the others reads all anew. Did the others take
+    that for an outage, each would read the configuration over one link, and
+    deny its paths for as long.
+    """
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        for entry in others:
+            entry.store.calls.clear()
+        reader.store.has_lost_history = True
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9)
+        return [call for entry in others for call in entry.store.calls]
+
+    assert regions.run(main) == []
+
+
 def test_one_that_the_store_turns_away_asks_the_others():
     """The others of its region know all; its callers would be refused."""
 
