Read only the newest configuration after a reader is lost in a storm

An entry that loses the one it follows goes on by a watch at the store. A watch gives every value since; after a dozen configurations in a row that is each of them whole, the newest last: 0.4 s a piece over a link of 10 Mbit/s between regions, longer than a configuration may take to be in force.

Only an entry that already read from the store took the newest instead. Now a large value that came through another entry within three seconds counts too, so the first call at the store after the loss is a read.

The test failed before: 15 configurations were sent to each entry that was left, of 20 made in two seconds; at most 3 are wanted.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -540,6 +540,12 @@
         'if prefix in self._read_at:',
         'if False:',
     ),
+    Mutation(
+        'newest-only-after-a-lost-reader',
+        'catkinshunt/feed/_regional.py',
+        'if self._has_large(page):\n            self._busy_until =',
+        'if False:\n            self._busy_until =',
+    ),
     Mutation(
         'list-only-rises',
         'catkinshunt/instances/_directory.py',
--- a/catkinshunt/feed/_regional.py
+++ b/catkinshunt/feed/_regional.py
@@ -21,6 +21,9 @@
 #: Share of all that is known from which on a value counts as large. To read
 #: all again costs less than twice as much then.
 LARGE_SHARE = 0.5
+#: Seconds after a large value in which further ones are likely to have come
+#: unseen where the process that was followed is lost.
+BUSY_S = 3.0
 #: Seconds without proof after which what another process tells is too old: it
 #: may be cut off from the service, which then is asked directly. With the two
 #: waits and one read it stays below 2 s, the shortest bound within which a
@@ -69,7 +72,7 @@
         self.wall = wall
         self.prefixes = prefixes
         self.view = _view.View(prefixes)
-        self._is_busy = False
+        self._busy_until = -math.inf
         self._direct_at = -math.inf
         self._far_at = -math.inf
         self._peers = {}
@@ -116,13 +119,16 @@
         page = await self._watch_at_peer(prefix, after)
         if page is None:
             page = await self._follow_source(prefix, after, wait_s)
+            self._busy_until = -math.inf
+        if self._has_large(page):
+            self._busy_until = self.wall() + BUSY_S
         self.view.take_changes(page, self.wall())
         return page
 
     async def _follow_source(self, prefix, after, wait_s):
         """Return the changes that the service tells."""
         try:
-            if self._is_busy:
+            if self.wall() < self._busy_until:
                 # A watch gives every value since; behind a slow link it
                 # falls further back with each.
                 page = await self._read_changes()
@@ -135,7 +141,6 @@
             self._note_unserved()
             raise
         self._note_direct()
-        self._is_busy = self._has_large(page)
         return page
 
     async def _read_changes(self):
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -73,6 +73,30 @@
     assert regions.run(main) <= 3
 
 
+def test_a_reader_lost_in_a_storm_does_not_bring_every_configuration():
+    """The entry that reads for the others dies as configurations follow.
+
+    A watch gives each of those that the others have missed, whole, over one
+    link. A few that came before the loss was noticed do no harm.
+    """
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        region.store.put('op/config', documents.configuration(version=8))
+        await region.until(lambda entry: entry.revision == 8)
+        reader.task.cancel()
+        reader.store.is_cut = True
+        region.store.sent.clear()
+        for version in range(9, 29):
+            document = documents.configuration(version=version)
+            region.store.put('op/config', document)
+            await asyncio.sleep(0.1)
+        await region.until(lambda entry: entry.revision == 28, others)
+        return region.store.sent.count('op/config') / len(others)
+
+    assert regions.run(main) <= 3
+
+
 def test_what_is_deleted_in_a_storm_is_handed_on():
     """A read of all shows no deletions; a dead upstream would stay listed."""
 
