Take the codec of datagrams out of the package of places

Another package is about to send datagrams between entries. The messages of places are as before, byte by byte (their tests and the fuzz test pass unchanged).

--- a/catkinshunt/places/_messages.py
+++ b/catkinshunt/places/_messages.py
@@ -1,20 +1,17 @@
 """What entries and sidecars tell each other about places, as datagrams.
 
-A datagram is one JSON list that begins with a word for its kind. All can be
-lost, doubled or late: an entry asks again, and a sidecar puts its count right
-by what its engine reports.
+All can be lost, doubled or late: an entry asks again, and a sidecar puts its
+count right by what its engine reports.
 """
 
-import json
-
 import attrs
 
+from catkinshunt import datagrams
+
 #: Longest datagram that is read; ours are below 200 bytes.
 MOST_BYTES = 1000
 
-
-class UnreadableError(ValueError):
-    """A datagram that is none of these messages."""
+UnreadableError = datagrams.UnreadableError
 
 
 @attrs.frozen
@@ -96,50 +93,8 @@
     retry_s: float
 
 
-_KINDS = {cls.kind: cls for cls in (Ask, Done, Granted, Queued, Refused)}
-
-
-def dump(message):
-    """Return the bytes of a message.
-
-    Examples:
-        >>> dump(Granted(7, held=3))
-        b'["granted",7,3]'
-        >>> load(dump(Granted(7, held=3)))
-        Granted(number=7, held=3)
-    """
-    values = [message.kind, *attrs.astuple(message)]
-    return json.dumps(values, separators=(',', ':')).encode()
-
-
-def load(data):
-    """Return the message in a datagram.
-
-    Raises:
-        UnreadableError: it is none.
-    """
-    if len(data) > MOST_BYTES:
-        raise UnreadableError(f'{len(data)} bytes')
-    try:
-        kind, *values = json.loads(data)
-        cls = _KINDS[kind]
-    except (ValueError, TypeError, KeyError) as exc:
-        raise UnreadableError('no message') from exc
-    fields = attrs.fields(cls)
-    if len(values) != len(fields):
-        raise UnreadableError(f'{kind} with {len(values)} fields')
-    for field, value in zip(fields, values, strict=True):
-        _check(field, value)
-    return cls(*values)
-
-
-def _check(field, value):
-    """Raise unless `value` is of the type of `field`, and not below zero."""
-    if field.type is float:
-        fits = type(value) in (int, float) and 0 <= value < float('inf')
-    elif field.type is int:
-        fits = type(value) is int and value >= 0
-    else:
-        fits = type(value) is field.type
-    if not fits:
-        raise UnreadableError(f'{field.name} is {value!r}'[:80])
+_CODEC = datagrams.Codec(
+    (Ask, Done, Granted, Queued, Refused), most_bytes=MOST_BYTES
+)
+dump = _CODEC.dump
+load = _CODEC.load
