Let an older read bring back nothing that was deleted

Whoever follows would keep sending to an upstream that is gone.

An item is now compared with the deletion that is remembered for its key as well. The test failed before: the deletion at revision 10 was no longer told after a read at 8. Rare: it takes a lost history, a store that does not answer, and a neighbour that is behind.

--- a/catkinshunt/feed/_view.py
+++ b/catkinshunt/feed/_view.py
@@ -109,7 +109,7 @@
         self._prove(tuple(self._read_at), page, now)
 
     def _take(self, item, seen_at):
-        known = self._items.get(item.key)
+        known = self._items.get(item.key) or self._deleted.get(item.key)
         if known is not None and item.revision <= known.revision:
             return
         self._seen_at[item.key] = seen_at
--- a/catkinshunt/feed/tests/test_view.py
+++ b/catkinshunt/feed/tests/test_view.py
@@ -55,3 +55,16 @@
     view.take_read('entries/', feed.Page((), 8, proved_at=1.5), now=3.0)
     assert view.below('entries/').items == (fresh,)
     assert view.revision == 9
+
+
+def test_an_older_read_brings_back_nothing_deleted():
+    """Who follows would go on sending requests to an upstream that is gone."""
+    gone = feed.Item('entries/1', b'', 3)
+    lost = feed.Item('entries/1', None, 10)
+    view = feed.View(PREFIXES)
+    view.take_read('operator/', feed.Page((), 7), 1.0)
+    view.take_read('entries/', feed.Page((gone,), 7), 1.0)
+    view.take_changes(feed.Page((lost,), 10), 2.0)
+    view.take_read('entries/', feed.Page((gone,), 8, proved_at=1.5), 3.0)
+    assert view.changes('', 9, now=3.0).items == (lost,)
+    assert view.below('entries/').items == ()
