Take nothing from a read that is older than what is known

After its history is gone an entry reads all again, in part from a neighbour that may be up to 1.3 s behind. It took that for its state, and used upstreams again that it knew to have left, until the next watch.

Such a read is now refused like an outage and made again after a pause; what was known goes on to hold, with its age. The test failed before: the upstream was there again after the older read.

--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -45,6 +45,7 @@
         self.wall = wall
         self.random = random
         self._revision = None
+        self._least_revision = 0
         self._revisions = {}
         self._pause_s = FIRST_PAUSE_S
         self._outage = logs.Outage(
@@ -60,6 +61,7 @@
                 await self._follow()
             except feed.HistoryGoneError:
                 _log.warning('The history is gone; reading all again.')
+                self._least_revision = self._revision
                 self._revision = None
             except errors.StoreError as exc:
                 await self._bear(exc)
@@ -87,6 +89,8 @@
         )
         operator = await self.client.read_prefix(_documents.OPERATOR_PREFIX)
         listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
+        pages = (own, operator, listed)
+        self._check_revisions(pages)
         # How long a version has been named cannot be seen; a process that
         # has just started takes it as long ago, others as at the moment when
         # it was not named yet for certain.
@@ -100,11 +104,23 @@
             _apply.decode_upstreams(listed.items), self.wall()
         )
         self._revisions = {item.key: item.revision for item in listed.items}
-        pages = (own, operator, listed)
         self._revision = min(page.revision for page in pages)
         self.catalog.confirm(min(_proved_at(page, asked_at) for page in pages))
         self._regain()
 
+    def _check_revisions(self, pages):
+        """Raise where a page is older than what is known.
+
+        Another entry may tell less than this one knew before it read anew;
+        an upstream that has left would be used again.
+        """
+        revision = min(page.revision for page in pages)
+        if revision < self._least_revision:
+            raise errors.StoreUnavailableError(
+                f'told revision {revision} after {self._least_revision}',
+                step='read-all',
+            )
+
     def _read_pending(self, items, asked_at):
         """Take over which versions are pending; the others are not."""
         shown = {item.key for item in items}
--- a/catkinshunt/platform/tests/test_mirror.py
+++ b/catkinshunt/platform/tests/test_mirror.py
@@ -207,3 +207,35 @@
         await fakes.until(lambda: followed.roster.names() == ['edge-3'])
 
     run(main, lambda f: f.store.put('catkinshunt/entries/edge-1', {}))
+
+
+def test_a_second_read_that_is_older_brings_back_no_upstream():
+    """The history is gone, and a neighbour that is asked knows less.
+
+    Requests would go to an upstream that this entry knew to have left.
+    """
+
+    async def main(followed):
+        store = followed.store
+        old = await store.read_prefix('servers/')
+        store.delete('servers/i-1')
+        await fakes.until(lambda: followed.ids() == set())
+        reads = []
+
+        async def read_older(prefix):
+            reads.append(prefix)
+            if prefix == 'servers/' and len(reads) <= 3:
+                return old
+            return await fakes.FakeStore.read_prefix(store, prefix)
+
+        store.read_prefix = read_older
+        store.forget_history()
+        seen = []
+        for _ in range(60):
+            seen.append(followed.catalog.find('i-1'))
+            await asyncio.sleep(0.005)
+        return len(reads), [found for found in seen if found is not None]
+
+    reads, seen = run(main)
+    assert reads == 6
+    assert seen == []
