Remember a storm of configurations until an answer has come

The time now counts between answers only. The test failed before: 20 configurations were sent after an outage longer than that time, instead of 3 at most.

Left: one that saw no large value before it was cut off still gets each that was written meanwhile.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -543,8 +543,8 @@
     Mutation(
         'newest-only-after-a-lost-reader',
         'catkinshunt/feed/_regional.py',
-        'if self._has_large(page):\n            self._busy_until =',
-        'if False:\n            self._busy_until =',
+        'if self._has_large(page):\n            self._large_at =',
+        'if False:\n            self._large_at =',
     ),
     Mutation(
         'list-only-rises',
--- a/catkinshunt/feed/_regional.py
+++ b/catkinshunt/feed/_regional.py
@@ -72,7 +72,7 @@
         self.wall = wall
         self.prefixes = prefixes
         self.view = _view.View(prefixes)
-        self._busy_until = -math.inf
+        self._large_at = None
         self._direct_at = -math.inf
         self._far_at = -math.inf
         self._peers = {}
@@ -119,16 +119,15 @@
         page = await self._watch_at_peer(prefix, after)
         if page is None:
             page = await self._follow_source(prefix, after, wait_s)
-            self._busy_until = -math.inf
-        if self._has_large(page):
-            self._busy_until = self.wall() + BUSY_S
+            self._large_at = None
+        self._note_large(page)
         self.view.take_changes(page, self.wall())
         return page
 
     async def _follow_source(self, prefix, after, wait_s):
         """Return the changes that the service tells."""
         try:
-            if self.wall() < self._busy_until:
+            if self._large_at is not None:
                 # A watch gives every value since; behind a slow link it
                 # falls further back with each.
                 page = await self._read_changes()
@@ -155,6 +154,17 @@
             seen_ago_s=max(0.0, self.wall() - self.view.proved_at),
         )
 
+    def _note_large(self, page):
+        """Remember a large value until none has followed for a while.
+
+        While no answer comes, further ones may pile up unseen.
+        """
+        now = self.wall()
+        if self._has_large(page):
+            self._large_at = now
+        elif self._large_at is not None and now - self._large_at > BUSY_S:
+            self._large_at = None
+
     def _has_large(self, page):
         """Return whether a page brings a value that outweighs the others."""
         least = LARGE_SHARE * self.view.size_bytes
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -97,6 +97,32 @@
     assert regions.run(main) <= 3
 
 
+def test_an_outage_in_a_storm_does_not_bring_every_configuration(monkeypatch):
+    """The store is away for longer than a storm is remembered.
+
+    What was written meanwhile would be sent whole, one after the other.
+    """
+    monkeypatch.setattr(_regional, 'BUSY_S', 0.1)
+
+    async def main(region):
+        reader = region.reader()
+        for entry in region.followers():
+            await entry.kill()
+        region.store.put('op/config', documents.configuration(version=8))
+        await fakes.until(lambda: reader.revision == 8)
+        reader.store.is_refused = True
+        await asyncio.sleep(0.3)
+        region.store.sent.clear()
+        for version in range(9, 29):
+            document = documents.configuration(version=version)
+            region.store.put('op/config', document)
+        reader.store.is_refused = False
+        await fakes.until(lambda: reader.revision == 28)
+        return region.store.sent.count('op/config')
+
+    assert regions.run(main) <= 3
+
+
 def test_what_is_deleted_in_a_storm_is_handed_on():
     """A read of all shows no deletions; a dead upstream would stay listed."""
 
