Read the parts of the store at the same time after a lost history

Each part is dated by its own read, so the proof of all is that of the part read last but one turn ago.

Change: the three parts are read together; only a process that does not know any other entry reads first who is there.

--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -78,17 +78,7 @@
     async def _read_all(self):
         asked_at = self.wall()
         first = self.catalog.declaration is None
-        # First of all who else is there: one of them may know the rest.
-        own = await self.client.read_prefix(_documents.OWN_PREFIX)
-        self.roster.replace(
-            {
-                _entry_name(item): _apply.decode_home(item)
-                for item in own.items
-                if item.key.startswith(_documents.ENTRY_PREFIX)
-            }
-        )
-        operator = await self.client.read_prefix(_documents.OPERATOR_PREFIX)
-        listed = await self.client.read_prefix(_documents.UPSTREAM_PREFIX)
+        own, operator, listed = await self._read_parts()
         pages = (own, operator, listed)
         self._check_revisions(pages)
         # How long a version has been named cannot be seen; a process that
@@ -108,6 +98,41 @@
         self.catalog.confirm(min(_proved_at(page, asked_at) for page in pages))
         self._regain()
 
+    async def _read_parts(self):
+        """Return the pages of our own keys, the operator's and upstreams'.
+
+        They are read at the same time. One after the other, a slow store
+        would take longer for them than a proof lasts, and those that follow
+        this process would ask it too.
+        """
+        parts = (_documents.OPERATOR_PREFIX, _documents.UPSTREAM_PREFIX)
+        if self.roster.names():
+            pages = await self._read_together(_documents.OWN_PREFIX, *parts)
+            self._take_entries(pages[0])
+            return pages
+        # First of all who else is there: one of them may know the rest.
+        own = await self.client.read_prefix(_documents.OWN_PREFIX)
+        self._take_entries(own)
+        return [own, *await self._read_together(*parts)]
+
+    async def _read_together(self, *prefixes):
+        reads = map(self.client.read_prefix, prefixes)
+        pages = await asyncio.gather(*reads, return_exceptions=True)
+        for page in pages:
+            if isinstance(page, BaseException):
+                raise page
+        return pages
+
+    def _take_entries(self, own):
+        """Take over which entries are listed."""
+        self.roster.replace(
+            {
+                _entry_name(item): _apply.decode_home(item)
+                for item in own.items
+                if item.key.startswith(_documents.ENTRY_PREFIX)
+            }
+        )
+
     def _check_revisions(self, pages):
         """Raise where a page is older than what is known.
 
--- a/catkinshunt/platform/tests/regions.py
+++ b/catkinshunt/platform/tests/regions.py
@@ -108,13 +108,16 @@
         self.is_cut = False
         self.is_refused = False
         self.has_lost_history = False
+        self.delay_s = 0.0
         self.calls = []
 
     async def read_prefix(self, prefix):
+        await asyncio.sleep(self.delay_s)
         await self._pass('read ' + prefix)
         return await self.store.read_prefix(prefix)
 
     async def watch(self, prefix, after, wait_s):
+        await asyncio.sleep(self.delay_s)
         await self._pass('watch')
         page = await self.store.watch(prefix, after, wait_s)
         await self._pass('answer')
--- a/catkinshunt/platform/tests/test_region.py
+++ b/catkinshunt/platform/tests/test_region.py
@@ -10,6 +10,9 @@
 
 import pytest
 
+#: Seconds in which a slow store answers a call.
+SLOW_S = 0.5
+
 
 def test_entries_of_one_region_read_a_configuration_once():
     """A configuration of 1,600 routes is read by every entry.
@@ -197,6 +200,24 @@
     assert regions.run(main) == []
 
 
+def test_a_lost_history_of_a_slow_store_does_not_send_all_to_it():
+    """Three reads in a row take longer than the others go without proof."""
+
+    async def main(region):
+        reader, others = region.reader(), region.followers()
+        for entry in region.entries:
+            entry.store.delay_s = SLOW_S
+        for entry in others:
+            entry.store.calls.clear()
+        reader.store.has_lost_history = True
+        region.store.put('op/config', documents.configuration(version=9))
+        await region.until(lambda entry: entry.revision == 9)
+        await asyncio.sleep(3 * SLOW_S)
+        return [call for entry in others for call in entry.store.calls]
+
+    assert regions.run(main) == []
+
+
 def test_one_that_the_store_turns_away_asks_the_others():
     """The others of its region know all; its callers would be refused."""
 
