Send nothing unheard over a link that accepts no connection soon

Cause: where a sidecar gave no answer its engine got the request at once, although another engine had let it wait, and whatever the link to it was like. What is sent over a narrow or full link cannot be taken back, and came to the engine after its caller had left, or after its version was due.

An engine whose sidecar is silent now gets a request only where no other one gave a place at once or within 0.05 s, and only where it accepts a new connection within 0.16 s, as long as an ask may take. So the way there and back was just used, as it is for a place that was given. It is asked after 0.05 s instead of 0.16 s whether a second sidecar answers. Sidecars that were silent a moment ago are left out of those asked. Where no connection comes, the request goes on waiting where it is queued, or is refused with a time to come back. A place asked for in vain is given back at once. Plain services are not concerned, and all stays within the time limit of the request.

Model in virtual time: sidecars can be silent and start again.

Of the new ones five fail without the change; that on the start of all sidecars fails without SECOND_S, that on a dead sidecar without QUEUED_S. Those of the model need its new faults. No existing test is changed.

Whether a new connection meets the same narrow link there as a request does is not shown.

--- a/catkinshunt/gateway/_seat.py
+++ b/catkinshunt/gateway/_seat.py
@@ -1,8 +1,11 @@
 """Finds an engine with a place for one try of a request."""
 
+import asyncio
+
 import attrs
 
 from catkinshunt import dispatch
+from catkinshunt import errors
 from catkinshunt import places
 
 #: Engines that are asked for a place. The first one lets the request wait,
@@ -10,6 +13,19 @@
 #: busy engines are with requests of others. Each further one takes a round
 #: trip from the time that is left.
 MOST_ASKED = 3
+#: Seconds for which another engine is asked after a sidecar was asked in
+#: vain. Where all of them are silent what it takes is lost; one that is not
+#: has answered by then on most links.
+SECOND_S = 0.05
+#: Seconds for which a request waits for a place at an engine that answers
+#: before one whose sidecar is silent gets it.
+QUEUED_S = 0.05
+#: Seconds within which an engine whose sidecar gives no answer must accept a
+#: connection to get a request; as long as an ask may take. What is sent over
+#: a full link cannot be taken back, and comes after its caller has left.
+PROVE_S = places.ANSWER_S * places.SENDS
+#: Such engines that are tried.
+MOST_PROVED = 2
 #: Share of the slots of an engine that one entry uses where the sidecar gives
 #: no answer; the others do the same.
 UNCOUNTED_SHARE = 0.25
@@ -78,25 +94,100 @@
             places.NoPlaceError: there is no place in time.
             places.ReloadingError: all are about to load another version.
         """
-        asked, waiting = 0, None
+        asked, waiting, silent = 0, None, []
+        in_vain = False
         while candidate is not None and asked < MOST_ASKED:
-            bid = await self._bid(candidate, probe=asked > 0)
+            may_ask = self._may_be_asked(candidate.upstream)
+            bid = None
+            if may_ask:
+                bid = await self._bid(candidate, asked > 0, in_vain)
             reply = bid.asking.reply if bid is not None else None
             if isinstance(reply, places.Granted):
                 return self._settle(candidate, bid)
-            if reply is None and self._may_go_unheard(candidate):
-                return self._settle(candidate)
             if isinstance(reply, places.Queued):
                 waiting = bid
-            if not _is_reloading(reply):
+            if reply is None:
+                in_vain |= may_ask
+                silent.append(candidate)
+                if len(silent) >= MOST_PROVED:
+                    break
+            elif not _is_reloading(reply):
                 asked += 1
-            candidate = self.selection.find_next(self.progress)
-        if waiting is not None:
-            reply = await waiting.asking.last_reply()
-            if isinstance(reply, places.Granted):
-                return self._settle(waiting.candidate, waiting)
+            candidate = self.selection.find_next(
+                self.progress, self._may_be_asked
+            )
+        if waiting is not None and await self._wait(waiting, QUEUED_S):
+            return self._settle(waiting.candidate, waiting)
+        found = await self._find_unheard(silent)
+        if found is not None:
+            return self._settle(found)
+        if waiting is not None and await self._wait(waiting):
+            return self._settle(waiting.candidate, waiting)
         raise self._refusal()
 
+    async def _wait(self, bid, most_s=None):
+        """Return whether a bid gets its place within `most_s` seconds."""
+        try:
+            async with asyncio.timeout(most_s):
+                reply = await bid.asking.last_reply()
+        except TimeoutError:
+            return False
+        return isinstance(reply, places.Granted)
+
+    def _may_be_asked(self, upstream):
+        return self.context.places.may_ask(upstream.address[0])
+
+    def _is_silent(self, upstream):
+        return not self._may_be_asked(upstream)
+
+    async def _find_unheard(self, silent):
+        """Return a candidate whose sidecar is silent, or None.
+
+        A sidecar that starts is as silent as one behind a full link. The
+        engine behind the latter does not accept a connection soon either.
+
+        Args:
+            silent: candidates whose sidecars were found silent just now.
+        """
+        proved = 0
+        while proved < MOST_PROVED:
+            if silent:
+                candidate = silent.pop(0)
+            else:
+                candidate = self.selection.find_next(
+                    self.progress, self._is_silent
+                )
+            if candidate is None:
+                return None
+            proved += 1
+            if not self._may_go_unheard(candidate):
+                continue
+            is_proved = await self._prove(candidate)
+            # Others may have been sent there meanwhile.
+            if is_proved and self._may_go_unheard(candidate):
+                return candidate
+        return None
+
+    async def _prove(self, candidate):
+        """Return whether an engine accepts a connection soon."""
+        pool = self.context.pool(candidate.upstream)
+        try:
+            async with asyncio.timeout(PROVE_S):
+                conn = await pool.take(fresh=True)
+        except TimeoutError:
+            self._note_try(candidate, 'no connection in time')
+            return False
+        except errors.RefusedError as exc:
+            self._note_try(candidate, str(exc))
+            candidate.state.pause(self.context.clock())
+            return False
+        pool.give_back(conn)
+        self._note_try(candidate, 'accepted a connection')
+        return True
+
+    def _note_try(self, candidate, text):
+        self.progress.notes.append(f'{candidate.upstream.id}: {text}')
+
     def _may_go_unheard(self, candidate):
         """Return whether an engine whose sidecar is silent gets the request.
 
@@ -122,20 +213,34 @@
         self._bids = [kept] if kept is not None else []
         return candidate
 
-    async def _bid(self, candidate, probe):
-        """Return a `_Bid` with its first reply, or None where none comes."""
-        host = _host(candidate)
-        if not self.context.places.may_ask(host):
-            return None
+    async def _bid(self, candidate, probe, brief):
+        """Return a `_Bid` with its first reply, or None where none comes.
+
+        Args:
+            candidate: the one to ask.
+            probe: whether it must answer at once.
+            brief: whether another one was asked in vain.
+        """
         asking = self.context.places.ask(
-            host, lambda number: self._ask(number, candidate, probe)
+            _host(candidate),
+            lambda number: self._ask(number, candidate, probe),
         )
         bid = _Bid(candidate, asking)
         self._bids.append(bid)
         candidate.state.asking += 1
-        reply = await asking.first_reply()
+        try:
+            async with asyncio.timeout(SECOND_S if brief else None):
+                await asking.first_reply()
+        except TimeoutError:
+            pass
         self._note(bid)
-        return bid if reply is not None else None
+        if asking.reply is not None:
+            return bid
+        # A place granted too late is given back, not kept from others.
+        self._bids.remove(bid)
+        bid.settle()
+        asking.end()
+        return None
 
     def _ask(self, number, candidate, probe):
         """Return the `places.Ask` for a candidate."""
--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -29,10 +29,16 @@
         service = services.get(self.decision.service)
         return service.engine if service else None
 
-    def find(self, tried):
-        """Return the best `dispatch.Candidate` that is not tried, or None."""
+    def find(self, tried, only=None):
+        """Return the best `dispatch.Candidate` that is not tried, or None.
+
+        Args:
+            tried: keys of the upstreams that were tried.
+            only: function that tells whether an upstream is meant, or None.
+        """
+        upstreams = self._upstreams()
         return self.context.chooser.choose(
-            self._upstreams(),
+            filter(only, upstreams) if only is not None else upstreams,
             self.context.tracker,
             self.engine(),
             self.make_job(),
@@ -40,9 +46,14 @@
             avoid=tried,
         )
 
-    def find_next(self, progress):
-        """Return the best one that is not tried, and count it as tried."""
-        candidate = self.find(progress.tried)
+    def find_next(self, progress, only=None):
+        """Return the best one that is not tried, and count it as tried.
+
+        Args:
+            progress: the `Progress` of the request.
+            only: as for `find`.
+        """
+        candidate = self.find(progress.tried, only)
         if candidate is not None:
             progress.tried.add(candidate.upstream.key)
             progress.notes.append(self._describe(candidate))
--- a/catkinshunt/gateway/tests/test_places.py
+++ b/catkinshunt/gateway/tests/test_places.py
@@ -1,8 +1,13 @@
 import asyncio
+import time
+
+import pytest
 
 from catkinshunt.gateway.tests import scene as scenes
 from catkinshunt import places
 
+#: Address of an engine whose sidecar is not asked.
+SILENT_HOST = '127.0.0.2'
 CHAT = {'Model': scenes.MODEL, 'Tokens': '100,20'}
 
 
@@ -232,6 +237,160 @@
     assert door.granted == 1
 
 
+def test_an_engine_that_answers_goes_before_a_silent_one():
+    """The first one asked stands behind a full link, and others are free."""
+    engines = [engine(name, scenes.streaming(3)) for name in 'ab']
+    door = FakeDoor(None)
+    status, _, _ = play(door, *engines)
+    assert status == 200
+    assert (door.granted, door.held) == (1, 0)
+
+
+@pytest.mark.parametrize('silent', ['a', 'b'])
+def test_an_engine_known_as_silent_is_left_for_last(silent):
+    """Its sidecar gave no answer a moment ago, and is not asked again."""
+    engines = [engine(name, scenes.streaming(3)) for name in 'ab']
+    (first,) = [each for each in engines if each.name == silent]
+    door = FakeDoor()
+    door.may_ask = lambda host: host != SILENT_HOST
+
+    async def main():
+        async with scenes.scene(*engines) as scene:
+            context = scene.context
+            context.places = door
+            changed = first.entry(address=(SILENT_HOST, first.port))
+            context.catalog.put_upstream(changed)
+            status, _, _ = await scene.ask('/chat/1', 'POST', b'hello', **CHAT)
+            return status, context.tracker.state(changed).failures_in_row
+
+    assert asyncio.run(main()) == (200, 0)
+    assert door.granted == 1
+
+
+def hold_up(context, upstream, seconds):
+    """Let connections to an upstream be made after `seconds`."""
+    pool = context.pool(upstream.entry())
+    take = pool.take
+
+    async def take_slowly(fresh=False):
+        await asyncio.sleep(seconds)
+        return await take(fresh)
+
+    pool.take = take_slowly
+
+
+def test_nothing_is_sent_over_a_link_that_accepts_no_connection_soon():
+    """The link to the sidecar and its engine is full of other bytes.
+
+    What is sent over it comes after its caller has left, and runs for nobody.
+    """
+    only = engine('u1', scenes.streaming(3))
+
+    async def main():
+        async with scenes.scene(only) as scene:
+            context = scene.context
+            context.places = FakeDoor(None)
+            hold_up(context, only, 0.4)
+            began = context.clock()
+            reply = await scene.ask('/chat/1', 'POST', b'hello', **CHAT)
+            return reply, context.clock() - began
+
+    (status, head, _), took_s = asyncio.run(main())
+    assert status == 429
+    assert scenes.field(head, 'Retry-After')
+    assert not only.heads
+    assert took_s < 0.4
+
+
+def test_a_request_waits_on_where_the_silent_engine_is_behind_a_full_link():
+    """Given up for that engine, it would lose its turn at the other one."""
+    engines = [engine(name, scenes.streaming(3)) for name in 'ab']
+    door = FakeDoor(places.Queued, None)
+
+    class Waiting(FakeAsking):
+        async def last_reply(self):
+            await asyncio.sleep(0.2)
+            return await super().last_reply()
+
+    door.make_asking = Waiting
+
+    async def main():
+        async with scenes.scene(*engines) as scene:
+            scene.context.places = door
+            for each in engines:
+                hold_up(scene.context, each, 0.3)
+            return await scene.ask('/chat/1', 'POST', b'hello', **CHAT)
+
+    status, _, _ = asyncio.run(main())
+    assert (status, door.granted, door.held) == (200, 1, 0)
+
+
+def test_a_request_does_not_wait_in_vain_beside_a_dead_sidecar():
+    """The engine beside that sidecar works, and all others are full."""
+    engines = [engine(name, scenes.streaming(3)) for name in 'ab']
+    door = FakeDoor(places.Queued, None)
+
+    class Refused(FakeAsking):
+        async def last_reply(self):
+            await asyncio.sleep(2.0)
+            return places.Refused(self.ask.number, places.NO_ROOM, 1.7)
+
+    door.make_asking = Refused
+    began = time.monotonic()
+    status, _, _ = play(door, *engines)
+    assert status == 200
+    assert time.monotonic() - began < 1.0
+    assert sum(len(each.heads) for each in engines) == 1
+    assert door.granted == 0
+
+
+def test_callers_are_served_soon_while_all_sidecars_start():
+    """After a loss of power no sidecar answers for some seconds."""
+    engines = [engine(name, scenes.streaming(3)) for name in 'abcdef']
+    door = FakeDoor(*[None] * 20)
+
+    class Slow(FakeAsking):
+        async def first_reply(self):
+            await asyncio.sleep(0.5)
+            return await super().first_reply()
+
+    door.make_asking = Slow
+
+    async def main():
+        async with scenes.scene(*engines) as scene:
+            scene.context.places = door
+            began = scene.context.clock()
+            reply = await scene.ask('/chat/1', 'POST', b'hello', **CHAT)
+            return reply[0], scene.context.clock() - began
+
+    status, took_s = asyncio.run(main())
+    assert status == 200
+    assert took_s < 0.9
+    assert len(door.asks) <= 2
+
+
+def test_a_place_at_a_silent_engine_is_given_back_before_the_request_waits():
+    """Its grant comes late, and would keep others out for nothing."""
+    engines = [engine(name, scenes.streaming(3)) for name in 'ab']
+    door = FakeDoor(None, places.Queued)
+    ended = []
+
+    class Noting(FakeAsking):
+        async def last_reply(self):
+            ended.append(len(ends))
+            return await super().last_reply()
+
+        def end(self):
+            ends.append(self.ask.number)
+            super().end()
+
+    ends = []
+    door.make_asking = Noting
+    status, _, _ = play(door, *engines)
+    assert (status, ended) == (200, [1])
+    assert sorted(ends) == [0, 1]
+
+
 def test_what_is_refused_elsewhere_does_not_flood_an_uncounted_engine():
     """The sidecar of one engine is dead, and all others are full.
 
--- a/catkinshunt/places/__init__.py
+++ b/catkinshunt/places/__init__.py
@@ -5,6 +5,7 @@
 from catkinshunt.places._client import NoPlaceError
 from catkinshunt.places._client import PlaceClient
 from catkinshunt.places._client import ReloadingError
+from catkinshunt.places._client import SENDS
 from catkinshunt.places._ledger import LATE_WAIT_S
 from catkinshunt.places._ledger import Ledger
 from catkinshunt.places._ledger import NO_ROOM
@@ -24,6 +25,7 @@
     'ANSWER_S',
     'NO_ROOM',
     'RELOADING',
+    'SENDS',
     'Ask',
     'Asking',
     'BaseDoor',
--- a/standins/experiment/_callers.py
+++ b/standins/experiment/_callers.py
@@ -48,6 +48,7 @@
         waited_s: seconds that it waited before this try, as its entry sees.
         tried: keys of the upstreams that this try was offered to.
         bids: asks for places that are not settled, by number.
+        silent: candidates whose sidecars gave this try no answer.
         held_s: longest time for which a try was held and then refused.
         unread: prompt tokens that are not read yet.
         unwritten: tokens of the answer that are not made yet.
@@ -75,6 +76,7 @@
     waited_s: float = 0.0
     tried: set = attrs.field(factory=set)
     bids: dict = attrs.field(factory=dict)
+    silent: list = attrs.field(factory=list)
     held_s: float = 0.0
     outcome: str = ''
 
--- a/standins/experiment/_doors.py
+++ b/standins/experiment/_doors.py
@@ -13,6 +13,9 @@
         events: `Events`.
         engine: `Engine`.
         ledger: `places.Ledger`.
+
+    Attributes:
+        is_silent: it gives no answers, as while it starts.
     """
 
     def __init__(self, events, engine, ledger):
@@ -21,10 +24,13 @@
         self.ledger = ledger
         self._requests = {}
         self._steps_at = None
+        self.is_silent = False
         events.after(LOOK_S, self._look)
 
     def ask(self, request, ask):
         """Take an ask of an entry."""
+        if self.is_silent:
+            return
         key = (request.entry.name, ask.number)
         self._requests[key] = request
         self._tell(self.ledger.ask(key[0], ask, self.events.now))
@@ -33,6 +39,12 @@
         """Take a place back from an entry, after the way to here."""
         self.events.after(_entries.WAY_S, self._done, entry.name, number)
 
+    def start_again(self, ledger):
+        """Answer again, knowing nothing of before."""
+        self.ledger = ledger
+        self._requests = {}
+        self.is_silent = False
+
     def _done(self, peer, number):
         self._requests.pop((peer, number), None)
         self._tell(self.ledger.done(peer, number, self.events.now))
@@ -48,6 +60,8 @@
         self.events.after(LOOK_S, self._look)
 
     def _tell(self, replies):
+        if self.is_silent:
+            return
         for peer, reply in replies:
             request = self._requests.get((peer, reply.number))
             if request is not None:
--- a/standins/experiment/_entries.py
+++ b/standins/experiment/_entries.py
@@ -12,6 +12,20 @@
 WAY_S = 0.002
 #: Engines that an entry asks for a place before it refuses.
 MOST_ASKED = 3
+#: Seconds until a silent sidecar counts as such, and until it is asked again
+#: at first and at most.
+ANSWER_S = 0.16
+FIRST_SILENCE_S = 1.0
+MOST_SILENCE_S = 8.0
+#: Seconds for which a second engine is asked after the first was silent.
+SECOND_S = 0.05
+#: Seconds for which a request waits at an engine that answers before one
+#: with a silent sidecar gets it.
+QUEUED_S = 0.05
+#: Share of the slots of such an engine that an entry uses.
+UNCOUNTED_SHARE = 0.25
+#: Such engines that are tried.
+MOST_PROVED = 2
 #: Seconds after which a caller may come back whom an entry that does not ask
 #: for places refused.
 RETRY_S = 0.25
@@ -51,10 +65,15 @@
         request.waited_s = self.returns.waited_s(SERVICE, left_s, now)
         self.decide(request)
 
-    def choose(self, request):
-        """Return the best `dispatch.Candidate` not tried yet, or None."""
+    def choose(self, request, only=None):
+        """Return the best `dispatch.Candidate` not tried yet, or None.
+
+        Args:
+            request: the `Request`.
+            only: function that tells whether an upstream is meant, or None.
+        """
         found = self.chooser.choose(
-            self.play.listed(),
+            filter(only, self.play.listed()) if only else self.play.listed(),
             self.tracker,
             _engines.PROFILE,
             request.job,
@@ -153,13 +172,25 @@
     they have room, as `gateway._seat` does.
     """
 
+    def __init__(self, play, name):
+        super().__init__(play, name)
+        self._silences = {}
+
     def decide(self, request):
         """See `BaseEntry.decide`."""
         request.bids = {}
+        request.silent = []
         self._ask_next(request)
 
+    def _may_ask(self, upstream):
+        until, _ = self._silences.get(upstream.id, (0.0, 0.0))
+        return self.events.now >= until
+
+    def _is_silent(self, upstream):
+        return not self._may_ask(upstream)
+
     def _ask_next(self, request):
-        candidate = self.choose(request)
+        candidate = self.choose(request, self._may_ask)
         if candidate is None or len(request.bids) >= MOST_ASKED:
             self._conclude(request)
             return
@@ -181,6 +212,48 @@
         candidate.state.asking += 1
         door = self.play.doors[candidate.upstream.id]
         self.events.after(WAY_S, door.ask, request, ask)
+        patience_s = SECOND_S if request.silent else ANSWER_S
+        self.events.after(
+            patience_s, self._hear_nothing, request, ask.number, patience_s
+        )
+
+    def _hear_nothing(self, request, number, patience_s):
+        """Take a sidecar as silent unless it has answered."""
+        bid = request.bids.get(number)
+        if bid is None or bid.reply is not None:
+            return
+        del request.bids[number]
+        bid.candidate.state.asking -= 1
+        name = bid.candidate.upstream.id
+        self.play.doors[name].give_back(self, number)
+        request.silent.append(bid.candidate)
+        if patience_s == ANSWER_S:
+            _, before_s = self._silences.get(name, (0.0, 0.0))
+            pause_s = min(max(2 * before_s, FIRST_SILENCE_S), MOST_SILENCE_S)
+            self._silences[name] = (self.events.now + pause_s, pause_s)
+        if len(request.silent) > 1:
+            self._conclude(request)
+        else:
+            self._ask_next(request)
+
+    def _send_unheard(self, request):
+        """Send to an engine whose sidecar is silent; return whether it did."""
+        silent = request.silent
+        while (found := self.choose(request, self._is_silent)) is not None:
+            silent.append(found)
+            if len(silent) >= MOST_PROVED:
+                break
+        for candidate in silent:
+            most = candidate.upstream.slots * UNCOUNTED_SHARE
+            if len(candidate.state.jobs) < max(1, most):
+                self._settle(request)
+                return self.send(request, candidate, request.rank)
+        return False
+
+    def _send_after_wait(self, request, asked_at):
+        """Send a request that still waits to an engine that is silent."""
+        if request.bids and request.asked_at == asked_at:
+            self._send_unheard(request)
 
     def hear(self, request, door, reply):
         """Take the reply of a sidecar."""
@@ -191,6 +264,7 @@
                 door.give_back(self, reply.number)
             return
         is_first = bid.reply is None
+        self._silences.pop(bid.candidate.upstream.id, None)
         bid.reply = reply
         if isinstance(reply, places.Granted):
             self._note(bid.candidate, reply.held, 0)
@@ -208,6 +282,11 @@
         """Refuse a request that waits nowhere."""
         replies = [bid.reply for bid in request.bids.values()]
         if any(isinstance(reply, places.Queued) for reply in replies):
+            self.events.after(
+                QUEUED_S, self._send_after_wait, request, request.asked_at
+            )
+            return
+        if self._send_unheard(request):
             return
         self._settle(request)
         self.refuse(request, replies[0].retry_s if replies else RETRY_S)
--- a/standins/experiment/_play.py
+++ b/standins/experiment/_play.py
@@ -120,6 +120,17 @@
             self, f'{old.name}+'
         )
 
+    def silence(self, names):
+        """Let the sidecars of the engines `names` give no answers."""
+        for name in names:
+            self.doors[name].is_silent = True
+
+    def end_silence(self):
+        """Let silent sidecars answer again; they know nothing of before."""
+        for door in self.doors.values():
+            if door.is_silent:
+                door.start_again(self.scenario.make_ledger())
+
     def _come(self, request):
         if request.outcome:
             return
--- a/standins/experiment/tests/test_experiment.py
+++ b/standins/experiment/tests/test_experiment.py
@@ -130,3 +130,25 @@
     result = experiment.summarize(patient, WARM_S)
     bound = experiment.bound_in_time(requests, ENGINES, WARM_S)
     assert result.in_time >= 0.6 * bound
+
+
+def test_a_dead_sidecar_does_not_make_requests_late():
+    """The sidecar of one of six engines is dead, and its engine works."""
+    faults = ((CALM_S, lambda play: play.silence(['u0'])),)
+    for seed in (1, 2, 3):
+        result = experiment.summarize(play(0.7, seed, faults=faults), WARM_S)
+        assert result.in_time >= 0.98
+
+
+def test_callers_are_served_while_all_sidecars_start():
+    """After a loss of power no sidecar answers for four seconds."""
+    faults = (
+        (13.0, lambda play: play.silence(list(play.doors))),
+        (17.0, lambda play: play.end_silence()),
+    )
+    for seed in (1, 2, 3):
+        requests = play(0.7, seed, faults=faults)
+        result = experiment.summarize(requests, 13.0, 17.0)
+        assert result.in_time + result.late >= 0.98
+        assert result.in_time >= 0.75
+        assert experiment.summarize(requests, 19.0).in_time >= 0.98
