Let the model's entries note the tokens that come

Cause: an entry takes an upstream as silent from which no byte has come for 0.7 s while answers are due. The product notes each part of an answer; the entries of the project's model noted none. Where an entry has a job at an engine at all times, as few entries before many engines have, the model took just these engines as silent, and chose others however full.

--- a/standins/experiment/_engines.py
+++ b/standins/experiment/_engines.py
@@ -101,6 +101,7 @@
         self._begin_pass()
 
     def _write(self, request):
+        request.entry.hear_tokens(request)
         if request.first_at is None:
             request.first_at = self.events.now
             request.entry.hear_first(request)
--- a/standins/experiment/_entries.py
+++ b/standins/experiment/_entries.py
@@ -93,6 +93,11 @@
             state = self.tracker.state(request.engine.upstream)
             state.end(request.job)
 
+    def hear_tokens(self, request):
+        """Note that tokens of a request have come."""
+        state = self.tracker.state(request.engine.upstream)
+        state.hear(self.events.now)
+
     @abc.abstractmethod
     def decide(self, request):
         """Decide on a request."""
--- a/standins/experiment/tests/test_experiment.py
+++ b/standins/experiment/tests/test_experiment.py
@@ -59,6 +59,18 @@
     assert share >= 0.9 * bound
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_engines_that_answer_do_not_seem_silent(seed):
+    """With few entries before many engines, each is never without a job.
+
+    An entry that does not note the tokens that come would avoid just these.
+    """
+    requests = play(1.0, seed, entries=4, engines=25, seconds=17.0)
+    share = experiment.summarize(requests, WARM_S).in_time
+    bound = experiment.bound_in_time(requests, 25, WARM_S)
+    assert share >= 0.9 * bound
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_asking_for_places_serves_more_in_time_than_sending(seed):
     asked = experiment.summarize(play(1.2, seed), WARM_S)
