--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 experiment: setup ## Play loads against the model; draw load.svg
 	$(PY) -m standins.experiment --plot=load.svg
 
-ablation: setup ## Show what each mechanism of the transfer is worth
+ablation: setup ## Show what each mechanism is worth by switching it off
 	$(PY) -m benchmarks.ablation
 
 mutants: setup ## Remove each guard of docs/proofs.md and show its proof fail
--- a/standins/experiment/__init__.py
+++ b/standins/experiment/__init__.py
@@ -4,6 +4,7 @@
 served in time, beside what a perfect scheduler would reach.
 """
 
+from standins.experiment._callers import draw
 from standins.experiment._callers import Load
 from standins.experiment._entries import AskingEntry
 from standins.experiment._entries import SendingEntry
@@ -20,6 +21,7 @@
     'SendingEntry',
     'bound_in_time',
     'capacity',
+    'draw',
     'play',
     'summarize',
 ]
