Let a scenario of the model say how its engines work

The model took the slots of an engine from one profile for all plays, so a scenario with other engines could not be played. The profile is now part of the scenario; the count that a perfect scheduler could answer is a function of its own, for spans of time in which there are fewer engines.

--- a/standins/experiment/_engines.py
+++ b/standins/experiment/_engines.py
@@ -27,6 +27,7 @@
     Args:
         events: `Events`.
         upstream: the `catalog.Upstream` that stands for it.
+        profile: the `catalog.EngineProfile` that it works by.
 
     Attributes:
         slowness: 1 for an engine that works as its profile says.
@@ -34,9 +35,10 @@
         lost: it is gone.
     """
 
-    def __init__(self, events, upstream):
+    def __init__(self, events, upstream, profile=PROFILE):
         self.events = events
         self.upstream = upstream
+        self.profile = profile
         self.slowness = 1.0
         self.dark = False
         self.lost = False
@@ -72,27 +74,28 @@
         if self.dark:
             self.events.after(DARK_LOOK_S, self._begin_pass)
             return
-        while self.waiting and len(self.running) < PROFILE.slots:
+        while self.waiting and len(self.running) < self.profile.slots:
             self.running.append(self.waiting.pop(0))
         if not self.running:
             self._works = False
             return
         read = self._read()
         writers = [r for r in self.running if not r.unread]
-        pass_s = read / PROFILE.read_tokens_per_s
+        profile = self.profile
+        pass_s = read / profile.read_tokens_per_s
         if writers:
-            step_s = PROFILE.step_s + PROFILE.per_request_s * len(writers)
-            pass_s += PROFILE.stride * step_s
+            step_s = profile.step_s + profile.per_request_s * len(writers)
+            pass_s += profile.stride * step_s
         self.events.after(pass_s * self.slowness, self._end_pass, writers)
 
     def _read(self):
         """Read prompts in order; return the tokens read."""
-        left = READ_PER_STEP * PROFILE.stride
+        most = left = READ_PER_STEP * self.profile.stride
         for request in self.running:
             read = min(left, request.unread)
             request.unread -= read
             left -= read
-        return READ_PER_STEP * PROFILE.stride - left
+        return most - left
 
     def _end_pass(self, writers):
         for request in writers:
@@ -104,7 +107,7 @@
         if request.first_at is None:
             request.first_at = self.events.now
             request.entry.hear_first(request)
-        request.unwritten -= PROFILE.stride
+        request.unwritten -= self.profile.stride
         if request.unwritten <= 0:
             self.running.remove(request)
             request.end('answered')
--- a/standins/experiment/_entries.py
+++ b/standins/experiment/_entries.py
@@ -6,7 +6,6 @@
 
 from catkinshunt import dispatch
 from catkinshunt import places
-from standins.experiment import _engines
 
 #: Seconds on the way from an entry to an engine or its sidecar, and back.
 WAY_S = 0.002
@@ -40,6 +39,7 @@
         self.play = play
         self.name = name
         self.events = play.events
+        self.profile = play.profile
         self.tracker = dispatch.Tracker()
         self.chooser = dispatch.Chooser('a', {}, name)
         self.returns = dispatch.ReturnDetector()
@@ -56,7 +56,7 @@
         found = self.chooser.choose(
             self.play.listed(),
             self.tracker,
-            _engines.PROFILE,
+            self.profile,
             request.job,
             self.events.now,
             avoid=request.tried,
@@ -137,7 +137,7 @@
         now = self.events.now
         engine = request.engine
         load = dispatch.Load(
-            len(engine.running), len(engine.waiting), _engines.PROFILE.slots
+            len(engine.running), len(engine.waiting), self.profile.slots
         )
         self.tracker.state(engine.upstream).report(load, now)
         if request.rank == dispatch.Rank.EARLY:
@@ -165,15 +165,15 @@
             return
         held_s = self.events.now - request.asked_at
         wait_s = request.goal_s - request.waited_s - held_s
-        wait_s -= dispatch.first_token_s(_engines.PROFILE, request.job)
+        wait_s -= dispatch.first_token_s(self.profile, request.job)
         late = wait_s <= 0
         request.rank = dispatch.Rank.LATE if late else dispatch.Rank.EARLY
         ask = places.Ask(
             number=self.play.next_number(),
             wait_s=max(0.0, wait_s),
-            lasts_s=dispatch.lasts_s(_engines.PROFILE, request.job),
-            read_s=dispatch.read_s(_engines.PROFILE, request.job),
-            slots=_engines.PROFILE.slots,
+            lasts_s=dispatch.lasts_s(self.profile, request.job),
+            read_s=dispatch.read_s(self.profile, request.job),
+            slots=self.profile.slots,
             probe=bool(request.bids),
             late=late,
         )
@@ -198,7 +198,7 @@
             request.place = (door, reply.number)
             self.send(request, bid.candidate, request.rank)
             return
-        self._note(bid.candidate, _engines.PROFILE.slots, 1)
+        self._note(bid.candidate, self.profile.slots, 1)
         if is_first:
             self._ask_next(request)
         else:
@@ -222,7 +222,7 @@
         request.bids = {}
 
     def _note(self, candidate, running, waiting):
-        load = dispatch.Load(running, waiting, _engines.PROFILE.slots)
+        load = dispatch.Load(running, waiting, self.profile.slots)
         candidate.state.report(load, self.events.now)
 
     def end(self, request):
--- a/standins/experiment/_play.py
+++ b/standins/experiment/_play.py
@@ -30,6 +30,7 @@
         weights: share of the load by entry; equal shares if None.
         faults: pairs of a time and a function of the `Play`.
         seed: decides the requests.
+        profile: how the engines work.
     """
 
     load: _callers.Load
@@ -40,6 +41,7 @@
     weights: tuple | None = None
     faults: tuple = ()
     seed: int = 1
+    profile: catalogs.EngineProfile = _engines.PROFILE
 
 
 class Play:
@@ -51,6 +53,7 @@
 
     def __init__(self, scenario):
         self.scenario = scenario
+        self.profile = scenario.profile
         self.events = _events.Events()
         self.rng = random.Random(scenario.seed)
         self.requests = _callers.draw(scenario.load, self.rng)
@@ -60,12 +63,13 @@
                 'model',
                 (f'10.0.0.{n}', 80),
                 'a',
-                slots=_engines.PROFILE.slots,
+                slots=self.profile.slots,
             )
             for n in range(scenario.engines)
         ]
         self.engines = {
-            u.id: _engines.Engine(self.events, u) for u in upstreams
+            u.id: _engines.Engine(self.events, u, self.profile)
+            for u in upstreams
         }
         self.doors = {
             name: _doors.Door(self.events, engine, scenario.make_ledger())
--- a/standins/experiment/_results.py
+++ b/standins/experiment/_results.py
@@ -4,13 +4,6 @@
 
 from standins.experiment import _engines
 
-#: Passes of a full engine with the prompts that are read beside them: by the
-#: profile, an engine at its most answers one request in the time of reading
-#: a usual prompt and of its share in the passes for a usual answer.
-_STEP_S = _engines.PROFILE.step_s + (
-    _engines.PROFILE.per_request_s * _engines.PROFILE.slots
-)
-
 
 @attrs.frozen
 class Summary:
@@ -47,26 +40,45 @@
     )
 
 
-def capacity(requests, engines):
+def capacity(requests, engines, profile=_engines.PROFILE):
     """Return the requests a second that engines can answer at most.
 
+    By the profile, an engine at its most answers one request in the time of
+    reading its prompt and of its share in the passes for its answer.
+
     Args:
         requests: of the kind that is to be answered.
-        engines: number of engines that work.
+        engines: number of engines that work; one that is slow counts as a
+            part of one.
+        profile: how the engines work.
     """
-    profile = _engines.PROFILE
+    step_s = profile.step_s + profile.per_request_s * profile.slots
     read_s = sum(r.tokens_in for r in requests) / profile.read_tokens_per_s
     steps = sum(r.tokens_out for r in requests) / profile.slots
-    return engines * len(requests) / (read_s + steps * _STEP_S)
+    return engines * len(requests) / (read_s + steps * step_s)
 
 
-def bound_in_time(requests, engines, begin=0.0, end=float('inf')):
-    """Return the share that a perfect scheduler could answer in time.
+def answerable(requests, engines, seconds, profile=_engines.PROFILE):
+    """Return how many requests a perfect scheduler could answer in time.
 
     It knows all that is to come, keeps each engine full, and refuses the
     rest at once; it does not prefer small requests.
+
+    Args:
+        requests: those that come, evenly spread over `seconds`.
+        engines: as for `capacity`.
+        seconds: the time in which they come.
+        profile: how the engines work.
     """
+    if not requests:
+        return 0.0
+    most = capacity(requests, engines, profile) * seconds
+    return min(float(len(requests)), most)
+
+
+def bound_in_time(requests, engines, begin=0.0, end=float('inf')):
+    """Return the share that is `answerable` in a span of time."""
     chosen = [r for r in requests if begin <= r.born < end]
     last = max(r.born for r in chosen)
-    asked = len(chosen) / max(last - min(r.born for r in chosen), 1e-9)
-    return min(1.0, capacity(chosen, engines) / asked)
+    seconds = max(last - min(r.born for r in chosen), 1e-9)
+    return answerable(chosen, engines, seconds) / len(chosen)
