Play scenarios from the command line

The model of engines, entries and callers could only be run by who knew the sources: loads, seeds and entries were constants of a script. Now `python -m catkinshunt experiment FILE` plays a scenario in the settings format, checked with all errors at once, and prints shares in time, late, refused and the bound of a scheduler that knows all as JSON; `--plot` draws them. Engines may be slow for a while; the bound then counts them as parts.

The playing and drawing moved out of standins/experiment/__main__.py, which keeps only its table of ways to choose an engine and uses the same functions.

The product does not depend on the model: only this command names it, it is loaded when the command acts, and the one-file build says in one line that it is not shipped. Drawings no longer name a script on the network.

--- a/Makefile
+++ b/Makefile
@@ -53,8 +53,10 @@
 	$(PY) -m standins.soak --seed=$(SEED) --seeds=$(SEEDS) \
 	  --duration_s=$(DURATION_S) --sidecars=$(SIDECARS)
 
-experiment: setup ## Play loads against the model; draw load.svg
-	$(PY) -m standins.experiment --plot=load.svg
+SCENARIO ?= examples/experiments/burst.json
+
+experiment: setup ## Play SCENARIO against the model; draw load.svg
+	$(PY) -m catkinshunt experiment $(SCENARIO) --plot=load.svg
 
 ablation: setup ## Show what each mechanism of the transfer is worth
 	$(PY) -m benchmarks.ablation
--- a/bundle/tests/test_bundle.py
+++ b/bundle/tests/test_bundle.py
@@ -49,6 +49,21 @@
     assert os.access(again, os.X_OK)
 
 
+def test_experiment_says_that_the_model_is_not_shipped(program, tmp_path):
+    """An operator plays a scenario with the program of an instance.
+
+    The model comes with the sources only, and a traceback would look like
+    a broken build.
+    """
+    path = tmp_path / 'scenario.json'
+    path.write_text('{}')
+    done = run(program, 'experiment', str(path))
+    assert done.returncode == 2
+    assert 'standins, which is not shipped' in done.stderr
+    assert done.stderr.count('\n') == 1
+    assert done.stdout == ''
+
+
 def test_other_python_is_told_what_is_needed():
     """An instance holds another Python than the file was built for.
 
--- a/catkinshunt/cli/_commands.py
+++ b/catkinshunt/cli/_commands.py
@@ -2,6 +2,7 @@
 
 from catkinshunt.cli import _action
 from catkinshunt.cli import _check
+from catkinshunt.cli import _experiment
 from catkinshunt.cli import _explain
 from catkinshunt.cli import _rules
 from catkinshunt.cli import _serve
@@ -66,6 +67,22 @@
             _explain.explain, str(request), list(map(str, logs))
         )
 
+    def experiment(self, path, plot=None):
+        """Play loads against a model; show what is served in time.
+
+        The model of engines, entries and callers runs in virtual time, and
+        reaches no other process. It comes with the sources only.
+
+        Args:
+            path: file of the scenario, JSON with comments.
+            plot: file for a drawing of the shares, such as load.svg.
+        """
+        return _action.Action(
+            _experiment.experiment,
+            str(path),
+            None if plot is None else str(plot),
+        )
+
     def version(self):
         """Show the version."""
         return _action.Action(_check.version)
--- /dev/null
+++ b/catkinshunt/cli/_progress.py
@@ -0,0 +1,64 @@
+"""Shows how far long work has come."""
+
+#: Seconds after which work counts as long.
+_LONG_S = 1.0
+#: Seconds between two lines in a file or pipe, and two looks at a terminal.
+_LINE_PERIOD_S = 5.0
+_LOOK_PERIOD_S = 0.2
+#: Characters of the bar.
+_WIDTH = 30
+
+
+class Progress:
+    """A bar on a terminal, and now and then a line elsewhere.
+
+    Work that is done soon shows neither.
+
+    Args:
+        name: what is worked on.
+        total: steps of the work.
+        stream: where to write, such as standard error.
+        now: the present time, in seconds.
+
+    Examples:
+        >>> import sys
+        >>> progress = Progress('burst', 4, sys.stdout, now=0.0)
+        >>> progress.advance(now=0.5)
+        >>> progress.advance(now=2.0)
+        burst: [###############...............] 2 of 4
+        >>> progress.advance(now=3.0)
+    """
+
+    def __init__(self, name, total, stream, now):
+        self.name = name
+        self.total = total
+        self.stream = stream
+        self._done = 0
+        self._next = now + _LONG_S
+        self._shown = False
+
+    def advance(self, now):
+        """Count one step as done."""
+        self._done += 1
+        if now < self._next:
+            return
+        self._shown = True
+        if self.stream.isatty():
+            self._next = now + _LOOK_PERIOD_S
+            self._write('\r', '')
+        else:
+            self._next = now + _LINE_PERIOD_S
+            self._write('', '\n')
+
+    def end(self):
+        """Leave a bar on a terminal as it is at the end."""
+        if self._shown and self.stream.isatty():
+            self._write('\r', '\n')
+
+    def _write(self, before, after):
+        marks = _WIDTH * self._done // self.total
+        bar = ('#' * marks).ljust(_WIDTH, '.')
+        self.stream.write(
+            f'{before}{self.name}: [{bar}] {self._done} of {self.total}{after}'
+        )
+        self.stream.flush()
--- a/catkinshunt/settings/__init__.py
+++ b/catkinshunt/settings/__init__.py
@@ -1,5 +1,9 @@
 """Settings of the processes, read from JSON with comments."""
 
+from catkinshunt.settings._fields import above_zero
+from catkinshunt.settings._fields import count
+from catkinshunt.settings._fields import make_field
+from catkinshunt.settings._fields import text
 from catkinshunt.settings._load import load_document
 from catkinshunt.settings._load import load_settings
 from catkinshunt.settings._load import load_text
@@ -20,10 +24,14 @@
     'Problem',
     'ROLES',
     'SidecarSettings',
+    'above_zero',
+    'count',
     'from_checked',
     'load_document',
     'load_settings',
     'load_text',
+    'make_field',
     'show',
     'structure',
+    'text',
 ]
--- a/examples/tests/test_examples.py
+++ b/examples/tests/test_examples.py
@@ -8,6 +8,7 @@
 from catkinshunt import rules
 from catkinshunt import settings
 from standins import deployment
+from standins import experiment
 
 FOLDER = pathlib.Path(__file__).parent.parent
 
@@ -41,3 +42,12 @@
     assert names == operators.services
     placed = deployed.rules('v2')['rules'][0]['then']['place']
     assert (placed['model'], placed['version']) == (deployed.model, 'v2')
+
+
+@pytest.mark.parametrize('name', ['burst', 'slow-engines'])
+def test_experiments_are_good(name):
+    cfg = settings.load_settings(
+        str(FOLDER / 'experiments' / f'{name}.json'),
+        experiment.ExperimentSettings,
+    )
+    assert (cfg.slow_engines is not None) == (name == 'slow-engines')
