Let a seed of the soak draw a request that crashes engines

Cause: the soak had no engine that ends by what it is asked, so nothing showed how often such a request may run. One request (fixed path, key and body) now ends each engine that begins to run it, before its head or in place of an event: all connections end, its port and the proxy's refuse, its entry in the store lapses after 1 s, and it is back 0.5 to 2.5 s later with a new id and born. A caller sends it again and again through any entry and does not heed Retry-After; three others repeat requests of their own with the same path and key. 3 s after the third crash an entry is killed and started anew.

Checks: at most three runs of a request may begin later than 3 s (and the usual 0.5 s of slack) after its third crash; the first try of each request that ran beside a crash is answered once engines are back; 429 and 503 are true for streams too, not for bookings only. Where no new request is served within 15 s after the last crash, that is broken as well.

Ruled out: in trials bystanders also got 503 "the keys of accounts are too old". In a store where nothing changes a watch lasts 1.8 s, while keys count as fresh for 0.7 of the 2 s that the soak sets; so the store is changed while bystanders are asked for, and the check stays as strict.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -13,7 +13,7 @@
 
 def main(
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
-    folder=None,
+    folder=None, crashes=_soak.CRASHES,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -25,13 +25,16 @@
         sidecars: engines with a sidecar in each.
         callers: callers in each.
         folder: where logs stay; a new one under the temporary folder if None.
+        crashes: whether seeds may draw a request that crashes engines.
     """
     logs.configure(level='ERROR')
     failed = 0
     for number in range(seed, seed + seeds):
         place = folder or tempfile.mkdtemp(prefix=f'soak-{number}-')
         broken, summary = asyncio.run(
-            run_seed(place, number, duration_s, entries, sidecars, callers)
+            run_seed(
+                place, number, duration_s, entries, sidecars, callers, crashes
+            )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
         for sentence in broken[:20]:
@@ -41,14 +44,17 @@
     sys.exit(1 if failed else 0)
 
 
-async def run_seed(folder, seed, duration_s, entries, sidecars, callers):
+async def run_seed(folder, seed, duration_s, *sizes):
     """Run one seed; return what was broken, and a summary."""
-    soak = _soak.Soak(folder, seed, entries, sidecars, callers)
+    soak = _soak.Soak(folder, seed, *sizes)
     broken = await soak.run(duration_s)
     answers = collections.Counter(a.status for a in soak.records.answers)
     shown = ', '.join(f'{k}: {v}' for k, v in answers.most_common())
-    runs = len(soak.records.runs)
-    return broken, f'answers {shown}; {runs} runs, version {soak.version}'
+    runs, crashes = len(soak.records.runs), len(soak.records.crashes)
+    return broken, (
+        f'answers {shown}; {runs} runs, {crashes} crashes, '
+        f'version {soak.version}'
+    )
 
 
 if __name__ == '__main__':
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -12,6 +12,8 @@
 #: Share of the requests after which a caller leaves before the answer.
 LEAVE_SHARE = 0.05
 MOST_TRIES = 2
+#: Shortest and longest pause of a caller that asks the same again, seconds.
+AGAIN_S = (0.1, 0.5)
 
 
 class Caller:
@@ -40,45 +42,52 @@
         while self.clock() < until:
             kind = self.random.choice(('chat', 'chat', 'book'))
             for _ in range(MOST_TRIES):
-                again_s = await self._ask(kind)
-                if again_s is None:
+                answer = await self.ask(kind, leaves=self._leaves())
+                if answer.again_s is None:
                     break
-                await asyncio.sleep(min(again_s, 2.0))
+                await asyncio.sleep(min(answer.again_s, 2.0))
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
 
-    async def _ask(self, kind):
-        """Make one try; return when to come back, or None."""
+    def _leaves(self):
+        return self.random.random() < LEAVE_SHARE
+
+    async def ask(self, kind, content=b'hi', key=None, leaves=False):
+        """Make one try; return its `Answer`."""
         self._count += 1
         answer = _records.Answer(
-            f'{self.name}-{self._count}', kind, self.keys(), self.clock()
+            f'{self.name}-{self._count}',
+            kind,
+            key or self.keys(),
+            self.clock(),
+            content=content,
         )
         self.records.answers.append(answer)
-        leaves = self.random.random() < LEAVE_SHARE
         limit_s = 0.1 if leaves else DEADLINE_S + 1.0
         try:
             async with asyncio.timeout(limit_s):
-                return await self._exchange(answer)
+                await self._exchange(answer)
         except (TimeoutError, OSError):
-            return None
+            answer.again_s = None
         finally:
             answer.ended_at = self.clock()
+        return answer
 
     async def _exchange(self, answer):
         pool = self.random.choice(self.pools)
         try:
             conn = await pool.take()
         except Exception:
-            return 0.2
+            answer.again_s = 0.2
+            return
         whole = False
         try:
             conn.send(*self._request(answer))
-            whole, again_s = await _read(conn, answer)
+            whole = await _read(conn, answer)
         finally:
             if whole:
                 pool.give_back(conn)
             else:
                 conn.close()
-        return again_s
 
     def _request(self, answer):
         items = [
@@ -86,27 +95,51 @@
             ('Attempt-Id', answer.request),
             ('Key', answer.key),
             ('Deadline-Ms', str(int(DEADLINE_S * 1000))),
-            ('Content-Length', '2'),
+            ('Content-Length', str(len(answer.content))),
         ]
         if answer.kind == 'chat':
             items.append(('Model', _platform.MODEL))
             items.append(('Token-Counts', '100,30'))
         first = f'POST /{answer.kind}/1 HTTP/1.1'
-        return http1.dump_head(first, items), b'hi'
+        return http1.dump_head(first, items), answer.content
+
+
+class Repeater(Caller):
+    """Sends each request again and again until it is answered.
+
+    It comes back sooner than it is told to, and through any entry.
+
+    Attributes:
+        contents: iterator of the requests' bodies.
+    """
+
+    contents = iter(())
+
+    async def run(self, until):
+        """Send requests until a time on the clock."""
+        for content in self.contents:
+            served = False
+            while not served:
+                if self.clock() >= until:
+                    return
+                answer = await self.ask('chat', content, leaves=self._leaves())
+                served = answer.whole
+                await asyncio.sleep(self.random.uniform(*AGAIN_S))
 
 
 async def _read(conn, answer):
-    """Read a reply into `answer`; return (whether whole, when to return)."""
+    """Read a reply into `answer`; return whether it is whole."""
     body = b''
     head = None
     while True:
         part = await conn.read_part()
         if isinstance(part, http1.Broken):
-            return False, None
+            return False
         if isinstance(part, http1.End):
             answer.body = body
             again = head.headers.get('Retry-After')
-            return True, float(again) if again else None
+            answer.again_s = float(again) if again else None
+            return True
         if isinstance(part, http1.Body):
             body += part.data
         else:
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -19,6 +19,10 @@
 EVENT_S = 0.05
 #: Seconds that a booking takes.
 BOOK_S = 0.03
+#: Body of the request that crashes each engine that begins to run it.
+CRASHING = b'crash'
+#: Ways of a run to crash: before its head, or in place of an event.
+CRASH_WAYS = 3
 
 
 def chunk(version, index):
@@ -172,6 +176,9 @@
 
     Attributes:
         fault: None, ``'reset'``, ``'silent'``, ``'full'`` or ``'lose'``.
+        born: when it started, in milliseconds of the Unix time.
+        gone: it has crashed and is not back yet.
+        on_crash: function that is called when it crashes.
     """
 
     def __init__(self, name, service, records, clock, version=None):
@@ -183,14 +190,35 @@
         self.stage = {}
         self.busy = False
         self.fault = None
+        self.born = 1
+        self.gone = False
+        self.on_crash = None
+        self._listener = None
+        self._running = set()
         if version:
             self.stage = {i: chunk(version, i) for i in range(CHUNKS)}
 
     async def start(self, host, port):
         """Listen on an address; returns self."""
-        await http1.Listener(self._session, self.clock).start(host, port)
+        self._listener = http1.Listener(self._session, self.clock)
+        await self._listener.start(host, port)
+        self.gone = False
         return self
 
+    def _crash(self, request):
+        """End at once, with all connections."""
+        if self.gone:
+            return
+        self.gone = True
+        self._listener.close()
+        for conn in list(self._listener.tasks.values()):
+            conn.abort()
+        beside = frozenset(self._running - {request})
+        self.records.crashes.append(
+            _records.Crash(request, self.name, self.clock(), beside)
+        )
+        self.on_crash()
+
     def entry(self, address, zone, state='ready'):
         """Return what the runner writes about itself."""
         found = {
@@ -199,7 +227,7 @@
             'zone': zone,
             'slots': 16,
             'state': state,
-            'born': 1,
+            'born': self.born,
         }
         if self.version is not None:
             found['models'] = self._models()
@@ -273,9 +301,16 @@
                 first,
             )
         )
-        if self.version is None:
-            return await self._book(conn, request, items)
-        return await self._stream(conn, request, items, first)
+        self._running.add(request)
+        try:
+            if self.version is None:
+                return await self._book(conn, request, items)
+            crash_at = None
+            if req.body == CRASHING:
+                crash_at = len(self.records.crashes) % CRASH_WAYS
+            return await self._stream(conn, request, items, first, crash_at)
+        finally:
+            self._running.discard(request)
 
     async def _book(self, conn, request, items):
         await asyncio.sleep(BOOK_S)
@@ -285,12 +320,19 @@
         conn.write(http1.dump_reply(200, items, body))
         return True
 
-    async def _stream(self, conn, request, items, first):
+    async def _stream(self, conn, request, items, first, crash_at):
+        """Write events; crash before the event at a place, 0 is the head."""
+        if crash_at == 0:
+            self._crash(request)
+            return False
         items.append(('Content-Type', 'text/event-stream'))
         items.append(('Transfer-Encoding', 'chunked'))
         conn.write(http1.dump_head(http1.status_line(200), items))
-        for number in range(first, _records.EVENTS + 1):
+        for place, number in enumerate(range(first, _records.EVENTS + 1), 1):
             await asyncio.sleep(EVENT_S)
+            if place == crash_at:
+                self._crash(request)
+                return False
             if self.fault == 'reset':
                 return False
             data = _records.event(request, number)
--- a/standins/soak/_proxy.py
+++ b/standins/soak/_proxy.py
@@ -28,12 +28,22 @@
         self._healed = asyncio.Event()
         self._healed.set()
         self._writers = set()
+        self._server = None
 
     async def start(self, host, port):
         """Listen on an address; returns self."""
-        await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.start_server(self._serve, host, port)
         return self
 
+    def stop(self):
+        """End all connections and refuse further ones."""
+        self._server.close()
+        self._abort()
+
+    def _abort(self):
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     @property
     def fault(self):
         """The fault in force, or None."""
@@ -47,8 +57,7 @@
         else:
             self._healed.clear()
         if fault in ('reset', 'refuse'):
-            for writer in list(self._writers):
-                writer.transport.abort()
+            self._abort()
 
     async def _serve(self, reader, writer):
         if self._fault == 'refuse':
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -6,6 +6,11 @@
 
 #: Seconds beyond a bound that a run on a busy machine may need to be seen.
 SLACK_S = 0.5
+#: Seconds after which all entries know what one of them has seen.
+CONTACT_S = 3.0
+#: Engines that a request crashes before it must be known for it, and runs of
+#: it that may begin afterwards.
+MOST_CRASHES, MOST_LATE_RUNS = 3, 3
 
 
 @attrs.define
@@ -16,6 +21,8 @@
         kind: ``'chat'`` or ``'book'``.
         status: status of the reply; None where the connection ended first.
         body: its bytes; None where it broke off.
+        content: body of the request.
+        again_s: seconds after which the caller was told to come back.
     """
 
     request: str
@@ -25,6 +32,18 @@
     ended_at: float = 0.0
     status: int | None = None
     body: bytes | None = None
+    content: bytes = b'hi'
+    again_s: float | None = None
+
+    @property
+    def identity(self):
+        """What all tries of the same request have in common."""
+        return self.kind, self.key, self.content
+
+    @property
+    def whole(self):
+        """Whether the request was served to the end."""
+        return self.status == 200 and self.body is not None
 
 
 @attrs.define
@@ -39,6 +58,21 @@
     first_event: int = 1
 
 
+@attrs.define
+class Crash:
+    """An engine that a request has ended.
+
+    Attributes:
+        request: the one that did it.
+        beside: requests that ran there at the time.
+    """
+
+    request: str
+    upstream: str
+    at: float
+    beside: frozenset = frozenset()
+
+
 class Records:
     """Gathers what was seen.
 
@@ -46,6 +80,10 @@
         version_s: seconds after which a named version must be served.
         revoke_s: seconds after which a removed key must not be.
         drain_s: seconds after which a leaving upstream gets no new work.
+
+    Attributes:
+        back_at: when all engines were back and served new requests, after
+            the last crash; None if that never was.
     """
 
     def __init__(self, version_s, revoke_s, drain_s):
@@ -59,6 +97,8 @@
         self.revoked = {}
         self.left = {}
         self.store_faults = []
+        self.crashes = []
+        self.back_at = None
 
     def is_calm(self, begin, end):
         """Return whether the store had no fault in a span of time."""
@@ -77,6 +117,8 @@
             found += self._check_key(answer, runs[answer.request])
         for run in self.runs:
             found += self._check_run(run)
+        found += self._check_crashes()
+        found += self._check_bystanders()
         found += [
             f'{upstream} loaded chunks of versions {sorted(versions)}'
             for upstream, versions in self.loads
@@ -112,13 +154,72 @@
                     'after it had to be left alone'
                 )
 
+    def _identities(self):
+        return {answer.request: answer.identity for answer in self.answers}
+
+    def _crash_times(self):
+        """Return when each request crashed engines, in order."""
+        identities = self._identities()
+        found = collections.defaultdict(list)
+        for crash in sorted(self.crashes, key=lambda crash: crash.at):
+            found[identities[crash.request]].append(crash.at)
+        return found
+
+    def _check_crashes(self):
+        identities = self._identities()
+        for identity, times in self._crash_times().items():
+            if len(times) < MOST_CRASHES:
+                continue
+            known_at = times[MOST_CRASHES - 1] + CONTACT_S + SLACK_S
+            late = sum(
+                run.at > known_at and identities.get(run.request) == identity
+                for run in self.runs
+            )
+            if late > MOST_LATE_RUNS:
+                yield (
+                    f'{identity} began {late} more runs after it was known '
+                    f'to have crashed {MOST_CRASHES} engines'
+                )
+
+    def find_bystanders(self):
+        """Return the identities of requests that ran beside a crash."""
+        identities = self._identities()
+        beside = {
+            identities[request]
+            for crash in self.crashes
+            for request in crash.beside
+        }
+        return sorted(
+            identity
+            for identity in beside - self._crash_times().keys()
+            if identity[1] not in self.revoked
+        )
+
+    def _check_bystanders(self):
+        if self.crashes and self.back_at is None:
+            yield 'no new request was served after the last crash'
+            return
+        for identity in self.find_bystanders():
+            tries = [
+                answer
+                for answer in self.answers
+                if answer.identity == identity
+                and answer.sent_at >= self.back_at
+            ]
+            if not any(answer.whole for answer in tries[:1]):
+                seen = [(answer.status, answer.body) for answer in tries]
+                yield (
+                    f'{identity} ran beside a crash and got {seen} once '
+                    'engines were back'
+                )
+
 
 def _check_answer(answer, runs):
     if answer.kind == 'book' and len(runs) > 1:
         yield f'{answer.request} ran {len(runs)} times'
-    if answer.kind == 'book' and answer.status in (408, 421, 429, 503):
-        if runs:
-            yield f'{answer.request} got {answer.status} and ran'
+    refusals = (429, 503) if answer.kind == 'chat' else (408, 421, 429, 503)
+    if answer.status in refusals and runs:
+        yield f'{answer.request} got {answer.status} and ran'
     if answer.status == 200 and answer.body is not None:
         if answer.body != whole_body(answer.request, answer.kind):
             yield f'{answer.request} got another answer: {answer.body[:80]!r}'
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import signal
+import time
 
 from catkinshunt import http1
 from standins.soak import _callers
@@ -23,6 +24,21 @@
 PROXY_PORT, STORE_PORT, ORIGIN_PORT = 8705, 8007, 8006
 #: Most seconds between two faults, and most that one lasts.
 PAUSE_S, FAULT_S = 1.0, 2.5
+#: Whether seeds may draw a request that crashes the engines that run it.
+CRASHES = False
+#: How many times as likely it is drawn as another fault, so that most of a
+#: run has it.
+CRASH_WEIGHT = 3
+#: Seconds after which the entry of a crashed engine lapses, and shortest and
+#: longest time until the engine is back.
+LAPSE_S, AWAY_S = 1.0, (0.5, 2.5)
+#: Between the numbers of an engine's starts; even, so that its zone stays.
+START_STEP = 100
+#: Callers that repeat other requests beside the one that crashes engines.
+REPEATERS = 3
+#: Seconds until engines must serve again after the last crash, and requests
+#: that are sent to each entry at once to see it.
+BACK_S, AT_ONCE = 15.0, 4
 
 _RUNS = itertools.count()
 
@@ -36,12 +52,19 @@
         entries: number of entries.
         sidecars: number of engines with a sidecar each.
         callers: number of callers.
+        crashes: whether a request may crash engines.
     """
 
-    def __init__(self, folder, seed=1, entries=2, sidecars=4, callers=6):
+    def __init__(
+        self, folder, seed=1, entries=2, sidecars=4, callers=6,
+        crashes=CRASHES,
+    ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
         self.sizes = (entries, sidecars, callers)
+        self.crashes = crashes
+        self.repeating, self.returning = [], []
+        self.until = None
         self.clock = asyncio.get_running_loop().time
         self.records = _records.Records(VERSION_S, REVOKE_S, DRAIN_S)
         self.store = _platform.Store()
@@ -68,8 +91,54 @@
 
     async def _work(self, until):
         """Let callers work while faults come, until a time on the clock."""
+        self.until = until
         work = [caller.run(until) for caller in self._make_callers()]
         await asyncio.gather(*work, self._harm(until - FAULT_S))
+        await asyncio.gather(*self.repeating)
+        if self.records.crashes:
+            await self._recover()
+
+    async def _recover(self):
+        """Wait until engines serve again, and ask for the bystanders."""
+        await asyncio.gather(*self.returning)
+        # An entry that was out of touch may be so until then.
+        faults = self.records.store_faults
+        calm_at = max((until for _, until in faults), default=0.0)
+        await asyncio.sleep(max(0.0, calm_at - self.clock()))
+        await self._until_ready()
+        askers = [
+            self._make_caller(_callers.Caller, f'last-{host}', hosts=[host])
+            for host in self.fronts
+        ]
+        fresh = _name_contents('fresh')
+        limit = self.clock() + BACK_S
+        while True:
+            self._stir()
+            answers = await asyncio.gather(
+                *(
+                    asker.ask('chat', next(fresh))
+                    for asker in askers
+                    for _ in range(AT_ONCE)
+                )
+            )
+            if all(answer.whole for answer in answers):
+                break
+            if self.clock() > limit:
+                return
+            await asyncio.sleep(_platform.EVENT_S)
+        self.records.back_at = self.clock()
+        for identity in self.records.find_bystanders():
+            kind, key, content = identity
+            self._stir()
+            await self.random.choice(askers).ask(kind, content, key)
+
+    def _stir(self):
+        """Change the store.
+
+        With a bound as short as `REVOKE_S` entries refuse all requests for a
+        part of each watch in which nothing changes.
+        """
+        self._write_upstream('p0')
 
     # Start.
 
@@ -110,6 +179,7 @@
         await upstream.start(host, port)
         proxy = await _proxy.Proxy(host, port).start(host, PROXY_PORT)
         proxy.name, proxy.place = name, host
+        upstream.on_crash = lambda: self._lose(upstream, proxy)
         self.proxies.append(proxy)
         self.upstreams[name] = (upstream, host)
         self._write_upstream(name)
@@ -200,25 +270,27 @@
                     await asyncio.sleep(0.1)
 
     def _make_callers(self):
-        pools = [
-            http1.Pool(host, FRONT_PORT, self.clock) for host in self.fronts
-        ]
         for number in range(self.sizes[2]):
-            yield _callers.Caller(
+            yield self._make_caller(
+                _callers.Caller,
                 f'c{number}',
-                pools,
-                self.records,
                 lambda: self.random.choice(('k0', *self.keys, 'k3')),
-                random.Random(self.random.random()),
-                self.clock,
             )
 
+    def _make_caller(self, kind, name, keys=lambda: 'k0', hosts=None):
+        pools = [
+            http1.Pool(host, FRONT_PORT, self.clock)
+            for host in hosts or self.fronts
+        ]
+        chance = random.Random(self.random.random())
+        return kind(name, pools, self.records, keys, chance, self.clock)
+
     async def _publish(self):
         """Write to the store what engines say of themselves."""
         known = {}
         while True:
             for name, (upstream, _) in self.upstreams.items():
-                if known.get(name) != upstream.version:
+                if known.get(name) != upstream.version and not upstream.gone:
                     known[name] = upstream.version
                     if name not in self.records.left:
                         self._write_upstream(name)
@@ -239,9 +311,12 @@
             self._remove_key,
             self._change,
         ]
+        crashes = [self._crash] * CRASH_WEIGHT if self.crashes else []
         running = []
         while self.clock() < until:
-            fault = self.random.choice(faults)
+            # Once such a request comes, it comes until the end.
+            first = [] if self.repeating else crashes
+            fault = self.random.choice(faults + first)
             length_s = self.random.uniform(0.2, FAULT_S)
             running.append(asyncio.ensure_future(fault(length_s)))
             await asyncio.sleep(self.random.uniform(0.0, PAUSE_S))
@@ -285,8 +360,8 @@
         process.thaw()
         self._note_store_fault(since)
 
-    async def _kill(self, length_s):
-        process = self.random.choice(self.processes)
+    async def _kill(self, length_s, process=None):
+        process = process or self.random.choice(self.processes)
         since = self.clock()
         # Faults overlap: another one may start the process again meanwhile.
         popen = process.popen
@@ -325,6 +400,55 @@
     async def _change(self, length_s):
         self._configure()
 
+    async def _crash(self, length_s):
+        """Let a request crash engines from now on, with others beside it.
+
+        What entries know of it must outlast one of them.
+        """
+        callers = [
+            self._make_caller(_callers.Repeater, f'r{number}')
+            for number in range(1 + REPEATERS)
+        ]
+        callers[0].contents = itertools.repeat(_platform.CRASHING)
+        for caller in callers[1:]:
+            caller.contents = _name_contents(caller.name)
+        self.repeating += [
+            asyncio.ensure_future(caller.run(self.until)) for caller in callers
+        ]
+        while len(self.records.crashes) < _records.MOST_CRASHES:
+            if self.clock() > self.until - FAULT_S:
+                return
+            await asyncio.sleep(_platform.EVENT_S)
+        await asyncio.sleep(_records.CONTACT_S)
+        entries = [p for p in self.processes if p.role == 'entry']
+        await self._kill(length_s, self.random.choice(entries))
+
+    def _lose(self, upstream, proxy):
+        """Let a crashed engine be away for a time."""
+        proxy.stop()
+        away_s = self.random.uniform(*AWAY_S)
+        self.returning.append(
+            asyncio.ensure_future(self._bring_back(upstream, proxy, away_s))
+        )
+
+    async def _bring_back(self, upstream, proxy, away_s):
+        await asyncio.sleep(LAPSE_S)
+        self.store.put(f'servers/{upstream.name}', None)
+        await asyncio.sleep(away_s)
+        _, host = self.upstreams.pop(upstream.name)
+        upstream.name = f'e{int(upstream.name[1:]) + START_STEP}'
+        upstream.born = int(time.time() * 1000)
+        self.upstreams[upstream.name] = (upstream, host)
+        await upstream.start(host, ENGINE_PORT)
+        await proxy.start(host, PROXY_PORT)
+        proxy.name = upstream.name
+        self._write_upstream(upstream.name)
+
+
+def _name_contents(name):
+    for number in itertools.count():
+        yield f'{name} {number}'.encode()
+
 
 def _route(name, service, kind, tries):
     return {
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -2,10 +2,17 @@
 
 import pytest
 
+from catkinshunt import errors
+from catkinshunt import http1
 from standins.soak import _records
 from standins.soak import _soak
 
 SEEDS = (1,)
+#: Seconds of a short run; engines must crash and be away for a while in one
+#: that may crash them.
+RUN_S = 16.0 if _soak.CRASHES else 6.0
+#: A time that a run gets long after the third crash is known.
+LATE = 7.0
 
 
 def records():
@@ -23,6 +30,27 @@
     return _records.Run(request, upstream, at, version)
 
 
+def crash_of(number, at=None, beside=()):
+    at = float(number) if at is None else at
+    return _records.Crash(f'x-{number}', f'e{number}', at, frozenset(beside))
+
+
+def crashing(times, **changes):
+    """Return tries of one request that crash an engine at each time."""
+    fields = {'kind': 'chat', 'status': 502, 'content': b'x', **changes}
+    return {
+        'answers': [
+            answer(f'x-{number}', **fields) for number in range(len(times))
+        ],
+        'runs': [
+            run_of(f'x-{number}', f'e{number}', at)
+            for number, at in enumerate(times)
+        ],
+        'crashes': [crash_of(number, at) for number, at in enumerate(times)],
+        'back_at': 100.0,
+    }
+
+
 def broken(answers=(), runs=(), **changes):
     found = records()
     found.answers += answers
@@ -81,12 +109,147 @@
     assert broken([answer()], twice, store_faults=faults)
 
 
+def test_runs_after_a_request_is_known_to_crash_engines_are_found():
+    """A guard that each entry begins anew lets runs go on for ever."""
+    found = broken(**crashing([0.0, 1.0, 2.0] + [LATE] * 4))
+    assert len(found) == 1
+    assert 'began 4 more runs' in found[0]
+
+
+@pytest.mark.parametrize(
+    'times',
+    [
+        # Three more are allowed.
+        [0.0, 1.0, 2.0] + [LATE] * 3,
+        # Entries have some time to learn of the third crash.
+        [0.0, 1.0, 2.0] + [4.9] * 9,
+        # Two crashes may have had another cause.
+        [0.0, 1.0],
+    ],
+)
+def test_allowed_runs_of_a_request_that_crashes_engines(times):
+    assert broken(**crashing(times)) == []
+
+
+@pytest.mark.parametrize('changes', [{'key': 'k1'}, {'content': b'y'}])
+def test_runs_of_another_request_are_not_counted(changes):
+    """Runs of all requests of a path would be taken for those of one."""
+    seen = crashing([0.0, 1.0, 2.0])
+    for number in range(9):
+        other = {'kind': 'chat', 'status': 502, 'content': b'x', **changes}
+        seen['answers'].append(answer(f'y-{number}', **other))
+        seen['runs'].append(run_of(f'y-{number}', 'e9', LATE))
+    assert broken(**seen) == []
+
+
+def beside_a_crash(status=200, sent_at=101.0, revoked=(), back_at=100.0):
+    """Return what is broken where a bystander's next try ends so."""
+    seen = crashing([0.0])
+    seen['crashes'] = [crash_of(0, 0.0, beside=['b-1'])]
+    seen['back_at'] = back_at
+    body = _records.whole_body('b-2', 'chat') if status == 200 else None
+    tries = [
+        answer('b-1', 'chat', 'k1', status=None, body=None),
+        answer('b-2', 'chat', 'k1', sent_at, status=status, body=body),
+    ]
+    seen['answers'] += tries
+    seen['runs'].append(run_of('b-1'))
+    if status == 200:
+        seen['runs'].append(run_of('b-2'))
+    return broken(**seen, revoked=dict.fromkeys(revoked, 0.0))
+
+
+def test_a_bystander_that_is_answered_breaks_nothing():
+    assert beside_a_crash() == []
+
+
+@pytest.mark.parametrize('status', [429, 502, 503, None])
+def test_a_bystander_that_is_refused_for_good_is_found(status):
+    """A guard may take a request that ran beside crashes for their cause."""
+    found = beside_a_crash(status)
+    assert len(found) == 1
+    assert 'ran beside a crash' in found[0]
+
+
+def test_a_bystander_that_never_asked_again_is_found():
+    """A soak that asks for none of them would find nothing."""
+    found = beside_a_crash(sent_at=99.0)
+    assert len(found) == 1
+    assert 'got []' in found[0]
+
+
+def test_a_bystander_that_is_answered_after_a_refusal_is_found():
+    """Who is told once that it crashes engines may not ask a second time."""
+    seen = crashing([0.0])
+    seen['crashes'] = [crash_of(0, 0.0, beside=['b-1'])]
+    body = _records.whole_body('b-3', 'chat')
+    seen['answers'] += [
+        answer('b-1', 'chat', status=None, body=None),
+        answer('b-2', 'chat', sent_at=101.0, status=503),
+        answer('b-3', 'chat', sent_at=102.0, body=body),
+    ]
+    seen['runs'] += [run_of('b-1'), run_of('b-3')]
+    found = broken(**seen)
+    assert len(found) == 1
+    assert 'ran beside a crash' in found[0]
+
+
+def test_a_bystander_whose_key_was_removed_may_be_refused():
+    assert beside_a_crash(401, revoked=['k1']) == []
+
+
+def test_engines_that_never_serve_again_are_found():
+    """Without an end of the trouble no bystander could be asked for."""
+    found = beside_a_crash(back_at=None)
+    assert found == ['no new request was served after the last crash']
+
+
+@pytest.mark.parametrize('status', [429, 503])
+@pytest.mark.parametrize('kind', ['chat', 'book'])
+def test_a_refusal_of_a_request_that_ran_is_found(status, kind):
+    """A caller sends again what was refused, so that it would run twice."""
+    refused = answer(kind=kind, status=status, body=b'busy')
+    assert broken([refused]) == []
+    assert broken([refused], [run_of()]) == [f'a-1 got {status} and ran']
+
+
+def test_the_request_crashes_the_engine_and_another_takes_its_place(tmp_path):
+    """Where nothing crashes, the soak would prove nothing about crashes."""
+
+    async def ask(pool, request, content):
+        items = [('Attempt-Id', request)]
+        return await http1.exchange(pool, 'POST', '/chat/1', items, content)
+
+    async def main():
+        soak = _soak.Soak(tmp_path, sidecars=1)
+        soak.base = soak._host()
+        port = _soak.ENGINE_PORT
+        host = await soak._add_upstream('e0', 'engines', 1, port)
+        pool = http1.Pool(host, _soak.PROXY_PORT, soak.clock)
+        begun = soak.clock()
+        with pytest.raises(errors.OutcomeUnknownError):
+            await ask(pool, 'x-1', b'crash')
+        assert [crash.upstream for crash in soak.records.crashes] == ['e0']
+        for port in (_soak.ENGINE_PORT, _soak.PROXY_PORT):
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(host, port)
+        await asyncio.gather(*soak.returning)
+        assert soak.clock() - begun > _soak.LAPSE_S
+        head, _ = await ask(pool, 'a-1', b'hi')
+        return soak, head
+
+    soak, head = asyncio.run(main())
+    assert head.headers.get('Server-Stamp') == 'e100'
+    assert list(soak.store.items) == ['servers/e100']
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_a_short_run_breaks_nothing(seed, tmp_path):
     async def main():
         soak = _soak.Soak(tmp_path, seed, entries=2, sidecars=2, callers=4)
-        return await soak.run(6.0), soak.records
+        return await soak.run(RUN_S), soak.records
 
     found, seen = asyncio.run(main())
     assert found == []
     assert sum(answer.status == 200 for answer in seen.answers) > 20
+    assert seen.crashes or not _soak.CRASHES
