Let requests that were at the same crashes run by turns

With two engines each retry meets the offender again, so both were at the same four crashes, and four barred both.

Requests that were at three crashes and at the same ones run by turns now, two seconds each, by the order of their fingerprints and the time since the third crash; the others are refused as not run, with the time until their turn. One that runs to its end is cleared, the one that crashes again is told apart. Five crashes bar as before.

The soak draws requests that crash engines from now on.

--- a/catkinshunt/gateway/_suspicion.py
+++ b/catkinshunt/gateway/_suspicion.py
@@ -1,6 +1,7 @@
 """Keeps one request from running where it crashes its upstreams."""
 
 import functools
+import math
 
 from catkinshunt import errors
 from catkinshunt import quarantine
@@ -45,7 +46,7 @@
             raise QuarantinedError(
                 f'upstreams crashed under request {self.fingerprint}',
                 step='check-quarantine',
-                retry_after_s=round(left_s),
+                retry_after_s=math.ceil(left_s),
             )
 
     def note_break(self, upstream):
--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -64,12 +64,15 @@
         return len(self.gossip.quarantine.all_barred(self.gossip.wall()))
 
     def check(self, request):
-        """Return the seconds for which a request is barred, or 0.
+        """Return the seconds for which a request must not run, or 0.
 
-        One that still comes is barred for the whole time again.
+        One that is barred and still comes is barred for the whole time again.
         """
-        left_s = self.gossip.quarantine.barred_s(request, self.gossip.wall())
-        if 0 < left_s < _quarantine.BARRED_S * _quarantine.RENEW_SHARE:
+        now = self.gossip.wall()
+        left_s = self.gossip.quarantine.barred_s(request, now)
+        if left_s == 0:
+            return self.gossip.quarantine.turn_s(request, now)
+        if left_s < _quarantine.BARRED_S * _quarantine.RENEW_SHARE:
             self.gossip.bar(request, _quarantine.BARRED_S)
         return left_s
 
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -8,11 +8,11 @@
 
 #: Upstreams that must have crashed under a request.
 LEAST_CRASHES = 3
-#: The same where another request was there each time as well; one crash more
-#: tells them apart.
-AMBIGUOUS_CRASHES = 4
 #: Crashes after which a request is barred though others explain them.
 MOST_CRASHES = 5
+#: Seconds for which one of several requests that were at the same crashes may
+#: run while the others may not. It is to end within that time.
+TURN_S = 2.0
 #: Seconds after the last of these crashes before a request is judged. Entries
 #: tell of the same crash one after the other, and a request that ran to its
 #: end elsewhere is cleared meanwhile.
@@ -61,7 +61,9 @@
 
     A crash ends all requests of its upstream, so each of them is suspected.
     One that runs to its end anywhere is cleared; of those left the one that
-    was there at more crashes explains what the others were there for.
+    was there at more crashes explains what the others were there for. Those
+    that were at the same ones run by turns: the next crash, or the end of a
+    run, tells them apart.
 
     Requests and crashes are named by texts that are equal in all processes.
     All methods take the present time in seconds on one clock.
@@ -164,6 +166,24 @@
         until = self._barred.get(request)
         return 0.0 if until is None else max(0.0, until - now)
 
+    def turn_s(self, request, now):
+        """Return the seconds until a suspected request may run, or 0."""
+        suspect = self._suspects.get(request)
+        if suspect is None or len(suspect.crashes) < LEAST_CRASHES:
+            return 0.0
+        rivals = self._find_rivals(request, suspect)
+        equal = {
+            r: s for r, s in rivals.items() if s.crashes == suspect.crashes
+        }
+        if not equal or len(equal) < len(rivals):
+            return 0.0
+        equal[request] = suspect
+        since = min(s.enough_at for s in equal.values())
+        elapsed_s = now - since
+        turns = int(elapsed_s / TURN_S)
+        place = (sorted(equal).index(request) - turns) % len(equal)
+        return 0.0 if place == 0 else (turns + place) * TURN_S - elapsed_s
+
     def all_barred(self, now):
         """Return pairs of a barred request and the seconds left."""
         left = [(r, self.barred_s(r, now)) for r in self._barred]
@@ -202,20 +222,16 @@
             return True
         if len(suspect.crashes) < LEAST_CRASHES:
             return False
-        rivals = self._find_rivals(request, suspect)
-        if not rivals:
-            return True
-        if any(len(r.crashes) > len(suspect.crashes) for r in rivals):
-            return False
-        return len(suspect.crashes) >= AMBIGUOUS_CRASHES
+        # One that was there at all of these crashes may be the cause instead.
+        return not self._find_rivals(request, suspect)
 
     def _find_rivals(self, request, suspect):
         """Return the other suspects that were there at the same crashes."""
         known = [self._crashes.get(crash, set()) for crash in suspect.crashes]
         others = set.intersection(*known) - {request}
-        return [
-            self._suspects[other]
+        return {
+            other: self._suspects[other]
             for other in others
             if other in self._suspects
             and self._suspects[other].crashes >= suspect.crashes
-        ]
+        }
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -25,7 +25,7 @@
 #: Most seconds between two faults, and most that one lasts.
 PAUSE_S, FAULT_S = 1.0, 2.5
 #: Whether seeds may draw a request that crashes the engines that run it.
-CRASHES = False
+CRASHES = True
 #: How many times as likely it is drawn as another fault, so that most of a
 #: run has it.
 CRASH_WEIGHT = 3
