--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -26,8 +26,8 @@
 #: Most requests that are suspected, crashes that are remembered, requests of
 #: one crash, and requests that are barred. The oldest go first.
 MOST_SUSPECTS = 4096
-MOST_REMEMBERED = 512
-MOST_IN_CRASH = 256
+MOST_REMEMBERED = 256
+MOST_IN_CRASH = 64
 MOST_BARRED = 256
 
 _log = logs.get_logger('quarantine')
