Leave further figures and stories out of comments

Comments and docstrings of seven modules still told how a value was chosen or what happened once. No statement is changed.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -20,8 +20,7 @@
 BUSY_RETRY_S = 0.25
 #: Seconds for which an upstream is left alone that refuses though it has
 #: free slots: it ends its answers before it loads another version. It gets
-#: work again as soon as its entry shows other versions. With 0.8 s, 15
-#: entries were refused 3,460 of 11,911 times on a day of two versions.
+#: work again as soon as its entry shows other versions.
 LOADING_PAUSE_S = 2.5
 EVENT_STREAM = 'text/event-stream'
 
--- a/catkinshunt/places/_ledger.py
+++ b/catkinshunt/places/_ledger.py
@@ -208,9 +208,8 @@
         """Give no place to a request that would begin after `expires_at`.
 
         What the engine serves is too old from then on. Its sidecar hears of
-        a new version at once; an entry that was reading a large configuration
-        over a busy link heard of it 1.4 s later, and let requests begin on
-        the old version for as long after it was due.
+        a new version at once, an entry that reads a large configuration over
+        a busy link much later.
 
         Args:
             expires_at: in seconds on the steady clock; infinite for never.
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -39,13 +39,12 @@
 #: larger number of entries is long past.
 SHARE_S = 10.0
 #: Seconds kept back from the time between the signal to stop and the kill, for
-#: ending what is left and the last log lines; with 0.4 s two processes of a
-#: day were killed in the middle of it.
+#: ending what is left and the last log lines.
 STOP_MARGIN_S = 1.0
 #: Seconds before the bound at which a version is due. It covers the time
 #: until its name is learnt, the way of a request over a busy link and its
-#: time in a queue, 0.6 s together where it was longest; one that has not
-#: begun by then is taken back, but that too is 0.3 s on its way.
+#: time in a queue. One that has not begun by then is taken back, but that too
+#: takes its time on the way.
 VERSION_MARGIN_S = 0.75
 #: Seconds between two removals of what upstreams that are gone left behind.
 TIDY_S = 10.0
--- a/catkinshunt/platform/_mirror.py
+++ b/catkinshunt/platform/_mirror.py
@@ -10,9 +10,9 @@
 from catkinshunt.platform import _documents
 
 #: Seconds that a watch waits where nothing changes. Its return confirms that
-#: what is known is the newest; with a lost connection the age of the catalog
-#: reaches this and the time-out of a call, 2.8 s, below the 3.5 s after
-#: which keys are no longer trusted.
+#: what is known is the newest. With a lost connection the age of the catalog
+#: reaches this and the time-out of a call, which must be less than the time
+#: for which keys are trusted.
 WATCH_S = 1.8
 #: Seconds after a change before the next watch, so that changes that come
 #: together, such as of engines that load a version, are told together. What
--- a/catkinshunt/retries/_shares.py
+++ b/catkinshunt/retries/_shares.py
@@ -7,7 +7,7 @@
 
 #: Processes that are assumed at least. One that has just started knows only
 #: of itself, and would take all retries in the moment before it hears of the
-#: others; the smallest deployment of the users has four entries.
+#: others.
 FEWEST_SHARERS = 4
 #: Seconds for which a larger number counts on. One that lost the store is no
 #: longer listed, but still uses its share.
@@ -18,9 +18,8 @@
     """Tells one process how much of a common burst of retries is its own.
 
     The number of processes changes while they run. A fixed share for the
-    largest number leaves small deployments with a fifth of what they may
-    use: with two engines in five standing still the budget was spent, and
-    callers left without an answer.
+    largest number leaves small deployments with a part of what they may use,
+    and their callers without an answer when engines stand still.
 
     Args:
         burst: retries that all processes together may use at once.
--- a/catkinshunt/spread/_loading.py
+++ b/catkinshunt/spread/_loading.py
@@ -28,8 +28,8 @@
 #: ended its answers.
 LOAD_S = 0.3
 #: Seconds that an engine may stand idle between two versions rather than load
-#: both: running empty and loading keeps it from work for 1.2 s each time, and
-#: while it stands idle it ends its answers for 0.9 s.
+#: both: each load keeps it from work, and while it stands idle it still ends
+#: its answers.
 MOST_IDLE_S = 2.9
 #: Seconds before the turn of an engine from which on it is looked at often.
 NEAR_S = 0.5
@@ -63,9 +63,8 @@
     Groups follow each other as slowly as the time until the version is due
     allows, since engines that load together take no requests together. Where
     a newer version comes soon after, the last group leaves this one out: it
-    serves until the version is due, and loads the newer one first. With two
-    versions four seconds apart all ten engines had to load the second one
-    within 1.4 s, and for two seconds hardly a request began.
+    serves until the version is due, and loads the newer one first. Otherwise
+    all engines would have to load the second one at nearly the same time.
 
     Args:
         move: `Move`.
--- a/catkinshunt/spread/_peers.py
+++ b/catkinshunt/spread/_peers.py
@@ -10,8 +10,8 @@
 
 #: Seconds for which a request for a chunk may wait until the chunk is here.
 LONGEST_WAIT_S = 1.0
-#: Bytes that are written at once; at 3.65 Mbit/s they take 9 ms, so that an
-#: event of a stream on the same link waits no longer than that.
+#: Bytes that are written at once. An event of a stream on the same link waits
+#: for as long as they take.
 SLICE_BYTES = 4096
 #: Pause between looks whether a version has become known, in seconds.
 LOOK_S = 0.05
