Show in log and metrics which limit an upstream states

Cause of the change: upstreams state in their replies how many requests a second they accept from all entries, and no line or metric shows that one did, to which entry or when, so a log cannot tell whether the limit is ignored or kept by each entry alone. The platform's adapter decodes the header; a table keeps the newest limit of each upstream.

A reply ends a limit only if its request was sent after the limit was stated, since replies on several connections may overtake each other. A rejection without the header ends none. Nothing is decided by the limits yet.

Ruled out for an invalid header: counting it as no limit, which would end the limit in force; it is ignored with a log line.

--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -9,6 +9,7 @@
 from catkinshunt.gateway import base
 from catkinshunt import http1
 from catkinshunt import quarantine
+from catkinshunt import rate_limits
 from catkinshunt import retries
 
 
@@ -24,6 +25,7 @@
         retry_burst: retries allowed beyond that ratio.
         random: source of random numbers, such as `random.Random(7)`.
         permit_client: `permits.PermitClient` that requests permits.
+        rate_limits: `rate_limits.RateLimitTable` of what upstreams state.
         guard: `quarantine.Guard` against requests that crash upstreams, or
             None.
         client_retry_detector: estimates how long a client has waited before
@@ -45,6 +47,7 @@
     random: object
     metrics: object
     permit_client: object
+    rate_limits: rate_limits.RateLimitTable
     guard: quarantine.Guard | None = None
     tracker: dispatch.UpstreamTracker = attrs.field(
         factory=dispatch.UpstreamTracker
@@ -82,6 +85,7 @@
         for key in set(self._pools) - kept:
             self._pools.pop(key).close_idle()
         self.tracker.forget(upstreams)
+        self.rate_limits.forget(kept)
 
     def retry_budget_tokens(self):
         """Return the tokens of each retry budget, by metric label values."""
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -1,6 +1,7 @@
 """Relays the reply of one upstream attempt to the client."""
 
 import asyncio
+import math
 
 from catkinshunt import errors
 from catkinshunt.gateway import _events
@@ -63,6 +64,7 @@
         self.job = job
         self.peer = peer
         self.sent_at = self.context.clock()
+        self.boot_sent_at = self.context.boot_clock()
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
@@ -70,6 +72,7 @@
         reply_info = self.context.dialect.decode_reply(head)
         if reply_info.load is not None:
             self.state.report(reply_info.load, self.context.clock())
+        self._record_rate_limit(reply_info)
         self._check_head(head, reply_info)
         delay_s = self.context.clock() - self.sent_at
         self.exchange.record_delay(self.job, delay_s)
@@ -79,6 +82,21 @@
             await self._relay_buffered(head)
         return self.conn.is_fully_sent and not reply_info.closes_connection
 
+    def _record_rate_limit(self, reply_info):
+        per_s = reply_info.rate_limit_per_s
+        # A misdirected reply may be that of another upstream.
+        if per_s is None or reply_info.misdirected:
+            return
+        # A rejection does not show that a limit has ended.
+        if reply_info.not_executed and per_s == math.inf:
+            return
+        self.context.rate_limits.observe(
+            self.upstream.key,
+            per_s,
+            self.boot_sent_at,
+            self.context.boot_clock(),
+        )
+
     async def _read_reply_head(self):
         """Return the head of the reply to this request.
 
--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -65,12 +65,16 @@
     def _describe(self, candidate):
         """Return a log note with the reasons for the choice."""
         state = candidate.state
-        return (
+        text = (
             f'chose {candidate.upstream.id}:'
             f' predicted {candidate.delay_s:.3f} s,'
             f' {len(state.jobs)} requests of this entry,'
             f' failure rate {state.failure_rate(self.context.clock()):.2f}'
         )
+        limit = self.context.rate_limits.describe(
+            candidate.upstream.key, self.context.boot_clock()
+        )
+        return f'{text}, {limit}' if limit else text
 
     def has_untried(self, tried):
         """Return whether an untried, responsive upstream is available."""
--- a/catkinshunt/gateway/base.py
+++ b/catkinshunt/gateway/base.py
@@ -1,6 +1,7 @@
 """Interface between a gateway and the headers of its protocol."""
 
 import abc
+import math
 
 import attrs
 
@@ -64,6 +65,9 @@
         misdirected: another upstream has the address, or the upstream does
             not serve the requested model version.
         load: `dispatch.Load`, or None.
+        rate_limit_per_s: requests per second that the upstream accepts from
+            all entries together; infinite if it states no limit, None if
+            what it states is invalid.
         closes_connection: the upstream closes the connection after it.
     """
 
@@ -71,6 +75,7 @@
     not_executed: bool = False
     misdirected: bool = False
     load: object = None
+    rate_limit_per_s: float | None = math.inf
     closes_connection: bool = False
 
 
--- a/catkinshunt/gateway/tests/dialect.py
+++ b/catkinshunt/gateway/tests/dialect.py
@@ -48,6 +48,7 @@
             request_id=headers.get('Request-Id', ''),
             not_executed=headers.get('Not-Run') is not None,
             misdirected=head.status == 421,
+            rate_limit_per_s=float(headers.get('Rate-Limit', 'inf')),
             load=dispatch.Load(*map(int, load.split(','))) if load else None,
             closes_connection='close'
             in (headers.get('Connection') or '').lower(),
--- a/catkinshunt/gateway/tests/harness.py
+++ b/catkinshunt/gateway/tests/harness.py
@@ -10,6 +10,7 @@
 from catkinshunt.gateway.tests import dialect
 from catkinshunt import http1
 from catkinshunt import permits
+from catkinshunt import rate_limits
 from catkinshunt import rules
 
 HOST = 'shop.example'
@@ -225,6 +226,7 @@
         random=random.Random(3),
         metrics=gateway.GatewayMetrics(),
         permit_client=permits.PermitClient(0, loop.time, random.Random(3)),
+        rate_limits=rate_limits.RateLimitTable('entry-1'),
         guard=guard,
     )
     context.catalog.declare(make_declaration(**changes))
--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -1,8 +1,11 @@
 """Decodes and encodes the headers of callers and upstreams."""
 
+import math
+
 from catkinshunt import dispatch
 from catkinshunt import errors
 from catkinshunt.gateway import base
+from catkinshunt import logs
 
 #: Id that the caller gives to one of its attempts. It is forwarded unchanged,
 #: also if the gateway sends the request to several upstreams.
@@ -25,6 +28,8 @@
 NOT_EXECUTED = 'Not-Executed'
 #: Running requests, waiting requests and slots, separated by commas.
 LOAD = 'Instance-Load'
+#: Requests per second that the upstream accepts from all entries together.
+RATE_LIMIT = 'Server-Limit'
 #: Headers of a caller that are never forwarded; `upstream_headers`
 #: sets some of them.
 _REPLACED_HEADERS = frozenset(
@@ -41,6 +46,10 @@
     )
 )
 _MS = 1000
+#: Most characters of an invalid header in a log line.
+_MAX_LOGGED_CHARS = 40
+
+_log = logs.get_logger('dialect')
 
 
 class PlatformDialect(base.BaseDialect):
@@ -93,6 +102,7 @@
             not_executed=headers.get(NOT_EXECUTED) is not None,
             misdirected=head.status == 421,
             load=_parse_load(headers.get(LOAD)),
+            rate_limit_per_s=_parse_rate_limit(headers.get(RATE_LIMIT)),
             closes_connection='close' in connection,
         )
 
@@ -133,3 +143,23 @@
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
         return None
     return dispatch.Load(*map(int, parts))
+
+
+def _parse_rate_limit(text):
+    """Return requests per second, infinite without a header.
+
+    None if the header is not a number of requests per second.
+    """
+    if text is None:
+        return math.inf
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = math.nan
+    if 0 <= per_s < math.inf:
+        return per_s
+    _log.warning(
+        'Ignored an invalid limit of requests per second: {!r}.',
+        text[:_MAX_LOGGED_CHARS],
+    )
+    return None
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -22,6 +22,7 @@
 from catkinshunt.platform import _registration
 from catkinshunt.platform import _signals
 from catkinshunt import quarantine
+from catkinshunt import rate_limits
 from catkinshunt import retries
 from catkinshunt import watch_relay
 
@@ -158,6 +159,7 @@
         permit_client=permits.PermitClient(
             _process.permit_port(cfg), _clocks.monotonic, rng
         ),
+        rate_limits=rate_limits.RateLimitTable(cfg.name),
         version_grace_s=bounds.version_s - VERSION_MARGIN_S,
     )
 
@@ -221,6 +223,12 @@
         'Requests that are not run, since upstreams crashed under them.',
         lambda: context.guard.count_quarantined() if context.guard else 0,
     )
+    registry.gauge(
+        'upstream_rate_limit',
+        'Requests per second that an upstream accepts from all entries.',
+        context.rate_limits.values_by_id,
+        ('upstream',),
+    )
     registry.gauge(
         'retry_budget_tokens',
         'Further tries that are allowed now.',
--- a/catkinshunt/platform/tests/test_dialect.py
+++ b/catkinshunt/platform/tests/test_dialect.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from catkinshunt import errors
@@ -95,3 +97,21 @@
     assert note.closes_connection
     assert (note.load.running, note.load.slots) == (3, 8)
     assert DIALECT.decode_reply(http1.ReplyHead(200)).load is None
+
+
+@pytest.mark.parametrize(
+    ('items', 'per_s'),
+    [
+        ([], math.inf),
+        ([('Server-Limit', '1.8')], 1.8),
+        ([('Server-Limit', '0')], 0.0),
+        ([('Server-Limit', '-1')], None),
+        ([('Server-Limit', 'nan')], None),
+        ([('Server-Limit', 'inf')], None),
+        ([('Server-Limit', '1,8')], None),
+    ],
+)
+def test_decode_rate_limit(items, per_s):
+    """An invalid limit must neither count nor end the one in force."""
+    head = http1.ReplyHead(200, http1.Headers(items))
+    assert DIALECT.decode_reply(head).rate_limit_per_s == per_s
