Move gossip transport and retry times to modules of their own

The mend of limits of upstreams needs gossip between entries and spread retry times as well. The transport of the gossip about crashes becomes a base class, and the retry times of the permit allocator a class; what is sent and answered stays as it is. A test names the fan-out by its new place, with the same bound.

--- a/catkinshunt/permits/_allocator.py
+++ b/catkinshunt/permits/_allocator.py
@@ -7,18 +7,12 @@
 from catkinshunt import base
 from catkinshunt import checks
 from catkinshunt.permits import _messages
+from catkinshunt import retry_schedule
 
 #: Permits beyond the slots of the engine. One request waits at the engine, so
 #: that a slot that becomes free between two passes is filled at once; more
 #: would wait there for longer than that gains.
 SPARE_PERMITS = 1
-#: Shortest and longest retry time of a rejected request, in seconds. The
-#: request misses its goal by then in any case; with a shorter time it would
-#: be sent again to engines that are still full. Where client timeouts differ
-#: by up to a second, `dispatch.ClientRetryDetector` could not distinguish it
-#: from a first attempt either.
-MIN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 5.0
 #: Seconds for which late requests wait for permits that no other request
 #: needs. Their queue holds at most as many as get a permit within that time
 #: at the recent rate.
@@ -95,8 +89,7 @@
         #: Decaying count of permits for late requests, and its time.
         self._late_count = 0.0
         self._late_counted_at = 0.0
-        #: Latest retry time given to a rejected request.
-        self._last_retry_at = 0.0
+        self._retry_schedule = retry_schedule.RetrySchedule()
         #: When the prompts of all granted requests are prefilled.
         self._prefill_done_at = 0.0
         #: Until then late requests get no permit.
@@ -282,7 +275,7 @@
             # The entry uses the reply of another sidecar, so this takes none
             # of the spread retry times.
             rejected = _messages.PermitRejected(
-                request.number, NO_ROOM, MIN_RETRY_AFTER_S
+                request.number, NO_ROOM, retry_schedule.MIN_RETRY_AFTER_S
             )
             return key[0], rejected
         if request.late:
@@ -347,19 +340,14 @@
 
         For `RELOADING` it ends when the engine is expected to serve again,
         within bounds. Other retry times are spread at the rate at which late
-        requests recently got permits. With the same one for all, they would
-        return together to engines that are still full.
+        requests recently got permits.
         """
         if reason == RELOADING:
             return min(
-                max(self._opens_at - now, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S
+                max(self._opens_at - now, retry_schedule.MIN_RETRY_AFTER_S),
+                retry_schedule.MAX_RETRY_AFTER_S,
             )
-        interval_s = 1 / self._late_rate(now)
-        retry_at = max(self._last_retry_at, now + MIN_RETRY_AFTER_S)
-        self._last_retry_at = min(
-            retry_at + interval_s, now + MAX_RETRY_AFTER_S
-        )
-        return self._last_retry_at - now
+        return self._retry_schedule.next_s(self._late_rate(now), now)
 
     def _late_rate(self, now):
         """Return the recent rate of permits for late requests, per second."""
--- a/catkinshunt/permits/_client.py
+++ b/catkinshunt/permits/_client.py
@@ -9,6 +9,7 @@
 from catkinshunt import logs
 from catkinshunt.permits import _allocator
 from catkinshunt.permits import _messages
+from catkinshunt import retry_schedule
 
 #: Seconds without a reply after which a permit request is sent again or, the
 #: last time, the sidecar counts as unresponsive. On a link saturated by chunks
@@ -82,7 +83,7 @@
                 return _messages.PermitRejected(
                     self.request.number,
                     _allocator.NO_ROOM,
-                    _allocator.MIN_RETRY_AFTER_S,
+                    retry_schedule.MIN_RETRY_AFTER_S,
                 )
         return self.reply
 
--- a/catkinshunt/quarantine/_gossip.py
+++ b/catkinshunt/quarantine/_gossip.py
@@ -2,13 +2,11 @@
 
 import asyncio
 
-from catkinshunt import datagrams
+from catkinshunt import gossip
 from catkinshunt import logs
 from catkinshunt.quarantine import _messages
 from catkinshunt.quarantine import _quarantine
 
-#: Entries to which each entry forwards an update that is new to it.
-FANOUT = 4
 #: Interval in seconds of the reminders, each to one random entry. They reach
 #: entries that have restarted or were unreachable.
 REMINDER_PERIOD_S = 1.0
@@ -18,12 +16,9 @@
 _log = logs.get_logger('quarantine')
 
 
-class Gossip(asyncio.DatagramProtocol):
+class Gossip(gossip.BaseGossip):
     """Sends updates to other entries, and forwards those that it receives.
 
-    An entry that receives something new forwards it to a few random others,
-    so the datagrams sent per entry do not grow with the number of entries.
-
     Args:
         quarantine: `Quarantine` of this entry.
         live_entries: `catalog.LiveEntries`, with the addresses to send to.
@@ -34,30 +29,18 @@
     """
 
     def __init__(self, quarantine, live_entries, name, port, clock, random):
+        super().__init__(
+            _messages.CODEC, _log, live_entries, name, port, random
+        )
         self.quarantine = quarantine
-        self.live_entries = live_entries
-        self.name = name
-        self.port = port
         self.clock = clock
-        self.random = random
-        self._transport = None
         self._timer = None
 
-    async def start(self, host):
-        """Listen on the address `host` and return self."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, self.port)
-        )
-        return self
-
     def stop(self):
         """Stop sending and receiving."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
+        super().stop()
 
     async def run(self):
         """Send reminders of quarantined requests until cancelled."""
@@ -98,13 +81,8 @@
         if self.quarantine.add(request, for_s, self.clock()):
             self._fan_out(_messages.Quarantined(request, for_s))
 
-    def datagram_received(self, data, addr):
-        """Handle a datagram of another entry."""
-        try:
-            message = _messages.load(data)
-        except datagrams.DecodeError as exc:
-            _log.warning('Ignored an invalid datagram from {}: {}.', addr, exc)
-            return
+    def receive(self, message, host):
+        """See `gossip.BaseGossip.receive`."""
         if isinstance(message, _messages.CrashReport):
             self.report_crash(message.crash, message.requests)
         elif isinstance(message, _messages.Completion):
@@ -128,20 +106,3 @@
             )
         if self.quarantine.has_pending(self.clock()):
             self._schedule_evaluation()
-
-    def _fan_out(self, message):
-        hosts = self._other_hosts()
-        for host in self.random.sample(hosts, min(FANOUT, len(hosts))):
-            self._send(message, host)
-
-    def _send(self, message, host):
-        if self._transport is not None:
-            self._transport.sendto(_messages.dump(message), (host, self.port))
-
-    def _other_hosts(self):
-        locations = self.live_entries.locations()
-        return [
-            location.host
-            for name, location in locations.items()
-            if name != self.name
-        ]
--- a/catkinshunt/quarantine/_messages.py
+++ b/catkinshunt/quarantine/_messages.py
@@ -49,8 +49,8 @@
     left_s: float
 
 
-_CODEC = datagrams.Codec(
+CODEC = datagrams.Codec(
     (CrashReport, Completion, Quarantined), max_bytes=MAX_BYTES
 )
-dump = _CODEC.dump
-load = _CODEC.load
+dump = CODEC.dump
+load = CODEC.load
--- a/catkinshunt/quarantine/tests/test_gossip.py
+++ b/catkinshunt/quarantine/tests/test_gossip.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from catkinshunt import gossip
 from catkinshunt import quarantine
 from catkinshunt.quarantine import _gossip
 from catkinshunt.quarantine.tests import network
@@ -115,7 +116,7 @@
         await asyncio.sleep(0.05)
         return max(sent.count(name) for name in entries.gossips)
 
-    assert run(main, count=36) <= _gossip.FANOUT
+    assert run(main, count=36) <= gossip.FANOUT
 
 
 def test_no_reminders_without_quarantined_requests(monkeypatch):
