Keep the limits that upstreams state, over all entries

Callers saw nothing: the requests beyond the limit were served.

Cause: the limit was not decoded, so nobody heeded it. It is a statement about all entries together, and each entry sees only its own replies. The class: what an upstream says of itself that no one heeds or passes on.

The mend: entries gossip each change, remind each other once a second, and ask after a start or a suspend. The limit is shared by the entries that are first in an order which all compute alike from the list of entries; these have a token bucket that begins empty, the others send nothing there. So no request waits for a message between entries, and a limit below the number of entries holds. A limited upstream without a token is left out of the choice; requests that find only such are refused at once, with spread times to come back.

--- a/catkinshunt/catalog/_live_entries.py
+++ b/catkinshunt/catalog/_live_entries.py
@@ -32,6 +32,8 @@
 
     def __init__(self):
         self._entries = {}
+        #: Number of changes so far.
+        self.revision = 0
         self._notifier = notifier.Notifier()
 
     def names(self):
@@ -81,4 +83,5 @@
         if entries == self._entries:
             return
         self._entries = entries
+        self.revision += 1
         self._notifier.notify_all()
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -17,6 +17,10 @@
 }
 
 
+class LimitUsedUpError(errors.OverloadedError):
+    """Not run: another request has used up the limit of the upstream."""
+
+
 class Attempt:
     """Sends a request to one upstream and relays the reply.
 
@@ -37,6 +41,14 @@
 
     async def run(self):
         """Make the attempt; raise an `errors.RequestError` if it fails."""
+        upstream = self.candidate.upstream
+        if not self.context.rate_limiter.take(
+            upstream.key, self.context.boot_clock()
+        ):
+            raise LimitUsedUpError(
+                f'{upstream.id}: limit used up by another request',
+                step='send',
+            )
         state = self.candidate.state
         self.job = state.begin(
             self.exchange.selection.make_job(), self.context.clock()
--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -11,6 +11,7 @@
 from catkinshunt import quarantine
 from catkinshunt import rate_limits
 from catkinshunt import retries
+from catkinshunt import retry_schedule
 
 
 @attrs.define
@@ -25,7 +26,10 @@
         retry_burst: retries allowed beyond that ratio.
         random: source of random numbers, such as `random.Random(7)`.
         permit_client: `permits.PermitClient` that requests permits.
-        rate_limits: `rate_limits.RateLimitTable` of what upstreams state.
+        rate_limiter: `rate_limits.RateLimiter` for upstreams that state a
+            limit.
+        rate_limit_gossip: `rate_limits.RateLimitGossip` that tells other
+            entries of these limits, or None.
         guard: `quarantine.Guard` against requests that crash upstreams, or
             None.
         client_retry_detector: estimates how long a client has waited before
@@ -47,7 +51,8 @@
     random: object
     metrics: object
     permit_client: object
-    rate_limits: rate_limits.RateLimitTable
+    rate_limiter: rate_limits.RateLimiter
+    rate_limit_gossip: rate_limits.RateLimitGossip | None = None
     guard: quarantine.Guard | None = None
     tracker: dispatch.UpstreamTracker = attrs.field(
         factory=dispatch.UpstreamTracker
@@ -59,6 +64,9 @@
     version_grace_s: float = 8.0
     _pools: dict = attrs.field(factory=dict)
     _retry_budgets: dict = attrs.field(factory=dict)
+    _retry_schedules: dict = attrs.field(
+        factory=lambda: collections.defaultdict(retry_schedule.RetrySchedule)
+    )
     _delay_correctors: dict = attrs.field(
         factory=lambda: collections.defaultdict(dispatch.DelayCorrector)
     )
@@ -85,7 +93,7 @@
         for key in set(self._pools) - kept:
             self._pools.pop(key).close_idle()
         self.tracker.forget(upstreams)
-        self.rate_limits.forget(kept)
+        self.rate_limiter.forget(kept)
 
     def retry_budget_tokens(self):
         """Return the tokens of each retry budget, by metric label values."""
@@ -108,6 +116,25 @@
             self._retry_budgets[service] = found
         return found
 
+    def record_rate_limit(self, key, per_s, sent_at):
+        """Record what a reply states of the limit of its upstream.
+
+        Args:
+            key: `catalog.Upstream.key` of the upstream.
+            per_s: requests per second that it accepts from all entries;
+                infinite if it states no limit.
+            sent_at: when the request was sent, on the boot-time clock.
+        """
+        changed = self.rate_limiter.observe(
+            key, per_s, sent_at, self.boot_clock()
+        )
+        if changed and self.rate_limit_gossip is not None:
+            self.rate_limit_gossip.announce(key)
+
+    def retry_schedule(self, service):
+        """Return the `RetrySchedule` of requests that meet limits."""
+        return self._retry_schedules[service]
+
     def delay_corrector(self, service):
         """Return the `dispatch.DelayCorrector` of a service.
 
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -12,6 +12,7 @@
 from catkinshunt import http1
 from catkinshunt import logs
 from catkinshunt import permits
+from catkinshunt import rate_limits
 from catkinshunt import retries
 
 #: Seconds for which a request waits for a configuration and then for an
@@ -168,7 +169,8 @@
                     await self._acquire_permit(search, candidate)
                 )
                 return
-            except permits.ReloadingError as exc:
+            except (permits.ReloadingError, _attempt.LimitUsedUpError) as exc:
+                # The request was not sent, so the next choice is no retry.
                 self.progress.notes.append(str(exc))
             except errors.RequestError as exc:
                 self.progress.notes.append(str(exc))
@@ -270,6 +272,7 @@
             candidate = self.selection.take_next(progress)
             if candidate is not None:
                 return candidate
+            self._check_rate_limits()
             left_s = progress.wait_until - self.context.clock()
             if left_s <= 0 or not self._may_wait():
                 raise self._final_error(
@@ -287,6 +290,28 @@
             progress.tried -= progress.reloading
             progress.reloading.clear()
 
+    def _check_rate_limits(self):
+        """Reject the request if it waits for upstreams with limits only.
+
+        A request at another entry, or later, may be within a limit.
+        """
+        limited = self.selection.rate_limited()
+        if not limited or self.progress.reloading:
+            return
+        rate_per_s = self.context.rate_limiter.entry_rate(
+            upstream.key for upstream in limited
+        )
+        schedule = self.context.retry_schedule(self.decision.service)
+        raise self._final_error(
+            rate_limits.RateLimitedError(
+                f'the limits of {len(limited)} upstreams are used up',
+                step='choose-upstream',
+                retry_after_s=round(
+                    schedule.next_s(rate_per_s, self.context.clock()), 3
+                ),
+            )
+        )
+
     def _may_wait(self):
         return (
             not self.progress.sends and self.selection.may_become_available()
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -89,11 +89,8 @@
         # A rejection does not show that a limit has ended.
         if reply_info.not_executed and per_s == math.inf:
             return
-        self.context.rate_limits.observe(
-            self.upstream.key,
-            per_s,
-            self.boot_sent_at,
-            self.context.boot_clock(),
+        self.context.record_rate_limit(
+            self.upstream.key, per_s, self.boot_sent_at
         )
 
     async def _read_reply_head(self):
--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -4,6 +4,9 @@
 
 from catkinshunt import dispatch
 
+#: Most upstreams with limits that are named in the log line of a request.
+MAX_NOTED_LIMITS = 3
+
 
 class Selection:
     """Finds upstreams for one admitted request.
@@ -18,6 +21,8 @@
         self.context = context
         self.info = info
         self.decision = decision
+        #: Keys of limited upstreams that a log note names already.
+        self._noted = set()
 
     def make_job(self):
         """Return a new `dispatch.Job` for the request."""
@@ -32,12 +37,14 @@
     def find(self, tried, predicate=None):
         """Return the best untried `dispatch.Candidate`, or None.
 
+        Upstreams whose stated limits this entry has used up are left out.
+
         Args:
             tried: keys of the upstreams chosen before, which are left out.
             predicate: function that returns whether to consider an upstream,
                 or None to consider all.
         """
-        upstreams = self._eligible_upstreams()
+        upstreams = self._available_upstreams()
         return self.context.chooser.choose(
             filter(predicate, upstreams)
             if predicate is not None
@@ -57,6 +64,7 @@
             predicate: as for `find`.
         """
         candidate = self.find(progress.tried, predicate)
+        self._note_rate_limits(progress)
         if candidate is not None:
             progress.tried.add(candidate.upstream.key)
             progress.notes.append(self._describe(candidate))
@@ -71,17 +79,46 @@
             f' {len(state.jobs)} requests of this entry,'
             f' failure rate {state.failure_rate(self.context.clock()):.2f}'
         )
-        limit = self.context.rate_limits.describe(
-            candidate.upstream.key, self.context.boot_clock()
-        )
+        limit = self._describe_limit(candidate.upstream)
         return f'{text}, {limit}' if limit else text
 
+    def _describe_limit(self, upstream):
+        return self.context.rate_limiter.table.describe(
+            upstream.key, self.context.boot_clock()
+        )
+
+    def rate_limited(self):
+        """Return eligible upstreams whose limits this entry has used up."""
+        limiter = self.context.rate_limiter
+        if limiter.table.is_empty:
+            return []
+        now = self.context.boot_clock()
+        return [
+            upstream
+            for upstream in self._eligible_upstreams()
+            if limiter.wait_s(upstream.key, now) > 0
+        ]
+
+    def _note_rate_limits(self, progress):
+        """Add a log note for each upstream left out because of its limit."""
+        new = [u for u in self.rate_limited() if u.key not in self._noted]
+        self._noted.update(upstream.key for upstream in new)
+        for upstream in new[:MAX_NOTED_LIMITS]:
+            progress.notes.append(
+                f'passed over {upstream.id}: {self._describe_limit(upstream)}'
+            )
+        if len(new) > MAX_NOTED_LIMITS:
+            progress.notes.append(
+                f'passed over {len(new) - MAX_NOTED_LIMITS} more upstreams'
+                ' with limits'
+            )
+
     def has_untried(self, tried):
         """Return whether an untried, responsive upstream is available."""
         now = self.context.clock()
         return any(
             not self.context.tracker.state(upstream).is_unresponsive(now)
-            for upstream in self._eligible_upstreams()
+            for upstream in self._available_upstreams()
             if upstream.key not in tried
         )
 
@@ -113,6 +150,15 @@
         version = (known.versions or {}).get(self.info.model)
         return version is not None and version < min_version
 
+    def _available_upstreams(self):
+        """Return eligible upstreams that may get a request now."""
+        found = self._eligible_upstreams()
+        limiter = self.context.rate_limiter
+        if limiter.table.is_empty:
+            return found
+        now = self.context.boot_clock()
+        return [u for u in found if limiter.wait_s(u.key, now) == 0]
+
     def _eligible_upstreams(self):
         """Return those that serve the model in a version not outdated."""
         found = self.context.catalog.upstreams(
--- a/catkinshunt/gateway/tests/harness.py
+++ b/catkinshunt/gateway/tests/harness.py
@@ -215,8 +215,11 @@
 async def running_gateway(*upstreams, retry_burst=10.0, guard=None, **changes):
     """Start a gateway for `upstreams`; yield a `GatewayHarness`."""
     loop = asyncio.get_running_loop()
+    catalog = catalogs.Catalog(key_trust_s=3.0)
+    live_entries = catalogs.LiveEntries()
+    live_entries.replace(['entry-1'])
     context = gateway.Context(
-        catalog=catalogs.Catalog(key_trust_s=3.0),
+        catalog=catalog,
         dialect=dialect.PlainDialect(),
         chooser=dispatch.Chooser('larisa-a', {}),
         clock=loop.time,
@@ -226,7 +229,9 @@
         random=random.Random(3),
         metrics=gateway.GatewayMetrics(),
         permit_client=permits.PermitClient(0, loop.time, random.Random(3)),
-        rate_limits=rate_limits.RateLimitTable('entry-1'),
+        rate_limiter=rate_limits.RateLimiter(
+            'entry-1', live_entries, catalog, random.Random(3)
+        ),
         guard=guard,
     )
     context.catalog.declare(make_declaration(**changes))
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -63,12 +63,14 @@
     """
     stop = _signals.install_signal_handlers()
     registry = metrics.Registry()
-    context = make_context(cfg, registry)
-    await context.permit_client.start(cfg.ip)
     live_entries = catalogs.LiveEntries()
+    context = make_context(cfg, registry, live_entries)
+    await context.permit_client.start(cfg.ip)
     gossip = make_gossip(cfg, live_entries, context.random)
     await gossip.start(cfg.ip)
     context.guard = quarantine.Guard(gossip)
+    limit_gossip = make_rate_limit_gossip(cfg, live_entries, context)
+    context.rate_limit_gossip = await limit_gossip.start(cfg.ip)
     server = await gateway.Gateway(context).start(*cfg.frontend_address)
     register_gauges(registry, server, context)
     readiness = http1.Listener(
@@ -108,6 +110,7 @@
             pending.run(),
             origin.run(),
             gossip.run(),
+            limit_gossip.run(),
             quarantined.run(),
             _update_retry_burst(cfg, context, live_entries),
             _evict_gone_upstreams(context),
@@ -137,16 +140,17 @@
         deregistration.cancel()
 
 
-def make_context(cfg, registry):
+def make_context(cfg, registry, live_entries):
     """Return the `gateway.Context` of an entry."""
     bounds = cfg.bounds
     rng = random.Random()
+    catalog = catalogs.Catalog(
+        key_trust_s=bounds.revoke_s * KEY_TRUST_SHARE,
+        # A cached configuration older than this may lack a rule in force.
+        absence_trust_s=bounds.config_s,
+    )
     return gateway.Context(
-        catalog=catalogs.Catalog(
-            key_trust_s=bounds.revoke_s * KEY_TRUST_SHARE,
-            # A cached configuration older than this may lack a rule in force.
-            absence_trust_s=bounds.config_s,
-        ),
+        catalog=catalog,
         dialect=_dialect.PlatformDialect(),
         chooser=dispatch.Chooser(cfg.data_centre, cfg.regions, cfg.name),
         clock=_clocks.monotonic,
@@ -159,7 +163,9 @@
         permit_client=permits.PermitClient(
             _process.permit_port(cfg), _clocks.monotonic, rng
         ),
-        rate_limits=rate_limits.RateLimitTable(cfg.name),
+        rate_limiter=rate_limits.RateLimiter(
+            cfg.name, live_entries, catalog, rng
+        ),
         version_grace_s=bounds.version_s - VERSION_MARGIN_S,
     )
 
@@ -226,7 +232,7 @@
     registry.gauge(
         'upstream_rate_limit',
         'Requests per second that an upstream accepts from all entries.',
-        context.rate_limits.values_by_id,
+        context.rate_limiter.table.values_by_id,
         ('upstream',),
     )
     registry.gauge(
@@ -280,6 +286,18 @@
     )
 
 
+def make_rate_limit_gossip(cfg, live_entries, context):
+    """Return the `rate_limits.RateLimitGossip` of an entry."""
+    return rate_limits.RateLimitGossip(
+        context.rate_limiter,
+        live_entries,
+        cfg.name,
+        _process.rate_limit_port(cfg),
+        _clocks.boottime,
+        context.random,
+    )
+
+
 def make_cache_updater(source, context, live_entries):
     """Return the `CacheUpdater` that updates the catalog of `context`."""
     return _cache_updater.CacheUpdater(
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -28,6 +28,11 @@
     return cfg.port_range[0] + 4
 
 
+def rate_limit_port(cfg):
+    """Return the port on which entries gossip about limits of upstreams."""
+    return cfg.port_range[0] + 5
+
+
 async def serve_metrics(cfg, registry):
     """Serve the metrics of `registry` on the first port of the range."""
     listener = http1.Listener(
--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -2,6 +2,7 @@
 import pathlib
 import re
 
+from catkinshunt import catalog as catalogs
 from catkinshunt import gateway
 from catkinshunt import metrics
 from catkinshunt import platform
@@ -17,7 +18,7 @@
 def entry_registry():
     cfg = platform.parse_instance_settings(test_settings.DOCUMENT)
     registry = metrics.Registry()
-    context = _entry.make_context(cfg, registry)
+    context = _entry.make_context(cfg, registry, catalogs.LiveEntries())
     context.retry_budget('desk').add_request()
     server = gateway.Gateway(context)
     _entry.register_gauges(registry, server, context)
--- a/catkinshunt/rate_limits/_table.py
+++ b/catkinshunt/rate_limits/_table.py
@@ -7,8 +7,14 @@
 from catkinshunt import base
 from catkinshunt import logs
 
-#: Relative difference of two limits from which a change is logged.
-LOGGED_CHANGE_SHARE = 0.1
+#: Relative difference of two limits from which they count as different.
+MIN_CHANGE_SHARE = 0.1
+#: Seconds by which the end of a limit, as told by another entry, must be newer
+#: than the limit was last stated here. Another entry may have got a reply from
+#: before that.
+END_MARGIN_S = 2.0
+#: Limit of an upstream that states none.
+UNLIMITED = math.inf
 
 _log = logs.get_logger('rate-limits')
 
@@ -20,18 +26,22 @@
     Attributes:
         per_s: requests per second that it accepts from all entries together;
             infinite if it states no limit.
-        stated_at: when it stated this, on the boot-time clock of this entry.
+        version: number of changes that the source of this one knew, so that
+            a higher one is newer.
+        stated_at: when it was last stated, on the boot-time clock of this
+            entry; later than that by the transit times of the news.
         source: name of the entry that got the reply.
     """
 
     per_s: float
+    version: int
     stated_at: float
     source: str
 
     @property
     def is_limited(self):
         """Whether the upstream states a limit."""
-        return self.per_s < math.inf
+        return self.per_s < UNLIMITED
 
 
 class RateLimitTable(base.ParamsMixin):
@@ -60,6 +70,19 @@
         limit = self._limits.get(key)
         return limit if limit is not None and limit.is_limited else None
 
+    @property
+    def is_empty(self):
+        """Whether no upstream has stated a limit."""
+        return not self._limits
+
+    def newest(self, key):
+        """Return the newest `StatedLimit`, also if it ended; None if none."""
+        return self._limits.get(key)
+
+    def items(self):
+        """Return pairs of a key and its newest `StatedLimit`."""
+        return list(self._limits.items())
+
     def limited(self):
         """Return the `StatedLimit` of each limited upstream, by key."""
         return {
@@ -88,7 +111,8 @@
         """Record what a reply states; return whether the limit changed.
 
         Replies on several connections may overtake each other. So a reply
-        ends a limit only if its request was sent after the limit was stated.
+        raises or ends a limit only if its request was sent after the limit
+        was last stated.
 
         Args:
             key: `catalog.Upstream.key` of the upstream.
@@ -96,24 +120,54 @@
             sent_at: when the request was sent, on the boot-time clock.
             now: the present time on that clock.
         """
-        if per_s == math.inf:
-            if self.find(key) is None:
+        known = self._limits.get(key)
+        # Without a limit, the upstream had none at this time or later.
+        stated_at = sent_at if per_s == UNLIMITED else now
+        if known is None:
+            if per_s == UNLIMITED:
                 return False
-            # At this time or later, the upstream had no limit.
-            limit = StatedLimit(per_s, sent_at, self.name)
-        else:
-            limit = StatedLimit(per_s, now, self.name)
-        return self.merge(key, limit)
-
-    def merge(self, key, limit):
-        """Record `limit` if it is the newest; return whether it changed."""
+            return self._replace(key, per_s, 1, stated_at, self.name)
+        if stated_at <= known.stated_at:
+            return False
+        if not _differs(known.per_s, per_s):
+            self._limits[key] = attrs.evolve(known, stated_at=stated_at)
+            return False
+        if per_s > known.per_s and sent_at <= known.stated_at:
+            return False
+        return self._replace(
+            key, per_s, known.version + 1, stated_at, self.name
+        )
+
+    def merge(self, key, news):
+        """Record news of another entry; return whether the limit changed.
+
+        Args:
+            key: `catalog.Upstream.key` of the upstream.
+            news: the `StatedLimit` as the other entry knows it.
+        """
         known = self._limits.get(key)
-        if known is not None and limit.stated_at <= known.stated_at:
+        if known is None:
+            if not news.is_limited:
+                return False
+        elif _order(news) <= _order(known):
+            if _order(news) == _order(known):
+                stated_at = max(known.stated_at, news.stated_at)
+                self._limits[key] = attrs.evolve(known, stated_at=stated_at)
             return False
+        elif known.is_limited and not news.is_limited:
+            if news.stated_at <= known.stated_at + END_MARGIN_S:
+                return False
+        return self._replace(
+            key, news.per_s, news.version, news.stated_at, news.source
+        )
+
+    def _replace(self, key, per_s, version, stated_at, source):
+        known = self.find(key)
+        limit = StatedLimit(per_s, version, stated_at, source)
         self._limits[key] = limit
-        if not _is_change(known, limit):
-            return False
-        _log_change(key, limit)
+        was_per_s = known.per_s if known is not None else UNLIMITED
+        if _differs(was_per_s, per_s):
+            _log_change(key, limit)
         return True
 
     def forget(self, keys):
@@ -124,13 +178,15 @@
         }
 
 
-def _is_change(known, limit):
-    if known is None or not known.is_limited:
-        return limit.is_limited
-    if not limit.is_limited:
-        return True
-    difference = abs(limit.per_s - known.per_s)
-    return difference > LOGGED_CHANGE_SHARE * known.per_s
+def _order(limit):
+    """Return a sort key: of two news of one version, the lower limit wins."""
+    return limit.version, -limit.per_s
+
+
+def _differs(before, after):
+    if UNLIMITED in (before, after):
+        return before != after
+    return abs(after - before) > MIN_CHANGE_SHARE * before
 
 
 def _log_change(key, limit):
