Let upstreams of the soak state limits

The soak named no limits, so it could not find that they were not kept. A restart, freeze or cut excuses the entry, and a harmed link its upstream, as the platform counts. The changes have a random source of their own: the faults that a seed draws stay the same.

--- a/catkinshunt/rate_limits/tests/replay.py
+++ b/catkinshunt/rate_limits/tests/replay.py
@@ -121,6 +121,8 @@
     Attributes:
         served: number of requests answered.
         refused: number of requests refused for the limits.
+        datagrams: number of datagrams sent between entries.
+        datagram_bytes: their bytes, without headers.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         self.limiter_class = limiter_class
         self.now = 0.0
         self.served = self.refused = 0
+        self.datagrams = self.datagram_bytes = 0
         self._events = []
         self._order = itertools.count()
         self._listed_until = {}
@@ -255,6 +258,8 @@
 
     def send_datagram(self, entry, data, host):
         """Deliver a datagram after a while, or lose it."""
+        self.datagrams += 1
+        self.datagram_bytes += len(data)
         if self.random.random() < LOSS_SHARE:
             return
         self._later(self._deliver, entry, data, self._by_host[host])
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -13,7 +13,7 @@
 
 def main(
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
-    folder=None, crashes=_soak.CRASHES,
+    folder=None, crashes=_soak.CRASHES, limits=True,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -26,6 +26,7 @@
         callers: callers in each.
         folder: where logs stay; a new one under the temporary folder if None.
         crashes: whether seeds may draw a request that crashes engines.
+        limits: whether upstreams may state limits.
     """
     logs.configure(level='ERROR')
     failed = 0
@@ -33,7 +34,14 @@
         place = folder or tempfile.mkdtemp(prefix=f'soak-{number}-')
         broken, summary = asyncio.run(
             run_seed(
-                place, number, duration_s, entries, sidecars, callers, crashes
+                place,
+                number,
+                duration_s,
+                entries,
+                sidecars,
+                callers,
+                crashes,
+                limits,
             )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
@@ -51,8 +59,10 @@
     answers = collections.Counter(a.status for a in soak.records.answers)
     shown = ', '.join(f'{k}: {v}' for k, v in answers.most_common())
     runs, crashes = len(soak.records.runs), len(soak.records.crashes)
+    limited = sum(bool(a.limited_by) for a in soak.records.answers)
     return broken, (
         f'answers {shown}; {runs} runs, {crashes} crashes, '
+        f'{limited} answers with a limit, '
         f'version {soak.version}'
     )
 
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -54,26 +54,27 @@
     async def ask(self, kind, content=b'hi', key=None, leaves=False):
         """Make one try; return its `Answer`."""
         self._count += 1
+        pool = self.random.choice(self.pools)
         answer = _records.Answer(
             f'{self.name}-{self._count}',
             kind,
             key or self.keys(),
             self.clock(),
             content=content,
+            entry=pool.host,
         )
-        self.records.answers.append(answer)
+        self.records.add_answer(answer)
         limit_s = 0.1 if leaves else DEADLINE_S + 1.0
         try:
             async with asyncio.timeout(limit_s):
-                await self._exchange(answer)
+                await self._exchange(pool, answer)
         except (TimeoutError, OSError):
             answer.again_s = None
         finally:
             answer.ended_at = self.clock()
         return answer
 
-    async def _exchange(self, answer):
-        pool = self.random.choice(self.pools)
+    async def _exchange(self, pool, answer):
         try:
             conn = await pool.acquire()
         except Exception:
@@ -82,7 +83,7 @@
         whole = False
         try:
             conn.send(*self._request(answer))
-            whole = await _read(conn, answer)
+            whole = await _read(conn, answer, self.clock)
         finally:
             if whole:
                 pool.release(conn)
@@ -127,7 +128,7 @@
                 await asyncio.sleep(self.random.uniform(*AGAIN_S))
 
 
-async def _read(conn, answer):
+async def _read(conn, answer, clock):
     """Read a reply into `answer`; return whether it is whole."""
     body = b''
     head = None
@@ -145,3 +146,6 @@
         else:
             head = part
             answer.status = part.status
+            answer.headed_at = clock()
+            if part.headers.get('Server-Limit'):
+                answer.limited_by = part.headers.get('Server-Stamp', '')
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -4,12 +4,15 @@
 import base64
 import hashlib
 import json
+import math
+import time
 import urllib.parse
 
 import attrs
 
 from catkinshunt import http1
 from catkinshunt import notifier
+from standins import rate_rule
 from standins.soak import _records
 
 MODEL = 'drafts'
@@ -179,6 +182,9 @@
         born: when it started, in milliseconds of the Unix time.
         gone: it has crashed and is not back yet.
         on_crash: function that is called when it crashes.
+        limit_per_s: requests per second that it accepts; infinite if it
+            states no limit.
+        history: `rate_rule.UpstreamHistory` since its start.
     """
 
     def __init__(self, name, service, records, clock, version=None):
@@ -193,6 +199,7 @@
         self.born = 1
         self.gone = False
         self.on_crash = None
+        self.begin_history()
         self._listener = None
         self._running = set()
         if version:
@@ -205,14 +212,39 @@
         self.gone = False
         return self
 
+    def begin_history(self):
+        """Forget the limit, as a new process does."""
+        self.limit_per_s = math.inf
+        self.history = rate_rule.UpstreamHistory()
+        self.records.histories.append((self.name, self.history))
+
+    def state_limit(self, per_s):
+        """State a limit in all replies from now on."""
+        self.limit_per_s = per_s
+        self.history.statements.append(
+            rate_rule.Statement(self.clock(), per_s)
+        )
+
+    async def restart(self, host, port):
+        """End with all connections, and start again under the same name."""
+        self._close()
+        self.state_limit(math.inf)
+        self.begin_history()
+        self.born = int(time.time() * 1000)
+        await self.start(host, port)
+
+    def _close(self):
+        self._listener.close()
+        for conn in list(self._listener.tasks.values()):
+            conn.abort()
+
     def _crash(self, request):
         """End at once, with all connections."""
         if self.gone:
             return
         self.gone = True
-        self._listener.close()
-        for conn in list(self._listener.tasks.values()):
-            conn.abort()
+        self._close()
+        self.state_limit(math.inf)
         beside = frozenset(self._running - {request})
         self.records.crashes.append(
             _records.Crash(request, self.name, self.clock(), beside)
@@ -284,6 +316,10 @@
         """Answer a caller's request; return whether to go on."""
         request = req.headers.get('Attempt-Id')
         items = [('Attempt-Id', request), ('Server-Stamp', self.name)]
+        entry = self.records.entry_of(request)
+        self.history.arrivals.append(rate_rule.Arrival(self.clock(), entry))
+        if self.limit_per_s < math.inf:
+            items.append(('Server-Limit', f'{self.limit_per_s:g}'))
         if self.fault == 'full' or self.version == 0:
             items.append(('Not-Executed', '1'))
             conn.write(http1.dump_reply(503, items))
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from standins import rate_rule
+
 #: Seconds beyond a bound that a run on a busy machine may need to be seen.
 SLACK_S = 0.5
 #: Seconds after which all entries know what one of them has seen.
@@ -23,6 +25,9 @@
         body: its bytes; None where it broke off.
         content: body of the request.
         again_s: seconds after which the caller was told to come back.
+        entry: address of the entry that was asked.
+        limited_by: upstream whose limit the reply names, or ''.
+        headed_at: when the head of the reply arrived.
     """
 
     request: str
@@ -34,6 +39,9 @@
     body: bytes | None = None
     content: bytes = b'hi'
     again_s: float | None = None
+    entry: str = ''
+    limited_by: str = ''
+    headed_at: float = 0.0
 
     @property
     def identity(self):
@@ -82,6 +90,9 @@
         drain_s: seconds after which a leaving upstream gets no new work.
 
     Attributes:
+        histories: pairs of an upstream and its `rate_rule.UpstreamHistory`.
+        disruptions: (begin, end) of the faults of an entry, by its address,
+            and of the link of an upstream, by its name.
         back_at: when all engines were back and served new requests, after
             the last crash; None if that never was.
     """
@@ -98,7 +109,19 @@
         self.left = {}
         self.store_faults = []
         self.crashes = []
+        self.histories = []
+        self.disruptions = collections.defaultdict(list)
         self.back_at = None
+        self._entries = {}
+
+    def add_answer(self, answer):
+        """Record the answer of a request that is about to be sent."""
+        self.answers.append(answer)
+        self._entries[answer.request] = answer.entry
+
+    def entry_of(self, request):
+        """Return the address of the entry that got a request, or ''."""
+        return self._entries.get(request, '')
 
     def is_calm(self, begin, end):
         """Return whether the store had no fault in a span of time."""
@@ -117,6 +140,7 @@
             found += self._check_key(answer, runs[answer.request])
         for run in self.runs:
             found += self._check_run(run)
+        found += self._check_limits()
         found += self._check_crashes()
         found += self._check_bystanders()
         found += [
@@ -154,6 +178,30 @@
                     'after it had to be left alone'
                 )
 
+    def _check_limits(self):
+        told = collections.defaultdict(list)
+        for answer in self.answers:
+            if answer.limited_by:
+                told[answer.limited_by].append(
+                    rate_rule.Arrival(answer.headed_at, answer.entry)
+                )
+        for upstream, history in self.histories:
+            history.told = told[upstream]
+
+            def is_excused(entry, at, upstream=upstream):
+                return any(
+                    begin <= at < end + CONTACT_S
+                    for name in (entry, upstream)
+                    for begin, end in self.disruptions[name]
+                )
+
+            for excess in history.find_excess(CONTACT_S, is_excused):
+                yield (
+                    f'{upstream} stated a limit and got {excess.count} '
+                    f'requests in {rate_rule.WINDOW_S:g} s until '
+                    f'{excess.at:.2f}, allowed {excess.allowed:.1f}'
+                )
+
     def _identities(self):
         return {answer.request: answer.identity for answer in self.answers}
 
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -10,6 +10,7 @@
 
 from catkinshunt import http1
 from standins.soak import _callers
+from standins.soak import _limits
 from standins.soak import _platform
 from standins.soak import _processes
 from standins.soak import _proxy
@@ -53,22 +54,28 @@
         sidecars: number of engines with a sidecar each.
         callers: number of callers.
         crashes: whether a request may crash engines.
+        limits: whether upstreams may state limits.
     """
 
     def __init__(
         self, folder, seed=1, entries=2, sidecars=4, callers=6,
-        crashes=CRASHES,
+        crashes=CRASHES, limits=True,
     ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
         self.sizes = (entries, sidecars, callers)
         self.crashes = crashes
+        self.limits = limits
+        # Of their own, so that the faults of a seed stay the same.
+        self.limit_random = random.Random(f'limits {seed}')
         self.repeating, self.returning = [], []
         self.until = None
         self.clock = asyncio.get_running_loop().time
         self.records = _records.Records(VERSION_S, REVOKE_S, DRAIN_S)
         self.store = _platform.Store()
         self.processes, self.proxies, self.upstreams = [], [], {}
+        #: Addresses of processes by name.
+        self.places = {}
         self.keys = ['k0', 'k1', 'k2', 'k3']
         self.version, self.revision = 1, 1
         # Ports are the same on all instances, so each gets an address of
@@ -93,11 +100,27 @@
         """Let callers work while faults come, until a time on the clock."""
         self.until = until
         work = [caller.run(until) for caller in self._make_callers()]
+        if self.limits:
+            work.append(self._make_limit_changes().run(until - FAULT_S))
         await asyncio.gather(*work, self._harm(until - FAULT_S))
         await asyncio.gather(*self.repeating)
         if self.records.crashes:
             await self._recover()
 
+    def _make_limit_changes(self):
+        return _limits.LimitChanges(
+            self.upstreams, self._restart, self.limit_random, self.clock
+        )
+
+    async def _restart(self, name):
+        """Restart an upstream under its name."""
+        upstream, host = self.upstreams[name]
+        if not upstream.gone:
+            port = PLAIN_PORT if upstream.version is None else ENGINE_PORT
+            await upstream.restart(host, port)
+            if name not in self.records.left:
+                self._write_upstream(name)
+
     async def _recover(self):
         """Wait until engines serve again, and ask for the bystanders."""
         await asyncio.gather(*self.returning)
@@ -196,6 +219,7 @@
         proxy = _proxy.Proxy(self.base, STORE_PORT)
         await proxy.start(host, STORE_PORT)
         proxy.name, proxy.place = name, host
+        self.places[name] = host
         self.proxies.append(proxy)
         path = self.folder / f'{name}.toml'
         path.write_text(self._settings(name, role, host))
@@ -324,11 +348,12 @@
 
     async def _harm_link(self, length_s):
         proxy = self.random.choice(self.proxies)
+        name = proxy.name
         proxy.fault = self.random.choice(_proxy.FAULTS)
         since = self.clock()
         await asyncio.sleep(length_s)
         proxy.fault = None
-        self._note_store_fault(since)
+        self._note_fault(since, name)
 
     async def _harm_upstream(self, length_s):
         upstream, _ = self.random.choice(list(self.upstreams.values()))
@@ -346,11 +371,20 @@
             self.store.fault = kind
             await asyncio.sleep(length_s)
             self.store.fault = None
-        self._note_store_fault(since)
+        self._note_fault(since)
+
+    def _note_fault(self, since, name=None):
+        """Note a time in which processes may have been out of touch.
 
-    def _note_store_fault(self, since):
-        """Note a time in which processes may have been out of touch."""
-        self.records.store_faults.append((since, self.clock() + 3.0))
+        Args:
+            since: begin of the fault.
+            name: process or upstream that had it; None for the store.
+        """
+        now = self.clock()
+        self.records.store_faults.append((since, now + 3.0))
+        if name is not None:
+            place = self.places.get(name, name)
+            self.records.disruptions[place].append((since, now))
 
     async def _freeze(self, length_s):
         process = self.random.choice(self.processes)
@@ -358,7 +392,7 @@
         process.freeze()
         await asyncio.sleep(length_s)
         process.thaw()
-        self._note_store_fault(since)
+        self._note_fault(since, process.name)
 
     async def _kill(self, length_s, process=None):
         process = process or self.random.choice(self.processes)
@@ -369,7 +403,7 @@
         await asyncio.sleep(length_s / 4)
         await asyncio.to_thread(popen.wait)
         process.start()
-        self._note_store_fault(since)
+        self._note_fault(since, process.name)
 
     async def _stop(self, length_s):
         process = self.random.choice(self.processes)
@@ -381,7 +415,7 @@
             process.thaw()
         await asyncio.to_thread(popen.wait)
         process.start()
-        self._note_store_fault(since)
+        self._note_fault(since, process.name)
 
     async def _name_version(self, length_s):
         self.version += 1
@@ -438,6 +472,7 @@
         _, host = self.upstreams.pop(upstream.name)
         upstream.name = f'e{int(upstream.name[1:]) + START_STEP}'
         upstream.born = int(time.time() * 1000)
+        upstream.begin_history()
         self.upstreams[upstream.name] = (upstream, host)
         await upstream.start(host, ENGINE_PORT)
         await proxy.start(host, PROXY_PORT)
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -1,9 +1,11 @@
 import asyncio
+import collections
 
 import pytest
 
 from catkinshunt import errors
 from catkinshunt import http1
+from standins import rate_rule
 from standins.soak import _records
 from standins.soak import _soak
 
@@ -243,6 +245,52 @@
     assert list(soak.store.items) == ['servers/e100']
 
 
+def limited_answers(entries, count):
+    """Return answers that name the limit of e0, in turn by each entry."""
+    return [
+        answer(
+            f'a-{number}',
+            'chat',
+            entry=entries[number % len(entries)],
+            limited_by='e0',
+            headed_at=0.5,
+        )
+        for number in range(count)
+    ]
+
+
+def history_of(arrivals, per_s=1.0):
+    found = rate_rule.UpstreamHistory()
+    found.statements.append(rate_rule.Statement(0.0, per_s))
+    found.arrivals += [rate_rule.Arrival(at, entry) for at, entry in arrivals]
+    return [('e0', found)]
+
+
+def broken_limits(arrivals, **changes):
+    answers = limited_answers(['h1', 'h2'], 2)
+    found = broken(
+        answers, map(run_of, ('a-0', 'a-1')), histories=history_of(arrivals),
+        **changes,
+    )  # fmt: skip
+    return [sentence for sentence in found if 'stated a limit' in sentence]
+
+
+def test_requests_beyond_a_limit_are_found_over_all_entries():
+    """Each entry keeps the limit and all together do not."""
+    arrivals = [(1.0 + n / 4, f'h{1 + n % 2}') for n in range(40)]
+    assert len(broken_limits(arrivals)) == 1
+    one = [(at, entry) for at, entry in arrivals if entry == 'h1']
+    assert broken_limits(one) == []
+
+
+@pytest.mark.parametrize('name', ['h1', 'e0'])
+def test_a_fault_excuses_requests_beyond_a_limit(name):
+    """An entry that was restarted, or a harmed link, cannot keep it."""
+    arrivals = [(1.0 + n / 4, f'h{1 + n % 2}') for n in range(40)]
+    faults = collections.defaultdict(list, {name: [(0.0, 20.0)]})
+    assert broken_limits(arrivals, disruptions=faults) == []
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_a_short_run_breaks_nothing(seed, tmp_path):
     async def main():
@@ -253,3 +301,4 @@
     assert found == []
     assert sum(answer.status == 200 for answer in seen.answers) > 20
     assert seen.crashes or not _soak.CRASHES
+    assert any(answer.limited_by for answer in seen.answers)
