--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY = $(VENV)/bin/python
 
 # These give the same figures on every run.
-DETERMINISTIC = bench_limits bench_retries bench_routing
+DETERMINISTIC = bench_limits bench_rate_limits bench_retries bench_routing
 
 .PHONY: help setup demo test lint format bench bounds mutants fuzz binary soak \
   experiment ablation
--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -635,6 +635,54 @@
         '                _apply',
         '            if False:\n                _apply',
     ),
+    Mutation(
+        'limit-is-recorded',
+        'catkinshunt/gateway/_relay.py',
+        'self._record_rate_limit(reply_info)',
+        'pass',
+    ),
+    Mutation(
+        'tokens-are-used',
+        'catkinshunt/rate_limits/_bucket.py',
+        'self.tokens -= 1',
+        'pass',
+    ),
+    Mutation(
+        'limit-is-shared',
+        'catkinshunt/rate_limits/_limiter.py',
+        'return per_s / holders, 0.0',
+        'return per_s, 0.0',
+    ),
+    Mutation(
+        'few-entries-share',
+        'catkinshunt/rate_limits/_limiter.py',
+        'if index < holders:',
+        'if True:',
+    ),
+    Mutation(
+        'end-needs-a-later-request',
+        'catkinshunt/rate_limits/_table.py',
+        'if per_s > known.per_s and sent_at <= known.stated_at:',
+        'if False:',
+    ),
+    Mutation(
+        'lower-limit-wins',
+        'catkinshunt/rate_limits/_table.py',
+        'return limit.version, -limit.per_s',
+        'return limit.version, 0.0',
+    ),
+    Mutation(
+        'limits-are-reminded',
+        'catkinshunt/rate_limits/_gossip.py',
+        'self._send(_make_message(key, limit, now), host)',
+        'pass',
+    ),
+    Mutation(
+        'limits-are-announced',
+        'catkinshunt/rate_limits/_gossip.py',
+        'self._fan_out(_make_message(key, limit, self.clock()))',
+        'pass',
+    ),
     # In time and fair.
     Mutation(
         'refused-at-once-if-late',
--- a/catkinshunt/rate_limits/_table.py
+++ b/catkinshunt/rate_limits/_table.py
@@ -127,10 +127,8 @@
             if per_s == UNLIMITED:
                 return False
             return self._replace(key, per_s, 1, stated_at, self.name)
-        if stated_at <= known.stated_at:
-            return False
         if not _differs(known.per_s, per_s):
-            self._limits[key] = attrs.evolve(known, stated_at=stated_at)
+            self._confirm(key, known, stated_at)
             return False
         if per_s > known.per_s and sent_at <= known.stated_at:
             return False
@@ -151,8 +149,7 @@
                 return False
         elif _order(news) <= _order(known):
             if _order(news) == _order(known):
-                stated_at = max(known.stated_at, news.stated_at)
-                self._limits[key] = attrs.evolve(known, stated_at=stated_at)
+                self._confirm(key, known, news.stated_at)
             return False
         elif known.is_limited and not news.is_limited:
             if news.stated_at <= known.stated_at + END_MARGIN_S:
@@ -161,6 +158,11 @@
             key, news.per_s, news.version, news.stated_at, news.source
         )
 
+    def _confirm(self, key, known, stated_at):
+        """Record that a known limit was stated again."""
+        stated_at = max(known.stated_at, stated_at)
+        self._limits[key] = attrs.evolve(known, stated_at=stated_at)
+
     def _replace(self, key, per_s, version, stated_at, source):
         known = self.find(key)
         limit = StatedLimit(per_s, version, stated_at, source)
--- a/catkinshunt/rate_limits/tests/test_replay.py
+++ b/catkinshunt/rate_limits/tests/test_replay.py
@@ -130,6 +130,30 @@
     assert played.refused > 0
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_all_entries_know_a_limit_in_time(seed):
+    """Each entry would send until it gets a reply of its own."""
+    played = replay.Replay(seed, 36, 6, rate_per_s=20.0)
+    state_limit(played, 0, 1.0)
+    while not played.upstreams[0].history.told:
+        played.run(0.1)
+    played.run(replay.CONTACT_S)
+    key = played.upstreams[0].key
+    assert all(e.limiter.table.find(key) for e in played.entries)
+
+
+def test_restarted_entry_learns_the_limits():
+    """It would send as many requests as to any other upstream."""
+    played = replay.Replay(3, 12, 6, rate_per_s=5.0)
+    state_limit(played, 0, 1.0)
+    played.run(20.0)
+    key = played.upstreams[0].key
+    for entry in played.entries:
+        played.restart_entry(entry)
+        played.run(3.0)
+        assert entry.limiter.table.find(key) is not None
+
+
 def test_ended_limit_frees_the_upstream_everywhere():
     """An entry without a share learns the end of a limit only from others."""
     played = replay.Replay(3, 36, 4, rate_per_s=100.0)
