End the reminders of ended limits

Each reply without a limit confirmed that the limit had ended, so entries reminded each other of it for as long as requests came: a datagram a second for each upstream that ever had a limit. The time at which an entry learned of the end counts now.

--- a/catkinshunt/rate_limits/_gossip.py
+++ b/catkinshunt/rate_limits/_gossip.py
@@ -61,7 +61,7 @@
     def remind(self, now):
         """Send the known limits to one entry; ask others after a start."""
         is_start = self._reminded_at is None
-        if is_start or self._was_suspended(now):
+        if is_start or self._detect_suspend(now):
             self._fan_out(_messages.LimitsRequest())
         self._reminded_at = now
         for host in self._random_hosts(1):
@@ -83,14 +83,17 @@
         if isinstance(message, _messages.LimitsRequest):
             self._send_limits(host, now)
             return
-        if self._was_suspended(now) or now < self._ignores_until:
+        if self._detect_suspend(now) or now < self._ignores_until:
             return
         key, limit = _parse_message(message, now)
         if self.limiter.merge(key, limit):
             self.announce(key)
 
-    def _was_suspended(self, now):
-        """Return whether the process was suspended since the last reminder."""
+    def _detect_suspend(self, now):
+        """Return whether the process was suspended since the last reminder.
+
+        If so, datagrams are ignored for a while.
+        """
         if self._reminded_at is None:
             return False
         if now - self._reminded_at <= SUSPENDED_S:
@@ -102,7 +105,7 @@
         limits = [
             (key, limit)
             for key, limit in self.limiter.table.items()
-            if limit.is_limited or now - limit.stated_at < ENDED_REMINDER_S
+            if limit.is_limited or now - limit.learned_at < ENDED_REMINDER_S
         ]
         count = min(MAX_LIMITS, len(limits))
         for key, limit in self.random.sample(limits, count):
@@ -139,6 +142,6 @@
     if isinstance(message, _messages.LimitStated):
         per_s = message.per_s
     limit = _table.StatedLimit(
-        per_s, message.version, now - message.age_s, message.source
+        per_s, message.version, now - message.age_s, message.source, now
     )
     return key, limit
--- a/catkinshunt/rate_limits/_table.py
+++ b/catkinshunt/rate_limits/_table.py
@@ -31,12 +31,14 @@
         stated_at: when it was last stated, on the boot-time clock of this
             entry; later than that by the transit times of the news.
         source: name of the entry that got the reply.
+        learned_at: when this entry learned of this version.
     """
 
     per_s: float
     version: int
     stated_at: float
     source: str
+    learned_at: float
 
     @property
     def is_limited(self):
@@ -126,14 +128,17 @@
         if known is None:
             if per_s == UNLIMITED:
                 return False
-            return self._replace(key, per_s, 1, stated_at, self.name)
+            return self._replace(
+                key, StatedLimit(per_s, 1, stated_at, self.name, now)
+            )
         if not _differs(known.per_s, per_s):
             self._confirm(key, known, stated_at)
             return False
         if per_s > known.per_s and sent_at <= known.stated_at:
             return False
+        version = known.version + 1
         return self._replace(
-            key, per_s, known.version + 1, stated_at, self.name
+            key, StatedLimit(per_s, version, stated_at, self.name, now)
         )
 
     def merge(self, key, news):
@@ -154,21 +159,18 @@
         elif known.is_limited and not news.is_limited:
             if news.stated_at <= known.stated_at + END_MARGIN_S:
                 return False
-        return self._replace(
-            key, news.per_s, news.version, news.stated_at, news.source
-        )
+        return self._replace(key, news)
 
     def _confirm(self, key, known, stated_at):
         """Record that a known limit was stated again."""
         stated_at = max(known.stated_at, stated_at)
         self._limits[key] = attrs.evolve(known, stated_at=stated_at)
 
-    def _replace(self, key, per_s, version, stated_at, source):
+    def _replace(self, key, limit):
         known = self.find(key)
-        limit = StatedLimit(per_s, version, stated_at, source)
         self._limits[key] = limit
         was_per_s = known.per_s if known is not None else UNLIMITED
-        if _differs(was_per_s, per_s):
+        if _differs(was_per_s, limit.per_s):
             _log_change(key, limit)
         return True
 
--- a/catkinshunt/rate_limits/tests/test_table.py
+++ b/catkinshunt/rate_limits/tests/test_table.py
@@ -37,7 +37,7 @@
 def test_slow_reply_without_limit_does_not_hide_a_newer_limit():
     """Another entry may know a limit that is newer than this request."""
     table = table_with(now=10.0)
-    newer = rate_limits.StatedLimit(1.0, 2, 11.0, 'entry-2')
+    newer = rate_limits.StatedLimit(1.0, 2, 11.0, 'entry-2', 12.0)
     table.merge(KEY, newer)
     table.observe(KEY, math.inf, sent_at=10.5, now=12.0)
     assert table.find(KEY) == newer
@@ -54,7 +54,7 @@
 def test_older_news_of_another_entry_is_ignored():
     table = table_with(2.0, now=10.0)
     table.observe(KEY, 1.0, sent_at=10.5, now=11.0)
-    old = rate_limits.StatedLimit(2.0, 1, 12.0, 'entry-2')
+    old = rate_limits.StatedLimit(2.0, 1, 12.0, 'entry-2', 12.0)
     assert not table.merge(KEY, old)
     assert table.find(KEY).per_s == 1.0
 
@@ -62,7 +62,7 @@
 def test_reply_from_before_the_limit_does_not_end_it_elsewhere():
     """An entry with a slow link would end the limit of all others."""
     table = table_with(2.0, now=10.0)
-    ended = rate_limits.StatedLimit(math.inf, 2, 9.5, 'entry-2')
+    ended = rate_limits.StatedLimit(math.inf, 2, 9.5, 'entry-2', 12.0)
     assert not table.merge(KEY, ended)
     assert table.merge(KEY, attrs.evolve(ended, stated_at=12.5))
 
@@ -70,8 +70,8 @@
 def test_two_news_of_one_version_do_not_alternate():
     """Entries would forward both to each other for ever."""
     table = table_with(2.0)
-    lower = rate_limits.StatedLimit(1.0, 1, 10.5, 'entry-2')
-    higher = rate_limits.StatedLimit(2.0, 1, 11.0, 'entry-3')
+    lower = rate_limits.StatedLimit(1.0, 1, 10.5, 'entry-2', 12.0)
+    higher = rate_limits.StatedLimit(2.0, 1, 11.0, 'entry-3', 12.0)
     assert table.merge(KEY, lower)
     assert not table.merge(KEY, higher)
     assert not table.merge(KEY, lower)
