Run two tests of transfers on a virtual clock

Both are listed as known red since they need their polls to wake within 5 and 30 ms of real time, and failed once each beside other work. The peers of one get a delay, since the virtual clock stands still while a peer replies that it is busy at once.

Without the check of the own link the one fails, without the report the other does not end.

--- a/catkinshunt/spread/tests/test_sources.py
+++ b/catkinshunt/spread/tests/test_sources.py
@@ -8,6 +8,7 @@
 from catkinshunt.spread import _source_speeds
 from catkinshunt.spread.tests import fakes
 from catkinshunt.spread.tests import transfers
+from catkinshunt.tests import virtual_loop
 
 
 def test_chunks_queued_at_a_slow_source_fail_over(monkeypatch):
@@ -268,6 +269,7 @@
 
     transfer = transfers.run_transfer(
         prepare,
+        run=virtual_loop.run,
         peers=peers,
         listed=transfers.listed(*names),
         copy_s=lambda size: 0.15,
--- a/catkinshunt/spread/tests/test_transfer.py
+++ b/catkinshunt/spread/tests/test_transfer.py
@@ -9,6 +9,7 @@
 from catkinshunt.spread import _source_health
 from catkinshunt.spread.tests import fakes
 from catkinshunt.spread.tests import transfers
+from catkinshunt.tests import virtual_loop
 
 
 def test_single_member_fetches_all_from_the_origin():
@@ -149,12 +150,21 @@
     Without a log line in between, the blocking source could not be found.
     """
     monkeypatch.setattr(_fetcher, 'REPORT_INTERVAL_S', 0.01)
+
+    class SlowPeers(fakes.FakePeers):
+        async def chunk(self, peer, model, version, indices, relay=False):
+            # The virtual clock stands still while peers reply at once.
+            await asyncio.sleep(0.001)
+            return await super().chunk(peer, model, version, indices, relay)
+
     lines = []
     sink = loguru.logger.add(lambda line: lines.append(line.record['extra']))
 
     async def main():
-        transfer = transfers.Transfer(listed=transfers.listed('a1', a1=2))
-        transfer.peers.stores['a1'] = {2: range(1, fakes.CHUNKS)}
+        transfer = transfers.Transfer(
+            SlowPeers(a1={2: range(1, fakes.CHUNKS)}),
+            transfers.listed('a1', a1=2),
+        )
         transfer.fetcher.plan.sources = lambda index: ['a1']
         running = asyncio.ensure_future(transfer.run())
         while not any('waits_for' in line for line in lines):
@@ -162,7 +172,7 @@
         running.cancel()
 
     try:
-        asyncio.run(main())
+        virtual_loop.run(main())
     finally:
         loguru.logger.remove(sink)
     (reported,) = [line for line in lines if 'waits_for' in line]
--- a/catkinshunt/spread/tests/transfers.py
+++ b/catkinshunt/spread/tests/transfers.py
@@ -41,8 +41,16 @@
             await self.fetcher.run()
 
 
-def run_transfer(prepare=lambda transfer: None, **options):
-    """Run a transfer modified by `prepare`, and return it."""
+def run_transfer(
+    prepare=lambda transfer: None, run=asyncio.run, **options
+):  # fmt: skip
+    """Run a transfer modified by `prepare`, and return it.
+
+    Args:
+        prepare: function of the transfer.
+        run: function that runs a coroutine on an event loop.
+        **options: of the `Transfer`.
+    """
 
     async def main():
         transfer = Transfer(**options)
@@ -50,7 +58,7 @@
         await transfer.run()
         return transfer
 
-    return asyncio.run(main())
+    return run(main())
 
 
 def listed(*names, **versions):
