Say which probe an entry of the demo does not answer

The whole path on the one-file build failed once, as an entry did not answer its probes within 25 s; the message did not say which of three services failed nor how, so the cause could not be traced. It does now; the check and its bound are the same, and the test stays listed as known red.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -112,14 +112,18 @@
             thread.join(DEADLINE_S * 2)
 
     def probe(self, address):
-        """Return whether the entry at `address` answers for each service."""
+        """Return a text for each service that an entry does not answer for."""
         probe = Callers(self.deployed, Balancer([address]))
         sent = [
             probe._ask('probe', f'probe {address}'),
             probe._read('probe', self.deployed.booking_service),
             probe._read('probe', self.deployed.portal_service),
         ]
-        return all(item.outcome == ANSWERED for item in sent)
+        return [
+            f'{item.outcome} {item.kind}: {item.detail}'
+            for item in sent
+            if item.outcome != ANSWERED
+        ]
 
     def report(self, bookings):
         """Count outcomes; `bookings` is what the booking service has run.
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -169,9 +169,11 @@
         """Wait until each entry knows the runners of each service."""
         deadline = time.monotonic() + ROLLOUT_TIMEOUT_S
         for address in self._scene.addresses():
-            while not called.probe(address):
+            while failures := called.probe(address):
                 if time.monotonic() > deadline:
-                    raise RuntimeError(f'{address} does not answer')
+                    raise RuntimeError(
+                        f'{address} does not answer: {", ".join(failures)}'
+                    )
                 time.sleep(_POLL_S)
 
     def _max_link_copies(self, before):
