--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -10,6 +10,8 @@
 from standins.soak import _soak
 
 SEEDS = (1,)
+#: Seeds that failed in runs by hand, and the length of these runs.
+FAILED_SEEDS, FAILED_RUN_S = (302,), 20.0
 #: Seconds of a short run; engines must crash and be away for a while in one
 #: that may crash them.
 RUN_S = 16.0 if _soak.CRASHES else 6.0
@@ -302,3 +304,14 @@
     assert sum(answer.status == 200 for answer in seen.answers) > 20
     assert seen.crashes or not _soak.CRASHES
     assert any(answer.limited_by for answer in seen.answers)
+
+
+@pytest.mark.parametrize('seed', FAILED_SEEDS)
+def test_a_seed_that_failed_once_breaks_nothing(seed, tmp_path):
+    """302: a request that ran beside crashes is taken for their cause."""
+
+    async def main():
+        soak = _soak.Soak(tmp_path, seed, entries=3, sidecars=3, callers=16)
+        return await soak.run(FAILED_RUN_S)
+
+    assert asyncio.run(main()) == []
