--- a/catkinshunt/gateway/tests/test_rate_limits.py
+++ b/catkinshunt/gateway/tests/test_rate_limits.py
@@ -51,7 +51,7 @@
     assert len(heads) <= allowed * max(1.0, took_s / rate_rule.WINDOW_S)
 
 
-def limit_of(gateway, upstream, per_s):
+def set_limit(gateway, upstream, per_s):
     """Let the entry know a limit of an upstream, as from a reply."""
     now = asyncio.get_running_loop().time()
     key = upstream.listed().key
@@ -68,7 +68,7 @@
         ]
         async with harness.running_gateway(*upstreams) as gateway:
             for upstream in upstreams:
-                limit_of(gateway, upstream, 0.5)
+                set_limit(gateway, upstream, 0.5)
             began = asyncio.get_running_loop().time()
             replies = [await gateway.request('/book/1', 'POST', b'x')]
             took_s = asyncio.get_running_loop().time() - began
@@ -93,7 +93,7 @@
         failing = harness.FakeUpstream('u1', harness.replying(500))
         limited = harness.FakeUpstream('u2', harness.replying())
         async with harness.running_gateway(failing, limited) as gateway:
-            limit_of(gateway, limited, 0.5)
+            set_limit(gateway, limited, 0.5)
             replies = [await gateway.request('/read/1') for _ in range(8)]
         return [status for status, _, _ in replies], limited.heads
 
@@ -120,7 +120,7 @@
         ]
         async with harness.running_gateway(broken, *others) as gateway:
             gateway.context.chooser.name = name_that_prefers('u1')
-            limit_of(gateway, others[0], 0.5)
+            set_limit(gateway, others[0], 0.5)
             reply = await gateway.request(
                 '/chat/1', 'POST', b'x', Model='drafts'
             )
@@ -150,7 +150,7 @@
         other = harness.FakeUpstream('u2', harness.replying())
         async with harness.running_gateway(limited, other) as gateway:
             limiter = gateway.context.rate_limiter
-            limit_of(gateway, limited, 0.5)
+            set_limit(gateway, limited, 0.5)
             # As if the token was taken between the choice and the send.
             limiter.wait_s = lambda key, now: 0.0
             reply = await gateway.request('/book/1', 'POST', b'x')
--- a/catkinshunt/rate_limits/tests/replay.py
+++ b/catkinshunt/rate_limits/tests/replay.py
@@ -26,7 +26,7 @@
 #: entry expires that does not renew it.
 LISTING_S = 0.3
 LEASE_S = 12.0
-#: Period in seconds in which an entry hears from the store.
+#: Interval in seconds of the updates from the store.
 CONFIRM_S = 0.5
 
 
@@ -81,7 +81,7 @@
         )
         self.gossip.connection_made(Transport(self.replay, self))
 
-    def hear_from_store(self):
+    def update_from_store(self):
         if not self.is_cut:
             self.live_entries.replace(self.replay.listed())
             self.catalog.confirm(self.replay.now)
@@ -154,7 +154,7 @@
         self.histories = [u.history for u in self.upstreams]
         for entry in self.entries:
             self._listed_until[entry.name] = math.inf
-            self.after(0.0, self._hear, entry)
+            self.after(0.0, self._update, entry)
             self.after(self.random.random(), self._remind, entry)
         self.after(0.0, self._arrive)
 
@@ -206,7 +206,7 @@
         self._disrupt(entry, 0.0)
         entry.start()
         self._listed_until[entry.name] = math.inf
-        self.after(LISTING_S, entry.hear_from_store)
+        self.after(LISTING_S, entry.update_from_store)
 
     def freeze_entry(self, entry, seconds):
         """Suspend an entry; it then handles what came meanwhile."""
@@ -244,10 +244,10 @@
 
     # Events.
 
-    def _hear(self, entry):
-        self.after(CONFIRM_S, self._hear, entry)
+    def _update(self, entry):
+        self.after(CONFIRM_S, self._update, entry)
         if entry.frozen_until <= self.now:
-            entry.hear_from_store()
+            entry.update_from_store()
 
     def _remind(self, entry):
         if entry.frozen_until > self.now:
--- a/catkinshunt/rate_limits/tests/test_replay.py
+++ b/catkinshunt/rate_limits/tests/test_replay.py
@@ -9,8 +9,8 @@
 RATES_PER_S = (0.1, 0.25, 0.5, 1.0, 1.8, 4.0, 12.0)
 
 
-class Heedless(rate_limits.RateLimiter):
-    """Sends as if no upstream stated a limit."""
+class IgnoringLimiter(rate_limits.RateLimiter):
+    """Ignores all limits."""
 
     def wait_s(self, key, now):
         return 0.0
@@ -19,8 +19,8 @@
         return True
 
 
-class Selfish(rate_limits.RateLimiter):
-    """Keeps each limit by itself, without the other entries."""
+class PerEntryLimiter(rate_limits.RateLimiter):
+    """Keeps the whole limit at each entry, regardless of the others."""
 
     def _share(self, key, limit, now):
         return limit.per_s, 0.0
@@ -77,7 +77,7 @@
         played.restart_entry(entry)
 
 
-@pytest.mark.parametrize('limiter_class', [Heedless, Selfish])
+@pytest.mark.parametrize('limiter_class', [IgnoringLimiter, PerEntryLimiter])
 def test_check_finds_limits_that_are_not_kept_together(limiter_class):
     """A check that overlooks the break proves nothing."""
     played = play(1, entries=12, limited=6, limiter_class=limiter_class)
@@ -166,7 +166,7 @@
     assert limited == []
 
 
-def test_upstream_is_tried_again_by_entries_that_hear_nothing():
+def test_entries_without_news_try_the_upstream_again():
     """Entries cut off from those with a share would never use it again."""
     played = replay.Replay(3, 8, 2, rate_per_s=40.0)
     state_limit(played, 0, 1.0)
