--- a/benchmarks/bench_platform.py
+++ b/benchmarks/bench_platform.py
@@ -84,7 +84,7 @@
     rng = random.Random(1)
     began = time.process_time()
     for number in range(RANKS):
-        waited_s = returns.estimate_wait_s('chat', 6.0 - rng.random())
+        waited_s = returns.estimate_wait_s('chat', 6.0 - rng.random(), number)
         forecast.rank(waited_s, 0.2, 0.5, number)
         forecast.observe(0.2, 0.3, number)
     return (time.process_time() - began) / RANKS * 1e6
