Reproduce answers that are cut after a silence of their engine

An engine is silent for 1.0 or 1.5 s before the head of its reply, after it or within the stream, and goes on. The entry takes it for dead after 0.7 s, resets its run and moves the request. Requests that may run once are left to their upstream and pass.

--- /dev/null
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -0,0 +1,150 @@
+"""Upstreams that fall silent for a moment, and go on."""
+
+import asyncio
+
+import pytest
+
+from catkinshunt.gateway.tests import harness
+from catkinshunt.gateway.tests import test_streams
+
+EVENTS = 5
+#: Seconds for which an engine is silent, longer than
+#: `dispatch.UNRESPONSIVE_S`.
+SILENCES_S = (1.0, 1.5)
+#: Events of the reply that arrive before the silence; None for a silence
+#: before the head of the reply.
+STAGES = (None, 0, 2)
+
+
+def pausing(after, silent_s, last=EVENTS):
+    """Return an answer function that falls silent once and then goes on.
+
+    Args:
+        after: number of the last event before the silence, 0 for the head,
+            None for a silence before it.
+        silent_s: its length in seconds.
+        last: number of the last event.
+    """
+
+    async def answer(head, writer, upstream):
+        if after is None:
+            await asyncio.sleep(silent_s)
+        first = int(harness.header(head, 'Last-Event-Id') or 0) + 1
+        writer.write(harness.stream_head(head, upstream))
+        for number in range(first, last + 1):
+            if number == (after or 0) + 1 and after is not None:
+                await asyncio.sleep(silent_s)
+            writer.write(harness.chunk_of(number))
+            await writer.drain()
+        writer.write(harness.LAST_CHUNK)
+
+    return answer
+
+
+async def queued(head, writer, upstream):
+    """Answer function of an engine whose queue does not move."""
+    await asyncio.sleep(60)
+
+
+async def breaking(head, writer, upstream):
+    """Answer function of an engine that drops each request."""
+    return 'close'
+
+
+async def ask(first, second, prepare=lambda gateway: None):
+    """Return the body of a reply to a stream, or its status if not 200.
+
+    Args:
+        first: answer function of the engine that gets the request.
+        second: answer function of the other one.
+        prepare: function that gets the `GatewayHarness` before the request.
+    """
+    silent = test_streams.make_engine('u1', first)
+    other = test_streams.make_engine('u2', second)
+    async with harness.running_gateway(silent, other) as gateway:
+        tracker, now = gateway.context.tracker, gateway.context.clock()
+        tracker.state(other.listed()).pause(now, 0.3)
+        prepare(gateway)
+        status, _, body = await test_streams.chat(gateway)
+        return body if status == 200 else status
+
+
+def ask_for_each(cases):
+    """Return the outcome of `ask` by the name of each case.
+
+    Args:
+        cases: arguments of `ask`, by a name.
+    """
+
+    async def main():
+        found = await asyncio.gather(*(ask(*args) for args in cases.values()))
+        return dict(zip(cases, found, strict=True))
+
+    return asyncio.run(main())
+
+
+def whole(cases):
+    """Return the whole answer for each case."""
+    return dict.fromkeys(cases, test_streams.events(EVENTS))
+
+
+def make_version_due(gateway, in_s=1.2):
+    """Announce a version that neither engine has, due in `in_s` seconds."""
+    context = gateway.context
+    context.version_grace_s = 4.0
+    context.catalog.add_announced_version(
+        harness.MODEL, 2, context.boot_clock() + in_s - 4.0
+    )
+
+
+def test_silence_ends_no_answer():
+    """A sound engine is silent, and no other one answers in its place."""
+    others = {
+        'queued': queued,
+        'breaks off': breaking,
+        'rejects': harness.rejecting(),
+        'silent': pausing(None, 3.0),
+    }
+    cases = {
+        (name, after, silent_s): (pausing(after, silent_s), other)
+        for name, other in others.items()
+        for after in STAGES
+        for silent_s in SILENCES_S
+    }
+    assert ask_for_each(cases) == whole(cases)
+
+
+def test_silence_before_a_version_is_due_ends_no_answer():
+    """The stream moves to an engine whose version then becomes outdated."""
+    cases = {
+        (after, silent_s): (
+            pausing(after, silent_s),
+            queued,
+            make_version_due,
+        )
+        for after in (0, 2)
+        for silent_s in SILENCES_S
+    }
+    assert ask_for_each(cases) == whole(cases)
+
+
+@pytest.mark.parametrize('silent_s', SILENCES_S)
+@pytest.mark.parametrize('path', ['/once/1', '/book/1'])
+def test_silence_ends_no_answer_that_may_run_once(path, silent_s):
+    """A request that must not run twice is left to its silent upstream."""
+
+    async def main():
+        upstream = harness.FakeUpstream(
+            'u1', pausing(None, silent_s), *_service(path)
+        )
+        async with harness.running_gateway(upstream) as gateway:
+            return await test_streams.chat(gateway, path)
+
+    status, _, body = asyncio.run(main())
+    assert (status, body) == (200, test_streams.events(EVENTS))
+
+
+def _service(path):
+    if path.startswith('/book/'):
+        return ('plain', None)
+    return ('model', {harness.MODEL: 1})
