End a stream that an upstream does not resume

A stream breaks off, and the upstream that is to resume it answers with an error or a reply that is no stream. The entry wrote that reply, head and all, into the chunked body of the stream that it was relaying, so the client read a second head as a part of the answer. Such a reply now counts as a failed attempt: another one follows if it may, and otherwise the stream ends visibly cut.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -210,6 +210,13 @@
                 step='read-reply',
                 peer=self.peer,
             )
+        if self.exchange.progress.head_sent and not self._is_stream(head):
+            raise errors.OutcomeUnknownError(
+                f'upstream answered {head.status} instead of resuming the '
+                'stream',
+                step='read-reply',
+                peer=self.peer,
+            )
         # Without another upstream to try, the client gets the error itself,
         # unless the one that was tried before may still answer.
         if head.status >= 500 and (
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -1,4 +1,7 @@
 import asyncio
+import contextlib
+
+import pytest
 
 from catkinshunt import catalog as catalogs
 from catkinshunt.gateway import _events
@@ -168,6 +171,27 @@
     assert body is None
 
 
+@pytest.mark.parametrize('status', [200, 404, 500])
+def test_reply_that_is_no_stream_does_not_continue_one(status):
+    """A second head would be read as a part of the body."""
+
+    async def main():
+        first = make_engine('u1', harness.streaming(6, breaks_after=2))
+        second = make_engine('u2', harness.replying(status))
+        async with harness.running_gateway(first, second) as gateway:
+            tracker, now = gateway.context.tracker, gateway.context.clock()
+            tracker.state(second.listed()).pause(now, 0.3)
+            reader, writer = await gateway.connect()
+            await harness.send_request(
+                writer, '/chat/1', 'POST', b'hello', **CHAT
+            )
+            with contextlib.suppress(ConnectionError):
+                return await asyncio.wait_for(reader.read(), 2)
+            return b''
+
+    assert run(main).count(b'HTTP/1.1') <= 1
+
+
 def test_non_resumable_stream_is_sent_once():
     async def main():
         first = make_engine('u1', harness.streaming(6, breaks_after=3))
