--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -305,7 +305,13 @@
             self._check_retry(exc)
         except errors.RequestError:
             return None
-        return _failover.Failover(self._run_attempts, outer)
+        return _failover.Failover(self._run_attempts, self.progress, outer)
+
+    def end_failover(self, failover):
+        """End a `_failover.Failover` whose attempts are not needed."""
+        failover.cancel()
+        if not failover.has_sent:
+            self.context.retry_budget(self.decision.service).put_back()
 
     def _client_wait_s(self):
         """Return the seconds since the client first sent the request.
--- a/catkinshunt/gateway/_failover.py
+++ b/catkinshunt/gateway/_failover.py
@@ -15,11 +15,15 @@
     Args:
         run_attempts: coroutine function of this object that makes the further
             attempts and relays the reply of one of them.
+        progress: the `Progress` of the request.
         outer: the `Failover` that the first attempt is part of, or None.
     """
 
-    def __init__(self, run_attempts, outer=None):
+    def __init__(self, run_attempts, progress, outer=None):
+        self.progress = progress
         self.outer = outer
+        self._sends_before = progress.sends
+        self._tried_before = set(progress.tried)
         self.has_begun = False
         self._begun = asyncio.get_running_loop().create_future()
         self._task = asyncio.ensure_future(run_attempts(self))
@@ -44,6 +48,11 @@
             raise exc
         return exc
 
+    @property
+    def has_sent(self):
+        """Whether one of the attempts has sent the request."""
+        return self.progress.sends > self._sends_before
+
     async def wait_beside(self, conn, wait_s):
         """Wait until something happens, for at most `wait_s` seconds.
 
@@ -69,8 +78,13 @@
         await self._task
 
     def cancel(self):
-        """End the attempts."""
+        """End the attempts.
+
+        Upstreams that had no permit for them may be chosen again.
+        """
         self._task.cancel()
+        if not self.has_sent:
+            self.progress.tried = self._tried_before
 
 
 def _retrieve(task):
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -8,6 +8,9 @@
 
 #: Interval in seconds of the checks for an unresponsive upstream.
 POLL_S = 0.2
+#: Pause in seconds after other upstreams were tried beside an unresponsive
+#: one, and none replied. Permits that run out are free again by then.
+FAILOVER_PAUSE_S = 0.5
 #: Longest reply that is buffered until complete, so that the request can be
 #: retried if the reply is cut off. A longer one is relayed as it arrives.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -63,6 +66,7 @@
         self.peer = peer
         self.sent_at = self.context.clock()
         self.boot_sent_at = self.context.boot_clock()
+        self.failover_after = self.sent_at
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
@@ -135,20 +139,24 @@
             return await self.conn.read_part()
         if failover.failure is not None:
             self._note('no other upstream replied, so its reply is awaited')
-            self.attempt.failover = None
+            self._end_failover()
+            self.failover_after = self.context.clock() + FAILOVER_PAUSE_S
         return None
 
     def _end_silence(self):
         """Record that bytes arrived; end the attempts at other upstreams."""
         now = self.context.clock()
         silent_s = self.state.receive(now)
-        failover, self.attempt.failover = self.attempt.failover, None
-        if failover is None:
+        if self.attempt.failover is None:
             return
-        failover.cancel()
+        self._end_failover()
         self.context.metrics.record_silence('resumed')
         self._note(f'sends again after {silent_s:.2f} s')
 
+    def _end_failover(self):
+        self.exchange.end_failover(self.attempt.failover)
+        self.attempt.failover = None
+
     def _note(self, text):
         self.exchange.progress.notes.append(f'{self.upstream.id}: {text}')
 
@@ -180,7 +188,9 @@
         now = self.context.clock()
         if not self.state.is_unresponsive(now) or now - self.sent_at < POLL_S:
             return
-        if self.attempt.failover is None and self.exchange.can_fail_over():
+        if self.attempt.failover is not None or now < self.failover_after:
+            return
+        if self.exchange.can_fail_over():
             self.attempt.failover = self.exchange.start_failover(
                 self._unresponsive_error(), self.attempt.beside
             )
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -5,7 +5,9 @@
 import pytest
 
 from catkinshunt.gateway.tests import harness
+from catkinshunt.gateway.tests import test_permits
 from catkinshunt.gateway.tests import test_streams
+from catkinshunt import permits
 from catkinshunt import rules
 
 EVENTS = 5
@@ -197,6 +199,29 @@
     assert asyncio.run(main()) == (test_streams.events(EVENTS), [1, 1, 1])
 
 
+def test_attempts_that_are_not_sent_cost_no_retries():
+    """Full engines would spend the retries that a dead one needs."""
+
+    async def main():
+        silent = test_streams.make_engine('u1', pausing(None, 2.5))
+        other = test_streams.make_engine('u2', queued)
+        client = test_permits.FakePermitClient(
+            permits.PermitGranted, *['no-room'] * 20
+        )
+        async with harness.running_gateway(silent, other) as gateway:
+            context = gateway.context
+            context.permit_client = client
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            _, _, body = await test_streams.chat(gateway)
+            tokens = context.retry_budget('model').report()['tokens']
+            return body, len(other.heads), tokens, len(client.requests)
+
+    body, sends, tokens, requests = asyncio.run(main())
+    assert (body, sends) == (test_streams.events(EVENTS), 0)
+    assert tokens == 10.0
+    assert 3 <= requests <= 6
+
+
 @pytest.mark.parametrize('silent_s', SILENCES_S)
 @pytest.mark.parametrize('path', ['/once/1', '/book/1'])
 def test_silence_ends_no_answer_that_may_run_once(path, silent_s):
--- a/catkinshunt/retries/_budget.py
+++ b/catkinshunt/retries/_budget.py
@@ -50,6 +50,11 @@
             self._tokens = available - 1 if enough else available
             return enough
 
+    def put_back(self):
+        """Put back the token of a retry that was not made."""
+        with self._lock:
+            self._tokens = self._available() + 1
+
     def has_token(self):
         """Return whether `try_take` without a reserve would take a token."""
         with self._lock:
