Let only a reply that can be relayed end other attempts

Review of the failover beside a silent upstream, one that had not seen the work. Any byte of the first upstream ended the attempt beside it: a refusal, an error, a head with nothing after it, the late reply to another request, or a part of an event, after which the answer was lost though the second engine had it (seven cases; the code before had served six of them). Now both go on until one of them has something to relay, and an error of either leaves the other in place.

With it, in the same mechanism: the permit of the first engine is released when it is replaced (two permits were held for the whole stream); the second engine's own 500 is relayed once the first is lost (it became 502); a request that was sent twice in vain ends 2 s after the last byte and not at its deadline; a long plain reply whose head was sent looks for no second run, which could not continue it. Each has a test in test_silence.py that failed before.

--- a/catkinshunt/dispatch/_state.py
+++ b/catkinshunt/dispatch/_state.py
@@ -135,10 +135,9 @@
 
     def receive(self, now):
         """Record that bytes arrived; return the seconds since the last."""
-        if self.reply_due_since is None:
-            return 0.0
-        silent_s = now - self.reply_due_since
-        self.reply_due_since = now
+        silent_s = self.silent_s(now)
+        if self.reply_due_since is not None:
+            self.reply_due_since = now
         return silent_s
 
     def report(self, load, now):
@@ -149,10 +148,14 @@
             len(self.jobs) + self.pending_permit_requests
         )
 
+    def silent_s(self, now):
+        """Return the seconds without a byte while replies are due."""
+        since = self.reply_due_since
+        return 0.0 if since is None else now - since
+
     def is_unresponsive(self, now):
         """Return whether replies are due but no byte arrives."""
-        since = self.reply_due_since
-        return since is not None and now - since > UNRESPONSIVE_S
+        return self.silent_s(now) > UNRESPONSIVE_S
 
     def record_success(self, now):
         """Record a successful request and end any pause."""
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -50,9 +50,11 @@
         self.failover = None
 
     @property
-    def is_beside_another(self):
-        """Whether the attempt before this one may still be answered."""
-        return self.beside is not None and not self.beside.has_begun
+    def has_rival(self):
+        """Whether an attempt beside this one may still be answered."""
+        if self.failover is not None:
+            return True
+        return self.beside is not None and self.beside.is_first_awaited
 
     def begin_reply(self):
         """Record that the reply is relayed; ends the attempt before."""
@@ -125,8 +127,9 @@
             relay = _relay.Relay(self, conn, pool.peer)
             is_reusable = await relay.run()
         except asyncio.CancelledError:
-            # The client disconnected or the deadline passed. Without a first
-            # byte, the time so far is a lower bound of the delay.
+            # The client disconnected, the deadline passed, or another
+            # upstream replied. Without a first byte, the time so far is a
+            # lower bound of the delay.
             now = self.context.clock()
             if (
                 not self.job.reply_started
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -172,7 +172,9 @@
             )
             try:
                 await self._run_attempt(
-                    await self._acquire_permit(search, candidate), beside
+                    await self._acquire_permit(search, candidate),
+                    search,
+                    beside,
                 )
                 return
             except (
@@ -276,7 +278,14 @@
         except errors.OverloadedError as exc:
             raise self._final_error(exc) from exc
 
-    async def _run_attempt(self, candidate, beside):
+    async def _run_attempt(self, candidate, search, beside):
+        """Make one attempt.
+
+        Args:
+            candidate: the `dispatch.Candidate`.
+            search: the `PermitSearch` that holds the permit for it.
+            beside: the `_failover.Failover` that it is part of, or None.
+        """
         # It may have been quarantined while it waited for a permit.
         self.quarantine_check.check()
         attempt = _attempt.Attempt(self, candidate, beside)
@@ -285,9 +294,9 @@
         except errors.RequestError as exc:
             if attempt.failover is None:
                 raise
-            # The attempts beside it go on without it.
             self.progress.notes.append(str(exc))
-            await attempt.failover.join()
+            search.close()
+            await attempt.failover.replace_first()
         finally:
             if attempt.failover is not None:
                 attempt.failover.cancel()
--- a/catkinshunt/gateway/_failover.py
+++ b/catkinshunt/gateway/_failover.py
@@ -13,10 +13,15 @@
     the client loses no answer if none does.
 
     Args:
-        run_attempts: coroutine function of this object that makes the further
-            attempts and relays the reply of one of them.
+        run_attempts: coroutine function that takes this `Failover`, makes the
+            further attempts and relays the reply of one of them.
         progress: the `Progress` of the request.
         outer: the `Failover` that the first attempt is part of, or None.
+
+    Attributes:
+        has_begun: whether the reply of a further attempt is being relayed.
+        is_first_awaited: whether the reply of the first attempt may still be
+            relayed instead.
     """
 
     def __init__(self, run_attempts, progress, outer=None):
@@ -25,6 +30,7 @@
         self._sends_before = progress.sends
         self._tried_before = set(progress.tried)
         self.has_begun = False
+        self.is_first_awaited = True
         self._begun = asyncio.get_running_loop().create_future()
         self._task = asyncio.ensure_future(run_attempts(self))
         # The error is also logged where nobody awaits it any more.
@@ -35,6 +41,7 @@
         if self.outer is not None:
             self.outer.begin_reply()
         self.has_begun = True
+        self.is_first_awaited = False
         if not self._begun.done():
             self._begun.set_result(None)
 
@@ -73,8 +80,12 @@
         finally:
             own.cancel()
 
-    async def join(self):
-        """Wait until the reply is relayed; raise the error if it fails."""
+    async def replace_first(self):
+        """Go on without the first attempt, which has ended.
+
+        Returns once the reply is relayed; raises the error if it fails.
+        """
+        self.is_first_awaited = False
         await self._task
 
     def cancel(self):
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -11,6 +11,10 @@
 #: Pause in seconds after other upstreams were tried beside an unresponsive
 #: one, and none replied. Permits that run out are free again by then.
 FAILOVER_PAUSE_S = 0.5
+#: Seconds without a byte after which an upstream counts as dead if the request
+#: was also sent to another one in vain. A sound upstream may be silent for
+#: somewhat more than a second.
+DEAD_S = 2.0
 #: Longest reply that is buffered until complete, so that the request can be
 #: retried if the reply is cut off. A longer one is relayed as it arrives.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -41,7 +45,7 @@
 
 
 class UnresponsiveError(errors.OutcomeUnknownError):
-    """The upstream sends no bytes on any connection, and another replies."""
+    """The upstream sends no bytes on any connection."""
 
     code = 'silent'
 
@@ -66,7 +70,15 @@
         self.peer = peer
         self.sent_at = self.context.clock()
         self.boot_sent_at = self.context.boot_clock()
+        #: Longest time without a byte of the upstream before a part of the
+        #: reply, in seconds.
+        self.silent_s = 0.0
+        #: No other upstream is tried before this time.
         self.failover_after = self.sent_at
+        #: Whether the request was also sent to another upstream in vain.
+        self.in_vain = False
+        #: Whether another upstream could go on with the reply.
+        self.can_move = True
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
@@ -115,7 +127,9 @@
                 raise ConnectionLostError(
                     part.reason, step='read-reply', peer=self.peer
                 )
-            self._end_silence()
+            self.silent_s = max(
+                self.silent_s, self.state.receive(self.context.clock())
+            )
             # Also set by a late reply to another request; the version is
             # then no longer checked, nor a lower bound of the delay
             # recorded.
@@ -135,23 +149,27 @@
         if failover.has_begun:
             self.context.metrics.record_silence('replaced')
             raise self._unresponsive_error()
-        if self.conn.has_part:
-            return await self.conn.read_part()
-        if failover.failure is not None:
+        if not self.conn.has_part and failover.failure is not None:
             self._note('no other upstream replied, so its reply is awaited')
+            self.in_vain |= failover.has_sent
             self._end_failover()
             self.failover_after = self.context.clock() + FAILOVER_PAUSE_S
-        return None
+        return await self._read_arrived_part()
 
-    def _end_silence(self):
-        """Record that bytes arrived; end the attempts at other upstreams."""
-        now = self.context.clock()
-        silent_s = self.state.receive(now)
+    async def _read_arrived_part(self):
+        return await self.conn.read_part() if self.conn.has_part else None
+
+    def _begin_reply(self):
+        """Record that a part of the reply is relayed.
+
+        It ends the attempts at other upstreams, and the attempt before.
+        """
+        self.attempt.begin_reply()
         if self.attempt.failover is None:
             return
         self._end_failover()
         self.context.metrics.record_silence('resumed')
-        self._note(f'sends again after {silent_s:.2f} s')
+        self._note(f'replies after a silence of {self.silent_s:.2f} s')
 
     def _end_failover(self):
         self.exchange.end_failover(self.attempt.failover)
@@ -181,19 +199,25 @@
             )
 
     def _fail_over_if_unresponsive(self):
-        """Try other upstreams beside this one if it is unresponsive.
+        """Try other upstreams if this one is unresponsive.
 
         Not for `POLL_S` after sending, nor if no retry is possible.
+
+        Raises:
+            UnresponsiveError: its reply is no longer awaited.
         """
         now = self.context.clock()
         if not self.state.is_unresponsive(now) or now - self.sent_at < POLL_S:
             return
+        if self.in_vain and self.state.silent_s(now) > DEAD_S:
+            raise self._unresponsive_error()
         if self.attempt.failover is not None or now < self.failover_after:
             return
-        if self.exchange.can_fail_over():
-            self.attempt.failover = self.exchange.start_failover(
-                self._unresponsive_error(), self.attempt.beside
-            )
+        if not self.can_move or not self.exchange.can_fail_over():
+            return
+        self.attempt.failover = self.exchange.start_failover(
+            self._unresponsive_error(), self.attempt.beside
+        )
 
     def _check_head(self, head, reply_info):
         """Raise if the reply must not be relayed."""
@@ -227,10 +251,10 @@
                 step='read-reply',
                 peer=self.peer,
             )
-        # Without another upstream to try, the client gets the error itself,
-        # unless the one that was tried before may still answer.
+        # Without another upstream that may answer, the client gets the error
+        # itself.
         if head.status >= 500 and (
-            self.attempt.is_beside_another or self.exchange.can_fail_over()
+            self.attempt.has_rival or self.exchange.can_fail_over()
         ):
             raise errors.OutcomeUnknownError(
                 f'upstream failed with {head.status}',
@@ -264,21 +288,22 @@
         await self._relay_chunked(head, bytes(body))
 
     def _send_buffered(self, head, body):
-        self.attempt.begin_reply()
+        self._begin_reply()
         self.exchange.record_first_byte()
         items = head.headers.end_to_end() + self.exchange.connection_headers()
         self.exchange.conn.write(http1.dump_reply(head.status, items, body))
 
     async def _relay_chunked(self, head, data):
-        self.attempt.begin_reply()
+        self._begin_reply()
         self._send_head(head)
+        self.can_move = False
         while True:
             self.exchange.conn.write(http1.dump_chunk(data))
             await self.exchange.conn.drain()
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 self.exchange.conn.write(http1.LAST_CHUNK)
-                return
+                        return
             data = part.data
 
     async def _relay_events(self, head):
@@ -289,7 +314,7 @@
                 break
             unsent, gap = self._select_new(self._split(splitter, part.data))
             if unsent:
-                self.attempt.begin_reply()
+                self._begin_reply()
                 self._send_head(head)
                 self.exchange.conn.write(http1.dump_chunk(unsent))
                 await self.exchange.conn.drain()
@@ -303,7 +328,7 @@
                 step='read-reply',
                 peer=self.peer,
             )
-        self.attempt.begin_reply()
+        self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
 
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -7,6 +7,7 @@
 from catkinshunt.gateway.tests import harness
 from catkinshunt.gateway.tests import test_permits
 from catkinshunt.gateway.tests import test_streams
+from catkinshunt import http1
 from catkinshunt import permits
 from catkinshunt import rules
 
@@ -242,3 +243,123 @@
     if path.startswith('/book/'):
         return ('plain', None)
     return ('model', {harness.MODEL: 1})
+
+
+def begins_late(wait_s):
+    """Return an answer function of an engine that replies after a while."""
+
+    async def answer(head, writer, upstream):
+        await asyncio.sleep(wait_s)
+        await harness.streaming(EVENTS)(head, writer, upstream)
+
+    return answer
+
+
+def ends_with(end, silent_s=1.0, events=0):
+    """Return an answer function that falls silent, and then ends otherwise.
+
+    Args:
+        end: answer function for the end.
+        silent_s: length of the silence in seconds.
+        events: number of events before it.
+    """
+
+    async def answer(head, writer, upstream):
+        if events:
+            writer.write(harness.stream_head(head, upstream))
+        for number in range(1, events + 1):
+            writer.write(harness.chunk_of(number))
+        await asyncio.sleep(silent_s)
+        return await end(head, writer, upstream)
+
+    return answer
+
+
+async def breaks_after_head(head, writer, upstream):
+    writer.write(harness.stream_head(head, upstream))
+    await asyncio.sleep(0.05)
+    return 'close'
+
+
+async def breaks_within_event(head, writer, upstream):
+    writer.write(harness.chunk_of(3)[:9])
+    await asyncio.sleep(0.05)
+    return 'close'
+
+
+async def replies_to_another(head, writer, upstream):
+    writer.write(http1.dump_reply(200, [('Request-Id', 'a0')], b'late'))
+    await asyncio.sleep(60)
+
+
+def test_bytes_that_cannot_be_relayed_end_no_other_attempt():
+    """The silent engine sends something, but nothing of an answer."""
+    ends = {
+        'rejects': (harness.rejecting(), 0),
+        'fails': (harness.replying(500), 0),
+        'sends the head only': (silent_for_good, 0),
+        'replies to another request': (replies_to_another, 0),
+        'breaks off after the head': (breaks_after_head, 0),
+        'breaks off within an event': (breaks_within_event, 2),
+        'breaks off': (breaking, 2),
+    }
+    cases = {
+        name: (ends_with(end, events=events), begins_late(0.8))
+        for name, (end, events) in ends.items()
+    }
+    assert ask_for_each(cases) == whole(cases)
+
+
+def test_error_of_the_second_engine_is_relayed_once_the_first_is_lost():
+    """Otherwise the client gets another failure than that of the engine."""
+    cases = {
+        'fails': (ends_with(breaking), ends_with(harness.replying(500), 0.8))
+    }
+    assert ask_for_each(cases) == {'fails': 500}
+
+
+def test_permit_of_the_first_engine_is_released_once_another_replies():
+    """An engine that goes on would look full for the length of the stream."""
+
+    async def main():
+        in_use = []
+
+        async def slow_events(head, writer, upstream):
+            writer.write(harness.stream_head(head, upstream))
+            for number in range(1, EVENTS + 1):
+                writer.write(harness.chunk_of(number))
+                await asyncio.sleep(0.05)
+                in_use.append(client.in_use)
+            writer.write(harness.LAST_CHUNK)
+
+        silent = test_streams.make_engine('u1', queued)
+        other = test_streams.make_engine('u2', slow_events)
+        client = test_permits.FakePermitClient()
+        async with harness.running_gateway(silent, other) as gateway:
+            context = gateway.context
+            context.permit_client = client
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            await test_streams.chat(gateway)
+        return in_use
+
+    assert asyncio.run(main()) == [1] * EVENTS
+
+
+def test_request_at_a_dead_engine_is_not_held_until_its_deadline():
+    """Two seconds after the last byte, with the sends used up, it has failed.
+
+    The client could retry in the rest of its time.
+    """
+
+    async def main():
+        dead = test_streams.make_engine('u1', queued)
+        other = test_streams.make_engine('u2', harness.rejecting())
+        async with harness.running_gateway(dead, other) as gateway:
+            tracker, now = gateway.context.tracker, gateway.context.clock()
+            tracker.state(other.listed()).pause(now, 0.3)
+            status, _, _ = await test_streams.chat(gateway)
+            return status, gateway.context.clock() - now
+
+    status, took_s = asyncio.run(main())
+    assert status == 502
+    assert 2.0 < took_s < 2.5
