Send no second head after a reply that ends at its deadline

The reply of a further attempt is written by a task of its own. If the deadline passed between its last byte and the wake-up of the task that waits for it, the client got 200 with the whole body and then 504 on the same connection. Shown by a run with the loop held up at that moment.

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -120,7 +120,9 @@
             async with asyncio.timeout(self.deadline - self.context.clock()):
                 await self._run_attempts()
         except TimeoutError as exc:
-            raise self._timeout_error() from exc
+            # The time may be up just as the last byte was written.
+            if not self.progress.is_complete:
+                raise self._timeout_error() from exc
 
     async def _wait_for_configuration(self, now):
         """Wait for the first configuration after the start of the process.
--- a/catkinshunt/gateway/_progress.py
+++ b/catkinshunt/gateway/_progress.py
@@ -9,6 +9,7 @@
 
     Attributes:
         head_sent: the head of the reply was sent to the client.
+        is_complete: the whole reply was sent to the client.
         last_event_id: id of the last event relayed, or None.
         sends: upstream attempts in which the request was sent.
         may_have_run: one of them may have run.
@@ -26,6 +27,7 @@
     """
 
     head_sent: bool = False
+    is_complete: bool = False
     last_event_id: int | None = None
     sends: int = 0
     may_have_run: bool = False
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -294,6 +294,7 @@
         self.exchange.record_first_byte()
         items = head.headers.end_to_end() + self.exchange.connection_headers()
         self.exchange.conn.write(http1.dump_reply(head.status, items, body))
+        self.exchange.progress.is_complete = True
 
     async def _relay_chunked(self, head, data):
         self._begin_reply()
@@ -305,7 +306,8 @@
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 self.exchange.conn.write(http1.LAST_CHUNK)
-                        return
+                self.exchange.progress.is_complete = True
+                return
             data = part.data
 
     async def _relay_events(self, head):
@@ -333,6 +335,7 @@
         self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
+        self.exchange.progress.is_complete = True
 
     def _split(self, splitter, data):
         try:
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from catkinshunt.gateway import _relay
 from catkinshunt.gateway.tests import harness
 from catkinshunt.gateway.tests import test_permits
 from catkinshunt.gateway.tests import test_streams
@@ -423,3 +424,29 @@
     bodies, sends, tokens = asyncio.run(main())
     assert bodies == [test_streams.events(30)] * 6
     assert (sends, tokens) == (6, 10.0)
+
+
+def test_reply_that_ends_at_the_deadline_is_followed_by_no_other(monkeypatch):
+    """A second head would be taken for the reply to the next request."""
+    send = _relay.Relay._send_buffered
+
+    def send_at_the_deadline(relay, head, body):
+        send(relay, head, body)
+        exchange = relay.exchange
+        time.sleep(exchange.deadline - exchange.context.clock() + 0.01)
+
+    monkeypatch.setattr(_relay.Relay, '_send_buffered', send_at_the_deadline)
+
+    async def main():
+        silent = harness.FakeUpstream('u1', queued)
+        other = harness.FakeUpstream('u2', harness.replying())
+        async with harness.running_gateway(silent, other) as gateway:
+            context = gateway.context
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            reader, writer = await gateway.connect()
+            await harness.send_request(writer, '/read/1', Left_Ms='1200')
+            await asyncio.sleep(1.4)
+            writer.write_eof()
+            return await asyncio.wait_for(reader.read(), 1.0)
+
+    assert asyncio.run(main()).count(b'HTTP/1.1') == 1
