Move no stream to an engine that becomes outdated

In the users' record the second engine was withdrawn 32 ms after it had got the request, since its version became due. Engines that are outdated within 1.5 s are no target of a failover; the silent one is awaited.

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -24,6 +24,9 @@
 STOP_ACCEPT_S = 3.0
 #: Least time to the deadline for an attempt, in seconds.
 MIN_REMAINING_S = 0.02
+#: No failover leads to an engine whose version becomes outdated within this
+#: many seconds. The request may wait as long there, and would be withdrawn.
+FAILOVER_VERSION_LEAD_S = 1.5
 
 _log = logs.get_logger('exchange')
 
@@ -316,6 +319,7 @@
             self._check_retry(exc)
         except errors.RequestError:
             return None
+        self.selection.version_lead_s = FAILOVER_VERSION_LEAD_S
         return _failover.Failover(self._run_attempts, self.progress, outer)
 
     def end_failover(self, failover):
@@ -345,7 +349,9 @@
         # current upstream may still answer.
         if not self.context.retry_budget(self.decision.service).has_token():
             return False
-        return self.selection.has_untried(self.progress.tried)
+        return self.selection.has_untried(
+            self.progress.tried, FAILOVER_VERSION_LEAD_S
+        )
 
     # Replies to the client.
 
--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -22,6 +22,9 @@
         self.context = context
         self.info = info
         self.decision = decision
+        #: Seconds before a version is due from which older ones count as
+        #: outdated when an upstream is chosen.
+        self.version_lead_s = 0.0
         #: Keys of upstreams that a log note names already.
         self._noted = set()
 
@@ -46,7 +49,7 @@
             predicate: function that returns whether to consider an upstream,
                 or None to consider all.
         """
-        available, left_out = self._split_by_statements()
+        available, left_out = self._split_by_statements(self.version_lead_s)
         candidate = self.context.chooser.choose(
             available if predicate is None else filter(predicate, available),
             self.context.tracker,
@@ -145,10 +148,16 @@
                 ' they state'
             )
 
-    def has_untried(self, tried):
-        """Return whether an untried, responsive upstream is available."""
+    def has_untried(self, tried, version_lead_s):
+        """Return whether an untried, responsive upstream is available.
+
+        Args:
+            tried: keys of upstreams that do not count.
+            version_lead_s: seconds before a version is due from which older
+                ones count as outdated.
+        """
         now = self.context.clock()
-        available, _ = self._split_by_statements()
+        available, _ = self._split_by_statements(version_lead_s)
         return any(
             not self.context.tracker.state(upstream).is_unresponsive(now)
             for upstream in available
@@ -186,13 +195,13 @@
         version = (known.versions or {}).get(self.info.model)
         return version is not None and version < min_version
 
-    def _split_by_statements(self):
+    def _split_by_statements(self, version_lead_s):
         """Return eligible upstreams that may get a request now, and others.
 
         The others leave, have asked for back-off, or have a limit that is used
         up.
         """
-        eligible = self._eligible_upstreams()
+        eligible = self._eligible_upstreams(version_lead_s)
         table, limiter = self.context.availability, self.context.rate_limiter
         if table.is_empty and limiter.table.is_empty:
             return eligible, []
@@ -206,7 +215,7 @@
             (available if may_get else left_out).append(upstream)
         return available, left_out
 
-    def _eligible_upstreams(self):
+    def _eligible_upstreams(self, version_lead_s=0.0):
         """Return those that serve the model in a version not outdated."""
         found = self.context.catalog.upstreams(
             self.decision.service, self.context.boot_clock()
@@ -215,7 +224,7 @@
         if not model or self.engine_profile() is None:
             return found
         serving = [u for u in found if u.versions and model in u.versions]
-        min_version = self._min_version()
+        min_version = self._min_version(version_lead_s)
         if min_version is None:
             return serving
         return [u for u in serving if u.versions[model] >= min_version]
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -426,6 +426,21 @@
     assert (sends, tokens) == (6, 10.0)
 
 
+def test_no_stream_moves_to_an_engine_that_becomes_outdated():
+    """Withdrawn there, it would be cut; the silent engine is awaited."""
+
+    async def main():
+        silent = test_streams.make_engine('u1', pausing(2, 1.2))
+        other = test_streams.make_engine('u2', queued)
+        async with harness.running_gateway(silent, other) as gateway:
+            make_version_due(gateway)
+            context = gateway.context
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            return (await test_streams.chat(gateway))[2], len(other.heads)
+
+    assert asyncio.run(main()) == (test_streams.events(EVENTS), 0)
+
+
 def test_reply_that_ends_at_the_deadline_is_followed_by_no_other(monkeypatch):
     """A second head would be taken for the reply to the next request."""
     send = _relay.Relay._send_buffered
