Give up the run at an instance that stands still at once

The run of a silent engine is kept until another one replies.

What tells the two apart is the sidecar beside the engine: it answers while only the engine is silent, and not where the instance stands still, is cut off or lost. So an unresponsive engine is asked for through its sidecar, with at most two datagrams, shared by all requests there; without a reply the run is given up as it was before. A plain upstream has no sidecar and is awaited. The test saw the run kept before.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -121,7 +121,7 @@
             part = await self._poll_part()
             if part is None:
                 self._check_version()
-                self._fail_over_if_unresponsive()
+                await self._fail_over_if_unresponsive()
                 continue
             if isinstance(part, http1.ConnectionLost):
                 raise ConnectionLostError(
@@ -200,7 +200,7 @@
                 peer=self.peer,
             )
 
-    def _fail_over_if_unresponsive(self):
+    async def _fail_over_if_unresponsive(self):
         """Try other upstreams if this one is unresponsive.
 
         Not for `POLL_S` after sending, nor if no retry is possible.
@@ -217,8 +217,27 @@
             return
         if not self.can_move or not self.exchange.can_fail_over():
             return
-        self.attempt.failover = self.exchange.start_failover(
-            self._unresponsive_error(), self.attempt.beside
+        if not await self._is_instance_responsive():
+            # It is frozen, cut off or lost. The engine would run the request
+            # when it is back, after the client has left.
+            raise self._unresponsive_error()
+        if not self.conn.has_part:
+            self.attempt.failover = self.exchange.start_failover(
+                self._unresponsive_error(), self.attempt.beside
+            )
+
+    async def _is_instance_responsive(self):
+        """Return whether the sidecar beside an engine replies.
+
+        True for a plain upstream, which has none.
+        """
+        permit_client = self.context.permit_client
+        if self.exchange.selection.engine_profile() is None:
+            return True
+        if not permit_client.is_started:
+            return True
+        return await permit_client.probe(
+            self.upstream.address[0], self.upstream.slots
         )
 
     def _check_head(self, head, reply_info):
--- a/catkinshunt/gateway/tests/test_permits.py
+++ b/catkinshunt/gateway/tests/test_permits.py
@@ -30,6 +30,9 @@
     def is_responsive(self, host):
         return True
 
+    async def probe(self, host, slots):
+        return True
+
     def make_handle(self, host, make_request):
         permit_request = make_request(len(self.requests))
         self.requests.append(permit_request)
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -426,6 +426,28 @@
     assert (sends, tokens) == (6, 10.0)
 
 
+def test_request_at_a_frozen_instance_moves_at_once():
+    """Its engine would run the request later, for a client that has left."""
+
+    class FrozenInstance(test_permits.FakePermitClient):
+        async def probe(self, host, slots):
+            return False
+
+    async def main():
+        frozen = test_streams.make_engine('u1', queued)
+        other = test_streams.make_engine('u2', begins_late(0.6))
+        async with harness.running_gateway(frozen, other) as gateway:
+            context = gateway.context
+            context.permit_client = FrozenInstance()
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            asked = asyncio.ensure_future(test_streams.chat(gateway))
+            await asyncio.wait_for(frozen.closed.wait(), 1.2)
+            is_early = not asked.done()
+            return is_early, (await asked)[2]
+
+    assert asyncio.run(main()) == (True, test_streams.events(EVENTS))
+
+
 def test_no_stream_moves_to_an_engine_that_becomes_outdated():
     """Withdrawn there, it would be cut; the silent engine is awaited."""
 
--- a/catkinshunt/permits/_client.py
+++ b/catkinshunt/permits/_client.py
@@ -135,6 +135,7 @@
         self._transport = None
         self._handles = {}
         self._back_offs = {}
+        self._probes = {}
 
     async def start(self, host):
         """Open the socket on address `host`; return self."""
@@ -169,6 +170,34 @@
         """
         return PermitHandle(self, host, make_request(next(self._numbers)))
 
+    async def probe(self, host, slots):
+        """Return whether the sidecar on `host` replies.
+
+        Args:
+            host: address of the engine and its sidecar.
+            slots: requests that the engine processes concurrently.
+        """
+        task = self._probes.get(host)
+        if task is None:
+            task = asyncio.ensure_future(self._probe(host, slots))
+            self._probes[host] = task
+            task.add_done_callback(lambda _: self._probes.pop(host, None))
+        return await asyncio.shield(task)
+
+    async def _probe(self, host, slots):
+        # A late request gets only a permit that no other one needs, and it
+        # is released at once.
+        handle = self.make_handle(
+            host,
+            lambda number: _messages.PermitRequest(
+                number, 0.0, 0.0, 0.0, slots, no_wait=True, late=True
+            ),
+        )
+        try:
+            return await handle.send_and_wait() is not None
+        finally:
+            handle.end()
+
     def send(self, host, message):
         """Send a message to the sidecar on `host`."""
         if self._transport is not None:
