--- a/catkinshunt/gateway/tests/harness.py
+++ b/catkinshunt/gateway/tests/harness.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import random
+import socket
+
+import attrs
 
 from catkinshunt import availability
 from catkinshunt import catalog as catalogs
@@ -265,6 +268,17 @@
         self.context = context
         self.server = server
 
+    def declare(self, **changes):
+        """Put the next revision of the declaration in force."""
+        catalog = self.context.catalog
+        current = catalog.declaration
+        revision = current.revision + 1
+        catalog.declare(attrs.evolve(current, revision=revision, **changes))
+
+    def connections(self):
+        """Return the open `http1.ServerConnection` objects."""
+        return list(self.server._listener.tasks.values())
+
     async def connect(self):
         """Return (reader, writer) of a new connection."""
         return await asyncio.open_connection('127.0.0.1', self.server.port)
@@ -281,6 +295,21 @@
         return found
 
 
+def connect_with_small_buffer(port):
+    """Return a connected socket that takes a few kilobytes unread."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(('127.0.0.1', port))
+    sock.setblocking(False)
+    return sock
+
+
+def limit_send_buffer(transport):
+    """Let the kernel take a few kilobytes unacknowledged, as a slow link."""
+    sock = transport.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+
 async def send_request(writer, path, method='GET', body=b'', **headers):
     """Send one request."""
     fields = {
