Reproduce answers that end with the removal of their service

An edit removes a route and its service while a request asks sidecars for a permit. The request for the next permit needs the engine profile of the service, which is looked up in the declaration in force: AttributeError, no attribute prefill_tokens_per_s of None, in dispatch.first_token_s.

--- a/catkinshunt/gateway/tests/test_changes.py
+++ b/catkinshunt/gateway/tests/test_changes.py
@@ -170,6 +170,12 @@
     assert run_twice(found) == []
 
 
+def test_service_removed_during_a_permit_search_ends_no_answer(results):
+    """The next permit request cannot be made without the profile."""
+    found = select(results['removed'], [Stage.ASKED, Stage.RESUMING])
+    assert find_wrong(found, lambda name: TURNED_AWAY) == {}
+
+
 def test_change_before_a_request_is_read_decides_it(results):
     """A request is admitted by the revision in force when it is read."""
     found = results['read']
