Reproduce requests sent to engines whose version became outdated

The version of an engine is checked when it is chosen and once the permit is granted, but not after its connection was opened, which may take 0.6 s, and not where a stream is resumed without a permit. The next check is 0.2 s after sending, so a run that begins at once begins on the outdated version. Seen 0.5 s after the version was due, for as long as the test holds the request back, in 4 of 4 cases at the connection and 2 of 2 without a permit. A margin of 0.75 s before the bound of the platform covers less than both delays.

--- a/catkinshunt/gateway/tests/test_changes.py
+++ b/catkinshunt/gateway/tests/test_changes.py
@@ -233,6 +233,16 @@
     assert run_twice(found) == []
 
 
+@pytest.mark.parametrize('stage', [Stage.CONNECTING, Stage.RESUMING])
+def test_no_request_is_sent_to_a_version_that_became_outdated(results, stage):
+    """It became so while the request was about to be sent there."""
+    found = select(results['due'], [stage])
+    others = select(results['due everywhere'], [stage])
+    assert begun_outdated(found) + begun_outdated(others) == []
+    assert find_wrong_beside_due(found) == {}
+    assert run_twice(found) == []
+
+
 def test_no_request_begins_if_all_versions_became_outdated(results):
     """No engine has the version that became due, so all must wait."""
     stages = without(Stage, Stage.CONNECTING, Stage.RESUMING)
