Reproduce a version that is not checked after a late reply

An upstream sends a late reply to an earlier request, and then queues the one that was sent. The first part of any reply marks it as begun, so its version is not checked any more, and it begins on the outdated version whenever the engine gets to it.

--- a/catkinshunt/gateway/tests/test_changes.py
+++ b/catkinshunt/gateway/tests/test_changes.py
@@ -11,6 +11,7 @@
 from catkinshunt.gateway import _relay
 from catkinshunt.gateway.tests import changes
 from catkinshunt.gateway.tests import harness
+from catkinshunt.gateway.tests import test_streams
 from catkinshunt import http1
 
 Outcome = changes.Outcome
@@ -280,6 +281,31 @@
     assert run_twice(found) == []
 
 
+def test_late_reply_does_not_hide_that_a_request_has_not_begun():
+    """A late reply to another request precedes a request that is queued."""
+    begun = []
+
+    async def queued(head, writer, upstream):
+        other = head.replace('Request-Id: a1', 'Request-Id: a0')
+        writer.write(harness.reply(other))
+        await asyncio.sleep(1.2)
+        begun.append(upstream.name)
+        await harness.streaming(2)(head, writer, upstream)
+
+    async def main():
+        engine = test_streams.make_engine('u1', queued)
+        async with harness.running_gateway(engine) as gateway:
+            context = gateway.context
+            context.version_grace_s = 4.0
+            context.catalog.add_announced_version(
+                harness.MODEL, 2, context.boot_clock() - 3.4
+            )
+            return (await test_streams.chat(gateway))[0]
+
+    status = asyncio.run(main())
+    assert (status, begun) == (502, [])
+
+
 def test_shorter_idle_limit_ends_no_request_of_a_kept_connection():
     """The limit of an idle connection is applied to one that is in use."""
 
