Reproduce requests that are sent again after a stall of the entry

The entry does not run for 0.8 s, as for a large edit or with too small a share of a processor. The bytes of its upstreams have arrived meanwhile, but the timer of the poll wins over the part that was read, and the time counts as silence. Each request there takes a retry and goes to a second upstream too, over an idle connection at once: 2 of 2 requests, 2 retries. Requests without bytes of their own are concerned as well, as the part of another one on the same upstream is not handled yet. The run there ends at once, but the upstream counts as tried, so a stream that breaks off later may find none.

--- a/catkinshunt/gateway/tests/test_changes.py
+++ b/catkinshunt/gateway/tests/test_changes.py
@@ -306,6 +306,50 @@
     assert (status, begun) == (502, [])
 
 
+def test_stall_of_the_entry_is_no_silence_of_its_upstreams():
+    """An entry that stalls finds bytes of its upstreams when it goes on.
+
+    Requests that it sends to others use up their tries and the retries.
+    """
+    pool = kept = None
+
+    async def stalling(head, writer, upstream):
+        if harness.header(head, 'Request-Id') == 'queued':
+            await asyncio.sleep(1.5)
+            return await harness.streaming(3)(head, writer, upstream)
+        writer.write(harness.stream_head(head, upstream))
+        writer.write(harness.chunk_of(1))
+        await asyncio.sleep(0.3)
+        writer.write(harness.chunk_of(2))
+        pool.release(kept)
+        # The entry is in the same event loop.
+        time.sleep(0.8)
+        for number in (3, 4, 5):
+            writer.write(harness.chunk_of(number))
+            await asyncio.sleep(0.2)
+        writer.write(harness.LAST_CHUNK)
+
+    async def main():
+        nonlocal pool, kept
+        first = test_streams.make_engine('u1', stalling)
+        second = test_streams.make_engine('u2', harness.streaming(3))
+        async with harness.running_gateway(first, second) as gateway:
+            context = gateway.context
+            state = context.tracker.state(second.listed())
+            state.pause(context.clock(), 0.2)
+            pool = context.pool(second.listed())
+            kept = await pool.acquire()
+            found = await asyncio.gather(
+                test_streams.chat(gateway, Request_Id='queued'),
+                test_streams.chat(gateway, Request_Id='streams'),
+            )
+            left = context.retry_budget('model').report()['tokens']
+            return [reply[2] for reply in found], len(second.heads), left
+
+    bodies = [test_streams.events(3), test_streams.events(5)]
+    assert asyncio.run(main()) == (bodies, 0, 10.0)
+
+
 def test_shorter_idle_limit_ends_no_request_of_a_kept_connection():
     """The limit of an idle connection is applied to one that is in use."""
 
