Reproduce answers that are cut by the end of a stopping process

A request is answered after the stop signal, and its client reads slowly. The task of the connection ends once the answer is in the write buffer, so the gateway takes it for sent, and stops 3 s before its time is over. The client gets a part of the answer. Found by reading; on a fast link the kernel takes all of it.

--- a/catkinshunt/gateway/tests/test_changes.py
+++ b/catkinshunt/gateway/tests/test_changes.py
@@ -375,3 +375,34 @@
         return await asyncio.gather(*map(request_twice, (0.05, 0.5)))
 
     assert asyncio.run(main()) == [([200, 200], True)] * 2
+
+
+def test_stopping_process_sends_the_rest_of_its_answers():
+    """A client reads slowly, and the process ends with bytes unsent."""
+    size = 1000 * 1000
+
+    async def slow(head, writer, upstream):
+        await asyncio.sleep(0.3)
+        writer.write(harness.reply(head, body=b'x' * size))
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', slow)
+        async with harness.running_gateway(upstream) as gateway:
+            sock = harness.connect_with_small_buffer(gateway.server.port)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            await asyncio.sleep(0.05)
+            [conn] = gateway.connections()
+            harness.limit_send_buffer(conn.transport)
+            await harness.send_request(writer, '/read/1')
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(gateway.server.stop(6.0))
+            await asyncio.sleep(3.2)
+            found = asyncio.ensure_future(harness.read_reply(reader))
+            await stopping
+            # The end of the process.
+            if not conn.closed.done():
+                conn.abort()
+            status, _, body = await found
+            return status, body is not None and len(body)
+
+    assert asyncio.run(main()) == (200, size)
