--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -22,6 +22,10 @@
         self.context = context
         self.info = info
         self.decision = decision
+        # A request keeps the profile with which it was admitted; the service
+        # may be removed meanwhile.
+        service = context.catalog.declaration.services.get(decision.service)
+        self._engine_profile = service.engine if service else None
         #: Seconds before a version is due from which older ones count as
         #: outdated when an upstream is chosen.
         self.version_lead_s = 0.0
@@ -34,9 +38,7 @@
 
     def engine_profile(self):
         """Return the engine profile of the service; None for a plain one."""
-        services = self.context.catalog.declaration.services
-        service = services.get(self.decision.service)
-        return service.engine if service else None
+        return self._engine_profile
 
     def take_next(self, progress, predicate=None):
         """Return the best untried candidate, or None; mark it as tried.
