Check the version of an engine once more before sending

The version was checked when the engine was chosen and when its permit was granted, but not after a connection was opened, which may take 0.6 s, and not where a stream is resumed without a permit.

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -22,7 +22,7 @@
 
 
 class UnavailableError(errors.OverloadedError):
-    """Not run: the upstream has stated meanwhile that it leaves or rests."""
+    """Not run: the upstream leaves, backs off or is outdated meanwhile."""
 
 
 class Attempt:
@@ -97,16 +97,23 @@
             state.end(self.job)
 
     def _check_available(self):
-        """Raise if the upstream has stated meanwhile that it is unavailable.
+        """Raise if the upstream became unavailable after it was chosen.
 
         A request may have waited for a permit or a connection.
         """
         upstream = self.candidate.upstream
-        if not self.exchange.selection.is_available(upstream):
+        selection = self.exchange.selection
+        if not selection.is_available(upstream):
             raise UnavailableError(
                 f'{upstream.id}: became unavailable after it was chosen',
                 step='send',
             )
+        if selection.is_outdated(upstream, 0.0):
+            raise UnavailableError(
+                f'{upstream.id}: its version became outdated after it was'
+                ' chosen',
+                step='send',
+            )
 
     async def _send(self):
         pool = self.context.pool(self.candidate.upstream)
