Take no late reply to another request for the begin of one

The first part of any reply marked a request as begun, also that of a late reply to an earlier request on the same connection. Its version was then no longer checked, and it began on an outdated version whenever the engine got to it. Now the head of its own reply marks it. The test failed before.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -109,6 +109,7 @@
                 continue
             reply_info = self.context.dialect.decode_reply(part)
             if reply_info.request_id in ('', self.exchange.info.id):
+                self.job.reply_started = True
                 return part, reply_info
 
     async def _next_part(self):
@@ -130,10 +131,6 @@
             self.silent_s = max(
                 self.silent_s, self.state.receive(self.context.clock())
             )
-            # Also set by a late reply to another request; the version is
-            # then no longer checked, nor a lower bound of the delay
-            # recorded.
-            self.job.reply_started = True
             return part
 
     async def _poll_part(self):
