Let a stopping process send the rest of its answers

The task of a connection ended once the answer was in the write buffer, so a stopping gateway counted it as closed and the process ended with bytes unsent: a client that reads slowly got a part of the answer. The connection now counts as open until the rest is sent, or the time of the stop is over.

--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -81,6 +81,8 @@
             conn.abort()
         else:
             conn.close()
+            # It counts as open until the rest of the reply is sent.
+            await asyncio.wait((conn.closed,))
 
 
 def make_session(handler):
