Reproduce requests to leaving upstreams after the store went back

The store comes back from a copy that is some seconds old and lists an upstream as ready that has said that it leaves. The watch fails, the entries read everything again, and refuse it only until the counter of revisions has passed the one they knew. Then they take the older entry for the newest one and send requests to the upstream until it lapses, as in the users' record.

The stand-in of the store gets eras, copies and a way to go back to one.

--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -1,17 +1,32 @@
 """An in-memory store that can simulate faults."""
 
 import asyncio
+import copy
 import json
 
+import attrs
+
 from catkinshunt import errors
 from catkinshunt import notifier
 from catkinshunt import platform
 
 
+@attrs.frozen
+class StoreCopy:
+    """State of a `FakeStore` at one time."""
+
+    items: dict
+    events: list
+    revision: int
+    leases: dict
+    lease_count: int
+
+
 class FakeStore:
     """Keys with revisions, watches and leases.
 
     Attributes:
+        era: rises by one each time the store goes back.
         is_down: all calls fail.
         calls: kinds of the calls made, in order.
         sent_keys: keys of the changes that watches returned, in order.
@@ -22,12 +37,14 @@
         self.items = {}
         self.events = []
         self.revision = 1
+        self.era = 1
         self.is_down = False
         self.first_kept_revision = 0
         self.calls = []
         self.sent_keys = []
         self.leases = {}
         self.granted_s = []
+        self._lease_count = 0
         self._changes = notifier.Notifier()
 
     def put(self, key, document):
@@ -45,6 +62,30 @@
         self.revision += 1
         self._changes.notify_all()
 
+    def take_copy(self):
+        """Return a `StoreCopy` of the present state."""
+        return StoreCopy(
+            dict(self.items),
+            list(self.events),
+            self.revision,
+            copy.deepcopy(self.leases),
+            self._lease_count,
+        )
+
+    def go_back(self, former):
+        """Continue from a `StoreCopy` in the next era.
+
+        All that was written and granted since the copy is lost, and revisions
+        and leases are given out again.
+        """
+        self.era += 1
+        self.items = dict(former.items)
+        self.events = list(former.events)
+        self.revision = former.revision
+        self.leases = copy.deepcopy(former.leases)
+        self._lease_count = former.lease_count
+        self._changes.notify_all()
+
     def _change(self, key, value):
         self.revision += 1
         item = platform.Item(key, value, self.revision)
@@ -64,7 +105,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 while not self._since(prefix, after):
-                    if after < self.first_kept_revision:
+                    if self._is_gone(after):
                         raise platform.HistoryGoneError('gone')
                     await self._changes.wait()
         except TimeoutError:
@@ -75,7 +116,8 @@
 
     async def grant_lease(self, ttl_s):
         await self._begin('grant')
-        lease = len(self.calls)
+        self._lease_count += 1
+        lease = self._lease_count
         self.leases[lease] = set()
         self.granted_s.append(ttl_s)
         return lease
@@ -105,6 +147,10 @@
         if lease not in self.leases:
             raise platform.LeaseNotFoundError('no such lease')
 
+    def _is_gone(self, after):
+        """Return whether the changes after a revision are not available."""
+        return after < self.first_kept_revision or after > self.revision
+
     def _since(self, prefix, after):
         return [
             item
