Order revisions by the era of the store

After the store went back, its revisions are given out again. A number alone could not tell an older state from a newer one: entries refused all pages until the counter had passed the old one, kept relaying what the copy had lost, and a watch went on from a number that had come to mean something else.

Era and number are now one ordered type, decoded once from the header of each answer, and carried through the caches and the messages between entries, as an optional field that entries of the release before ignore. Pages of two eras are not joined, a watch of an older era ends even if its number exists again, answers of an older era are refused, and a lease is not used in a later era, where its number may be somebody else's. A cache starts anew with the first page of a new era and drops pages of an older one; the relay answers a watch of an older era at once, also while it waits or reads.

Tests of caches and messages got the new type and are else unchanged.

--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -52,7 +52,7 @@
         self.boottime = boottime
         self.random = random
         self._revision = None
-        self._min_revision = 0
+        self._min_revision = watch_relay.Revision()
         self._upstream_revisions = {}
         self._backoff_s = MIN_BACKOFF_S
         self._outage = logs.OutageLogger(
@@ -85,7 +85,7 @@
 
     def _reset_backoff(self):
         self._backoff_s = MIN_BACKOFF_S
-        self._outage.end(revision=self._revision)
+        self._outage.end(revision=self._revision.number)
 
     async def _read_all(self):
         requested_at = self.boottime()
@@ -226,7 +226,8 @@
     def _apply_upstream(self, item, changed_at):
         # The upstreams may have been read at a later revision than that from
         # which the watch starts.
-        if item.revision <= self._upstream_revisions.get(item.key, 0):
+        known = self._upstream_revisions.get(item.key)
+        if known is not None and item.revision <= known:
             return
         self._upstream_revisions[item.key] = item.revision
         upstream = _apply.parse_upstream_or_none(item)
--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -5,13 +5,19 @@
 import json
 import urllib.parse
 
+import attrs
+
 from catkinshunt import checks
 from catkinshunt import errors
 from catkinshunt import http1
+from catkinshunt.platform import _era
 from catkinshunt import watch_relay
 
 #: Time-out of a call. A slow store answers in 0.4 s.
 CALL_TIMEOUT_S = 1.0
+#: Reads of a prefix from the start if the era changes between two pages.
+MAX_READS = 3
+_ERA_HEADER = 'Store-Era'
 _MS = 1000
 
 
@@ -19,6 +25,23 @@
     """The lease has ended, and its keys are deleted."""
 
 
+@attrs.frozen
+class Lease:
+    """A lease that the store has granted.
+
+    Attributes:
+        id: its number. In a later era it may be the number of another lease.
+        era: era of the store in which it was granted.
+    """
+
+    id: int
+    era: int = 0
+
+
+class _EraOfPagesError(Exception):
+    """The pages of one read are of two eras."""
+
+
 class StoreClient(watch_relay.BaseWatchSource):
     """Reads, watches and writes keys of the store.
 
@@ -26,11 +49,15 @@
         address: (ip, port) of the store.
         clock: returns seconds on the monotonic clock.
         metrics: counter of calls by kind and result; None to count none.
+        eras: `EraMonitor` that is told the era of each answer.
+        boottime: returns seconds on the clock of `eras`.
     """
 
-    def __init__(self, address, clock, metrics=None):
+    def __init__(self, address, clock, metrics=None, eras=None, boottime=None):
         host, port = address
         self.metrics = metrics
+        self.eras = eras or _era.EraMonitor()
+        self.boottime = boottime or clock
         self._pool = http1.Pool(host, port, clock, connect_s=CALL_TIMEOUT_S)
 
     async def read_prefix(self, prefix):
@@ -39,7 +66,23 @@
         The pages read from the store are not a consistent snapshot. The
         revision returned is that of the first page, so that a watch from
         there misses no change.
+
+        Raises:
+            errors.StoreUnavailableError: the era of the store changes again
+                and again, or the call fails.
         """
+        for _ in range(MAX_READS):
+            try:
+                return await self._read_pages(prefix)
+            except _EraOfPagesError:
+                continue
+        raise errors.StoreUnavailableError(
+            f'the era of the store changed in {MAX_READS} reads',
+            step='read',
+            peer=self._pool.peer,
+        )
+
+    async def _read_pages(self, prefix):
         found = []
         revision = None
         after = None
@@ -50,11 +93,13 @@
             if after is not None:
                 query['after'] = after
             page = _parse_page(
-                await self._query('read', '/-/kv-range', query), 'entries'
+                *await self._query('read', '/-/kv-range', query), 'entries'
             )
-            found.extend(page.items)
             if revision is None:
                 revision = page.revision
+            if page.revision.era != revision.era:
+                raise _EraOfPagesError
+            found.extend(page.items)
             if not page.has_more or not page.items:
                 return watch_relay.Page(tuple(found), revision)
             after = page.items[-1].key
@@ -69,28 +114,52 @@
             watch_relay.HistoryGoneError: the store no longer has these
                 changes; all items must be read again.
         """
+        self._check_era(after)
         query = {
             'path_prefix': prefix,
-            'after': after,
+            'after': after.number,
             'wait_ms': round(wait_s * _MS),
         }
-        document = await self._query(
-            'watch', '/-/kv-watch', query, timeout_s=wait_s + CALL_TIMEOUT_S
-        )
-        return _parse_page(document, 'events')
+        try:
+            document, era = await self._query(
+                'watch',
+                '/-/kv-watch',
+                query,
+                timeout_s=wait_s + CALL_TIMEOUT_S,
+            )
+        except watch_relay.HistoryGoneError:
+            self._check_era(after)
+            raise
+        self._check_era(after)
+        if era < after.era:
+            raise self._stale_error('watch', era, after.era)
+        return _parse_page(document, era, 'events')
+
+    def _check_era(self, after):
+        """Raise an error if a revision is of an older era.
+
+        Its number may exist again, so the store might not answer with 410.
+        """
+        era = self.eras.era
+        if era is not None and era > after.era:
+            raise watch_relay.EraChangedError(
+                f'the store is in era {era} after {after.era}',
+                era,
+                step='watch',
+            )
 
     async def grant_lease(self, ttl_s):
-        """Return the id of a new lease that lasts `ttl_s` seconds."""
-        document = await self._modify(
+        """Return a new `Lease` that lasts `ttl_s` seconds."""
+        document, era = await self._modify(
             'grant-lease', '/-/kv-lease', {'ttl_ms': round(ttl_s * _MS)}
         )
-        lease = document.get('lease')
-        if isinstance(lease, bool) or not isinstance(lease, int):
+        number = document.get('lease')
+        if isinstance(number, bool) or not isinstance(number, int):
             raise errors.StoreUnavailableError(
-                f'the store answered with an invalid lease: {lease!r}',
+                f'the store answered with an invalid lease: {number!r}',
                 step='grant-lease',
             )
-        return lease
+        return Lease(number, era)
 
     async def renew_lease(self, lease):
         """Renew a lease for its full lifetime.
@@ -98,7 +167,9 @@
         Raises:
             LeaseNotFoundError: the lease has ended.
         """
-        await self._modify('renew-lease', f'/-/kv-keep/{lease}')
+        await self._modify_lease(
+            'renew-lease', lease, f'/-/kv-keep/{lease.id}'
+        )
 
     async def revoke_lease(self, lease):
         """Revoke a lease and delete its keys.
@@ -106,25 +177,43 @@
         Raises:
             LeaseNotFoundError: the lease has already ended.
         """
-        await self._modify(
-            'end-lease', f'/-/kv-lease-end/{lease}', method='DELETE'
+        await self._modify_lease(
+            'end-lease', lease, f'/-/kv-lease-end/{lease.id}', method='DELETE'
         )
 
-    async def write(self, key, value, lease=0):
+    async def write(self, key, value, lease=None):
         """Write `key` unconditionally; it is deleted when the lease ends.
 
         Args:
             key: the key.
             value: its value as bytes.
-            lease: id of a lease; 0 for a key that stays.
+            lease: `Lease` of the key; None for a key that stays.
 
         Raises:
             LeaseNotFoundError: the lease has ended.
         """
         data = base64.b64encode(value).decode()
-        row = {'key': key, 'data': data, 'lease': lease}
+        row = {'key': key, 'data': data, 'lease': lease.id if lease else 0}
         document = {'expected': [], 'write': [row], 'remove': []}
-        await self._modify('write', '/-/kv-txn', document)
+        await self._modify_lease('write', lease, '/-/kv-txn', document)
+
+    async def _modify_lease(self, kind, lease, *args, **kwargs):
+        """Make a call with a lease, if any, of the present era.
+
+        In a later era its number may be that of another lease, so an answer
+        of 200 shows nothing.
+        """
+        self._check_lease(kind, lease)
+        await self._modify(kind, *args, **kwargs)
+        self._check_lease(kind, lease)
+
+    def _check_lease(self, kind, lease):
+        era = self.eras.era
+        if lease is not None and era is not None and era > lease.era:
+            raise LeaseNotFoundError(
+                f'the lease is of era {lease.era}, the store in era {era}',
+                step=kind,
+            )
 
     async def _modify(self, kind, path, document=None, method='POST'):
         body = b'' if document is None else json.dumps(document).encode()
@@ -163,6 +252,7 @@
         finally:
             if self.metrics is not None:
                 self.metrics.add(kind, result)
+        era = self._observe_era(kind, head)
         if head.status == 410:
             raise watch_relay.HistoryGoneError(
                 'the store no longer has these changes', step=kind
@@ -175,7 +265,41 @@
                 step=kind,
                 peer=self._pool.peer,
             )
-        return _parse_object(reply, kind)
+        return _parse_object(reply, kind), era
+
+    def _observe_era(self, kind, head):
+        """Return the era of an answer.
+
+        Raises:
+            errors.StoreUnavailableError: it is malformed, or the answer was
+                delayed beyond a change of the era and holds no more.
+        """
+        text = head.headers.get(_ERA_HEADER)
+        if text is None and head.status != 200:
+            return None
+        era = self._parse_era(kind, text)
+        if head.status == 200 and era < (self.eras.era or 0):
+            raise self._stale_error(kind, era, self.eras.era)
+        self.eras.observe(era, self.boottime())
+        return era
+
+    def _parse_era(self, kind, text):
+        if text is None:
+            return 0
+        if not (text.isascii() and text.isdigit()):
+            raise errors.StoreUnavailableError(
+                f'the store answered with an invalid era: {text[:40]!r}',
+                step=kind,
+                peer=self._pool.peer,
+            )
+        return int(text)
+
+    def _stale_error(self, kind, era, newest):
+        return errors.StoreUnavailableError(
+            f'the answer is of era {era}, the store in era {newest}',
+            step=kind,
+            peer=self._pool.peer,
+        )
 
 
 def _parse_object(body, kind):
@@ -192,11 +316,12 @@
     return document
 
 
-def _parse_page(document, field):
+def _parse_page(document, era, field):
     try:
-        items = tuple(_parse_item(item) for item in document[field])
+        items = tuple(_parse_item(item, era) for item in document[field])
+        revision = watch_relay.Revision(era, _check_int(document['at']))
         return watch_relay.Page(
-            items, document['at'], bool(document.get('has_more'))
+            items, revision, bool(document.get('has_more'))
         )
     except (KeyError, TypeError, AttributeError) as exc:
         raise errors.StoreUnavailableError(
@@ -205,7 +330,13 @@
         ) from exc
 
 
-def _parse_item(item):
+def _check_int(value):
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f'{value!r} is not an integer')
+    return value
+
+
+def _parse_item(item, era):
     value = b''
     if item.get('deleted'):
         value = None
@@ -216,4 +347,5 @@
             # The key exists but its value is invalid. Parsing the empty value
             # fails, so the item is ignored and logged.
             value = b''
-    return watch_relay.Item(item['key'], value, item['revision'])
+    revision = watch_relay.Revision(era, _check_int(item['revision']))
+    return watch_relay.Item(item['key'], value, revision)
--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -27,6 +27,7 @@
 
     Attributes:
         era: rises by one each time the store goes back.
+        eras: `platform.EraMonitor` of the callers.
         is_down: all calls fail.
         calls: kinds of the calls made, in order.
         sent_keys: keys of the changes that watches returned, in order.
@@ -38,6 +39,7 @@
         self.events = []
         self.revision = 1
         self.era = 1
+        self.eras = platform.EraMonitor()
         self.is_down = False
         self.first_kept_revision = 0
         self.calls = []
@@ -88,7 +90,8 @@
 
     def _change(self, key, value):
         self.revision += 1
-        item = platform.Item(key, value, self.revision)
+        revision = platform.Revision(self.era, self.revision)
+        item = platform.Item(key, value, revision)
         self.items[key] = item
         if value is None:
             del self.items[key]
@@ -98,27 +101,46 @@
     async def read_prefix(self, prefix):
         await self._begin('read')
         found = [i for k, i in self.items.items() if k.startswith(prefix)]
-        return platform.Page(tuple(found), self.revision)
+        return self._make_page(found)
 
     async def watch(self, prefix, after, wait_s):
         await self._begin('watch')
+        self._check_era(after)
         try:
             async with asyncio.timeout(wait_s):
                 while not self._since(prefix, after):
-                    if self._is_gone(after):
+                    if self._is_gone(after.number):
                         raise platform.HistoryGoneError('gone')
                     await self._changes.wait()
+                    self._check_era(after)
         except TimeoutError:
             pass
         found = self._since(prefix, after)
         self.sent_keys += [item.key for item in found]
-        return platform.Page(tuple(found), self.revision)
+        return self._make_page(found)
+
+    def _make_page(self, items):
+        """Return a page whose revisions are all of the present era."""
+        items = tuple(
+            attrs.evolve(item, revision=self._revision(item.revision.number))
+            for item in items
+        )
+        return platform.Page(items, self._revision(self.revision))
+
+    def _revision(self, number):
+        return platform.Revision(self.era, number)
+
+    def _check_era(self, after):
+        """Raise an error if a revision is of an older era."""
+        self.eras.observe(self.era, 0.0)
+        if after.era < self.era:
+            raise platform.EraChangedError('the era has changed', self.era)
 
     async def grant_lease(self, ttl_s):
         await self._begin('grant')
         self._lease_count += 1
-        lease = self._lease_count
-        self.leases[lease] = set()
+        lease = platform.Lease(self._lease_count, self.era)
+        self.leases[lease.id] = set()
         self.granted_s.append(ttl_s)
         return lease
 
@@ -129,22 +151,22 @@
     async def revoke_lease(self, lease):
         await self._begin('end')
         self._check_lease(lease)
-        self.expire(lease)
+        self.expire(lease.id)
 
-    async def write(self, key, value, lease=0):
+    async def write(self, key, value, lease=None):
         await self._begin('write')
-        if lease:
+        if lease is not None:
             self._check_lease(lease)
-            self.leases[lease].add(key)
+            self.leases[lease.id].add(key)
         self.put(key, value)
 
     def expire(self, lease):
-        """End a lease with all its keys."""
+        """End the lease with this number and all its keys."""
         for key in self.leases.pop(lease):
             self.delete(key)
 
     def _check_lease(self, lease):
-        if lease not in self.leases:
+        if lease.era != self.era or lease.id not in self.leases:
             raise platform.LeaseNotFoundError('no such lease')
 
     def _is_gone(self, after):
@@ -155,7 +177,8 @@
         return [
             item
             for item in self.events
-            if item.revision > after and item.key.startswith(prefix)
+            if item.revision.number > after.number
+            and item.key.startswith(prefix)
         ]
 
     async def _begin(self, kind):
@@ -163,6 +186,7 @@
         await asyncio.sleep(0)
         if self.is_down:
             raise errors.StoreUnavailableError('down', step=kind)
+        self.eras.observe(self.era, 0.0)
 
 
 async def wait_until(condition, timeout_s=3.0):
--- a/catkinshunt/platform/tests/regions.py
+++ b/catkinshunt/platform/tests/regions.py
@@ -96,8 +96,8 @@
         self.boottime = boottime
         self.must_be_direct = must_be_direct
 
-    async def read_prefix(self, prefix):
-        return await self._peer().read_prefix(prefix)
+    async def read_prefix(self, prefix, *args):
+        return await self._peer().read_prefix(prefix, *args)
 
     async def watch(self, prefix, after, wait_s):
         return await self._peer().watch(prefix, after, wait_s)
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -203,7 +203,7 @@
         )
         harness.store.delete(KEY)
         harness.store.put('servers/i-9', b'{}')
-        await fakes.wait_until(lambda: harness.updater._revision >= 6)
+        await fakes.wait_until(lambda: harness.updater._revision.number >= 6)
         now = harness.boottime()
         return harness.catalog.due_version('drafts', GRACE_S, now)
 
--- a/catkinshunt/platform/tests/test_watch_relay.py
+++ b/catkinshunt/platform/tests/test_watch_relay.py
@@ -397,7 +397,7 @@
             '127.0.0.1', 0, lambda: 0.0, lambda: 0.0
         )
         with pytest.raises(errors.StoreError):
-            await peer.watch('', 3, 0.1)
+            await peer.watch('', watch_relay.Revision(1, 3), 0.1)
 
     asyncio.run(main())
     for data in (b'', b'{}', b'{"items": [[1]]}', b'[]'):
--- a/catkinshunt/watch_relay/__init__.py
+++ b/catkinshunt/watch_relay/__init__.py
@@ -8,6 +8,7 @@
 
 from catkinshunt.watch_relay._messages import load
 from catkinshunt.watch_relay._messages import RelayedPage
+from catkinshunt.watch_relay._peer import EraChangedError
 from catkinshunt.watch_relay._peer import HistoryGoneError
 from catkinshunt.watch_relay._peer import PeerWatchSource
 from catkinshunt.watch_relay._regional import RegionalWatchSource
@@ -16,15 +17,18 @@
 from catkinshunt.watch_relay.base import BaseWatchSource
 from catkinshunt.watch_relay.base import Item
 from catkinshunt.watch_relay.base import Page
+from catkinshunt.watch_relay.base import Revision
 
 __all__ = [
     'BaseWatchSource',
+    'EraChangedError',
     'HistoryGoneError',
     'Item',
     'Page',
     'PeerWatchSource',
     'RegionalWatchSource',
     'RelayedPage',
+    'Revision',
     'WatchCache',
     'WatchRelayServer',
     'load',
--- a/catkinshunt/watch_relay/_messages.py
+++ b/catkinshunt/watch_relay/_messages.py
@@ -47,7 +47,8 @@
     page = relayed.page
     # The names in the document are part of the protocol.
     document = {
-        'revision': page.revision,
+        'revision': page.revision.number,
+        'era': page.revision.era,
         'proved_ago_s': relayed.confirmed_ago_s,
         'held_s': relayed.waited_s,
         'seen_ago_s': page.seen_ago_s,
@@ -58,11 +59,12 @@
 
 def _dump_item(item):
     value = item.value
+    number = item.revision.number
     if value is None:
-        return [item.key, item.revision, None]
+        return [item.key, number, None]
     if len(value) >= COMPRESS_MIN_BYTES:
-        return [item.key, item.revision, _compress(value), True]
-    return [item.key, item.revision, base64.b64encode(value).decode()]
+        return [item.key, number, _compress(value), True]
+    return [item.key, number, base64.b64encode(value).decode()]
 
 
 @functools.lru_cache(maxsize=COMPRESSED_CACHE_SIZE)
@@ -93,9 +95,12 @@
     """
     try:
         document = checks.load_json(data)
+        number = _check_int(document['revision'])
+        # Entries of an older release send no era.
+        era = _check_int(document.get('era', 0))
         page = base.Page(
-            tuple(_load_item(*row) for row in document['items']),
-            _check_int(document['revision']),
+            tuple(_load_item(era, *row) for row in document['items']),
+            base.Revision(era, number),
             seen_ago_s=float(document['seen_ago_s']),
         )
         return RelayedPage(
@@ -109,13 +114,13 @@
         ) from exc
 
 
-def _load_item(key, revision, value, compressed=False):
+def _load_item(era, key, number, value, compressed=False):
     if not isinstance(key, str):
         raise TypeError('key is not a string')
     if value is not None:
         value = base64.b64decode(value, validate=True)
         value = _decompress(value) if compressed else value
-    return base.Item(key, value, _check_int(revision))
+    return base.Item(key, value, base.Revision(era, _check_int(number)))
 
 
 def _check_int(value):
--- a/catkinshunt/watch_relay/_peer.py
+++ b/catkinshunt/watch_relay/_peer.py
@@ -20,6 +20,18 @@
     """The changes after the requested revision are no longer available."""
 
 
+class EraChangedError(HistoryGoneError):
+    """The requested revision is of an older era.
+
+    Attributes:
+        era: the newest known era.
+    """
+
+    def __init__(self, message, era, **details):
+        super().__init__(message, **details)
+        self.era = era
+
+
 class NotCurrentError(errors.StoreUnavailableError):
     """The process answered with neither a page nor `_server.STATUS_GONE`.
 
@@ -43,16 +55,40 @@
         self.must_be_direct = must_be_direct
         self._pool = http1.Pool(host, port, clock, connect_s=CONNECT_TIMEOUT_S)
 
-    async def read_prefix(self, prefix, wait_s=_server.MAX_WAIT_S):
-        """Wait until the peer has read `prefix`, and return its page."""
-        query = {'prefix': prefix, 'wait_s': wait_s}
+    async def read_prefix(
+        self, prefix, wait_s=_server.MAX_WAIT_S, least_era=0
+    ):
+        """Wait until the peer has read `prefix`, and return its page.
+
+        Args:
+            prefix: prefix of the keys.
+            wait_s: maximum time in seconds to wait for it.
+            least_era: lowest era of the service that the page may be of.
+        """
+        query = {'prefix': prefix, 'era': least_era, 'wait_s': wait_s}
         return await self._fetch(_server.READ_PATH, query, wait_s)
 
     async def watch(self, prefix, after, wait_s):
         """See `base.BaseWatchSource.watch`."""
-        query = {'prefix': prefix, 'after': after, 'wait_s': wait_s}
+        query = {
+            'prefix': prefix,
+            'after': after.number,
+            'era': after.era,
+            'wait_s': wait_s,
+        }
         return await self._fetch(_server.WATCH_PATH, query, wait_s)
 
+    def _check_era(self, head):
+        """Raise an error if the peer answers that a new era has begun."""
+        text = head.headers.get(_server.ERA_HEADER, '')
+        if text.isascii() and text.isdigit():
+            raise EraChangedError(
+                f'the service is in era {text}',
+                int(text),
+                step='ask-peer',
+                peer=self._pool.peer,
+            )
+
     async def _fetch(self, path, query, wait_s):
         # reads=1: answer only if the process watches the service directly.
         query['reads'] = int(self.must_be_direct)
@@ -68,6 +104,7 @@
                 exc.message, step='ask-peer', peer=self._pool.peer
             ) from exc
         if head.status == _server.STATUS_GONE:
+            self._check_era(head)
             raise HistoryGoneError(
                 'changes after the requested revision are no longer available',
                 step='ask-peer',
--- a/catkinshunt/watch_relay/_server.py
+++ b/catkinshunt/watch_relay/_server.py
@@ -6,12 +6,16 @@
 from catkinshunt import http1
 from catkinshunt import logs
 from catkinshunt.watch_relay import _messages
+from catkinshunt.watch_relay import base
 
 #: Paths to read all items under a prefix, and to wait for changes.
 READ_PATH = '/feed/read'
 WATCH_PATH = '/feed/changes'
 #: Maximum wait of a request in seconds.
 MAX_WAIT_S = 2.0
+#: Header with the era of the cache, if the revision asked for is of an older
+#: one.
+ERA_HEADER = 'Watch-Era'
 #: Status codes if the requested changes are no longer available, and if the
 #: state of this process may be out of date.
 STATUS_GONE = 410
@@ -56,7 +60,9 @@
         try:
             prefix = query.get('prefix', '')
             wait_s = min(float(query.get('wait_s', 0)), MAX_WAIT_S)
-            after = int(query.get('after', 0))
+            # Entries of an older release send no era.
+            era = int(query.get('era', 0))
+            after = base.Revision(era, int(query.get('after', 0)))
             # reads=1: answer only if this process watches the service
             # directly.
             must_be_direct = bool(int(query.get('reads', 0)))
@@ -64,22 +70,28 @@
             _log.warning('Rejected malformed request {}.', req.target[:100])
             return http1.Reply(400)
         if url.path == READ_PATH:
-            return await self._read(prefix, wait_s, must_be_direct)
+            return await self._read(prefix, era, wait_s, must_be_direct)
         if url.path == WATCH_PATH:
             return await self._watch(prefix, after, wait_s, must_be_direct)
         return http1.Reply(404)
 
-    async def _read(self, prefix, wait_s, must_be_direct):
+    async def _read(self, prefix, least_era, wait_s, must_be_direct):
         cache = self.source.cache
         started_at = self.wall()
         # Once all prefixes of the cache are read, the process may watch
         # through another one. It then reads no further prefix from the
         # service, so this does not wait for one.
         await self._wait(
-            lambda: cache.has_read(prefix) or cache.is_complete, wait_s
+            lambda: (
+                cache.era >= least_era
+                and (cache.has_read(prefix) or cache.is_complete)
+            ),
+            wait_s,
         )
         if not (
-            self.source.may_relay(must_be_direct) and cache.has_read(prefix)
+            self.source.may_relay(must_be_direct)
+            and cache.era >= least_era
+            and cache.has_read(prefix)
         ):
             return http1.Reply(STATUS_NOT_CURRENT)
         return self._reply(cache.read_prefix(prefix), started_at)
@@ -87,7 +99,16 @@
     async def _watch(self, prefix, after, wait_s, must_be_direct):
         cache = self.source.cache
         started_at = self.wall()
-        if not (self.source.may_relay(must_be_direct) and cache.is_complete):
+        if cache.era < after.era:
+            await self._wait(lambda: cache.era >= after.era, wait_s)
+        # Also while the new era is being read: a read waits for that.
+        if cache.era > after.era:
+            return self._era_reply()
+        if not (
+            self.source.may_relay(must_be_direct)
+            and cache.era == after.era
+            and cache.is_complete
+        ):
             return http1.Reply(STATUS_NOT_CURRENT)
         if not cache.has_history_since(after):
             return http1.Reply(STATUS_GONE)
@@ -97,10 +118,14 @@
         # relays.
         await self._wait(
             lambda: (
-                cache.revision > after or cache.confirmed_at > confirmed_at
+                cache.era != after.era
+                or cache.revision > after
+                or cache.confirmed_at > confirmed_at
             ),
             wait_s,
         )
+        if cache.era != after.era:
+            return self._era_reply()
         if not self.source.may_relay(must_be_direct):
             return http1.Reply(STATUS_NOT_CURRENT)
         return self._reply(
@@ -116,6 +141,10 @@
         except TimeoutError:
             return
 
+    def _era_reply(self):
+        items = ((ERA_HEADER, str(self.source.cache.era)),)
+        return http1.Reply(STATUS_GONE, items=items)
+
     def _reply(self, page, started_at):
         now = self.wall()
         relayed = _messages.RelayedPage(
--- a/catkinshunt/watch_relay/_watch_cache.py
+++ b/catkinshunt/watch_relay/_watch_cache.py
@@ -18,22 +18,40 @@
 
     Examples:
         >>> cache = WatchCache(prefixes=('rules/',))
-        >>> cache.apply_read('rules/', base.Page((), 7), now=1.0)
-        >>> item = base.Item('rules/first', b'{}', 9)
-        >>> cache.apply_changes(base.Page((item,), 9), now=2.0)
-        >>> [item.key for item in cache.changes_after('', 8, now=2.5).items]
+        >>> before, after = base.Revision(1, 7), base.Revision(1, 9)
+        >>> cache.apply_read('rules/', base.Page((), before), now=1.0)
+        >>> item = base.Item('rules/first', b'{}', after)
+        >>> cache.apply_changes(base.Page((item,), after), now=2.0)
+        >>> page = cache.changes_after('', before, now=2.5)
+        >>> [item.key for item in page.items]
         ['rules/first']
     """
 
     def __init__(self, prefixes):
         self.prefixes = prefixes
+        #: Era of all cached items; pages of an older one are dropped.
+        self.era = 0
+        self._notifier = notifier.Notifier()
+        self._clear()
+
+    def _clear(self):
         self._items = {}
         self._tombstones = collections.OrderedDict()
         self._seen_at = {}
         self._revisions = {}
         self._confirmed_at = {}
-        self._compacted_revision = 0
-        self._notifier = notifier.Notifier()
+        self._compacted_revision = base.Revision()
+
+    def _is_outdated(self, page):
+        """Return whether a page is of an older era; begin a newer one.
+
+        In a newer era nothing is known until it is read again, also what was
+        deleted.
+        """
+        if page.revision.era > self.era:
+            self.era = page.revision.era
+            self._clear()
+        return page.revision.era < self.era
 
     @property
     def is_complete(self):
@@ -43,7 +61,7 @@
     @property
     def revision(self):
         """Revision up to which all changes are applied."""
-        return min(self._revisions.values(), default=0)
+        return min(self._revisions.values(), default=base.Revision())
 
     @property
     def confirmed_at(self):
@@ -91,6 +109,8 @@
 
         On a repeated read, items that are missing count as deleted.
         """
+        if self._is_outdated(page):
+            return
         if prefix in self._revisions:
             seen_at = self._confirmed_at[prefix]
             for item in self.diff(prefix, page):
@@ -106,6 +126,8 @@
 
     def apply_changes(self, page, now):
         """Apply changes that follow the reads of all prefixes."""
+        if self._is_outdated(page):
+            return
         for item in page.items:
             self._apply_item(item, now - page.seen_ago_s)
         for prefix, revision in self._revisions.items():
--- a/catkinshunt/watch_relay/base.py
+++ b/catkinshunt/watch_relay/base.py
@@ -5,6 +5,26 @@
 import attrs
 
 
+@attrs.frozen(order=True)
+class Revision:
+    """A revision of the service, ordered over all its eras.
+
+    If the service comes back from an older copy, a new era begins: it loses
+    its latest changes and gives their numbers out again.
+
+    Attributes:
+        era: number of the era.
+        number: number of the change in this era.
+
+    Examples:
+        >>> Revision(era=2, number=3) > Revision(era=1, number=9)
+        True
+    """
+
+    era: int = 0
+    number: int = 0
+
+
 @attrs.frozen
 class Item:
     """A key of the key-value service with its value, or its deletion.
@@ -12,12 +32,12 @@
     Attributes:
         key: name of the key.
         value: value in bytes; None if the key was deleted.
-        revision: revision of its latest change.
+        revision: `Revision` of its latest change.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Revision
 
 
 @attrs.frozen
@@ -26,7 +46,7 @@
 
     Attributes:
         items: the `Item` objects.
-        revision: revision of the service at which they were read.
+        revision: `Revision` of the service at which they were read.
         has_more: whether further items follow on another page; set only by
             the client of the service, not on relayed pages.
         confirmed_at: latest time at which the page was known to be up to
@@ -38,7 +58,7 @@
     """
 
     items: tuple
-    revision: int
+    revision: Revision
     has_more: bool = False
     confirmed_at: float | None = None
     seen_ago_s: float = 0.0
@@ -48,7 +68,8 @@
     """Source of the key-value service's items and their changes.
 
     Calls raise `errors.StoreError` if they fail, and `HistoryGoneError` if the
-    requested changes are no longer available.
+    requested changes are no longer available. After a change of the era this
+    is an `EraChangedError`, also if the number of the revision exists again.
     """
 
     @abc.abstractmethod
@@ -61,7 +82,7 @@
 
         Args:
             prefix: prefix of the keys.
-            after: revision; only later changes are returned.
+            after: `Revision`; only later changes are returned.
             wait_s: maximum time in seconds to wait for a change. The page is
                 empty if there is none.
         """
