Read a new era of the store through the watcher

After a change of the era, each entry took the answer of its watcher for that of a process that has just started, or had paused it in the outage before, and read everything from the store: 8 reads for six entries of two regions, and 12 after an outage of 1 s (5 for three entries of one region). The answer now names the new era; entries read again through their watcher, which waits until it has read itself, the list of entries included, and a change ends the pauses of the outage.

--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -66,3 +66,47 @@
         return seen
 
     assert regions.run(main, several) == {frozenset({'i-2'})}
+
+
+@pytest.mark.parametrize(
+    ('several', 'outage_s'),
+    [
+        ((regions.REGION,), 0.0),
+        (regions.TWO_REGIONS, 0.0),
+        (regions.TWO_REGIONS, 1.0),
+    ],
+)
+def test_a_change_of_era_does_not_send_all_to_the_store(several, outage_s):
+    """All entries would read everything over one link at the same time."""
+
+    async def main(region):
+        store = region.store
+        former = store.take_copy()
+        store.put('servers/i-2', documents.UPSTREAM)
+        await region.wait_until(lambda entry: ids(entry) == {'i-1', 'i-2'})
+        await asyncio.sleep(SETTLED_S)
+        for entry in region.entries:
+            entry.store.is_rejecting = bool(outage_s)
+        await asyncio.sleep(outage_s)
+        store.go_back(former)
+        for entry in region.entries:
+            entry.store.calls.clear()
+            entry.store.is_rejecting = False
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await region.wait_until(lambda entry: entry.feed.cache.era == 2)
+        await region.wait_until(lambda entry: entry.feed.cache.is_complete)
+        await region.wait_until(lambda entry: entry.updater._revision)
+        await region.wait_until(lambda entry: entry.updater._revision.era == 2)
+        lasted_s = loop.time() - started_at
+        calls = [
+            call
+            for entry in region.entries
+            for call in entry.store.calls
+            if call.startswith('read')
+        ]
+        return len(calls), lasted_s
+
+    reads, lasted_s = regions.run(main, several)
+    assert reads <= 3
+    assert lasted_s < 1.0
--- a/catkinshunt/watch_relay/_regional.py
+++ b/catkinshunt/watch_relay/_regional.py
@@ -15,6 +15,9 @@
 #: Wait in seconds of a watch at another process. A short wait detects an
 #: unresponsive process early, and such a call costs the service nothing.
 PEER_WAIT_S = 0.4
+#: Wait in seconds of a read at another process after a change of the era. That
+#: process begins to read as soon as the service is back.
+ERA_READ_WAIT_S = 0.6
 #: Wait in seconds of a watch at the service if there are other entries. Each
 #: answer confirms the state of those that watch through this process.
 SOURCE_WAIT_S = 0.6
@@ -60,7 +63,8 @@
             `PeerWatchSource` of the process there.
         wall: function that returns seconds on the boot-time clock.
         prefixes: all watched prefixes. Keys under the last one list the live
-            entries; `read_prefix` always reads these from the service.
+            entries; `read_prefix` reads these from the service, unless the
+            entries are known from before a change of the era.
     """
 
     def __init__(
@@ -80,6 +84,8 @@
         self._remote_response_at = -math.inf
         self._peers = {}
         self._current_watcher = None
+        # The era after the latest change of it; None if there was none.
+        self._changed_era = None
         self._started_at = wall()
 
     @property
@@ -107,7 +113,7 @@
     async def read_prefix(self, prefix):
         """See `base.BaseWatchSource.read_prefix`."""
         page = None
-        if prefix != self.prefixes[-1]:
+        if prefix != self.prefixes[-1] or self._changed_era is not None:
             page = await self._read_from_peer(prefix)
         if page is None:
             page = await self._read_source(prefix)
@@ -143,8 +149,9 @@
                 page = await self._reread_all()
             else:
                 page = await self._watch_source(prefix, after, wait_s)
-        except _peer.HistoryGoneError:
+        except _peer.HistoryGoneError as exc:
             self._note_source_response()
+            self._note_era(exc)
             raise
         except errors.StoreError:
             self._note_source_failure()
@@ -156,6 +163,11 @@
         """Read all items, and return those that differ from the cache."""
         requested_at = self.wall()
         pages = [(p, await self.source.read_prefix(p)) for p in self.prefixes]
+        era = max(page.revision.era for _, page in pages)
+        if era > self.cache.era:
+            raise _peer.EraChangedError(
+                f'the service is in era {era}', era, step='read'
+            )
         items = [i for p, page in pages for i in self.cache.diff(p, page)]
         return base.Page(
             tuple(sorted(items, key=lambda item: item.revision)),
@@ -196,6 +208,19 @@
             confirmed_at = min(requested_at + wait_s, self.wall())
         return attrs.evolve(page, confirmed_at=confirmed_at)
 
+    def _note_era(self, exc):
+        """Record a change of the era, if `exc` tells of one.
+
+        During the outage before it, watchers were paused since they did not
+        reach the service either. If they stayed so, all processes would read
+        everything from the service at the same time.
+        """
+        if not isinstance(exc, _peer.EraChangedError):
+            return
+        if self._changed_era is None or exc.era > self._changed_era:
+            self._changed_era = exc.era
+            self.watchers.resume()
+
     def _note_source_failure(self):
         # `is_direct` becomes false, so processes that require a direct watch
         # are rejected and stop watching through this one at once.
@@ -213,17 +238,25 @@
         """
         while (watcher := self._choose_watcher()) is not None:
             try:
-                page = await self._peer_source(watcher).read_prefix(prefix)
+                page = await self._read_peer(watcher, prefix)
             except errors.StoreError as exc:
                 if self.wall() - self._started_at < START_RETRY_PERIOD_S:
                     await asyncio.sleep(START_RETRY_DELAY_S)
                     continue
                 self._note_failure(watcher, exc)
                 return None
-            if self._check_age(page, watcher):
+            if self._check_page(page, watcher):
                 return page
         return None
 
+    async def _read_peer(self, watcher, prefix):
+        peer = self._peer_source(watcher)
+        if self._changed_era is None:
+            return await peer.read_prefix(prefix)
+        return await peer.read_prefix(
+            prefix, ERA_READ_WAIT_S, self._changed_era
+        )
+
     async def _watch_peer(self, prefix, after):
         """Return the changes from the chosen watcher, or None."""
         watcher = self._choose_watcher()
@@ -233,17 +266,24 @@
             page = await self._peer_source(watcher).watch(
                 prefix, after, PEER_WAIT_S
             )
+        except _peer.EraChangedError as exc:
+            # Reading through the watcher again costs the service nothing.
+            self._note_era(exc)
+            raise
         except _peer.HistoryGoneError:
             # The watcher has just started; the service has a longer history.
             return None
         except errors.StoreError as exc:
             self._note_failure(watcher, exc)
             return None
-        return page if self._check_age(page, watcher) else None
+        return page if self._check_page(page, watcher) else None
 
-    def _check_age(self, page, watcher):
+    def _check_page(self, page, watcher):
         """Return whether a page is recent enough; record the outcome."""
         now = self.wall()
+        if page.revision.era < (self._changed_era or 0):
+            self._note_failure(watcher, 'its era is over', responded=True)
+            return False
         if now - page.confirmed_at >= STALE_S:
             self._note_failure(watcher, 'its state is stale', responded=True)
             return False
--- a/catkinshunt/watch_relay/_watchers.py
+++ b/catkinshunt/watch_relay/_watchers.py
@@ -95,6 +95,10 @@
         if watcher.is_remote:
             self._pauses.pop(_REGIONS_KEY, None)
 
+    def resume(self):
+        """End all pauses."""
+        self._pauses.clear()
+
     def note_source_failure(self, now):
         """Record that the service did not answer this process."""
         self._source_failed_until = now + SOURCE_FAILED_S
