Keep what an entry knows when the store goes back

Callers' requests reached upstreams that had said that they leave. Cause: a store that came back from an older copy listed them as ready, and the catalog took any list for the newest statement. So did all else that rests on the list: a removed upstream was used again, live entries that the copy lacked stopped counting, which raises the shares of limits and retries of the others, a pending version whose key was lost became due at once, and one that was due became pending again.

What is known now stays until a later statement. A leave ends only with another start of the upstream; if the list contradicts it, the entry records it and tells others, as if the upstream had just stated it. A removed upstream that an older copy lists is used when a change of it is reported, or when it is still listed after three heartbeats. Missing live entries count until their leases would have ended, and a missing pending key holds for two seconds, within which its publishers write it again. Without a change of era nothing is different: an upstream that lapsed in an outage is used as soon as it is listed.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -15,6 +15,9 @@
 REMOVED_GRACE_S = 1.5
 #: Newest versions of a model that are kept; each becomes due separately.
 MAX_VERSIONS = 8
+#: Maximum number of leaving upstreams, and of removed ones, that are
+#: remembered for lists that are older than that.
+MAX_REMEMBERED = 2000
 #: Maximum number of upstreams listed in one log line.
 MAX_LOGGED_UPSTREAMS = 20
 
@@ -33,6 +36,7 @@
         is_pending: the version was announced before this process started,
             but the store marks it as not due yet; `learned_at` is then the
             time at which this process read the mark.
+        is_due: its mark has ended. An older list may contain the mark again.
         found: the version was already in the store at the first read, so it
             may have been announced long before `learned_at`.
     """
@@ -40,6 +44,7 @@
     version: int
     learned_at: float
     is_pending: bool = False
+    is_due: bool = False
     found: bool = False
 
 
@@ -71,6 +76,11 @@
         self._confirmed_at = None
         self._upstreams = {}
         self._removed = {}
+        # `Upstream.key` by id, the oldest first.
+        self._leaves = {}
+        self._removed_keys = {}
+        self._doubted = {}
+        self._doubted_until = -math.inf
         self._notifier = notifier.Notifier()
 
     async def wait_for_change(self):
@@ -160,7 +170,11 @@
     def mark_pending(self, model, version, now):
         """Mark a version found at the first read as not due yet."""
         announced = self._find_version(model, version)
-        if announced is not None and math.isinf(announced.learned_at):
+        if (
+            announced is not None
+            and math.isinf(announced.learned_at)
+            and not announced.is_due
+        ):
             announced.learned_at = now
             announced.is_pending = True
             _log.info('Version {} of {} is not due yet.', version, model)
@@ -172,6 +186,7 @@
         if announced is not None and announced.is_pending:
             announced.learned_at = -math.inf
             announced.is_pending = False
+            announced.is_due = True
             _log.info('Version {} of {} is due.', version, model)
             self._notifier.notify_all()
 
@@ -225,8 +240,32 @@
         ]
         return due[-1] if due else None
 
+    def begin_era(self, now, confirm_s):
+        """Expect lists that are older than what is known.
+
+        What is known stays until a later statement. An upstream that has been
+        removed, and is listed again, may only be in the older list. It is not
+        used until `put_upstream` reports a change of it, or until `confirm_s`
+        have passed, after which a dead one is not listed any more.
+
+        Args:
+            now: time in seconds on the catalog's clock.
+            confirm_s: seconds after which the list can be trusted again.
+        """
+        if now >= self._doubted_until:
+            self._doubted.clear()
+        for upstream_id, key in self._removed_keys.items():
+            _remember(self._doubted, upstream_id, key)
+        self._doubted_until = now + confirm_s
+
     def put_upstream(self, upstream):
-        """Add or replace an upstream."""
+        """Add or replace an upstream, of which a change is reported.
+
+        Returns:
+            Whether it is known as leaving, but was not reported so.
+        """
+        self._doubted.pop(upstream.id, None)
+        reported, upstream = upstream, self._keep_leave(upstream)
         if self._set_upstream(upstream):
             # "here": accepts new requests.
             _log.info(
@@ -237,6 +276,7 @@
                 address=':'.join(map(str, upstream.address)),
                 versions=upstream.versions,
             )
+        return upstream != reported
 
     def drop_upstream(self, upstream_id, now):
         """Remove an upstream; keep it as a fallback for a grace period."""
@@ -244,10 +284,17 @@
         if known is None:
             return
         self._removed[upstream_id] = (known, now)
+        _remember(self._removed_keys, upstream_id, known.key)
         _log.info('Upstream {} is no longer listed.', upstream_id)
 
     def replace_upstreams(self, upstreams, now):
-        """Replace all upstreams; drop those that are not in the list."""
+        """Replace all upstreams; drop those that are not in the list.
+
+        Returns:
+            The listed upstreams that are known as leaving, but not listed so.
+        """
+        reported = upstreams
+        upstreams = [self._keep_leave(upstream) for upstream in reported]
         listed = {upstream.id for upstream in upstreams}
         for missing in set(self._upstreams) - listed:
             self.drop_upstream(missing, now)
@@ -259,6 +306,11 @@
                 len(changed),
                 changed=changed[:MAX_LOGGED_UPSTREAMS],
             )
+        return [
+            upstream
+            for upstream, other in zip(upstreams, reported, strict=True)
+            if upstream != other
+        ]
 
     def upstreams(self, service, now):
         """Return the upstreams of `service` that accept new requests.
@@ -268,7 +320,9 @@
         found = [
             upstream
             for upstream in self._upstreams.values()
-            if upstream.service == service and not upstream.leaving
+            if upstream.service == service
+            and not upstream.leaving
+            and not self._is_doubted(upstream, now)
         ]
         return found or self._recently_removed(service, now)
 
@@ -298,10 +352,26 @@
         """Return the upstream with this id, or None."""
         return self._upstreams.get(upstream_id)
 
+    def _keep_leave(self, upstream):
+        """Return `upstream` as leaving if this start of it is known to."""
+        if upstream.leaving:
+            _remember(self._leaves, upstream.id, upstream.key)
+        elif self._leaves.get(upstream.id) == upstream.key:
+            return attrs.evolve(upstream, leaving=True)
+        return upstream
+
+    def _is_doubted(self, upstream, now):
+        """Return whether it may be listed only since the list is older."""
+        return (
+            now < self._doubted_until
+            and self._doubted.get(upstream.id) == upstream.key
+        )
+
     def _set_upstream(self, upstream):
         """Add or replace `upstream`; return whether it changed."""
         known = self._upstreams.get(upstream.id)
         self._removed.pop(upstream.id, None)
+        self._removed_keys.pop(upstream.id, None)
         self._upstreams[upstream.id] = upstream
         if known != upstream:
             self._notifier.notify_all()
@@ -314,5 +384,15 @@
         return [
             upstream
             for upstream, _ in self._removed.values()
-            if upstream.service == service and not upstream.leaving
+            if upstream.service == service
+            and not upstream.leaving
+            and not self._is_doubted(upstream, now)
         ]
+
+
+def _remember(keys, upstream_id, key):
+    """Add the key of an upstream; evict the oldest beyond `MAX_REMEMBERED`."""
+    keys.pop(upstream_id, None)
+    keys[upstream_id] = key
+    if len(keys) > MAX_REMEMBERED:
+        del keys[next(iter(keys))]
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -8,6 +8,7 @@
 from catkinshunt.platform import _apply
 from catkinshunt.platform import _documents
 from catkinshunt.platform import _era
+from catkinshunt.platform import _registration
 from catkinshunt import watch_relay
 
 #: Longest wait of a watch. Its return confirms that the cached state is
@@ -25,6 +26,13 @@
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
 
+#: Heartbeats that an upstream misses until the store removes it.
+MISSED_HEARTBEATS = 3
+#: Seconds after a change of the era for which a pending version stays pending
+#: without its key. Its publishers write it again within two seconds; beyond
+#: that, an older version could be served for longer than allowed.
+PENDING_HOLD_S = 2.0
+
 _log = logs.get_logger('store')
 
 
@@ -43,6 +51,9 @@
         quarantined: `quarantine.Quarantine` to which requests are added.
         eras: `EraMonitor` that is told the era of each page; None for one of
             its own.
+        record_leave: function of the `catalog.Upstream.key` of an upstream
+            that is known as leaving while the store lists it as ready.
+        heartbeat_s: seconds between two heartbeats of an upstream.
     """
 
     def __init__(
@@ -54,6 +65,8 @@
         random,
         quarantined,
         eras=None,
+        record_leave=lambda key: None,
+        heartbeat_s=1.0,
     ):
         self.source = source
         self.catalog = catalog
@@ -62,6 +75,12 @@
         self.boottime = boottime
         self.random = random
         self.eras = eras or _era.EraMonitor()
+        self.record_leave = record_leave
+        self.heartbeat_s = heartbeat_s
+        # What was known before a change of the era and is missing since, with
+        # the times until which it is kept.
+        self._kept_entries = {}
+        self._kept_pending = {}
         self._revision = None
         self._min_revision = watch_relay.Revision()
         # Era of the cached state, and its newest number; None before a read.
@@ -81,6 +100,7 @@
             try:
                 if self._revision is None:
                     await self._read_all()
+                self._drop_expired(self.boottime())
                 await self._watch()
             except watch_relay.EraChangedError as exc:
                 self._min_revision = max(
@@ -113,8 +133,8 @@
         system, operator, listed = await self._read_pages()
         pages = (system, operator, listed)
         self._check_revisions(pages)
-        self._replace_entries(system)
         self._observe_era(min(page.revision for page in pages))
+        self._replace_entries(system)
         for item in system.items:
             if item.key.startswith(_documents.QUARANTINE_PREFIX):
                 _apply.apply_quarantine(
@@ -130,9 +150,11 @@
         for item in operator.items:
             self._apply_item(item, announced_at)
         self._replace_pending(system.items, requested_at)
-        self.catalog.replace_upstreams(
+        contradicted = self.catalog.replace_upstreams(
             _apply.parse_valid_upstreams(listed.items), self.boottime()
         )
+        for upstream in contradicted:
+            self._record_contradiction(upstream)
         self._upstream_revisions = {
             item.key: item.revision for item in listed.items
         }
@@ -166,14 +188,19 @@
         return pages
 
     def _replace_entries(self, system):
-        """Replace the live entries by those listed."""
-        self.live_entries.replace(
-            {
-                _entry_name(item): _apply.parse_location_or_none(item)
-                for item in system.items
-                if item.key.startswith(_documents.ENTRY_PREFIX)
-            }
-        )
+        """Replace the live entries by those listed and those kept."""
+        listed = {
+            _entry_name(item): _apply.parse_location_or_none(item)
+            for item in system.items
+            if item.key.startswith(_documents.ENTRY_PREFIX)
+        }
+        for name in listed:
+            self._kept_entries.pop(name, None)
+        kept = {
+            name: location
+            for name, (location, _) in self._kept_entries.items()
+        }
+        self.live_entries.replace({**kept, **listed})
 
     def _check_revisions(self, pages):
         """Raise an error if a page is older than the cached state.
@@ -206,14 +233,60 @@
                 revision=revision.number,
                 confirmed_ago_s=round(self.catalog.age_s(now) or 0.0, 3),
             )
+            self._keep_known(now)
         self._era = revision.era
         self.eras.observe(revision.era, now)
 
+    def _keep_known(self, now):
+        """Keep what the older copy may lack until a later statement.
+
+        Its writers write it again in the new era.
+        """
+        self.catalog.begin_era(now, MISSED_HEARTBEATS * self.heartbeat_s)
+        # Otherwise the limits and budgets that live entries share would be
+        # divided among too few.
+        until = now + _registration.LEASE_TTL_S
+        locations = self.live_entries.locations()
+        self._kept_entries = {
+            name: (locations.get(name), until)
+            for name in self.live_entries.names()
+        }
+        self._kept_pending = dict.fromkeys(
+            self.catalog.pending_versions(), now + PENDING_HOLD_S
+        )
+
+    def _drop_expired(self, now):
+        """Drop what has been kept without being written again."""
+        for name, (_, until) in list(self._kept_entries.items()):
+            if now >= until:
+                del self._kept_entries[name]
+                self.live_entries.drop(name)
+        for key, until in list(self._kept_pending.items()):
+            if now >= until:
+                del self._kept_pending[key]
+                self.catalog.end_pending(*key)
+
+    def _kept_s(self, now):
+        """Return the seconds until something that is kept expires."""
+        times = [until for _, until in self._kept_entries.values()]
+        times += self._kept_pending.values()
+        return min(times, default=math.inf) - now
+
+    def _record_contradiction(self, upstream):
+        _log.warning(
+            'Upstream {} has stated that it leaves, but is listed as ready; '
+            'it gets no requests.',
+            upstream.id,
+        )
+        self.record_leave(upstream.key)
+
     def _replace_pending(self, items, requested_at):
-        """Replace the pending versions by those listed."""
+        """Replace the pending versions by those listed and those kept."""
         listed = {item.key for item in items}
         for model, version in self.catalog.pending_versions():
-            if _documents.pending_key(model, version) not in listed:
+            if _documents.pending_key(model, version) in listed:
+                self._kept_pending.pop((model, version), None)
+            elif (model, version) not in self._kept_pending:
                 self.catalog.end_pending(model, version)
         for item in items:
             if item.key.startswith(_documents.PENDING_PREFIX):
@@ -221,8 +294,9 @@
 
     async def _watch(self):
         age_s = self.catalog.age_s(self.boottime())
-        wait_s = max(MIN_WATCH_TIMEOUT_S, WATCH_TIMEOUT_S - age_s)
         requested_at = self.boottime()
+        wait_s = min(WATCH_TIMEOUT_S - age_s, self._kept_s(requested_at))
+        wait_s = max(MIN_WATCH_TIMEOUT_S, wait_s)
         page = await self.source.watch('', self._revision, wait_s)
         if page.revision.era != self._revision.era:
             raise errors.StoreUnavailableError(
@@ -257,11 +331,18 @@
         elif item.key.startswith(_documents.ENTRY_PREFIX):
             self._apply_entry(item)
         elif item.key.startswith(_documents.PENDING_PREFIX):
-            _apply.apply_pending(item, self.catalog, changed_at)
+            self._apply_pending(item, changed_at)
         elif item.key.startswith(_documents.QUARANTINE_PREFIX):
             _apply.apply_quarantine(item, self.quarantined, self.boottime())
 
+    def _apply_pending(self, item, changed_at):
+        _apply.apply_pending(item, self.catalog, changed_at)
+        for model, version in list(self._kept_pending):
+            if item.key == _documents.pending_key(model, version):
+                del self._kept_pending[model, version]
+
     def _apply_entry(self, item):
+        self._kept_entries.pop(_entry_name(item), None)
         if item.value is None:
             self.live_entries.drop(_entry_name(item))
         else:
@@ -279,8 +360,8 @@
         upstream = _apply.parse_upstream_or_none(item)
         if upstream is None:
             self.catalog.drop_upstream(_apply.upstream_id(item), changed_at)
-        else:
-            self.catalog.put_upstream(upstream)
+        elif self.catalog.put_upstream(upstream):
+            self._record_contradiction(upstream)
 
 
 def _confirmed_at(page, read_at):
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -86,7 +86,9 @@
     await watch_relay.WatchRelayServer(
         source, _clocks.boottime, _clocks.monotonic
     ).start(cfg.ip, _process.watch_relay_port(cfg))
-    updater = make_cache_updater(source, context, live_entries, client.eras)
+    updater = make_cache_updater(
+        cfg, source, context, live_entries, client.eras
+    )
     location = catalogs.EntryLocation(cfg.ip, _region_of(cfg))
     registration = _registration.Registration(
         client, live_entries, cfg.name, location
@@ -329,7 +331,7 @@
     )
 
 
-def make_cache_updater(source, context, live_entries, eras):
+def make_cache_updater(cfg, source, context, live_entries, eras):
     """Return the `CacheUpdater` that updates the catalog of `context`."""
     return _cache_updater.CacheUpdater(
         source,
@@ -339,6 +341,8 @@
         context.random,
         context.guard.gossip.quarantine,
         eras,
+        context.record_leave,
+        cfg.heartbeat_s,
     )
 
 
--- a/catkinshunt/platform/_settings.py
+++ b/catkinshunt/platform/_settings.py
@@ -58,6 +58,8 @@
         engine_address: (ip, port) of the engine on this instance, or None.
         service: service of that engine, or ''.
         bounds: `Bounds` in force.
+        heartbeat_s: seconds between two heartbeats of an upstream in the
+            store.
     """
 
     name: str
@@ -72,6 +74,7 @@
     engine_address: tuple | None
     service: str
     bounds: Bounds
+    heartbeat_s: float = 1.0
 
 
 class _FieldReader:
@@ -188,6 +191,7 @@
         engine_address=reader.address('app'),
         service=reader.get('service', str, ''),
         bounds=_parse_bounds(reader),
+        heartbeat_s=reader.get('heartbeat_ms', _NUMBER, _MS) / _MS,
     )
     if reader.problems:
         raise errors.SettingsError(
--- a/catkinshunt/platform/tests/regions.py
+++ b/catkinshunt/platform/tests/regions.py
@@ -47,6 +47,7 @@
             self.feed, self.boottime, self.boottime
         )
         self.quarantined = quarantine.Quarantine()
+        self.leaves = []
         self.eras = platform.EraMonitor()
         self.updater = platform.CacheUpdater(
             self.feed,
@@ -56,6 +57,7 @@
             random.Random(1),
             self.quarantined,
             self.eras,
+            self.leaves.append,
         )
         self.task = None
 
--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -2,9 +2,14 @@
 
 import pytest
 
+from catkinshunt import catalog as catalogs
+from catkinshunt.catalog import _catalog
 from catkinshunt import metrics
 from catkinshunt import platform
+from catkinshunt.platform import _cache_updater
+from catkinshunt.platform import _documents
 from catkinshunt.platform import _process
+from catkinshunt.platform import _registration
 from catkinshunt.platform.tests import fakes
 from catkinshunt.platform.tests import regions
 from catkinshunt.platform.tests import test_cache_updater
@@ -16,6 +21,9 @@
 #: Seconds after which entries wait for the next change of the store.
 SETTLED_S = 0.4
 
+#: Seconds between two heartbeats of an upstream.
+HEARTBEAT_S = 0.2
+
 LEAVING = {**documents.UPSTREAM, 'state': 'draining'}
 
 
@@ -206,3 +214,277 @@
     values = {family.name: family.source for family in registry.report()}
     assert values['store_era']() == 6
     assert values['store_era_changes_total'].report() == {(): 2}
+
+
+class Reports:
+    """A cache updater with short times, and what it reports."""
+
+    def __init__(self, harness):
+        self.leaves = []
+        harness.updater.record_leave = self.leaves.append
+        harness.updater.heartbeat_s = HEARTBEAT_S
+
+
+def test_leave_that_an_older_list_contradicts_is_told_to_other_entries():
+    """An entry that starts now, or missed the leave, knows only the list."""
+
+    async def main(harness):
+        reports = Reports(harness)
+        store = harness.store
+        former = store.take_copy()
+        store.put('servers/i-1', LEAVING)
+        await fakes.wait_until(lambda: harness.catalog.find('i-1').leaving)
+        before = list(reports.leaves)
+        store.go_back(former)
+        await fakes.wait_until(lambda: reports.leaves)
+        return before, reports.leaves, harness.catalog.find('i-1')
+
+    before, leaves, upstream = test_cache_updater.run(main)
+    assert before == []
+    assert leaves[0] == upstream.key
+    assert upstream.leaving
+
+
+def test_removed_upstream_is_not_used_while_only_an_older_list_has_it():
+    """It has been shut down, and nobody writes its entry again.
+
+    It is used once it is still listed after a dead one would be removed.
+    """
+
+    async def main(harness):
+        Reports(harness)
+        store = harness.store
+        store.put('servers/i-2', documents.UPSTREAM)
+        await fakes.wait_until(lambda: harness.ids() == {'i-1', 'i-2'})
+        former = store.take_copy()
+        store.delete('servers/i-1')
+        await fakes.wait_until(lambda: harness.ids() == {'i-2'})
+        store.go_back(former)
+        await fakes.wait_until(lambda: harness.catalog.find('i-1'))
+        began_at = harness.boottime()
+        seen = []
+        while 'i-1' not in harness.ids():
+            seen.append(harness.ids())
+            await asyncio.sleep(0.01)
+        return seen, harness.boottime() - began_at
+
+    seen, after_s = test_cache_updater.run(main)
+    assert {'i-2'} in seen
+    assert 2.5 * HEARTBEAT_S < after_s < 4 * HEARTBEAT_S
+
+
+def test_removed_upstream_is_used_when_it_is_written_again():
+    """Its entry had lapsed before the change, and it is alive."""
+
+    async def main(harness):
+        Reports(harness)
+        harness.updater.heartbeat_s = 60.0
+        store = harness.store
+        former = store.take_copy()
+        store.delete('servers/i-1')
+        await fakes.wait_until(lambda: not harness.catalog.find('i-1'))
+        store.go_back(former)
+        await fakes.wait_until(lambda: harness.catalog.find('i-1'))
+        listed = harness.ids()
+        store.put('servers/i-1', {**documents.UPSTREAM, 'slots': 4})
+        await fakes.wait_until(lambda: harness.ids() == {'i-1'})
+        return listed
+
+    assert test_cache_updater.run(main) == set()
+
+
+def test_new_start_of_a_removed_upstream_is_used_at_once():
+    async def main(harness):
+        harness.updater.heartbeat_s = 60.0
+        store = harness.store
+        former = store.take_copy()
+        store.delete('servers/i-1')
+        await fakes.wait_until(lambda: not harness.catalog.find('i-1'))
+        await asyncio.sleep(SETTLED_S)
+        store.go_back(former)
+        store.put('servers/i-1', {**documents.UPSTREAM, 'born': 2})
+        await fakes.wait_until(lambda: harness.ids() == {'i-1'}, 1.0)
+
+    test_cache_updater.run(main)
+
+
+@pytest.mark.parametrize('loses_history', [False, True])
+def test_lapsed_upstream_is_used_at_once_without_a_change_of_era(
+    loses_history,
+):
+    """All entries of upstreams lapse in an outage, and come back after it."""
+
+    async def main(harness):
+        harness.updater.heartbeat_s = 60.0
+        store = harness.store
+        store.delete('servers/i-1')
+        await fakes.wait_until(lambda: not harness.catalog.find('i-1'))
+        if loses_history:
+            store.forget_history()
+        store.put('servers/i-1', documents.UPSTREAM)
+        await fakes.wait_until(lambda: harness.catalog.find('i-1'))
+        return harness.ids()
+
+    assert test_cache_updater.run(main) == {'i-1'}
+
+
+def entry_key(number):
+    return f'{_documents.ENTRY_PREFIX}edge-{number}'
+
+
+def test_live_entries_that_the_copy_lacks_count_until_their_lease_ends(
+    monkeypatch,
+):
+    """Limits and budgets would be divided among too few entries."""
+    monkeypatch.setattr(_registration, 'LEASE_TTL_S', 0.6)
+
+    async def main(harness):
+        store = harness.store
+        former = store.take_copy()
+        for number in (2, 3, 4):
+            store.put(entry_key(number), {})
+        names = harness.live_entries.names
+        await fakes.wait_until(lambda: len(names()) == 4)
+        await asyncio.sleep(SETTLED_S)
+        store.go_back(former)
+        await fakes.wait_until(lambda: harness.updater.eras.changes)
+        after = names()
+        # One registers again, and one more is seen to leave.
+        store.put(entry_key(2), {})
+        store.put(entry_key(3), {})
+        await asyncio.sleep(0.3)
+        store.delete(entry_key(3))
+        await fakes.wait_until(lambda: len(names()) == 3)
+        left = names()
+        await fakes.wait_until(lambda: len(names()) == 2)
+        return after, left, names()
+
+    after, left, last = test_cache_updater.run(
+        main, lambda harness: harness.store.put(entry_key(1), {})
+    )
+    assert after == ['edge-1', 'edge-2', 'edge-3', 'edge-4']
+    assert left == ['edge-1', 'edge-2', 'edge-4']
+    assert last == ['edge-1', 'edge-2']
+
+
+PENDING_KEY = _documents.pending_key('drafts', 2)
+VERSION_S = 8.0
+
+
+def put_pending(harness):
+    harness.store.put('op/version/drafts', {'model': 'drafts', 'version': 2})
+    harness.store.put(PENDING_KEY, b'{}')
+
+
+def due_version(harness):
+    now = harness.boottime()
+    return harness.catalog.due_version('drafts', VERSION_S, now)
+
+
+async def lose_pending_key(harness):
+    """Let the store go back to a copy without the pending key."""
+    store = harness.store
+    kept = store.items[PENDING_KEY]
+    store.delete(PENDING_KEY)
+    former = store.take_copy()
+    store.items[PENDING_KEY] = kept
+    store.events.pop()
+    await fakes.wait_until(
+        lambda: harness.catalog.pending_versions() == [('drafts', 2)]
+    )
+    await asyncio.sleep(SETTLED_S)
+    store.go_back(former)
+    await fakes.wait_until(lambda: harness.updater.eras.changes)
+
+
+def test_pending_version_stays_so_until_its_key_is_written_again(monkeypatch):
+    """All requests would be refused, since no engine has the version yet."""
+    monkeypatch.setattr(_cache_updater, 'PENDING_HOLD_S', 0.5)
+
+    async def main(harness):
+        await lose_pending_key(harness)
+        harness.store.put(PENDING_KEY, b'{}')
+        await asyncio.sleep(1.2)
+        held = due_version(harness)
+        harness.store.delete(PENDING_KEY)
+        await fakes.wait_until(lambda: due_version(harness) == 2)
+        return held
+
+    assert test_cache_updater.run(main, put_pending) is None
+
+
+def test_pending_version_whose_key_is_not_written_again_is_due(monkeypatch):
+    """It may have become due meanwhile; older versions would be served on."""
+    monkeypatch.setattr(_cache_updater, 'PENDING_HOLD_S', 0.5)
+
+    async def main(harness):
+        await lose_pending_key(harness)
+        began_at = harness.boottime()
+        held = due_version(harness)
+        await fakes.wait_until(lambda: due_version(harness) == 2)
+        return held, harness.boottime() - began_at
+
+    held, after_s = test_cache_updater.run(main, put_pending)
+    assert held is None
+    assert 0.4 < after_s < 1.0
+
+
+def test_version_that_is_due_stays_so_if_the_copy_lists_it_as_pending():
+    """Requests would begin on an older version again."""
+
+    async def main(harness):
+        store = harness.store
+        await fakes.wait_until(lambda: harness.catalog.pending_versions())
+        former = store.take_copy()
+        store.delete(PENDING_KEY)
+        await fakes.wait_until(lambda: due_version(harness) == 2)
+        store.go_back(former)
+        await fakes.wait_until(lambda: harness.updater.eras.changes)
+        await asyncio.sleep(SETTLED_S)
+        return due_version(harness)
+
+    assert test_cache_updater.run(main, put_pending) == 2
+
+
+def test_versions_configurations_and_quarantines_outlast_the_change():
+    """The copy has older ones, and what was declared stays in force."""
+
+    async def main(harness):
+        store, catalog = harness.store, harness.catalog
+        former = store.take_copy()
+        fingerprint = 'ab' * 8
+        store.put('op/config', documents.configuration(version=9))
+        store.put('op/version/drafts', {'model': 'drafts', 'version': 3})
+        store.put(
+            _documents.quarantine_key(fingerprint),
+            _documents.dump_quarantine(60.0),
+        )
+        await fakes.wait_until(lambda: catalog.newest_version('drafts'))
+        learned_at = catalog.newest_version('drafts').learned_at
+        store.go_back(former)
+        await fakes.wait_until(lambda: harness.updater.eras.changes)
+        await asyncio.sleep(SETTLED_S)
+        quarantined = harness.updater.quarantined
+        now = harness.boottime()
+        return (
+            catalog.declaration.revision,
+            catalog.newest_version('drafts').version,
+            catalog.newest_version('drafts').learned_at == learned_at,
+            [found for found, _ in quarantined.all_quarantined(now)],
+        )
+
+    assert test_cache_updater.run(main) == (9, 3, True, ['ab' * 8])
+
+
+def test_leaves_and_removals_that_are_remembered_are_bounded(monkeypatch):
+    monkeypatch.setattr(_catalog, 'MAX_REMEMBERED', 10)
+    catalog = catalogs.Catalog()
+    for number in range(100):
+        upstream = catalogs.Upstream(
+            f'i-{number}', 'engines', ('10.0.0.1', 80), leaving=True
+        )
+        catalog.put_upstream(upstream)
+        catalog.drop_upstream(upstream.id, now=1.0)
+        catalog.begin_era(now=1.0, confirm_s=60.0)
+    remembered = (catalog._leaves, catalog._removed_keys, catalog._doubted)
+    assert [len(keys) for keys in remembered] == [10, 10, 10]
