Write keys again that a store has lost in a new era

After the store went back, an entry believed that its own registration, the pending versions, quarantined requests and the origin were there as it had written them. It found out when its lease was not renewed, up to five seconds later, or never for the others; and if the number of its lease had been given out again, it renewed somebody else's. Registration and publishers now wait for a change of the era as well as for their period, and write again after a random delay of up to 0.3 s.

Six entries have all their keys in the store again in under a second, with at most two calls each, and two more by the two writers of each shared key. The tests of lost keys, of two changes in a row and of a number that is given out again failed before.

--- a/catkinshunt/platform/_era.py
+++ b/catkinshunt/platform/_era.py
@@ -1,10 +1,17 @@
 """Eras of the platform's store."""
 
 import asyncio
+import contextlib
+import random
 
 from catkinshunt import notifier
 
 
+#: Longest random delay in seconds until a process writes its keys again, so
+#: that not all of them call the store at the same time.
+MAX_REWRITE_DELAY_S = 0.3
+
+
 class EraMonitor:
     """Records changes of the store's era.
 
@@ -13,6 +20,7 @@
 
     Args:
         counter: counter of changes; None to count none.
+        rng: source of random numbers.
 
     Attributes:
         era: highest era seen; None before any answer.
@@ -27,8 +35,9 @@
         (False, 4, 2.0)
     """
 
-    def __init__(self, counter=None):
+    def __init__(self, counter=None, rng=None):
         self.counter = counter
+        self.rng = rng or random.Random()
         self.era = None
         self.changes = 0
         self.changed_at = None
@@ -53,15 +62,22 @@
         while self.changes == changes:
             await self._notifier.wait()
 
-    async def sleep(self, changes, timeout_s):
-        """Wait for a change for at most `timeout_s` seconds.
+    async def sleep(self, changes, timeout_s=None):
+        """Wait until the keys of this process have to be written again.
+
+        Returns a random delay after a change, or after `timeout_s` seconds
+        without one.
 
         Args:
             changes: number of changes that the caller has handled.
-            timeout_s: longest wait in seconds.
+            timeout_s: longest wait for a change in seconds; None for any.
+
+        Returns:
+            The number of changes, which differs from `changes` after one.
         """
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self.wait_for_change(changes)
-        except TimeoutError:
-            return
+        if self.changes != changes:
+            await asyncio.sleep(MAX_REWRITE_DELAY_S * self.rng.random())
+        return self.changes
--- a/catkinshunt/platform/_origin_publisher.py
+++ b/catkinshunt/platform/_origin_publisher.py
@@ -1,7 +1,5 @@
 """Publishes the origin of weights in the store, for sidecars."""
 
-import asyncio
-
 from catkinshunt import errors
 from catkinshunt import logs
 from catkinshunt.platform import _documents
@@ -36,6 +34,7 @@
         self.live_entries = live_entries
         self.name = name
         self._published = None
+        self._changes = client.eras.changes
 
     async def run(self):
         """Keep the key up to date until cancelled."""
@@ -50,7 +49,12 @@
                 outage.end()
             except errors.StoreError as exc:
                 outage.begin(exc)
-            await asyncio.sleep(CHECK_PERIOD_S)
+            changes = await self.client.eras.sleep(
+                self._changes, CHECK_PERIOD_S
+            )
+            if changes != self._changes:
+                self._changes = changes
+                self._published = None
 
     async def _publish_if_changed(self):
         declaration = self.catalog.declaration
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -52,11 +52,23 @@
     async def run(self):
         """Write keys until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._publish_again(group))
             while True:
-                for model, announced in self._find_unpublished():
-                    group.create_task(self._publish(model, announced))
+                self._publish_new(group)
                 await self.catalog.wait_for_change()
 
+    async def _publish_again(self, group):
+        """Write the keys again after each change of the store's era."""
+        changes = self.client.eras.changes
+        while True:
+            changes = await self.client.eras.sleep(changes)
+            self._handled.clear()
+            self._publish_new(group)
+
+    def _publish_new(self, group):
+        for model, announced in self._find_unpublished():
+            group.create_task(self._publish(model, announced))
+
     def _find_unpublished(self):
         """Return (model, version) pairs that this entry has to publish."""
         found = []
--- a/catkinshunt/platform/_quarantine_publisher.py
+++ b/catkinshunt/platform/_quarantine_publisher.py
@@ -1,7 +1,5 @@
 """Publishes quarantined requests in the store."""
 
-import asyncio
-
 from catkinshunt import errors
 from catkinshunt import logs
 from catkinshunt.platform import _documents
@@ -39,6 +37,7 @@
         self.name = name
         self.boottime = boottime
         self._published_until = {}
+        self._changes = client.eras.changes
 
     async def run(self):
         """Write keys until cancelled."""
@@ -53,7 +52,12 @@
                 outage.end()
             except errors.StoreError as exc:
                 outage.begin(exc)
-            await asyncio.sleep(CHECK_PERIOD_S)
+            changes = await self.client.eras.sleep(
+                self._changes, CHECK_PERIOD_S
+            )
+            if changes != self._changes:
+                self._changes = changes
+                self._published_until.clear()
 
     async def _publish_new(self):
         now = self.boottime()
--- a/catkinshunt/platform/_registration.py
+++ b/catkinshunt/platform/_registration.py
@@ -36,6 +36,7 @@
         self.live_entries = live_entries
         self.name = name
         self.location = location
+        self._changes = client.eras.changes
         self._lease = None
         self._is_deregistered = False
 
@@ -48,7 +49,9 @@
             try:
                 await self._renew_or_register()
                 outage.end()
-                await asyncio.sleep(RENEW_PERIOD_S)
+                self._changes = await self.client.eras.sleep(
+                    self._changes, RENEW_PERIOD_S
+                )
             except _store.LeaseNotFoundError:
                 self._lease = None
             except errors.StoreError as exc:
--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -1,4 +1,6 @@
 import asyncio
+import collections
+import contextlib
 
 import pytest
 
@@ -8,13 +10,18 @@
 from catkinshunt import platform
 from catkinshunt.platform import _cache_updater
 from catkinshunt.platform import _documents
+from catkinshunt.platform import _origin_publisher
+from catkinshunt.platform import _pending_publisher
 from catkinshunt.platform import _process
+from catkinshunt.platform import _quarantine_publisher
 from catkinshunt.platform import _registration
 from catkinshunt.platform.tests import fakes
 from catkinshunt.platform.tests import regions
 from catkinshunt.platform.tests import test_cache_updater
 from catkinshunt.platform.tests import test_documents as documents
+from catkinshunt.platform.tests import test_origin_publisher
 from catkinshunt.platform.tests import test_settings
+from catkinshunt import quarantine
 
 #: Seconds for which entries are observed after the store went back.
 OBSERVED_S = 1.0
@@ -488,3 +495,174 @@
         catalog.begin_era(now=1.0, confirm_s=60.0)
     remembered = (catalog._leaves, catalog._removed_keys, catalog._doubted)
     assert [len(keys) for keys in remembered] == [10, 10, 10]
+
+
+#: Time in seconds within which an entry has written its keys again.
+REWRITE_S = 2.0
+NAMES = [f'entry-{number}' for number in range(6)]
+
+
+class Writers:
+    """All that six entries write in the store, without their caches."""
+
+    def __init__(self):
+        self.store = fakes.FakeStore()
+        self.now = asyncio.get_running_loop().time
+        self.tasks = []
+        self.catalogs = []
+        self.quarantines = []
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        for name in NAMES:
+            self._start(name)
+        try:
+            yield self
+        finally:
+            for task in self.tasks:
+                task.cancel()
+
+    def _start(self, name):
+        store = self.store
+        live_entries = catalogs.LiveEntries()
+        live_entries.replace(NAMES)
+        catalog = catalogs.Catalog()
+        quarantined = quarantine.Quarantine()
+        works = (
+            platform.Registration(store, live_entries, name),
+            _pending_publisher.PendingPublisher(
+                store, catalog, live_entries, name, VERSION_S, self.now
+            ),
+            _quarantine_publisher.QuarantinePublisher(
+                store, quarantined, live_entries, name, self.now
+            ),
+            _origin_publisher.OriginPublisher(
+                store, catalog, live_entries, name
+            ),
+        )
+        self.tasks += [asyncio.ensure_future(work.run()) for work in works]
+        self.catalogs.append(catalog)
+        self.quarantines.append(quarantined)
+
+    def learn(self):
+        """Let all entries learn what they have to write."""
+        now = self.now()
+        for catalog in self.catalogs:
+            test_origin_publisher.declare(catalog, '10.0.0.9:80')
+            catalog.add_announced_version('drafts', 2, now)
+        for quarantined in self.quarantines:
+            quarantined.add('ab' * 8, quarantine.QUARANTINE_S, now)
+
+    @property
+    def is_written(self):
+        keys = [_documents.ENTRY_PREFIX + name for name in NAMES]
+        keys += [PENDING_KEY, _documents.quarantine_key('ab' * 8)]
+        keys.append(_documents.ORIGIN_KEY)
+        return all(key in self.store.items for key in keys)
+
+
+def run_writers(main):
+    async def inside():
+        async with Writers().running() as writers:
+            former = writers.store.take_copy()
+            writers.learn()
+            await fakes.wait_until(lambda: writers.is_written)
+            await asyncio.sleep(SETTLED_S)
+            return await main(writers, former)
+
+    return asyncio.run(inside())
+
+
+def test_keys_that_the_copy_lacks_are_written_again():
+    """Entries would stop to count, and a quarantined request crash others.
+
+    Each entry makes a bounded number of calls for a change.
+    """
+
+    async def main(writers, former):
+        store = writers.store
+        store.calls.clear()
+        began_at = writers.now()
+        store.go_back(former)
+        # Any answer tells of the new era.
+        await store.read_prefix('op/')
+        await fakes.wait_until(lambda: writers.is_written, REWRITE_S)
+        lasted_s = writers.now() - began_at
+        await asyncio.sleep(1.0)
+        return lasted_s, collections.Counter(store.calls)
+
+    lasted_s, calls = run_writers(main)
+    assert lasted_s < 1.0
+    # Entries register with two calls each. Two of them write the version, the
+    # quarantine and the origin, which they read before.
+    assert calls['grant'] <= 6 + 2 + 2
+    assert calls['write'] <= 6 + 2 + 2 + 2
+    assert calls['read'] <= 1 + 2
+    assert calls['renew'] <= 6
+
+
+def test_keys_are_written_again_after_two_changes_within_a_second():
+    """The second copy lacks what was written after the first change."""
+
+    async def main(writers, former):
+        store = writers.store
+        for pause_s in (0.1, 0.2):
+            store.go_back(former)
+            await store.read_prefix('op/')
+            await asyncio.sleep(pause_s)
+        store.go_back(former)
+        await store.read_prefix('op/')
+        await fakes.wait_until(lambda: writers.is_written, REWRITE_S)
+
+    run_writers(main)
+
+
+def test_lease_whose_number_is_given_out_again_is_not_used(monkeypatch):
+    """The lease with its number is that of another process after the change.
+
+    If this one renewed it or ended it, the other's keys would stay too long
+    or be deleted.
+    """
+    monkeypatch.setattr(_registration, 'RENEW_PERIOD_S', 60.0)
+
+    async def main():
+        store = fakes.FakeStore()
+        former = store.take_copy()
+        live_entries = catalogs.LiveEntries()
+        live_entries.replace(['entry-1'])
+        registration = platform.Registration(store, live_entries, 'entry-1')
+        task = asyncio.ensure_future(registration.run())
+        key = _documents.ENTRY_PREFIX + 'entry-1'
+        await fakes.wait_until(lambda: key in store.items)
+        store.go_back(former)
+        other = await store.grant_lease(5.0)
+        await store.write('other', b'', other)
+        await fakes.wait_until(lambda: key in store.items, REWRITE_S)
+        numbers = [n for n, keys in store.leases.items() if key in keys]
+        await registration.deregister()
+        task.cancel()
+        return other.id, numbers, list(store.items)
+
+    other, numbers, keys = asyncio.run(main())
+    assert other == 1
+    assert numbers == [2]
+    assert keys == ['other']
+
+
+def test_lease_of_before_the_change_is_not_ended_by_a_stopping_entry():
+    async def main():
+        store = fakes.FakeStore()
+        former = store.take_copy()
+        live_entries = catalogs.LiveEntries()
+        registration = platform.Registration(store, live_entries, 'entry-1')
+        task = asyncio.ensure_future(registration.run())
+        await fakes.wait_until(lambda: 'write' in store.calls)
+        await asyncio.sleep(0.05)
+        store.go_back(former)
+        task.cancel()
+        other = await store.grant_lease(5.0)
+        await store.write('other', b'', other)
+        await registration.deregister()
+        return other.id, list(store.items)
+
+    assert asyncio.run(main()) == (1, ['other'])
