Hold changes of the store's era during other disruptions by tests

Two changes within a second, an entry that is frozen meanwhile (the watcher or a follower, over one change and two, while the counter passes the old revision), a watcher that is cut off and stays in the era before, entries that start right after the change, and a delayed write that binds a key to a lease number given out again.

--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -666,3 +666,135 @@
         return other.id, list(store.items)
 
     assert asyncio.run(main()) == (1, ['other'])
+
+
+async def leave_and_go_back(region):
+    """Let `i-1` leave; return a copy of the store from before that."""
+    store = region.store
+    store.put('servers/i-2', documents.UPSTREAM)
+    await region.wait_until(lambda entry: ids(entry) == {'i-1', 'i-2'})
+    former = store.take_copy()
+    store.put('servers/i-1', LEAVING)
+    await region.wait_until(lambda entry: ids(entry) == {'i-2'})
+    await asyncio.sleep(SETTLED_S)
+    return former
+
+
+def test_two_changes_within_a_second_are_followed():
+    async def main(region):
+        store = region.store
+        former = await leave_and_go_back(region)
+        store.go_back(former)
+        store.put('servers/i-3', documents.UPSTREAM)
+        await asyncio.sleep(0.2)
+        store.go_back(former)
+        store.put('servers/i-4', documents.UPSTREAM)
+        await region.wait_until(lambda entry: 'i-4' in ids(entry))
+        return {frozenset(ids(entry)) for entry in region.entries}
+
+    found = regions.run(main, regions.TWO_REGIONS)
+    assert found == {frozenset({'i-2', 'i-4'})}
+
+
+@pytest.mark.parametrize('changes', [1, 2])
+@pytest.mark.parametrize('of_watcher', [False, True])
+def test_entry_that_was_frozen_follows_a_change(changes, of_watcher):
+    """Meanwhile the counter passes the revision that the entry has read."""
+
+    async def main(region):
+        store = region.store
+        former = await leave_and_go_back(region)
+        frozen = region.watcher() if of_watcher else region.followers()[0]
+        others = [e for e in region.entries if e is not frozen]
+        frozen.task.cancel()
+        for _ in range(changes):
+            store.go_back(former)
+            write_more(store, 20)
+            await asyncio.sleep(0.2)
+        store.put('servers/i-3', documents.UPSTREAM)
+        await region.wait_until(lambda entry: 'i-3' in ids(entry), others)
+        frozen.task = asyncio.ensure_future(frozen.updater.run())
+        await region.wait_until(lambda entry: 'i-3' in ids(entry))
+        seen = await observe(region, lambda entry: frozenset(ids(entry)))
+        return seen, frozen.updater.eras.era
+
+    seen, era = regions.run(main)
+    assert seen == {frozenset({'i-2', 'i-3'})}
+    assert era == 1 + changes
+
+
+def test_entries_whose_watcher_is_still_in_the_era_before_leave_it():
+    """The watcher is cut off from the store, and confirms nothing more."""
+
+    async def main(region):
+        store = region.store
+        former = await leave_and_go_back(region)
+        watcher, others = region.watcher(), region.followers()
+        watcher.store.is_cut = True
+        store.go_back(former)
+        store.put('servers/i-3', documents.UPSTREAM)
+        await region.wait_until(lambda entry: 'i-3' in ids(entry), others)
+        ages = [entry.catalog.age_s(entry.boottime()) for entry in others]
+        watcher.store.is_cut = False
+        found = {frozenset(ids(entry)) for entry in others}
+        return max(ages), found
+
+    age_s, found = regions.run(main, regions.TWO_REGIONS)
+    assert age_s < regions.KEY_TRUST_S
+    assert found == {frozenset({'i-2', 'i-3'})}
+
+
+def test_entries_that_are_replaced_during_a_change_follow_it():
+    """An entry starts right after the change, and one more within it."""
+
+    async def main(region):
+        store = region.store
+        former = await leave_and_go_back(region)
+        old = region.watcher()
+        await old.kill()
+        store.go_back(former)
+        for entry in region.entries:
+            region.register(entry)
+        restarted = regions.Entry(region, int(old.name[-1]))
+        region.entries[region.entries.index(old)] = restarted
+        await restarted.start()
+        store.put('servers/i-3', documents.UPSTREAM)
+        await region.wait_until(lambda entry: 'i-3' in ids(entry))
+        others = [e for e in region.entries if e is not restarted]
+        # The new one learns the leave from the others, not from the store.
+        told = [bool(entry.leaves) for entry in others]
+        return told, {frozenset(ids(entry)) for entry in others}
+
+    told, found = regions.run(main)
+    assert told == [True, True]
+    assert found == {frozenset({'i-2', 'i-3'})}
+
+
+def test_delayed_write_with_a_lease_of_another_does_not_unlist_an_entry(
+    monkeypatch,
+):
+    """A write of the era before binds the key to a number given out again.
+
+    The key is deleted as soon as that lease ends.
+    """
+    monkeypatch.setattr(_registration, 'RENEW_PERIOD_S', 0.02)
+
+    async def main():
+        store = fakes.FakeStore()
+        former = store.take_copy()
+        live_entries = catalogs.LiveEntries()
+        registration = platform.Registration(store, live_entries, 'entry-1')
+        task = asyncio.ensure_future(registration.run())
+        key = _documents.ENTRY_PREFIX + 'entry-1'
+        await fakes.wait_until(lambda: key in store.items)
+        live_entries.put('entry-1')
+        store.go_back(former)
+        other = await store.grant_lease(5.0)
+        await fakes.wait_until(lambda: key in store.items)
+        await store.write(key, b'{}', other)
+        store.expire(other.id)
+        live_entries.drop('entry-1')
+        await fakes.wait_until(lambda: key in store.items)
+        task.cancel()
+
+    asyncio.run(main())
