Tell of a new era of the store in the sidecar's log

By the ordered revisions, a sidecar reads the versions again in a new era; now its log tells of it too. Two tests hold that a newer version and a leaving member outlast an older copy, and that versions are noticed in the new era though their revisions are lower. They pass without this change, which adds the log line alone.

--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -76,6 +76,15 @@
             try:
                 await self._read_or_watch()
                 outage.end()
+            except watch_relay.EraChangedError as exc:
+                _log.warning(
+                    'The store has come back in era {} and may have lost its '
+                    'latest changes; reading the versions again.',
+                    exc.era,
+                    era_before=self._revision.era,
+                    revision_before=self._revision.number,
+                )
+                self._revision = None
             except watch_relay.HistoryGoneError:
                 self._revision = None
             except errors.StoreError as exc:
--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -244,3 +244,51 @@
     assert [member.name for member in before] == ['10.1.0.9']
     assert during == before
     assert after == []
+
+
+def test_versions_are_followed_into_a_new_era_of_the_store():
+    """The store comes back from a copy without the newest version.
+
+    Engines would load the previous one again, and newer ones with lower
+    revisions would not be noticed.
+    """
+
+    async def main(view, store):
+        announce(store, 2)
+        await fakes.wait_until(lambda: view.catalog.announced_models())
+        former = store.take_copy()
+        announce(store, 3)
+        for number in range(10):
+            store.put(f'op/other/{number}', {})
+        newest = view.catalog.newest_version
+        await fakes.wait_until(lambda: newest('drafts').version == 3)
+        learned_at = newest('drafts').learned_at
+        # The view waits for the next change.
+        await asyncio.sleep(0.05)
+        store.go_back(former)
+        await asyncio.sleep(0.2)
+        kept = newest('drafts')
+        announce(store, 4)
+        await fakes.wait_until(lambda: newest('drafts').version == 4)
+        return kept.version, kept.learned_at == learned_at
+
+    assert run(main) == (3, True)
+
+
+def test_leaving_member_stays_so_in_a_new_era_of_the_store(monkeypatch):
+    """Chunks would be asked of an engine that has been shut down."""
+    monkeypatch.setattr(_store_view, 'MEMBERS_MAX_AGE_S', 0.0)
+
+    async def main(view, store):
+        store.put('servers/i-1', documents.UPSTREAM)
+        store.put(
+            'servers/i-2', {**documents.UPSTREAM, 'address': '10.1.0.8:8080'}
+        )
+        former = store.take_copy()
+        store.put('servers/i-1', {**documents.UPSTREAM, 'state': 'draining'})
+        before = await view.members()
+        store.go_back(former)
+        after = await view.members()
+        return [[member.name for member in found] for found in (before, after)]
+
+    assert run(main) == [['10.1.0.8'], ['10.1.0.8']]
