--- a/catkinshunt/platform/_registration.py
+++ b/catkinshunt/platform/_registration.py
@@ -72,7 +72,7 @@
             value = _documents.dump_location(self.location)
         await self.client.write(key, value, lease)
         self._lease = lease
-        _log.info('Registered as entry {}.', self.name, lease=lease)
+        _log.info('Registered as entry {}.', self.name, lease=lease.id)
 
     async def deregister(self):
         """Revoke the lease, so that other entries stop counting this one."""
--- a/catkinshunt/platform/tests/test_settings.py
+++ b/catkinshunt/platform/tests/test_settings.py
@@ -59,3 +59,10 @@
     bad.write_text('x = [')
     with pytest.raises(errors.SettingsError, match='not TOML'):
         platform.load_instance_settings(bad)
+
+
+@pytest.mark.parametrize(('given', 'heartbeat_s'), [(None, 1.0), (1200, 1.2)])
+def test_heartbeat_of_upstreams_is_read(given, heartbeat_s):
+    document = {**DOCUMENT, 'heartbeat_ms': given} if given else DOCUMENT
+    cfg = platform.parse_instance_settings(document)
+    assert cfg.heartbeat_s == heartbeat_s
