--- a/catkinshunt/platform/tests/regions.py
+++ b/catkinshunt/platform/tests/regions.py
@@ -47,6 +47,8 @@
             self.feed, self.boottime, self.boottime
         )
         self.quarantined = quarantine.Quarantine()
+        self.leaves = []
+        self.eras = platform.EraMonitor()
         self.updater = platform.CacheUpdater(
             self.feed,
             self.catalog,
@@ -54,6 +56,8 @@
             self.boottime,
             random.Random(1),
             self.quarantined,
+            self.eras,
+            self.leaves.append,
         )
         self.task = None
 
@@ -96,8 +100,8 @@
         self.boottime = boottime
         self.must_be_direct = must_be_direct
 
-    async def read_prefix(self, prefix):
-        return await self._peer().read_prefix(prefix)
+    async def read_prefix(self, prefix, *args):
+        return await self._peer().read_prefix(prefix, *args)
 
     async def watch(self, prefix, after, wait_s):
         return await self._peer().watch(prefix, after, wait_s)
