Let upstreams of the soak fall silent, and find answers that are cut

A sound upstream may fall silent for a second or so and go on; no answer may end sooner for that. The soak knew only upstreams that stay silent for 60 s, and checked no answer that broke off. Now upstreams fall silent for 0.8 to 1.6 s before a request runs, before its head, between events or in reports, and a tenth for good, with a successor under another name. The faults come from a generator of their own (`--silences=True`), so listed seeds keep theirs.

New checks: an answer that is cut though its upstream, its link and its entry had no fault, neither deadline nor time-out had passed, and no other upstream had broken off a reply that took its place; requests that reach upstreams, or are worked on, over half a second after their caller left.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -14,6 +14,7 @@
 def main(
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
     folder=None, crashes=_soak.CRASHES, limits=True, statements=True,
+    silences=False,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -28,6 +29,7 @@
         crashes: whether seeds may draw a request that crashes engines.
         limits: whether upstreams may state limits.
         statements: whether upstreams may leave and ask for back-off.
+        silences: whether upstreams may fall silent.
     """
     logs.configure(level='ERROR')
     failed = 0
@@ -44,6 +46,7 @@
                 crashes,
                 limits,
                 statements,
+                silences,
             )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
@@ -67,7 +70,7 @@
     return broken, (
         f'answers {shown}; {runs} runs, {crashes} crashes, '
         f'{limited} answers with a limit, {leaving} of leaving upstreams, '
-        f'{rests} rests, '
+        f'{rests} rests, {len(soak.records.silences)} silences, '
         f'version {soak.version}'
     )
 
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -68,8 +68,9 @@
         try:
             async with asyncio.timeout(limit_s):
                 await self._exchange(pool, answer)
-        except (TimeoutError, OSError):
+        except (TimeoutError, OSError) as exc:
             answer.again_s = None
+            answer.gave_up = isinstance(exc, TimeoutError)
         finally:
             answer.ended_at = self.clock()
         return answer
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -13,7 +13,9 @@
 from catkinshunt import http1
 from catkinshunt import notifier
 from standins import rate_rule
+from standins.soak import _cuts
 from standins.soak import _records
+from standins.soak import _silences
 
 MODEL = 'drafts'
 CHUNKS = 8
@@ -188,6 +190,8 @@
         is_leaving: whether it says in all its answers that it leaves.
         back_off_s: Retry-After with which it turns requests away, or None.
         visits: `_records.Visits` since its start.
+        silence: `_silences.Silence` that holds it up.
+        is_dead: whether it is silent for good.
     """
 
     def __init__(self, name, service, records, clock, version=None):
@@ -203,6 +207,8 @@
         self.gone = False
         self.on_crash = None
         self.back_off_s = None
+        self.silence = _silences.Silence()
+        self.is_dead = False
         self.begin_history()
         self._listener = None
         self._running = set()
@@ -232,10 +238,19 @@
             rate_rule.Statement(self.clock(), per_s)
         )
 
-    async def restart(self, host, port):
-        """End with all connections, and start again under the same name."""
+    async def restart(self, host, port, name=None):
+        """End with all connections, and start again.
+
+        Args:
+            host: address to listen on.
+            port: its port.
+            name: name of the new start; None for the same.
+        """
+        now = self.clock()
+        self.records.break_offs[self.name].append((now, now))
         self._close()
         self.state_limit(math.inf)
+        self.name = name or self.name
         self.begin_history()
         self.born = int(time.time() * 1000)
         await self.start(host, port)
@@ -250,6 +265,8 @@
         if self.gone:
             return
         self.gone = True
+        now = self.clock()
+        self.records.break_offs[self.name].append((now, now))
         self._close()
         self.state_limit(math.inf)
         beside = frozenset(self._running - {request})
@@ -296,6 +313,7 @@
 
     async def _control(self, req):
         number = int(query_of(req).get('number', -1))
+        await self.silence.wait('reports')
         if req.path == '/-/report':
             return as_json(
                 {
@@ -331,13 +349,27 @@
 
     async def _work(self, conn, req):
         """Answer a caller's request; return whether to go on."""
-        request = req.headers.get('Attempt-Id')
+        attempt = _cuts.Attempt(
+            req.headers.get('Attempt-Id'), self.name, self.clock()
+        )
+        self.records.attempts.append(attempt)
+        try:
+            return await self._answer(conn, req, attempt)
+        except asyncio.CancelledError:
+            attempt.was_reset = True
+            raise
+        finally:
+            attempt.ended_at = self.clock()
+
+    async def _answer(self, conn, req, attempt):
+        request = attempt.request
         items = [('Attempt-Id', request), ('Server-Stamp', self.name)]
         entry = self.records.entry_of(request)
         self.history.arrivals.append(rate_rule.Arrival(self.clock(), entry))
         self.visits.add(request, self.clock())
         items += self._leaving_items()
         if self.back_off_s is not None:
+            attempt.was_rejected = True
             self.visits.reject(entry, self.clock(), self.back_off_s)
             items.append(('Not-Executed', '1'))
             items.append(('Retry-After', f'{self.back_off_s:g}'))
@@ -346,11 +378,13 @@
         if self.limit_per_s < math.inf:
             items.append(('Server-Limit', f'{self.limit_per_s:g}'))
         if self.fault == 'full' or self.version == 0:
+            attempt.was_rejected = True
             items.append(('Not-Executed', '1'))
             conn.write(http1.dump_reply(503, items))
             return True
         if self.fault == 'silent':
             await asyncio.sleep(60)
+        await self.silence.wait('arrival')
         first = int(req.headers.get('Last-Event-Id') or 0) + 1
         self.records.runs.append(
             _records.Run(
@@ -365,32 +399,38 @@
         self._running.add(request)
         try:
             if self.version is None:
-                return await self._book(conn, request, items)
+                return await self._book(conn, attempt, items)
             crash_at = None
             if req.body == CRASHING:
                 crash_at = len(self.records.crashes) % CRASH_WAYS
-            return await self._stream(conn, request, items, first, crash_at)
+            return await self._stream(conn, attempt, items, first, crash_at)
         finally:
             self._running.discard(request)
 
-    async def _book(self, conn, request, items):
+    async def _book(self, conn, attempt, items):
         await asyncio.sleep(BOOK_S)
+        await self.silence.wait('head')
         if self.fault in ('reset', 'lose'):
             return False
-        body = _records.whole_body(request, 'book')
+        body = _records.whole_body(attempt.request, 'book')
+        attempt.replied_at = self.clock()
         conn.write(http1.dump_reply(200, items, body))
         return True
 
-    async def _stream(self, conn, request, items, first, crash_at):
+    async def _stream(self, conn, attempt, items, first, crash_at):
         """Write events; crash before the event at a place, 0 is the head."""
+        request = attempt.request
         if crash_at == 0:
             self._crash(request)
             return False
+        await self.silence.wait('head')
+        attempt.replied_at = self.clock()
         items.append(('Content-Type', 'text/event-stream'))
         items.append(('Transfer-Encoding', 'chunked'))
         conn.write(http1.dump_head(http1.status_line(200), items))
         for place, number in enumerate(range(first, _records.EVENTS + 1), 1):
             await asyncio.sleep(EVENT_S)
+            await self.silence.wait('events')
             if place == crash_at:
                 self._crash(request)
                 return False
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -5,6 +5,7 @@
 import attrs
 
 from standins import rate_rule
+from standins.soak import _cuts
 from standins import statement_rules
 
 #: Seconds beyond a bound that a run on a busy machine may need to be seen.
@@ -30,6 +31,7 @@
         limited_by: upstream whose limit the reply names, or ''.
         headed_at: when the head of the reply arrived.
         leaving: upstream that says in the reply that it leaves, or ''.
+        gave_up: whether the caller left before the answer.
     """
 
     request: str
@@ -45,6 +47,7 @@
     limited_by: str = ''
     headed_at: float = 0.0
     leaving: str = ''
+    gave_up: bool = False
 
     @property
     def identity(self):
@@ -118,6 +121,7 @@
         version_s: seconds after which a named version must be served.
         revoke_s: seconds after which a removed key must not be.
         drain_s: seconds after which a leaving upstream gets no new work.
+        timeout_s: seconds after which a request may end without an answer.
 
     Attributes:
         histories: pairs of an upstream and its `rate_rule.UpstreamHistory`.
@@ -126,14 +130,19 @@
         interruptions: (begin, end) of the restarts and freezes of an entry,
             by its address.
         visits: `Visits` of each start of an upstream.
+        attempts: `_cuts.Attempt` objects.
+        silences: (upstream, begin, end) of the silences that ended.
+        break_offs: (begin, end) of faults, crashes, restarts and silences
+            for good, by upstream. It may break off answers in that time.
         back_at: when all engines were back and served new requests, after
             the last crash; None if that never was.
     """
 
-    def __init__(self, version_s, revoke_s, drain_s):
+    def __init__(self, version_s, revoke_s, drain_s, timeout_s=6.0):
         self.version_s = version_s
         self.revoke_s = revoke_s
         self.drain_s = drain_s
+        self.timeout_s = timeout_s
         self.answers = []
         self.runs = []
         self.loads = []
@@ -146,6 +155,9 @@
         self.disruptions = collections.defaultdict(list)
         self.interruptions = collections.defaultdict(list)
         self.visits = []
+        self.attempts = []
+        self.silences = []
+        self.break_offs = collections.defaultdict(list)
         self.back_at = None
         self._entries = {}
 
@@ -175,6 +187,8 @@
             found += self._check_key(answer, runs[answer.request])
         for run in self.runs:
             found += self._check_run(run)
+        found += self._check_cuts()
+        found += self._check_gone()
         found += self._check_limits()
         found += self._check_leaves()
         found += self._check_back_offs()
@@ -215,6 +229,63 @@
                     'after it had to be left alone'
                 )
 
+    def _attempts_by_request(self):
+        found = collections.defaultdict(list)
+        for attempt in self.attempts:
+            found[attempt.request].append(attempt)
+        return found
+
+    def _is_entry_harmed(self, answer):
+        """Return whether the entry of an answer was out of touch."""
+        spans = self.interruptions[answer.entry]
+        spans = spans + self.disruptions[answer.entry]
+        return _overlaps(spans, answer.sent_at - CONTACT_S, answer.ended_at)
+
+    def _is_sound(self, attempt, until):
+        """Return whether an upstream could go on with an attempt.
+
+        A silence that ends is no fault.
+        """
+        links = self.disruptions[attempt.upstream]
+        broke_off = self.break_offs[attempt.upstream]
+        return not _overlaps(
+            links, attempt.at - CONTACT_S, until
+        ) and not _overlaps(broke_off, attempt.at, until)
+
+    def _is_silent(self, upstream, at):
+        spans = [(b, e) for name, b, e in self.silences if name == upstream]
+        return _overlaps(spans, at, at)
+
+    def _check_cuts(self):
+        for answer, attempt in _cuts.find_cuts(
+            self.answers,
+            self._attempts_by_request(),
+            self.timeout_s - SLACK_S,
+            self._is_entry_harmed,
+            self._is_sound,
+        ):
+            yield (
+                f'{answer.request} was cut after status {answer.status}, '
+                f'{answer.ended_at - answer.sent_at:.2f} s after it was sent, '
+                f'though {attempt.upstream} was sound'
+            )
+
+    def _check_gone(self):
+        """Return what reached upstreams, or ran on, for callers who left."""
+        given = (
+            self.answers,
+            self._attempts_by_request(),
+            SLACK_S,
+            self._is_entry_harmed,
+            self._is_sound,
+        )
+        found = _cuts.find_late_arrivals(*given)
+        if found:
+            yield f'{found} reached upstreams after their callers had left'
+        found = _cuts.find_late_ends(*given, self._is_silent)
+        if found:
+            yield f'{found} ran on after their callers had left'
+
     def _check_limits(self):
         told = collections.defaultdict(list)
         for answer in self.answers:
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -15,6 +15,7 @@
 from standins.soak import _processes
 from standins.soak import _proxy
 from standins.soak import _records
+from standins.soak import _silences
 from standins.soak import _statements
 
 VERSION_S = 4.0
@@ -26,6 +27,9 @@
 PROXY_PORT, STORE_PORT, ORIGIN_PORT = 8705, 8007, 8006
 #: Most seconds between two faults, and most that one lasts.
 PAUSE_S, FAULT_S = 1.0, 2.5
+#: Most seconds between two faults in quiet seeds. Each fault of an entry
+#: excuses what it does for a while.
+QUIET_PAUSE_S, QUIET_SHARE = 6.0, 0.6
 #: Whether seeds may draw a request that crashes the engines that run it.
 CRASHES = True
 #: How many times as likely it is drawn as another fault, so that most of a
@@ -57,11 +61,12 @@
         crashes: whether a request may crash engines.
         limits: whether upstreams may state limits.
         statements: whether upstreams may leave and ask for back-off.
+        silences: whether upstreams may fall silent.
     """
 
     def __init__(
         self, folder, seed=1, entries=2, sidecars=4, callers=6,
-        crashes=CRASHES, limits=True, statements=True,
+        crashes=CRASHES, limits=True, statements=True, silences=False,
     ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
@@ -69,9 +74,13 @@
         self.crashes = crashes
         self.limits = limits
         self.statements = statements
+        self.silences = silences
         # Of their own, so that the faults of a seed stay the same.
         self.limit_random = random.Random(f'limits {seed}')
         self.statement_random = random.Random(f'statements {seed}')
+        self.silence_random = random.Random(f'silences {seed}')
+        quiet = silences and self.silence_random.random() < QUIET_SHARE
+        self.pause_s = QUIET_PAUSE_S if quiet else PAUSE_S
         self.repeating, self.returning = [], []
         self.until = None
         self.clock = asyncio.get_running_loop().time
@@ -108,6 +117,8 @@
             work.append(self._make_limit_changes().run(until - FAULT_S))
         if self.statements:
             work.append(self._make_statement_changes().run(until - FAULT_S))
+        if self.silences:
+            work.append(self._make_silence_changes().run(until - FAULT_S))
         await asyncio.gather(*work, self._harm(until - FAULT_S))
         await asyncio.gather(*self.repeating)
         if self.records.crashes:
@@ -127,10 +138,31 @@
             self.clock,
         )
 
+    def _make_silence_changes(self):
+        return _silences.SilenceChanges(
+            self.upstreams,
+            self.records,
+            lambda name: self.store.put(f'servers/{name}', None),
+            self._replace,
+            self.silence_random,
+            self.clock,
+        )
+
+    async def _replace(self, name):
+        """End an upstream and start another one in its place."""
+        upstream, host = self.upstreams.pop(name)
+        proxy = next(each for each in self.proxies if each.name == name)
+        proxy.name = _next_name(name)
+        self.upstreams[proxy.name] = (upstream, host)
+        self.store.put(f'servers/{name}', None)
+        port = PLAIN_PORT if upstream.version is None else ENGINE_PORT
+        await upstream.restart(host, port, proxy.name)
+        self._write_upstream(proxy.name)
+
     async def _restart(self, name):
         """Restart an upstream under its name."""
         upstream, host = self.upstreams[name]
-        if not upstream.gone:
+        if not upstream.gone and not upstream.is_dead:
             port = PLAIN_PORT if upstream.version is None else ENGINE_PORT
             await upstream.restart(host, port)
             if name not in self.records.left:
@@ -176,7 +208,8 @@
         With a bound as short as `REVOKE_S` entries refuse all requests for a
         part of each watch in which nothing changes.
         """
-        self._write_upstream('p0')
+        name = next(n for n in self.upstreams if n.startswith('p'))
+        self._write_upstream(name)
 
     # Start.
 
@@ -329,7 +362,8 @@
         known = {}
         while True:
             for name, (upstream, _) in self.upstreams.items():
-                if known.get(name) != upstream.version and not upstream.gone:
+                absent = upstream.gone or upstream.is_dead
+                if known.get(name) != upstream.version and not absent:
                     known[name] = upstream.version
                     if name not in self.records.left:
                         self._write_upstream(name)
@@ -358,7 +392,7 @@
             fault = self.random.choice(faults + first)
             length_s = self.random.uniform(0.2, FAULT_S)
             running.append(asyncio.ensure_future(fault(length_s)))
-            await asyncio.sleep(self.random.uniform(0.0, PAUSE_S))
+            await asyncio.sleep(self.random.uniform(0.0, self.pause_s))
         await asyncio.gather(*running)
 
     async def _harm_link(self, length_s):
@@ -373,9 +407,12 @@
     async def _harm_upstream(self, length_s):
         upstream, _ = self.random.choice(list(self.upstreams.values()))
         faults = ('reset', 'silent', 'full', 'lose')
+        name, since = upstream.name, self.clock()
         upstream.fault = self.random.choice(faults)
         await asyncio.sleep(length_s)
         upstream.fault = None
+        for each in {name, upstream.name}:
+            self.records.break_offs[each].append((since, self.clock()))
 
     async def _harm_store(self, length_s):
         since = self.clock()
@@ -492,7 +529,7 @@
         self.store.put(f'servers/{upstream.name}', None)
         await asyncio.sleep(away_s)
         _, host = self.upstreams.pop(upstream.name)
-        upstream.name = f'e{int(upstream.name[1:]) + START_STEP}'
+        upstream.name = _next_name(upstream.name)
         upstream.born = int(time.time() * 1000)
         upstream.begin_history()
         self.upstreams[upstream.name] = (upstream, host)
@@ -502,6 +539,11 @@
         self._write_upstream(upstream.name)
 
 
+def _next_name(name):
+    """Return the name of the next start of an upstream."""
+    return f'{name[0]}{int(name[1:]) + START_STEP}'
+
+
 def _name_contents(name):
     for number in itertools.count():
         yield f'{name} {number}'.encode()
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -19,6 +19,8 @@
 #: Seconds of a short run; engines must crash and be away for a while in one
 #: that may crash them.
 RUN_S = 16.0 if _soak.CRASHES else 6.0
+#: Seconds of a short run with silences.
+SILENT_RUN_S = 9.0
 #: A time that a run gets long after the third crash is known.
 LATE = 7.0
 
@@ -386,6 +388,16 @@
     assert any(visits.rejections for visits in seen.visits)
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_short_run_with_silences_breaks_nothing(seed, tmp_path):
+    sizes = {'entries': 2, 'sidecars': 3, 'callers': 6}
+    changes = {'crashes': False, 'limits': False, 'silences': True}
+    found, seen = play(tmp_path, seed, SILENT_RUN_S, **changes, **sizes)
+    assert found == []
+    assert sum(answer.status == 200 for answer in seen.answers) > 20
+    assert seen.silences
+
+
 @pytest.mark.parametrize('seed', FAILED_SEEDS)
 def test_a_seed_that_failed_once_breaks_nothing(seed, tmp_path):
     """Requests that ran beside crashes were taken for their cause."""
