--- a/standins/soak/tests/test_cuts.py
+++ b/standins/soak/tests/test_cuts.py
@@ -1,6 +1,9 @@
+import asyncio
+
 import pytest
 
 from standins.soak import _cuts
+from standins.soak import _platform
 from standins.soak import _records
 
 
@@ -89,6 +92,23 @@
     assert broken(answers, attempts, **changes) == []
 
 
+def test_a_request_on_a_connection_that_is_being_closed_is_allowed():
+    """An upstream that has just ended may still read what arrived before."""
+
+    async def main():
+        upstream = _platform.Upstream('e0', 'engines', found, lambda: 11.0)
+        upstream.on_crash = lambda: None
+        await upstream.start('127.0.0.1', 0)
+        upstream._crash('x-1')
+
+    found = _records.Records(version_s=4.0, revoke_s=2.0, drain_s=1.0)
+    asyncio.run(main())
+    assert found._is_sound(attempt('e0', 10.5), 10.9)
+    assert not found._is_sound(attempt('e0', 10.5), 11.1)
+    assert not found._is_sound(attempt('e0', 11.01), 11.1)
+    assert found._is_sound(attempt('e0', 11.1), 11.2)
+
+
 def late_arrivals(count, late_s, **changes):
     answers, attempts = [], []
     for number in range(count):
