Remove pending keys that an older copy brings back

A key in the copy lasts as long as its lease had left then, so it may outlast the time of its version by the age of the copy. An entry that starts meanwhile would take the version for pending and begin requests on an older one. The two writers of a key now remove it when its version is due, after a change of the era only; versions that have been due for long cost no call. The test failed before, since the stand-in of the store keeps such a key.

--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -63,11 +63,13 @@
         while True:
             changes = await self.client.eras.sleep(changes)
             self._handled.clear()
-            self._publish_new(group)
+            self._publish_new(group, is_repeated=True)
 
-    def _publish_new(self, group):
+    def _publish_new(self, group, is_repeated=False):
         for model, announced in self._find_unpublished():
             group.create_task(self._publish(model, announced))
+            if is_repeated:
+                group.create_task(self._remove_when_due(model, announced))
 
     def _find_unpublished(self):
         """Return (model, version) pairs that this entry has to publish."""
@@ -88,6 +90,23 @@
         ranked = rendezvous.rank(f'{model}/{version}', names)
         return self.name in ranked[:WRITER_COUNT]
 
+    async def _remove_when_due(self, model, announced):
+        """Remove a key that the store may have got back from an older copy.
+
+        It would last as long as its lease had left when the copy was made, or
+        longer, and an entry that starts then would serve an older version.
+        """
+        due_at = announced.learned_at + self.version_grace_s
+        left_s = due_at - self.boottime()
+        if left_s < -self.version_grace_s:
+            return
+        await asyncio.sleep(max(0.0, left_s))
+        key = _documents.pending_key(model, announced.version)
+        try:
+            await self.client.remove(key)
+        except errors.StoreError as exc:
+            _log.warning('Removing the key {} failed: {}.', key, exc)
+
     async def _publish(self, model, announced):
         """Write the key of one version unless it is due too soon."""
         due_at = announced.learned_at + self.version_grace_s
--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -197,6 +197,11 @@
         document = {'expected': [], 'write': [row], 'remove': []}
         await self._modify_lease('write', lease, '/-/kv-txn', document)
 
+    async def remove(self, key):
+        """Remove `key` unconditionally, if it exists."""
+        document = {'expected': [], 'write': [], 'remove': [key]}
+        await self._modify('remove', '/-/kv-txn', document)
+
     async def _modify_lease(self, kind, lease, *args, **kwargs):
         """Make a call with a lease, if any, of the present era.
 
--- a/catkinshunt/platform/tests/fakes.py
+++ b/catkinshunt/platform/tests/fakes.py
@@ -160,6 +160,11 @@
             self.leases[lease.id].add(key)
         self.put(key, value)
 
+    async def remove(self, key):
+        await self._begin('remove')
+        if key in self.items:
+            self.delete(key)
+
     def expire(self, lease):
         """End the lease with this number and all its keys."""
         for key in self.leases.pop(lease):
--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -798,3 +798,53 @@
         task.cancel()
 
     asyncio.run(main())
+
+
+def test_pending_key_of_the_copy_does_not_outlast_the_time_of_its_version():
+    """The lease in the copy ends later than the one that was granted.
+
+    An entry that starts meanwhile would serve an older version.
+    """
+
+    async def main():
+        async with Writers().running() as writers:
+            store = writers.store
+            for catalog in writers.catalogs:
+                catalog.add_announced_version(
+                    'drafts', 2, writers.now() - VERSION_S + 1.5
+                )
+            await fakes.wait_until(lambda: PENDING_KEY in store.items)
+            due_at = writers.now() + 1.5
+            former = store.take_copy()
+            await asyncio.sleep(0.5)
+            store.calls.clear()
+            store.go_back(former)
+            await store.read_prefix('op/')
+            await asyncio.sleep(SETTLED_S)
+            listed = PENDING_KEY in store.items
+            await fakes.wait_until(lambda: PENDING_KEY not in store.items)
+            late_s = writers.now() - due_at
+            await asyncio.sleep(0.2)
+            return listed, late_s, store.calls.count('remove')
+
+    listed, late_s, removed = asyncio.run(main())
+    assert listed
+    assert -0.2 < late_s < 0.3
+    assert removed <= _pending_publisher.WRITER_COUNT
+
+
+def test_long_due_versions_cost_no_calls_after_a_change():
+    async def main():
+        async with Writers().running() as writers:
+            store = writers.store
+            for catalog in writers.catalogs:
+                catalog.add_announced_version(
+                    'drafts', 2, writers.now() - 3 * VERSION_S
+                )
+            await asyncio.sleep(0.05)
+            store.go_back(store.take_copy())
+            await store.read_prefix('op/')
+            await asyncio.sleep(2 * SETTLED_S)
+            return store.calls.count('remove')
+
+    assert asyncio.run(main()) == 0
--- a/catkinshunt/watch_relay/_regional.py
+++ b/catkinshunt/watch_relay/_regional.py
@@ -17,7 +17,7 @@
 PEER_WAIT_S = 0.4
 #: Wait in seconds of a read at another process after a change of the era. That
 #: process begins to read as soon as the service is back.
-ERA_READ_WAIT_S = 0.6
+ERA_READ_WAIT_S = 0.8
 #: Wait in seconds of a watch at the service if there are other entries. Each
 #: answer confirms the state of those that watch through this process.
 SOURCE_WAIT_S = 0.6
