Ask peers for pages of the known era from the start on

An entry that starts reads the list of entries from the store and the rest at its watcher. If that one is cut off and still in the era before, the pages were of two eras, and the entry read the list from the store again and again (8 reads until the watcher counted as stale). It now asks its peers for the era of the pages that it has, and reads from the store if they do not get there.

--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -848,3 +848,31 @@
             return store.calls.count('remove')
 
     assert asyncio.run(main()) == 0
+
+
+def test_entry_that_starts_beside_a_watcher_of_the_era_before_follows():
+    """It reads the list of entries from the store and the rest at a peer.
+
+    If it took pages of two eras again and again, it would call the store all
+    the time, and have no configuration meanwhile.
+    """
+
+    async def main(region):
+        store = region.store
+        former = await leave_and_go_back(region)
+        watcher, follower = region.watcher(), region.followers()[0]
+        await follower.kill()
+        watcher.store.is_cut = True
+        store.go_back(former)
+        store.put('servers/i-3', documents.UPSTREAM)
+        for entry in region.entries:
+            region.register(entry)
+        started = regions.Entry(region, int(follower.name[-1]))
+        region.entries[region.entries.index(follower)] = started
+        await started.start()
+        await fakes.wait_until(lambda: 'i-3' in ids(started))
+        calls = list(started.store.calls)
+        watcher.store.is_cut = False
+        return [call for call in calls if call.startswith('read')]
+
+    assert len(regions.run(main)) <= 4
--- a/catkinshunt/watch_relay/_regional.py
+++ b/catkinshunt/watch_relay/_regional.py
@@ -15,6 +15,8 @@
 #: Wait in seconds of a watch at another process. A short wait detects an
 #: unresponsive process early, and such a call costs the service nothing.
 PEER_WAIT_S = 0.4
+#: Wait in seconds of a read at another process.
+READ_WAIT_S = 2.0
 #: Wait in seconds of a read at another process after a change of the era. That
 #: process begins to read as soon as the service is back.
 ERA_READ_WAIT_S = 0.8
@@ -251,11 +253,8 @@
 
     async def _read_peer(self, watcher, prefix):
         peer = self._peer_source(watcher)
-        if self._changed_era is None:
-            return await peer.read_prefix(prefix)
-        return await peer.read_prefix(
-            prefix, ERA_READ_WAIT_S, self._changed_era
-        )
+        wait_s = READ_WAIT_S if self._changed_era is None else ERA_READ_WAIT_S
+        return await peer.read_prefix(prefix, wait_s, self._least_era)
 
     async def _watch_peer(self, prefix, after):
         """Return the changes from the chosen watcher, or None."""
@@ -281,7 +280,7 @@
     def _check_page(self, page, watcher):
         """Return whether a page is recent enough; record the outcome."""
         now = self.wall()
-        if page.revision.era < (self._changed_era or 0):
+        if page.revision.era < self._least_era:
             self._note_failure(watcher, 'its era is over', responded=True)
             return False
         if now - page.confirmed_at >= STALE_S:
@@ -292,6 +291,11 @@
             self._remote_response_at = now
         return True
 
+    @property
+    def _least_era(self):
+        """Era below which pages of other processes are outdated."""
+        return max(self.cache.era, self._changed_era or 0)
+
     def _choose_watcher(self):
         watcher = self.watchers.choose(self.wall())
         if watcher is not None and watcher != self._current_watcher:
