--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -798,3 +798,81 @@
         task.cancel()
 
     asyncio.run(main())
+
+
+def test_pending_key_of_the_copy_does_not_outlast_the_time_of_its_version():
+    """The lease in the copy ends later than the one that was granted.
+
+    An entry that starts meanwhile would serve an older version.
+    """
+
+    async def main():
+        async with Writers().running() as writers:
+            store = writers.store
+            for catalog in writers.catalogs:
+                catalog.add_announced_version(
+                    'drafts', 2, writers.now() - VERSION_S + 1.5
+                )
+            await fakes.wait_until(lambda: PENDING_KEY in store.items)
+            due_at = writers.now() + 1.5
+            former = store.take_copy()
+            await asyncio.sleep(0.5)
+            store.calls.clear()
+            store.go_back(former)
+            await store.read_prefix('op/')
+            await asyncio.sleep(SETTLED_S)
+            listed = PENDING_KEY in store.items
+            await fakes.wait_until(lambda: PENDING_KEY not in store.items)
+            late_s = writers.now() - due_at
+            await asyncio.sleep(0.2)
+            return listed, late_s, store.calls.count('remove')
+
+    listed, late_s, removed = asyncio.run(main())
+    assert listed
+    assert -0.2 < late_s < 0.3
+    assert removed <= _pending_publisher.WRITER_COUNT
+
+
+def test_long_due_versions_cost_no_calls_after_a_change():
+    async def main():
+        async with Writers().running() as writers:
+            store = writers.store
+            for catalog in writers.catalogs:
+                catalog.add_announced_version(
+                    'drafts', 2, writers.now() - 3 * VERSION_S
+                )
+            await asyncio.sleep(0.05)
+            store.go_back(store.take_copy())
+            await store.read_prefix('op/')
+            await asyncio.sleep(2 * SETTLED_S)
+            return store.calls.count('remove')
+
+    assert asyncio.run(main()) == 0
+
+
+def test_entry_that_starts_beside_a_watcher_of_the_era_before_follows():
+    """It reads the list of entries from the store and the rest at a peer.
+
+    If it took pages of two eras again and again, it would call the store all
+    the time, and have no configuration meanwhile.
+    """
+
+    async def main(region):
+        store = region.store
+        former = await leave_and_go_back(region)
+        watcher, follower = region.watcher(), region.followers()[0]
+        await follower.kill()
+        watcher.store.is_cut = True
+        store.go_back(former)
+        store.put('servers/i-3', documents.UPSTREAM)
+        for entry in region.entries:
+            region.register(entry)
+        started = regions.Entry(region, int(follower.name[-1]))
+        region.entries[region.entries.index(follower)] = started
+        await started.start()
+        await fakes.wait_until(lambda: 'i-3' in ids(started))
+        calls = list(started.store.calls)
+        watcher.store.is_cut = False
+        return [call for call in calls if call.startswith('read')]
+
+    assert len(regions.run(main)) <= 4
