Let an entry that the store answers read for the others

After an outage the entry that the store answered first still took the store for out of reach, and read through another entry, which waited for it. A change of era now ends the memory of failed calls as it ends the pauses of watchers.

In the catalog, an upstream that lapsed in the outage of a second change lost the 1.5 s in which the last ones of a service stay usable. Both tests failed before.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -76,7 +76,9 @@
         self._confirmed_at = None
         self._upstreams = {}
         self._removed = {}
-        # `Upstream.key` by id, the oldest first.
+        # `Upstream.key` by id, the oldest first: of those that leave, of
+        # those that were removed, and of those removed before the latest
+        # change of the era.
         self._leaves = {}
         self._removed_keys = {}
         self._doubted = {}
@@ -283,7 +285,8 @@
         known = self._upstreams.pop(upstream_id, None)
         if known is None:
             return
-        self._removed[upstream_id] = (known, now)
+        if not self._is_doubted(known, now):
+            self._removed[upstream_id] = (known, now)
         _remember(self._removed_keys, upstream_id, known.key)
         _log.info('Upstream {} is no longer listed.', upstream_id)
 
@@ -384,9 +387,7 @@
         return [
             upstream
             for upstream, _ in self._removed.values()
-            if upstream.service == service
-            and not upstream.leaving
-            and not self._is_doubted(upstream, now)
+            if upstream.service == service and not upstream.leaving
         ]
 
 
--- a/catkinshunt/catalog/tests/test_catalog.py
+++ b/catkinshunt/catalog/tests/test_catalog.py
@@ -57,3 +57,17 @@
     catalog.confirm(4.0)
     assert catalog.can_trust_keys(7.9)
     assert not catalog.can_trust_keys(8.0)
+
+
+def test_last_upstreams_stay_usable_after_two_changes_of_era():
+    """They lapse in the outage of the second change, and write again after it.
+
+    Requests would be refused until then.
+    """
+    catalog = catalogs.Catalog()
+    catalog.put_upstream(upstream('u1'))
+    catalog.begin_era(now=0.0, confirm_s=4.0)
+    catalog.drop_upstream('u1', now=0.1)
+    catalog.begin_era(now=0.2, confirm_s=4.0)
+    assert [u.id for u in catalog.upstreams('desk', now=0.3)] == ['u1']
+    assert catalog.upstreams('desk', now=2.0) == []
--- a/catkinshunt/watch_relay/_watchers.py
+++ b/catkinshunt/watch_relay/_watchers.py
@@ -96,8 +96,9 @@
             self._pauses.pop(_REGIONS_KEY, None)
 
     def resume(self):
-        """End all pauses."""
+        """End all pauses, and forget that the service did not answer."""
         self._pauses.clear()
+        self._source_failed_until = -math.inf
 
     def note_source_failure(self, now):
         """Record that the service did not answer this process."""
--- a/catkinshunt/watch_relay/tests/test_watchers.py
+++ b/catkinshunt/watch_relay/tests/test_watchers.py
@@ -1,3 +1,4 @@
+from catkinshunt import catalog as catalogs
 import pytest
 
 from catkinshunt import catalog
@@ -51,3 +52,26 @@
         assert selector.choose(now) is None
         now += _watchers.MAX_PAUSE_S
     assert selector.choose(now) is not None
+
+
+def test_a_change_of_era_ends_the_search_for_others():
+    """The service answers again; two processes would wait for each other."""
+    live_entries = catalogs.LiveEntries()
+    live_entries.replace(
+        {
+            name: catalogs.EntryLocation('10.0.0.1', 'attiki')
+            for name in ('edge-1', 'edge-2')
+        }
+    )
+    selectors = [
+        _watchers.WatcherSelector(live_entries, name, 'attiki')
+        for name in live_entries.names()
+    ]
+    for selector in selectors:
+        selector.note_source_failure(now=1.0)
+    assert all(selector.choose(now=1.5) for selector in selectors)
+    for selector in selectors:
+        selector.resume()
+    assert [selector.choose(now=1.5) for selector in selectors].count(
+        None
+    ) == 1
