Let the stand-in of the key-value service go back to a copy

The store of the first interface knew outages, delays and lost replies, but never lost what it had acknowledged. A call to /faults with `back_s` now makes it go back by so many seconds, once: values, revisions and leases revert, numbers are given out again, watches that wait end, and one from a revision that it does not have gets 410. The header Era of its replies rises by one.

--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -1,7 +1,6 @@
 """Stand-in for the platform's key-value service, with faults on demand."""
 
 import collections
-import itertools
 import threading
 import time
 
@@ -11,6 +10,10 @@
 from standins import web
 
 
+#: Copies that are kept, one before each write.
+COPIES = 500
+
+
 @attrs.define
 class _Value:
     data: bytes
@@ -18,6 +21,14 @@
     lease: str | None = None
 
 
+@attrs.frozen
+class _Copy:
+    at: float
+    values: dict
+    leases: dict
+    revision: int
+
+
 @attrs.define
 class Faults:
     """Faults in force.
@@ -35,14 +46,21 @@
 
 
 class KeyValueService:
-    """Compare-and-swap, leases and watches in memory."""
+    """Compare-and-swap, leases and watches in memory.
+
+    It may go back to a copy: what was written since is lost, and revisions
+    and numbers of leases are given out again. The header ``Era`` of its
+    replies rises by one each time.
+    """
 
     def __init__(self):
         self.calls = collections.Counter()
         self.faults = Faults()
         self._values = {}
         self._leases = {}
-        self._revisions = itertools.count(1)
+        self._revision = 0
+        self._era = 1
+        self._copies = collections.deque(maxlen=COPIES)
         self._changed = threading.Condition()
         self.app = web.App(
             ('GET', '/kv/(.+)', self._get),
@@ -65,16 +83,30 @@
         deadline = time.monotonic() + float(call.query['timeout_s'])
         self.calls['watch'] += 1
         with self._changed:
-            while not self.faults.down:
-                value = self._live(key)
-                if value is not None and value.revision > after:
-                    return self._reply(key)
-                left = deadline - time.monotonic()
-                if left <= 0:
-                    return httpio.Response(204)
-                self._changed.wait(min(left, 0.5))
+            resp = self._wait(key, after, deadline)
+            return resp.with_headers(self._era_header())
+
+    def _wait(self, key, after, deadline):
+        era = self._era
+        if after > self._revision:
+            return httpio.Response(410)
+        while not self.faults.down and self._era == era:
+            value = self._live(key)
+            if value is not None and value.revision > after:
+                return self._reply(key)
+            left = deadline - time.monotonic()
+            if left <= 0:
+                return httpio.Response(204)
+            self._changed.wait(min(left, 0.5))
         return httpio.Response(503)
 
+    def _era_header(self):
+        return ('Era', str(self._era))
+
+    def _next_revision(self):
+        self._revision += 1
+        return self._revision
+
     def _put(self, call):
         return self._guard('put', lambda: self._swap(call), write=True)
 
@@ -87,7 +119,7 @@
         lease = call.query.get('lease')
         if lease is not None and lease not in self._leases:
             return httpio.Response(409)
-        revision = next(self._revisions)
+        revision = self._next_revision()
         self._values[key] = _Value(call.body, revision, lease)
         self._changed.notify_all()
         return httpio.Response(200, (), (('Revision', str(revision)),))
@@ -105,7 +137,7 @@
 
     def _grant(self, call):
         def grant():
-            lease = f'lease-{next(self._revisions)}'
+            lease = f'lease-{self._next_revision()}'
             ttl_s = float(call.json()['ttl_s'])
             self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
             return httpio.Response.of_json(200, {'lease': lease})
@@ -127,24 +159,57 @@
         return httpio.Response.of_json(200, dict(self.calls))
 
     def _set_faults(self, call):
+        """Set the faults in force.
+
+        With ``back_s`` the service also goes back, once, to what it held so
+        many seconds ago.
+        """
+        given = call.json()
+        back_s = given.pop('back_s', None)
         with self._changed:
-            self.faults = Faults(**call.json())
+            self.faults = Faults(**given)
+            if back_s is not None:
+                self._go_back(back_s, time.monotonic())
             self._changed.notify_all()
         return httpio.Response(200)
 
+    def _go_back(self, back_s, now):
+        self._era += 1
+        copy = None
+        while self._copies and self._copies[-1].at > now - back_s:
+            copy = self._copies.pop()
+        if copy is None:
+            return
+        self._values, self._revision = dict(copy.values), copy.revision
+        self._leases = {
+            lease: (ttl_s, now + ttl_s)
+            for lease, (ttl_s, _) in copy.leases.items()
+        }
+
+    def _take_copy(self, now):
+        self._copies.append(
+            _Copy(now, dict(self._values), dict(self._leases), self._revision)
+        )
+
     def _guard(self, kind, action, write=False):
         """Count the call, bring about the faults in force, do `action`."""
         self.calls[kind] += 1
         if self.faults.slow_s:
             time.sleep(self.faults.slow_s)
         with self._changed:
-            if self.faults.down:
-                return httpio.Response(503)
-            resp = action()
-            if write and self.faults.lose_answers > 0:
-                self.faults.lose_answers -= 1
-                return httpio.Response(500)
-            return resp
+            resp = self._do(action, write)
+            return resp.with_headers(self._era_header())
+
+    def _do(self, action, write):
+        if self.faults.down:
+            return httpio.Response(503)
+        if write:
+            self._take_copy(time.monotonic())
+        resp = action()
+        if write and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return httpio.Response(500)
+        return resp
 
     def _live(self, key):
         value = self._values.get(key)
