Let the store of the soak go back, and check leaves across it

The platform's store may be away for a moment and come back from an older copy. The soak's store never lost a write, so no run could show what entries make of that. With `--eras=True` it takes copies, goes back by up to some seconds, at times twice within a second, and states its era in all answers. The operator's documents are written again at once, the list entries of sound upstreams within a second; of those that had left, half are written again later, the others lapse. Upstreams leave before and after, since both orders can hide a leave. Edits right before a drill keep the store's counter below what entries have seen.

The check of leaving upstreams was never fed by a run, and any fault of any process excused them. Now a request counts from `drain_s` after the acknowledgement if the store was stable then. Excused is a fault in the last 3 s, but not a later fault of the store for an entry that had known. Old versions are excused only until the end of the last fault, as the time counts in one stretch.

`_soak.ERAS` is off, so the short run has silences only until the product knows eras.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -14,7 +14,7 @@
 def main(
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
     folder=None, crashes=_soak.CRASHES, limits=True, statements=True,
-    silences=False,
+    silences=False, eras=False,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -30,6 +30,8 @@
         limits: whether upstreams may state limits.
         statements: whether upstreams may leave and ask for back-off.
         silences: whether upstreams may fall silent.
+        eras: whether the store may go back to a copy, and upstreams leave
+            around it.
     """
     logs.configure(level='ERROR')
     failed = 0
@@ -47,6 +49,7 @@
                 limits,
                 statements,
                 silences,
+                eras,
             )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
@@ -71,6 +74,7 @@
         f'answers {shown}; {runs} runs, {crashes} crashes, '
         f'{limited} answers with a limit, {leaving} of leaving upstreams, '
         f'{rests} rests, {len(soak.records.silences)} silences, '
+        f'era {soak.store.era}, {len(soak.records.left)} departures, '
         f'version {soak.version}'
     )
 
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -68,6 +68,8 @@
 
     Attributes:
         fault: None, ``'refuse'``, ``'silent'`` or ``'slow'``.
+        is_away: whether it answers nothing, as it will go back to a copy.
+        era: how often it has done so, from 1.
     """
 
     def __init__(self):
@@ -76,6 +78,8 @@
         self.revision = 1
         self.oldest = 0
         self.fault = None
+        self.is_away = False
+        self.era = 1
         self.granted = 0
         self.leases = {}
         self._changes = notifier.Notifier()
@@ -101,12 +105,16 @@
 
     async def answer(self, req):
         """Answer one call."""
-        if self.fault == 'refuse':
-            return as_json({}, 503)
+        reply = await self._answer(req)
+        return attrs.evolve(reply, items=(('Store-Era', str(self.era)),))
+
+    async def _answer(self, req):
         if self.fault == 'silent':
             await asyncio.sleep(60)
         if self.fault == 'slow':
             await asyncio.sleep(0.4)
+        if self.fault == 'refuse' or self.is_away:
+            return as_json({}, 503)
         query = query_of(req)
         prefix = query.get('path_prefix', '')
         if req.path == '/-/kv-range':
@@ -163,7 +171,9 @@
         try:
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
                 while True:
-                    if after < self.oldest:
+                    if self.is_away:
+                        return as_json({}, 503)
+                    if not self.oldest <= after <= self.revision:
                         return as_json({}, 410)
                     found = [
                         item
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -6,6 +6,7 @@
 
 from standins import rate_rule
 from standins.soak import _cuts
+from standins.soak import _departures
 from standins import statement_rules
 
 #: Seconds beyond a bound that a run on a busy machine may need to be seen.
@@ -124,6 +125,10 @@
         timeout_s: seconds after which a request may end without an answer.
 
     Attributes:
+        left: when the store acknowledged that an upstream leaves, by name.
+        store_faults: (begin, end) of the times in which a process may be out
+            of touch for a fault of any kind.
+        store_disruptions: (begin, end) of the faults of the store.
         histories: pairs of an upstream and its `rate_rule.UpstreamHistory`.
         disruptions: (begin, end) of the faults of an entry, by its address,
             and of the link of an upstream, by its name.
@@ -150,6 +155,7 @@
         self.revoked = {}
         self.left = {}
         self.store_faults = []
+        self.store_disruptions = []
         self.crashes = []
         self.histories = []
         self.disruptions = collections.defaultdict(list)
@@ -170,6 +176,11 @@
         """Return the address of the entry that got a request, or ''."""
         return self._entries.get(request, '')
 
+    def note_store_fault(self, begin, end):
+        """Note a disruption of the store."""
+        self.store_faults.append((begin, end + CONTACT_S))
+        self.store_disruptions.append((begin, end))
+
     def is_calm(self, begin, end):
         """Return whether the store had no fault in a span of time."""
         return not any(
@@ -187,6 +198,7 @@
             found += self._check_key(answer, runs[answer.request])
         for run in self.runs:
             found += self._check_run(run)
+        found += self._check_departures()
         found += self._check_cuts()
         found += self._check_gone()
         found += self._check_limits()
@@ -212,21 +224,41 @@
         ]
 
     def _check_run(self, run):
+        ends = [end for begin, end in self.store_faults if begin < run.at]
         for version, since in self.named:
-            late_s = run.at - since - self.version_s
-            calm = self.is_calm(since, run.at)
-            if 0 < run.version < version and late_s > SLACK_S and calm:
+            # The time counts in one stretch without a fault.
+            late_s = run.at - max(since, *ends, 0.0) - self.version_s
+            if 0 < run.version < version and late_s > SLACK_S:
                 yield (
                     f'{run.request} began on version {run.version}, '
                     f'{late_s:.2f} s after version {version} was due'
                 )
-        since = self.left.get(run.upstream)
-        if since is not None and self.is_calm(since - 3, run.at):
-            late_s = run.at - since - self.drain_s
-            if late_s > SLACK_S:
+
+    def _check_departures(self):
+        """Return the requests that reached upstreams which had left."""
+        answers = {answer.request: answer for answer in self.answers}
+        times = {}
+        for each in [*self.attempts, *self.runs]:
+            if each.upstream in self.left:
+                times.setdefault((each.upstream, each.request), each.at)
+        bounds = _departures.Bounds(self.drain_s, SLACK_S, CONTACT_S)
+        for (upstream, request), at in times.items():
+            answer = answers.get(request)
+            sent_at = at if answer is None else answer.sent_at
+            entry = self.entry_of(request)
+            left_at = self.left[upstream]
+            if _departures.is_late(
+                _departures.Arrival(entry, sent_at, at),
+                left_at,
+                bounds,
+                self.store_disruptions,
+                (self.interruptions[entry], self.disruptions[entry]),
+                self.disruptions[upstream],
+            ):
                 yield (
-                    f'{run.request} reached {run.upstream} {late_s:.2f} s '
-                    'after it had to be left alone'
+                    f'{request} of {entry} reached {upstream} '
+                    f'{at - left_at - self.drain_s:.2f} s after it had to be '
+                    f'left alone'
                 )
 
     def _attempts_by_request(self):
@@ -239,7 +271,9 @@
         """Return whether the entry of an answer was out of touch."""
         spans = self.interruptions[answer.entry]
         spans = spans + self.disruptions[answer.entry]
-        return _overlaps(spans, answer.sent_at - CONTACT_S, answer.ended_at)
+        return _departures.overlaps(
+            spans, answer.sent_at - CONTACT_S, answer.ended_at
+        )
 
     def _is_sound(self, attempt, until):
         """Return whether an upstream could go on with an attempt.
@@ -248,13 +282,13 @@
         """
         links = self.disruptions[attempt.upstream]
         broke_off = self.break_offs[attempt.upstream]
-        return not _overlaps(
+        return not _departures.overlaps(
             links, attempt.at - CONTACT_S, until
-        ) and not _overlaps(broke_off, attempt.at, until)
+        ) and not _departures.overlaps(broke_off, attempt.at, until)
 
     def _is_silent(self, upstream, at):
         spans = [(b, e) for name, b, e in self.silences if name == upstream]
-        return _overlaps(spans, at, at)
+        return _departures.overlaps(spans, at, at)
 
     def _check_cuts(self):
         for answer, attempt in _cuts.find_cuts(
@@ -322,7 +356,7 @@
         answers = {answer.request: answer for answer in self.answers}
 
         def is_excused(entry, begin, end):
-            return _overlaps(self.interruptions[entry], begin, end)
+            return _departures.overlaps(self.interruptions[entry], begin, end)
 
         for visits in self.visits:
             told = [
@@ -347,7 +381,7 @@
 
             def is_excused(entry, begin, end, upstream=upstream):
                 return any(
-                    _overlaps(self.disruptions[name], begin, end)
+                    _departures.overlaps(self.disruptions[name], begin, end)
                     for name in (entry, upstream)
                 )
 
@@ -425,10 +459,6 @@
                 )
 
 
-def _overlaps(spans, begin, end):
-    return any(since < end and begin < until for since, until in spans)
-
-
 def _check_answer(answer, runs):
     if answer.kind == 'book' and len(runs) > 1:
         yield f'{answer.request} ran {len(runs)} times'
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -10,6 +10,7 @@
 
 from catkinshunt import http1
 from standins.soak import _callers
+from standins.soak import _era
 from standins.soak import _limits
 from standins.soak import _platform
 from standins.soak import _processes
@@ -32,6 +33,8 @@
 QUIET_PAUSE_S, QUIET_SHARE = 6.0, 0.6
 #: Whether seeds may draw a request that crashes the engines that run it.
 CRASHES = True
+#: Whether the store goes back in the short run with silences.
+ERAS = False
 #: How many times as likely it is drawn as another fault, so that most of a
 #: run has it.
 CRASH_WEIGHT = 3
@@ -62,11 +65,14 @@
         limits: whether upstreams may state limits.
         statements: whether upstreams may leave and ask for back-off.
         silences: whether upstreams may fall silent.
+        eras: whether the store may go back to a copy, and upstreams leave
+            around it.
     """
 
     def __init__(
         self, folder, seed=1, entries=2, sidecars=4, callers=6,
         crashes=CRASHES, limits=True, statements=True, silences=False,
+        eras=False,
     ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
@@ -75,17 +81,22 @@
         self.limits = limits
         self.statements = statements
         self.silences = silences
+        self.eras = eras
         # Of their own, so that the faults of a seed stay the same.
         self.limit_random = random.Random(f'limits {seed}')
         self.statement_random = random.Random(f'statements {seed}')
         self.silence_random = random.Random(f'silences {seed}')
-        quiet = silences and self.silence_random.random() < QUIET_SHARE
-        self.pause_s = QUIET_PAUSE_S if quiet else PAUSE_S
+        self.era_random = random.Random(f'eras {seed}')
+        is_quiet = silences and self.silence_random.random() < QUIET_SHARE
+        is_quiet |= eras and self.era_random.random() < QUIET_SHARE
+        self.pause_s = QUIET_PAUSE_S if is_quiet else PAUSE_S
         self.repeating, self.returning = [], []
         self.until = None
         self.clock = asyncio.get_running_loop().time
         self.records = _records.Records(VERSION_S, REVOKE_S, DRAIN_S)
-        self.store = _platform.Store()
+        self.store = _era.Store()
+        #: What the operator has written, by key.
+        self.declared = {}
         self.processes, self.proxies, self.upstreams = [], [], {}
         #: Addresses of processes by name.
         self.places = {}
@@ -119,6 +130,8 @@
             work.append(self._make_statement_changes().run(until - FAULT_S))
         if self.silences:
             work.append(self._make_silence_changes().run(until - FAULT_S))
+        if self.eras:
+            work.append(self._make_drills().run(until - FAULT_S))
         await asyncio.gather(*work, self._harm(until - FAULT_S))
         await asyncio.gather(*self.repeating)
         if self.records.crashes:
@@ -148,6 +161,19 @@
             self.clock,
         )
 
+    def _make_drills(self):
+        return _era.Drills(
+            self.store,
+            self.upstreams,
+            self.declared,
+            self._configure,
+            self.records,
+            self._write_upstream,
+            self._replace,
+            self.era_random,
+            self.clock,
+        )
+
     async def _replace(self, name):
         """End an upstream and start another one in its place."""
         upstream, host = self.upstreams.pop(name)
@@ -162,11 +188,11 @@
     async def _restart(self, name):
         """Restart an upstream under its name."""
         upstream, host = self.upstreams[name]
-        if not upstream.gone and not upstream.is_dead:
+        is_held = upstream.is_dead or name in self.records.left
+        if not upstream.gone and not is_held:
             port = PLAIN_PORT if upstream.version is None else ENGINE_PORT
             await upstream.restart(host, port)
-            if name not in self.records.left:
-                self._write_upstream(name)
+            self._write_upstream(name)
 
     async def _recover(self):
         """Wait until engines serve again, and ask for the bystanders."""
@@ -208,8 +234,10 @@
         With a bound as short as `REVOKE_S` entries refuse all requests for a
         part of each watch in which nothing changes.
         """
-        name = next(n for n in self.upstreams if n.startswith('p'))
-        self._write_upstream(name)
+        left = self.records.left
+        self._write_upstream(
+            next(n for n in self.upstreams if n[0] == 'p' and n not in left)
+        )
 
     # Start.
 
@@ -305,6 +333,11 @@
         ]
         return '\n'.join(lines) + '\n'
 
+    def _declare(self, key, document):
+        """Write a document of the operator."""
+        self.declared[key] = document
+        self.store.put(key, document)
+
     def _configure(self):
         """Write the next configuration."""
         self.revision += self.random.randint(1, 3)
@@ -319,7 +352,7 @@
             _route('book', 'desk', 'non_idempotent', 1),
         ]
         origin = f'{self.base}:{ORIGIN_PORT}'
-        self.store.put(
+        self._declare(
             'op/config',
             {
                 'version': self.revision,
@@ -423,6 +456,7 @@
             self.store.fault = kind
             await asyncio.sleep(length_s)
             self.store.fault = None
+            self.records.store_disruptions.append((since, self.clock()))
         self._note_fault(since)
 
     def _note_interruption(self, since, name):
@@ -476,15 +510,22 @@
         process.start()
         self._note_interruption(since, process.name)
 
+    async def _until_store_answers(self):
+        """Wait until the store can acknowledge what the operator writes."""
+        while self.store.is_away:
+            await asyncio.sleep(_platform.EVENT_S)
+
     async def _name_version(self, length_s):
+        await self._until_store_answers()
         self.version += 1
-        self.store.put(
+        self._declare(
             f'op/version/{_platform.MODEL}',
             {'model': _platform.MODEL, 'version': self.version},
         )
         self.records.named.append((self.version, self.clock()))
 
     async def _remove_key(self, length_s):
+        await self._until_store_answers()
         if len(self.keys) > 1:
             key = self.keys.pop()
             self._configure()
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -19,8 +19,8 @@
 #: Seconds of a short run; engines must crash and be away for a while in one
 #: that may crash them.
 RUN_S = 16.0 if _soak.CRASHES else 6.0
-#: Seconds of a short run with silences.
-SILENT_RUN_S = 9.0
+#: Seconds of a short run with silences and a store that goes back.
+ERA_RUN_S = 12.0
 #: A time that a run gets long after the third crash is known.
 LATE = 7.0
 
@@ -389,13 +389,16 @@
 
 
 @pytest.mark.parametrize('seed', SEEDS)
-def test_a_short_run_with_silences_breaks_nothing(seed, tmp_path):
+def test_a_short_run_with_silences_and_eras_breaks_nothing(seed, tmp_path):
     sizes = {'entries': 2, 'sidecars': 3, 'callers': 6}
     changes = {'crashes': False, 'limits': False, 'silences': True}
-    found, seen = play(tmp_path, seed, SILENT_RUN_S, **changes, **sizes)
+    found, seen = play(
+        tmp_path, seed, ERA_RUN_S, eras=_soak.ERAS, **changes, **sizes
+    )
     assert found == []
     assert sum(answer.status == 200 for answer in seen.answers) > 20
     assert seen.silences
+    assert seen.left or not _soak.ERAS
 
 
 @pytest.mark.parametrize('seed', FAILED_SEEDS)
