--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -34,7 +34,7 @@
 #: Whether seeds may draw a request that crashes the engines that run it.
 CRASHES = True
 #: Whether the store goes back in the short run with silences.
-ERAS = False
+ERAS = True
 #: How many times as likely it is drawn as another fault, so that most of a
 #: run has it.
 CRASH_WEIGHT = 3
