--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -176,6 +176,9 @@
 
     async def _replace(self, name):
         """End an upstream and start another one in its place."""
+        if self.upstreams[name][0].gone:
+            # It has crashed, and another one is about to start.
+            return
         upstream, host = self.upstreams.pop(name)
         proxy = next(each for each in self.proxies if each.name == name)
         proxy.name = _next_name(name)
