--- a/standins/soak/_era.py
+++ b/standins/soak/_era.py
@@ -142,7 +142,8 @@
         try:
             while self.clock() < until:
                 await self._pause(PAUSE_S)
-                await self._drill(until)
+                if self.clock() < until:
+                    await self._drill(until)
             await asyncio.gather(*self._running)
         finally:
             copying.cancel()
@@ -179,7 +180,7 @@
         if self._draw(TWICE_SHARE):
             await self._pause((0.0, TWICE_S))
             await self._go_back(self.random.uniform(*AGE_S))
-        if self._draw(LEAVE_AFTER_SHARE):
+        if self._draw(LEAVE_AFTER_SHARE) and self.clock() < until:
             await self._pause(AFTER_S)
             self._start(self._leave(until))
 
