Keep an engine that goes on while its sidecar is asked

The answer of the sidecar takes up to 0.16 s. If the engine went on meanwhile and the sidecar did not answer, its run was given up all the same. Some names and comments of the same lines, and revisions in messages read as "6 of era 2".

--- a/catkinshunt/gateway/_failover.py
+++ b/catkinshunt/gateway/_failover.py
@@ -33,8 +33,7 @@
         self.is_first_awaited = True
         self._begun = asyncio.get_running_loop().create_future()
         self._task = asyncio.ensure_future(run_attempts(self))
-        # The error is also logged where nobody awaits it any more.
-        self._task.add_done_callback(_retrieve)
+        self._task.add_done_callback(_retrieve_exception)
 
     def begin_reply(self):
         """Record that one of the attempts begins to relay its reply."""
@@ -98,6 +97,7 @@
             self.progress.tried = self._tried_before
 
 
-def _retrieve(task):
+def _retrieve_exception(task):
+    """Keep asyncio from logging an error that nobody awaits any more."""
     if not task.cancelled():
         task.exception()
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -134,15 +134,19 @@
             return part
 
     async def _poll_part(self):
-        """Return the next part of the reply, or None after `POLL_S`."""
+        """Return the next part of the reply, or None after `POLL_S`.
+
+        Raises:
+            UnresponsiveError: another upstream has begun to reply.
+        """
         failover = self.attempt.failover
         if failover is None:
             try:
                 async with asyncio.timeout(POLL_S):
                     return await self.conn.read_part()
             except TimeoutError:
-                # A part that arrived while the event loop was held up is not
-                # lost on the way.
+                # After a stall of the event loop, the time-out comes before a
+                # part that has arrived.
                 return await self._read_arrived_part()
         await failover.wait_beside(self.conn, POLL_S)
         if failover.has_begun:
@@ -214,14 +218,16 @@
             return
         if not self.can_move or not self.exchange.can_fail_over():
             return
-        if not await self._is_instance_responsive():
+        is_instance_responsive = await self._is_instance_responsive()
+        if self.conn.has_part:
+            return
+        if not is_instance_responsive:
             # It is frozen, cut off or lost. The engine would run the request
             # when it is back, after the client has left.
             raise self._unresponsive_error()
-        if not self.conn.has_part:
-            self.attempt.failover = self.exchange.start_failover(
-                self._unresponsive_error(), self.attempt.beside
-            )
+        self.attempt.failover = self.exchange.start_failover(
+            self._unresponsive_error(), self.attempt.beside
+        )
 
     async def _is_instance_responsive(self):
         """Return whether the sidecar beside an engine replies.
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -487,3 +487,23 @@
             return await asyncio.wait_for(reader.read(), 1.0)
 
     assert asyncio.run(main()).count(b'HTTP/1.1') == 1
+
+
+def test_engine_that_goes_on_while_its_sidecar_is_asked_is_kept():
+    """Its reply arrives before it is known that the sidecar is silent too."""
+
+    class SlowProbe(test_permits.FakePermitClient):
+        async def probe(self, host, slots):
+            await asyncio.sleep(0.3)
+            return False
+
+    async def main():
+        silent = test_streams.make_engine('u1', pausing(None, 1.0))
+        other = test_streams.make_engine('u2', queued)
+        async with harness.running_gateway(silent, other) as gateway:
+            context = gateway.context
+            context.permit_client = SlowProbe()
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            return (await test_streams.chat(gateway))[2], len(other.heads)
+
+    assert asyncio.run(main()) == (test_streams.events(EVENTS), 0)
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -25,7 +25,6 @@
 #: Pause after a failed call; it doubles up to the maximum.
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
-
 #: Heartbeats that an upstream misses until the store removes it.
 MISSED_HEARTBEATS = 3
 #: Seconds after a change of the era for which a pending version stays pending
--- a/catkinshunt/watch_relay/base.py
+++ b/catkinshunt/watch_relay/base.py
@@ -24,6 +24,9 @@
     era: int = 0
     number: int = 0
 
+    def __str__(self):
+        return f'{self.number} of era {self.era}'
+
 
 @attrs.frozen
 class Item:
