Keep a stream at a silent engine whose sidecar is away

A sidecar that restarts, as in a roll, says nothing of the engine beside it.

A stream of which the client has read a part is now kept beside the further attempt like any other, and given up 2 s after its last byte; its client waits for longer than that. What has sent nothing yet is still given up at once, which is where callers leave early.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -11,9 +11,9 @@
 #: Pause in seconds after other upstreams were tried beside an unresponsive
 #: one, and none replied. Permits that run out are free again by then.
 FAILOVER_PAUSE_S = 0.5
-#: Seconds without a byte after which an upstream counts as dead if the request
-#: was also sent to another one in vain. A sound upstream may be silent for
-#: somewhat more than a second.
+#: Seconds without a byte after which an upstream counts as dead if its sidecar
+#: does not reply either, or the request was also sent to another one in vain.
+#: A sound upstream may be silent for somewhat more than a second.
 DEAD_S = 2.0
 #: Longest reply that is buffered until complete, so that the request can be
 #: retried if the reply is cut off. A longer one is relayed as it arrives.
@@ -75,8 +75,8 @@
         self.silent_s = 0.0
         #: No other upstream is tried before this time.
         self.failover_after = self.sent_at
-        #: Whether the request was also sent to another upstream in vain.
-        self.in_vain = False
+        #: Whether to give the upstream up after `DEAD_S`.
+        self.may_be_dead = False
         #: Whether another upstream could go on with the reply.
         self.can_move = True
 
@@ -154,7 +154,7 @@
             raise self._unresponsive_error()
         if not self.conn.has_part and failover.failure is not None:
             self._note('no other upstream replied, so its reply is awaited')
-            self.in_vain |= failover.has_sent
+            self.may_be_dead |= failover.has_sent
             self._end_failover()
             self.failover_after = self.context.clock() + FAILOVER_PAUSE_S
         return await self._read_arrived_part()
@@ -212,7 +212,7 @@
         now = self.context.clock()
         if not self.state.is_unresponsive(now) or now - self.sent_at < POLL_S:
             return
-        if self.in_vain and self.state.silent_s(now) > DEAD_S:
+        if self.may_be_dead and self.state.silent_s(now) > DEAD_S:
             raise self._unresponsive_error()
         if self.attempt.failover is not None or now < self.failover_after:
             return
@@ -224,7 +224,11 @@
         if not is_instance_responsive:
             # It is frozen, cut off or lost. The engine would run the request
             # when it is back, after the client has left.
-            raise self._unresponsive_error()
+            if not self.exchange.progress.head_sent:
+                raise self._unresponsive_error()
+            # Only the sidecar may be down. A client that has read a part of
+            # a stream waits for longer than for its begin.
+            self.may_be_dead = True
         self.attempt.failover = self.exchange.start_failover(
             self._unresponsive_error(), self.attempt.beside
         )
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -429,16 +429,12 @@
 def test_request_at_a_frozen_instance_moves_at_once():
     """Its engine would run the request later, for a client that has left."""
 
-    class FrozenInstance(test_permits.FakePermitClient):
-        async def probe(self, host, slots):
-            return False
-
     async def main():
         frozen = test_streams.make_engine('u1', queued)
         other = test_streams.make_engine('u2', begins_late(0.6))
         async with harness.running_gateway(frozen, other) as gateway:
             context = gateway.context
-            context.permit_client = FrozenInstance()
+            context.permit_client = UnresponsiveSidecars()
             context.tracker.state(other.listed()).pause(context.clock(), 0.3)
             asked = asyncio.ensure_future(test_streams.chat(gateway))
             await asyncio.wait_for(frozen.closed.wait(), 1.2)
@@ -507,3 +503,49 @@
             return (await test_streams.chat(gateway))[2], len(other.heads)
 
     assert asyncio.run(main()) == (test_streams.events(EVENTS), 0)
+
+
+class UnresponsiveSidecars(test_permits.FakePermitClient):
+    """Grants permits, but does not reply while an engine is silent."""
+
+    async def probe(self, host, slots):
+        return False
+
+
+def test_silence_while_the_sidecar_restarts_cuts_no_stream():
+    """The engine is sound, and no other one resumes the stream."""
+
+    def use_them(gateway):
+        gateway.context.permit_client = UnresponsiveSidecars()
+
+    others = {
+        'queued': queued,
+        'breaks off': breaking,
+        'rejects': harness.rejecting(),
+    }
+    cases = {
+        (name, silent_s): (pausing(2, silent_s), other, use_them)
+        for name, other in others.items()
+        for silent_s in SILENCES_S
+    }
+    assert ask_for_each(cases) == whole(cases)
+
+
+def test_stream_of_a_frozen_instance_ends_there_before_the_client_leaves():
+    """Its engine would work on for a client that waits no longer."""
+
+    async def main():
+        frozen = test_streams.make_engine('u1', pausing(2, 60.0))
+        other = test_streams.make_engine('u2', queued)
+        async with harness.running_gateway(frozen, other) as gateway:
+            context = gateway.context
+            context.permit_client = UnresponsiveSidecars()
+            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            began = context.clock()
+            asked = asyncio.ensure_future(test_streams.chat(gateway))
+            await asyncio.wait_for(frozen.closed.wait(), 3.0)
+            closed_s = context.clock() - began
+            asked.cancel()
+            return closed_s
+
+    assert 2.0 < asyncio.run(main()) < 2.5
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -16,6 +16,8 @@
 #: The same with upstreams that leave and back off: seed, length of the run,
 #: entries, sidecars and callers.
 FAILED_STATEMENT_SEEDS = ((1, 16.0, 2, 2, 4), (5012, 20.0, 2, 4, 6))
+#: The same with silences and a store that goes back.
+FAILED_SILENCE_SEEDS = ((70013, 15.0, 3, 3, 8),)
 #: Seconds of a short run; engines must crash and be away for a while in one
 #: that may crash them.
 RUN_S = 16.0 if _soak.CRASHES else 6.0
@@ -421,3 +423,17 @@
     sizes = {'entries': entries, 'sidecars': sidecars, 'callers': callers}
     found, _ = play(tmp_path, seed, run_s, **sizes)
     assert found == []
+
+
+@pytest.mark.parametrize(
+    ('seed', 'run_s', 'entries', 'sidecars', 'callers'),
+    FAILED_SILENCE_SEEDS,
+    ids=lambda value: str(value),
+)
+def test_a_seed_with_silences_that_failed_once_breaks_nothing(
+    seed, run_s, entries, sidecars, callers, tmp_path
+):
+    """Streams were cut while an engine and its sidecar were silent."""
+    sizes = {'entries': entries, 'sidecars': sidecars, 'callers': callers}
+    found, _ = play(tmp_path, seed, run_s, silences=True, eras=True, **sizes)
+    assert found == []
