--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -258,6 +258,8 @@
             port: its port.
             name: name of the new start; None for the same.
         """
+        # No request crashes it until it has started.
+        self.gone = True
         self._close()
         self.state_limit(math.inf)
         self.name = name or self.name
