Quarantine only what nothing else explains

Cause: coincidence was taken for proof. A request at five crashes was quarantined whatever else had been there, and one at three if no other single request had been at the same three. With few engines, several causes, or engines that end for other reasons, ordinary requests are at all of them before they complete once. An entry that had started again or missed a report knew a part only and blamed what was left.

Now a crash is evidence against a request only once all others at it have completed or are explained, crashes for other reasons are reckoned with (how soon each run ended counts, crashes that nobody explains ask for one more), and suspects are kept apart: by the sidecar from their second crash on, paused for seconds from their third.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -595,7 +595,7 @@
     Mutation(
         'crashes-are-pooled',
         'catkinshunt/quarantine/_gossip.py',
-        'self._fan_out(_messages.CrashReport(crash, part))',
+        'self._fan_out(report)',
         'pass',
     ),
     Mutation(
@@ -607,8 +607,8 @@
     Mutation(
         'offender-explains-its-crashes',
         'catkinshunt/quarantine/_quarantine.py',
-        'return not self._find_other_causes(request, suspect)',
-        'return True',
+        'if not others or (',
+        'if True or (',
     ),
     Mutation(
         'alike-suspects-run-by-turns',
@@ -619,9 +619,33 @@
     Mutation(
         'completion-clears',
         'catkinshunt/quarantine/_quarantine.py',
-        'return self._suspects.pop(request, None) is not None',
+        'suspect = self._suspects.pop(request, None)',
+        'suspect = None',
+    ),
+    Mutation(
+        'most-suspected-paused',
+        'catkinshunt/quarantine/_quarantine.py',
+        'left_s = suspect.last_crash_at + pause_s - now',
+        'left_s = 0.0',
+    ),
+    Mutation(
+        'suspects-run-apart',
+        'catkinshunt/permits/_allocator.py',
+        'return is_isolated and self._isolated_key in self._granted',
         'return False',
     ),
+    Mutation(
+        'suspects-are-reminded',
+        'catkinshunt/quarantine/_gossip.py',
+        'for crash, run_s in self.random.sample(crashes, count):',
+        'for crash, run_s in []:',
+    ),
+    Mutation(
+        'missed-completion-is-corrected',
+        'catkinshunt/quarantine/_gossip.py',
+        'self._correct(message, host)',
+        'pass',
+    ),
     Mutation(
         'starters-are-reminded',
         'catkinshunt/quarantine/_gossip.py',
--- a/catkinshunt/datagrams.py
+++ b/catkinshunt/datagrams.py
@@ -9,6 +9,10 @@
 import attrs
 
 
+#: Type of a field that holds a tuple of int.
+IntTuple = tuple[int, ...]
+
+
 class DecodeError(ValueError):
     """A datagram that is not a valid message."""
 
@@ -18,10 +22,12 @@
 
     Args:
         message_classes: `attrs` classes with a class attribute ``kind``.
-            Field types are int, float, bool, str, and tuple for a tuple of
-            str.
+            Field types are int, float, bool, str, tuple for a tuple of str
+            and `IntTuple` for one of int.
         max_bytes: maximum size of a datagram that is decoded.
 
+    A class that raises `ValueError` for its fields makes a datagram invalid.
+
     Examples:
         >>> @attrs.frozen
         ... class Greeting:
@@ -62,7 +68,11 @@
             raise DecodeError(
                 f'{kind} has a wrong number of fields: {len(values)}'
             )
-        return cls(*map(_check_field, fields, values))
+        values = list(map(_check_field, fields, values))
+        try:
+            return cls(*values)
+        except ValueError as exc:
+            raise DecodeError(f'{kind}: {exc}') from exc
 
 
 def _check_field(field, value):
@@ -78,6 +88,11 @@
     elif field.type is tuple:
         is_valid = type(value) is list and all(type(v) is str for v in value)
         value = tuple(value) if is_valid else value
+    elif field.type == IntTuple:
+        is_valid = type(value) is list and all(
+            type(v) is int and v >= 0 for v in value
+        )
+        value = tuple(value) if is_valid else value
     else:
         is_valid = type(value) is field.type
     if not is_valid:
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -36,6 +36,7 @@
 
     Attributes:
         job: the `dispatch.Job` of the attempt; None before `run`.
+        sent_at: time at which the request was sent, or None.
         failover: the `_failover.Failover` beside this attempt, while its
             upstream is unresponsive, or None.
     """
@@ -47,6 +48,7 @@
         self.candidate = candidate
         self.beside = beside
         self.job = None
+        self.sent_at = None
         self.failover = None
 
     @property
@@ -87,7 +89,9 @@
             # Not run, so not recorded as a failure of the upstream here.
             raise
         except _relay.ConnectionLostError:
-            quarantine_check.record_broken_connection(self.candidate.upstream)
+            quarantine_check.record_broken_connection(
+                upstream, self.context.clock() - self.sent_at
+            )
             state.record_failure(self.context.clock())
             raise
         except errors.RequestError:
@@ -127,7 +131,7 @@
             f'sent with rank {self.job.rank.name.lower()}'
         )
         self.progress.sends += 1
-        sent_at = self.context.clock()
+        self.sent_at = self.context.clock()
         is_reusable = False
         try:
             conn.send(*self._request_bytes())
@@ -142,7 +146,7 @@
                 not self.job.reply_started
                 and not self.candidate.state.is_unresponsive(now)
             ):
-                self.record_delay(now - sent_at)
+                self.record_delay(now - self.sent_at)
             raise
         finally:
             if is_reusable:
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -106,6 +106,7 @@
             self.req,
             self.info.host,
             self.decision.account,
+            self._needs_permit(),
         )
         limit_s = self.decision.serve.timeout_s
         if self.info.deadline_s is not None:
@@ -174,13 +175,11 @@
                 self.progress,
                 self._client_wait_s(),
                 self.decision.serve.goal_s,
+                self.quarantine_check.is_isolated(),
             )
             try:
-                await self._run_attempt(
-                    await self._acquire_permit(search, candidate),
-                    search,
-                    beside,
-                )
+                candidate = await self._acquire_permit(search, candidate)
+                await self._run_attempt(candidate, search, beside)
                 return
             except (
                 permits.ReloadingError,
@@ -192,6 +191,10 @@
             except errors.RequestError as exc:
                 self.progress.notes.append(str(exc))
                 self._check_retry(exc)
+                search.close()
+                await self.quarantine_check.wait_for_crash_check(
+                    candidate.upstream
+                )
             finally:
                 search.close()
 
@@ -201,11 +204,15 @@
         except _quarantine_check.QuarantinedError as exc:
             raise self._final_error(exc) from exc
 
+    def _needs_permit(self):
+        """Return whether sidecars admit the requests to the service."""
+        if self.selection.engine_profile() is None:
+            return False
+        return self.context.permit_client.is_started
+
     async def _acquire_permit(self, search, candidate):
         """Return a candidate with a permit, or any if none is needed."""
-        if self.selection.engine_profile() is None:
-            return candidate
-        if not self.context.permit_client.is_started:
+        if not self._needs_permit():
             return candidate
         began = self.context.clock()
         try:
--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -84,14 +84,19 @@
         client_wait_s: seconds that the client has waited; None for a stream
             that is resumed elsewhere.
         goal_s: target for the time to the first token, in seconds.
+        isolated: whether the request has to run apart from others that are
+            suspected of crashing engines.
     """
 
-    def __init__(self, context, selection, progress, client_wait_s, goal_s):
+    def __init__(
+        self, context, selection, progress, client_wait_s, goal_s, isolated
+    ):
         self.context = context
         self.selection = selection
         self.progress = progress
         self.client_wait_s = client_wait_s
         self.goal_s = goal_s
+        self.isolated = isolated
         self._began = context.clock()
         self._pending = []
 
@@ -279,7 +284,12 @@
             elapsed_s = self.context.clock() - self._began
             wait_s = self.goal_s - self.client_wait_s - elapsed_s
             wait_s -= dispatch.first_token_s(engine, job)
-        return permits.PermitRequest(
+        kind = (
+            permits.IsolatedPermitRequest
+            if self.isolated
+            else permits.PermitRequest
+        )
+        return kind(
             number=number,
             wait_s=round(max(0.0, wait_s), 3),
             occupancy_s=round(dispatch.occupancy_s(engine, job), 3),
--- a/catkinshunt/gateway/_quarantine_check.py
+++ b/catkinshunt/gateway/_quarantine_check.py
@@ -1,4 +1,4 @@
-"""Rejects a request that is suspected of crashing its upstreams."""
+"""Checks a request that may crash its upstreams."""
 
 import functools
 import math
@@ -8,7 +8,7 @@
 
 
 class QuarantinedError(errors.RefusedError):
-    """Not run: quarantined, or a suspect that waits for its turn to run."""
+    """Not run: quarantined, or a suspect that is paused for a short time."""
 
     code = 'quarantined'
 
@@ -21,13 +21,15 @@
         req: the `http1.Request`.
         host: requested host.
         account: name of the account, or ''.
+        has_sidecar: whether sidecars keep suspects of the service apart.
     """
 
-    def __init__(self, guard, req, host, account):
+    def __init__(self, guard, req, host, account, has_sidecar):
         self.guard = guard
         self.req = req
         self.host = host
         self.account = account
+        self.has_sidecar = has_sidecar
 
     @functools.cached_property
     def fingerprint(self):
@@ -41,7 +43,7 @@
         """Raise `QuarantinedError` if the request must not run."""
         if self.guard is None or self.guard.is_idle:
             return
-        left_s = self.guard.check(self.fingerprint)
+        left_s = self.guard.check(self.fingerprint, self.has_sidecar)
         if left_s > 0:
             raise QuarantinedError(
                 f'request with fingerprint {self.fingerprint} is quarantined'
@@ -51,10 +53,28 @@
                 retry_after_s=math.ceil(left_s),
             )
 
-    def record_broken_connection(self, upstream):
-        """Report that the connection to an upstream was lost."""
+    def is_isolated(self):
+        """Return whether the request has to run apart from other suspects."""
+        if self.guard is None or self.guard.is_idle:
+            return False
+        return self.guard.is_isolated(self.fingerprint)
+
+    def record_broken_connection(self, upstream, run_s):
+        """Report that the connection to an upstream was lost.
+
+        Args:
+            upstream: the `catalog.Upstream`.
+            run_s: seconds since the request was sent.
+        """
         if self.guard is not None:
-            self.guard.record_broken_connection(upstream, self.fingerprint)
+            self.guard.record_broken_connection(
+                upstream, self.fingerprint, run_s
+            )
+
+    async def wait_for_crash_check(self, upstream):
+        """Wait until a suspect's lost connection is known to be a crash."""
+        if self.guard is not None and not self.guard.is_idle:
+            await self.guard.wait_for_crash_check(upstream, self.fingerprint)
 
     def record_completion(self):
         """Report that an upstream completed the request."""
--- a/catkinshunt/permits/__init__.py
+++ b/catkinshunt/permits/__init__.py
@@ -20,6 +20,7 @@
 from catkinshunt.permits._messages import DecodeError
 from catkinshunt.permits._messages import dump
 from catkinshunt.permits._messages import EngineLeaving
+from catkinshunt.permits._messages import IsolatedPermitRequest
 from catkinshunt.permits._messages import load
 from catkinshunt.permits._messages import PermitGranted
 from catkinshunt.permits._messages import PermitQueued
@@ -38,6 +39,7 @@
     'REPLY_TIMEOUT_S',
     'BasePermitAdmission',
     'DecodeError',
+    'IsolatedPermitRequest',
     'NoPermitError',
     'PermitAllocator',
     'PermitClient',
--- a/catkinshunt/permits/_allocator.py
+++ b/catkinshunt/permits/_allocator.py
@@ -79,6 +79,8 @@
         self._slots = None
         #: Time of the grant by (peer, number), the oldest first.
         self._granted = {}
+        #: (peer, number) of the last `IsolatedPermitRequest` that was granted.
+        self._isolated_key = None
         #: `_QueuedRequest` by (peer, number), the oldest first.
         self._queue = {}
         self._late_queue = {}
@@ -284,12 +286,17 @@
 
     def _can_grant(self, request, now):
         """Return whether a permit is free and the request may have it now."""
-        if self._free() <= 0:
+        if self._free() <= 0 or self._must_stay_apart(request):
             return False
         if request.late and now < self._reserved_until:
             return False
         return request.resumed or now >= self._prefill_ready_at()
 
+    def _must_stay_apart(self, request):
+        """Return whether it is isolated, as is one that has a permit."""
+        is_isolated = isinstance(request, _messages.IsolatedPermitRequest)
+        return is_isolated and self._isolated_key in self._granted
+
     def _must_queue(self, request):
         """Return whether a request is queued even if a permit is free.
 
@@ -340,15 +347,29 @@
 
     def _next_key(self):
         """Return the key of the next queued request, or None."""
+        newest = None
         for key, waiting in reversed(self._queue.items()):
+            if self._must_stay_apart(waiting.request):
+                continue
             if waiting.request.resumed:
                 return key
-        if self._queue:
-            return next(reversed(self._queue))
-        return next(iter(self._late_queue), None)
+            if newest is None:
+                newest = key
+        if newest is not None:
+            return newest
+        return next(
+            (
+                key
+                for key, waiting in self._late_queue.items()
+                if not self._must_stay_apart(waiting.request)
+            ),
+            None,
+        )
 
     def _grant(self, key, request, now):
         self._granted[key] = now
+        if isinstance(request, _messages.IsolatedPermitRequest):
+            self._isolated_key = key
         self._prefill_done_at = (
             max(self._prefill_done_at, now) + request.prefill_s
         )
--- a/catkinshunt/permits/_messages.py
+++ b/catkinshunt/permits/_messages.py
@@ -50,6 +50,17 @@
     resumed: bool = False
 
 
+@attrs.frozen
+class IsolatedPermitRequest(PermitRequest):
+    """Requests a permit for a request that may crash the engine.
+
+    Such requests get permits of one engine one after the other, so that a
+    crash shows which of them is the cause.
+    """
+
+    kind = 'ask-alone'
+
+
 @attrs.frozen
 class PermitRelease:
     """Releases a permit, or withdraws the request for one."""
@@ -120,6 +131,7 @@
 _CODEC = datagrams.Codec(
     (
         PermitRequest,
+        IsolatedPermitRequest,
         PermitRelease,
         PermitGranted,
         PermitQueued,
--- a/catkinshunt/permits/tests/test_allocator.py
+++ b/catkinshunt/permits/tests/test_allocator.py
@@ -298,3 +298,40 @@
     allocator.end_leaving()
     ((_, reply),) = allocator.request('b', request(1), now=0.4)
     assert reply.kind == 'granted'
+
+
+def isolated_request(number, **changes):
+    return permits.IsolatedPermitRequest(
+        number, 0.3, 1.0, 0.0, SLOTS, **changes
+    )
+
+
+def test_requests_that_may_crash_the_engine_run_apart():
+    """A crash under two of them would not show which one is the cause."""
+    allocator = permits.PermitAllocator(spare=0)
+    allocator.request('a', isolated_request(1), now=0.0)
+    queued = allocator.request('b', isolated_request(2), now=0.0)
+    assert kinds(queued) == [('b', 'queued', 2)]
+    assert kinds(allocator.release('a', 1, now=0.1)) == [('b', 'granted', 2)]
+
+
+def test_isolated_request_does_not_hold_up_others():
+    allocator = permits.PermitAllocator(spare=0)
+    allocator.request('a', isolated_request(1), now=0.0)
+    allocator.request('b', request(2), now=0.0)
+    allocator.request('c', request(3), now=0.1)
+    allocator.request('d', isolated_request(4), now=0.2)
+    assert kinds(allocator.release('b', 2, now=0.2)) == [('c', 'granted', 3)]
+    late = isolated_request(5, late=True)
+    allocator.request('e', late, now=0.25)
+    assert kinds(allocator.release('a', 1, now=0.3)) == [('d', 'granted', 4)]
+
+
+def test_isolated_request_whose_entry_is_gone_holds_up_no_other():
+    """An entry that crashes releases no permits."""
+    allocator = permits.PermitAllocator(spare=0)
+    allocator.request('a', isolated_request(1), now=0.0)
+    allocator.reconcile(0, now=1.0)
+    allocator.reconcile(0, now=1.5)
+    granted = allocator.request('b', isolated_request(2), now=1.6)
+    assert kinds(granted) == [('b', 'granted', 2)]
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -69,7 +69,9 @@
     await context.permit_client.start(cfg.ip)
     gossip = make_gossip(cfg, live_entries, context.random)
     await gossip.start(cfg.ip)
-    context.guard = quarantine.Guard(gossip)
+    context.guard = quarantine.Guard(
+        gossip, lambda service: len(context.catalog.members(service))
+    )
     limit_gossip = make_rate_limit_gossip(cfg, live_entries, context)
     context.rate_limit_gossip = await limit_gossip.start(cfg.ip)
     leave_gossip = make_leave_gossip(cfg, live_entries, context)
--- a/catkinshunt/quarantine/__init__.py
+++ b/catkinshunt/quarantine/__init__.py
@@ -8,6 +8,7 @@
 from catkinshunt.quarantine._messages import dump
 from catkinshunt.quarantine._messages import load
 from catkinshunt.quarantine._messages import Quarantined
+from catkinshunt.quarantine._messages import split_crash_report
 from catkinshunt.quarantine._quarantine import EVALUATION_DELAY_S
 from catkinshunt.quarantine._quarantine import Quarantine
 from catkinshunt.quarantine._quarantine import QUARANTINE_S
@@ -26,4 +27,5 @@
     'dump',
     'fingerprint',
     'load',
+    'split_crash_report',
 ]
--- a/catkinshunt/quarantine/_gossip.py
+++ b/catkinshunt/quarantine/_gossip.py
@@ -7,11 +7,12 @@
 from catkinshunt.quarantine import _messages
 from catkinshunt.quarantine import _quarantine
 
-#: Interval in seconds of the reminders, each to one random entry. They reach
-#: entries that have restarted or were unreachable.
+#: Interval in seconds of the reminders, to random entries. They reach entries
+#: that have restarted or were unreachable.
 REMINDER_PERIOD_S = 1.0
-#: Most quarantined requests in one reminder.
+#: Most quarantined requests and most crashes in one reminder.
 MAX_REMINDER_REQUESTS = 16
+MAX_REMINDER_CRASHES = 4
 
 _log = logs.get_logger('quarantine')
 
@@ -43,30 +44,56 @@
         super().stop()
 
     async def run(self):
-        """Send reminders of quarantined requests until cancelled."""
+        """Send reminders of requests that must not run until cancelled."""
         while True:
             await asyncio.sleep(REMINDER_PERIOD_S)
             now = self.clock()
             self.quarantine.expire(now)
-            quarantined = self.quarantine.all_quarantined(now)
-            hosts = self._other_hosts()
-            if not quarantined or not hosts:
-                continue
-            host = self.random.choice(hosts)
-            count = min(MAX_REMINDER_REQUESTS, len(quarantined))
+            if not self.quarantine.is_idle:
+                self._remind_of_quarantined(now)
+                self._remind_of_crashes(now)
+
+    def _remind_of_quarantined(self, now):
+        quarantined = self.quarantine.all_quarantined(now)
+        count = min(MAX_REMINDER_REQUESTS, len(quarantined))
+        for host in self._random_hosts(1):
             for request, left_s in self.random.sample(quarantined, count):
                 self._send(_messages.Quarantined(request, left_s), host)
 
-    def report_crash(self, crash, requests):
+    def _remind_of_crashes(self, now):
+        """Send crashes that are not resolved.
+
+        They go to several entries, as a suspect has to be stopped soon by
+        those that have missed a report too.
+        """
+        crashes = self.quarantine.unresolved_crashes()
+        count = min(MAX_REMINDER_CRASHES, len(crashes))
+        for crash, run_s in self.random.sample(crashes, count):
+            for reminder in _messages.split_crash_report(
+                crash.upstream, run_s, crash.service_size, now - crash.at
+            ):
+                self._fan_out(reminder)
+
+    def report_crash(self, upstream, run_s, service_size, ago_s=0.0):
         """Record the requests of a crashed upstream, and forward new ones.
 
         Reports come from this entry or from a datagram.
+
+        Args:
+            upstream: identifier of the upstream.
+            run_s: seconds from when each request was sent to the crash, by
+                fingerprint.
+            service_size: number of upstreams of its service.
+            ago_s: seconds since the crash.
         """
-        new = self.quarantine.record_crash(crash, requests, self.clock())
-        step = _messages.MAX_REQUESTS
-        for begin in range(0, len(new), step):
-            part = tuple(new[begin : begin + step])
-            self._fan_out(_messages.CrashReport(crash, part))
+        now = self.clock()
+        new = self.quarantine.record_crash(
+            upstream, run_s, service_size, now - ago_s, now
+        )
+        for report in _messages.split_crash_report(
+            upstream, new, service_size, ago_s
+        ):
+            self._fan_out(report)
         if new:
             self._schedule_evaluation()
 
@@ -84,13 +111,27 @@
     def receive(self, message, host):
         """See `gossip.BaseGossip.receive`."""
         if isinstance(message, _messages.CrashReport):
-            self.report_crash(message.crash, message.requests)
+            self._correct(message, host)
+            self.report_crash(
+                message.upstream,
+                message.run_s,
+                message.service_size,
+                message.ago_s,
+            )
         elif isinstance(message, _messages.Completion):
             self.report_completion(message.request)
         else:
             left_s = min(message.left_s, _quarantine.QUARANTINE_S)
             self.report_quarantine(message.request, left_s)
 
+    def _correct(self, report, host):
+        """Tell an entry which requests in its report have completed since."""
+        at = self.clock() - report.ago_s
+        for request in self.quarantine.find_cleared(
+            report.upstream, report.requests, at
+        ):
+            self._send(_messages.Completion(request), host)
+
     def _schedule_evaluation(self):
         if self._timer is None:
             loop = asyncio.get_running_loop()
--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -44,15 +44,18 @@
 
     Args:
         gossip: `Gossip` to report crashes and completions to.
+        count_upstreams: function of the name of a service that returns the
+            number of its upstreams.
         is_down: coroutine function of an address that returns whether it
             refuses connections, which shows that its process has ended.
     """
 
-    def __init__(self, gossip, is_down=refuses_connections):
+    def __init__(self, gossip, count_upstreams, is_down=refuses_connections):
         self.gossip = gossip
+        self.count_upstreams = count_upstreams
         self.is_down = is_down
         self._affected = {}
-        self._tasks = set()
+        self._checks = {}
 
     @property
     def is_idle(self):
@@ -63,55 +66,88 @@
         """Return the number of quarantined requests."""
         return len(self.gossip.quarantine.all_quarantined(self.gossip.clock()))
 
-    def check(self, request):
+    def check(self, request, has_sidecar):
         """Return the seconds for which a request must not run, or 0.
 
         The quarantine of a request that still arrives is renewed.
+
+        Args:
+            request: its fingerprint.
+            has_sidecar: whether sidecars keep suspects of the service apart.
         """
         now = self.gossip.clock()
         left_s = self.gossip.quarantine.remaining_s(request, now)
         if left_s == 0:
-            return self.gossip.quarantine.turn_wait_s(request, now)
+            pause_s = self.gossip.quarantine.pause_s(request, now)
+            if has_sidecar:
+                return pause_s
+            turn_wait_s = self.gossip.quarantine.turn_wait_s(request, now)
+            return max(pause_s, turn_wait_s)
         if left_s < _quarantine.QUARANTINE_S * _quarantine.RENEW_SHARE:
             self.gossip.report_quarantine(request, _quarantine.QUARANTINE_S)
         return left_s
 
+    def is_isolated(self, request):
+        """Return whether a request has to run apart from other suspects."""
+        return self.gossip.quarantine.is_isolated(request)
+
     def record_completion(self, request):
         """Report that a request was completed."""
         self.gossip.report_completion(request)
 
-    def record_broken_connection(self, upstream, request):
+    def record_broken_connection(self, upstream, request, run_s):
         """Record that the connection of a request was lost.
 
         Args:
             upstream: the `catalog.Upstream` that ran the request.
             request: its fingerprint.
+            run_s: seconds since the request was sent.
         """
-        if upstream.key in self._affected:
-            self._affected[upstream.key].add(request)
+        affected = self._affected.get(upstream.key)
+        if affected is not None:
+            affected[request] = max(run_s, affected.get(request, 0.0))
             return
-        self._affected[upstream.key] = {request}
+        self._affected[upstream.key] = {request: run_s}
         task = asyncio.ensure_future(self._check_crash(upstream))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._checks[upstream.key] = task
+        task.add_done_callback(lambda _: self._end_check(upstream.key, task))
+
+    def _end_check(self, key, task):
+        if self._checks.get(key) is task:
+            del self._checks[key]
+
+    async def wait_for_crash_check(self, upstream, request):
+        """Wait until it is known whether an upstream crashed under a suspect.
+
+        A retry before would not count that crash, and might crash another
+        upstream.
+        """
+        task = self._checks.get(upstream.key)
+        if task is not None and self.gossip.quarantine.is_suspect(request):
+            await asyncio.wait([task])
 
     async def _check_crash(self, upstream):
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
-        requests = sorted(self._affected.pop(upstream.key))
+        run_s = self._affected.pop(upstream.key)
         if not await self.is_down(upstream.address):
             return
         _log.info(
             'Upstream {} refuses connections after interrupting {} requests;'
             ' recorded as a crash.',
             upstream.id,
-            len(requests),
-            requests=requests[:MAX_LOGGED_REQUESTS],
+            len(run_s),
+            upstream=_identify(upstream),
+            requests=sorted(run_s)[:MAX_LOGGED_REQUESTS],
+        )
+        self.gossip.report_crash(
+            _identify(upstream),
+            run_s,
+            self.count_upstreams(upstream.service),
         )
-        self.gossip.report_crash(_crash_id(upstream), requests)
 
 
-def _crash_id(upstream):
-    """Return an id that all entries compute for a crash of this start."""
+def _identify(upstream):
+    """Return an id that all entries compute for a start of an upstream."""
     host, port = upstream.address
     text = f'{upstream.id}\0{upstream.started_at_ms}\0{host}:{port}'.encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -6,14 +6,39 @@
 
 from catkinshunt import logs
 
-#: Crashes after which a request may be quarantined.
+#: Crashes from which on a request runs apart from other such requests.
+ISOLATION_CRASHES = 2
+#: Crashes from which on it may be quarantined, and is paused after each.
 MIN_CRASHES = 3
-#: Crashes after which it is quarantined even if others could be the cause.
-#: Crashes attributed to a quarantined request count too.
-MAX_CRASHES = 5
-#: Seconds for which one of several suspects with the same crashes may run,
-#: while the others wait. One that is not the cause should complete in time.
+#: Services with fewer upstreams need one more crash: all of their upstreams
+#: may crash for another reason within the retries of one request.
+FEW_UPSTREAMS = 6
+#: Assumed rate at which an upstream crashes for other reasons, per second.
+OTHER_CRASH_RATE_PER_S = 0.08
+#: Seconds of crashes without a suspected cause that add to this rate.
+OTHER_CRASH_WINDOW_S = 30.0
+#: Highest chance of a crash for another reason during one run, so that a
+#: request that crashes its upstreams after a long time is found too.
+MAX_CRASH_CHANCE = 0.2
+#: Runs shorter than this count as this long, in seconds.
+MIN_RUN_S = 0.05
+#: A request is quarantined if its crashes come about by other reasons with at
+#: most this chance.
+MAX_COINCIDENCE = 3.5e-4
+#: Seconds after its last crash for which the more suspected half of several
+#: suspects is paused. The others may complete meanwhile.
+PAUSE_S = 3.0
+#: The same for one with more crashes than all others, unless upstreams crash
+#: meanwhile. Others that have not completed by then do not excuse it.
+MAX_PAUSE_S = 15.0
+#: Longest wait in seconds that a paused request is told; it may be cleared
+#: sooner.
+MAX_WAIT_S = 2.0
+#: Seconds for which one of several suspects runs, while the others wait, if
+#: no sidecar keeps them apart. One that is no cause should complete in time.
 TURN_S = 2.0
+#: Seconds within which two reports on an upstream concern the same crash.
+SAME_CRASH_S = 1.0
 #: Seconds from when a request reaches `MIN_CRASHES` to its evaluation. Reports
 #: of other entries on the same crash, and on completions that clear the
 #: request, arrive in that time.
@@ -34,46 +59,99 @@
 _log = logs.get_logger('quarantine')
 
 
-@attrs.define
+@attrs.define(eq=False)
+class Crash:
+    """A crash of an upstream.
+
+    Attributes:
+        upstream: identifier of the upstream.
+        at: time of the crash, in seconds.
+        service_size: number of upstreams of its service.
+        run_s: seconds from when each interrupted request was sent to the
+            crash, by fingerprint.
+        cleared: fingerprints of those that have completed since.
+        is_explained: whether it interrupted a quarantined request.
+    """
+
+    upstream: str
+    at: float
+    service_size: int = 0
+    run_s: dict = attrs.field(factory=dict)
+    cleared: set = attrs.field(factory=set)
+    is_explained: bool = False
+
+
+@attrs.define(eq=False)
 class _Suspect:
-    """Crashes during which a request was running.
+    """A request that upstreams were running when they crashed.
 
     Attributes:
-        crashes: ids of the crashes not attributed to a quarantined request.
-        attributed_count: number of those attributed to one.
-        last_crash_at: time of its last reported crash.
+        request: its fingerprint.
+        last_crash_at: time of its last crash.
+        crashes: `Crash` objects since it last completed, without those that
+            are explained.
+        isolated_at: when it reached `ISOLATION_CRASHES`, or None.
         eligible_at: when it reached `MIN_CRASHES`, or None.
     """
 
+    request: str
     last_crash_at: float
-    crashes: set = attrs.field(factory=set)
-    attributed_count: int = 0
+    crashes: list = attrs.field(factory=list)
+    isolated_at: float | None = None
     eligible_at: float | None = None
 
     @property
-    def total(self):
-        """Number of crashes during which the request was running."""
-        return len(self.crashes) + self.attributed_count
+    def is_isolated(self):
+        """Whether it has to run apart from other suspects."""
+        return len(self.crashes) >= ISOLATION_CRASHES
+
+    @property
+    def longest_run_s(self):
+        """Longest time that an upstream ran it before a crash.
+
+        A cause crashes each upstream at the same point of its run, so the
+        suspect with the shortest one is suspected most.
+        """
+        return max(crash.run_s[self.request] for crash in self.crashes)
+
+    def add(self, crash, now):
+        """Add a crash that was reported at time `now`."""
+        self.crashes.append(crash)
+        self.last_crash_at = max(self.last_crash_at, crash.at)
+        if self.isolated_at is None and self.is_isolated:
+            self.isolated_at = now
+        if self.eligible_at is None and len(self.crashes) >= MIN_CRASHES:
+            self.eligible_at = now
 
 
 class Quarantine:
     """Correlates crashes with requests, and quarantines the cause.
 
-    A crash ends all requests of its upstream, so each of them is a suspect.
-    A request that completes anywhere is cleared. A suspect with at least
-    `MIN_CRASHES` crashes is a cause if no other suspect has all of them;
-    several can be causes. Crashes with a quarantined request are attributed
-    to it and count for other suspects only towards `MAX_CRASHES`, at which a
-    suspect is quarantined in any case. Suspects with the same crashes run one
-    at a time, so that the next crash or completion separates them.
+    A crash ends all requests of its upstream, so each of them is a suspect
+    until it completes anywhere. That a request was running at many crashes
+    proves nothing, as upstreams crash for other reasons too. A crash is
+    evidence against a suspect once no other suspect is left that it
+    interrupted. A suspect is quarantined if so many crashes are unlikely to
+    have come about by other reasons within the time that it ran; each
+    completion clears it.
 
-    Requests (by their fingerprints) and crashes are identified by strings
+    Until then suspects with several crashes run apart from each other, and
+    the most suspected ones are paused for a short time after each crash, so
+    that the others complete or are found first.
+
+    Requests (by their fingerprints) and upstreams are identified by strings
     that are equal in all processes. `now` is in seconds on one clock.
 
     Examples:
         >>> quarantine = Quarantine()
         >>> for number, other in enumerate('abc'):
-        ...     _ = quarantine.record_crash(str(number), ['bad', other], 1.0)
+        ...     runs = {'bad': 0.1, other: 0.8}
+        ...     _ = quarantine.record_crash(str(number), runs, 9, 1.0, 1.0)
+        >>> quarantine.evaluate(now=2.0)
+        []
+        >>> quarantine.pause_s('bad', now=2.0) > 0
+        True
+        >>> cleared = [quarantine.record_completion(r) for r in 'abc']
         >>> quarantine.evaluate(now=2.0)
         ['bad']
         >>> quarantine.remaining_s('bad', now=2.0)
@@ -84,7 +162,7 @@
 
     def __init__(self):
         self._suspects = collections.OrderedDict()
-        self._crashes = collections.OrderedDict()
+        self._crashes = collections.deque()
         self._quarantined = collections.OrderedDict()
 
     @property
@@ -92,69 +170,166 @@
         """Whether no request is suspected or quarantined."""
         return not self._suspects and not self._quarantined
 
-    def record_crash(self, crash, requests, now):
+    # Evidence.
+
+    def record_crash(self, upstream, run_s, service_size, at, now):
         """Record the requests that an upstream ran when it crashed.
 
         Args:
-            crash: id of the upstream's start that ended in the crash.
-            requests: fingerprints.
+            upstream: identifier of the upstream.
+            run_s: seconds from when each request was sent to the crash, by
+                fingerprint.
+            service_size: number of upstreams of its service.
+            at: time of the crash, in seconds.
             now: time in seconds.
 
         Returns:
-            Those of `requests` that were not recorded for it before.
+            The part of `run_s` that was not recorded for it before.
         """
-        recorded = self._crashes.setdefault(crash, set())
-        while len(self._crashes) > MAX_CRASH_RECORDS:
-            self._crashes.popitem(last=False)
-        new = [request for request in requests if request not in recorded]
-        del new[MAX_CRASH_REQUESTS - len(recorded) :]
-        recorded.update(new)
+        crash = self._find_crash(upstream, at)
+        if crash is None:
+            crash = self._add_crash(upstream, at)
+        crash.service_size = max(crash.service_size, service_size)
+        new = {}
+        for request, seconds in run_s.items():
+            if request in crash.run_s:
+                crash.run_s[request] = max(crash.run_s[request], seconds)
+            elif len(crash.run_s) < MAX_CRASH_REQUESTS:
+                crash.run_s[request] = new[request] = seconds
         for request in new:
             if request not in self._quarantined:
                 self._add_suspect(request, crash, now)
-        if any(request in self._quarantined for request in recorded):
-            self._attribute_crash(crash)
+        if any(request in self._quarantined for request in crash.run_s):
+            self._explain(crash)
         return new
 
     def record_completion(self, request):
         """Clear a completed request; return whether it was a suspect."""
-        return self._suspects.pop(request, None) is not None
+        suspect = self._suspects.pop(request, None)
+        if suspect is None:
+            return False
+        for crash in suspect.crashes:
+            crash.cleared.add(request)
+        return True
 
-    def evaluate(self, now):
-        """Quarantine and return the requests found to cause crashes."""
-        found = [
+    def find_cleared(self, upstream, requests, at):
+        """Return those of the requests that have completed since a crash.
+
+        Args:
+            upstream: identifier of the upstream.
+            requests: fingerprints.
+            at: time of the crash, in seconds.
+        """
+        crash = self._find_crash(upstream, at)
+        if crash is None:
+            return []
+        return [
             request
-            for request, suspect in self._suspects.items()
-            if suspect.eligible_at is not None
-            and now - suspect.eligible_at >= EVALUATION_DELAY_S
-            and self._is_cause(request, suspect)
+            for request in requests
+            if request in crash.cleared and request not in self._suspects
         ]
-        for request in found:
-            total = self._suspects[request].total
+
+    def unresolved_crashes(self):
+        """Return crashes of which a suspect has to run apart from others.
+
+        Returns:
+            Pairs of a `Crash` and the dict of the runs of its suspects.
+        """
+        found = {
+            crash
+            for suspect in self._suspects.values()
+            if suspect.is_isolated
+            for crash in suspect.crashes
+        }
+        return [
+            (crash, {s.request: crash.run_s[s.request] for s in suspects})
+            for crash in sorted(found, key=lambda crash: crash.at)
+            if (suspects := self._suspects_of(crash))
+        ]
+
+    # Decisions.
+
+    def evaluate(self, now):
+        """Quarantine and return the requests found to cause crashes."""
+        found = []
+        while (suspect := self._find_cause(now)) is not None:
+            found.append(suspect.request)
             _log.warning(
                 'Quarantined request {} for {:.0f} s after {} upstream'
                 ' crashes.',
-                request,
+                suspect.request,
                 QUARANTINE_S,
-                total,
-                fingerprint=request,
-                crashes=total,
+                len(suspect.crashes),
+                fingerprint=suspect.request,
+                crashes=len(suspect.crashes),
+                evidence=[
+                    f'{crash.upstream} {now - crash.at:.2f} s ago, after'
+                    f' {crash.run_s[suspect.request]:.3f} s, with'
+                    f' {len(crash.run_s) - 1} others,'
+                    f' {len(crash.cleared)} cleared'
+                    for crash in suspect.crashes
+                ],
             )
-        for request in found:
-            self.add(request, QUARANTINE_S, now)
+            self.add(suspect.request, QUARANTINE_S, now)
         return found
 
     def has_pending(self, now):
-        """Return whether a suspect is not due for evaluation yet.
-
-        Suspects that an evaluation left undecided are not included.
-        """
+        """Return whether a suspect may be quarantined as time goes on."""
         return any(
             suspect.eligible_at is not None
-            and now - suspect.eligible_at < EVALUATION_DELAY_S
+            and now - suspect.last_crash_at
+            <= MAX_PAUSE_S + 2 * EVALUATION_DELAY_S
             for suspect in self._suspects.values()
         )
 
+    def is_suspect(self, request):
+        """Return whether a request was running at a crash."""
+        return request in self._suspects
+
+    def is_isolated(self, request):
+        """Return whether a request has to run apart from other suspects."""
+        suspect = self._suspects.get(request)
+        return suspect is not None and suspect.is_isolated
+
+    def pause_s(self, request, now):
+        """Return the seconds for which a suspect must not run, or 0."""
+        suspect = self._suspects.get(request)
+        if suspect is None or len(suspect.crashes) < MIN_CRASHES:
+            return 0.0
+        others = self._others(suspect)
+        pause_s = PAUSE_S
+        if others and self._has_most_crashes(suspect, others):
+            pause_s = MAX_PAUSE_S + 2 * EVALUATION_DELAY_S
+        elif others and not _is_in_suspected_half(suspect, others):
+            return 0.0
+        left_s = suspect.last_crash_at + pause_s - now
+        return min(MAX_WAIT_S, max(0.0, left_s))
+
+    def turn_wait_s(self, request, now):
+        """Return the seconds until the turn of a suspect to run, or 0.
+
+        Suspects that were running at the same crash run in turn, in the order
+        of their fingerprints, so that all entries let the same one run.
+        """
+        suspect = self._suspects.get(request)
+        if suspect is None or len(suspect.crashes) < MIN_CRASHES:
+            return 0.0
+        tied = {
+            other.request: other
+            for other in self._others(suspect)
+            if len(other.crashes) >= MIN_CRASHES
+        }
+        if not tied:
+            return 0.0
+        tied[request] = suspect
+        since = min(other.eligible_at for other in tied.values())
+        elapsed_s = now - since
+        turns = int(elapsed_s / TURN_S)
+        ahead = (sorted(tied).index(request) - turns) % len(tied)
+        return 0.0 if ahead == 0 else (turns + ahead) * TURN_S - elapsed_s
+
+    # Quarantined requests.
+
     def add(self, request, for_s, now):
         """Quarantine a request for at least `for_s` seconds.
 
@@ -174,10 +349,10 @@
                 ' request with fingerprint {}.',
                 dropped,
             )
-        for crash, recorded in self._crashes.items():
-            if request in recorded:
-                self._attribute_crash(crash)
         self._suspects.pop(request, None)
+        for crash in self._crashes:
+            if request in crash.run_s:
+                self._explain(crash)
         return before_s < for_s * RENEW_SHARE
 
     def remaining_s(self, request, now):
@@ -185,29 +360,6 @@
         until = self._quarantined.get(request)
         return 0.0 if until is None else max(0.0, until - now)
 
-    def turn_wait_s(self, request, now):
-        """Return the seconds until the turn of a suspect to run, or 0.
-
-        Suspects with the same crashes run in turn, in the order of their
-        fingerprints, so that all entries let the same one run.
-        """
-        suspect = self._suspects.get(request)
-        if suspect is None or len(suspect.crashes) < MIN_CRASHES:
-            return 0.0
-        others = self._find_other_causes(request, suspect)
-        tied = {
-            r: s for r, s in others.items() if s.crashes == suspect.crashes
-        }
-        # A suspect with these crashes and more is the likelier cause.
-        if not tied or len(tied) < len(others):
-            return 0.0
-        tied[request] = suspect
-        since = min(s.eligible_at for s in tied.values())
-        elapsed_s = now - since
-        turns = int(elapsed_s / TURN_S)
-        ahead = (sorted(tied).index(request) - turns) % len(tied)
-        return 0.0 if ahead == 0 else (turns + ahead) * TURN_S - elapsed_s
-
     def all_quarantined(self, now):
         """Return pairs of a quarantined request and its time left."""
         left = [(r, self.remaining_s(r, now)) for r in self._quarantined]
@@ -222,42 +374,150 @@
             if now - suspect.last_crash_at > SUSPECT_TTL_S:
                 del self._suspects[request]
 
+    # Records.
+
+    def _find_crash(self, upstream, at):
+        """Return the recorded `Crash` of an upstream at a time, or None.
+
+        Entries can know different starts of an upstream, and see its crash
+        at different times.
+        """
+        for crash in reversed(self._crashes):
+            if (
+                crash.upstream == upstream
+                and abs(crash.at - at) <= SAME_CRASH_S
+            ):
+                return crash
+        return None
+
+    def _add_crash(self, upstream, at):
+        crash = Crash(upstream, at)
+        self._crashes.append(crash)
+        while len(self._crashes) > MAX_CRASH_RECORDS:
+            self._forget(self._crashes.popleft())
+        return crash
+
     def _add_suspect(self, request, crash, now):
         found = self._suspects.get(request)
         if found is None:
-            found = self._suspects[request] = _Suspect(now)
+            found = self._suspects[request] = _Suspect(request, crash.at)
             while len(self._suspects) > MAX_SUSPECTS:
                 self._suspects.popitem(last=False)
-        found.last_crash_at = now
-        found.crashes.add(crash)
-        if found.eligible_at is None and found.total >= MIN_CRASHES:
-            found.eligible_at = now
-
-    def _attribute_crash(self, crash):
-        """Attribute a crash to a quarantined request that it interrupted."""
-        for request in self._crashes[crash]:
-            suspect = self._suspects.get(request)
-            if suspect is not None and crash in suspect.crashes:
-                suspect.crashes.discard(crash)
-                suspect.attributed_count += 1
-
-    def _is_cause(self, request, suspect):
-        if suspect.total >= MAX_CRASHES:
-            return True
-        if len(suspect.crashes) < MIN_CRASHES:
+        found.add(crash, now)
+
+    def _explain(self, crash):
+        """Attribute a crash to the quarantined request that it interrupted."""
+        crash.is_explained = True
+        self._forget(crash)
+
+    def _forget(self, crash):
+        """Hold a crash against no suspect any more."""
+        for suspect in self._suspects_of(crash):
+            suspect.crashes.remove(crash)
+            if not suspect.crashes:
+                del self._suspects[suspect.request]
+
+    def _suspects_of(self, crash):
+        """Return the suspects that have not completed since a crash."""
+        found = (self._suspects.get(request) for request in crash.run_s)
+        return [s for s in found if s is not None and crash in s.crashes]
+
+    def _others(self, suspect):
+        """Return the other suspects of the crashes of a suspect."""
+        found = {
+            other.request: other
+            for crash in suspect.crashes
+            for other in self._suspects_of(crash)
+        }
+        del found[suspect.request]
+        return list(found.values())
+
+    # Causes.
+
+    def _find_cause(self, now):
+        """Return a `_Suspect` that is found to cause crashes, or None."""
+        due = [
+            suspect
+            for suspect in self._suspects.values()
+            if suspect.eligible_at is not None
+            and now - suspect.eligible_at >= EVALUATION_DELAY_S
+        ]
+        if not due:
+            return None
+        other_rate_per_s = self._other_crash_rate_per_s(now)
+        for suspect in due:
+            if self._is_cause(suspect, other_rate_per_s, now):
+                return suspect
+        return None
+
+    def _is_cause(self, suspect, other_rate_per_s, now):
+        """Return whether a suspect is found to cause crashes.
+
+        Args:
+            suspect: the `_Suspect`.
+            other_rate_per_s: rate at which an upstream crashes for other
+                reasons, per second.
+            now: time in seconds.
+        """
+        needed = MIN_CRASHES
+        size = max((c.service_size for c in suspect.crashes), default=0)
+        if size < FEW_UPSTREAMS or other_rate_per_s > OTHER_CRASH_RATE_PER_S:
+            needed += 1
+        if len(suspect.crashes) < needed:
             return False
-        # A suspect with all of these crashes may be the cause instead.
-        return not self._find_other_causes(request, suspect)
+        evidence = self._evidence(suspect, now)
+        if len(evidence) < MIN_CRASHES:
+            return False
+        run_s = max(MIN_RUN_S, *(c.run_s[suspect.request] for c in evidence))
+        chance = min(MAX_CRASH_CHANCE, run_s * other_rate_per_s)
+        # The factor accounts for the choice of the longest run.
+        coincidence = len(evidence) * chance ** len(evidence)
+        return coincidence <= MAX_COINCIDENCE
+
+    def _evidence(self, suspect, now):
+        """Return the crashes that no other suspect may have caused."""
+        was_paused = now - suspect.last_crash_at >= MAX_PAUSE_S
+        found = []
+        for crash in suspect.crashes:
+            others = [s for s in self._suspects_of(crash) if s is not suspect]
+            if not others or (
+                was_paused and self._has_most_crashes(suspect, others)
+            ):
+                found.append(crash)
+        return found
+
+    def _has_most_crashes(self, suspect, others):
+        """Return whether a suspect has more crashes than others.
+
+        Not if an upstream has crashed without it since.
+        """
+        if any(crash.at > suspect.last_crash_at for crash in self._crashes):
+            return False
+        return all(
+            len(other.crashes) < len(suspect.crashes) for other in others
+        )
 
-    def _find_other_causes(self, request, suspect):
-        """Return the other suspects that have all crashes of this one."""
-        recorded = [
-            self._crashes.get(crash, set()) for crash in suspect.crashes
+    def _other_crash_rate_per_s(self, now):
+        """Return the rate at which an upstream crashes for other reasons.
+
+        Counts recent crashes of which all suspects have completed or have no
+        second crash.
+        """
+        recent = [
+            crash
+            for crash in self._crashes
+            if now - crash.at <= OTHER_CRASH_WINDOW_S
         ]
-        others = set.intersection(*recorded) - {request}
-        return {
-            other: self._suspects[other]
-            for other in others
-            if other in self._suspects
-            and self._suspects[other].crashes >= suspect.crashes
-        }
+        count = sum(
+            not crash.is_explained
+            and not any(s.is_isolated for s in self._suspects_of(crash))
+            for crash in recent
+        )
+        per_upstream = count / max(1, len({c.upstream for c in recent}))
+        return OTHER_CRASH_RATE_PER_S + per_upstream / OTHER_CRASH_WINDOW_S
+
+
+def _is_in_suspected_half(suspect, others):
+    """Return whether fewer than half of the others are suspected more."""
+    more = sum(o.longest_run_s < suspect.longest_run_s for o in others)
+    return 2 * more < len(others)
--- /dev/null
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -0,0 +1,42 @@
+import os
+
+import pytest
+
+from catkinshunt.quarantine.tests import replay
+
+#: Seeds of each case; more are played by hand.
+SEEDS = range(int(os.environ.get('QUARANTINE_SEEDS', '3')))
+#: Seconds in which all causes are found, also beside other crashes.
+DURATION_S = 120.0
+CASES = {
+    'one cause': {},
+    'no sidecars': {'has_sidecars': False},
+    'reports lost': {'lost_share': 0.1},
+    'entries restart': {'restarts': 2},
+    'other crashes': {'other_crashes': 6},
+    'no cause': {'causes': 0, 'other_crashes': 6},
+    'two causes': {'causes': 2},
+    'three causes': {'causes': 3},
+    'all at once': {
+        'causes': 3,
+        'other_crashes': 6,
+        'lost_share': 0.1,
+        'restarts': 2,
+    },
+}
+
+
+@pytest.mark.parametrize('engines', [2, 8])
+@pytest.mark.parametrize('case', CASES)
+def test_only_causes_are_quarantined(case, engines):
+    """Ordinary requests that ran beside crashes were taken for their cause."""
+    for seed in SEEDS:
+        seen = replay.play(seed, DURATION_S, engines=engines, **CASES[case])
+        assert (seed, seen.innocents, seen.missed) == (seed, (), ())
+
+
+def test_other_requests_complete_beside_three_causes():
+    """They were refused along with the causes, for ten minutes."""
+    calm = replay.play(1, engines=2, causes=0).completed
+    beside = replay.play(1, engines=2, causes=3).completed
+    assert beside > calm / 2
