Count one crash of an upstream once at all entries

What callers may see: a request is blamed after fewer crashes than it was at, or for less than all that ran beside it.

Cause: the id of a crash had the upstream's id and start as the entry knew them. Two entries that know different starts of a process at one address (one has not heard of the new start yet, or the store went back) compute two ids, so one crash counts twice, each time with a part of its requests: a request that one entry had there looks as if it had been alone.

Found by reading; no run of the soak has shown it.

Now an upstream is identified by its address, and reports within a second concern the same crash (SAME_CRASH_S): an upstream needs longer to start, be listed and crash again.

--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -147,7 +147,11 @@
 
 
 def _identify(upstream):
-    """Return an id that all entries compute for a start of an upstream."""
+    """Return an identifier that all entries compute for an upstream.
+
+    Its start is left out, as entries can know different starts. Crashes of
+    one start and the next are told apart by their times.
+    """
     host, port = upstream.address
-    text = f'{upstream.id}\0{upstream.started_at_ms}\0{host}:{port}'.encode()
+    text = f'{host}:{port}'.encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
