Reckon with the number of upstreams of a service

Cause: the chance that a crash for another reason hits the upstream that runs a request is one by the number of upstreams. A fixed number of upstreams below which one more crash was needed stood for that, whatever their number.

Now the chance has that factor for each crash but the first, which makes a request a suspect.

--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -10,10 +10,8 @@
 ISOLATION_CRASHES = 2
 #: Crashes from which on it may be quarantined, and is paused after each.
 MIN_CRASHES = 3
-#: Services with fewer upstreams need one more crash: all of their upstreams
-#: may crash for another reason within the retries of one request.
-FEW_UPSTREAMS = 6
-#: Assumed rate at which an upstream crashes for other reasons, per second.
+#: Assumed rate at which upstreams of a service crash for other reasons, per
+#: second.
 OTHER_CRASH_RATE_PER_S = 0.08
 #: Seconds of crashes without a suspected cause that add to this rate.
 OTHER_CRASH_WINDOW_S = 30.0
@@ -24,7 +22,7 @@
 MIN_RUN_S = 0.05
 #: A request is quarantined if its crashes come about by other reasons with at
 #: most this chance.
-MAX_COINCIDENCE = 3.5e-4
+MAX_COINCIDENCE = 4e-6
 #: Seconds after its last crash for which the more suspected half of several
 #: suspects is paused. The others may complete meanwhile.
 PAUSE_S = 3.0
@@ -455,13 +453,12 @@
 
         Args:
             suspect: the `_Suspect`.
-            other_rate_per_s: rate at which an upstream crashes for other
-                reasons, per second.
+            other_rate_per_s: rate at which upstreams of its service crash
+                for other reasons, per second.
             now: time in seconds.
         """
         needed = MIN_CRASHES
-        size = max((c.service_size for c in suspect.crashes), default=0)
-        if size < FEW_UPSTREAMS or other_rate_per_s > OTHER_CRASH_RATE_PER_S:
+        if other_rate_per_s > OTHER_CRASH_RATE_PER_S:
             needed += 1
         if len(suspect.crashes) < needed:
             return False
@@ -470,8 +467,11 @@
             return False
         run_s = max(MIN_RUN_S, *(c.run_s[suspect.request] for c in evidence))
         chance = min(MAX_CRASH_CHANCE, run_s * other_rate_per_s)
-        # The factor accounts for the choice of the longest run.
-        coincidence = len(evidence) * chance ** len(evidence)
+        size = max(1, *(crash.service_size for crash in evidence))
+        count = len(evidence)
+        # The first factor accounts for the choice of the longest run, the
+        # last one for the upstreams that might have crashed instead.
+        coincidence = count * chance**count / size ** (count - 1)
         return coincidence <= MAX_COINCIDENCE
 
     def _evidence(self, suspect, now):
@@ -498,7 +498,7 @@
         )
 
     def _other_crash_rate_per_s(self, now):
-        """Return the rate at which an upstream crashes for other reasons.
+        """Return the rate at which upstreams crash for other reasons.
 
         Counts recent crashes of which all suspects have completed or have no
         second crash.
@@ -513,8 +513,7 @@
             and not any(s.is_isolated for s in self._suspects_of(crash))
             for crash in recent
         )
-        per_upstream = count / max(1, len({c.upstream for c in recent}))
-        return OTHER_CRASH_RATE_PER_S + per_upstream / OTHER_CRASH_WINDOW_S
+        return OTHER_CRASH_RATE_PER_S + count / OTHER_CRASH_WINDOW_S
 
 
 def _is_in_suspected_half(suspect, others):
--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -91,7 +91,7 @@
     assert evaluate('p', 'p', 'p') == ['p']
     subject = quarantine.Quarantine()
     for number in range(4):
-        subject.record_crash(f'u{number}', {'a': 2.5}, SIZE, 0.0, 0.0)
+        subject.record_crash(f'u{number}', {'a': 2.5}, 2, 0.0, 0.0)
     assert subject.evaluate(SETTLED) == []
 
 
@@ -107,9 +107,13 @@
 
 def test_one_more_crash_is_needed_with_few_upstreams():
     """All of them may lose power within the retries of one request."""
-    few = _quarantine.FEW_UPSTREAMS - 1
-    assert evaluate('p', 'p', 'p', size=few) == []
-    assert evaluate('p', 'p', 'p', 'p', size=few) == ['p']
+    for run_s in (0.3, 0.6):
+        subject = quarantine.Quarantine()
+        for number in range(3):
+            subject.record_crash(f'u{number}', {'p': run_s}, 2, 0.0, 0.0)
+        assert subject.evaluate(SETTLED) == []
+        subject.record_crash('u3', {'p': run_s}, 2, 0.0, 0.0)
+        assert subject.evaluate(SETTLED) == ['p']
 
 
 def test_one_more_crash_is_needed_after_crashes_for_other_reasons():
