Send lists of instances in the order in which they are made

What was seen: bundle/tests/test_bundle.py::test_whole_path_runs_on_the_build failed at times beside other work; the entry knew no upstream of one service for all of 25 s, and served the others.

Cause: the stand-ins' scene starts instances side by side, and each start copies the table of instances and sends the copy as the new list. Copies could be sent in the other order than they were made; the last one then lacked an instance, and no other followed.

Evidence: with up to 0.15 s between copy and sending, 2 of 14 scenes lacked instances for good before, 0 of 14 after. Without the delay 0 of 80 before, so the order is rarely turned. Ruled out by reading: a port that is taken, since the process then prints no address and the scene raises `did not start`.

The test fails before, 5 of 5 times (`['portal-0'] == ['portal-0', 'records-0']`), and passes now, 5 of 5.

--- a/standins/scene.py
+++ b/standins/scene.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import signal
+import threading
 
 import attrs
 
@@ -45,6 +46,8 @@
         self.entries = {}
         self.listed = {}
         self._numbers = collections.defaultdict(itertools.count)
+        #: Held while the list is sent, so that a newer one is sent later.
+        self._list_lock = threading.Lock()
 
     def start(self):
         """Start the platform, then the instances side by side."""
@@ -224,5 +227,7 @@
         self._show_list()
 
     def _show_list(self):
-        shown = [attrs.asdict(item) for item in list(self.listed.values())]
-        self.ask(self.listing, 'PUT', '/instances', shown)
+        with self._list_lock:
+            listed = list(self.listed.values())
+            shown = [attrs.asdict(item) for item in listed]
+            self.ask(self.listing, 'PUT', '/instances', shown)
