List requests that reach an engine after their clients have left

What lies on a link is not known to the sender.

It was one of the mechanisms behind the entry on runs at engines that stand still, and has its own test and entry now; the test fails as written.

--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -119,6 +119,52 @@
     assert run(request_while_one_is_frozen(12, 5.0)) == [200] * 12
 
 
+@contextlib.asynccontextmanager
+async def slow_link(upstream, delay_s):
+    """Pass on what is sent to an upstream after a delay.
+
+    Bytes that are on the link arrive even if their connection has ended.
+    Yields the port, and an event that is set when bytes are on the link.
+    """
+    is_used = asyncio.Event()
+
+    async def carry(reader, writer):
+        data = await reader.read(65536)
+        is_used.set()
+        await asyncio.sleep(delay_s)
+        _, onward = await asyncio.open_connection('127.0.0.1', upstream.port)
+        onward.write(data)
+
+    server = await asyncio.start_server(carry, '127.0.0.1', 0)
+    yield server.sockets[0].getsockname()[1], is_used
+    server.close()
+
+
+def test_no_request_reaches_an_engine_after_its_client_has_left():
+    """Sent over a link that holds it, it runs for nobody (KNOWN-RED.txt)."""
+
+    async def main():
+        engine = make_engine('u1', harness.streaming(2))
+        async with (
+            harness.running_gateway(engine) as gateway,
+            slow_link(engine, delay_s=1.0) as (port, is_used),
+        ):
+            listed = engine.listed(address=('127.0.0.1', port))
+            gateway.context.catalog.put_upstream(listed)
+            _, writer = await gateway.connect()
+            await harness.send_request(
+                writer, '/chat/1', 'POST', b'hello', **CHAT
+            )
+            await is_used.wait()
+            writer.close()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.5):
+                    await engine.closed.wait()
+            return engine.heads
+
+    assert run(main) == []
+
+
 def test_retry_share_of_one_entry_of_four_suffices_for_an_engine():
     """An engine freezes with sixteen requests, and another one is free.
 
