--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -17,7 +17,7 @@
 #: entries, sidecars and callers.
 FAILED_STATEMENT_SEEDS = ((1, 16.0, 2, 2, 4), (5012, 20.0, 2, 4, 6))
 #: The same with silences and a store that goes back.
-FAILED_SILENCE_SEEDS = ((70013, 15.0, 3, 3, 8),)
+FAILED_SILENCE_SEEDS = ((70013, 15.0, 3, 3, 8), (70053, 15.0, 3, 3, 8))
 #: Seconds of a short run; engines must crash and be away for a while in one
 #: that may crash them.
 RUN_S = 16.0 if _soak.CRASHES else 6.0
