--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -2,14 +2,9 @@
 
 import collections
 
-import attrs
-
 from catkinshunt import logs
+from catkinshunt.quarantine import _suspect
 
-#: Crashes from which on a request runs apart from other such requests.
-ISOLATION_CRASHES = 2
-#: Crashes from which on it may be quarantined, and is paused after each.
-MIN_CRASHES = 3
 #: Assumed rate at which upstreams of a service crash for other reasons, per
 #: second.
 OTHER_CRASH_RATE_PER_S = 0.08
@@ -57,71 +52,6 @@
 _log = logs.get_logger('quarantine')
 
 
-@attrs.define(eq=False)
-class Crash:
-    """A crash of an upstream.
-
-    Attributes:
-        upstream: identifier of the upstream.
-        at: time of the crash, in seconds.
-        service_size: number of upstreams of its service.
-        run_s: seconds from when each interrupted request was sent to the
-            crash, by fingerprint.
-        cleared: fingerprints of those that have completed since.
-        is_explained: whether it interrupted a quarantined request.
-    """
-
-    upstream: str
-    at: float
-    service_size: int = 0
-    run_s: dict = attrs.field(factory=dict)
-    cleared: set = attrs.field(factory=set)
-    is_explained: bool = False
-
-
-@attrs.define(eq=False)
-class _Suspect:
-    """A request that upstreams were running when they crashed.
-
-    Attributes:
-        request: its fingerprint.
-        last_crash_at: time of its last crash.
-        crashes: `Crash` objects since it last completed, without those that
-            are explained.
-        isolated_at: when it reached `ISOLATION_CRASHES`, or None.
-        eligible_at: when it reached `MIN_CRASHES`, or None.
-    """
-
-    request: str
-    last_crash_at: float
-    crashes: list = attrs.field(factory=list)
-    isolated_at: float | None = None
-    eligible_at: float | None = None
-
-    @property
-    def is_isolated(self):
-        """Whether it has to run apart from other suspects."""
-        return len(self.crashes) >= ISOLATION_CRASHES
-
-    @property
-    def longest_run_s(self):
-        """Longest time that an upstream ran it before a crash.
-
-        A cause crashes each upstream at the same point of its run, so the
-        suspect with the shortest one is suspected most.
-        """
-        return max(crash.run_s[self.request] for crash in self.crashes)
-
-    def add(self, crash, now):
-        """Add a crash that was reported at time `now`."""
-        self.crashes.append(crash)
-        self.last_crash_at = max(self.last_crash_at, crash.at)
-        if self.isolated_at is None and self.is_isolated:
-            self.isolated_at = now
-        if self.eligible_at is None and len(self.crashes) >= MIN_CRASHES:
-            self.eligible_at = now
-
-
 class Quarantine:
     """Correlates crashes with requests, and quarantines the cause.
 
@@ -292,13 +222,13 @@
     def pause_s(self, request, now):
         """Return the seconds for which a suspect must not run, or 0."""
         suspect = self._suspects.get(request)
-        if suspect is None or len(suspect.crashes) < MIN_CRASHES:
+        if suspect is None or len(suspect.crashes) < _suspect.MIN_CRASHES:
             return 0.0
         others = self._others(suspect)
         pause_s = PAUSE_S
         if others and self._has_most_crashes(suspect, others):
             pause_s = MAX_PAUSE_S + 2 * EVALUATION_DELAY_S
-        elif others and not _is_in_suspected_half(suspect, others):
+        elif others and not suspect.is_in_suspected_half(others):
             return 0.0
         left_s = suspect.last_crash_at + pause_s - now
         return min(MAX_WAIT_S, max(0.0, left_s))
@@ -310,12 +240,12 @@
         of their fingerprints, so that all entries let the same one run.
         """
         suspect = self._suspects.get(request)
-        if suspect is None or len(suspect.crashes) < MIN_CRASHES:
+        if suspect is None or len(suspect.crashes) < _suspect.MIN_CRASHES:
             return 0.0
         tied = {
             other.request: other
             for other in self._others(suspect)
-            if len(other.crashes) >= MIN_CRASHES
+            if len(other.crashes) >= _suspect.MIN_CRASHES
         }
         if not tied:
             return 0.0
@@ -389,7 +319,7 @@
         return None
 
     def _add_crash(self, upstream, at):
-        crash = Crash(upstream, at)
+        crash = _suspect.Crash(upstream, at)
         self._crashes.append(crash)
         while len(self._crashes) > MAX_CRASH_RECORDS:
             self._forget(self._crashes.popleft())
@@ -398,7 +328,9 @@
     def _add_suspect(self, request, crash, now):
         found = self._suspects.get(request)
         if found is None:
-            found = self._suspects[request] = _Suspect(request, crash.at)
+            found = self._suspects[request] = _suspect.Suspect(
+                request, crash.at
+            )
             while len(self._suspects) > MAX_SUSPECTS:
                 self._suspects.popitem(last=False)
         found.add(crash, now)
@@ -433,7 +365,7 @@
     # Causes.
 
     def _find_cause(self, now):
-        """Return a `_Suspect` that is found to cause crashes, or None."""
+        """Return a `Suspect` that is found to cause crashes, or None."""
         due = [
             suspect
             for suspect in self._suspects.values()
@@ -452,18 +384,18 @@
         """Return whether a suspect is found to cause crashes.
 
         Args:
-            suspect: the `_Suspect`.
+            suspect: the `Suspect`.
             other_rate_per_s: rate at which upstreams of its service crash
                 for other reasons, per second.
             now: time in seconds.
         """
-        needed = MIN_CRASHES
+        needed = _suspect.MIN_CRASHES
         if other_rate_per_s > OTHER_CRASH_RATE_PER_S:
             needed += 1
         if len(suspect.crashes) < needed:
             return False
         evidence = self._evidence(suspect, now)
-        if len(evidence) < MIN_CRASHES:
+        if len(evidence) < _suspect.MIN_CRASHES:
             return False
         run_s = max(MIN_RUN_S, *(c.run_s[suspect.request] for c in evidence))
         chance = min(MAX_CRASH_CHANCE, run_s * other_rate_per_s)
@@ -514,9 +446,3 @@
             for crash in recent
         )
         return OTHER_CRASH_RATE_PER_S + count / OTHER_CRASH_WINDOW_S
-
-
-def _is_in_suspected_half(suspect, others):
-    """Return whether fewer than half of the others are suspected more."""
-    more = sum(o.longest_run_s < suspect.longest_run_s for o in others)
-    return 2 * more < len(others)
--- a/catkinshunt/quarantine/tests/replay.py
+++ b/catkinshunt/quarantine/tests/replay.py
@@ -25,6 +25,8 @@
 SLOTS, MAX_TRIES = 16, 3
 #: Time in which crashes with other reasons come, in seconds.
 OTHER_CRASHES_WITHIN_S = 30.0
+#: Crashes after which a cause is to be stopped, and seconds until it is.
+CRASHES, STOPPED_WITHIN_S = 3, 3.0
 POPULAR = 'popular'
 
 
@@ -220,7 +222,7 @@
         return {r for _, r in self.quarantined_at} - set(self.causes)
 
     def missed_causes(self):
-        """Return the causes that some entry still runs."""
+        """Return the causes that some entry does not quarantine."""
         now = self.clock()
         return [
             cause
@@ -363,10 +365,10 @@
 
     Attributes:
         innocents: quarantined requests that crash nothing.
-        missed: causes that some entry still runs at the end.
+        missed: causes that some entry does not quarantine at the end.
         crashes: number of crashes by causes.
-        late_s: longest time from the third crash of a cause to its last run.
-        late_runs: most runs of a cause that began 3 s after its third crash.
+        late_s: longest time from the third crash of a cause to its last one.
+        late_runs: most crashes by a cause after it was to be stopped.
         completed: runs that completed.
         held_s: longest time for which an innocent request was refused.
     """
@@ -381,12 +383,14 @@
 
 
 def summarize(replay):
+    """Return the `Summary` of a `Replay` that has ended."""
     late_s, late_runs = 0.0, 0
     for cause in replay.causes:
         times = replay.crashes_of(cause)
-        if len(times) >= 3:
-            late_s = max(late_s, times[-1] - times[2])
-            late = sum(at > times[2] + 3.0 for at in times)
+        if len(times) >= CRASHES:
+            known_at = times[CRASHES - 1]
+            late_s = max(late_s, times[-1] - known_at)
+            late = sum(at > known_at + STOPPED_WITHIN_S for at in times)
             late_runs = max(late_runs, late)
     innocent = [
         held_s
