--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -40,3 +40,11 @@
     calm = replay.play(1, engines=2, causes=0).completed
     beside = replay.play(1, engines=2, causes=3).completed
     assert beside > calm / 2
+
+
+def test_no_request_is_quarantined_by_chance():
+    """Engines were killed wherever a request ran (see KNOWN-RED.txt)."""
+    all_at_once = replay.play(141, engines=8, **CASES['all at once'])
+    kills = {'causes': 0, 'other_crashes': 6, 'has_sidecars': False}
+    no_sidecars = replay.play(151, engines=3, **kills)
+    assert all_at_once.innocents == no_sidecars.innocents == ()
