List a fresh seed of the soak in which a back-off is not heeded

What was seen: seed 42009 (one run): two entries sent more requests to an engine that had asked them for a back-off of 1 s.

Partly traced by the logs of the entries: the engine had crashed and was back under a new id at its old address, some 0.5 s before the entries heard of that. They put its back-off on the id that they knew (`passed over e1: wants no requests of this entry`), and used the new one without it. Its test is listed; it was not played on the code before.

--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -15,7 +15,11 @@
 FAILED_SEEDS, FAILED_RUN_S = (302, 314), 20.0
 #: The same with upstreams that leave and back off: seed, length of the run,
 #: entries, sidecars and callers.
-FAILED_STATEMENT_SEEDS = ((1, 16.0, 2, 2, 4), (5012, 20.0, 2, 4, 6))
+FAILED_STATEMENT_SEEDS = (
+    (1, 16.0, 2, 2, 4),
+    (5012, 20.0, 2, 4, 6),
+    (42009, 15.0, 3, 3, 16),
+)
 #: The same with silences and a store that goes back.
 FAILED_SILENCE_SEEDS = ((70013, 15.0, 3, 3, 8), (70053, 15.0, 3, 3, 8))
 #: Seconds of a short run; engines must crash and be away for a while in one
