Change the store throughout the last part of a soak

In its log the entry got the request 3 ms after the change of the store that was to renew its state; the state was 2.0 s old, the bound of the soak, and the change arrived after the request. The change was made once before each question, so the two raced.

The store now changes eight times within the bound until the last question is answered. What is checked is unchanged.

--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -21,6 +21,8 @@
 
 VERSION_S = 4.0
 REVOKE_S = 2.0
+#: Seconds between two changes of the store after the faults.
+STIR_S = REVOKE_S / 8
 DRAIN_S = 1.0
 ZONES = ('larisa-a', 'piraeus-a')
 ENGINE_PORT, PLAIN_PORT, FRONT_PORT, READY_PORT = 8704, 8708, 8005, 8002
@@ -205,6 +207,14 @@
         calm_at = max((until for _, until in faults), default=0.0)
         await asyncio.sleep(max(0.0, calm_at - self.clock()))
         await self._until_ready()
+        stirring = asyncio.ensure_future(self._stir())
+        try:
+            await self._ask_again()
+        finally:
+            stirring.cancel()
+
+    async def _ask_again(self):
+        """Ask until entries serve again, then once for each bystander."""
         askers = [
             self._make_caller(_callers.Caller, f'last-{host}', hosts=[host])
             for host in self.fronts
@@ -212,7 +222,6 @@
         fresh = _name_contents('fresh')
         limit = self.clock() + BACK_S
         while True:
-            self._stir()
             answers = await asyncio.gather(
                 *(
                     asker.ask('chat', next(fresh))
@@ -228,19 +237,22 @@
         self.records.back_at = self.clock()
         for identity in self.records.find_bystanders():
             kind, key, content = identity
-            self._stir()
             await self.random.choice(askers).ask(kind, content, key)
 
-    def _stir(self):
-        """Change the store.
+    async def _stir(self):
+        """Change the store again and again.
 
         With a bound as short as `REVOKE_S` entries refuse all requests for a
         part of each watch in which nothing changes.
         """
-        left = self.records.left
-        self._write_upstream(
-            next(n for n in self.upstreams if n[0] == 'p' and n not in left)
-        )
+        while True:
+            left = self.records.left
+            self._write_upstream(
+                next(
+                    n for n in self.upstreams if n[0] == 'p' and n not in left
+                )
+            )
+            await asyncio.sleep(STIR_S)
 
     # Start.
 
