Let a crashed engine of the soak serve no connection it just accepted

A connection that the loop has accepted, but whose task has not begun, is not among those that a crash closes. The engine went on serving it while it was away. Another run of the crashing request there ended its connection, but was recorded neither as a crash nor as a break-off, since the engine was gone already; so the checker took the engine for sound. The test shows it: of eight moments of the crash one left such a connection, which was answered with 200.

Ruled out by reading: break-offs, disruptions of links and interruptions of entries are all recorded from their begin, and the entry ends a stream whose engine goes on only for a client that left.

--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -234,6 +234,11 @@
         self.gone = False
         return self
 
+    @property
+    def port(self):
+        """The port that it listens on."""
+        return self._listener.port
+
     def begin_history(self):
         """Forget limit and leave, as a new process does."""
         self.limit_per_s = math.inf
@@ -274,7 +279,7 @@
         for conn in list(self._listener.tasks.values()):
             conn.abort()
 
-    def _crash(self, request):
+    def crash(self, request):
         """End at once, with all connections."""
         if self.gone:
             return
@@ -311,6 +316,10 @@
             req = await conn.read_request()
             if req is None or isinstance(req, http1.BadRequestError):
                 return
+            if self.gone:
+                # It had just accepted the connection when it crashed.
+                conn.abort()
+                return
             if req.path.startswith('/-/'):
                 reply = await self._control(req)
                 items = self._leaving_items()
@@ -433,7 +442,7 @@
         """Write events; crash before the event at a place, 0 is the head."""
         request = attempt.request
         if crash_at == 0:
-            self._crash(request)
+            self.crash(request)
             return False
         await self.silence.wait('head')
         attempt.replied_at = self.clock()
@@ -444,7 +453,7 @@
             await asyncio.sleep(EVENT_S)
             await self.silence.wait('events')
             if place == crash_at:
-                self._crash(request)
+                self.crash(request)
                 return False
             if self.fault == 'reset':
                 return False
--- a/standins/soak/tests/test_cuts.py
+++ b/standins/soak/tests/test_cuts.py
@@ -99,7 +99,7 @@
         upstream = _platform.Upstream('e0', 'engines', found, lambda: 11.0)
         upstream.on_crash = lambda: None
         await upstream.start('127.0.0.1', 0)
-        upstream._crash('x-1')
+        upstream.crash('x-1')
 
     found = _records.Records(version_s=4.0, revoke_s=2.0, drain_s=1.0)
     asyncio.run(main())
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -1,11 +1,14 @@
 import asyncio
 import collections
+import contextlib
+import socket
 
 import pytest
 
 from catkinshunt import errors
 from catkinshunt import http1
 from standins import rate_rule
+from standins.soak import _platform
 from standins.soak import _records
 from standins.soak import _soak
 from standins import statement_rules
@@ -318,6 +321,30 @@
     assert list(soak.store.items) == ['servers/e100']
 
 
+def test_crashed_engine_serves_no_connection_that_it_just_accepted():
+    """A request there was cut at an engine that seemed to be sound."""
+
+    async def main(iterations):
+        seen = records()
+        clock = asyncio.get_running_loop().time
+        engine = _platform.Upstream('e1', 'engines', seen, clock, version=1)
+        engine.on_crash = lambda: None
+        await engine.start('127.0.0.1', 0)
+        with socket.create_connection(('127.0.0.1', engine.port)) as sock:
+            # The loop accepts it in one of its next iterations.
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            engine.crash('x-1')
+            await asyncio.sleep(0.05)
+            with contextlib.suppress(ConnectionError):
+                sock.sendall(http1.dump_head('POST /chat/1 HTTP/1.1', []))
+            await asyncio.sleep(0.05)
+        return seen.attempts
+
+    for iterations in range(8):
+        assert asyncio.run(main(iterations)) == []
+
+
 def limited_answers(entries, count):
     """Return answers that name the limit of e0, in turn by each entry."""
     return [
