Let upstreams of the soak turn away requests for another one

By the logs of its entries e1 had crashed, and e101 had started at its address while they still listed e1. They sent it requests for e1, and kept the back-off that it stated under that name.

The platform has a rule for this: an upstream that gets a request with the id of another one in Expect-Instance answers 421 and does not run it. The entries send that header, and heed no statement in such an answer. The soak's upstreams ignored it. They now turn such requests away, so the entry pauses the address until the list is right. The test of it failed before (503 in place of 421).

--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -388,6 +388,12 @@
         entry = self.records.entry_of(request)
         self.history.arrivals.append(rate_rule.Arrival(self.clock(), entry))
         self.visits.add(request, self.clock())
+        expected = req.headers.get('Expect-Instance')
+        if expected not in (None, self.name):
+            # Another one had the address before.
+            attempt.was_rejected = True
+            conn.write(http1.dump_reply(421, [*items, ('Not-Executed', '1')]))
+            return True
         items += self._leaving_items()
         if self.back_off_s is not None:
             attempt.was_rejected = True
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -321,6 +321,27 @@
     assert list(soak.store.items) == ['servers/e100']
 
 
+@pytest.mark.parametrize(('expected', 'status'), [('e1', 421), ('e101', 503)])
+def test_upstream_serves_no_request_for_another_one(expected, status):
+    """A back-off was stated in the name of the one that had crashed."""
+
+    async def main():
+        seen = records()
+        clock = asyncio.get_running_loop().time
+        engine = _platform.Upstream('e101', 'engines', seen, clock, version=1)
+        engine.back_off_s = 1.0
+        await engine.start('127.0.0.1', 0)
+        pool = http1.Pool('127.0.0.1', engine.port, clock)
+        items = [('Attempt-Id', 'a-1'), ('Expect-Instance', expected)]
+        head, _ = await http1.exchange(pool, 'POST', '/chat/1', items)
+        return head, engine.visits.rejections
+
+    head, rejections = asyncio.run(main())
+    assert head.status == status
+    assert (head.headers.get('Retry-After') is None) == (status == 421)
+    assert len(rejections) == (status == 503)
+
+
 def test_crashed_engine_serves_no_connection_that_it_just_accepted():
     """A request there was cut at an engine that seemed to be sound."""
 
