Count a version's time from the last state without it

Callers saw requests that began on an outdated version. An entry counted the time of a version from when it read of it, so whatever came between the acknowledgement and the reading made it late. The store's acknowledgement is what the bound counts from.

An entry cannot know when a version was acknowledged, but it knows the last time at which the store did not have it: the confirmation of its state before the page with the version. That time is never later than the acknowledgement, wherever the page waited. Pages that are relayed carry the same time of the relay, which may be nearer; the later of the two counts. Removals of upstreams and marks of pending versions use it too.

In one test of the cache the age of a page became the time itself; it asserts the same 1.0.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -350,8 +350,8 @@
     Mutation(
         'unread-answers-prove-nothing',
         'catkinshunt/watch_relay/_peer.py',
-        'requested_at + relayed.waited_s - relayed.confirmed_ago_s',
-        'self.wall() - relayed.confirmed_ago_s',
+        'confirmed_at=sent_after - relayed.confirmed_ago_s',
+        'confirmed_at=self.wall() - relayed.confirmed_ago_s',
     ),
     Mutation(
         'readers-that-start-are-waited-for',
@@ -362,8 +362,8 @@
     Mutation(
         'names-are-as-old-as-the-reader-knows',
         'catkinshunt/watch_relay/_watch_cache.py',
-        'ages = [now - self._seen_at.get(item.key, now) for item in items]',
-        'ages = []',
+        'times = [self._changed_after.get(item.key) for item in items]',
+        'times = []',
     ),
     Mutation(
         'origin-is-shown-alone',
@@ -372,6 +372,12 @@
         'await',
     ),
     # No request begins on a version too old.
+    Mutation(
+        'versions-count-from-the-last-confirmation',
+        'catkinshunt/platform/_cache_updater.py',
+        'await self._apply_item(item, changed_after)',
+        'await self._apply_item(item, now)',
+    ),
     Mutation(
         'sidecar-ends-a-version',
         'catkinshunt/permits/_allocator.py',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -30,19 +30,20 @@
 
     Attributes:
         version: version number; a higher one is newer.
-        learned_at: time in seconds on the catalog's clock from which the
-            grace period counts after which the version is due, see
-            `Catalog.due_version`; minus infinity if it is due at once.
+        announced_after: time in seconds on the catalog's clock after which it
+            was announced. The grace period counts from it after which the
+            version is due, see `Catalog.due_version`; minus infinity if it is
+            due at once.
         is_pending: the version was announced before this process started,
-            but the store marks it as not due yet; `learned_at` is then the
-            time at which this process read the mark.
+            but the store marks it as not due yet; `announced_after` is then
+            the time at which this process read the mark.
         is_due: its mark has ended. An older list may contain the mark again.
         found: the version was already in the store at the first read, so it
-            may have been announced long before `learned_at`.
+            may have been announced long before `announced_after`.
     """
 
     version: int
-    learned_at: float
+    announced_after: float
     is_pending: bool = False
     is_due: bool = False
     found: bool = False
@@ -142,14 +143,17 @@
             self._notifier.notify_all()
         return True
 
-    def add_announced_version(self, model, version, now, found=False):
+    def add_announced_version(
+        self, model, version, announced_after, found=False
+    ):
         """Record that the operator wants `version` of `model` served.
 
         Args:
             model: name of the model.
             version: version number.
-            now: time in seconds on the catalog's clock.
-            found: whether it may have been announced long before `now`.
+            announced_after: time in seconds on the catalog's clock after
+                which it was announced.
+            found: whether it may have been announced long before that.
 
         Returns:
             Whether it is newer than the versions known before.
@@ -158,7 +162,7 @@
         if current is not None and version <= current.version:
             return False
         known = self._versions.setdefault(model, [])
-        known.append(AnnouncedVersion(version, now, found=found))
+        known.append(AnnouncedVersion(version, announced_after, found=found))
         del known[:-MAX_VERSIONS]
         _log.info(
             'Operator announced version {} of {}.',
@@ -174,10 +178,10 @@
         announced = self._find_version(model, version)
         if (
             announced is not None
-            and math.isinf(announced.learned_at)
+            and math.isinf(announced.announced_after)
             and not announced.is_due
         ):
-            announced.learned_at = now
+            announced.announced_after = now
             announced.is_pending = True
             _log.info('Version {} of {} is not due yet.', version, model)
             self._notifier.notify_all()
@@ -186,7 +190,7 @@
         """Remove the pending mark of a version, which may then be due."""
         announced = self._find_version(model, version)
         if announced is not None and announced.is_pending:
-            announced.learned_at = -math.inf
+            announced.announced_after = -math.inf
             announced.is_pending = False
             announced.is_due = True
             _log.info('Version {} of {} is due.', version, model)
@@ -238,7 +242,7 @@
         due = [
             announced.version
             for announced in self._versions.get(model, ())
-            if now - announced.learned_at > grace_s
+            if now - announced.announced_after > grace_s
         ]
         return due[-1] if due else None
 
--- a/catkinshunt/catalog/tests/test_catalog.py
+++ b/catkinshunt/catalog/tests/test_catalog.py
@@ -13,16 +13,16 @@
     after the middle one is due.
     """
     catalog = catalogs.Catalog()
-    catalog.add_announced_version('drafts', 2, now=0.0)
-    catalog.add_announced_version('drafts', 3, now=2.0)
+    catalog.add_announced_version('drafts', 2, announced_after=0.0)
+    catalog.add_announced_version('drafts', 3, announced_after=2.0)
     due = [catalog.due_version('drafts', 8.0, now) for now in (7, 9, 11)]
     assert due == [None, 2, 3]
 
 
 def test_an_older_version_is_ignored():
     catalog = catalogs.Catalog()
-    assert catalog.add_announced_version('drafts', 3, now=0.0)
-    assert not catalog.add_announced_version('drafts', 2, now=1.0)
+    assert catalog.add_announced_version('drafts', 3, announced_after=0.0)
+    assert not catalog.add_announced_version('drafts', 2, announced_after=1.0)
     assert catalog.newest_version('drafts').version == 3
 
 
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -33,17 +33,17 @@
     catalog.declare(declaration)
 
 
-def apply_version(item, catalog, announced_at, found=False):
+def apply_version(item, catalog, announced_after, found=False):
     """Add the version that the operator announced to the catalog.
 
     Args:
         item: `Item` that announces it.
         catalog: `catalog.Catalog`.
-        announced_at: seconds on the clock of the catalog when it was
-            announced; minus infinity if that may be long ago, which makes
-            the version due.
+        announced_after: seconds on the clock of the catalog after which it
+            was announced; minus infinity if that may be long ago, which
+            makes the version due.
         found: the item was found by a read rather than by a watch, so the
-            version may have been announced long before `announced_at`. Only
+            version may have been announced long before that time. Only
             `StoreView.expires_at` uses it.
     """
     if item.value is None:
@@ -53,7 +53,7 @@
     except _documents.InvalidDocumentError as exc:
         _log.error('Ignored the invalid item {}: {}.', item.key, exc)
         return
-    catalog.add_announced_version(model, version, announced_at, found)
+    catalog.add_announced_version(model, version, announced_after, found)
 
 
 def apply_pending(item, catalog, now):
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -143,11 +143,11 @@
         # read that may be long ago, so the version counts as due at once;
         # later, it is not before the last time at which the cached state was
         # current.
-        announced_at = self.catalog.confirmed_at
-        if first or announced_at is None:
-            announced_at = -math.inf
+        announced_after = self.catalog.confirmed_at
+        if first or announced_after is None:
+            announced_after = -math.inf
         for item in operator.items:
-            await self._apply_item(item, announced_at)
+            await self._apply_item(item, announced_after)
         self._replace_pending(system.items, requested_at)
         contradicted = self.catalog.replace_upstreams(
             _apply.parse_valid_upstreams(listed.items), self.boottime()
@@ -303,10 +303,13 @@
                 step='watch',
             )
         now = self.boottime()
+        # The page may be read long after its changes: this process may have
+        # been suspended, and the service or the watcher slow or silent.
+        changed_after = watch_relay.latest(
+            self.catalog.confirmed_at, page.changed_after
+        )
         for item in page.items:
-            # The watcher that relays the page may have seen the changes
-            # earlier.
-            await self._apply_item(item, now - page.seen_ago_s)
+            await self._apply_item(item, changed_after)
         self._revision = max(self._revision, page.revision)
         # An answer can stay buffered while the process is suspended, so the
         # time at which it is read confirms nothing. One with changes may have
@@ -320,24 +323,24 @@
         if page.items:
             await asyncio.sleep(BATCH_DELAY_S)
 
-    async def _apply_item(self, item, changed_at):
+    async def _apply_item(self, item, changed_after):
         if item.key == _documents.CONFIGURATION_KEY:
             for _ in _apply.configuration_steps(item, self.catalog):
                 # A large one would hold up the event loop.
                 await asyncio.sleep(0)
         elif item.key.startswith(_documents.VERSION_PREFIX):
-            _apply.apply_version(item, self.catalog, changed_at)
+            _apply.apply_version(item, self.catalog, changed_after)
         elif item.key.startswith(_documents.UPSTREAM_PREFIX):
-            self._apply_upstream(item, changed_at)
+            self._apply_upstream(item, changed_after)
         elif item.key.startswith(_documents.ENTRY_PREFIX):
             self._apply_entry(item)
         elif item.key.startswith(_documents.PENDING_PREFIX):
-            self._apply_pending(item, changed_at)
+            self._apply_pending(item, changed_after)
         elif item.key.startswith(_documents.QUARANTINE_PREFIX):
             _apply.apply_quarantine(item, self.quarantined, self.boottime())
 
-    def _apply_pending(self, item, changed_at):
-        _apply.apply_pending(item, self.catalog, changed_at)
+    def _apply_pending(self, item, changed_after):
+        _apply.apply_pending(item, self.catalog, changed_after)
         for model, version in list(self._kept_pending):
             if item.key == _documents.pending_key(model, version):
                 del self._kept_pending[model, version]
@@ -351,7 +354,7 @@
                 _entry_name(item), _apply.parse_location_or_none(item)
             )
 
-    def _apply_upstream(self, item, changed_at):
+    def _apply_upstream(self, item, changed_after):
         # The upstreams may have been read at a later revision than that from
         # which the watch starts.
         known = self._upstream_revisions.get(item.key)
@@ -360,7 +363,7 @@
         self._upstream_revisions[item.key] = item.revision
         upstream = _apply.parse_upstream_or_none(item)
         if upstream is None:
-            self.catalog.drop_upstream(_apply.upstream_id(item), changed_at)
+            self.catalog.drop_upstream(_apply.upstream_id(item), changed_after)
         elif self.catalog.put_upstream(upstream):
             self._record_contradiction(upstream)
 
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -46,9 +46,9 @@
 #: remaining requests and writing the last log lines.
 STOP_MARGIN_S = 1.0
 #: Entries treat a version as due this long before `Bounds.version_s` is over.
-#: The margin covers the delay until its announcement is known, the transit of
-#: a request over a busy link and its time in a queue. A request that has not
-#: begun by then is cancelled, but the cancellation needs time in transit too.
+#: The margin covers the transit of a request over a busy link and its time in
+#: a queue. A request that has not begun by then is cancelled, but the
+#: cancellation needs time in transit too.
 VERSION_MARGIN_S = 0.75
 #: Seconds between two evictions of the state of upstreams that are gone.
 EVICTION_PERIOD_S = 10.0
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -96,7 +96,7 @@
         It would last as long as its lease had left when the copy was made, or
         longer, and an entry that starts then would serve an older version.
         """
-        due_at = announced.learned_at + self.version_grace_s
+        due_at = announced.announced_after + self.version_grace_s
         left_s = due_at - self.boottime()
         if left_s < -self.version_grace_s:
             return
@@ -109,7 +109,7 @@
 
     async def _publish(self, model, announced):
         """Write the key of one version unless it is due too soon."""
-        due_at = announced.learned_at + self.version_grace_s
+        due_at = announced.announced_after + self.version_grace_s
         lease_s = due_at - self.boottime() - LEASE_MARGIN_S
         if not math.isfinite(lease_s) or lease_s < MIN_LEASE_S:
             return
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -195,7 +195,7 @@
         # Only the first model with an announced version is used.
         for model in self.catalog.announced_models():
             announced = self.catalog.newest_version(model)
-            due_at = announced.learned_at + self.version_grace_s
+            due_at = announced.announced_after + self.version_grace_s
             return spread.TargetVersion(model, announced.version, due_at)
         # Until the announced versions are read, the version of other members
         # may be outdated. After a power loss all members would fetch that one
@@ -234,7 +234,7 @@
         return (
             self.boottime()
             if newer is None
-            else newer.learned_at + self.version_grace_s
+            else newer.announced_after + self.version_grace_s
         )
 
     def expires_at(self, model, version):
@@ -244,7 +244,7 @@
         # is unknown; other sidecars may still use the previous one.
         if newer is None or newer.found:
             return math.inf
-        return newer.learned_at + self.version_grace_s - EXPIRY_MARGIN_S
+        return newer.announced_after + self.version_grace_s - EXPIRY_MARGIN_S
 
     async def members(self):
         """See `spread.BaseClusterView.members`."""
--- a/catkinshunt/platform/tests/test_cache_updater.py
+++ b/catkinshunt/platform/tests/test_cache_updater.py
@@ -251,3 +251,23 @@
     reads, seen = run(main)
     assert reads == 6
     assert seen == []
+
+
+def test_version_read_after_a_suspend_is_due_in_time():
+    """Its time would count from the reading, seconds after its announcement.
+
+    Requests would begin on the previous version for as much longer.
+    """
+
+    async def main(harness):
+        catalog = harness.catalog
+        await fakes.wait_until(lambda: harness.store.calls.count('watch') > 0)
+        latest = harness.boottime()
+        harness.now_s += 2.5
+        harness.store.put(
+            'op/version/drafts', {'model': 'drafts', 'version': 2}
+        )
+        await fakes.wait_until(lambda: catalog.newest_version('drafts'))
+        return catalog.due_version('drafts', 8.0, latest + 8.0 + 0.01)
+
+    assert run(main) == 2
--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -467,7 +467,7 @@
             _documents.dump_quarantine(60.0),
         )
         await fakes.wait_until(lambda: catalog.newest_version('drafts'))
-        learned_at = catalog.newest_version('drafts').learned_at
+        announced_after = catalog.newest_version('drafts').announced_after
         store.go_back(former)
         await fakes.wait_until(lambda: harness.updater.eras.changes)
         await asyncio.sleep(SETTLED_S)
@@ -476,7 +476,8 @@
         return (
             catalog.declaration.revision,
             catalog.newest_version('drafts').version,
-            catalog.newest_version('drafts').learned_at == learned_at,
+            catalog.newest_version('drafts').announced_after
+            == announced_after,
             [found for found, _ in quarantined.all_quarantined(now)],
         )
 
--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -262,7 +262,7 @@
             store.put(f'op/other/{number}', {})
         newest = view.catalog.newest_version
         await fakes.wait_until(lambda: newest('drafts').version == 3)
-        learned_at = newest('drafts').learned_at
+        announced_after = newest('drafts').announced_after
         # The view waits for the next change.
         await asyncio.sleep(0.05)
         store.go_back(former)
@@ -270,7 +270,7 @@
         kept = newest('drafts')
         announce(store, 4)
         await fakes.wait_until(lambda: newest('drafts').version == 4)
-        return kept.version, kept.learned_at == learned_at
+        return kept.version, kept.announced_after == announced_after
 
     assert run(main) == (3, True)
 
--- a/catkinshunt/platform/tests/test_watch_relay.py
+++ b/catkinshunt/platform/tests/test_watch_relay.py
@@ -316,7 +316,7 @@
         slow.task = asyncio.ensure_future(slow.updater.run())
         await fakes.wait_until(lambda: slow.catalog.newest_version('drafts'))
         return [
-            entry.catalog.newest_version('drafts').learned_at
+            entry.catalog.newest_version('drafts').announced_after
             for entry in (watcher, slow)
         ]
 
@@ -442,7 +442,8 @@
             await fakes.wait_until(lambda: find('drafts'))
             newest[entry.name] = find('drafts')
         return [
-            newest[name].learned_at - at for name, at in announced_at.items()
+            newest[name].announced_after - at
+            for name, at in announced_at.items()
         ]
 
     for fault in ('silent relay', 'slow store', 'suspended'):
--- a/catkinshunt/watch_relay/__init__.py
+++ b/catkinshunt/watch_relay/__init__.py
@@ -16,6 +16,7 @@
 from catkinshunt.watch_relay._watch_cache import WatchCache
 from catkinshunt.watch_relay.base import BaseWatchSource
 from catkinshunt.watch_relay.base import Item
+from catkinshunt.watch_relay.base import latest
 from catkinshunt.watch_relay.base import Page
 from catkinshunt.watch_relay.base import Revision
 
@@ -31,5 +32,6 @@
     'Revision',
     'WatchCache',
     'WatchRelayServer',
+    'latest',
     'load',
 ]
--- a/catkinshunt/watch_relay/_messages.py
+++ b/catkinshunt/watch_relay/_messages.py
@@ -28,15 +28,18 @@
     """A page relayed by another process.
 
     Attributes:
-        page: the `base.Page`, without `confirmed_at`.
+        page: the `base.Page`, without its times.
         confirmed_ago_s: seconds between the latest confirmation that the
             page is up to date and its sending.
         waited_s: seconds for which the server held the request.
+        changed_ago_s: seconds between `base.Page.changed_after` and the
+            sending, or None if the server does not know it.
     """
 
     page: base.Page
     confirmed_ago_s: float
     waited_s: float
+    changed_ago_s: float | None = None
 
 
 _DECODE_ERRORS = (ValueError, KeyError, TypeError, binascii.Error, zlib.error)
@@ -51,7 +54,9 @@
         'era': page.revision.era,
         'proved_ago_s': relayed.confirmed_ago_s,
         'held_s': relayed.waited_s,
-        'seen_ago_s': page.seen_ago_s,
+        'changed_ago_s': relayed.changed_ago_s,
+        # Entries of an older release read only this one.
+        'seen_ago_s': relayed.changed_ago_s or 0.0,
         'items': [_dump_item(item) for item in page.items],
     }
     return json.dumps(document, separators=(',', ':')).encode()
@@ -101,12 +106,13 @@
         page = base.Page(
             tuple(_load_item(era, *row) for row in document['items']),
             base.Revision(era, number),
-            seen_ago_s=float(document['seen_ago_s']),
         )
+        changed_ago_s = document.get('changed_ago_s')
         return RelayedPage(
             page,
             float(document['proved_ago_s']),
             float(document['held_s']),
+            None if changed_ago_s is None else float(changed_ago_s),
         )
     except _DECODE_ERRORS as exc:
         raise errors.StoreUnavailableError(
--- a/catkinshunt/watch_relay/_peer.py
+++ b/catkinshunt/watch_relay/_peer.py
@@ -118,7 +118,12 @@
         relayed = _messages.load(body, self._pool.peer)
         # The answer may be processed seconds after it arrived, so its times
         # are counted from the request.
-        confirmed_at = (
-            requested_at + relayed.waited_s - relayed.confirmed_ago_s
+        sent_after = requested_at + relayed.waited_s
+        changed_after = None
+        if relayed.changed_ago_s is not None:
+            changed_after = sent_after - relayed.changed_ago_s
+        return attrs.evolve(
+            relayed.page,
+            confirmed_at=sent_after - relayed.confirmed_ago_s,
+            changed_after=changed_after,
         )
-        return attrs.evolve(relayed.page, confirmed_at=confirmed_at)
--- a/catkinshunt/watch_relay/_regional.py
+++ b/catkinshunt/watch_relay/_regional.py
@@ -175,7 +175,7 @@
             tuple(sorted(items, key=lambda item: item.revision)),
             min(page.revision for _, page in pages),
             confirmed_at=requested_at,
-            seen_ago_s=max(0.0, self.wall() - self.cache.confirmed_at),
+            changed_after=self.cache.confirmed_at,
         )
 
     def _note_large_value(self, page):
--- a/catkinshunt/watch_relay/_server.py
+++ b/catkinshunt/watch_relay/_server.py
@@ -128,9 +128,7 @@
             return self._era_reply()
         if not self.source.may_relay(must_be_direct):
             return http1.Reply(STATUS_NOT_CURRENT)
-        return self._reply(
-            cache.changes_after(prefix, after, self.wall()), started_at
-        )
+        return self._reply(cache.changes_after(prefix, after), started_at)
 
     async def _wait(self, condition, wait_s):
         """Return once `condition` holds, or after `wait_s` seconds."""
@@ -148,7 +146,10 @@
     def _reply(self, page, started_at):
         now = self.wall()
         relayed = _messages.RelayedPage(
-            page, now - page.confirmed_at, now - started_at
+            page,
+            now - page.confirmed_at,
+            now - started_at,
+            None if page.changed_after is None else now - page.changed_after,
         )
         items = (('Content-Type', 'application/json'),)
         return http1.Reply(200, _messages.dump(relayed), items)
--- a/catkinshunt/watch_relay/_watch_cache.py
+++ b/catkinshunt/watch_relay/_watch_cache.py
@@ -22,7 +22,7 @@
         >>> cache.apply_read('rules/', base.Page((), before), now=1.0)
         >>> item = base.Item('rules/first', b'{}', after)
         >>> cache.apply_changes(base.Page((item,), after), now=2.0)
-        >>> page = cache.changes_after('', before, now=2.5)
+        >>> page = cache.changes_after('', before)
         >>> [item.key for item in page.items]
         ['rules/first']
     """
@@ -37,7 +37,7 @@
     def _clear(self):
         self._items = {}
         self._tombstones = collections.OrderedDict()
-        self._seen_at = {}
+        self._changed_after = {}
         self._revisions = {}
         self._confirmed_at = {}
         self._compacted_revision = base.Revision()
@@ -112,9 +112,9 @@
         if self._is_outdated(page):
             return
         if prefix in self._revisions:
-            seen_at = self._confirmed_at[prefix]
+            changed_after = self._confirmed_at[prefix]
             for item in self.diff(prefix, page):
-                self._apply_item(item, seen_at)
+                self._apply_item(item, changed_after)
             revision = max(self._revisions[prefix], page.revision)
         else:
             self._items.update((item.key, item) for item in page.items)
@@ -128,17 +128,18 @@
         """Apply changes that follow the reads of all prefixes."""
         if self._is_outdated(page):
             return
+        changed_after = base.latest(self.confirmed_at, page.changed_after)
         for item in page.items:
-            self._apply_item(item, now - page.seen_ago_s)
+            self._apply_item(item, changed_after)
         for prefix, revision in self._revisions.items():
             self._revisions[prefix] = max(revision, page.revision)
         self._confirm(tuple(self._revisions), page, now)
 
-    def _apply_item(self, item, seen_at):
+    def _apply_item(self, item, changed_after):
         known = self._items.get(item.key) or self._tombstones.get(item.key)
         if known is not None and item.revision <= known.revision:
             return
-        self._seen_at[item.key] = seen_at
+        self._changed_after[item.key] = changed_after
         if item.value is not None:
             self._items[item.key] = item
             self._tombstones.pop(item.key, None)
@@ -175,7 +176,7 @@
         """
         return after >= self._compacted_revision
 
-    def changes_after(self, prefix, after, now):
+    def changes_after(self, prefix, after):
         """Return the changes under `prefix` after a revision as a `Page`."""
         every = [*self._items.values(), *self._tombstones.values()]
         items = sorted(
@@ -186,10 +187,10 @@
             ),
             key=lambda item: item.revision,
         )
-        ages = [now - self._seen_at.get(item.key, now) for item in items]
+        times = [self._changed_after.get(item.key) for item in items]
         return base.Page(
             tuple(items),
             max(self.revision, after),
             confirmed_at=self.confirmed_at,
-            seen_ago_s=max(ages, default=0.0),
+            changed_after=None if None in times else min(times, default=None),
         )
--- a/catkinshunt/watch_relay/base.py
+++ b/catkinshunt/watch_relay/base.py
@@ -55,16 +55,21 @@
         confirmed_at: latest time at which the page was known to be up to
             date, in seconds on the boot-time clock of this process; None if
             the source does not determine it.
-        seen_ago_s: seconds since the first process that relays the oldest
-            item received it. After all items are read again, an upper bound:
-            the seconds since the previous confirmation.
+        changed_after: time after which all items have changed, in seconds on
+            the same clock: a confirmation that does not include them. None
+            if the source does not determine it.
     """
 
     items: tuple
     revision: Revision
     has_more: bool = False
     confirmed_at: float | None = None
-    seen_ago_s: float = 0.0
+    changed_after: float | None = None
+
+
+def latest(*times):
+    """Return the latest of some times that are not None, or None."""
+    return max((time for time in times if time is not None), default=None)
 
 
 class BaseWatchSource(abc.ABC):
--- a/catkinshunt/watch_relay/tests/test_watch_cache.py
+++ b/catkinshunt/watch_relay/tests/test_watch_cache.py
@@ -21,7 +21,7 @@
     """Processes would take an outdated configuration for the newest one."""
     cache = make_cache(now=1.0)
     cache.apply_read('entries/', watch_relay.Page((), revision(9)), now=5.0)
-    assert cache.changes_after('', revision(7), now=5.0).confirmed_at == 1.0
+    assert cache.changes_after('', revision(7)).confirmed_at == 1.0
     assert cache.read_prefix('operator/').confirmed_at == 1.0
     assert cache.read_prefix('entries/').confirmed_at == 5.0
 
@@ -29,7 +29,7 @@
 def test_changes_confirm_all_prefixes():
     cache = make_cache(now=1.0)
     cache.apply_changes(watch_relay.Page((), revision(9)), now=5.0)
-    assert cache.changes_after('', revision(7), now=5.0).confirmed_at == 5.0
+    assert cache.changes_after('', revision(7)).confirmed_at == 5.0
 
 
 def test_an_older_page_does_not_lower_the_confirmation_time():
@@ -52,9 +52,9 @@
     cache.apply_read('entries/', watch_relay.Page((kept,), revision(9)), 2.0)
     cache.apply_read('operator/', watch_relay.Page((), revision(9)), 2.0)
     assert cache.has_history_since(revision(7))
-    page = cache.changes_after('', revision(7), now=2.0)
+    page = cache.changes_after('', revision(7))
     assert page.items == (watch_relay.Item('entries/2', None, revision(9)),)
-    assert page.seen_ago_s == 1.0
+    assert page.changed_after == 1.0
 
 
 def test_an_older_read_deletes_nothing():
@@ -84,7 +84,7 @@
         watch_relay.Page((gone,), revision(8), confirmed_at=1.5),
         3.0,
     )
-    assert cache.changes_after('', revision(9), now=3.0).items == (lost,)
+    assert cache.changes_after('', revision(9)).items == (lost,)
     assert cache.read_prefix('entries/').items == ()
 
 
@@ -107,7 +107,7 @@
     assert cache.revision == revision(6, era=2)
     assert not cache.has_history_since(revision(10))
     assert cache.read_prefix('entries/').items == (new,)
-    page = cache.changes_after('', revision(0, era=2), now=5.0)
+    page = cache.changes_after('', revision(0, era=2))
     assert page.items == (new,)
 
 
