Count a version's time at a sidecar from before a suspend

A sidecar that was suspended while a version was announced counted its time from the reading: with a suspend of 2.5 s it granted permits for the previous version, and drained its engine, 2.5 s too late (10.5 s in the test, 8.0 s is the bound).

A sidecar watches for 10 s at a time, since all processes share the store's rate limit, so the last confirmation of its state is too long ago to count from. It records when its event loop runs, four times a second; what it reads has arrived after the latest record that was settled before. What a slow link or store adds is still the margin's.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -378,6 +378,12 @@
         'await self._apply_item(item, changed_after)',
         'await self._apply_item(item, now)',
     ),
+    Mutation(
+        'suspended-sidecars-end-a-version',
+        'catkinshunt/platform/_store_view.py',
+        'return self.wake_log.arrived_after(self.boottime())',
+        'return self.boottime()',
+    ),
     Mutation(
         'sidecar-ends-a-version',
         'catkinshunt/permits/_allocator.py',
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -12,6 +12,7 @@
 from catkinshunt.platform import _signals
 from catkinshunt.platform import _store_view
 from catkinshunt import spread
+from catkinshunt import wake_log
 
 _log = logs.get_logger('sidecar')
 
@@ -39,12 +40,14 @@
         return []
     version_store = spread.VersionStore()
     byte_counter = register_metrics(registry, version_store)
+    wakes = wake_log.WakeLog(_clocks.boottime)
     view = _store_view.StoreView(
         cfg,
         _process.make_store_client(cfg, registry),
         catalogs.Catalog(),
         _clocks.boottime,
         cfg.bounds.version_s,
+        wakes,
     )
     permit_server = permits.PermitServer(
         permits.PermitAllocator(), _clocks.monotonic
@@ -76,6 +79,7 @@
     )
     await server.start(cfg.ip, chunk_port)
     return [
+        asyncio.ensure_future(wakes.run()),
         asyncio.ensure_future(view.run()),
         asyncio.ensure_future(agent.run()),
     ]
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -41,14 +41,18 @@
         boottime: returns seconds on a clock that includes suspends.
         version_grace_s: seconds from the announcement of a version until it
             is due.
+        wake_log: `wake_log.WakeLog` on the same clock.
     """
 
-    def __init__(self, cfg, client, catalog, boottime, version_grace_s):
+    def __init__(
+        self, cfg, client, catalog, boottime, version_grace_s, wake_log
+    ):
         self.cfg = cfg
         self.client = client
         self.catalog = catalog
         self.boottime = boottime
         self.version_grace_s = version_grace_s
+        self.wake_log = wake_log
         self.regions = cfg.regions
         self._revision = None
         self._origin = None
@@ -101,12 +105,17 @@
             )
         for item in page.items:
             # A version that is found by a read counts as due at once.
-            announced_at = self.boottime() - (
+            announced_after = self._arrived_after() - (
                 self.version_grace_s if first else 0
             )
-            _apply.apply_version(item, self.catalog, announced_at, found=first)
+            _apply.apply_version(
+                item, self.catalog, announced_after, found=first
+            )
         self._revision = page.revision
 
+    def _arrived_after(self):
+        return self.wake_log.arrived_after(self.boottime())
+
     def now(self):
         """See `spread.BaseClusterView.now`."""
         return self.boottime()
@@ -188,7 +197,9 @@
 
     def note_version(self, model, version):
         """See `spread.BaseClusterView.note_version`."""
-        self.catalog.add_announced_version(model, version, self.boottime())
+        self.catalog.add_announced_version(
+            model, version, self._arrived_after()
+        )
 
     async def target_version(self, report):
         """See `spread.BaseClusterView.target_version`."""
--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -8,6 +8,7 @@
 from catkinshunt.platform.tests import test_documents as documents
 from catkinshunt.platform.tests import test_settings
 from catkinshunt import spread
+from catkinshunt import wake_log
 
 DUE_S = 8.0
 
@@ -17,7 +18,10 @@
         {**test_settings.DOCUMENT, 'service': 'engines'}
     )
     clock = asyncio.get_running_loop().time
-    return _store_view.StoreView(cfg, store, catalogs.Catalog(), clock, DUE_S)
+    wakes = wake_log.WakeLog(clock)
+    return _store_view.StoreView(
+        cfg, store, catalogs.Catalog(), clock, DUE_S, wakes
+    )
 
 
 def run(main):
@@ -292,3 +296,29 @@
         return [[member.name for member in found] for found in (before, after)]
 
     assert run(main) == [['10.1.0.8'], ['10.1.0.8']]
+
+
+def test_version_read_after_a_suspend_expires_in_time():
+    """Permits would be granted for the previous version for too long."""
+
+    async def main():
+        store = fakes.FakeStore()
+        view = make_view(store)
+        offset = [0.0]
+        loop = asyncio.get_running_loop()
+        view.boottime = lambda: loop.time() + offset[0]
+        view.wake_log.clock = view.boottime
+        tasks = [
+            asyncio.ensure_future(work)
+            for work in (view.wake_log.run(), view.run())
+        ]
+        await fakes.wait_until(lambda: 'watch' in store.calls)
+        latest = view.now()
+        offset[0] = 2.5
+        announce(store, 2)
+        await fakes.wait_until(lambda: view.catalog.announced_models())
+        for task in tasks:
+            task.cancel()
+        return view.superseded_at('drafts', 1) - latest
+
+    assert asyncio.run(main()) <= DUE_S + 0.01
--- /dev/null
+++ b/catkinshunt/wake_log.py
@@ -0,0 +1,54 @@
+"""Times at which a process was running, to date what it reads late."""
+
+import asyncio
+import collections
+
+#: Seconds between two records.
+PERIOD_S = 0.25
+#: Seconds after a record by which everything has been read that had arrived
+#: before it.
+SETTLE_S = 0.1
+#: Records that are kept; they cover more than `SETTLE_S`.
+MAX_RECORDS = 4
+
+
+class WakeLog:
+    """Records when the event loop runs.
+
+    A process that was suspended reads a message long after its arrival. Times
+    that count from a message then have to count from before the suspend.
+
+    Args:
+        clock: function that returns seconds on a clock that includes suspends.
+
+    Examples:
+        >>> log = WakeLog(clock=None)
+        >>> for at in (10.0, 10.25, 12.75):
+        ...     log.record(at)
+        >>> log.arrived_after(now=12.76)
+        10.25
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self._times = collections.deque(maxlen=MAX_RECORDS)
+
+    async def run(self):
+        """Record times until cancelled."""
+        while True:
+            self.record(self.clock())
+            await asyncio.sleep(PERIOD_S)
+
+    def record(self, now):
+        """Record that the event loop runs at a time in seconds."""
+        self._times.append(now)
+
+    def arrived_after(self, now):
+        """Return the time after which a message read at `now` has arrived.
+
+        Before the first records this is `now`.
+        """
+        for time in reversed(self._times):
+            if time <= now - SETTLE_S:
+                return time
+        return min(self._times, default=now)
