Trust a pending version no longer than its mark can be seen

Callers could see requests that begin on an outdated version at an entry that has just started. It takes an announced version as pending while the store has its key, and counted the whole grace period anew from its first reading. If it missed the deletion of the key, since the store or its watcher was silent or the process suspended, the version became due up to a grace period late; only the trust in account keys ended that, after 3.5 s.

A pending version now counts as due once the last state with its key is older than 1.6 s, which is more than the time between two confirmations with changes at the end of a watch (1.45 s by the constants). The lease of the key ends as long before the version is due, so that the sum is never late; before, it could end at the due time. After a change of the era the age counts from the last state before it, until the key is written again.

The cost: by the constants an entry that starts takes a version as due up to 2.0 s before the others do, 0.4 s before this change, and refuses requests for that time if no engine has it. In an outage of the store it does so from 1.6 s on; from 3.5 s on it refuses all requests in any case. Such an entry sends nothing without a permit to engines of older versions, since the lead of 1.5 s for these leaves no time.

The three tests failed before: a version whose key was last seen at the end of its lease, or before a silence of 2.0 s, was still pending.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -378,6 +378,12 @@
         'await self._apply_item(item, changed_after)',
         'await self._apply_item(item, now)',
     ),
+    Mutation(
+        'pending-versions-need-a-recent-mark',
+        'catkinshunt/catalog/_catalog.py',
+        'return now - marked_at > self.pending_trust_s',
+        'return False',
+    ),
     Mutation(
         'suspended-sidecars-end-a-version',
         'catkinshunt/platform/_store_view.py',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -13,6 +13,10 @@
 #: other. After a store outage, expired entries of live upstreams reappear
 #: within 2 s; requests to an upstream must stop within 2 s of its removal.
 REMOVED_GRACE_S = 1.5
+#: Age in seconds from which what is known of a pending version counts as
+#: outdated. It is longer than the time between two confirmations, which is
+#: 1.45 s if something changes at the end of a watch.
+PENDING_TRUST_S = 1.6
 #: Newest versions of a model that are kept; each becomes due separately.
 MAX_VERSIONS = 8
 #: Maximum number of leaving upstreams, and of removed ones, that are
@@ -36,7 +40,9 @@
             due at once.
         is_pending: the version was announced before this process started,
             but the store marks it as not due yet; `announced_after` is then
-            the time at which this process read the mark.
+            a time at which the mark existed.
+        marked_at: the latest time at which the mark is known to have existed,
+            if it has been missing since; None while it exists.
         is_due: its mark has ended. An older list may contain the mark again.
         found: the version was already in the store at the first read, so it
             may have been announced long before `announced_after`.
@@ -45,6 +51,7 @@
     version: int
     announced_after: float
     is_pending: bool = False
+    marked_at: float | None = None
     is_due: bool = False
     found: bool = False
 
@@ -59,6 +66,8 @@
             no longer accepted, since a key may have been revoked.
         absence_trust_s: age of the state in seconds from which something
             missing from the declaration may exist in a newer one.
+        pending_trust_s: age of the state in seconds from which pending
+            versions count as due, since their marks may have ended.
 
     Examples:
         >>> catalog = Catalog(key_trust_s=3.0, absence_trust_s=2.0)
@@ -69,9 +78,15 @@
         [True, False]
     """
 
-    def __init__(self, key_trust_s=3.0, absence_trust_s=2.0):
+    def __init__(
+        self,
+        key_trust_s=3.0,
+        absence_trust_s=2.0,
+        pending_trust_s=PENDING_TRUST_S,
+    ):
         self.key_trust_s = key_trust_s
         self.absence_trust_s = absence_trust_s
+        self.pending_trust_s = pending_trust_s
         self.declaration = None
         self._versions = {}
         self._confirmed_at = None
@@ -174,8 +189,16 @@
         return True
 
     def mark_pending(self, model, version, now):
-        """Mark a version found at the first read as not due yet."""
+        """Mark a version found at the first read as not due yet.
+
+        Args:
+            model: name of the model.
+            version: version number.
+            now: time in seconds at which the mark existed.
+        """
         announced = self._find_version(model, version)
+        if announced is not None and announced.is_pending:
+            announced.marked_at = None
         if (
             announced is not None
             and math.isinf(announced.announced_after)
@@ -232,7 +255,8 @@
 
         A version is due `grace_s` seconds after it was announced, even if a
         newer one was announced meanwhile: from then on no request may start
-        on an older version.
+        on an older version. A pending one is due once its mark was last seen
+        `pending_trust_s` ago.
 
         Args:
             model: name of the model.
@@ -242,10 +266,22 @@
         due = [
             announced.version
             for announced in self._versions.get(model, ())
-            if now - announced.announced_after > grace_s
+            if self._is_due(announced, grace_s, now)
         ]
         return due[-1] if due else None
 
+    def _is_due(self, announced, grace_s, now):
+        if now - announced.announced_after > grace_s:
+            return True
+        if not announced.is_pending:
+            return False
+        marked_at = announced.marked_at
+        if marked_at is None:
+            marked_at = announced.announced_after
+            if self._confirmed_at is not None:
+                marked_at = max(marked_at, self._confirmed_at)
+        return now - marked_at > self.pending_trust_s
+
     def begin_era(self, now, confirm_s):
         """Expect lists that are older than what is known.
 
@@ -253,7 +289,8 @@
         or been removed, and is listed again, may only be in the older list;
         likewise an earlier start of it. It is not used until `put_upstream`
         reports a change of it, or until `confirm_s` have passed, after which a
-        dead one is not listed any more.
+        dead one is not listed any more. The mark of a pending version may be
+        missing until `mark_pending` reports it.
 
         Args:
             now: time in seconds on the catalog's clock.
@@ -267,6 +304,10 @@
                 latest = max(known, key, key=_started_at_ms)
                 _remember(self._doubted, upstream_id, latest)
         self._doubted_until = now + confirm_s
+        for known in self._versions.values():
+            for announced in known:
+                if announced.is_pending and announced.marked_at is None:
+                    announced.marked_at = self._confirmed_at
 
     def put_upstream(self, upstream):
         """Add or replace an upstream, of which a change is reported.
--- a/catkinshunt/catalog/tests/test_catalog.py
+++ b/catkinshunt/catalog/tests/test_catalog.py
@@ -1,3 +1,5 @@
+import math
+
 from catkinshunt import catalog as catalogs
 
 
@@ -19,6 +21,20 @@
     assert due == [None, 2, 3]
 
 
+def test_a_mark_that_an_older_list_lacks_is_trusted_no_longer_than_unread():
+    """Its version may have become due while the store was away."""
+    catalog = catalogs.Catalog()
+    catalog.add_announced_version('drafts', 2, -math.inf)
+    catalog.mark_pending('drafts', 2, now=10.0)
+    catalog.confirm(now=10.0)
+    catalog.begin_era(now=11.0, confirm_s=3.0)
+    catalog.confirm(now=12.0)
+    due = [catalog.due_version('drafts', 8.0, now) for now in (11.0, 12.0)]
+    catalog.mark_pending('drafts', 2, now=12.0)
+    due.append(catalog.due_version('drafts', 8.0, now=12.0))
+    assert due == [None, 2, None]
+
+
 def test_an_older_version_is_ignored():
     catalog = catalogs.Catalog()
     assert catalog.add_announced_version('drafts', 3, announced_after=0.0)
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -148,7 +148,9 @@
             announced_after = -math.inf
         for item in operator.items:
             await self._apply_item(item, announced_after)
-        self._replace_pending(system.items, requested_at)
+        self._replace_pending(
+            system.items, _confirmed_at(system, requested_at)
+        )
         contradicted = self.catalog.replace_upstreams(
             _apply.parse_valid_upstreams(listed.items), self.boottime()
         )
@@ -279,7 +281,7 @@
         )
         self.record_leave(upstream.key)
 
-    def _replace_pending(self, items, requested_at):
+    def _replace_pending(self, items, confirmed_at):
         """Replace the pending versions by those listed and those kept."""
         listed = {item.key for item in items}
         for model, version in self.catalog.pending_versions():
@@ -289,7 +291,7 @@
                 self.catalog.end_pending(model, version)
         for item in items:
             if item.key.startswith(_documents.PENDING_PREFIX):
-                _apply.apply_pending(item, self.catalog, requested_at)
+                _apply.apply_pending(item, self.catalog, confirmed_at)
 
     async def _watch(self):
         age_s = self.catalog.age_s(self.boottime())
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -12,8 +12,9 @@
 WRITER_COUNT = 2
 #: Shortest lease that the store grants and that is worth two calls.
 MIN_LEASE_S = 1.0
-#: Time by which a lease ends before its version is due. It covers the latency
-#: of the grant; a lease whose grant took longer is revoked.
+#: Latency of the grant of a lease with which a key lasts until
+#: `Catalog.pending_trust_s` before its version is due. A lease whose grant
+#: took longer is revoked.
 LEASE_MARGIN_S = 0.4
 
 _log = logs.get_logger('versions')
@@ -25,8 +26,10 @@
     An entry that starts reads the announced versions from the store without
     the time of their announcement. If such entries treat a version as due
     too early, they reject all requests for up to eight seconds while engines
-    are still loading. The key is bound to a lease that ends no later
-    than the version is due, so the version is pending while the key exists.
+    are still loading. The key is bound to a lease, and the version is pending
+    while the key exists. Such an entry may last have seen the key
+    `Catalog.pending_trust_s` before, so the lease ends as long before the
+    version is due.
 
     Args:
         client: `StoreClient`.
@@ -96,8 +99,7 @@
         It would last as long as its lease had left when the copy was made, or
         longer, and an entry that starts then would serve an older version.
         """
-        due_at = announced.announced_after + self.version_grace_s
-        left_s = due_at - self.boottime()
+        left_s = self._ends_at(announced) - self.boottime()
         if left_s < -self.version_grace_s:
             return
         await asyncio.sleep(max(0.0, left_s))
@@ -107,15 +109,20 @@
         except errors.StoreError as exc:
             _log.warning('Removing the key {} failed: {}.', key, exc)
 
+    def _ends_at(self, announced):
+        """Return the time by which the key of a version has to end."""
+        due_at = announced.announced_after + self.version_grace_s
+        return due_at - self.catalog.pending_trust_s
+
     async def _publish(self, model, announced):
         """Write the key of one version unless it is due too soon."""
-        due_at = announced.announced_after + self.version_grace_s
-        lease_s = due_at - self.boottime() - LEASE_MARGIN_S
+        ends_at = self._ends_at(announced)
+        lease_s = ends_at - self.boottime() - LEASE_MARGIN_S
         if not math.isfinite(lease_s) or lease_s < MIN_LEASE_S:
             return
         try:
             lease = await self.client.grant_lease(lease_s)
-            if self.boottime() + lease_s > due_at:
+            if self.boottime() + lease_s > ends_at:
                 await self.client.revoke_lease(lease)
                 return
             key = _documents.pending_key(model, announced.version)
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import json
+import math
 
 import pytest
 
@@ -156,6 +157,57 @@
     test_cache_updater.run(main, prepare)
 
 
+def test_entry_that_last_saw_the_key_at_its_end_is_not_late():
+    """An entry that starts is cut off before the key ends.
+
+    It would send requests to engines with the old version for as long again
+    as a version has from its announcement.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        async with Publisher(store).running() as publisher:
+            publisher.catalog.add_announced_version('drafts', 2, publisher.now)
+            await fakes.wait_until(lambda: KEY in store.items)
+        return store.granted_s
+
+    (lease_s,) = asyncio.run(main())
+    catalog = catalogs.Catalog()
+    catalog.add_announced_version('drafts', 2, -math.inf)
+    catalog.mark_pending('drafts', 2, now=lease_s)
+    catalog.confirm(now=lease_s)
+    due = [
+        catalog.due_version('drafts', GRACE_S, now)
+        for now in (lease_s, GRACE_S)
+    ]
+    assert due == [None, 2]
+
+
+def test_pending_version_is_due_if_the_end_of_its_key_may_be_missed():
+    """An entry that has just started is cut off from the store."""
+
+    def prepare(harness):
+        harness.store.put('op/version/drafts', announced(2))
+        harness.store.put(KEY, b'{}')
+
+    async def main(harness):
+        def due_version():
+            now = harness.boottime()
+            return harness.catalog.due_version('drafts', GRACE_S, now)
+
+        before = due_version()
+        harness.store.is_down = True
+        await fakes.wait_until(lambda: harness.store.calls[-1] == 'watch')
+        harness.now_s += 2.0
+        cut_off = due_version()
+        harness.store.is_down = False
+        harness.store.put('servers/i-9', b'{}')
+        await fakes.wait_until(lambda: due_version() is None)
+        return before, cut_off
+
+    assert test_cache_updater.run(main, prepare) == (None, 2)
+
+
 def test_version_with_a_late_pending_key_is_not_due():
     """The entry reads the version before its pending key is written."""
 
