Let a version expire at the sidecar during a suspend

Callers could see requests that begin on an outdated version. A sidecar whose machine was suspended until the version of its engine expired granted permits for it when it went on: the time of the expiry was kept on the monotonic clock, which stands still meanwhile, until the next report of the engine set it anew. That is a call that takes up to 1.5 s. The entry asks again before it sends, but one that was suspended too may not know the version yet.

The permits now count on the boot-time clock, as the versions do. Requests that waited for a permit through a suspend are rejected as out of time.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -390,6 +390,12 @@
         'return self.wake_log.arrived_after(self.boottime())',
         'return self.boottime()',
     ),
+    Mutation(
+        'versions-expire-in-a-suspend',
+        'catkinshunt/platform/_sidecar.py',
+        'permits.PermitServer(permits.PermitAllocator(), _clocks.boottime)',
+        'permits.PermitServer(permits.PermitAllocator(), _clocks.monotonic)',
+    ),
     Mutation(
         'sidecar-ends-a-version',
         'catkinshunt/permits/_allocator.py',
--- a/catkinshunt/permits/_allocator.py
+++ b/catkinshunt/permits/_allocator.py
@@ -122,7 +122,7 @@
             request: `PermitRequest`. A repeated one that was granted or
                 queued gets the same reply; one that was rejected is evaluated
                 anew.
-            now: seconds on the monotonic clock.
+            now: seconds on the clock of the permits.
         """
         checks.check_count(self.spare, 'spare')
         self._slots = request.slots
@@ -187,7 +187,7 @@
 
         Args:
             present: requests at the engine, running and waiting.
-            now: seconds on the monotonic clock.
+            now: seconds on the clock of the permits.
         """
         arrived = [
             key
@@ -239,7 +239,7 @@
 
         Args:
             closes_at: when the engine is to be empty, in seconds on the
-                monotonic clock.
+                clock of the permits.
             opens_at: when it is expected to serve again, likewise.
         """
         self._closes_at = closes_at
@@ -259,7 +259,8 @@
         configuration over a saturated link receives it much later.
 
         Args:
-            expires_at: seconds on the monotonic clock; infinite for never.
+            expires_at: seconds on the clock of the permits; infinite for
+                never.
         """
         self._expires_at = expires_at
 
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -34,6 +34,12 @@
     _log.info('Ended sidecar {}.', cfg.name)
 
 
+def make_permit_server():
+    """Return the `permits.PermitServer` of a sidecar."""
+    # The version of its engine also expires during a suspend.
+    return permits.PermitServer(permits.PermitAllocator(), _clocks.boottime)
+
+
 async def _start_services(cfg, registry):
     """Start the services for the engine, if any; return their tasks."""
     if cfg.engine_address is None:
@@ -49,9 +55,7 @@
         cfg.bounds.version_s,
         wakes,
     )
-    permit_server = permits.PermitServer(
-        permits.PermitAllocator(), _clocks.monotonic
-    )
+    permit_server = make_permit_server()
     await permit_server.start(cfg.ip, _process.permit_port(cfg))
     chunk_port = _process.chunk_port(cfg)
     agent = spread.Agent(
