Count a removal found by a read from the last state before it

Callers could be sent to an upstream that had been removed for longer than the 2 s that the rule allows. The last upstream of a service stays a fallback for 1.5 s after it is removed. When the store had lost its history, so that all was read again, these counted from the read, however long the state had been out of date before it: up to 3.5 s, after which keys are not trusted.

They now count from the last confirmation of the state, as the removals that a watch returns do. In a new era they still count from the read, since an older copy lacks live upstreams that nobody removed.

The test failed before: after 2.5 s without news the removed upstream was used.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -371,6 +371,12 @@
         'await self._read_published_origin()\n                or await',
         'await',
     ),
+    Mutation(
+        'removals-count-from-the-last-confirmation',
+        'catkinshunt/platform/_cache_updater.py',
+        '_apply.parse_valid_upstreams(listed.items), removed_after',
+        '_apply.parse_valid_upstreams(listed.items), self.boottime()',
+    ),
     # No request begins on a version too old.
     Mutation(
         'versions-count-from-the-last-confirmation',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -330,7 +330,13 @@
         return upstream != reported
 
     def drop_upstream(self, upstream_id, now):
-        """Remove an upstream; keep it as a fallback for a grace period."""
+        """Remove an upstream; keep it as a fallback for a grace period.
+
+        Args:
+            upstream_id: its id.
+            now: time in seconds on the catalog's clock after which it was
+                removed. The grace period counts from it.
+        """
         known = self._upstreams.pop(upstream_id, None)
         if known is None:
             return
@@ -342,6 +348,10 @@
     def replace_upstreams(self, upstreams, now):
         """Replace all upstreams; drop those that are not in the list.
 
+        Args:
+            upstreams: the listed upstreams.
+            now: as of `drop_upstream`, for those that are not listed.
+
         Returns:
             The listed upstreams that are known as leaving, but not listed so.
         """
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -132,6 +132,9 @@
         system, operator, listed = await self._read_pages()
         pages = (system, operator, listed)
         self._check_revisions(pages)
+        # An older copy lacks live upstreams, so nothing is known of when one
+        # that is missing was removed.
+        is_new_era = self._era != min(page.revision.era for page in pages)
         self._observe_era(min(page.revision for page in pages))
         self._replace_entries(system)
         for item in system.items:
@@ -151,8 +154,11 @@
         self._replace_pending(
             system.items, _confirmed_at(system, requested_at)
         )
+        removed_after = self.catalog.confirmed_at
+        if is_new_era or removed_after is None:
+            removed_after = self.boottime()
         contradicted = self.catalog.replace_upstreams(
-            _apply.parse_valid_upstreams(listed.items), self.boottime()
+            _apply.parse_valid_upstreams(listed.items), removed_after
         )
         for upstream in contradicted:
             self._record_contradiction(upstream)
--- a/catkinshunt/platform/tests/test_cache_updater.py
+++ b/catkinshunt/platform/tests/test_cache_updater.py
@@ -104,6 +104,20 @@
     run(main)
 
 
+def test_upstream_that_was_removed_during_history_loss_is_not_used():
+    """It was removed up to 2.5 s before; requests must stop within 2 s."""
+
+    async def main(harness):
+        await fakes.wait_until(lambda: harness.store.calls[-1] == 'watch')
+        harness.now_s += 2.5
+        harness.store.items.pop('servers/i-1')
+        harness.store.forget_history()
+        await fakes.wait_until(lambda: not harness.catalog.find('i-1'))
+        return harness.ids()
+
+    assert run(main) == set()
+
+
 def test_last_upstream_stays_usable_briefly_after_it_vanished():
     """All upstream keys expire in a store outage while the upstreams live.
 
