Date a leave by the start that stated it

Callers could see an upstream that is up and gets no requests, until it starts once more. A leave also holds for a start that is listed later and was before the statement; an entry that read the statement after a suspend dated it by the reading, so it took the next start, begun meanwhile, for the one that leaves, and reminded the other entries of that. A list of an older era that shows a leaving upstream as ready did the same with the start after it.

A reply is now dated by the sending of its request: the start that answers it had begun by then. A permit server's refusal names the start; it is dated by the begin of the search. A datagram is dated by the last time before the suspend at which the event loop ran, 0.1 to 0.35 s before its reading otherwise. What the list contradicts is known of one start, and dated by that start itself.

The three tests failed before: a start at 101.5 s counted as leaving by a leave of the start before it, read at 102.75 s after a suspend from 100.25 s.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -371,6 +371,18 @@
         'await self._read_published_origin()\n                or await',
         'await',
     ),
+    Mutation(
+        'leaves-are-of-the-start-before-a-suspend',
+        'catkinshunt/availability/_gossip.py',
+        '_parse_message(message, self.wake_log.arrived_after(now))',
+        '_parse_message(message, now)',
+    ),
+    Mutation(
+        'leaves-are-of-the-start-that-answered',
+        'catkinshunt/gateway/_context.py',
+        'self.record_leave(upstream.key, sent_at)',
+        'self.record_leave(upstream.key, self.boot_clock())',
+    ),
     Mutation(
         'removals-count-from-the-last-confirmation',
         'catkinshunt/platform/_cache_updater.py',
--- a/catkinshunt/availability/_gossip.py
+++ b/catkinshunt/availability/_gossip.py
@@ -36,14 +36,18 @@
         port: gossip port of all entries.
         clock: returns seconds on the boot-time clock.
         random: source of random numbers.
+        wake_log: `wake_log.WakeLog` on the same clock.
     """
 
-    def __init__(self, table, live_entries, name, port, clock, random):
+    def __init__(
+        self, table, live_entries, name, port, clock, random, wake_log
+    ):
         super().__init__(
             _messages.CODEC, _log, live_entries, name, port, random
         )
         self.table = table
         self.clock = clock
+        self.wake_log = wake_log
         self._reminded_at = None
 
     async def run(self):
@@ -86,7 +90,9 @@
             newest = self.table.leaves()[-MAX_REPLIES:]
             self._send_leaves(newest, MAX_REPLIES, host, now)
             return
-        key, leave = _parse_message(message, now)
+        # Taken as stated during a suspend, it would be taken for a statement
+        # of a start that began meanwhile.
+        key, leave = _parse_message(message, self.wake_log.arrived_after(now))
         if self.table.record_leave(key, leave):
             self.announce(key)
 
--- a/catkinshunt/availability/_table.py
+++ b/catkinshunt/availability/_table.py
@@ -19,8 +19,9 @@
     """The statement of an upstream that it leaves.
 
     Attributes:
-        stated_at: when it was made, on the boot-time clock of this entry;
-            later than that by the transit times of the news.
+        stated_at: when it was made, on the boot-time clock of this entry.
+            It may be earlier by the time that the news was read late, and
+            later by its transit times.
         source: name of the entry that got the reply.
     """
 
@@ -123,6 +124,10 @@
         )
         return True
 
+    def started_at(self, key):
+        """Return the start time in a key, on the boot-time clock."""
+        return key[1] / 1000 - self.unix_offset_s
+
     def find_leave(self, key):
         """Return the `Leave` of an upstream, or None."""
         leave = self._leaves.get(key)
--- a/catkinshunt/availability/tests/replay.py
+++ b/catkinshunt/availability/tests/replay.py
@@ -7,6 +7,7 @@
 
 from catkinshunt import availability
 from catkinshunt.rate_limits.tests import replay
+from catkinshunt import wake_log
 from standins import statement_rules
 
 PORT = 7706
@@ -39,6 +40,7 @@
             PORT,
             lambda: self.replay.now,
             random.Random(f'leaves {self.name}/{self.process}'),
+            wake_log.WakeLog(lambda: self.replay.now),
         )
         self.leave_gossip.connection_made(replay.Transport(self.replay, self))
 
--- a/catkinshunt/availability/tests/test_gossip.py
+++ b/catkinshunt/availability/tests/test_gossip.py
@@ -3,6 +3,7 @@
 from catkinshunt import availability
 from catkinshunt.availability import _gossip
 from catkinshunt import catalog as catalogs
+from catkinshunt import wake_log
 
 KEY = ('u1', 7, ('10.0.0.1', 80))
 
@@ -36,6 +37,7 @@
                 7706,
                 lambda: self.now,
                 random.Random(name),
+                wake_log.WakeLog(lambda: self.now),
             )
             entry.connection_made(_Transport(self, host))
             self.entries[host] = entry
@@ -119,3 +121,22 @@
     entry = network.entries['10.0.0.0']
     entry.datagram_received(b'["leaving","u1",-1,"h",1,0,"x"]', ('h', 1))
     assert entry.table.is_empty
+
+
+def test_leave_that_is_read_after_a_suspend_is_of_the_start_before_it():
+    """A start that began during the suspend would get no requests for ever."""
+    network = Network(2)
+    entry = network.entries['10.0.0.1']
+    entry.wake_log.record(100.0)
+    entry.wake_log.record(100.25)
+    datagrams = []
+    entry.datagram_received = lambda *args: datagrams.append(args)
+    network.record('10.0.0.0')
+    del entry.datagram_received
+    network.now = 102.75
+    entry.wake_log.record(network.now)
+    for datagram in datagrams:
+        entry.datagram_received(*datagram)
+    assert entry.table.is_leaving(KEY)
+    began_at_ms = 101_500
+    assert not entry.table.is_leaving((KEY[0], began_at_ms, KEY[2]))
--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -148,7 +148,9 @@
         now = self.boot_clock()
         self.header_audit.observe(upstream.id, reply_info, now)
         if reply_info.is_leaving:
-            self.record_leave(upstream.key)
+            # The start that answered had begun when the request was sent; this
+            # process may have been suspended since.
+            self.record_leave(upstream.key, sent_at)
         if reply_info.back_off_s is not None:
             self.availability.record_back_off(
                 upstream.key, reply_info.back_off_s, now
@@ -159,13 +161,18 @@
             return
         self.record_rate_limit(upstream.key, per_s, sent_at)
 
-    def record_leave(self, key):
+    def record_leave(self, key, stated_at=None):
         """Record that an upstream leaves, and tell other entries.
 
         Args:
             key: `catalog.Upstream.key` of the upstream.
+            stated_at: when it stated that, on the boot-time clock, or a time
+                before at which the start that stated it had begun; None if
+                that is certainly the start in `key`.
         """
-        leave = availabilities.Leave(self.boot_clock(), self.availability.name)
+        if stated_at is None:
+            stated_at = self.availability.started_at(key)
+        leave = availabilities.Leave(stated_at, self.availability.name)
         is_new = self.availability.record_leave(key, leave)
         if is_new and self.leave_gossip is not None:
             self.leave_gossip.announce(key)
--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -98,6 +98,7 @@
         self.goal_s = goal_s
         self.isolated = isolated
         self._began = context.clock()
+        self._boot_began = context.boot_clock()
         self._pending = []
 
     async def find(self, candidate):
@@ -326,7 +327,7 @@
 
     def _record_leave(self, upstream, state, reply):
         if reply.started_at_ms == upstream.started_at_ms:
-            self.context.record_leave(upstream.key)
+            self.context.record_leave(upstream.key, self._boot_began)
         else:
             # The sidecar or this entry does not know of a new start yet.
             state.pause(self.context.clock(), LEAVING_PAUSE_S)
--- a/catkinshunt/gateway/tests/test_availability.py
+++ b/catkinshunt/gateway/tests/test_availability.py
@@ -3,6 +3,7 @@
 import pytest
 
 from catkinshunt import availability
+from catkinshunt.gateway import base
 from catkinshunt.gateway.tests import harness
 from catkinshunt.gateway.tests import test_permits
 from catkinshunt import permits
@@ -399,3 +400,26 @@
     assert status == 429
     assert took_s < 0.5
     assert float(harness.header(head, 'Retry-After')) > 0
+
+
+@pytest.mark.parametrize('source', ['reply after a suspend', 'older list'])
+def test_leave_of_one_start_is_not_taken_for_that_of_the_next(source):
+    """The upstream would get no requests until it starts once more."""
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', harness.replying())
+        async with harness.running_gateway(upstream) as gateway:
+            context = gateway.context
+            context.boot_clock = lambda: 102.75
+            left = upstream.listed(started_at_ms=50_000)
+            if source == 'older list':
+                context.record_leave(left.key)
+            else:
+                context.record_statements(
+                    left, base.ReplyInfo(is_leaving=True), sent_at=100.0
+                )
+            restarted = upstream.listed(started_at_ms=101_500)
+            table = context.availability
+            return table.is_leaving(left.key), table.is_leaving(restarted.key)
+
+    assert run(main) == (True, False)
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -25,6 +25,7 @@
 from catkinshunt import quarantine
 from catkinshunt import rate_limits
 from catkinshunt import retries
+from catkinshunt import wake_log
 from catkinshunt import watch_relay
 
 #: Share of `Bounds.revoke_s` for which API keys are trusted after the cached
@@ -74,7 +75,8 @@
     )
     limit_gossip = make_rate_limit_gossip(cfg, live_entries, context)
     context.rate_limit_gossip = await limit_gossip.start(cfg.ip)
-    leave_gossip = make_leave_gossip(cfg, live_entries, context)
+    wakes = wake_log.WakeLog(_clocks.boottime)
+    leave_gossip = make_leave_gossip(cfg, live_entries, context, wakes)
     context.leave_gossip = await leave_gossip.start(cfg.ip)
     server = await gateway.Gateway(context).start(*cfg.frontend_address)
     register_gauges(registry, server, context)
@@ -120,6 +122,7 @@
             gossip.request_state(),
             limit_gossip.run(),
             leave_gossip.run(),
+            wakes.run(),
             quarantined.run(),
             _update_retry_burst(cfg, context, live_entries),
             _evict_gone_upstreams(context),
@@ -322,7 +325,7 @@
     )
 
 
-def make_leave_gossip(cfg, live_entries, context):
+def make_leave_gossip(cfg, live_entries, context, wakes):
     """Return the `availability.LeaveGossip` of an entry."""
     return availability.LeaveGossip(
         context.availability,
@@ -331,6 +334,7 @@
         _process.availability_port(cfg),
         _clocks.boottime,
         context.random,
+        wakes,
     )
 
 
