--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -371,6 +371,24 @@
         'await self._read_published_origin()\n                or await',
         'await',
     ),
+    Mutation(
+        'leaves-are-of-the-start-before-a-suspend',
+        'catkinshunt/availability/_gossip.py',
+        '_parse_message(message, self.wake_log.arrived_after(now))',
+        '_parse_message(message, now)',
+    ),
+    Mutation(
+        'leaves-are-of-the-start-that-answered',
+        'catkinshunt/gateway/_context.py',
+        'self.record_leave(upstream.key, sent_at)',
+        'self.record_leave(upstream.key, self.boot_clock())',
+    ),
+    Mutation(
+        'removals-count-from-the-last-confirmation',
+        'catkinshunt/platform/_cache_updater.py',
+        '_apply.parse_valid_upstreams(listed.items), removed_after',
+        '_apply.parse_valid_upstreams(listed.items), self.boottime()',
+    ),
     # No request begins on a version too old.
     Mutation(
         'versions-count-from-the-last-confirmation',
@@ -378,12 +396,24 @@
         'await self._apply_item(item, changed_after)',
         'await self._apply_item(item, now)',
     ),
+    Mutation(
+        'pending-versions-need-a-recent-mark',
+        'catkinshunt/catalog/_catalog.py',
+        'return now - marked_at > self.pending_trust_s',
+        'return False',
+    ),
     Mutation(
         'suspended-sidecars-end-a-version',
         'catkinshunt/platform/_store_view.py',
         'return self.wake_log.arrived_after(self.boottime())',
         'return self.boottime()',
     ),
+    Mutation(
+        'versions-expire-in-a-suspend',
+        'catkinshunt/platform/_sidecar.py',
+        'permits.PermitServer(permits.PermitAllocator(), _clocks.boottime)',
+        'permits.PermitServer(permits.PermitAllocator(), _clocks.monotonic)',
+    ),
     Mutation(
         'sidecar-ends-a-version',
         'catkinshunt/permits/_allocator.py',
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -132,6 +132,9 @@
         system, operator, listed = await self._read_pages()
         pages = (system, operator, listed)
         self._check_revisions(pages)
+        # An older copy lacks live upstreams, so nothing is known of when one
+        # that is missing was removed.
+        is_new_era = self._era != min(page.revision.era for page in pages)
         self._observe_era(min(page.revision for page in pages))
         self._replace_entries(system)
         for item in system.items:
@@ -148,9 +151,14 @@
             announced_after = -math.inf
         for item in operator.items:
             await self._apply_item(item, announced_after)
-        self._replace_pending(system.items, requested_at)
+        self._replace_pending(
+            system.items, _confirmed_at(system, requested_at)
+        )
+        removed_after = self.catalog.confirmed_at
+        if is_new_era or removed_after is None:
+            removed_after = self.boottime()
         contradicted = self.catalog.replace_upstreams(
-            _apply.parse_valid_upstreams(listed.items), self.boottime()
+            _apply.parse_valid_upstreams(listed.items), removed_after
         )
         for upstream in contradicted:
             self._record_contradiction(upstream)
@@ -279,7 +287,7 @@
         )
         self.record_leave(upstream.key)
 
-    def _replace_pending(self, items, requested_at):
+    def _replace_pending(self, items, confirmed_at):
         """Replace the pending versions by those listed and those kept."""
         listed = {item.key for item in items}
         for model, version in self.catalog.pending_versions():
@@ -289,7 +297,7 @@
                 self.catalog.end_pending(model, version)
         for item in items:
             if item.key.startswith(_documents.PENDING_PREFIX):
-                _apply.apply_pending(item, self.catalog, requested_at)
+                _apply.apply_pending(item, self.catalog, confirmed_at)
 
     async def _watch(self):
         age_s = self.catalog.age_s(self.boottime())
