Count removals from the end of an outage of the store

Callers had everything rejected for up to two seconds after an outage of the store of more than 1.5 s: the keys of live upstreams lapse in it, and the grace in which removed upstreams stay a fallback counted from the last state before the outage, so that it was over as the removals were read.

A removal now counts from the last failed call at the earliest. A relay that answers nothing is no failed call of the store, so removals behind one count from the last state as versions do. The test failed before: after an outage of 2.5 s the removed upstream was used no more.

--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -86,6 +86,7 @@
         self._era = None
         self._last_number = None
         self._upstream_revisions = {}
+        self._failed_at = -math.inf
         self._backoff_s = MIN_BACKOFF_S
         self._outage = logs.OutageLogger(
             _log,
@@ -118,6 +119,7 @@
 
     async def _back_off(self, exc):
         self._outage.begin(exc)
+        self._failed_at = self.boottime()
         await asyncio.sleep(self._backoff_s * (0.5 + self.random.random()))
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
 
@@ -158,7 +160,8 @@
         if is_new_era or removed_after is None:
             removed_after = self.boottime()
         contradicted = self.catalog.replace_upstreams(
-            _apply.parse_valid_upstreams(listed.items), removed_after
+            _apply.parse_valid_upstreams(listed.items),
+            self._removed_at(removed_after),
         )
         for upstream in contradicted:
             self._record_contradiction(upstream)
@@ -353,6 +356,14 @@
             if item.key == _documents.pending_key(model, version):
                 del self._kept_pending[model, version]
 
+    def _removed_at(self, changed_after):
+        """Return the time from which the removal of an upstream counts.
+
+        Keys of live upstreams lapse in an outage of the store, and are back
+        shortly after its end.
+        """
+        return max(changed_after, self._failed_at)
+
     def _apply_entry(self, item):
         self._kept_entries.pop(_entry_name(item), None)
         if item.value is None:
@@ -371,7 +382,9 @@
         self._upstream_revisions[item.key] = item.revision
         upstream = _apply.parse_upstream_or_none(item)
         if upstream is None:
-            self.catalog.drop_upstream(_apply.upstream_id(item), changed_after)
+            self.catalog.drop_upstream(
+                _apply.upstream_id(item), self._removed_at(changed_after)
+            )
         elif self.catalog.put_upstream(upstream):
             self._record_contradiction(upstream)
 
--- a/catkinshunt/platform/tests/test_cache_updater.py
+++ b/catkinshunt/platform/tests/test_cache_updater.py
@@ -285,3 +285,23 @@
         return catalog.due_version('drafts', 8.0, latest + 8.0 + 0.01)
 
     assert run(main) == 2
+
+
+def test_upstreams_outlast_an_outage_in_which_their_keys_lapse():
+    """All requests would be rejected until the keys are back."""
+
+    async def main(harness):
+        store = harness.store
+        await fakes.wait_until(lambda: 'watch' in store.calls)
+        harness.now_s += 2.5
+        store.is_down = True
+        store.put('servers/i-2', documents.UPSTREAM)
+        calls = len(store.calls)
+        await fakes.wait_until(lambda: len(store.calls) > calls + 1)
+        store.delete('servers/i-2')
+        store.delete('servers/i-1')
+        store.is_down = False
+        await fakes.wait_until(lambda: harness.catalog.find('i-1') is None)
+        return harness.ids()
+
+    assert 'i-1' in run(main)
