Date what a relay reports by the first change that was missed

Callers could see requests that begin on a version that two newer ones had replaced: an entry that had missed both, asleep or behind a silent relay, was sent only the second one by the entry that relays, with the time of that one, so that the first became due as late as the second.

The cache of a relay kept a time for the latest change of each key. It keeps now when the state at each of its latest revisions was last current; whatever a reader misses has come later than the state that it has. The two tests failed before: the time was that after the first version and not before it.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -362,8 +362,8 @@
     Mutation(
         'names-are-as-old-as-the-reader-knows',
         'catkinshunt/watch_relay/_watch_cache.py',
-        'times = [self._changed_after.get(item.key) for item in items]',
-        'times = []',
+        'changed_after=self._current_until(after),',
+        'changed_after=self.confirmed_at,',
     ),
     Mutation(
         'origin-is-shown-alone',
--- a/catkinshunt/platform/tests/test_watch_relay.py
+++ b/catkinshunt/platform/tests/test_watch_relay.py
@@ -449,3 +449,26 @@
     for fault in ('silent relay', 'slow store', 'suspended'):
         late_s = regions.run(lambda region, f=fault: main(region, f))
         assert max(late_s) <= 0.0, fault
+
+
+def test_entry_that_missed_two_versions_counts_the_first_in_time():
+    """The second one counted, so that the first was due too late."""
+
+    async def main(region):
+        find = region.watcher().catalog.newest_version
+        late = region.followers()[0]
+        late.task.cancel()
+        announced_at = late.boottime()
+        for version in (2, 3):
+            announce(region, version)
+            await fakes.wait_until(
+                lambda: find('drafts') and find('drafts').version == version
+            )
+        late.task = asyncio.ensure_future(late.updater.run())
+        await fakes.wait_until(lambda: late.catalog.newest_version('drafts'))
+        return late.catalog.newest_version(
+            'drafts'
+        ).announced_after, announced_at
+
+    counts_from, announced_at = regions.run(main)
+    assert counts_from <= announced_at
--- a/catkinshunt/watch_relay/_watch_cache.py
+++ b/catkinshunt/watch_relay/_watch_cache.py
@@ -8,6 +8,8 @@
 #: Maximum number of deletions kept; a process that missed an older one must
 #: read everything again.
 MAX_TOMBSTONES = 2000
+#: Maximum number of revisions whose latest confirmation is kept.
+MAX_CONFIRMATIONS = 256
 
 
 class WatchCache:
@@ -37,7 +39,8 @@
     def _clear(self):
         self._items = {}
         self._tombstones = collections.OrderedDict()
-        self._changed_after = {}
+        # Time of the latest confirmation by revision, in ascending order.
+        self._current_at = collections.OrderedDict()
         self._revisions = {}
         self._confirmed_at = {}
         self._compacted_revision = base.Revision()
@@ -112,9 +115,8 @@
         if self._is_outdated(page):
             return
         if prefix in self._revisions:
-            changed_after = self._confirmed_at[prefix]
             for item in self.diff(prefix, page):
-                self._apply_item(item, changed_after)
+                self._apply_item(item)
             revision = max(self._revisions[prefix], page.revision)
         else:
             self._items.update((item.key, item) for item in page.items)
@@ -128,18 +130,18 @@
         """Apply changes that follow the reads of all prefixes."""
         if self._is_outdated(page):
             return
-        changed_after = base.latest(self.confirmed_at, page.changed_after)
+        if page.changed_after is not None and self.is_complete:
+            self._record_confirmation(page.changed_after)
         for item in page.items:
-            self._apply_item(item, changed_after)
+            self._apply_item(item)
         for prefix, revision in self._revisions.items():
             self._revisions[prefix] = max(revision, page.revision)
         self._confirm(tuple(self._revisions), page, now)
 
-    def _apply_item(self, item, changed_after):
+    def _apply_item(self, item):
         known = self._items.get(item.key) or self._tombstones.get(item.key)
         if known is not None and item.revision <= known.revision:
             return
-        self._changed_after[item.key] = changed_after
         if item.value is not None:
             self._items[item.key] = item
             self._tombstones.pop(item.key, None)
@@ -158,8 +160,24 @@
         for prefix in prefixes:
             before = self._confirmed_at.get(prefix, confirmed_at)
             self._confirmed_at[prefix] = max(confirmed_at, before)
+        if self.is_complete:
+            self._record_confirmation(self.confirmed_at)
         self._notifier.notify_all()
 
+    def _record_confirmation(self, at):
+        """Record that the state at the present revision was current."""
+        before = self._current_at.get(self.revision, at)
+        self._current_at[self.revision] = max(at, before)
+        while len(self._current_at) > MAX_CONFIRMATIONS:
+            self._current_at.popitem(last=False)
+
+    def _current_until(self, revision):
+        """Return when the state at a revision was last current, or None."""
+        for known, at in reversed(self._current_at.items()):
+            if known <= revision:
+                return at
+        return None
+
     def read_prefix(self, prefix):
         """Return all items under `prefix` as a `Page`."""
         items = [i for k, i in self._items.items() if k.startswith(prefix)]
@@ -187,10 +205,11 @@
             ),
             key=lambda item: item.revision,
         )
-        times = [self._changed_after.get(item.key) for item in items]
         return base.Page(
             tuple(items),
             max(self.revision, after),
             confirmed_at=self.confirmed_at,
-            changed_after=None if None in times else min(times, default=None),
+            # A reader may miss several values of a key, and all of them have
+            # come later than this.
+            changed_after=self._current_until(after),
         )
--- a/catkinshunt/watch_relay/tests/test_watch_cache.py
+++ b/catkinshunt/watch_relay/tests/test_watch_cache.py
@@ -126,3 +126,14 @@
     assert cache.read_prefix('entries/').items == ()
     assert cache.revision == revision(7, era=2)
     assert cache.confirmed_at == 1.0
+
+
+def test_a_reader_that_missed_two_values_counts_from_the_first():
+    """The first of two versions would be due at the time of the second."""
+    cache = make_cache(now=1.0)
+    for number, now in ((8, 3.0), (9, 5.0)):
+        item = watch_relay.Item('operator/1', b'', revision(number))
+        page = watch_relay.Page((item,), revision(number))
+        cache.apply_changes(page, now)
+    pages = [cache.changes_after('', revision(n)) for n in (7, 8)]
+    assert [page.changed_after for page in pages] == [1.0, 3.0]
