Let a version found after a loss of history expire at a sidecar

Callers could get answers of an outdated version through a sidecar that read of the newer one after the store had lost its history or gone back: it took every version found by a read for one of before its start, whose time is not known, and granted permits for the previous one without end.

Only the first read finds versions of an unknown time. The test failed before: the previous version never expired.

--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -55,6 +55,7 @@
         self.wake_log = wake_log
         self.regions = cfg.regions
         self._revision = None
+        self._has_read = False
         self._origin = None
         self._origin_read_at = -math.inf
         self._origin_outage = logs.OutageLogger(
@@ -96,15 +97,15 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _read_or_watch(self):
-        first = self._revision is None
-        if first:
+        first = not self._has_read
+        if self._revision is None:
             page = await self.client.read_prefix(_documents.VERSION_PREFIX)
         else:
             page = await self.client.watch(
                 _documents.VERSION_PREFIX, self._revision, WATCH_TIMEOUT_S
             )
         for item in page.items:
-            # A version that is found by a read counts as due at once.
+            # A version that is found by the first read counts as due at once.
             announced_after = self._arrived_after() - (
                 self.version_grace_s if first else 0
             )
@@ -112,6 +113,7 @@
                 item, self.catalog, announced_after, found=first
             )
         self._revision = page.revision
+        self._has_read = True
 
     def _arrived_after(self):
         return self.wake_log.arrived_after(self.boottime())
--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -322,3 +322,25 @@
         return view.superseded_at('drafts', 1) - latest
 
     assert asyncio.run(main()) <= DUE_S + 0.01
+
+
+def test_version_found_after_a_loss_of_history_expires():
+    """Permits would be granted for the previous version without end."""
+
+    async def main(view, store):
+        announce(store, 1)
+        await fakes.wait_until(lambda: view.catalog.announced_models())
+        announced_at = view.now()
+        # The watch does not return the change.
+        store.revision += 1
+        store.items['op/version/drafts'] = platform.Item(
+            'op/version/drafts',
+            b'{"model": "drafts", "version": 2}',
+            platform.Revision(1, store.revision),
+        )
+        store.forget_history()
+        newest = view.catalog.newest_version
+        await fakes.wait_until(lambda: newest('drafts').version == 2)
+        return view.expires_at('drafts', 1) - announced_at
+
+    assert run(main) <= DUE_S
