Date messages read in the rush after a suspend before it

A sidecar that runs again after a suspend may read of a version later than 0.1 s after it, when other work has piled up, or only after a second suspend.

For two seconds after a gap in the records, what is read counts from before the gap.

--- a/catkinshunt/wake_log.py
+++ b/catkinshunt/wake_log.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import collections
+import itertools
 
 #: Seconds between two records.
 PERIOD_S = 0.25
-#: Seconds after a record by which everything has been read that had arrived
-#: before it.
+#: Seconds after a record by which a process that runs without a gap has read
+#: everything that had arrived before it.
 SETTLE_S = 0.1
-#: Records that are kept; they cover more than `SETTLE_S`.
-MAX_RECORDS = 4
+#: Seconds after a gap in which what arrived during it may still be read, as
+#: other work has piled up.
+RECOVERY_S = 2.0
+#: Records that are kept; they cover more than `RECOVERY_S`.
+MAX_RECORDS = 16
 
 
 class WakeLog:
@@ -48,6 +52,11 @@
 
         Before the first records this is `now`.
         """
+        for before, after in itertools.pairwise((*self._times, now)):
+            if after - before > PERIOD_S + SETTLE_S and (
+                now - after <= RECOVERY_S
+            ):
+                return before
         for time in reversed(self._times):
             if time <= now - SETTLE_S:
                 return time
