Resume no stream where the sidecar says that its version expires

Callers could get the rest of a stream from an outdated version. A stream that is resumed and gets no permit is sent without one, to the engine that was asked first, also if its sidecar had just rejected it since its version expires or its engine leaves; one other sidecar without a free permit sufficed.

It goes to one that is only full now, and is checked against the due version again.

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -224,7 +224,11 @@
                 raise
             # Send it without a permit: the client is reading the stream, and
             # engines give it precedence.
-            return candidate
+            found = search.choose_refused(candidate)
+            if found is None:
+                raise
+            self._check_version(found)
+            return found
         finally:
             self.progress.entry_wait_s += self.context.clock() - began
 
--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -230,6 +230,25 @@
         max_jobs = upstream.slots * NO_PERMIT_SLOT_SHARE
         return len(candidate.state.jobs) < max(1, max_jobs)
 
+    def choose_refused(self, first):
+        """Return a candidate to use without a permit, or None.
+
+        Not one whose sidecar states that its engine leaves or is about to
+        load another version.
+
+        Args:
+            first: the one that is preferred.
+        """
+        closed = [
+            pending.candidate.upstream.key
+            for pending in self._pending
+            if _is_closed(pending.handle.reply)
+        ]
+        candidates = [first, *(pending.candidate for pending in self._pending)]
+        return next(
+            (c for c in candidates if c.upstream.key not in closed), None
+        )
+
     def close(self):
         """Release the permit and withdraw all requests for one."""
         self._keep_only(None)
--- a/catkinshunt/gateway/tests/test_permits.py
+++ b/catkinshunt/gateway/tests/test_permits.py
@@ -74,6 +74,22 @@
     )
 
 
+class EngineAt(harness.FakeUpstream):
+    """An engine on an address of its own."""
+
+    def __init__(self, host):
+        super().__init__(f'u{host}', None, 'model', {harness.MODEL: 1})
+        self.host = host
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, self.host, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def listed(self, **changes):
+        return super().listed(address=(self.host, self.port), **changes)
+
+
 def request_once(client, *engines, **headers):
     """Send one request through a gateway; return the reply."""
 
@@ -486,3 +502,33 @@
 
     asyncio.run(main())
     assert [r.late for r in client.requests] == [False, False, True]
+
+
+def test_resumed_stream_avoids_an_engine_whose_version_expires():
+    """Sent there without a permit, it would begin on an outdated version."""
+    client = FakePermitClient(
+        permits.PermitGranted, permits.RELOADING, permits.NO_ROOM
+    )
+    engines = [EngineAt(f'127.0.0.{number}') for number in (3, 4, 5)]
+    asked, resumed = [], []
+    make_handle = client.make_handle
+
+    def record(host, make_request):
+        asked.append(host)
+        return make_handle(host, make_request)
+
+    client.make_handle = record
+
+    async def answer(head, writer, upstream):
+        if not harness.header(head, 'Last-Event-Id'):
+            return await harness.streaming(6, breaks_after=3)(
+                head, writer, upstream
+            )
+        resumed.append(upstream)
+        return await harness.streaming(6)(head, writer, upstream)
+
+    for engine in engines:
+        engine.answer = answer
+    status, _, _ = request_once(client, *engines)
+    assert status == 200
+    assert [engine.host for engine in resumed] == asked[2:3]
