Keep the time of a version that many newer ones push out

Callers could get answers of an outdated version for longer than allowed if an operator announced more than eight versions of a model within the time that each of them has: the oldest was forgotten with its time.

The next one takes its time over. The test failed before: of ten versions in 4.5 s none was due 8 s after the first.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -178,7 +178,12 @@
             return False
         known = self._versions.setdefault(model, [])
         known.append(AnnouncedVersion(version, announced_after, found=found))
-        del known[:-MAX_VERSIONS]
+        while len(known) > MAX_VERSIONS:
+            dropped = known.pop(0)
+            # Those before it are outdated once it is due.
+            known[0].announced_after = min(
+                known[0].announced_after, dropped.announced_after
+            )
         _log.info(
             'Operator announced version {} of {}.',
             version,
--- a/catkinshunt/catalog/tests/test_catalog.py
+++ b/catkinshunt/catalog/tests/test_catalog.py
@@ -35,6 +35,14 @@
     assert due == [None, 2, None]
 
 
+def test_many_versions_do_not_delay_the_first():
+    """The first of ten versions was forgotten before it was due."""
+    catalog = catalogs.Catalog()
+    for number in range(10):
+        catalog.add_announced_version('drafts', 2 + number, 0.5 * number)
+    assert catalog.due_version('drafts', grace_s=8.0, now=8.01) is not None
+
+
 def test_an_older_version_is_ignored():
     catalog = catalogs.Catalog()
     assert catalog.add_announced_version('drafts', 3, announced_after=0.0)
