Send nothing that waited through a suspend on what was known before it

Callers could get answers of an outdated version, or under a key that had been revoked, from an entry that was suspended while their requests waited for a permit: it had checked the age of its state as it admitted them, and sent them before it read anything new.

The age is checked again just before a request is first sent. It is rejected as not run, with when to come back.

--- a/catkinshunt/gateway/_admission.py
+++ b/catkinshunt/gateway/_admission.py
@@ -107,10 +107,7 @@
 def _find_account(catalog, declaration, serve, info, now):
     if serve.public or declaration.accounts is None:
         return ''
-    # While the store is unreachable, a known key may have been revoked and
-    # an unknown one added.
-    if not catalog.can_trust_keys(now):
-        raise StaleError('the account keys are too old', step='check-key')
+    check_key_trust(catalog, now)
     account = declaration.accounts.get(info.api_key)
     if account is None:
         _check_current(catalog, 'check-key', now)
@@ -120,6 +117,16 @@
     return account
 
 
+def check_key_trust(catalog, now):
+    """Raise `StaleError` if the account keys are too old to be accepted.
+
+    While the store is unreachable or this process is suspended, a known key
+    may be revoked and an unknown one added.
+    """
+    if not catalog.can_trust_keys(now):
+        raise StaleError('the account keys are too old', step='check-key')
+
+
 def _check_current(catalog, step, now):
     """Raise `StaleError` if a newer declaration may exist.
 
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -4,6 +4,7 @@
 
 from catkinshunt import dispatch
 from catkinshunt import errors
+from catkinshunt.gateway import _admission
 from catkinshunt.gateway import _relay
 from catkinshunt.gateway import base
 from catkinshunt import http1
@@ -103,8 +104,13 @@
     def _check_available(self):
         """Raise if the upstream became unavailable after it was chosen.
 
-        A request may have waited for a permit or a connection.
+        A request may have waited for a permit or a connection. If this
+        process was suspended meanwhile, what it knows is checked again too.
         """
+        if self.exchange.decision.account and not self.progress.sends:
+            _admission.check_key_trust(
+                self.context.catalog, self.context.boot_clock()
+            )
         upstream = self.candidate.upstream
         selection = self.exchange.selection
         if not selection.is_available(upstream):
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -188,6 +188,8 @@
             ) as exc:
                 # The request was not sent, so the next choice is no retry.
                 self.progress.notes.append(str(exc))
+            except _admission.StaleError as exc:
+                raise self._final_error(exc) from exc
             except errors.RequestError as exc:
                 self.progress.notes.append(str(exc))
                 self._check_retry(exc)
--- a/catkinshunt/gateway/tests/test_permits.py
+++ b/catkinshunt/gateway/tests/test_permits.py
@@ -532,3 +532,29 @@
     status, _, _ = request_once(client, *engines)
     assert status == 200
     assert [engine.host for engine in resumed] == asked[2:3]
+
+
+def test_request_that_waited_through_a_suspend_is_not_sent():
+    """A version may have become due meanwhile, or its key been revoked."""
+    engine = make_engine('u1', harness.streaming(3))
+    client = FakePermitClient(permits.PermitQueued)
+
+    async def main():
+        async with harness.running_gateway(engine) as gateway:
+            context = gateway.context
+            context.permit_client = client
+            boot_clock, offset = context.boot_clock, [0.0]
+            context.boot_clock = lambda: boot_clock() + offset[0]
+
+            class Suspended(FakePermitRequest):
+                async def await_decision(self):
+                    offset[0] = 9.0
+                    return await super().await_decision()
+
+            client.request_class = Suspended
+            return await gateway.request('/chat/1', 'POST', b'hello', **CHAT)
+
+    status, headers, _ = asyncio.run(main())
+    assert status == 503
+    assert float(harness.header(headers, 'Retry-After')) < 1
+    assert not engine.heads
