Know the version before a pending one at an entry that starts

Callers could get answers of an outdated version at an entry that started between two announcements: the store holds the newest version only, which was pending, so that the one before it was not known and never due; an older one was served until the newest was due, up to 4 s too late by reading of the code.

The mark of a pending version names the one before it, and a mark of one that is not known adds it. In a test version 2 was not due though it had been, or though its mark had ended; both cases failed before.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -193,14 +193,18 @@
         self._notifier.notify_all()
         return True
 
-    def mark_pending(self, model, version, now):
+    def mark_pending(self, model, version, now, previous=None):
         """Mark a version found at the first read as not due yet.
 
         Args:
             model: name of the model.
             version: version number.
             now: time in seconds at which the mark existed.
+            previous: version that was announced before it, or None.
         """
+        for number in (previous, version):
+            if number is not None:
+                self._add_passed_over(model, number)
         announced = self._find_version(model, version)
         if announced is not None and announced.is_pending:
             announced.marked_at = None
@@ -214,6 +218,23 @@
             _log.info('Version {} of {} is not due yet.', version, model)
             self._notifier.notify_all()
 
+    def _add_passed_over(self, model, version):
+        """Add a version that the store replaced before it was read."""
+        if self._find_version(model, version) is not None:
+            return
+        newer = self.next_version(model, version)
+        if newer is None:
+            return
+        announced_after = newer.announced_after
+        if newer.is_pending:
+            # The time of the mark says nothing of versions before.
+            announced_after = -math.inf
+        known = self._versions[model]
+        known.insert(
+            known.index(newer),
+            AnnouncedVersion(version, announced_after, found=True),
+        )
+
     def end_pending(self, model, version):
         """Remove the pending mark of a version, which may then be due."""
         announced = self._find_version(model, version)
@@ -255,6 +276,15 @@
                 return announced
         return None
 
+    def previous_version(self, model, version):
+        """Return the number of the newest version below one, or None."""
+        below = [
+            announced.version
+            for announced in self._versions.get(model, ())
+            if announced.version < version
+        ]
+        return below[-1] if below else None
+
     def due_version(self, model, grace_s, now):
         """Return the newest version that is due, or None.
 
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -68,13 +68,14 @@
     """
     try:
         model, version = _documents.parse_pending_key(item.key)
+        previous = _documents.parse_pending(item.value)
     except _documents.InvalidDocumentError as exc:
         _log.warning('Ignored the invalid item {}: {}.', item.key, exc)
         return
     if item.value is None:
         catalog.end_pending(model, version)
     else:
-        catalog.mark_pending(model, version, now)
+        catalog.mark_pending(model, version, now, previous)
 
 
 def apply_quarantine(item, quarantined, now):
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -44,6 +44,31 @@
     return f'{PENDING_PREFIX}{model}/{version}'
 
 
+def dump_pending(previous):
+    """Return the value of the key of a pending version.
+
+    Args:
+        previous: version that was announced before it, or None.
+    """
+    return json.dumps(
+        {} if previous is None else {'previous': previous}
+    ).encode()
+
+
+def parse_pending(value):
+    """Return the previous version in the value of a pending version's key.
+
+    Returns:
+        None if there is none, or if the key is deleted.
+
+    Raises:
+        InvalidDocumentError: `value` is no document.
+    """
+    if value is None:
+        return None
+    return _get_int(parse_object(value), 'previous', 0) or None
+
+
 def parse_pending_key(key):
     """Return (model, version) of the key of a pending version.
 
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -126,7 +126,10 @@
                 await self.client.revoke_lease(lease)
                 return
             key = _documents.pending_key(model, announced.version)
-            await self.client.write(key, b'{}', lease)
+            previous = self.catalog.previous_version(model, announced.version)
+            await self.client.write(
+                key, _documents.dump_pending(previous), lease
+            )
         except errors.StoreError as exc:
             _log.warning(
                 'Publishing version {} of {} as pending failed: {}.',
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -270,3 +270,46 @@
         return harness.catalog.declaration.revision
 
     assert test_cache_updater.run(main, prepare)
+
+
+@pytest.mark.parametrize('is_marked', [True, False])
+def test_version_before_a_pending_one_is_due_in_time(is_marked):
+    """An entry that starts reads only the newest of two versions.
+
+    It would send requests to engines with an older one than the first.
+    """
+    keys = [_documents.pending_key('drafts', number) for number in (2, 3)]
+
+    def prepare(harness):
+        harness.store.put('op/version/drafts', announced(3))
+        if is_marked:
+            harness.store.put(keys[0], b'{}')
+        harness.store.put(keys[1], _documents.dump_pending(2))
+
+    async def main(harness):
+        catalog = harness.catalog
+
+        def due_version():
+            return catalog.due_version('drafts', GRACE_S, harness.boottime())
+
+        await fakes.wait_until(lambda: catalog.pending_versions())
+        before = due_version()
+        if is_marked:
+            harness.store.delete(keys[0])
+            await fakes.wait_until(due_version)
+        return before, due_version()
+
+    expected = (None, 2) if is_marked else (2, 2)
+    assert test_cache_updater.run(main, prepare) == expected
+
+
+def test_mark_of_a_version_names_the_one_before():
+    async def main():
+        store = fakes.FakeStore()
+        async with Publisher(store).running() as publisher:
+            publisher.catalog.add_announced_version('drafts', 1, publisher.now)
+            publisher.catalog.add_announced_version('drafts', 2, publisher.now)
+            await fakes.wait_until(lambda: KEY in store.items)
+        return _documents.parse_pending(store.items[KEY].value)
+
+    assert asyncio.run(main()) == 1
