Ask for limits once their answers are heard after a suspend

Upstreams could get more requests than they accept from an entry that had been suspended. It asks four others for the limits, and ignores datagrams for 0.2 s since those that waited have a wrong age; that included the answers, which come within milliseconds. The limits were known from a random reminder, or from a reply of each upstream.

It now asks a second time when it listens again, at a cost of four datagrams a suspend. A question on its own, not sent at once but later, was ruled out: what it knows itself is told at once, and a test holds that.

The test failed before: nothing was known within 3 s from an entry that answers and sends no reminders.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -383,6 +383,12 @@
         'self.record_leave(upstream.key, sent_at)',
         'self.record_leave(upstream.key, self.boot_clock())',
     ),
+    Mutation(
+        'limits-are-asked-for-again',
+        'catkinshunt/rate_limits/_gossip.py',
+        'self._must_ask = is_resumed',
+        'self._must_ask = False',
+    ),
     Mutation(
         'removals-count-from-the-last-confirmation',
         'catkinshunt/platform/_cache_updater.py',
--- a/catkinshunt/rate_limits/_gossip.py
+++ b/catkinshunt/rate_limits/_gossip.py
@@ -49,6 +49,8 @@
         self.clock = clock
         self._reminded_at = None
         self._ignores_until = -math.inf
+        # Whether to ask others once datagrams are not ignored any more.
+        self._must_ask = False
 
     async def run(self):
         """Send reminders until cancelled."""
@@ -56,13 +58,17 @@
             await self.live_entries.wait_for_change()
         while True:
             self.remind(self.clock())
-            await asyncio.sleep(REMINDER_PERIOD_S)
+            await asyncio.sleep(
+                SUSPEND_IGNORE_S if self._must_ask else REMINDER_PERIOD_S
+            )
 
     def remind(self, now):
         """Send the known limits to one entry; ask others after a start."""
         is_start = self._reminded_at is None
-        if is_start or self._detect_suspend(now):
+        is_resumed = self._detect_suspend(now)
+        if is_start or is_resumed or self._must_ask:
             self._fan_out(_messages.LimitsRequest())
+        self._must_ask = is_resumed
         self._reminded_at = now
         for host in self._random_hosts(1):
             self._send_limits(host, now)
--- a/catkinshunt/rate_limits/tests/test_gossip.py
+++ b/catkinshunt/rate_limits/tests/test_gossip.py
@@ -1,3 +1,4 @@
+import asyncio
 import math
 import random
 
@@ -89,6 +90,46 @@
     assert entry.limiter.table.find(KEY) is not None
 
 
+class AnsweringTransport(Transport):
+    """Delivers to another entry, at once, and its answers."""
+
+    def __init__(self, entry, other):
+        super().__init__()
+        self.entry = entry
+        self.other = other
+
+    def sendto(self, data, addr):
+        self.other.gossip.datagram_received(data, ('10.0.0.1', 7705))
+        while self.other.transport.sent:
+            answer, _ = self.other.transport.sent.pop()
+            self.entry.gossip.datagram_received(answer, ('10.0.0.2', 7705))
+
+
+def test_limits_are_known_soon_after_a_suspend():
+    """The answers to its question would be ignored like old datagrams."""
+
+    async def main():
+        other, entry = Entry(), Entry()
+        clock = asyncio.get_running_loop().time
+        suspended_s = [0.0]
+        for gossip in (other.gossip, entry.gossip):
+            gossip.clock = lambda: clock() + suspended_s[0]
+        entry.gossip.connection_made(AnsweringTransport(entry, other))
+        task = asyncio.ensure_future(entry.gossip.run())
+        await asyncio.sleep(0)
+        suspended_s[0] = 3.0
+        now = other.gossip.clock()
+        other.limiter.observe(KEY, 1.0, now - 0.1, now)
+        try:
+            async with asyncio.timeout(3.0):
+                while entry.limiter.table.find(KEY) is None:
+                    await asyncio.sleep(0.01)
+        finally:
+            task.cancel()
+
+    asyncio.run(main())
+
+
 def test_invalid_datagrams_are_ignored():
     """Another release, or another program, may send to the port."""
     entry = Entry()
