Decode the parts of a prompt that requests share

Requests list the parts of their prompts, and the last one belongs to the request itself. Nothing decoded the list, so nothing could tell which part requests at a crash had in common.

The platform's dialect now states the ids of the shared parts, in lower case and without the last one. Entries that are empty, repeated or unreadable, and those beyond 16, are left out and fail no request; they are counted, and one log line a minute names what was left out. The header goes on unchanged.

--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -79,6 +79,14 @@
             takes_self=True,
         )
     )
+    request_audit: _header_audit.RequestAudit = attrs.field(
+        default=attrs.Factory(
+            lambda self: _header_audit.RequestAudit(
+                self.metrics.omitted_prompt_parts
+            ),
+            takes_self=True,
+        )
+    )
     _pools: dict = attrs.field(factory=dict)
     _retry_budgets: dict = attrs.field(factory=dict)
     _retry_schedules: dict = attrs.field(
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -81,6 +81,9 @@
     async def _answer(self):
         now = self.context.clock()
         self.info = self.context.dialect.decode_request(self.req)
+        self.context.request_audit.observe(
+            self.info, self.context.boot_clock()
+        )
         stopping = self.context.stopping_since
         if stopping is not None and now - stopping > STOP_ACCEPT_S:
             raise errors.LeavingError(
--- a/catkinshunt/gateway/_header_audit.py
+++ b/catkinshunt/gateway/_header_audit.py
@@ -1,4 +1,4 @@
-"""Shows which headers of upstreams are not heeded."""
+"""Shows which headers of upstreams and clients are not heeded."""
 
 from catkinshunt import logs
 
@@ -69,3 +69,42 @@
             self._logged_at.clear()
         self._logged_at[upstream_id, name] = now
         return True
+
+
+class RequestAudit:
+    """Counts requests with parts of a prompt that are left out.
+
+    A part that is left out is not known to the quarantine if it crashes
+    upstreams.
+
+    Args:
+        counter: `metrics.Counter` without labels.
+    """
+
+    def __init__(self, counter):
+        self.counter = counter
+        self._logged_at = None
+        self._since_logged = 0
+
+    def observe(self, info, now):
+        """Record the parts that one request leaves out.
+
+        Args:
+            info: `base.RequestInfo` of the request.
+            now: seconds on the boot-time clock.
+        """
+        if not info.omitted_parts:
+            return
+        self.counter.add()
+        self._since_logged += 1
+        if self._logged_at is not None and now - self._logged_at < REPEAT_S:
+            return
+        _log.warning(
+            'Left out parts of the prompt of request {}: {}; {} requests'
+            ' with such parts since the last line.',
+            info.id,
+            '; '.join(info.omitted_parts),
+            self._since_logged,
+        )
+        self._logged_at = now
+        self._since_logged = 0
--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -36,6 +36,11 @@
             'Headers of upstreams that are unknown or cannot be read.',
             ('reason', 'header'),
         )
+        #: Counted by `RequestAudit`.
+        self.omitted_prompt_parts = self.registry.counter(
+            'omitted_prompt_parts_total',
+            'Requests with parts of the prompt that are left out.',
+        )
 
     def record(self, service, outcome, duration_s, progress):
         """Count one request that has ended."""
--- a/catkinshunt/gateway/base.py
+++ b/catkinshunt/gateway/base.py
@@ -22,6 +22,11 @@
         tokens_out: expected output tokens, 0 if not given.
         last_event_id: id of the last event that the client received, in
             decimal digits, or ''.
+        prompt_parts: ids of the parts of the prompt that other requests may
+            share, in order; without the last part, which belongs to the
+            request or its session.
+        omitted_parts: texts on what is left out of `prompt_parts`, as it
+            cannot be read or is too much.
     """
 
     id: str
@@ -34,6 +39,8 @@
     tokens_in: int = 0
     tokens_out: int = 0
     last_event_id: str = ''
+    prompt_parts: tuple[str, ...] = ()
+    omitted_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/catkinshunt/gateway/tests/test_header_audit.py
+++ b/catkinshunt/gateway/tests/test_header_audit.py
@@ -19,6 +19,11 @@
     return _header_audit.HeaderAudit(counter)
 
 
+def request_audit():
+    counter = metrics.Registry().counter('omitted', '')
+    return _header_audit.RequestAudit(counter)
+
+
 def unknown(*names):
     return gateway.ReplyInfo(unknown_headers=names)
 
@@ -50,3 +55,24 @@
     assert len(lines) == 2
     found.observe('u2', info, 0.0)
     assert len(lines) == 3
+
+
+def test_omitted_parts_leave_a_line_a_minute(lines):
+    """A client may send what cannot be read in each of its requests."""
+    found = request_audit()
+    info = gateway.RequestInfo('a1', 'shop', '/', omitted_parts=("'x'",))
+    for second in range(100):
+        found.observe(info, float(second))
+    assert len(lines) == 2
+    assert "'x'" in lines[0]
+    assert 'a1' in lines[0]
+    assert '60 requests' in lines[1]
+    assert found.counter.report()[()] == 100
+
+
+def test_sound_parts_leave_no_line(lines):
+    info = gateway.RequestInfo('a1', 'shop', '/', prompt_parts=('5c1e',))
+    found = request_audit()
+    found.observe(info, 0.0)
+    assert not lines
+    assert not found.counter.report()
--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -1,5 +1,7 @@
 """Decodes and encodes the headers of callers and upstreams."""
 
+import re
+
 from catkinshunt import errors
 from catkinshunt.gateway import base
 from catkinshunt.platform import _reply_headers
@@ -17,6 +19,14 @@
 TOKEN_COUNTS = 'Token-Counts'
 #: Output tokens that the caller expects.
 LENGTH_HINT = 'Length-Hint'
+#: Parts of the prompt in order, as ID:TOKENS separated by commas.
+PROMPT_PREFIX = 'Prompt-Prefix'
+#: Most shared parts that are decoded, the first ones, and most texts on parts
+#: that are left out.
+MAX_PROMPT_PARTS = 16
+#: Longest part of an invalid entry in a text.
+_MAX_SHOWN_CHARS = 20
+_PROMPT_PART = re.compile('([0-9a-f]{1,64}):[0-9]{1,18}')
 LAST_EVENT = 'Last-Event-Id'
 EXPECTED_UPSTREAM = 'Expect-Instance'
 EXPECTED_VERSION = 'Expect-Version'
@@ -50,6 +60,9 @@
             raise errors.InvalidRequestError(
                 'one Host header is needed', step='read-request'
             )
+        prompt_parts, omitted_parts = _parse_prompt_parts(
+            headers.get_all(PROMPT_PREFIX)
+        )
         tokens_in, max_out = _parse_token_counts(headers.get(TOKEN_COUNTS))
         return base.RequestInfo(
             id=headers.get(REQUEST_ID, ''),
@@ -64,6 +77,8 @@
                 headers.get(LENGTH_HINT), max_out
             ),
             last_event_id=_digits_or_empty(headers.get(LAST_EVENT)),
+            prompt_parts=prompt_parts,
+            omitted_parts=omitted_parts,
         )
 
     def upstream_headers(self, req, info, attempt):
@@ -107,6 +122,39 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_prompt_parts(values):
+    """Return the ids of the shared parts, and texts on what is left out.
+
+    Args:
+        values: values of the header, which are joined.
+    """
+    if not any(values):
+        return (), ()
+    entries = [entry.strip().lower() for entry in ','.join(values).split(',')]
+    stated = [entry for entry in entries if entry]
+    omitted = ['an empty entry'] * (len(entries) - len(stated))
+    ids = []
+    for entry in stated:
+        match = _PROMPT_PART.fullmatch(entry)
+        if match is None:
+            omitted.append(f'unreadable {entry[:_MAX_SHOWN_CHARS]!a}')
+        ids.append(match and match[1])
+    last = ids.pop() if ids else None
+    shared = [part for part in dict.fromkeys(ids) if part not in (None, last)]
+    repeated = len(ids) - ids.count(None) - len(shared)
+    omitted += ['a repeated entry'] * repeated
+    if len(shared) > MAX_PROMPT_PARTS:
+        omitted.append(f'{len(shared) - MAX_PROMPT_PARTS} beyond the limit')
+    return tuple(shared[:MAX_PROMPT_PARTS]), _limit_texts(omitted)
+
+
+def _limit_texts(texts):
+    if len(texts) > MAX_PROMPT_PARTS:
+        left = len(texts) - MAX_PROMPT_PARTS + 1
+        texts = [*texts[: MAX_PROMPT_PARTS - 1], f'{left} more']
+    return tuple(texts)
+
+
 def _parse_expected_output(text, max_tokens):
     """Return the caller's estimate, capped at the maximum if that is known.
 
--- a/catkinshunt/platform/tests/test_dialect.py
+++ b/catkinshunt/platform/tests/test_dialect.py
@@ -53,6 +53,68 @@
     ) == DIALECT.decode_request(request())
 
 
+def decode_parts(*values):
+    """Return the decoded and the left out entries of `Prompt-Prefix`."""
+    info = DIALECT.decode_request(
+        request(*(('Prompt-Prefix', value) for value in values))
+    )
+    return info.prompt_parts, len(info.omitted_parts)
+
+
+def test_decode_prompt_parts():
+    """The last part belongs to the request itself or to its session."""
+    parts, omitted = decode_parts('5c1e07a2:800, 91bd3f06:410,e4402b7d:250')
+    assert parts == ('5c1e07a2', '91bd3f06')
+    assert omitted == 0
+    assert decode_parts('e4402b7d:250') == ((), 0)
+    assert decode_parts() == ((), 0)
+
+
+def test_case_of_prompt_parts_does_not_matter():
+    """One part in two spellings would be taken for two."""
+    assert decode_parts('5C1E07A2:8,e4:1') == decode_parts('5c1e07a2:8,e4:1')
+
+
+@pytest.mark.parametrize(
+    ('values', 'parts', 'omitted'),
+    [
+        (['a1:8,xyz:3,b2:4,e4:1'], ('a1', 'b2'), 1),
+        (['a1:8,:3,b2:x,c3,d4:1:2,e4:1'], ('a1',), 4),
+        (['a1:8,0xb2:3,-c3:1,d4:-1,e4:1'], ('a1',), 3),
+        (['a1:8,\u0661:3,b2:\u0661,e4:1'], ('a1',), 2),
+        (['a1:8,,b2:1, ,e4:1,'], ('a1', 'b2'), 3),
+        (['a1:8,b2:1,A1:8,e4:1'], ('a1', 'b2'), 1),
+        (['a1:8,E4:1,b2:1,e4:1'], ('a1', 'b2'), 1),
+        (['a1:8,' + 'f' * 65 + ':1,e4:1'], ('a1',), 1),
+        (['a1:8,b2:1,no part'], ('a1', 'b2'), 1),
+        (['a1:8', 'b2:1,e4:1'], ('a1', 'b2'), 0),
+        ([''], (), 0),
+        ([',,'], (), 3),
+        (['\xff\xfe'], (), 1),
+    ],
+)
+def test_unusable_prompt_parts_are_left_out(values, parts, omitted):
+    """They must fail no request, and blame no other part."""
+    assert decode_parts(*values) == (parts, omitted)
+
+
+def test_number_of_prompt_parts_is_bounded():
+    """A prompt of thousands of parts would push out other suspects."""
+    many = ','.join(f'{number:x}:1' for number in range(1, 2000))
+    parts, omitted = decode_parts(many)
+    assert parts == tuple(f'{number:x}' for number in range(1, 17))
+    assert omitted == 1
+
+
+def test_prompt_parts_are_forwarded_unchanged():
+    """Upstreams look up the parts in their caches."""
+    value = '5C1E07A2:800,bad, 91bd3f06:410,e4402b7d:250'
+    req = request(('Prompt-Prefix', value))
+    info = DIALECT.decode_request(req)
+    items = DIALECT.upstream_headers(req, info, gateway.AttemptInfo('i', 1.0))
+    assert dict(items)['Prompt-Prefix'] == value
+
+
 def test_two_host_headers_are_rejected():
     """The gateway and an upstream could each use a different one of them."""
     with pytest.raises(errors.InvalidRequestError):
