Take no close of our own for the end of a reply

A reply without a length or chunks ends with its connection. The client connection also counted it as whole when this process closed the connection first: the event loop reports both closes without an error, and the second needs no end of the peer's data before it.

Only the end of the peer's data now ends such a reply, and `EndOfReply` says that it was told by the connection alone, which shows less than a length: a process that ends has its connections closed in order too. No caller is known that read from a connection after closing it.

--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -27,7 +27,15 @@
 
 @attrs.frozen
 class EndOfReply:
-    """The reply is complete."""
+    """The reply is complete.
+
+    Attributes:
+        at_close: whether it ended with its connection, as it has neither a
+            length nor chunks. A peer that crashed may have closed the
+            connection too, before the reply was whole.
+    """
+
+    at_close: bool = False
 
 
 @attrs.frozen
@@ -78,7 +86,8 @@
     def connection_lost(self, exc):
         """See `asyncio.Protocol`."""
         if exc is None:
-            self._end_input('closed by the peer', orderly=True)
+            # The end of the peer's data would have been received before.
+            self._end_input('closed by this process')
         else:
             self._end_input(f'{type(exc).__name__}: {exc}')
 
@@ -217,7 +226,7 @@
         if orderly and self._in_reply and self._ends_at_close:
             # A reply without a length is complete when its connection is
             # closed in order; a reset leaves it incomplete.
-            self._put(EndOfReply())
+            self._put(EndOfReply(at_close=True))
         self._lost = ConnectionLost(reason, orderly)
         self.reusable = False
         self._arrived.set()
--- a/catkinshunt/http1/tests/test_client.py
+++ b/catkinshunt/http1/tests/test_client.py
@@ -111,6 +111,33 @@
     assert isinstance(asyncio.run(main()), http1.ConnectionLost)
 
 
+def test_a_reply_without_length_is_incomplete_after_our_own_close():
+    """Closed by us before the upstream has sent all, it is not whole."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nhal')
+        await writer.drain()
+        await reader.read()
+
+    async def main():
+        async with upstream(handle) as pool:
+            conn = await pool.acquire()
+            conn.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            await conn.wait_for_part()
+            conn.close()
+            return (await read_all(conn))[-1]
+
+    assert isinstance(asyncio.run(main()), http1.ConnectionLost)
+
+
+def test_the_end_of_a_reply_tells_whether_it_is_that_of_its_connection():
+    """The end of a connection shows less than that of a length."""
+    bare = last_part(b'HTTP/1.1 200 OK\r\n\r\nok')
+    assert bare == http1.EndOfReply(at_close=True)
+    assert last_part(REPLY) == http1.EndOfReply()
+
+
 def test_a_connection_with_a_second_reply_is_not_reused():
     """A faulty upstream sends two replies to one request.
 
