Take a stream that ends before its first event for broken off

An event stream may come without a length or chunks and end with its connection. An engine that crashed as it began to write left a head and an orderly close, which was relayed to the client as a complete answer without events, and counted as a completion of the request for the quarantine.

Such a stream is now a broken connection, so that it is sent elsewhere where the rule allows it, and the engine is checked for a crash. A stream that is resumed may end without a further event, as the engine before may have sent all of them.

The tests of replies without a length show the other ends: whole answers and streams, resets, and orderly closes inside an event were handled right before; the one of a stream without events failed.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -358,11 +358,23 @@
                 step='read-reply',
                 peer=self.peer,
             )
+        if part.at_close and not self._has_begun_stream():
+            # An upstream that crashes as it begins to answer leaves this.
+            raise ConnectionLostError(
+                'stream ended before its first event',
+                step='read-reply',
+                peer=self.peer,
+            )
         self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
         self.exchange.progress.is_complete = True
 
+    def _has_begun_stream(self):
+        """Return whether the client has got an event, also of another try."""
+        progress = self.exchange.progress
+        return progress.head_sent or progress.last_event_id is not None
+
     def _split(self, splitter, data):
         try:
             return splitter.feed(data)
