--- a/catkinshunt/gateway/_events.py
+++ b/catkinshunt/gateway/_events.py
@@ -41,6 +41,14 @@
     def __init__(self):
         self.remainder = b''
 
+    @property
+    def has_partial_event(self):
+        """Whether the data so far end inside an event.
+
+        Blank lines after the last event belong to none.
+        """
+        return bool(self.remainder.strip(b'\r\n'))
+
     def feed(self, data):
         """Append `data`; return the events that it completes.
 
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -352,7 +352,7 @@
                 raise errors.OutcomeUnknownError(
                     gap, step='read-reply', peer=self.peer
                 )
-        if splitter.remainder:
+        if splitter.has_partial_event:
             raise errors.OutcomeUnknownError(
                 'stream ended within an event',
                 step='read-reply',
--- a/catkinshunt/gateway/tests/test_replies_without_length.py
+++ b/catkinshunt/gateway/tests/test_replies_without_length.py
@@ -166,3 +166,10 @@
     body, sends = chat_with(sending(begun), sending(b''))
     assert body == events(3)
     assert sends == [1, 1]
+
+
+def test_blank_line_after_the_last_event_is_no_event():
+    """A whole stream would be taken for one that was broken off."""
+    body, sends = chat_with(sending(events(3) + b'\n'), harness.streaming(6))
+    assert body == events(3)
+    assert sends == [1, 0]
