Name what requests have in common

Requests that are never alike can share a part of their prompts. Traits holds the fingerprint of a whole request and those of its shared parts, so that crashes can count against either.

--- a/catkinshunt/quarantine/__init__.py
+++ b/catkinshunt/quarantine/__init__.py
@@ -13,6 +13,8 @@
 from catkinshunt.quarantine._quarantine import Quarantine
 from catkinshunt.quarantine._quarantine import QUARANTINE_S
 from catkinshunt.quarantine._quarantine import RENEW_SHARE
+from catkinshunt.quarantine._traits import part_fingerprint
+from catkinshunt.quarantine._traits import Traits
 
 __all__ = [
     'Completion',
@@ -24,8 +26,10 @@
     'Quarantine',
     'Quarantined',
     'RENEW_SHARE',
+    'Traits',
     'dump',
     'fingerprint',
     'load',
+    'part_fingerprint',
     'split_crash_report',
 ]
