Replay requests that share a crashing part

Requests with one bad part are never alike, and reach engines without end. The model plays them beside sound requests that share their first part; guards take the traits of a request and still look at the whole only.

--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -66,15 +66,16 @@
         """Return the number of quarantined requests."""
         return len(self.gossip.quarantine.all_quarantined(self.gossip.clock()))
 
-    def check(self, request, has_sidecar):
+    def check(self, traits, has_sidecar):
         """Return the seconds for which a request must not run, or 0.
 
         The quarantine of a request that still arrives is renewed.
 
         Args:
-            request: its fingerprint.
+            traits: its `Traits`.
             has_sidecar: whether sidecars keep suspects of the service apart.
         """
+        request = traits.whole
         now = self.gossip.clock()
         left_s = self.gossip.quarantine.remaining_s(request, now)
         if left_s == 0:
@@ -87,22 +88,23 @@
             self.gossip.report_quarantine(request, _quarantine.QUARANTINE_S)
         return left_s
 
-    def is_isolated(self, request):
+    def is_isolated(self, traits):
         """Return whether a request has to run apart from other suspects."""
-        return self.gossip.quarantine.is_isolated(request)
+        return self.gossip.quarantine.is_isolated(traits.whole)
 
-    def record_completion(self, request):
+    def record_completion(self, traits):
         """Report that a request was completed."""
-        self.gossip.report_completion(request)
+        self.gossip.report_completion(traits.whole)
 
-    def record_broken_connection(self, upstream, request, run_s):
+    def record_broken_connection(self, upstream, traits, run_s):
         """Record that the connection of a request was lost.
 
         Args:
             upstream: the `catalog.Upstream` that ran the request.
-            request: its fingerprint.
+            traits: its `Traits`.
             run_s: seconds since the request was sent.
         """
+        request = traits.whole
         affected = self._affected.get(upstream.key)
         if affected is not None:
             affected[request] = max(run_s, affected.get(request, 0.0))
@@ -116,14 +118,16 @@
         if self._checks.get(key) is task:
             del self._checks[key]
 
-    async def wait_for_crash_check(self, upstream, request):
+    async def wait_for_crash_check(self, upstream, traits):
         """Wait until it is known whether an upstream crashed under a suspect.
 
         A retry before would not count that crash, and might crash another
         upstream.
         """
         task = self._checks.get(upstream.key)
-        if task is not None and self.gossip.quarantine.is_suspect(request):
+        if task is not None and self.gossip.quarantine.is_suspect(
+            traits.whole
+        ):
             await asyncio.wait([task])
 
     async def _check_crash(self, upstream):
--- a/catkinshunt/quarantine/tests/replay.py
+++ b/catkinshunt/quarantine/tests/replay.py
@@ -130,14 +130,15 @@
         """Run a request; return whether it completed, and seconds to wait."""
         starts = self.starts
         tried = set()
+        traits = self.replay.traits(request)
         for _ in range(MAX_TRIES):
             if not self.guard.is_idle:
-                wait_s = self.guard.check(request, self.replay.has_sidecars)
+                wait_s = self.guard.check(traits, self.replay.has_sidecars)
                 if wait_s > 0:
                     self.replay.held_s[request] += min(wait_s, MAX_PAUSE_S)
                     return False, wait_s
             isolated = self.replay.has_sidecars and self.guard.is_isolated(
-                request
+                traits
             )
             engine = self.replay.choose_engine(tried, isolated)
             if engine is None:
@@ -150,12 +151,12 @@
                 return False, 0.2
             if completed:
                 if not self.guard.is_idle:
-                    self.guard.record_completion(request)
+                    self.guard.record_completion(traits)
                 return True, 0.0
             self.guard.record_broken_connection(
-                upstream, request, self.replay.clock() - begun_at
+                upstream, traits, self.replay.clock() - begun_at
             )
-            await self.guard.wait_for_crash_check(upstream, request)
+            await self.guard.wait_for_crash_check(upstream, traits)
         return False, 0.2
 
 
@@ -206,6 +207,10 @@
         self.held_s = collections.Counter()
         self.quarantined_at = {}
 
+    def traits(self, request):
+        """Return the `quarantine.Traits` of a request."""
+        return quarantine.Traits(request)
+
     def clock(self):
         return asyncio.get_running_loop().time()
 
--- a/catkinshunt/quarantine/tests/test_guard.py
+++ b/catkinshunt/quarantine/tests/test_guard.py
@@ -40,11 +40,15 @@
         port = server.sockets[0].getsockname()[1]
         gossip = FakeGossip()
         guard = make_guard(gossip)
-        guard.record_broken_connection(upstream(port=port), 'a', 0.1)
+        guard.record_broken_connection(
+            upstream(port=port), quarantine.Traits('a'), 0.1
+        )
         await asyncio.sleep(2 * _guard.CRASH_CHECK_DELAY_S)
         server.close()
         alive = list(gossip.crashes)
-        guard.record_broken_connection(upstream(port=port), 'a', 0.1)
+        guard.record_broken_connection(
+            upstream(port=port), quarantine.Traits('a'), 0.1
+        )
         await network.wait_until(lambda: gossip.crashes)
         return alive, gossip.crashes
 
@@ -62,7 +66,7 @@
     async def main():
         gossip = FakeGossip()
         guard = make_guard(gossip, is_down=silent)
-        guard.record_broken_connection(upstream(), 'a', 0.1)
+        guard.record_broken_connection(upstream(), quarantine.Traits('a'), 0.1)
         await asyncio.sleep(2 * _guard.CRASH_CHECK_DELAY_S)
         return gossip.crashes
 
@@ -80,9 +84,11 @@
         gossip = FakeGossip()
         guard = make_guard(gossip, is_down=ended)
         for request, run_s in (('b', 0.2), ('a', 0.1), ('b', 0.3)):
-            guard.record_broken_connection(upstream(), request, run_s)
+            guard.record_broken_connection(
+                upstream(), quarantine.Traits(request), run_s
+            )
         restarted = upstream(started_at_ms=2)
-        guard.record_broken_connection(restarted, 'a', 0.1)
+        guard.record_broken_connection(restarted, quarantine.Traits('a'), 0.1)
         await network.wait_until(lambda: len(gossip.crashes) == 2)
         return gossip
 
@@ -101,10 +107,12 @@
         guard = make_guard(gossip, is_down=ended)
         gossip.quarantine.record_crash('other', {'a': 0.1}, 7, 0.0, 0.0)
         for request in 'ab':
-            guard.record_broken_connection(upstream(), request, 0.1)
-        await guard.wait_for_crash_check(upstream(), 'b')
+            guard.record_broken_connection(
+                upstream(), quarantine.Traits(request), 0.1
+            )
+        await guard.wait_for_crash_check(upstream(), quarantine.Traits('b'))
         before = list(gossip.crashes)
-        await guard.wait_for_crash_check(upstream(), 'a')
+        await guard.wait_for_crash_check(upstream(), quarantine.Traits('a'))
         return before, gossip.crashes
 
     before, after = asyncio.run(main())
@@ -118,9 +126,9 @@
     gossip.report_quarantine = lambda *args: reported.append(args)
     guard = make_guard(gossip)
     gossip.quarantine.add('bad', quarantine.QUARANTINE_S * 0.9, 0.0)
-    assert guard.check('bad', True) > 0
+    assert guard.check(quarantine.Traits('bad'), True) > 0
     assert reported == []
     gossip.quarantine = quarantine.Quarantine()
     gossip.quarantine.add('bad', quarantine.QUARANTINE_S * 0.1, 0.0)
-    assert guard.check('bad', True) > 0
+    assert guard.check(quarantine.Traits('bad'), True) > 0
     assert reported == [('bad', quarantine.QUARANTINE_S)]
--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkinshunt.quarantine.tests import prompts
 from catkinshunt.quarantine.tests import replay
 
 #: Seeds of each case; more are played by hand.
@@ -10,6 +11,8 @@
 DURATION_S = 120.0
 #: Crashes by a cause after it was to be stopped everywhere.
 MAX_LATE_RUNS = 3
+#: Least share of the sound requests that are served beside bad parts.
+MIN_SERVED_SHARE = 0.5
 CASES = {
     'one cause': {},
     'no sidecars': {'has_sidecars': False},
@@ -59,3 +62,21 @@
     kills = {'causes': 0, 'other_crashes': 6, 'has_sidecars': False}
     no_sidecars = replay.play(151, engines=3, **kills)
     assert all_at_once.innocents == no_sidecars.innocents == ()
+
+
+def check_prompts(engines, **changes):
+    """Check that bad parts are stopped, and that sound requests are served."""
+    for seed in SEEDS:
+        seen = prompts.play(seed, engines=engines, **changes)
+        calm = prompts.calm_per_s(seed, engines=engines, **changes)
+        assert (seed, seen.innocents, seen.missed) == (seed, (), ())
+        assert (seed, seen.late_runs <= MAX_LATE_RUNS) == (seed, True)
+        is_served = seen.served_per_s >= MIN_SERVED_SHARE * calm
+        assert (seed, is_served) == (seed, True)
+
+
+def test_part_that_crashes_engines_is_stopped():
+    """Requests that are never alike shared the part, and nothing added up."""
+    for engines in (2, 8):
+        for rate in (3.0, 10.0):
+            check_prompts(engines, rate=rate)
