Quarantine the part that crashing requests share

Callers of sound requests were refused or lost their answers while requests that are never alike ended engine after engine: 83 to 105 ends of 8 engines in 40 s. The quarantine knew a request by its whole, so nothing added up.

Each shared part of a prompt is a suspect now, beside the whole. A crash report has the parts of each request, so that a suspect which was there only together with another one, at fewer crashes, does not excuse it. From its third crash on all requests with a part are refused, but for one at a time among all entries, which runs on trial; its crash is the evidence that engines which ended together do not give. A sound part that other suspects explain is neither refused nor run apart. A retry waits until the crash before it is recorded, also when nothing was suspected: one request had ended two engines 0.03 s apart.

Several bad parts with two engines, a bad whole beside a bad part, and a part without sidecars are not mended by this.

test_retry_of_a_suspect_waits_for_the_crash_check held that a request which was not suspected does not wait; it is replaced by one that holds that each interrupted request waits, and one that was not interrupted does not.

--- a/catkinshunt/quarantine/_gossip.py
+++ b/catkinshunt/quarantine/_gossip.py
@@ -96,7 +96,9 @@
         for request, left_s in self.random.sample(quarantined, count):
             self._send(_messages.Quarantined(request, left_s), host)
 
-    def report_crash(self, upstream, run_s, service_size, ago_s=0.0):
+    def report_crash(
+        self, upstream, run_s, service_size, ago_s=0.0, parts=None
+    ):
         """Record the requests of a crashed upstream, and forward new ones.
 
         Reports come from this entry or from a datagram.
@@ -107,13 +109,15 @@
                 fingerprint.
             service_size: number of upstreams of its service.
             ago_s: seconds since the crash.
+            parts: fingerprints of the parts of each request that has some,
+                by fingerprint of the request.
         """
         now = self.clock()
         new = self.quarantine.record_crash(
-            upstream, run_s, service_size, now - ago_s, now
+            upstream, run_s, service_size, now - ago_s, now, parts
         )
         for report in _messages.split_crash_report(
-            upstream, new, service_size, ago_s
+            upstream, new, service_size, ago_s, parts
         ):
             self._fan_out(report)
         if new:
@@ -121,10 +125,21 @@
 
     def report_completion(self, request):
         """Clear a completed request; forward that if it was suspected."""
-        if self.quarantine.record_completion(request):
-            self._fan_out(_messages.Completion(request))
+        self.report_completions((request,))
+
+    def report_completions(self, traits):
+        """Clear the traits of a completed request; forward suspected ones."""
+        record = self.quarantine.record_completion
+        cleared = tuple(trait for trait in traits if record(trait))
+        if cleared:
+            self._fan_out(_complete(cleared))
             self._schedule_evaluation()
 
+    def report_trial(self, request, parts):
+        """Let a request run on trial of its parts; forward that if new."""
+        if self.quarantine.begin_trial(request, parts, self.clock()):
+            self._fan_out(_messages.Trial(request, tuple(parts)))
+
     def report_quarantine(self, request, for_s):
         """Quarantine a request; forward that if it is new."""
         if self.quarantine.add(request, for_s, self.clock()):
@@ -133,13 +148,13 @@
     def receive(self, message, host):
         """See `gossip.BaseGossip.receive`."""
         if isinstance(message, _messages.CrashReport):
-            self._correct(message, host)
-            self.report_crash(
-                message.upstream,
-                message.run_s,
-                message.service_size,
-                message.ago_s,
-            )
+            self._receive_crash(message, {}, host)
+        elif isinstance(message, _messages.PartsCrashReport):
+            self._receive_crash(message, message.parts_of, host)
+        elif isinstance(message, _messages.Completions):
+            self.report_completions(message.traits)
+        elif isinstance(message, _messages.Trial):
+            self.report_trial(message.request, message.parts)
         elif isinstance(message, _messages.Completion):
             self.report_completion(message.request)
         elif isinstance(message, _messages.StateRequest):
@@ -148,13 +163,26 @@
             left_s = min(message.left_s, _quarantine.QUARANTINE_S)
             self.report_quarantine(message.request, left_s)
 
-    def _correct(self, report, host):
-        """Tell an entry which requests in its report have completed since."""
+    def _receive_crash(self, report, parts, host):
+        traits = dict.fromkeys(report.requests)
+        for found in parts.values():
+            traits.update(dict.fromkeys(found))
+        self._correct(report, traits, host)
+        self.report_crash(
+            report.upstream,
+            report.run_s,
+            report.service_size,
+            report.ago_s,
+            parts,
+        )
+
+    def _correct(self, report, traits, host):
+        """Tell an entry which traits in its report have completed since."""
         at = self.clock() - report.ago_s
-        for request in self.quarantine.find_cleared(
-            report.upstream, report.requests, at
-        ):
-            self._send(_messages.Completion(request), host)
+        cleared = self.quarantine.find_cleared(report.upstream, traits, at)
+        for begin in range(0, len(cleared), _messages.MAX_REQUESTS):
+            some = cleared[begin : begin + _messages.MAX_REQUESTS]
+            self._send(_complete(tuple(some)), host)
 
     def _schedule_evaluation(self):
         if self._timer is None:
@@ -175,6 +203,20 @@
 
 def _split(crash, run_s, now):
     """Return the messages on these runs of a `Crash`."""
+    parts = {
+        request: tuple(part for part in found if part not in crash.cleared)
+        for request, found in crash.parts.items()
+    }
     return _messages.split_crash_report(
-        crash.upstream, run_s, crash.service_size, now - crash.at
+        crash.upstream, run_s, crash.service_size, now - crash.at, parts
     )
+
+
+def _complete(traits):
+    """Return the message on the completion of traits.
+
+    Entries of earlier builds know the one with a single trait.
+    """
+    if len(traits) == 1:
+        return _messages.Completion(traits[0])
+    return _messages.Completions(traits)
--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -1,6 +1,7 @@
 """Detects upstream crashes and checks requests against the quarantine."""
 
 import asyncio
+import collections
 import hashlib
 
 from catkinshunt import logs
@@ -13,6 +14,8 @@
 CONNECT_TIMEOUT_S = 0.5
 #: Most requests in the log line of a crash.
 MAX_LOGGED_REQUESTS = 20
+#: Most prompt parts in it, each with the number of requests that had it.
+MAX_LOGGED_PARTS = 10
 _DIGEST_BYTES = 8
 
 _log = logs.get_logger('quarantine')
@@ -75,26 +78,52 @@
             traits: its `Traits`.
             has_sidecar: whether sidecars keep suspects of the service apart.
         """
-        request = traits.whole
         now = self.gossip.clock()
-        left_s = self.gossip.quarantine.remaining_s(request, now)
-        if left_s == 0:
-            pause_s = self.gossip.quarantine.pause_s(request, now)
-            if has_sidecar:
-                return pause_s
-            turn_wait_s = self.gossip.quarantine.turn_wait_s(request, now)
-            return max(pause_s, turn_wait_s)
-        if left_s < _quarantine.QUARANTINE_S * _quarantine.RENEW_SHARE:
-            self.gossip.report_quarantine(request, _quarantine.QUARANTINE_S)
-        return left_s
+        longest_s = 0.0
+        for trait in traits:
+            left_s = self.gossip.quarantine.remaining_s(trait, now)
+            longest_s = max(longest_s, left_s)
+            if 0 < left_s < _quarantine.QUARANTINE_S * _quarantine.RENEW_SHARE:
+                self.gossip.report_quarantine(trait, _quarantine.QUARANTINE_S)
+        return longest_s or self._wait_s(traits, has_sidecar, now)
+
+    def _wait_s(self, traits, has_sidecar, now):
+        """Return the seconds for which a suspect must not run, or 0."""
+        pause_s = self.gossip.quarantine.pause_s(traits.whole, now)
+        if not has_sidecar:
+            turn_wait_s = self.gossip.quarantine.turn_wait_s(traits.whole, now)
+            pause_s = max(pause_s, turn_wait_s)
+        if pause_s > 0:
+            return pause_s
+        held = self.gossip.quarantine.find_held(traits)
+        if not held:
+            return 0.0
+        wait_s = self.gossip.quarantine.trial_wait_s(traits, held, now)
+        if wait_s == 0:
+            self.gossip.report_trial(traits.whole, held)
+        return wait_s
+
+    def explain(self, traits):
+        """Return the trait for which a request must not run, or None."""
+        now = self.gossip.clock()
+        known = self.gossip.quarantine
+        for trait in traits:
+            if known.remaining_s(trait, now) > 0:
+                return trait
+        if known.pause_s(traits.whole, now) > 0:
+            return traits.whole
+        held = known.find_held(traits)
+        if held and known.trial_wait_s(traits, held, now) > 0:
+            return held[0]
+        return None
 
     def is_isolated(self, traits):
         """Return whether a request has to run apart from other suspects."""
-        return self.gossip.quarantine.is_isolated(traits.whole)
+        return self.gossip.quarantine.must_run_apart(traits)
 
     def record_completion(self, traits):
         """Report that a request was completed."""
-        self.gossip.report_completion(traits.whole)
+        self.gossip.report_completions(traits)
 
     def record_broken_connection(self, upstream, traits, run_s):
         """Record that the connection of a request was lost.
@@ -104,12 +133,11 @@
             traits: its `Traits`.
             run_s: seconds since the request was sent.
         """
-        request = traits.whole
         affected = self._affected.get(upstream.key)
         if affected is not None:
-            affected[request] = max(run_s, affected.get(request, 0.0))
+            affected[traits] = max(run_s, affected.get(traits, 0.0))
             return
-        self._affected[upstream.key] = {request: run_s}
+        self._affected[upstream.key] = {traits: run_s}
         task = asyncio.ensure_future(self._check_crash(upstream))
         self._checks[upstream.key] = task
         task.add_done_callback(lambda _: self._end_check(upstream.key, task))
@@ -119,15 +147,17 @@
             del self._checks[key]
 
     async def wait_for_crash_check(self, upstream, traits):
-        """Wait until it is known whether an upstream crashed under a suspect.
+        """Wait until it is known whether an upstream crashed under a request.
 
         A retry before would not count that crash, and might crash another
         upstream.
+
+        Args:
+            upstream: the `catalog.Upstream` that ran the request.
+            traits: its `Traits`.
         """
         task = self._checks.get(upstream.key)
-        if task is not None and self.gossip.quarantine.is_suspect(
-            traits.whole
-        ):
+        if task is not None and traits in self._affected.get(upstream.key, ()):
             await asyncio.wait([task])
 
     async def _check_crash(self, upstream):
@@ -141,15 +171,30 @@
             upstream.id,
             len(run_s),
             upstream=_identify(upstream),
-            requests=sorted(run_s)[:MAX_LOGGED_REQUESTS],
+            requests=sorted(t.whole for t in run_s)[:MAX_LOGGED_REQUESTS],
+            parts=_count_parts(run_s)[:MAX_LOGGED_PARTS],
         )
         self.gossip.report_crash(
             _identify(upstream),
-            run_s,
+            {traits.whole: seconds for traits, seconds in run_s.items()},
             self.count_upstreams(upstream.service),
+            parts={t.whole: t.parts for t in run_s if t.parts},
         )
 
 
+def _count_parts(requests):
+    """Return how many requests have each part, the most common ones first.
+
+    Args:
+        requests: `Traits` of requests.
+
+    Returns:
+        Strings such as '12 of 4f..'.
+    """
+    counts = collections.Counter(p for each in requests for p in each.parts)
+    return [f'{count} of {part}' for part, count in counts.most_common()]
+
+
 def _identify(upstream):
     """Return an identifier that all entries compute for an upstream.
 
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -1,4 +1,4 @@
-"""Identifies the requests that crash their upstreams."""
+"""Identifies the requests, and parts of them, that crash upstreams."""
 
 import collections
 
@@ -30,6 +30,13 @@
 #: Seconds for which one of several suspects runs, while the others wait, if
 #: no sidecar keeps them apart. One that is no cause should complete in time.
 TURN_S = 2.0
+#: Seconds after the last crash of a part for which all requests with it are
+#: refused. Then one of them runs on trial.
+TRIAL_DELAY_S = 1.0
+#: Seconds for which other requests wait for a trial.
+TRIAL_S = 4.0
+#: Seconds that a request refused for one of its parts waits at least.
+MIN_WAIT_S = 0.2
 #: Seconds within which two reports on an upstream concern the same crash.
 SAME_CRASH_S = 1.0
 #: Seconds from when a request reaches `MIN_CRASHES` to its evaluation. Reports
@@ -67,7 +74,12 @@
     the most suspected ones are paused for a short time after each crash, so
     that the others complete or are found first.
 
-    Requests (by their fingerprints) and upstreams are identified by strings
+    A part that prompts share is a suspect like a whole request, and a request
+    with a quarantined part does not run. A part with several crashes is
+    quarantined only after the crash of a run that began later; until then
+    one request with it at a time runs on trial, among all entries.
+
+    Traits (by their fingerprints) and upstreams are identified by strings
     that are equal in all processes. `now` is in seconds on one clock.
 
     Examples:
@@ -100,7 +112,7 @@
 
     # Evidence.
 
-    def record_crash(self, upstream, run_s, service_size, at, now):
+    def record_crash(self, upstream, run_s, service_size, at, now, parts=None):
         """Record the requests that an upstream ran when it crashed.
 
         Args:
@@ -110,10 +122,13 @@
             service_size: number of upstreams of its service.
             at: time of the crash, in seconds.
             now: time in seconds.
+            parts: fingerprints of the parts of each request that has some,
+                by fingerprint of the request.
 
         Returns:
-            The part of `run_s` that was not recorded for it before.
+            The items of `run_s` that were not recorded for it before.
         """
+        parts = parts or {}
         crash = self._find_crash(upstream, at)
         if crash is None:
             crash = self._add_crash(upstream, at)
@@ -123,11 +138,15 @@
             if request in crash.run_s:
                 crash.run_s[request] = max(crash.run_s[request], seconds)
             elif len(crash.run_s) < MAX_CRASH_REQUESTS:
-                crash.run_s[request] = new[request] = seconds
+                new[request] = seconds
+                crash.add(request, seconds, parts.get(request, ()))
         for request in new:
             if request not in self._quarantined:
-                self._add_suspect(request, crash, now)
-        if any(request in self._quarantined for request in crash.run_s):
+                self._add_suspect(request, crash, now, is_part=False)
+            for part in crash.parts.get(request, ()):
+                if part not in self._quarantined and part not in crash.cleared:
+                    self._add_suspect(part, crash, now, is_part=True)
+        if any(trait in self._quarantined for trait in crash.traits):
             self._explain(crash)
         return new
 
@@ -141,11 +160,11 @@
         return True
 
     def find_cleared(self, upstream, requests, at):
-        """Return those of the requests that have completed since a crash.
+        """Return those of the traits that have completed since a crash.
 
         Args:
             upstream: identifier of the upstream.
-            requests: fingerprints.
+            requests: fingerprints of requests or parts.
             at: time of the crash, in seconds.
         """
         crash = self._find_crash(upstream, at)
@@ -172,11 +191,15 @@
             if len(suspect.crashes) >= min_crashes
             for crash in suspect.crashes
         }
-        return [
-            (crash, {s.request: crash.run_s[s.request] for s in suspects})
-            for crash in sorted(found, key=lambda crash: crash.at)
-            if (suspects := self._suspects_of(crash))
-        ]
+        runs = []
+        for crash in sorted(found, key=lambda crash: crash.at):
+            holders = set()
+            for suspect in self._suspects_of(crash):
+                holders |= crash.holders_of(suspect.request)
+            run_s = {r: s for r, s in crash.run_s.items() if r in holders}
+            if run_s:
+                runs.append((crash, run_s))
+        return runs
 
     # Decisions.
 
@@ -186,8 +209,8 @@
         while (suspect := self._find_cause(now)) is not None:
             found.append(suspect.request)
             _log.warning(
-                'Quarantined request {} for {:.0f} s after {} upstream'
-                ' crashes.',
+                'Quarantined {} {} for {:.0f} s after {} upstream crashes.',
+                'prompt part' if suspect.is_part else 'request',
                 suspect.request,
                 QUARANTINE_S,
                 len(suspect.crashes),
@@ -195,8 +218,8 @@
                 crashes=len(suspect.crashes),
                 evidence=[
                     f'{crash.upstream} {now - crash.at:.2f} s ago, after'
-                    f' {crash.run_s[suspect.request]:.3f} s, with'
-                    f' {len(crash.run_s) - 1} others,'
+                    f' {crash.longest_run_s(suspect.request):.3f} s, with'
+                    f' {self._count_others(crash, suspect)} others,'
                     f' {len(crash.cleared)} cleared'
                     for crash in suspect.crashes
                 ],
@@ -222,6 +245,77 @@
         suspect = self._suspects.get(request)
         return suspect is not None and suspect.is_isolated
 
+    def must_run_apart(self, traits):
+        """Return whether a request runs apart from those with suspects.
+
+        Not for a part whose crashes other suspects explain.
+
+        Args:
+            traits: its `Traits`.
+        """
+        return self.is_isolated(traits.whole) or any(
+            self.is_isolated(part)
+            and not self._is_dominated(self._suspects[part], traits)
+            for part in traits.parts
+        )
+
+    def find_held(self, traits):
+        """Return the parts for which a request must not run, as a list.
+
+        Args:
+            traits: its `Traits`.
+        """
+        suspects = (self._suspects.get(part) for part in traits.parts)
+        return [
+            suspect.request
+            for suspect in suspects
+            if suspect is not None
+            and suspect.is_serious
+            and not self._is_dominated(suspect, traits)
+        ]
+
+    def trial_wait_s(self, traits, held, now):
+        """Return the seconds until a request may run on trial, or 0.
+
+        Args:
+            traits: its `Traits`.
+            held: result of `find_held`, not empty.
+            now: time in seconds.
+        """
+        suspects = [self._suspects[part] for part in held]
+        if all(s.trial_of == traits.whole for s in suspects):
+            return 0.0
+        delay_s = TRIAL_DELAY_S
+        if len(suspects) > 1 and self._is_most_suspected(suspects):
+            # A crash would not show which of the parts causes it.
+            trials = max(suspect.trials for suspect in suspects)
+            delay_s = MAX_PAUSE_S * 2 ** min(trials, 5)
+        until = max(
+            max(suspect.last_crash_at + delay_s, suspect.trial_until)
+            for suspect in suspects
+        )
+        if until <= now:
+            return 0.0
+        for suspect in suspects:
+            suspect.refused_at = now
+        return min(MAX_WAIT_S, max(MIN_WAIT_S, until - now))
+
+    def begin_trial(self, request, parts, now):
+        """Let a request run on trial of its parts; return whether it is new.
+
+        Args:
+            request: fingerprint of the request.
+            parts: fingerprints of suspected parts.
+            now: time in seconds.
+        """
+        found = [self._suspects.get(part) for part in parts]
+        begun = [s for s in found if s is not None and s.trial_until <= now]
+        for suspect in begun:
+            suspect.trial_of = request
+            suspect.trial_until = now + TRIAL_S
+            suspect.trials += 1
+        return bool(begun)
+
     def pause_s(self, request, now):
         """Return the seconds for which a suspect must not run, or 0."""
         suspect = self._suspects.get(request)
@@ -248,7 +342,7 @@
         tied = {
             other.request: other
             for other in self._others(suspect)
-            if len(other.crashes) >= _suspect.MIN_CRASHES
+            if other.is_serious and not other.is_part
         }
         if not tied:
             return 0.0
@@ -277,12 +371,12 @@
             dropped, _ = self._quarantined.popitem(last=False)
             _log.warning(
                 'Too many quarantined requests; ended the quarantine of the'
-                ' request with fingerprint {}.',
+                ' request or part with fingerprint {}.',
                 dropped,
             )
         self._suspects.pop(request, None)
         for crash in self._crashes:
-            if request in crash.run_s:
+            if request in crash.run_s or request in crash.holders:
                 self._explain(crash)
         return before_s < for_s * RENEW_SHARE
 
@@ -302,7 +396,8 @@
             if until <= now:
                 del self._quarantined[request]
         for request, suspect in list(self._suspects.items()):
-            if now - suspect.last_crash_at > SUSPECT_TTL_S:
+            used_at = max(suspect.last_crash_at, suspect.refused_at or 0.0)
+            if now - used_at > SUSPECT_TTL_S:
                 del self._suspects[request]
 
     # Records.
@@ -328,43 +423,97 @@
             self._forget(self._crashes.popleft())
         return crash
 
-    def _add_suspect(self, request, crash, now):
+    def _add_suspect(self, request, crash, now, is_part):
         found = self._suspects.get(request)
         if found is None:
             found = self._suspects[request] = _suspect.Suspect(
-                request, crash.at
+                request, crash.at, is_part=is_part
             )
-            while len(self._suspects) > MAX_SUSPECTS:
-                self._suspects.popitem(last=False)
-        found.add(crash, now)
+            self._limit_suspects()
+        if crash not in found.crashes:
+            found.add(crash, now)
+
+    def _limit_suspects(self):
+        """Drop the oldest suspects, those with one crash first."""
+        spared = 0
+        while len(self._suspects) > MAX_SUSPECTS:
+            request, suspect = self._suspects.popitem(last=False)
+            if suspect.is_isolated and spared < MAX_SUSPECTS:
+                spared += 1
+                self._suspects[request] = suspect
 
     def _explain(self, crash):
-        """Attribute a crash to the quarantined request that it interrupted."""
+        """Attribute a crash to the quarantined trait that it interrupted.
+
+        It is no evidence against others then. Parts keep it until a request
+        with them completes, as more than one may cause crashes.
+        """
         crash.is_explained = True
-        self._forget(crash)
+        self._forget(crash, with_parts=False)
 
-    def _forget(self, crash):
+    def _forget(self, crash, with_parts=True):
         """Hold a crash against no suspect any more."""
         for suspect in self._suspects_of(crash):
+            if suspect.is_part and not with_parts:
+                continue
             suspect.crashes.remove(crash)
             if not suspect.crashes:
                 del self._suspects[suspect.request]
 
     def _suspects_of(self, crash):
         """Return the suspects that have not completed since a crash."""
-        found = (self._suspects.get(request) for request in crash.run_s)
+        found = (self._suspects.get(trait) for trait in crash.traits)
         return [s for s in found if s is not None and crash in s.crashes]
 
     def _others(self, suspect):
-        """Return the other suspects of the crashes of a suspect."""
+        """Return the suspects that excuse a suspect at any of its crashes."""
         found = {
             other.request: other
             for crash in suspect.crashes
             for other in self._suspects_of(crash)
+            if _excuses(other, suspect, crash)
         }
-        del found[suspect.request]
         return list(found.values())
 
+    def _count_others(self, crash, suspect):
+        return len(crash.run_s) - len(crash.holders_of(suspect.request))
+
+    def _is_dominated(self, suspect, traits):
+        """Return whether others explain all crashes of a part.
+
+        A crash is explained by a suspect that the request does not have, and
+        that has more crashes, or only occurred there together with the part.
+
+        Args:
+            suspect: `Suspect` of a part.
+            traits: `Traits` of a request that has the part.
+        """
+        own = set(traits)
+        return all(
+            any(
+                other.request not in own
+                and len(other.crashes) >= min(3, len(suspect.crashes))
+                and (
+                    len(other.crashes) > len(suspect.crashes)
+                    or _is_covered(other, suspect, crash)
+                )
+                for other in self._suspects_of(crash)
+                if other is not suspect
+            )
+            for crash in suspect.crashes
+        )
+
+    def _is_most_suspected(self, suspects):
+        """Return whether no others were at as many of the crashes."""
+        least = min(len(suspect.crashes) for suspect in suspects)
+        return not any(
+            len(other.crashes) >= least
+            for suspect in suspects
+            for crash in suspect.crashes
+            for other in self._suspects_of(crash)
+            if other not in suspects
+        )
+
     # Causes.
 
     def _find_cause(self, now):
@@ -400,7 +549,12 @@
         evidence = self._evidence(suspect, now)
         if len(evidence) < _suspect.MIN_CRASHES:
             return False
-        run_s = max(MIN_RUN_S, *(c.run_s[suspect.request] for c in evidence))
+        if suspect.is_part and not suspect.was_tried(TRIAL_DELAY_S):
+            # Upstreams that ended together were all running a common part.
+            return False
+        run_s = max(
+            MIN_RUN_S, *(c.longest_run_s(suspect.request) for c in evidence)
+        )
         chance = min(MAX_CRASH_CHANCE, run_s * other_rate_per_s)
         size = max(1, *(crash.service_size for crash in evidence))
         count = len(evidence)
@@ -414,7 +568,13 @@
         was_paused = now - suspect.last_crash_at >= MAX_PAUSE_S
         found = []
         for crash in suspect.crashes:
-            others = [s for s in self._suspects_of(crash) if s is not suspect]
+            if crash.is_explained:
+                continue
+            others = [
+                other
+                for other in self._suspects_of(crash)
+                if _excuses(other, suspect, crash)
+            ]
             if not others or (
                 was_paused and self._has_most_crashes(suspect, others)
             ):
@@ -449,3 +609,23 @@
             for crash in recent
         )
         return OTHER_CRASH_RATE_PER_S + count / OTHER_CRASH_WINDOW_S
+
+
+def _is_covered(other, suspect, crash):
+    """Return whether all requests with `other` at a crash have `suspect`."""
+    return crash.holders_of(other.request) <= crash.holders_of(suspect.request)
+
+
+def _excuses(other, suspect, crash):
+    """Return whether `other` may have caused a crash in place of `suspect`.
+
+    Not if it was there only together with the suspect, and was at fewer
+    crashes; at as many, a whole request is suspected before its parts.
+    """
+    if other is suspect:
+        return False
+    if not _is_covered(other, suspect, crash):
+        return True
+    if other.is_part and not suspect.is_part:
+        return len(other.crashes) > len(suspect.crashes)
+    return len(other.crashes) >= len(suspect.crashes)
--- a/catkinshunt/quarantine/_traits.py
+++ b/catkinshunt/quarantine/_traits.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+#: Most parts of a prompt that count; the first ones do.
+MAX_PARTS = 16
 _DIGEST_BYTES = 16
 #: Keeps the digest of a part apart from that of any whole request.
 _PART_PERSON = b'prompt part'
@@ -28,17 +30,22 @@
     ).hexdigest()
 
 
+def _limit(parts):
+    return tuple(dict.fromkeys(parts))[:MAX_PARTS]
+
+
 @attrs.frozen
 class Traits:
     """What of a request may crash its upstream, and come again.
 
     Attributes:
         whole: fingerprint of the whole request.
-        parts: fingerprints of the shared parts of its prompt, in order.
+        parts: fingerprints of the shared parts of its prompt, in order; each
+            once, and `MAX_PARTS` at most.
     """
 
     whole: str
-    parts: tuple = ()
+    parts: tuple = attrs.field(default=(), converter=_limit)
 
     def __iter__(self):
         yield self.whole
--- a/catkinshunt/quarantine/tests/test_guard.py
+++ b/catkinshunt/quarantine/tests/test_guard.py
@@ -17,7 +17,7 @@
     def clock(self):
         return 0.0
 
-    def report_crash(self, upstream, run_s, service_size):
+    def report_crash(self, upstream, run_s, service_size, parts):
         self.crashes.append((upstream, run_s))
         self.sizes.append(service_size)
 
@@ -99,25 +99,29 @@
     assert gossip.sizes == [7, 7]
 
 
-def test_retry_of_a_suspect_waits_for_the_crash_check():
-    """A crash that is not recorded yet would not keep it from running."""
+def test_retry_waits_for_the_crash_check():
+    """One request ended two engines, the second before the first counted."""
 
     async def main():
         gossip = FakeGossip()
         guard = make_guard(gossip, is_down=ended)
         gossip.quarantine.record_crash('other', {'a': 0.1}, 7, 0.0, 0.0)
-        for request in 'ab':
+        for request in 'abc':
             guard.record_broken_connection(
                 upstream(), quarantine.Traits(request), 0.1
             )
-        await guard.wait_for_crash_check(upstream(), quarantine.Traits('b'))
-        before = list(gossip.crashes)
-        await guard.wait_for_crash_check(upstream(), quarantine.Traits('a'))
-        return before, gossip.crashes
-
-    before, after = asyncio.run(main())
+        beside = quarantine.Traits('elsewhere')
+        await guard.wait_for_crash_check(upstream(), beside)
+        seen = [list(gossip.crashes)]
+        for request in 'ba':
+            traits = quarantine.Traits(request)
+            await guard.wait_for_crash_check(upstream(), traits)
+            seen.append(list(gossip.crashes))
+        return seen
+
+    before, after_first, after = asyncio.run(main())
     assert before == []
-    assert len(after) == 1
+    assert len(after_first) == len(after) == 1
 
 
 def test_attempt_renews_the_quarantine():
