--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -248,15 +248,18 @@
     def must_run_apart(self, traits):
         """Return whether a request runs apart from those with suspects.
 
-        Not for a part whose crashes other suspects explain.
+        Not for traits whose crashes other suspects explain. Requests without
+        parts run apart all the same.
 
         Args:
             traits: its `Traits`.
         """
-        return self.is_isolated(traits.whole) or any(
-            self.is_isolated(part)
-            and not self._is_dominated(self._suspects[part], traits)
-            for part in traits.parts
+        if not traits.parts:
+            return self.is_isolated(traits.whole)
+        return any(
+            self.is_isolated(trait)
+            and not self._is_dominated(self._suspects[trait], traits)
+            for trait in traits
         )
 
     def find_held(self, traits):
@@ -479,14 +482,14 @@
         return len(crash.run_s) - len(crash.holders_of(suspect.request))
 
     def _is_dominated(self, suspect, traits):
-        """Return whether others explain all crashes of a part.
+        """Return whether others explain all crashes of a trait.
 
         A crash is explained by a suspect that the request does not have, and
-        that has more crashes, or only occurred there together with the part.
+        that has more crashes, or only occurred there together with the trait.
 
         Args:
-            suspect: `Suspect` of a part.
-            traits: `Traits` of a request that has the part.
+            suspect: `Suspect` of a trait of the request.
+            traits: `Traits` of the request.
         """
         own = set(traits)
         return all(
@@ -627,5 +630,5 @@
     if not _is_covered(other, suspect, crash):
         return True
     if other.is_part and not suspect.is_part:
-        return len(other.crashes) > len(suspect.crashes)
-    return len(other.crashes) >= len(suspect.crashes)
+        return other.unexplained > suspect.unexplained
+    return other.unexplained >= suspect.unexplained
--- a/catkinshunt/quarantine/_suspect.py
+++ b/catkinshunt/quarantine/_suspect.py
@@ -114,6 +114,11 @@
         if self.eligible_at is None and len(self.crashes) >= MIN_CRASHES:
             self.eligible_at = now
 
+    @property
+    def unexplained(self):
+        """Number of its crashes that nothing quarantined explains."""
+        return sum(not crash.is_explained for crash in self.crashes)
+
     @property
     def is_serious(self):
         """Whether it may be quarantined once nothing else excuses it."""
--- a/catkinshunt/quarantine/tests/replay.py
+++ b/catkinshunt/quarantine/tests/replay.py
@@ -146,6 +146,7 @@
             tried.add((engine.number, engine.start))
             upstream = engine.listed()
             begun_at = self.replay.clock()
+            self.replay.sender = self.name
             completed = await self.replay.run_at(engine, request, isolated)
             if self.starts != starts:
                 return False, 0.2
@@ -178,6 +179,7 @@
         crashes: `Crash` objects.
         held_s: seconds for which each request was refused.
         quarantined_at: time by entry and request.
+        sender: name of the entry that has sent the latest run.
     """
 
     def __init__(
@@ -206,6 +208,7 @@
         self.completed = 0
         self.held_s = collections.Counter()
         self.quarantined_at = {}
+        self.sender = None
 
     def traits(self, request):
         """Return the `quarantine.Traits` of a request."""
