Space the trials of a suspected part

The time to the next trial doubles with each that crashed, and a crash ends it. Requests with another suspected part go on trial later, and prove nothing of the part that they share.

--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -33,7 +33,8 @@
 #: Seconds after the last crash of a part for which all requests with it are
 #: refused. Then one of them runs on trial.
 TRIAL_DELAY_S = 1.0
-#: Seconds for which other requests wait for a trial.
+#: Seconds for which other requests wait for a trial, and from the crash of
+#: one to the next; that time doubles with each.
 TRIAL_S = 4.0
 #: Seconds that a request refused for one of its parts waits at least.
 MIN_WAIT_S = 0.2
@@ -286,13 +287,19 @@
             now: time in seconds.
         """
         suspects = [self._suspects[part] for part in held]
-        if all(s.trial_of == traits.whole for s in suspects):
+        if all(
+            s.trial_of == traits.whole and now < s.trial_until
+            for s in suspects
+        ):
             return 0.0
-        delay_s = TRIAL_DELAY_S
+        tried = max(len(s.find_tried(TRIAL_DELAY_S)) for s in suspects)
+        delay_s = TRIAL_S * 2 ** (tried - 1) if tried else TRIAL_DELAY_S
         if len(suspects) > 1 and self._is_most_suspected(suspects):
             # A crash would not show which of the parts causes it.
-            trials = max(suspect.trials for suspect in suspects)
-            delay_s = MAX_PAUSE_S * 2 ** min(trials, 5)
+            delay_s = MAX_PAUSE_S * 2**tried
+        elif self._has_rivals(traits.parts, suspects[0]):
+            # Others with the part may show that it crashes nothing.
+            delay_s += TRIAL_S
         until = max(
             max(suspect.last_crash_at + delay_s, suspect.trial_until)
             for suspect in suspects
@@ -316,7 +323,6 @@
         for suspect in begun:
             suspect.trial_of = request
             suspect.trial_until = now + TRIAL_S
-            suspect.trials += 1
         return bool(begun)
 
     def pause_s(self, request, now):
@@ -506,6 +512,34 @@
             for crash in suspect.crashes
         )
 
+    def _has_rivals(self, parts, suspect):
+        """Return whether one of a request's other parts is suspected too.
+
+        Args:
+            parts: parts of the request.
+            suspect: `Suspect` of one of them.
+        """
+        found = (self._suspects.get(part) for part in parts)
+        return any(
+            other is not None
+            and other is not suspect
+            and other.is_isolated
+            and other.is_shared
+            for other in found
+        )
+
+    def _was_tried_alone(self, suspect):
+        """Return whether a part crashed an upstream with no other suspect.
+
+        Several causes may have a sound part in common, which is at more
+        crashes than each of them.
+        """
+        return any(
+            not self._has_rivals(crash.parts[request], suspect)
+            for crash, requests in suspect.find_tried(TRIAL_DELAY_S)
+            for request in requests
+        )
+
     def _is_most_suspected(self, suspects):
         """Return whether no others were at as many of the crashes."""
         least = min(len(suspect.crashes) for suspect in suspects)
@@ -552,7 +586,7 @@
         evidence = self._evidence(suspect, now)
         if len(evidence) < _suspect.MIN_CRASHES:
             return False
-        if suspect.is_part and not suspect.was_tried(TRIAL_DELAY_S):
+        if suspect.is_part and not self._was_tried_alone(suspect):
             # Upstreams that ended together were all running a common part.
             return False
         run_s = max(
--- a/catkinshunt/quarantine/_suspect.py
+++ b/catkinshunt/quarantine/_suspect.py
@@ -55,11 +55,13 @@
         """Return the longest run of the requests that have a trait."""
         return max(self.run_s[r] for r in self.holders_of(trait))
 
-    def began_after(self, trait, at):
-        """Return whether a request with a trait was sent after a time."""
-        return any(
-            self.at - self.run_s[r] >= at for r in self.holders_of(trait)
-        )
+    def begun_after(self, trait, at):
+        """Return the requests with a trait that were sent after a time."""
+        return [
+            request
+            for request in self.holders_of(trait)
+            if self.at - self.run_s[request] >= at
+        ]
 
 
 @attrs.define(eq=False)
@@ -77,7 +79,6 @@
         refused_at: when a request with it was last refused, or None.
         trial_of: request that has it and runs on trial, or None.
         trial_until: when its trial ends, in seconds.
-        trials: number of its trials.
     """
 
     request: str
@@ -89,7 +90,6 @@
     refused_at: float | None = None
     trial_of: str | None = None
     trial_until: float = 0.0
-    trials: int = 0
 
     @property
     def is_isolated(self):
@@ -108,6 +108,8 @@
     def add(self, crash, now):
         """Add a crash that was reported at time `now`."""
         self.crashes.append(crash)
+        if self.trial_of in crash.run_s:
+            self.trial_of = None
         self.last_crash_at = max(self.last_crash_at, crash.at)
         if self.isolated_at is None and self.is_isolated:
             self.isolated_at = now
@@ -124,17 +126,29 @@
         """Whether it may be quarantined once nothing else excuses it."""
         return len(self.crashes) >= MIN_CRASHES
 
-    def was_tried(self, delay_s):
-        """Return whether a request with it crashed that was sent later.
+    @property
+    def is_shared(self):
+        """Whether different requests with it were at its crashes."""
+        holders = set()
+        for crash in self.crashes:
+            holders |= crash.holders_of(self.request)
+        return len(holders) > 1
+
+    def find_tried(self, delay_s):
+        """Return the crashes of requests that were sent later.
 
         Args:
             delay_s: seconds after the crash that made it serious.
+
+        Returns:
+            List of pairs of a `Crash` and the list of these requests.
         """
         known_at = sorted(c.at for c in self.crashes)[MIN_CRASHES - 1]
-        return any(
-            crash.began_after(self.request, known_at + delay_s)
+        found = [
+            (crash, crash.begun_after(self.request, known_at + delay_s))
             for crash in self.crashes
-        )
+        ]
+        return [(crash, requests) for crash, requests in found if requests]
 
     def is_in_suspected_half(self, others):
         """Return whether fewer than half of the others are suspected more."""
