Check the shared parts of a prompt before each run

The gateway knew a request by its whole only. Requests that share a part that ends each engine went on to engines at all entries, and one request ended two within 25 ms: its retry went before the crash under its first run was known.

The gateway states a request's traits to the guard: its whole and the shared parts of its prompt, hashed only once something is suspected or a connection breaks. A retry after a lost connection waits until the guard knows whether the upstream crashed, also if nothing was suspected before and beside a run that was silent, and a request is checked again once it is connected. Errors, the line of the request, and a new metric tell whether the whole or which part stopped it.

The test with three entries sends requests with one bad part, no two alike, beside sound ones with the same first part and account. Without the parts of the traits the retries and requests go on ending engines. Sound requests that were at several crashes themselves may still be refused for seconds; the test counts those that began after the fifth crash (or the last, if fewer).

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -124,7 +124,9 @@
         conn = await self._connect(pool)
         try:
             self._check_available()
-        except UnavailableError:
+            # It may have been quarantined while it waited for a connection.
+            self.exchange.quarantine_check.check()
+        except errors.RefusedError:
             pool.release(conn)
             raise
         self.progress.notes.append(
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -110,6 +110,7 @@
             self.info.host,
             self.decision.account,
             self._needs_permit(),
+            self.info.prompt_parts,
         )
         limit_s = self.decision.serve.timeout_s
         if self.info.deadline_s is not None:
@@ -170,6 +171,7 @@
             beside: the `_failover.Failover` that makes them, or None.
         """
         while True:
+            await self.quarantine_check.wait_for_crash_checks()
             self._check_quarantine()
             candidate = await self._choose_upstream()
             search = _permit_search.PermitSearch(
@@ -194,10 +196,6 @@
             except errors.RequestError as exc:
                 self.progress.notes.append(str(exc))
                 self._check_retry(exc)
-                search.close()
-                await self.quarantine_check.wait_for_crash_check(
-                    candidate.upstream
-                )
             finally:
                 search.close()
 
@@ -205,6 +203,7 @@
         try:
             self.quarantine_check.check()
         except _quarantine_check.QuarantinedError as exc:
+            self.progress.notes.append(str(exc))
             raise self._final_error(exc) from exc
 
     def _needs_permit(self):
@@ -301,7 +300,9 @@
             search: the `PermitSearch` that holds the permit for it.
             beside: the `_failover.Failover` that it is part of, or None.
         """
-        # It may have been quarantined while it waited for a permit.
+        # An attempt beside this one may have failed, or the request been
+        # quarantined, while it waited for a permit.
+        await self.quarantine_check.wait_for_crash_checks()
         self.quarantine_check.check()
         attempt = _attempt.Attempt(self, candidate, beside)
         try:
@@ -408,6 +409,10 @@
         self.context.metrics.record(
             service, outcome, now - self.req.received_at, self.progress
         )
+        stop = self._stop_fields()
+        if stop:
+            kind = 'whole' if stop['prompt_part'] is None else 'part'
+            self.context.metrics.record_stop(kind)
         age_s = self.context.catalog.age_s(self.context.boot_clock())
         _log.info(
             'Request {} ended as {}.',
@@ -426,11 +431,22 @@
             # The notes on each step; `sends` is the count of attempts.
             tries=self.progress.notes,
             sends=self.progress.sends,
+            **stop,
             events_to=self.progress.last_event_id,
             first_s=_rounded(self.progress.first_s),
             took_s=_rounded(now - self.req.received_at),
         )
 
+    def _stop_fields(self):
+        """Return what of the request the quarantine has stopped it for."""
+        check = self.quarantine_check
+        if check is None or check.stopping_trait is None:
+            return {}
+        return {
+            'fingerprint': check.stopping_trait,
+            'prompt_part': check.stopping_part,
+        }
+
     def _revision(self):
         """Return the revision in force, also for a rejected request."""
         if self.decision is not None:
--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -36,6 +36,11 @@
             'Headers of upstreams that are unknown or cannot be read.',
             ('reason', 'header'),
         )
+        self._stops = self.registry.counter(
+            'quarantine_stops_total',
+            'Requests that were stopped for what crashes upstreams.',
+            ('kind',),
+        )
         #: Counted by `RequestAudit`.
         self.omitted_prompt_parts = self.registry.counter(
             'omitted_prompt_parts_total',
@@ -57,3 +62,12 @@
     def record_silence(self, end):
         """Count the silence of an upstream in a reply, by how it ended."""
         self._silences.add(end)
+
+    def record_stop(self, kind):
+        """Count a request that the quarantine stopped.
+
+        Args:
+            kind: `'whole'` for the request itself, or `'part'` for a part of
+                its prompt.
+        """
+        self._stops.add(kind)
--- a/catkinshunt/gateway/tests/dialect.py
+++ b/catkinshunt/gateway/tests/dialect.py
@@ -29,6 +29,7 @@
             tokens_in=int(tokens_in),
             tokens_out=int(tokens_out),
             last_event_id=headers.get('Last-Event-Id', ''),
+            prompt_parts=tuple(headers.get('Parts', '').split()[:-1]),
         )
 
     def upstream_headers(self, req, info, attempt):
--- a/catkinshunt/gateway/tests/test_quarantine.py
+++ b/catkinshunt/gateway/tests/test_quarantine.py
@@ -3,11 +3,22 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from catkinshunt.gateway.tests import harness
 from catkinshunt import quarantine
 from catkinshunt.quarantine.tests import network
 
 BAD = b'a prompt that no engine survives'
+#: Part of a prompt that no engine survives, and one that all prompts have.
+BAD_PART = 'bad1'
+FIRST_PART = '5c1e'
+#: Second parts of the prompts of sound requests.
+SOUND_PARTS = 8
+#: Seconds after which a client with a sound request gives up.
+PATIENCE_S = 5.0
+#: Seconds that a sound request runs; a bad one ends its engine after half.
+RUN_S = 0.05
 #: Required bound, in seconds, for the news of a crash to reach all entries.
 PROPAGATION_LIMIT_S = 3.0
 #: Runs allowed after that.
@@ -27,13 +38,16 @@
         await super()._serve(reader, writer)
 
     async def _answer(self, head, writer, upstream):
-        if harness.header(head, 'Content-Length') == str(len(BAD)):
+        parts = harness.header(head, 'Parts').split()
+        length = harness.header(head, 'Content-Length')
+        if BAD_PART in parts or (not parts and length == str(len(BAD))):
+            await asyncio.sleep(RUN_S / 2)
             self.stop()
             for each in self.writers:
                 each.transport.abort()
             self.on_crash(self)
             return
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(RUN_S)
         writer.write(harness.reply(head))
 
 
@@ -63,6 +77,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def confirm(self):
+        """Tell the entries that what they know is the newest."""
+        now = asyncio.get_running_loop().time()
+        for gateway in self.gateways:
+            gateway.context.catalog.confirm(now)
+
     async def request(self, number, path='/read/1', body=BAD, **headers):
         gateway = self.gateways[number % len(self.gateways)]
         return await gateway.request(path, 'POST', body, **headers)
@@ -189,3 +209,136 @@
     assert first[0] == 502
     assert second[0] == 503
     assert crashes == 1
+
+
+async def request_part(shared, number, part):
+    """Send a request that shares two parts of its prompt, and no more."""
+    return await shared.request(
+        number,
+        body=f'{part} and what only prompt {number} has'.encode(),
+        Parts=f'{FIRST_PART} {part} {number:x}',
+        Request_Id=f'{part}-{number}',
+    )
+
+
+class SoundRequests:
+    """Clients with requests without the bad part, no two alike.
+
+    A client whose request fails or is refused sends it again, until it has
+    waited for `PATIENCE_S`.
+
+    Attributes:
+        served: number of requests that were answered.
+        given_up: times at which those that were not were first sent.
+    """
+
+    def __init__(self, shared, clients=6):
+        self.shared = shared
+        self.clients = clients
+        self.served = 0
+        self.given_up = []
+        self._stop = asyncio.Event()
+
+    async def __aenter__(self):
+        self._tasks = [
+            asyncio.ensure_future(self._run(client))
+            for client in range(self.clients)
+        ]
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._stop.set()
+        await asyncio.gather(*self._tasks)
+
+    async def wait_for(self, count):
+        """Wait until as many more are served."""
+        enough = self.served + count
+        await network.wait_until(lambda: self.served >= enough)
+
+    async def _run(self, client):
+        number = client
+        while not self._stop.is_set():
+            await self._send(number)
+            number += self.clients
+
+    async def _send(self, number):
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        while clock() - began < PATIENCE_S:
+            status, head, _ = await request_part(
+                self.shared, number, f'good{number % SOUND_PARTS}'
+            )
+            if status == 200:
+                self.served += 1
+                return
+            after_s = float(harness.header(head, 'Retry-After') or 0.1)
+            await asyncio.sleep(min(after_s, 0.5))
+        self.given_up.append(began)
+
+
+def test_requests_that_share_a_bad_part_are_stopped_at_all_entries():
+    """Each engine that begins to answer on one part of a prompt ends.
+
+    No two of the requests are alike. Others share the first part of the
+    prompt, which crashes nothing, and the account.
+    """
+
+    async def main(shared):
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        number = 0
+        async with SoundRequests(shared) as sound:
+            await sound.wait_for(24)
+            while clock() - began < 8.0:
+                shared.confirm()
+                await request_part(shared, number, BAD_PART)
+                number += 1
+                await asyncio.sleep(0.1)
+                crashes = shared.crashed_at
+                if len(crashes) >= 5 and clock() - crashes[4] > 3.0:
+                    break
+            in_time = len(shared.crashed_at)
+            last = [
+                await request_part(shared, number + more, BAD_PART)
+                for more in range(12)
+            ]
+            shared.confirm()
+            await sound.wait_for(24)
+        later = len(shared.crashed_at) - in_time
+        return shared.crashed_at, later, last, sound.given_up
+
+    crashed_at, later, last, given_up = run(main)
+    assert len(crashed_at) >= 3
+    assert later <= MAX_RETRIES
+    assert sum(status == 503 for status, _, _ in last) >= 12 - MAX_RETRIES
+    for status, head, body in last:
+        if status == 503:
+            assert float(harness.header(head, 'Retry-After')) > 0
+            assert f'part {BAD_PART} of the prompt'.encode() in body
+    # Some of those that were at several crashes are still suspected.
+    known_at = crashed_at[:5][-1]
+    assert all(began < known_at for began in given_up)
+
+
+@pytest.mark.parametrize('is_suspect', [True, False])
+def test_retry_waits_for_what_the_crash_before_it_shows(is_suspect):
+    """One request would end two engines within a moment.
+
+    Its part is quarantined while the crash under its first run is checked.
+    """
+
+    async def main(shared):
+        gossip = shared.gateways[0].context.guard.gossip
+        part = quarantine.part_fingerprint(BAD_PART)
+        if is_suspect:
+            gossip.report_crash('another', {part: 0.1}, 4)
+        shared.when_crashed = lambda: asyncio.get_running_loop().call_later(
+            0.03, gossip.report_quarantine, part, 60.0
+        )
+        reply = await request_part(shared, 0, BAD_PART)
+        return reply, len(shared.crashed_at)
+
+    (status, _, _), crashes = run(main)
+    assert crashes == 1
+    # It has run, so that it must not be said that it has not.
+    assert status == 502
--- /dev/null
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -0,0 +1,244 @@
+"""What a gateway asks of the guard, and what it does with the replies."""
+
+import asyncio
+
+import loguru
+import pytest
+
+from catkinshunt import errors
+from catkinshunt.gateway import _quarantine_check
+from catkinshunt.gateway.tests import harness
+from catkinshunt import http1
+from catkinshunt import metrics
+from catkinshunt import quarantine
+
+PARTS = ('5c1e07a2', '91bd3f06')
+
+
+class FakeGuard:
+    """Blocks the traits that it is told of, and records what it is asked.
+
+    Attributes:
+        blocked: traits whose requests must not run.
+        checked: set when the crash checks may end.
+    """
+
+    def __init__(self, is_idle=False):
+        self.is_idle = is_idle
+        self.blocked = set()
+        self.broken = []
+        self.completed = []
+        self.waiting = asyncio.Event()
+        self.checked = asyncio.Event()
+
+    def check(self, traits, has_sidecar):
+        return 1.5 if self.explain(traits) else 0
+
+    def explain(self, traits):
+        return next((t for t in traits if t in self.blocked), None)
+
+    def is_isolated(self, traits):
+        return False
+
+    def record_completion(self, traits):
+        self.completed.append(traits)
+
+    def record_broken_connection(self, upstream, traits, run_s):
+        self.broken.append((upstream.id, traits))
+
+    async def wait_for_crash_check(self, upstream, traits):
+        self.waiting.set()
+        await self.checked.wait()
+
+
+def make_check(guard, parts=PARTS):
+    req = http1.Request('POST', '/chat', http1.Headers(), b'hello')
+    return _quarantine_check.QuarantineCheck(
+        guard, req, harness.HOST, 'workshop', True, parts
+    )
+
+
+def test_traits_are_the_whole_and_the_shared_parts():
+    traits = make_check(FakeGuard()).traits
+    assert traits.whole == quarantine.fingerprint(
+        harness.HOST, 'POST', '/chat', 'workshop', b'hello'
+    )
+    assert traits.parts == tuple(map(quarantine.part_fingerprint, PARTS))
+
+
+def test_nothing_is_hashed_while_nothing_is_suspected(monkeypatch):
+    """All requests would pay for a quarantine that is nearly always empty."""
+
+    def fail(*args):
+        raise AssertionError('hashed')
+
+    monkeypatch.setattr(quarantine, 'fingerprint', fail)
+    monkeypatch.setattr(quarantine, 'part_fingerprint', fail)
+    found = make_check(FakeGuard(is_idle=True))
+    found.check()
+    assert not found.is_isolated()
+    found.record_completion()
+    asyncio.run(found.wait_for_crash_checks())
+
+
+def test_error_names_the_part_that_stops_a_request():
+    """An operator has to know which of the parts crashes upstreams."""
+    guard = FakeGuard()
+    guard.blocked.add(quarantine.part_fingerprint(PARTS[1]))
+    with pytest.raises(errors.RefusedError) as caught:
+        make_check(guard).check()
+    assert f'part {PARTS[1]} of the prompt' in str(caught.value)
+    assert quarantine.part_fingerprint(PARTS[1]) in str(caught.value)
+    assert caught.value.code == 'quarantined'
+    assert caught.value.retry_after_s == 2
+    make_check(guard, PARTS[:1]).check()
+
+
+def test_error_names_the_whole_request():
+    guard = FakeGuard()
+    guard.blocked.add(make_check(guard).traits.whole)
+    with pytest.raises(errors.RefusedError) as caught:
+        make_check(guard).check()
+    assert str(caught.value).count('request with fingerprint') == 1
+    assert make_check(guard).traits.whole in str(caught.value)
+
+
+def crashing(shared):
+    """Return an answer function that cuts off the connection."""
+
+    async def answer(head, writer, upstream):
+        shared.append(upstream.name)
+        writer.transport.abort()
+
+    return answer
+
+
+async def request_part(gateway, body=b'hello'):
+    return await gateway.request(
+        '/read/1', 'POST', body, Parts=' '.join([*PARTS, 'e4'])
+    )
+
+
+@pytest.mark.parametrize('is_idle', [False, True])
+def test_retry_goes_only_after_the_crash_is_recorded(is_idle):
+    """One request would end two engines within a moment.
+
+    A retry is checked against what the crash before it has shown, also if
+    nothing was suspected before that crash.
+    """
+
+    async def main():
+        guard = FakeGuard(is_idle)
+        crashed = []
+        engines = [
+            harness.FakeUpstream(name, crashing(crashed))
+            for name in ('u1', 'u2')
+        ]
+        async with harness.running_gateway(*engines, guard=guard) as gateway:
+            task = asyncio.ensure_future(request_part(gateway))
+            await guard.waiting.wait()
+            # Any retry that does not wait is sent by now.
+            done, _ = await asyncio.wait([task], timeout=0.3)
+            assert not done
+            guard.is_idle = False
+            guard.blocked.add(quarantine.part_fingerprint(PARTS[0]))
+            guard.checked.set()
+            status, _, body = await task
+            return status, body, crashed, guard.broken
+
+    status, body, crashed, broken = asyncio.run(main())
+    assert len(crashed) == 1
+    # It has run, so that it must not be said that it has not.
+    assert status == 502
+    assert b'outcome-unknown' in body
+    assert [traits.parts for _, traits in broken] == [
+        tuple(map(quarantine.part_fingerprint, PARTS))
+    ]
+
+
+def test_request_is_retried_if_its_upstream_did_not_crash():
+    """A reset shows nothing of a request, which another engine answers."""
+
+    async def main():
+        guard = FakeGuard()
+        guard.checked.set()
+        crashed = []
+        first = harness.FakeUpstream('u1', crashing(crashed))
+        second = harness.FakeUpstream('u2', harness.replying())
+        async with harness.running_gateway(
+            first, second, guard=guard
+        ) as gateway:
+            tracker = gateway.context.tracker
+            tracker.state(second.listed()).pause(gateway.context.clock(), 0.2)
+            status, _, _ = await request_part(gateway)
+            return status, crashed, guard
+
+    status, crashed, guard = asyncio.run(main())
+    assert status == 200
+    assert crashed == ['u1']
+    assert len(guard.completed) == 1
+
+
+def test_part_quarantined_during_the_connect_stops_the_request():
+    """Connecting takes a while, in which another entry reports the part."""
+
+    async def main():
+        guard = FakeGuard()
+        engine = harness.FakeUpstream('u1', harness.replying())
+        async with harness.running_gateway(engine, guard=guard) as gateway:
+            pool = gateway.context.pool(engine.listed())
+            acquire = pool.acquire
+
+            async def acquire_late(**options):
+                conn = await acquire(**options)
+                guard.blocked.add(quarantine.part_fingerprint(PARTS[0]))
+                return conn
+
+            pool.acquire = acquire_late
+            return await request_part(gateway), engine.heads
+
+    (status, head, body), heads = asyncio.run(main())
+    assert heads == []
+    assert status == 503
+    assert float(harness.header(head, 'Retry-After')) > 0
+    assert body.startswith(b'quarantined: ')
+
+
+@pytest.mark.parametrize(
+    ('trait', 'part', 'kind'),
+    [
+        (quarantine.part_fingerprint(PARTS[1]), PARTS[1], 'part'),
+        (
+            quarantine.fingerprint(
+                harness.HOST, 'POST', '/read/1', 'workshop', b'hello'
+            ),
+            None,
+            'whole',
+        ),
+    ],
+)
+def test_log_and_metrics_tell_what_stopped_a_request(trait, part, kind):
+    """An operator would look for a bad caller in place of a bad part."""
+
+    async def main():
+        guard = FakeGuard()
+        guard.blocked.add(trait)
+        engine = harness.FakeUpstream('u1', harness.replying())
+        async with harness.running_gateway(engine, guard=guard) as gateway:
+            await request_part(gateway)
+            return gateway.context.metrics.registry
+
+    found = []
+    sink = loguru.logger.add(lambda text: found.append(text.record))
+    try:
+        registry = asyncio.run(main())
+    finally:
+        loguru.logger.remove(sink)
+    (line,) = [each for each in found if 'ended as' in each['message']]
+    fields = line['extra']
+    assert fields['outcome'] == 'quarantined'
+    assert fields['fingerprint'] == trait
+    assert fields['prompt_part'] == part
+    _, shown = metrics.expose(registry, 0.0)
+    line = f'catkinshunt_quarantine_stops_total{{kind="{kind}"}} 1'
+    assert line in shown.decode()
