Tell by `explain` which part of a prompt stopped a request

`catkinshunt explain` showed the lines that name a request. That the quarantine stopped it for something that other requests share was in none of them, and the decision, which names no request, was left out.

It now says whether the whole request or which part of its prompt stopped it, and shows the lines of all entries on that quarantine with the crashes. Both tests failed before.

--- a/catkinshunt/cli/_explain.py
+++ b/catkinshunt/cli/_explain.py
@@ -1,5 +1,6 @@
 """Reconstructs one request from the logs of all processes."""
 
+import functools
 import json
 
 import attrs
@@ -45,6 +46,24 @@
     return sorted(found, key=lambda line: line.time)
 
 
+def find_quarantines(fingerprints, sources):
+    """Return the `Line` objects on when these were quarantined.
+
+    Args:
+        fingerprints: set of fingerprints of requests or parts of prompts.
+        sources: pairs of a name and an iterable of lines.
+    """
+    found = []
+    for name, lines in sources:
+        for text in lines:
+            if '"evidence"' not in text:
+                continue
+            fields = _parse_line(text)
+            if fields and fields.get('fingerprint') in fingerprints:
+                found.append(Line(str(fields.get('time', '')), name, fields))
+    return found
+
+
 def _parse_line(text):
     begin = text.find('{')
     if begin < 0:
@@ -77,6 +96,10 @@
     yield f'{line.time} {line.source}: {fields.get("message", "")}'
     if fields.get('reason'):
         yield f'  reason: {fields["reason"]}'
+    if fields.get('fingerprint') and 'outcome' in fields:
+        yield _tell_stop(fields)
+    for crash in fields.get('evidence') or ():
+        yield f'  crash: upstream {crash}'
     if fields.get('rule'):
         yield (
             f'  decided by rule {fields["rule"]} of revision '
@@ -94,25 +117,52 @@
         yield f'  sent {sends} times, took {fields["took_s"]} s'
 
 
+def _tell_stop(fields):
+    part = fields.get('prompt_part')
+    if part is None:
+        what = 'the whole request'
+    else:
+        what = f'part {part} of its prompt, which other requests share,'
+    return (
+        f'  stopped for {what} under fingerprint {fields["fingerprint"]}:'
+        ' upstreams crash under it'
+    )
+
+
 def explain(request_id, paths):
     """Print the lines about a request from the log files at `paths`.
 
+    If the quarantine stopped it, the lines on that decision too.
+
     Raises:
         errors.SettingsError: a file cannot be read, or no line is about the
             request.
     """
-    found = []
-    for path in paths:
-        try:
-            with open(path, encoding='utf-8', errors='replace') as file:
-                found += find_lines(request_id, [(path, file)])
-        except OSError as exc:
-            raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
+    found = _search(paths, functools.partial(find_lines, request_id))
     if not found:
         raise errors.SettingsError(
             f'no line names request {request_id}; under load lines are left '
             'out, see the field left_out'
         )
+    stopping = {line.fields.get('fingerprint') for line in found} - {None}
+    if stopping:
+        found += _search(paths, functools.partial(find_quarantines, stopping))
     for line in sorted(found, key=lambda line: line.time):
         for sentence in tell(line):
             print(sentence)
+
+
+def _search(paths, find):
+    """Return the lines that `find` returns for each file.
+
+    Raises:
+        errors.SettingsError: a file cannot be read.
+    """
+    found = []
+    for path in paths:
+        try:
+            with open(path, encoding='utf-8', errors='replace') as file:
+                found += find([(path, file)])
+        except OSError as exc:
+            raise errors.SettingsError(f'{path}: {exc.strerror}') from exc
+    return found
--- a/catkinshunt/cli/tests/test_operations.py
+++ b/catkinshunt/cli/tests/test_operations.py
@@ -41,6 +41,48 @@
     assert 'retry budget spent' in shown
 
 
+def test_explain_tells_which_part_stopped_a_request(tmp_path, capsys):
+    """No two requests with the part are alike; its decision names none."""
+    ended = write(
+        tmp_path / 'edge-1.log',
+        json.dumps(
+            {
+                'time': '2026-07-03T03:12:04.000Z',
+                'message': 'Request a1 ended as quarantined.',
+                'request': 'a1',
+                'outcome': 'quarantined',
+                'fingerprint': 'f00d',
+                'prompt_part': '5c1e',
+            }
+        ),
+    )
+    decision = {
+        'time': '2026-07-03T03:12:01.000Z',
+        'message': 'Quarantined prompt part f00d for 600 s after 5 crashes.',
+        'fingerprint': 'f00d',
+        'evidence': ['u7 0.31 s ago'],
+    }
+    other = {**decision, 'fingerprint': 'beef', 'message': 'Quarantined beef'}
+    decided = write(
+        tmp_path / 'edge-2.log', json.dumps(decision), json.dumps(other)
+    )
+    assert _main.run(['explain', 'a1', ended, decided]) == 0
+    shown = capsys.readouterr().out
+    assert 'stopped for part 5c1e of its prompt' in shown
+    assert 'Quarantined prompt part f00d' in shown
+    assert 'crash: upstream u7 0.31 s ago' in shown
+    assert 'beef' not in shown
+
+
+def test_explain_tells_a_whole_request_from_a_part(tmp_path, capsys):
+    ended = {**ANSWERED, 'outcome': 'quarantined', 'fingerprint': 'f00d'}
+    path = write(tmp_path / 'edge-1.log', json.dumps(ended))
+    assert _main.run(['explain', 'a1', path]) == 0
+    shown = capsys.readouterr().out
+    assert 'stopped for the whole request' in shown
+    assert 'of its prompt' not in shown
+
+
 def test_explain_reports_missing_lines_and_files(tmp_path, capsys):
     empty = write(tmp_path / 'edge-1.log', '')
     assert _main.run(['explain', 'a9', empty]) == 2
