Blame no part that several causes share

A part is quarantined only after a crash at which nothing else was left that was at several; parts that are refused, and so complete nothing, excuse a request further on. The first trial that crashed is followed by the next after 8 s in place of 4.

--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -33,8 +33,8 @@
 #: Seconds after the last crash of a part for which all requests with it are
 #: refused. Then one of them runs on trial.
 TRIAL_DELAY_S = 1.0
-#: Seconds for which other requests wait for a trial, and from the crash of
-#: one to the next; that time doubles with each.
+#: Seconds for which other requests wait for a trial. After a trial that
+#: crashed, the next one comes after twice this time, and so on, doubling.
 TRIAL_S = 4.0
 #: Seconds that a request refused for one of its parts waits at least.
 MIN_WAIT_S = 0.2
@@ -293,7 +293,7 @@
         ):
             return 0.0
         tried = max(len(s.find_tried(TRIAL_DELAY_S)) for s in suspects)
-        delay_s = TRIAL_S * 2 ** (tried - 1) if tried else TRIAL_DELAY_S
+        delay_s = TRIAL_S * 2**tried if tried else TRIAL_DELAY_S
         if len(suspects) > 1 and self._is_most_suspected(suspects):
             # A crash would not show which of the parts causes it.
             delay_s = MAX_PAUSE_S * 2**tried
@@ -535,9 +535,13 @@
         crashes than each of them.
         """
         return any(
-            not self._has_rivals(crash.parts[request], suspect)
-            for crash, requests in suspect.find_tried(TRIAL_DELAY_S)
-            for request in requests
+            not any(
+                other.unexplained >= _suspect.ISOLATION_CRASHES
+                and (other.is_serious or other.is_shared)
+                for other in self._suspects_of(crash)
+                if other is not suspect
+            )
+            for crash in suspect.find_tried(TRIAL_DELAY_S)
         )
 
     def _is_most_suspected(self, suspects):
@@ -613,7 +617,9 @@
                 if _excuses(other, suspect, crash)
             ]
             if not others or (
-                was_paused and self._has_most_crashes(suspect, others)
+                was_paused
+                and self._has_most_crashes(suspect, others)
+                and (suspect.is_part or not _has_held_part(others))
             ):
                 found.append(crash)
         return found
@@ -648,6 +654,14 @@
         return OTHER_CRASH_RATE_PER_S + count / OTHER_CRASH_WINDOW_S
 
 
+def _has_held_part(suspects):
+    """Return whether a part is among `Suspect`s of which few requests run.
+
+    That no request with it has completed is no sign that its callers left.
+    """
+    return any(suspect.is_part and suspect.is_serious for suspect in suspects)
+
+
 def _is_covered(other, suspect, crash):
     """Return whether all requests with `other` at a crash have `suspect`."""
     return crash.holders_of(other.request) <= crash.holders_of(suspect.request)
--- a/catkinshunt/quarantine/_suspect.py
+++ b/catkinshunt/quarantine/_suspect.py
@@ -55,13 +55,11 @@
         """Return the longest run of the requests that have a trait."""
         return max(self.run_s[r] for r in self.holders_of(trait))
 
-    def begun_after(self, trait, at):
-        """Return the requests with a trait that were sent after a time."""
-        return [
-            request
-            for request in self.holders_of(trait)
-            if self.at - self.run_s[request] >= at
-        ]
+    def began_after(self, trait, at):
+        """Return whether a request with a trait was sent after a time."""
+        return any(
+            self.at - self.run_s[r] >= at for r in self.holders_of(trait)
+        )
 
 
 @attrs.define(eq=False)
@@ -139,16 +137,13 @@
 
         Args:
             delay_s: seconds after the crash that made it serious.
-
-        Returns:
-            List of pairs of a `Crash` and the list of these requests.
         """
         known_at = sorted(c.at for c in self.crashes)[MIN_CRASHES - 1]
-        found = [
-            (crash, crash.begun_after(self.request, known_at + delay_s))
+        return [
+            crash
             for crash in self.crashes
+            if crash.began_after(self.request, known_at + delay_s)
         ]
-        return [(crash, requests) for crash, requests in found if requests]
 
     def is_in_suspected_half(self, others):
         """Return whether fewer than half of the others are suspected more."""
--- a/catkinshunt/quarantine/tests/prompts.py
+++ b/catkinshunt/quarantine/tests/prompts.py
@@ -190,14 +190,41 @@
         }
 
     def missed_causes(self):
-        now = self.clock()
+        """Return the bad parts and requests that some entry does not stop.
+
+        One that is refused but for trials is stopped, though undecided.
+        """
         return [
             trait
             for trait in self.causes + self.bad_parts
             for entry in self.entries.values()
-            if entry.gossip.quarantine.remaining_s(trait, now) == 0
+            if not entry.gossip.quarantine.find_held(self._example(trait))
+            and trait in self._undecided(entry)
+        ]
+
+    def undecided_causes(self):
+        """Return those that some entry has not quarantined."""
+        return [
+            trait
+            for entry in self.entries.values()
+            for trait in self._undecided(entry)
         ]
 
+    def _undecided(self, entry):
+        known = entry.gossip.quarantine
+        return [
+            trait
+            for trait in self.causes + self.bad_parts
+            if known.remaining_s(trait, self.clock()) == 0
+        ]
+
+    def _example(self, trait):
+        """Return the traits of a bad request."""
+        if trait in self.causes:
+            return quarantine.Traits(trait, (SHARED, f'of-{trait}'))
+        beside = () if self.beside_sound is None else (BESIDE,)
+        return quarantine.Traits('bad-new', (SHARED, trait, *beside))
+
 
 @attrs.frozen
 class Summary:
@@ -205,9 +232,10 @@
 
     Attributes:
         innocents: quarantined traits that crash nothing.
-        missed: bad parts and requests that some entry does not quarantine.
-        crashes: crashes by each bad part.
-        late_runs: most runs of a bad part after it was to be stopped.
+        missed: bad parts and requests that some entry does not stop.
+        undecided: those that some entry has not quarantined.
+        crashes: number of crashes by bad parts and requests.
+        late_runs: most runs of one of them after it was to be stopped.
         served: sound requests completed from `from_s` on.
         from_s: `SERVED_WITHIN_S` after the fifth crash of the last bad part
             that has five, in seconds.
@@ -216,7 +244,8 @@
 
     innocents: tuple
     missed: tuple
-    crashes: tuple
+    undecided: tuple
+    crashes: int
     late_runs: int
     served: int
     from_s: float
@@ -243,20 +272,20 @@
 def summarize(played, from_s):
     """Return the `Summary` of a `PromptReplay` that has ended."""
     late_runs = 0
-    for part in played.bad_parts:
-        times = played.crashes_of(part)
-        if len(times) >= CRASHES:
-            due = times[CRASHES - 1] + STOPPED_WITHIN_S
-            late_runs = max(
-                late_runs, sum(at > due for at in played.begun[part])
-            )
-            served_at = times[CRASHES - 1] + SERVED_WITHIN_S
-            from_s = max(from_s, served_at)
+    for trait in played.bad_parts + played.causes:
+        times = played.crashes_of(trait)
+        if len(times) < CRASHES:
+            continue
+        due = times[CRASHES - 1] + STOPPED_WITHIN_S
+        begun = played.begun.get(trait, times)
+        late_runs = max(late_runs, sum(at > due for at in begun))
+        from_s = max(from_s, times[CRASHES - 1] + SERVED_WITHIN_S)
     sound = sum(at >= from_s for at in played.sound_at)
     return Summary(
         tuple(sorted(played.innocents_quarantined())),
         tuple(sorted(set(played.missed_causes()))),
-        tuple(len(played.crashes_of(part)) for part in played.bad_parts),
+        tuple(sorted(set(played.undecided_causes()))),
+        sum(crash.cause is not None for crash in played.crashes),
         late_runs,
         sound,
         from_s,
