Play parts beside other causes, losses and restarts

The cases of the model and unit tests of the parts: bad parts beside a bad whole request, two and three at once, one that is nearly always or always beside another, lost reports, entries that start again or are cut off, a part that stops and comes back, kills, and services without sidecars.

--- a/catkinshunt/quarantine/_gossip.py
+++ b/catkinshunt/quarantine/_gossip.py
@@ -83,12 +83,14 @@
                 self._fan_out(reminder)
 
     def _send_state(self, host, now):
-        """Send the quarantined requests and the latest crashes."""
+        """Send the quarantined requests, the latest crashes and trials."""
         self._send_quarantined(host, now)
         crashes = self.quarantine.unresolved_crashes(min_crashes=1)
         for crash, run_s in crashes[-MAX_ANSWER_CRASHES:]:
             for report in _split(crash, run_s, now):
                 self._send(report, host)
+        for request, parts in self.quarantine.running_trials(now).items():
+            self._send(_messages.Trial(request, tuple(parts)), host)
 
     def _send_quarantined(self, host, now):
         quarantined = self.quarantine.all_quarantined(now)
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -325,6 +325,14 @@
             suspect.trial_until = now + TRIAL_S
         return bool(begun)
 
+    def running_trials(self, now):
+        """Return the parts on trial by the request that has them."""
+        found = {}
+        for suspect in self._suspects.values():
+            if suspect.trial_of is not None and now < suspect.trial_until:
+                found.setdefault(suspect.trial_of, []).append(suspect.request)
+        return found
+
     def pause_s(self, request, now):
         """Return the seconds for which a suspect must not run, or 0."""
         suspect = self._suspects.get(request)
--- a/catkinshunt/quarantine/tests/test_gossip.py
+++ b/catkinshunt/quarantine/tests/test_gossip.py
@@ -218,3 +218,75 @@
 
     run(main)
     assert sent == []
+
+
+def report_part(gossip, upstream, request, *parts):
+    gossip.report_crash(
+        upstream, {request: 0.1}, 9, parts={request: tuple(parts)}
+    )
+
+
+def knows_held(gossip, *parts):
+    traits = quarantine.Traits('new', parts)
+    return bool(gossip.quarantine.find_held(traits))
+
+
+def test_crashes_of_a_part_add_up():
+    """Each request with it reaches another entry, and none is alike."""
+
+    async def main(entries):
+        gossips = list(entries.gossips.values())
+        for number in range(3):
+            report_part(gossips[number], f'engine-{number}', f'{number}', 'x')
+        await network.wait_until(
+            lambda: all(knows_held(each, 'x') for each in gossips)
+        )
+
+    run(main)
+
+
+def test_trial_of_a_part_is_known_everywhere(monkeypatch):
+    """Each entry tried the part, and each trial ended an engine."""
+    monkeypatch.setattr(_gossip, 'REMINDER_PERIOD_S', 60.0)
+
+    def is_on_trial(gossip):
+        now = gossip.clock()
+        return gossip.quarantine.running_trials(now) == {'7': ['x']}
+
+    async def main(entries):
+        gossips = list(entries.gossips.values())
+        for number in range(3):
+            report_part(gossips[0], f'engine-{number}', f'{number}', 'x')
+        await network.wait_until(
+            lambda: all(knows_held(each, 'x') for each in gossips)
+        )
+        gossips[1].report_trial('7', ['x'])
+        await network.wait_until(
+            lambda: all(is_on_trial(each) for each in gossips)
+        )
+        started = await entries.start('entry-3')
+        await network.wait_until(lambda: is_on_trial(started))
+
+    run(main)
+
+
+def test_one_datagram_clears_all_traits_of_a_request(monkeypatch):
+    sent = []
+    send = quarantine.Gossip._send
+
+    def counting(self, message, host):
+        sent.append(message)
+        send(self, message, host)
+
+    async def main(entries):
+        first, second = entries.gossips.values()
+        report_part(first, 'engine', 'often', 'x', 'y')
+        await network.wait_until(lambda: second.quarantine.is_suspect('y'))
+        monkeypatch.setattr(quarantine.Gossip, '_send', counting)
+        first.report_completions(quarantine.Traits('often', ('x', 'y', 'z')))
+        await network.wait_until(lambda: second.quarantine.is_idle)
+
+    run(main, count=2)
+    first = [message for message in sent if 'x' in message.traits]
+    assert first[0].traits == ('often', 'x', 'y')
+    assert len(sent) <= 2
--- a/catkinshunt/quarantine/tests/test_guard.py
+++ b/catkinshunt/quarantine/tests/test_guard.py
@@ -13,6 +13,7 @@
         self.quarantine = quarantine.Quarantine()
         self.crashes = []
         self.sizes = []
+        self.parts = []
 
     def clock(self):
         return 0.0
@@ -20,6 +21,7 @@
     def report_crash(self, upstream, run_s, service_size, parts):
         self.crashes.append((upstream, run_s))
         self.sizes.append(service_size)
+        self.parts.append(parts)
 
 
 def make_guard(gossip, **changes):
@@ -136,3 +138,48 @@
     gossip.quarantine.add('bad', quarantine.QUARANTINE_S * 0.1, 0.0)
     assert guard.check(quarantine.Traits('bad'), True) > 0
     assert reported == [('bad', quarantine.QUARANTINE_S)]
+
+
+def test_crash_is_reported_with_the_parts_of_its_requests():
+    async def main():
+        gossip = FakeGossip()
+        guard = make_guard(gossip, is_down=ended)
+        for request, parts in (('1', ('a', 'x')), ('2', ('a',)), ('3', ())):
+            traits = quarantine.Traits(request, parts)
+            guard.record_broken_connection(upstream(), traits, 0.1)
+        await network.wait_until(lambda: gossip.crashes)
+        return gossip.parts
+
+    assert asyncio.run(main()) == [{'1': ('a', 'x'), '2': ('a',)}]
+
+
+def test_request_with_a_quarantined_part_does_not_run():
+    """Only whole requests were known, and each came with another whole."""
+    gossip = FakeGossip()
+    guard = make_guard(gossip)
+    gossip.quarantine.add('x', quarantine.QUARANTINE_S, 0.0)
+    bad = quarantine.Traits('1', ('a', 'x'))
+    assert guard.check(bad, True) > 0
+    assert guard.explain(bad) == 'x'
+    sound = quarantine.Traits('2', ('a',))
+    assert guard.check(sound, True) == 0
+    assert guard.explain(sound) is None
+
+
+def test_request_with_a_suspected_part_waits_for_its_trial():
+    gossip = FakeGossip()
+    trials = []
+    gossip.report_trial = lambda *args: trials.append(args)
+    guard = make_guard(gossip)
+    for number in '123':
+        gossip.quarantine.record_crash(
+            number, {number: 0.1}, 7, 0.0, 0.0, {number: ('x',)}
+        )
+    bad = quarantine.Traits('4', ('x',))
+    assert guard.check(bad, True) > 0
+    assert guard.explain(bad) == 'x'
+    assert guard.is_isolated(bad)
+    gossip.clock = lambda: 2.0
+    assert guard.explain(bad) is None
+    assert guard.check(bad, True) == 0
+    assert trials == [('4', ['x'])]
--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -297,3 +297,124 @@
     assert len(subject._quarantined) == 10
     assert max(len(each.run_s) for each in subject._crashes) == 5
     assert all(len(s.crashes) <= 10 for s in subject._suspects.values())
+
+
+def crash_prompts(subject, *crashes, at=0.0, run_s=CAUSE_RUN_S):
+    """Record crashes, each given as strings of a request and its parts.
+
+    The first letter stands for the request, the others for its parts.
+    """
+    for number, requests in enumerate(crashes):
+        found = requests.split()
+        subject.record_crash(
+            f'{at}-{number}',
+            {request[0]: run_s for request in found},
+            SIZE,
+            at,
+            at,
+            {request[0]: tuple(request[1:]) for request in found},
+        )
+
+
+def traits(text):
+    return quarantine.Traits(text[0], tuple(text[1:]))
+
+
+def test_part_of_requests_that_are_never_alike_is_quarantined():
+    """Each of them was at one crash, and excused their common part."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1ax', '2ax', '3ax', '4ax')
+    complete(subject, 'a')
+    crash_prompts(subject, '5x', at=3.0)
+    assert subject.evaluate(3.0 + SETTLED) == ['x']
+
+
+def test_part_is_quarantined_only_after_a_crash_on_trial():
+    """Engines that lost power together were all running a common part."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, *(f'{number}x' for number in range(8)))
+    assert subject.evaluate(SETTLED) == []
+    assert subject.find_held(traits('9x')) == ['x']
+    complete(subject, 'x')
+    assert subject.find_held(traits('9x')) == []
+    assert subject.evaluate(LATER) == []
+
+
+def test_one_request_at_a_time_runs_on_trial_of_a_part():
+    """All that waited ran at once, and each ended an engine."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1x', '2x', '3x')
+    assert subject.trial_wait_s(traits('4x'), ['x'], 0.5) > 0
+    now = _quarantine.TRIAL_DELAY_S
+    assert subject.trial_wait_s(traits('4x'), ['x'], now) == 0
+    assert subject.begin_trial('4', ['x'], now)
+    assert not subject.begin_trial('5', ['x'], now)
+    assert subject.trial_wait_s(traits('4x'), ['x'], now + 0.1) == 0
+    assert subject.trial_wait_s(traits('5x'), ['x'], now + 0.1) > 0
+    crash_prompts(subject, '4x', at=2.0, run_s=0.5)
+    later = 2.0 + 2 * _quarantine.TRIAL_S
+    assert subject.trial_wait_s(traits('4x'), ['x'], later - 0.1) > 0
+    assert subject.trial_wait_s(traits('5x'), ['x'], later) == 0
+
+
+def test_requests_with_a_part_that_others_explain_are_served():
+    """A first part that all share was at each crash with the cause."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1ax', '2ax 6ab', '3ax', '4ax 7ac')
+    assert subject.find_held(traits('8ab')) == []
+    assert not subject.must_run_apart(traits('8ab'))
+    assert subject.find_held(traits('9ax')) == ['a', 'x']
+
+
+def test_parts_that_are_always_together_are_stopped_undecided():
+    """Neither was blamed, as each excused the other."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1xy', '2xy', '3xy', '4xy')
+    assert subject.evaluate(SETTLED) == []
+    held = subject.find_held(traits('5xy'))
+    assert held == ['x', 'y']
+    assert subject.trial_wait_s(traits('5xy'), held, SETTLED) > 0
+    assert subject.find_held(traits('6x')) == []
+    complete(subject, '6x')
+    crash_prompts(subject, '7y', at=3.0)
+    assert subject.evaluate(3.0 + SETTLED) == ['y']
+
+
+def test_request_that_repeats_alike_is_blamed_before_its_parts():
+    """A part of which no other request came was at the same crashes."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1ab', '1ab', '1ab', '1ab')
+    assert subject.evaluate(SETTLED) == ['1']
+
+
+def test_part_that_several_causes_share_is_not_quarantined():
+    """It was at more crashes than each of them."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1ax', '2ay', '3ax', '4ay', '5ax', '6ay')
+    crash_prompts(subject, '7ax', at=3.0)
+    assert subject.evaluate(3.0 + SETTLED) == []
+    assert subject.evaluate(3.0 + LATER) == []
+
+
+def test_undecided_part_is_kept_while_requests_with_it_come():
+    """It ran again after its time, and ended three engines more."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1xy', '2xy', '3xy')
+    held = ['x', 'y']
+    assert subject.trial_wait_s(traits('4xy'), held, 0.5) > 0
+    subject._suspects['x'].refused_at = 200.0
+    subject.expire(_quarantine.SUSPECT_TTL_S + 50.0)
+    assert subject.find_held(traits('4x')) == ['x']
+
+
+def test_suspects_with_several_crashes_are_kept_longest(monkeypatch):
+    """Requests that are never alike drove out the part that they share."""
+    monkeypatch.setattr(_quarantine, 'MAX_SUSPECTS', 10)
+    subject = quarantine.Quarantine()
+    for number in range(50):
+        at = 0.1 * number
+        requests = {f'{number}-{n}': CAUSE_RUN_S for n in range(5)}
+        parts = dict.fromkeys(requests, ('x',))
+        subject.record_crash(str(number), requests, SIZE, at, at, parts)
+    assert len(subject._suspects) == 10
+    assert len(subject._suspects['x'].crashes) == 50
--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -64,6 +64,24 @@
     assert all_at_once.innocents == no_sidecars.innocents == ()
 
 
+#: Requests whose prompts share parts.
+PROMPT_CASES = {
+    'same request repeated': {'sends': 6},
+    'bad whole beside': {'causes': 1},
+    'two parts': {'bad_parts': 2, 'rate': 6.0},
+    'three parts': {'bad_parts': 3, 'rate': 9.0},
+    'nearly always beside another': {'beside_sound': 5.0},
+    'always beside another': {'beside_sound': 0},
+    'reports lost': {'lost_share': 0.1},
+    'entries restart': {'restarts': 2},
+    'entry cut off': {'cut_off': (0.0, 15.0)},
+    'stops and comes back': {'active': ((0.0, 3.0), (15.0, 60.0))},
+    'other crashes': {'other_crashes': 6},
+    'no part': {'bad_parts': 0, 'other_crashes': 6},
+    'no sidecars': {'has_sidecars': False},
+}
+
+
 def check_prompts(engines, **changes):
     """Check that bad parts are stopped, and that sound requests are served."""
     for seed in SEEDS:
@@ -80,3 +98,10 @@
     for engines in (2, 8):
         for rate in (3.0, 10.0):
             check_prompts(engines, rate=rate)
+
+
+@pytest.mark.parametrize('engines', [2, 8])
+@pytest.mark.parametrize('case', PROMPT_CASES)
+def test_only_parts_that_crash_engines_are_stopped(case, engines):
+    """Sound requests that shared other parts were refused in their place."""
+    check_prompts(engines, **PROMPT_CASES[case])
