Take no close of a connection for a completed request

A reply without a length or chunks ends with its connection, and the kernel closes the connections of a crashed engine in order. A stream that ended so inside an event was resumed elsewhere, but the engine was not checked for a crash, so that the crash was held against nobody; and one that ended after a whole event cleared the request that had crashed the engine.

A stream cut inside an event by the end of its connection is now a broken connection, which makes the guard look whether the engine refuses connections. One that seems whole is reported as ended at its close: it counts as completed once the upstream is seen to accept connections, and as a crash if it refuses them.

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -39,6 +39,7 @@
         sent_at: time at which the request was sent, or None.
         failover: the `_failover.Failover` beside this attempt, while its
             upstream is unresponsive, or None.
+        ended_at_close: whether the relayed reply ended with its connection.
     """
 
     def __init__(self, exchange, candidate, beside=None):
@@ -50,6 +51,7 @@
         self.job = None
         self.sent_at = None
         self.failover = None
+        self.ended_at_close = False
 
     @property
     def has_rival(self):
@@ -84,7 +86,12 @@
         try:
             await self._send()
             state.record_success(self.context.clock())
-            quarantine_check.record_completion()
+            if self.ended_at_close:
+                quarantine_check.record_end_at_close(
+                    upstream, self.context.clock() - self.sent_at
+                )
+            else:
+                quarantine_check.record_completion()
         except errors.RefusedError:
             # Not run, so not recorded as a failure of the upstream here.
             raise
@@ -139,6 +146,7 @@
             conn.send(*self._request_bytes())
             relay = _relay.Relay(self, conn, pool.peer)
             is_reusable = await relay.run()
+            self.ended_at_close = relay.ended_at_close
         except asyncio.CancelledError:
             # The client disconnected, the deadline passed, or another
             # upstream replied. Without a first byte, the time so far is a
--- a/catkinshunt/gateway/_quarantine_check.py
+++ b/catkinshunt/gateway/_quarantine_check.py
@@ -117,3 +117,15 @@
         """Report that an upstream completed the request."""
         if self.guard is not None and not self.guard.is_idle:
             self.guard.record_completion(self.traits)
+
+    def record_end_at_close(self, upstream, run_s):
+        """Report a reply that seems whole and ended with its connection.
+
+        It counts as completed unless the upstream crashed.
+
+        Args:
+            upstream: the `catalog.Upstream`.
+            run_s: seconds since the request was sent.
+        """
+        if self.guard is not None and not self.guard.is_idle:
+            self.guard.record_end_at_close(upstream, self.traits, run_s)
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -79,6 +79,9 @@
         self.may_be_dead = False
         #: Whether another upstream could go on with the reply.
         self.can_move = True
+        #: Whether the reply ended with its connection, see
+        #: `http1.EndOfReply`.
+        self.ended_at_close = False
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
@@ -131,6 +134,8 @@
             self.silent_s = max(
                 self.silent_s, self.state.receive(self.context.clock())
             )
+            if isinstance(part, http1.EndOfReply):
+                self.ended_at_close = part.at_close
             return part
 
     async def _poll_part(self):
@@ -353,23 +358,22 @@
                     gap, step='read-reply', peer=self.peer
                 )
         if splitter.has_partial_event:
-            raise errors.OutcomeUnknownError(
-                'stream ended within an event',
-                step='read-reply',
-                peer=self.peer,
-            )
-        if part.at_close and not self._has_begun_stream():
+            raise self._end_error('stream ended within an event')
+        if self.ended_at_close and not self._has_begun_stream():
             # An upstream that crashes as it begins to answer leaves this.
-            raise ConnectionLostError(
-                'stream ended before its first event',
-                step='read-reply',
-                peer=self.peer,
-            )
+            raise self._end_error('stream ended before its first event')
         self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
         self.exchange.progress.is_complete = True
 
+    def _end_error(self, text):
+        """Return the error for a stream that has ended too early."""
+        error = errors.OutcomeUnknownError
+        if self.ended_at_close:
+            error = ConnectionLostError
+        return error(text, step='read-reply', peer=self.peer)
+
     def _has_begun_stream(self):
         """Return whether the client has got an event, also of another try."""
         progress = self.exchange.progress
--- a/catkinshunt/gateway/tests/test_quarantine_check.py
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -28,6 +28,7 @@
         self.blocked = set()
         self.broken = []
         self.completed = []
+        self.ended_at_close = []
         self.waiting = asyncio.Event()
         self.checked = asyncio.Event()
 
@@ -46,6 +47,9 @@
     def record_broken_connection(self, upstream, traits, run_s):
         self.broken.append((upstream.id, traits))
 
+    def record_end_at_close(self, upstream, traits, run_s):
+        self.ended_at_close.append((upstream.id, traits))
+
     async def wait_for_crash_check(self, upstream, traits):
         self.waiting.set()
         await self.checked.wait()
@@ -204,6 +208,65 @@
     assert body.startswith(b'quarantined: ')
 
 
+def stream_without_length(body):
+    """Return an answer function that ends its stream by its connection."""
+
+    async def answer(head, writer, upstream):
+        items = [('Content-Type', 'text/event-stream')]
+        writer.write(http1.dump_head(http1.status_line(200), items) + body)
+        await writer.drain()
+        return 'close'
+
+    return answer
+
+
+def guard_after(answer):
+    """Return the guard after a stream of the only upstream."""
+
+    async def main():
+        guard = FakeGuard()
+        guard.checked.set()
+        engine = harness.FakeUpstream('u1', answer)
+        async with harness.running_gateway(engine, guard=guard) as gateway:
+            await request_part(gateway)
+        return guard
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize('body', [harness.event(1) + b'id: 2', b''])
+def test_stream_cut_in_order_is_a_broken_connection(body):
+    """The kernel closes the connections of a crashed engine in order.
+
+    As a completion it would clear what crashes the engine.
+    """
+    guard = guard_after(stream_without_length(body))
+    assert guard.broken
+    assert not guard.completed
+    assert not guard.ended_at_close
+
+
+def test_end_of_a_connection_after_an_event_is_no_proof_of_completion():
+    """An engine may crash between two events; the guard asks whether."""
+    guard = guard_after(stream_without_length(harness.event(1)))
+    assert not guard.broken
+    assert not guard.completed
+    assert [name for name, _ in guard.ended_at_close] == ['u1']
+
+
+def test_stream_that_ends_inside_an_event_by_its_length_is_no_crash():
+    """Its engine goes on: the reply is wrong, but was sent to its end."""
+
+    async def answer(head, writer, upstream):
+        writer.write(harness.stream_head(head, upstream))
+        writer.write(http1.dump_chunk(b'id: 1'))
+        writer.write(harness.LAST_CHUNK)
+
+    guard = guard_after(answer)
+    assert not guard.broken
+    assert not guard.completed
+
+
 @pytest.mark.parametrize(
     ('trait', 'part', 'kind'),
     [
--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -58,6 +58,7 @@
         self.count_upstreams = count_upstreams
         self.is_down = is_down
         self._affected = {}
+        self._ended_at_close = {}
         self._checks = {}
 
     @property
@@ -142,6 +143,20 @@
         self._checks[upstream.key] = task
         task.add_done_callback(lambda _: self._end_check(upstream.key, task))
 
+    def record_end_at_close(self, upstream, traits, run_s):
+        """Record a reply that seems whole and ended with its connection.
+
+        An upstream that crashed may have ended it. The request counts as
+        completed once the upstream is known to be running.
+
+        Args:
+            upstream: the `catalog.Upstream` that ran the request.
+            traits: its `Traits`.
+            run_s: seconds since the request was sent.
+        """
+        self.record_broken_connection(upstream, traits, run_s)
+        self._ended_at_close.setdefault(upstream.key, set()).add(traits)
+
     def _end_check(self, key, task):
         if self._checks.get(key) is task:
             del self._checks[key]
@@ -163,7 +178,10 @@
     async def _check_crash(self, upstream):
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
         run_s = self._affected.pop(upstream.key)
+        ended = self._ended_at_close.pop(upstream.key, ())
         if not await self.is_down(upstream.address):
+            for traits in ended:
+                self.record_completion(traits)
             return
         _log.info(
             'Upstream {} refuses connections after interrupting {} requests;'
--- a/catkinshunt/quarantine/tests/test_guard.py
+++ b/catkinshunt/quarantine/tests/test_guard.py
@@ -183,3 +183,26 @@
     assert guard.explain(bad) is None
     assert guard.check(bad, True) == 0
     assert trials == [('4', ['x'])]
+
+
+def test_reply_that_ends_at_close_completes_unless_its_upstream_crashed():
+    """The kernel ends the replies of a crashed upstream in order, too.
+
+    As a completion this would clear the request that crashed it.
+    """
+
+    async def main(is_down):
+        async def check(address):
+            return is_down
+
+        gossip = FakeGossip()
+        gossip.completed = []
+        gossip.report_completions = gossip.completed.extend
+        guard = make_guard(gossip, is_down=check)
+        traits = quarantine.Traits('a', ('b',))
+        guard.record_end_at_close(upstream(), traits, 0.1)
+        await guard.wait_for_crash_check(upstream(), traits)
+        return gossip.completed, len(gossip.crashes)
+
+    assert asyncio.run(main(is_down=False)) == (['a', 'b'], 0)
+    assert asyncio.run(main(is_down=True)) == ([], 1)
