Keep the entries of the quarantine tests up to date

Entries of the tests learn once, at their start, that what they know is the newest, and refuse keys as stale 3 s later, with the status that a quarantine has too. Since retries wait for the crash check, the test of a request that crashes upstreams takes longer than that, and passed with the check of the quarantine removed (`barred-request-refused`).

Each request now confirms the entries' knowledge first, so that the test fails again without the check. No assertion is changed.

--- a/catkinshunt/gateway/tests/test_quarantine.py
+++ b/catkinshunt/gateway/tests/test_quarantine.py
@@ -84,6 +84,7 @@
             gateway.context.catalog.confirm(now)
 
     async def request(self, number, path='/read/1', body=BAD, **headers):
+        self.confirm()
         gateway = self.gateways[number % len(self.gateways)]
         return await gateway.request(path, 'POST', body, **headers)
 
@@ -290,7 +291,6 @@
         async with SoundRequests(shared) as sound:
             await sound.wait_for(24)
             while clock() - began < 8.0:
-                shared.confirm()
                 await request_part(shared, number, BAD_PART)
                 number += 1
                 await asyncio.sleep(0.1)
@@ -302,7 +302,6 @@
                 await request_part(shared, number + more, BAD_PART)
                 for more in range(12)
             ]
-            shared.confirm()
             await sound.wait_for(24)
         later = len(shared.crashed_at) - in_time
         return shared.crashed_at, later, last, sound.given_up
