Prove the guards of suspected parts

Callers that are refused for a part are told to come back at different times: all that waited for one trial would return in the same moment at several entries.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -649,7 +649,49 @@
     Mutation(
         'missed-completion-is-corrected',
         'catkinshunt/quarantine/_gossip.py',
-        'self._correct(message, host)',
+        'self._correct(report, traits, host)',
+        'pass',
+    ),
+    Mutation(
+        'part-refused',
+        'catkinshunt/quarantine/_guard.py',
+        'for trait in traits:\n            left_s',
+        'for trait in (traits.whole,):\n            left_s',
+    ),
+    Mutation(
+        'crashes-of-a-part-add-up',
+        'catkinshunt/quarantine/_quarantine.py',
+        'self._add_suspect(part, crash, now, is_part=True)',
+        'pass',
+    ),
+    Mutation(
+        'requests-do-not-excuse-their-part',
+        'catkinshunt/quarantine/_quarantine.py',
+        'if not _is_covered(other, suspect, crash):',
+        'if True:',
+    ),
+    Mutation(
+        'part-tried-before-it-is-blamed',
+        'catkinshunt/quarantine/_quarantine.py',
+        'if suspect.is_part and not self._was_tried_alone(suspect):',
+        'if False:',
+    ),
+    Mutation(
+        'explained-part-is-served',
+        'catkinshunt/quarantine/_quarantine.py',
+        'and not self._is_dominated(suspect, traits)',
+        'and True',
+    ),
+    Mutation(
+        'trial-is-told',
+        'catkinshunt/quarantine/_gossip.py',
+        'self._fan_out(_messages.Trial(request, tuple(parts)))',
+        'pass',
+    ),
+    Mutation(
+        'retry-waits-for-the-crash',
+        'catkinshunt/quarantine/_guard.py',
+        'await asyncio.wait([task])',
         'pass',
     ),
     Mutation(
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -1,6 +1,7 @@
 """Identifies the requests, and parts of them, that crash upstreams."""
 
 import collections
+import zlib
 
 from catkinshunt import logs
 from catkinshunt.quarantine import _suspect
@@ -36,7 +37,8 @@
 #: Seconds for which other requests wait for a trial. After a trial that
 #: crashed, the next one comes after twice this time, and so on, doubling.
 TRIAL_S = 4.0
-#: Seconds that a request refused for one of its parts waits at least.
+#: Seconds that a request refused for one of its parts waits at least; up to
+#: a second is added, which depends on the request.
 MIN_WAIT_S = 0.2
 #: Seconds within which two reports on an upstream concern the same crash.
 SAME_CRASH_S = 1.0
@@ -308,7 +310,9 @@
             return 0.0
         for suspect in suspects:
             suspect.refused_at = now
-        return min(MAX_WAIT_S, max(MIN_WAIT_S, until - now))
+        # Callers that return at the same time would all begin a trial.
+        spread = zlib.crc32(traits.whole.encode()) / 2**32
+        return min(MAX_WAIT_S, until - now + MIN_WAIT_S + spread)
 
     def begin_trial(self, request, parts, now):
         """Let a request run on trial of its parts; return whether it is new.
