--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -104,13 +104,14 @@
         return wait_s
 
     def explain(self, traits):
-        """Return the trait for which a request must not run, or None."""
+        """Return the trait for which `check` refused a request, or None."""
         now = self.gossip.clock()
         known = self.gossip.quarantine
         for trait in traits:
             if known.remaining_s(trait, now) > 0:
                 return trait
-        if known.pause_s(traits.whole, now) > 0:
+        pause_s = known.pause_s(traits.whole, now)
+        if max(pause_s, known.turn_wait_s(traits.whole, now)) > 0:
             return traits.whole
         held = known.find_held(traits)
         if held and known.trial_wait_s(traits, held, now) > 0:
@@ -154,10 +155,10 @@
 
         Args:
             upstream: the `catalog.Upstream` that ran the request.
-            traits: its `Traits`.
+            traits: its `Traits`, of which all wait alike.
         """
         task = self._checks.get(upstream.key)
-        if task is not None and traits in self._affected.get(upstream.key, ()):
+        if task is not None:
             await asyncio.wait([task])
 
     async def _check_crash(self, upstream):
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -510,10 +510,11 @@
             traits: `Traits` of the request.
         """
         own = set(traits)
+        least = min(_suspect.MIN_CRASHES, len(suspect.crashes))
         return all(
             any(
                 other.request not in own
-                and len(other.crashes) >= min(3, len(suspect.crashes))
+                and len(other.crashes) >= least
                 and (
                     len(other.crashes) > len(suspect.crashes)
                     or _is_covered(other, suspect, crash)
