--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -599,7 +599,7 @@
         '(),',
     ),
     Mutation(
-        'retry-waits-for-the-crash',
+        'retry-asks-the-guard',
         'catkinshunt/gateway/_quarantine_check.py',
         'self._unchecked.append(upstream)',
         'pass',
