Fail at once where a retry does not ask the guard

Without the guard `retry-asks-the-guard` the test of awaited retries waited for a question that never came, until it was ended from outside. It now ends with the request.

--- a/catkinshunt/gateway/tests/test_quarantine_check.py
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -140,7 +140,10 @@
         ]
         async with harness.running_gateway(*engines, guard=guard) as gateway:
             task = asyncio.ensure_future(request_part(gateway))
-            await guard.waiting.wait()
+            waiting = asyncio.ensure_future(guard.waiting.wait())
+            await asyncio.wait(
+                [task, waiting], return_when=asyncio.FIRST_COMPLETED
+            )
             # Any retry that does not wait is sent by now.
             done, _ = await asyncio.wait([task], timeout=0.3)
             assert not done
