--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -673,7 +673,7 @@
     Mutation(
         'part-tried-before-it-is-blamed',
         'catkinshunt/quarantine/_quarantine.py',
-        'if suspect.is_part and not self._was_tried_alone(suspect):',
+        'if suspect.is_part and self._count_tried_alone(suspect) < MIN_TRIED:',
         'if False:',
     ),
     Mutation(
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -37,6 +37,9 @@
 #: Seconds for which other requests wait for a trial. After a trial that
 #: crashed, the next one comes after twice this time, and so on, doubling.
 TRIAL_S = 4.0
+#: Crashes of runs on trial from which on a part is quarantined. The first
+#: one may have another reason, or be the first with a part that is a cause.
+MIN_TRIED = 2
 #: Seconds that a request refused for one of its parts waits at least; up to
 #: a second is added, which depends on the request.
 MIN_WAIT_S = 0.2
@@ -541,13 +544,13 @@
             for other in found
         )
 
-    def _was_tried_alone(self, suspect):
-        """Return whether a part crashed an upstream with no other suspect.
+    def _count_tried_alone(self, suspect):
+        """Return the number of late crashes of a part with no other suspect.
 
         Several causes may have a sound part in common, which is at more
         crashes than each of them.
         """
-        return any(
+        return sum(
             not any(
                 other.unexplained >= _suspect.ISOLATION_CRASHES
                 and (other.is_serious or other.is_shared)
@@ -603,7 +606,7 @@
         evidence = self._evidence(suspect, now)
         if len(evidence) < _suspect.MIN_CRASHES:
             return False
-        if suspect.is_part and not self._was_tried_alone(suspect):
+        if suspect.is_part and self._count_tried_alone(suspect) < MIN_TRIED:
             # Upstreams that ended together were all running a common part.
             return False
         run_s = max(
