--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -36,6 +36,16 @@
             'Headers of upstreams that are unknown or cannot be read.',
             ('reason', 'header'),
         )
+        self._stops = self.registry.counter(
+            'quarantine_stops_total',
+            'Requests that were stopped for what crashes upstreams.',
+            ('kind',),
+        )
+        #: Counted by `RequestAudit`.
+        self.omitted_prompt_parts = self.registry.counter(
+            'omitted_prompt_parts_total',
+            'Requests with parts of the prompt that are left out.',
+        )
 
     def record(self, service, outcome, duration_s, progress):
         """Count one request that has ended."""
@@ -52,3 +62,12 @@
     def record_silence(self, end):
         """Count the silence of an upstream in a reply, by how it ended."""
         self._silences.add(end)
+
+    def record_stop(self, kind):
+        """Count a request that the quarantine stopped.
+
+        Args:
+            kind: `'whole'` for the request itself, or `'part'` for a part of
+                its prompt.
+        """
+        self._stops.add(kind)
--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -1,6 +1,7 @@
 """Detects upstream crashes and checks requests against the quarantine."""
 
 import asyncio
+import collections
 import hashlib
 
 from catkinshunt import logs
@@ -13,6 +14,8 @@
 CONNECT_TIMEOUT_S = 0.5
 #: Most requests in the log line of a crash.
 MAX_LOGGED_REQUESTS = 20
+#: Most prompt parts in it, each with the number of requests that had it.
+MAX_LOGGED_PARTS = 10
 _DIGEST_BYTES = 8
 
 _log = logs.get_logger('quarantine')
@@ -55,6 +58,7 @@
         self.count_upstreams = count_upstreams
         self.is_down = is_down
         self._affected = {}
+        self._ended_at_close = {}
         self._checks = {}
 
     @property
@@ -66,70 +70,119 @@
         """Return the number of quarantined requests."""
         return len(self.gossip.quarantine.all_quarantined(self.gossip.clock()))
 
-    def check(self, request, has_sidecar):
+    def check(self, traits, has_sidecar):
         """Return the seconds for which a request must not run, or 0.
 
         The quarantine of a request that still arrives is renewed.
 
         Args:
-            request: its fingerprint.
+            traits: its `Traits`.
             has_sidecar: whether sidecars keep suspects of the service apart.
         """
         now = self.gossip.clock()
-        left_s = self.gossip.quarantine.remaining_s(request, now)
-        if left_s == 0:
-            pause_s = self.gossip.quarantine.pause_s(request, now)
-            if has_sidecar:
-                return pause_s
-            turn_wait_s = self.gossip.quarantine.turn_wait_s(request, now)
-            return max(pause_s, turn_wait_s)
-        if left_s < _quarantine.QUARANTINE_S * _quarantine.RENEW_SHARE:
-            self.gossip.report_quarantine(request, _quarantine.QUARANTINE_S)
-        return left_s
-
-    def is_isolated(self, request):
+        longest_s = 0.0
+        for trait in traits:
+            left_s = self.gossip.quarantine.remaining_s(trait, now)
+            longest_s = max(longest_s, left_s)
+            if 0 < left_s < _quarantine.QUARANTINE_S * _quarantine.RENEW_SHARE:
+                self.gossip.report_quarantine(trait, _quarantine.QUARANTINE_S)
+        return longest_s or self._wait_s(traits, has_sidecar, now)
+
+    def _wait_s(self, traits, has_sidecar, now):
+        """Return the seconds for which a suspect must not run, or 0."""
+        pause_s = self.gossip.quarantine.pause_s(traits.whole, now)
+        if not has_sidecar:
+            turn_wait_s = self.gossip.quarantine.turn_wait_s(traits.whole, now)
+            pause_s = max(pause_s, turn_wait_s)
+        if pause_s > 0:
+            return pause_s
+        held = self.gossip.quarantine.find_held(traits)
+        if not held:
+            return 0.0
+        wait_s = self.gossip.quarantine.trial_wait_s(traits, held, now)
+        if wait_s == 0:
+            self.gossip.report_trial(traits.whole, held)
+        return wait_s
+
+    def explain(self, traits):
+        """Return the trait for which `check` refused a request, or None."""
+        now = self.gossip.clock()
+        known = self.gossip.quarantine
+        for trait in traits:
+            if known.remaining_s(trait, now) > 0:
+                return trait
+        pause_s = known.pause_s(traits.whole, now)
+        if max(pause_s, known.turn_wait_s(traits.whole, now)) > 0:
+            return traits.whole
+        held = known.find_held(traits)
+        if held and known.trial_wait_s(traits, held, now) > 0:
+            return held[0]
+        return None
+
+    def is_isolated(self, traits):
         """Return whether a request has to run apart from other suspects."""
-        return self.gossip.quarantine.is_isolated(request)
+        return self.gossip.quarantine.must_run_apart(traits)
 
-    def record_completion(self, request):
+    def record_completion(self, traits):
         """Report that a request was completed."""
-        self.gossip.report_completion(request)
+        self.gossip.report_completions(traits)
 
-    def record_broken_connection(self, upstream, request, run_s):
+    def record_broken_connection(self, upstream, traits, run_s):
         """Record that the connection of a request was lost.
 
         Args:
             upstream: the `catalog.Upstream` that ran the request.
-            request: its fingerprint.
+            traits: its `Traits`.
             run_s: seconds since the request was sent.
         """
         affected = self._affected.get(upstream.key)
         if affected is not None:
-            affected[request] = max(run_s, affected.get(request, 0.0))
+            affected[traits] = max(run_s, affected.get(traits, 0.0))
             return
-        self._affected[upstream.key] = {request: run_s}
+        self._affected[upstream.key] = {traits: run_s}
         task = asyncio.ensure_future(self._check_crash(upstream))
         self._checks[upstream.key] = task
         task.add_done_callback(lambda _: self._end_check(upstream.key, task))
 
+    def record_end_at_close(self, upstream, traits, run_s):
+        """Record a reply that seems whole and ended with its connection.
+
+        An upstream that crashed may have ended it. The request counts as
+        completed once the upstream is known to be running.
+
+        Args:
+            upstream: the `catalog.Upstream` that ran the request.
+            traits: its `Traits`.
+            run_s: seconds since the request was sent.
+        """
+        self.record_broken_connection(upstream, traits, run_s)
+        self._ended_at_close.setdefault(upstream.key, set()).add(traits)
+
     def _end_check(self, key, task):
         if self._checks.get(key) is task:
             del self._checks[key]
 
-    async def wait_for_crash_check(self, upstream, request):
-        """Wait until it is known whether an upstream crashed under a suspect.
+    async def wait_for_crash_check(self, upstream, traits):
+        """Wait until it is known whether an upstream crashed under a request.
 
         A retry before would not count that crash, and might crash another
         upstream.
+
+        Args:
+            upstream: the `catalog.Upstream` that ran the request.
+            traits: its `Traits`, of which all wait alike.
         """
         task = self._checks.get(upstream.key)
-        if task is not None and self.gossip.quarantine.is_suspect(request):
+        if task is not None:
             await asyncio.wait([task])
 
     async def _check_crash(self, upstream):
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
         run_s = self._affected.pop(upstream.key)
+        ended = self._ended_at_close.pop(upstream.key, ())
         if not await self.is_down(upstream.address):
+            for traits in ended:
+                self.record_completion(traits)
             return
         _log.info(
             'Upstream {} refuses connections after interrupting {} requests;'
@@ -137,15 +190,30 @@
             upstream.id,
             len(run_s),
             upstream=_identify(upstream),
-            requests=sorted(run_s)[:MAX_LOGGED_REQUESTS],
+            requests=sorted(t.whole for t in run_s)[:MAX_LOGGED_REQUESTS],
+            parts=_count_parts(run_s)[:MAX_LOGGED_PARTS],
         )
         self.gossip.report_crash(
             _identify(upstream),
-            run_s,
+            {traits.whole: seconds for traits, seconds in run_s.items()},
             self.count_upstreams(upstream.service),
+            parts={t.whole: t.parts for t in run_s if t.parts},
         )
 
 
+def _count_parts(requests):
+    """Return how many requests have each part, the most common ones first.
+
+    Args:
+        requests: `Traits` of requests.
+
+    Returns:
+        Strings such as '12 of 4f..'.
+    """
+    counts = collections.Counter(p for each in requests for p in each.parts)
+    return [f'{count} of {part}' for part, count in counts.most_common()]
+
+
 def _identify(upstream):
     """Return an identifier that all entries compute for an upstream.
 
--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkinshunt.quarantine.tests import prompts
 from catkinshunt.quarantine.tests import replay
 
 #: Seeds of each case; more are played by hand.
@@ -10,6 +11,10 @@
 DURATION_S = 120.0
 #: Crashes by a cause after it was to be stopped everywhere.
 MAX_LATE_RUNS = 3
+#: Least share of the sound requests that are served beside bad parts.
+MIN_SERVED_SHARE = 0.5
+#: Seconds of which it is taken at least.
+MIN_SERVED_S = 10.0
 CASES = {
     'one cause': {},
     'no sidecars': {'has_sidecars': False},
@@ -59,3 +64,47 @@
     kills = {'causes': 0, 'other_crashes': 6, 'has_sidecars': False}
     no_sidecars = replay.play(151, engines=3, **kills)
     assert all_at_once.innocents == no_sidecars.innocents == ()
+
+
+#: Requests whose prompts share parts.
+PROMPT_CASES = {
+    'same request repeated': {'sends': 6},
+    'bad whole beside': {'causes': 1},
+    'two parts': {'bad_parts': 2, 'rate': 6.0},
+    'three parts': {'bad_parts': 3, 'rate': 9.0},
+    'nearly always beside another': {'beside_sound': 5.0},
+    'always beside another': {'beside_sound': 0},
+    'reports lost': {'lost_share': 0.1},
+    'entries restart': {'restarts': 2},
+    'entry cut off': {'cut_off': (0.0, 15.0)},
+    'stops and comes back': {'active': ((0.0, 3.0), (15.0, 60.0))},
+    'other crashes': {'other_crashes': 6},
+    'no part': {'bad_parts': 0, 'other_crashes': 6},
+    'no sidecars': {'has_sidecars': False},
+}
+
+
+def check_prompts(engines, **changes):
+    """Check that bad parts are stopped, and that sound requests are served."""
+    for seed in SEEDS:
+        seen = prompts.play(seed, engines=engines, **changes)
+        calm = prompts.calm(seed, seen.from_s, engines=engines, **changes)
+        assert (seed, seen.innocents, seen.missed) == (seed, (), ())
+        assert (seed, seen.late_runs <= MAX_LATE_RUNS) == (seed, True)
+        is_served = seen.served >= MIN_SERVED_SHARE * calm
+        is_long = seen.from_s <= prompts.DURATION_S - MIN_SERVED_S
+        assert (seed, is_served or not is_long) == (seed, True)
+
+
+def test_part_that_crashes_engines_is_stopped():
+    """Requests that are never alike shared the part, and nothing added up."""
+    for engines in (2, 8):
+        for rate in (3.0, 10.0):
+            check_prompts(engines, rate=rate)
+
+
+@pytest.mark.parametrize('engines', [2, 8])
+@pytest.mark.parametrize('case', PROMPT_CASES)
+def test_only_parts_that_crash_engines_are_stopped(case, engines):
+    """Sound requests that shared other parts were refused in their place."""
+    check_prompts(engines, **PROMPT_CASES[case])
