Let a part of prompts crash engines in the soak

With `parts` two callers send requests with a part that ends each engine once it begins to write, at any entry and account; four others share their accounts and first parts. The records check that at most three such requests reach engines from 3.5 s after the fifth crash on, sent by entries that were in touch for 3 s, and that from 6 s after it, while such requests come, sound ones with prompts begin at least half as often as those that share nothing with them. Requests beside a crash are asked for once more at the end, with their prompts, as before.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -14,7 +14,7 @@
 def main(
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
     folder=None, crashes=_soak.CRASHES, limits=True, statements=True,
-    silences=False, eras=False,
+    silences=False, eras=False, parts=False,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -32,6 +32,7 @@
         silences: whether upstreams may fall silent.
         eras: whether the store may go back to a copy, and upstreams leave
             around it.
+        parts: whether a part of prompts crashes engines.
     """
     logs.configure(level='ERROR')
     failed = 0
@@ -50,6 +51,7 @@
                 statements,
                 silences,
                 eras,
+                parts,
             )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from catkinshunt import http1
+from standins.soak import _parts
 from standins.soak import _platform
 from standins.soak import _records
 
@@ -51,7 +52,9 @@
     def _leaves(self):
         return self.random.random() < LEAVE_SHARE
 
-    async def ask(self, kind, content=b'hi', key=None, leaves=False):
+    async def ask(
+        self, kind, content=b'hi', key=None, leaves=False, prompt=''
+    ):
         """Make one try; return its `Answer`."""
         self._count += 1
         pool = self.random.choice(self.pools)
@@ -62,6 +65,7 @@
             self.clock(),
             content=content,
             entry=pool.host,
+            prompt=prompt,
         )
         self.records.add_answer(answer)
         limit_s = 0.1 if leaves else DEADLINE_S + 1.0
@@ -102,6 +106,8 @@
         if answer.kind == 'chat':
             items.append(('Model', _platform.MODEL))
             items.append(('Token-Counts', '100,30'))
+        if answer.prompt:
+            items.append(('Prompt-Prefix', answer.prompt))
         first = f'POST /{answer.kind}/1 HTTP/1.1'
         return http1.dump_head(first, items), answer.content
 
@@ -129,6 +135,38 @@
                 await asyncio.sleep(self.random.uniform(*AGAIN_S))
 
 
+class PromptCaller(Caller):
+    """Sends requests of which no two are alike, with shared parts.
+
+    Attributes:
+        crashes: whether they have the crashing part.
+    """
+
+    crashes = False
+
+    async def run(self, until):
+        """Send requests until a time on the clock."""
+        if self.crashes:
+            await asyncio.sleep(self.random.uniform(*_parts.BEGIN_S))
+        while self.clock() < until:
+            await self.ask(
+                'chat',
+                f'{self.name} {self._count}'.encode(),
+                leaves=not self.crashes and self._leaves(),
+                prompt=self._make_prompt(),
+            )
+            bounds = AGAIN_S if self.crashes else (0.0, 0.1)
+            await asyncio.sleep(self.random.uniform(*bounds))
+
+    def _make_prompt(self):
+        second = _parts.CRASHING_PART
+        if not self.crashes:
+            second = self.random.choice(_parts.SECOND_PARTS)
+        last = f'{self.random.getrandbits(32):08x}'
+        first = self.random.choice(_parts.FIRST_PARTS)
+        return _parts.dump_prompt((first, second, last))
+
+
 async def _read(conn, answer, clock):
     """Read a reply into `answer`; return whether it is whole."""
     body = b''
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -14,6 +14,7 @@
 from catkinshunt import notifier
 from standins import rate_rule
 from standins.soak import _cuts
+from standins.soak import _parts
 from standins.soak import _records
 from standins.soak import _silences
 
@@ -30,6 +31,8 @@
 END_S = 0.05
 #: Ways of a run to crash: before its head, or in place of an event.
 CRASH_WAYS = 3
+#: Seconds that the parts of a prompt take, and ways of a run to crash on one.
+PREFILL_S, PART_CRASH_WAYS = 0.1, 2
 
 
 def chunk(version, index):
@@ -430,6 +433,11 @@
             crash_at = None
             if req.body == CRASHING:
                 crash_at = len(self.records.crashes) % CRASH_WAYS
+            prompt = req.headers.get('Prompt-Prefix', '')
+            if prompt:
+                await asyncio.sleep(PREFILL_S)
+            if _parts.has_crashing_part(prompt):
+                crash_at = len(self.records.crashes) % PART_CRASH_WAYS
             return await self._stream(conn, attempt, items, first, crash_at)
         finally:
             self._running.discard(request)
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -7,6 +7,7 @@
 from standins import rate_rule
 from standins.soak import _cuts
 from standins.soak import _departures
+from standins.soak import _parts
 from standins import statement_rules
 
 #: Seconds beyond a bound that a run on a busy machine may need to be seen.
@@ -33,6 +34,7 @@
         headed_at: when the head of the reply arrived.
         leaving: upstream that says in the reply that it leaves, or ''.
         gave_up: whether the caller left before the answer.
+        prompt: header that names the parts of the prompt, or ''.
     """
 
     request: str
@@ -49,11 +51,12 @@
     headed_at: float = 0.0
     leaving: str = ''
     gave_up: bool = False
+    prompt: str = ''
 
     @property
     def identity(self):
         """What all tries of the same request have in common."""
-        return self.kind, self.key, self.content
+        return self.kind, self.key, self.content, self.prompt
 
     @property
     def whole(self):
@@ -206,6 +209,7 @@
         found += self._check_back_offs()
         found += self._check_crashes()
         found += self._check_bystanders()
+        found += self._check_parts()
         found += [
             f'{upstream} loaded chunks of versions {sorted(versions)}'
             for upstream, versions in self.loads
@@ -438,8 +442,46 @@
             identity
             for identity in beside - self._crash_times().keys()
             if identity[1] not in self.revoked
+            and not _parts.has_crashing_part(identity[3])
         )
 
+    def _check_parts(self):
+        """Return whether a part crashes engines on, or sound ones suffer."""
+        prompts = {a.request: a.prompt for a in self.answers}
+
+        def has_part(request):
+            return _parts.has_crashing_part(prompts.get(request, ''))
+
+        def is_excused(run):
+            entry = self.entry_of(run.request)
+            spans = self.interruptions[entry] + self.disruptions[entry]
+            return _departures.overlaps(spans, run.at - CONTACT_S, run.at)
+
+        times = sorted(c.at for c in self.crashes if has_part(c.request))
+        late = _parts.find_late_runs(
+            times,
+            [run for run in self.runs if has_part(run.request)],
+            CONTACT_S + SLACK_S,
+            is_excused,
+        )
+        if late is not None and late.count > MOST_LATE_RUNS:
+            yield (
+                f'{late.count} requests with one part reached engines up to '
+                f'{late.after_s:.2f} s after it was known to have crashed '
+                f'{_parts.MOST_CRASHES}; it crashed {len(times)}'
+            )
+        shares = _parts.find_served_shares(
+            times,
+            self.answers,
+            {run.request for run in self.runs},
+            lambda key: key not in self.revoked,
+        )
+        if shares is not None and shares[0] < _parts.SERVED_SHARE * shares[1]:
+            yield (
+                f'{shares[0]:.0%} of the sound requests beside those with a '
+                f'crashing part began to run, {shares[1]:.0%} of the others'
+            )
+
     def _check_bystanders(self):
         if self.crashes and self.back_at is None:
             yield 'no new request was served after the last crash'
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -1,6 +1,7 @@
 """Starts everything, lets faults come in series, and checks."""
 
 import asyncio
+import functools
 import itertools
 import os
 import pathlib
@@ -12,6 +13,7 @@
 from standins.soak import _callers
 from standins.soak import _era
 from standins.soak import _limits
+from standins.soak import _parts
 from standins.soak import _platform
 from standins.soak import _processes
 from standins.soak import _proxy
@@ -69,12 +71,13 @@
         silences: whether upstreams may fall silent.
         eras: whether the store may go back to a copy, and upstreams leave
             around it.
+        parts: whether a part of prompts crashes engines.
     """
 
     def __init__(
         self, folder, seed=1, entries=2, sidecars=4, callers=6,
         crashes=CRASHES, limits=True, statements=True, silences=False,
-        eras=False,
+        eras=False, parts=False,
     ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
@@ -84,11 +87,13 @@
         self.statements = statements
         self.silences = silences
         self.eras = eras
+        self.parts = parts
         # Of their own, so that the faults of a seed stay the same.
         self.limit_random = random.Random(f'limits {seed}')
         self.statement_random = random.Random(f'statements {seed}')
         self.silence_random = random.Random(f'silences {seed}')
         self.era_random = random.Random(f'eras {seed}')
+        self.part_random = random.Random(f'parts {seed}')
         is_quiet = silences and self.silence_random.random() < QUIET_SHARE
         is_quiet |= eras and self.era_random.random() < QUIET_SHARE
         self.pause_s = QUIET_PAUSE_S if is_quiet else PAUSE_S
@@ -134,11 +139,30 @@
             work.append(self._make_silence_changes().run(until - FAULT_S))
         if self.eras:
             work.append(self._make_drills().run(until - FAULT_S))
+        if self.parts:
+            work += [c.run(until) for c in self._make_prompt_callers()]
         await asyncio.gather(*work, self._harm(until - FAULT_S))
         await asyncio.gather(*self.repeating)
         if self.records.crashes:
             await self._recover()
 
+    def _make_prompt_callers(self):
+        crashing = [True] * _parts.CRASHING_CALLERS
+        for number, crashes in enumerate(
+            crashing + [False] * _parts.SOUND_CALLERS
+        ):
+            chance = random.Random(self.part_random.random())
+            caller = _callers.PromptCaller(
+                f'{"b" if crashes else "s"}{number}',
+                [http1.Pool(h, FRONT_PORT, self.clock) for h in self.fronts],
+                self.records,
+                functools.partial(chance.choice, _parts.KEYS),
+                chance,
+                self.clock,
+            )
+            caller.crashes = crashes
+            yield caller
+
     def _make_limit_changes(self):
         return _limits.LimitChanges(
             self.upstreams, self._restart, self.limit_random, self.clock
@@ -236,8 +260,9 @@
             await asyncio.sleep(_platform.EVENT_S)
         self.records.back_at = self.clock()
         for identity in self.records.find_bystanders():
-            kind, key, content = identity
-            await self.random.choice(askers).ask(kind, content, key)
+            kind, key, content, prompt = identity
+            asker = self.random.choice(askers)
+            await asker.ask(kind, content, key, prompt=prompt)
 
     async def _stir(self):
         """Change the store again and again.
@@ -377,11 +402,18 @@
                     {'name': 'desk'},
                     {'name': 'origin', 'origin': origin, 'max_conns': 30},
                 ],
-                'tenants': [{'name': 't', 'api_keys': list(self.keys)}],
+                'tenants': [
+                    {'name': 't', 'api_keys': list(self.keys)},
+                    *self._prompt_accounts(),
+                ],
                 'limits': {'idle_timeout_ms': 5000},
             },
         )
 
+    def _prompt_accounts(self):
+        keys = _parts.KEYS if self.parts else ()
+        return [{'name': f't-{key}', 'api_keys': [key]} for key in keys]
+
     async def _until_ready(self):
         async with asyncio.timeout(30):
             for host in self.fronts:
