Keep suspects with two crashes in the store

A request that crashes its engines began to count anew when all entries ended at the same time, or one had started while the store could not be read: engines crashed under it up to six times more after the third crash was due to be known, with all streams that they had.

Entries tell each other of crashes; the store had only what is quarantined. Reminders and questions at the start were ruled out: there is nobody to ask.

From its second crash on a suspect has a key now, written at once by two entries, under a lease that ends 20 s after the last crash. It holds the crashes with the other suspects of each, since alone it would be the only one to blame. An entry restores it in its first read; ages go on by the wall clock, and a time that cannot be true restores nothing. A key is removed when the request completes; one that is quarantined keeps it, as the entries may end before the key of the quarantine is written.

`test_third_crash_counts_as_the_third_though_all_entries_ended` fails without the restored crashes.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -785,6 +785,18 @@
         'if is_repeated:',
         'if False:',
     ),
+    Mutation(
+        'suspects-kept-in-the-store',
+        'catkinshunt/platform/_cache_updater.py',
+        'elif first and item.key.startswith(',
+        'elif False and item.key.startswith(',
+    ),
+    Mutation(
+        'suspects-cost-few-writes',
+        'catkinshunt/platform/_suspect_publisher.py',
+        'return spent < MAX_WRITES\n',
+        'return True\n',
+    ),
     Mutation(
         'lost-keys-are-written-again',
         'catkinshunt/platform/_quarantine_publisher.py',
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -4,6 +4,9 @@
 from catkinshunt.platform import _documents
 from catkinshunt import quarantine
 
+#: Seconds by which the Unix times of two machines may differ.
+MAX_CLOCK_SKEW_S = 1.0
+
 _log = logs.get_logger('store')
 
 
@@ -96,6 +99,52 @@
     quarantined.add(fingerprint, min(for_s, quarantine.QUARANTINE_S), now)
 
 
+def apply_suspect(item, quarantined, now, unix_time):
+    """Record the crashes of a suspect that the item of its key holds.
+
+    The wall clock gives the time since the item was written. If that can't be
+    true, a clock was set, and nothing is recorded: a crash that other entries
+    report with another time would count twice.
+
+    Args:
+        item: `Item` of the suspect's key.
+        quarantined: `quarantine.Quarantine`.
+        now: seconds on the clock of the quarantine.
+        unix_time: present Unix time in seconds.
+    """
+    if item.value is None:
+        return
+    try:
+        written_at, reports = _documents.parse_suspect(item.value)
+    except _documents.InvalidDocumentError as exc:
+        _log.warning('Ignored the invalid item {}: {}.', item.key, exc)
+        return
+    elapsed_s = unix_time - written_at
+    max_s = _documents.SUSPECT_LEASE_S + MAX_CLOCK_SKEW_S
+    if not -MAX_CLOCK_SKEW_S <= elapsed_s <= max_s:
+        _log.warning(
+            'Ignored the item {}: it was written {:.1f} s ago by the clock of'
+            ' this machine.',
+            item.key,
+            elapsed_s,
+        )
+        return
+    for report in reports:
+        ago_s = report.ago_s + max(0.0, elapsed_s)
+        quarantined.record_crash(
+            report.upstream,
+            report.run_s,
+            report.service_size,
+            now - ago_s,
+            now,
+        )
+    _log.info(
+        'Restored {} crashes of the suspect {}.',
+        len(reports),
+        item.key.removeprefix(_documents.SUSPECT_PREFIX),
+    )
+
+
 def parse_location_or_none(item):
     """Return the `catalog.EntryLocation` of an entry's item, or None.
 
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 
 from catkinshunt import errors
 from catkinshunt import logs
@@ -53,6 +54,7 @@
         record_leave: function of the `catalog.Upstream.key` of an upstream
             that is known as leaving while the store lists it as ready.
         heartbeat_s: seconds between two heartbeats of an upstream.
+        unix_time: returns the Unix time in seconds.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         eras=None,
         record_leave=lambda key: None,
         heartbeat_s=1.0,
+        unix_time=time.time,
     ):
         self.source = source
         self.catalog = catalog
@@ -76,6 +79,7 @@
         self.eras = eras or _era.EraMonitor()
         self.record_leave = record_leave
         self.heartbeat_s = heartbeat_s
+        self.unix_time = unix_time
         # What was known before a change of the era and is missing since, with
         # the times until which it is kept.
         self._kept_entries = {}
@@ -139,6 +143,11 @@
                 _apply.apply_quarantine(
                     item, self.quarantined, self.boottime()
                 )
+            elif first and item.key.startswith(_documents.SUSPECT_PREFIX):
+                # Later the other entries tell of crashes themselves.
+                _apply.apply_suspect(
+                    item, self.quarantined, self.boottime(), self.unix_time()
+                )
         # The store does not record when a version was announced. On the first
         # read that may be long ago, so the version counts as due at once;
         # later, it is not before the last time at which the cached state was
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -7,9 +7,11 @@
 
 from catkinshunt import catalog
 from catkinshunt import checks
+from catkinshunt import datagrams
 from catkinshunt import http1
 from catkinshunt.platform import _route_texts
 from catkinshunt.platform import _settings
+from catkinshunt import quarantine
 from catkinshunt import rules
 from catkinshunt import spread
 
@@ -19,7 +21,7 @@
 #: Each upstream lists itself below this prefix.
 UPSTREAM_PREFIX = 'servers/'
 #: Keys that the system writes itself: one per live entry, per pending version,
-#: per quarantined request, and one for the origin of weights.
+#: per quarantined request, per suspect, and one for the origin of weights.
 SYSTEM_PREFIX = 'catkinshunt/'
 #: Prefixes that an entry watches.
 WATCHED_PREFIXES = (OPERATOR_PREFIX, UPSTREAM_PREFIX, SYSTEM_PREFIX)
@@ -28,6 +30,10 @@
 #: due, no request may begin on an older one.
 PENDING_PREFIX = SYSTEM_PREFIX + 'pending/'
 QUARANTINE_PREFIX = SYSTEM_PREFIX + 'quarantine/'
+SUSPECT_PREFIX = SYSTEM_PREFIX + 'suspects/'
+#: Seconds from its last crash to the end of the lease of a suspect's key. A
+#: suspect that has to pause comes again earlier.
+SUSPECT_LEASE_S = 20.0
 ORIGIN_KEY = SYSTEM_PREFIX + 'origin'
 _STATES = ('ready', 'draining')
 _MS = 1000.0
@@ -78,6 +84,47 @@
     return for_s
 
 
+def suspect_key(suspect):
+    """Return the key with the crashes of a suspected request."""
+    return SUSPECT_PREFIX + suspect
+
+
+def dump_suspect(reports, unix_time):
+    """Return the value with the crashes of a suspect.
+
+    Args:
+        reports: `quarantine.CrashReport` objects; their ages hold now.
+        unix_time: present Unix time in seconds.
+    """
+    crashes = [json.loads(quarantine.dump(report)) for report in reports]
+    document = {'written_at': unix_time, 'crashes': crashes}
+    return json.dumps(document).encode()
+
+
+def parse_suspect(value):
+    """Return the Unix time of writing and the `quarantine.CrashReport`s.
+
+    Raises:
+        InvalidDocumentError: the value has no valid time or crashes.
+    """
+    document = parse_object(value)
+    written_at = document.get('written_at')
+    if isinstance(written_at, bool) or not isinstance(
+        written_at, (int, float)
+    ):
+        raise InvalidDocumentError(f'written_at is {written_at!r}')
+    crashes = document.get('crashes')
+    if not isinstance(crashes, list):
+        raise InvalidDocumentError('crashes is not a list')
+    try:
+        found = [quarantine.load(json.dumps(row).encode()) for row in crashes]
+    except datagrams.DecodeError as exc:
+        raise InvalidDocumentError(f'crashes: {exc}') from exc
+    if not all(isinstance(each, quarantine.CrashReport) for each in found):
+        raise InvalidDocumentError('crashes has another message')
+    return written_at, found
+
+
 def dump_location(location):
     """Return the value of an entry's key for a `catalog.EntryLocation`."""
     return json.dumps(
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import time
 
 from catkinshunt import availability
 from catkinshunt import catalog as catalogs
@@ -22,6 +23,7 @@
 from catkinshunt.platform import _quarantine_publisher
 from catkinshunt.platform import _registration
 from catkinshunt.platform import _signals
+from catkinshunt.platform import _suspect_publisher
 from catkinshunt import quarantine
 from catkinshunt import rate_limits
 from catkinshunt import retries
@@ -109,6 +111,14 @@
     quarantined = _quarantine_publisher.QuarantinePublisher(
         client, gossip.quarantine, live_entries, cfg.name, _clocks.boottime
     )
+    suspects = _suspect_publisher.SuspectPublisher(
+        client,
+        gossip.quarantine,
+        live_entries,
+        cfg.name,
+        _clocks.boottime,
+        time.time,
+    )
     tasks = [
         asyncio.ensure_future(work)
         for work in (
@@ -121,6 +131,7 @@
             limit_gossip.run(),
             leave_gossip.run(),
             quarantined.run(),
+            suspects.run(),
             _update_retry_burst(cfg, context, live_entries),
             _evict_gone_upstreams(context),
         )
@@ -301,7 +312,7 @@
 def make_gossip(cfg, live_entries, random):
     """Return the `quarantine.Gossip` of an entry."""
     return quarantine.Gossip(
-        quarantine.Quarantine(),
+        _suspect_publisher.ObservedQuarantine(),
         live_entries,
         cfg.name,
         _process.gossip_port(cfg),
--- /dev/null
+++ b/catkinshunt/platform/_suspect_publisher.py
@@ -0,0 +1,229 @@
+"""Publishes suspects in the store, for entries that start later."""
+
+import asyncio
+import collections
+import contextlib
+
+import attrs
+
+from catkinshunt import errors
+from catkinshunt import logs
+from catkinshunt import notifier
+from catkinshunt.platform import _documents
+from catkinshunt import quarantine
+from catkinshunt import rendezvous
+
+#: Entries that write the key of a suspect, so that one of them may fail.
+WRITER_COUNT = 2
+#: Seconds between two checks for suspects that have been cleared.
+CHECK_PERIOD_S = 0.5
+#: Seconds from a write to one that only drops requests which have completed.
+REWRITE_DELAY_S = 1.0
+#: Shortest lease that is worth two calls.
+MIN_LEASE_S = 1.0
+#: Most suspects with a key at a time. Where a rack ends, many requests are at
+#: two of its crashes, and nearly all of them complete soon.
+MAX_SUSPECTS = 4
+#: Most crashes of a suspect, and most requests of each, in its key.
+MAX_CRASHES, MAX_REQUESTS = 8, 24
+#: Most writes of one entry within this time in seconds; the ones that only
+#: drop requests get half of them.
+MAX_WRITES, WRITE_WINDOW_S = 8, 10.0
+
+_log = logs.get_logger('quarantine')
+
+
+class ObservedQuarantine(quarantine.Quarantine):
+    """A quarantine that wakes a task at each new crash.
+
+    Attributes:
+        news_count: reports with something new so far.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.news_count = 0
+        self._news = notifier.Notifier()
+
+    def record_crash(self, *args, **kwargs):
+        """See `quarantine.Quarantine.record_crash`."""
+        new = super().record_crash(*args, **kwargs)
+        if new:
+            self.news_count += 1
+            self._news.notify_all()
+        return new
+
+    async def wait_for_news(self, count):
+        """Wait until `news_count` is not `count` any more."""
+        while self.news_count == count:
+            await self._news.wait()
+
+
+@attrs.frozen
+class _Published:
+    """What the key of a suspect says.
+
+    Attributes:
+        last_crash_at: time of the latest crash in it.
+        content: upstream, time and requests of each crash.
+        at: when it was written.
+    """
+
+    last_crash_at: float
+    content: tuple
+    at: float
+
+
+class SuspectPublisher:
+    """Writes a key for each request that was at two crashes or more.
+
+    Entries exchange suspects by gossip. If all of them restarted at the same
+    time, the request would have to crash the same number of upstreams again.
+    An entry that starts restores the crashes (`_apply.apply_suspect`). The key
+    is bound to a lease, and removed earlier if the request completes.
+
+    Args:
+        client: `StoreClient`.
+        quarantined: `ObservedQuarantine` of this entry.
+        live_entries: `catalog.LiveEntries`.
+        name: name of this entry.
+        boottime: returns seconds on the clock of the quarantine.
+        unix_time: returns the Unix time in seconds.
+    """
+
+    def __init__(
+        self, client, quarantined, live_entries, name, boottime, unix_time
+    ):
+        self.client = client
+        self.quarantined = quarantined
+        self.live_entries = live_entries
+        self.name = name
+        self.boottime = boottime
+        self.unix_time = unix_time
+        self._published = {}
+        self._written_at = collections.deque(maxlen=MAX_WRITES)
+        self._changes = client.eras.changes
+
+    async def run(self):
+        """Write keys until cancelled."""
+        outage = logs.OutageLogger(
+            _log,
+            'Publishing the suspected requests failed: {}.',
+            'The suspected requests are published.',
+        )
+        while True:
+            news_count = self.quarantined.news_count
+            try:
+                await self._publish_new()
+                outage.end()
+            except errors.StoreError as exc:
+                outage.begin(exc)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_PERIOD_S):
+                    await self.quarantined.wait_for_news(news_count)
+
+    async def _publish_new(self):
+        if self.client.eras.changes != self._changes:
+            self._changes = self.client.eras.changes
+            self._published.clear()
+        suspects = find_lasting_suspects(self.quarantined)
+        await self._remove_cleared(suspects)
+        for suspect, crashes in list(suspects.items())[:MAX_SUSPECTS]:
+            if self._is_due(suspect, crashes) and self._is_writer(suspect):
+                await self._write(suspect, crashes)
+
+    def _is_due(self, suspect, crashes):
+        """Return whether the key of a suspect has to be written now."""
+        now = self.boottime()
+        spent = sum(now - at < WRITE_WINDOW_S for at in self._written_at)
+        before = self._published.get(suspect)
+        if before is None or crashes[-1][0].at > before.last_crash_at:
+            return spent < MAX_WRITES
+        return (
+            spent < MAX_WRITES // 2
+            and now - before.at >= REWRITE_DELAY_S
+            and _content(crashes) != before.content
+        )
+
+    def _is_writer(self, suspect):
+        names = sorted({*self.live_entries.names(), self.name})
+        return self.name in rendezvous.rank(suspect, names)[:WRITER_COUNT]
+
+    async def _write(self, suspect, crashes):
+        now = self.boottime()
+        last_at = crashes[-1][0].at
+        lease_s = _documents.SUSPECT_LEASE_S - (now - last_at)
+        if lease_s < MIN_LEASE_S:
+            return
+        self._written_at.append(now)
+        lease = await self.client.grant_lease(lease_s)
+        reports = [
+            report
+            for crash, run_s in crashes
+            for report in quarantine.split_crash_report(
+                crash.upstream,
+                run_s,
+                crash.service_size,
+                self.boottime() - crash.at,
+            )
+        ]
+        value = _documents.dump_suspect(reports, self.unix_time())
+        await self.client.write(_documents.suspect_key(suspect), value, lease)
+        self._published[suspect] = _Published(last_at, _content(crashes), now)
+
+    async def _remove_cleared(self, suspects):
+        now = self.boottime()
+        for suspect, published in list(self._published.items()):
+            ends_at = published.last_crash_at + _documents.SUSPECT_LEASE_S
+            # Entries may end before the key of a quarantined one is written.
+            is_cleared = (
+                suspect not in suspects
+                and self.quarantined.remaining_s(suspect, now) == 0
+            )
+            if is_cleared and now < ends_at:
+                await self.client.remove(_documents.suspect_key(suspect))
+            if suspect not in suspects or now >= ends_at:
+                del self._published[suspect]
+
+
+def find_lasting_suspects(quarantined):
+    """Return the crashes of each request that was at two or more.
+
+    Args:
+        quarantined: `quarantine.Quarantine`.
+
+    Returns:
+        Lists of pairs of a crash and the seconds that its suspects ran, the
+        oldest first, by request; the most suspected request first.
+    """
+    found = collections.defaultdict(list)
+    for crash, run_s in quarantined.unresolved_crashes():
+        for suspect in run_s:
+            found[suspect].append((crash, run_s))
+    lasting = {
+        suspect: [
+            (crash, _select(run_s, suspect, found))
+            for crash, run_s in crashes[-MAX_CRASHES:]
+        ]
+        for suspect, crashes in found.items()
+        if len(crashes) > 1
+    }
+
+    def rank(suspect):
+        longest_s = max(run_s[suspect] for _, run_s in lasting[suspect])
+        return -len(lasting[suspect]), longest_s, suspect
+
+    return {suspect: lasting[suspect] for suspect in sorted(lasting, key=rank)}
+
+
+def _select(run_s, suspect, found):
+    """Return the runs of a suspect and those at the most crashes."""
+    order = sorted(run_s, key=lambda s: (s != suspect, -len(found[s]), s))
+    return {each: run_s[each] for each in order[:MAX_REQUESTS]}
+
+
+def _content(crashes):
+    return tuple(
+        (crash.upstream, crash.at, frozenset(run_s))
+        for crash, run_s in crashes
+    )
