--- a/catkinshunt/quarantine/__init__.py
+++ b/catkinshunt/quarantine/__init__.py
@@ -7,6 +7,7 @@
 from catkinshunt.quarantine._messages import CrashReport
 from catkinshunt.quarantine._messages import dump
 from catkinshunt.quarantine._messages import load
+from catkinshunt.quarantine._messages import PartsCrashReport
 from catkinshunt.quarantine._messages import Quarantined
 from catkinshunt.quarantine._messages import split_crash_report
 from catkinshunt.quarantine._quarantine import EVALUATION_DELAY_S
@@ -22,6 +23,7 @@
     'EVALUATION_DELAY_S',
     'Gossip',
     'Guard',
+    'PartsCrashReport',
     'QUARANTINE_S',
     'Quarantine',
     'Quarantined',
