Keep suspected parts of prompts in the store

Requests that share a crashing part do not come twice, so after a restart of all entries the crashes of the part would count anew: only whole requests were kept. Parts with two crashes get keys like requests, and the kept crashes hold the parts of their requests that have not completed since. Crashes that something quarantined explains are left out.

`test_part_of_requests_outlasts_all_entries` fails without the parts.

--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -131,12 +131,15 @@
         return
     for report in reports:
         ago_s = report.ago_s + max(0.0, elapsed_s)
+        has_parts = isinstance(report, quarantine.PartsCrashReport)
+        parts = report.parts_of if has_parts else None
         quarantined.record_crash(
             report.upstream,
             report.run_s,
             report.service_size,
             now - ago_s,
             now,
+            parts,
         )
     _log.info(
         'Restored {} crashes of the suspect {}.',
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -93,7 +93,8 @@
     """Return the value with the crashes of a suspect.
 
     Args:
-        reports: `quarantine.CrashReport` objects; their ages hold now.
+        reports: messages of `quarantine.split_crash_report`; their ages hold
+            now.
         unix_time: present Unix time in seconds.
     """
     crashes = [json.loads(quarantine.dump(report)) for report in reports]
@@ -102,7 +103,7 @@
 
 
 def parse_suspect(value):
-    """Return the Unix time of writing and the `quarantine.CrashReport`s.
+    """Return the Unix time of writing and the messages on the crashes.
 
     Raises:
         InvalidDocumentError: the value has no valid time or crashes.
@@ -120,7 +121,8 @@
         found = [quarantine.load(json.dumps(row).encode()) for row in crashes]
     except datagrams.DecodeError as exc:
         raise InvalidDocumentError(f'crashes: {exc}') from exc
-    if not all(isinstance(each, quarantine.CrashReport) for each in found):
+    kinds = (quarantine.CrashReport, quarantine.PartsCrashReport)
+    if not all(isinstance(each, kinds) for each in found):
         raise InvalidDocumentError('crashes has another message')
     return written_at, found
 
--- a/catkinshunt/platform/_suspect_publisher.py
+++ b/catkinshunt/platform/_suspect_publisher.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 
 import attrs
 
@@ -65,7 +66,7 @@
 
     Attributes:
         last_crash_at: time of the latest crash in it.
-        content: upstream, time and requests of each crash.
+        content: upstream, time and suspects of each crash.
         at: when it was written.
     """
 
@@ -75,7 +76,7 @@
 
 
 class SuspectPublisher:
-    """Writes a key for each request that was at two crashes or more.
+    """Writes a key for each request or part at two crashes or more.
 
     Entries exchange suspects by gossip. If all of them restarted at the same
     time, the request would have to crash the same number of upstreams again.
@@ -128,30 +129,30 @@
             self._published.clear()
         suspects = find_lasting_suspects(self.quarantined)
         await self._remove_cleared(suspects)
-        for suspect, crashes in list(suspects.items())[:MAX_SUSPECTS]:
-            if self._is_due(suspect, crashes) and self._is_writer(suspect):
-                await self._write(suspect, crashes)
+        for suspect, found in list(suspects.items())[:MAX_SUSPECTS]:
+            if self._is_due(suspect, found) and self._is_writer(suspect):
+                await self._write(suspect, found)
 
-    def _is_due(self, suspect, crashes):
+    def _is_due(self, suspect, found):
         """Return whether the key of a suspect has to be written now."""
         now = self.boottime()
         spent = sum(now - at < WRITE_WINDOW_S for at in self._written_at)
         before = self._published.get(suspect)
-        if before is None or crashes[-1][0].at > before.last_crash_at:
+        if before is None or found[-1].crash.at > before.last_crash_at:
             return spent < MAX_WRITES
         return (
             spent < MAX_WRITES // 2
             and now - before.at >= REWRITE_DELAY_S
-            and _content(crashes) != before.content
+            and _content(found) != before.content
         )
 
     def _is_writer(self, suspect):
         names = sorted({*self.live_entries.names(), self.name})
         return self.name in rendezvous.rank(suspect, names)[:WRITER_COUNT]
 
-    async def _write(self, suspect, crashes):
+    async def _write(self, suspect, found):
         now = self.boottime()
-        last_at = crashes[-1][0].at
+        last_at = found[-1].crash.at
         lease_s = _documents.SUSPECT_LEASE_S - (now - last_at)
         if lease_s < MIN_LEASE_S:
             return
@@ -159,17 +160,18 @@
         lease = await self.client.grant_lease(lease_s)
         reports = [
             report
-            for crash, run_s in crashes
+            for each in found
             for report in quarantine.split_crash_report(
-                crash.upstream,
-                run_s,
-                crash.service_size,
-                self.boottime() - crash.at,
+                each.crash.upstream,
+                each.run_s,
+                each.crash.service_size,
+                self.boottime() - each.crash.at,
+                each.parts,
             )
         ]
         value = _documents.dump_suspect(reports, self.unix_time())
         await self.client.write(_documents.suspect_key(suspect), value, lease)
-        self._published[suspect] = _Published(last_at, _content(crashes), now)
+        self._published[suspect] = _Published(last_at, _content(found), now)
 
     async def _remove_cleared(self, suspects):
         now = self.boottime()
@@ -186,44 +188,96 @@
                 del self._published[suspect]
 
 
+@attrs.frozen
+class _CrashEvidence:
+    """What remains of a crash as evidence.
+
+    Attributes:
+        crash: the crash.
+        run_s: seconds of the runs of its suspects.
+        parts: parts of each of them that have not completed since.
+    """
+
+    crash: object
+    run_s: dict
+    parts: dict
+
+    @property
+    def traits(self):
+        """The suspected requests and parts, as a set."""
+        return {*self.run_s, *itertools.chain(*self.parts.values())}
+
+
 def find_lasting_suspects(quarantined):
-    """Return the crashes of each request that was at two or more.
+    """Return the evidence against each trait that was at two crashes or more.
 
     Args:
         quarantined: `quarantine.Quarantine`.
 
     Returns:
-        Lists of pairs of a crash and the seconds that its suspects ran, the
-        oldest first, by request; the most suspected request first.
+        Lists of `_CrashEvidence`, the oldest first, by trait; the most
+        suspected one first.
     """
     found = collections.defaultdict(list)
     for crash, run_s in quarantined.unresolved_crashes():
-        for suspect in run_s:
-            found[suspect].append((crash, run_s))
-    lasting = {
-        suspect: [
-            (crash, _select(run_s, suspect, found))
-            for crash, run_s in crashes[-MAX_CRASHES:]
+        if crash.is_explained:
+            continue
+        parts = {
+            request: tuple(
+                p for p in crash.parts[request] if p not in crash.cleared
+            )
+            for request in run_s
+            if request in crash.parts
+        }
+        evidence = _CrashEvidence(crash, run_s, parts)
+        for trait in evidence.traits:
+            found[trait].append(evidence)
+    counts = {trait: len(each) for trait, each in found.items()}
+
+    def rank(trait):
+        longest_s = max(e.crash.longest_run_s(trait) for e in found[trait])
+        return -counts[trait], longest_s, trait
+
+    lasting = [
+        trait
+        for trait in found
+        if counts[trait] > 1 and quarantined.is_isolated(trait)
+    ]
+    return {
+        trait: [
+            _select(each, trait, counts)
+            for each in found[trait][-MAX_CRASHES:]
         ]
-        for suspect, crashes in found.items()
-        if len(crashes) > 1
+        for trait in sorted(lasting, key=rank)
     }
 
-    def rank(suspect):
-        longest_s = max(run_s[suspect] for _, run_s in lasting[suspect])
-        return -len(lasting[suspect]), longest_s, suspect
 
-    return {suspect: lasting[suspect] for suspect in sorted(lasting, key=rank)}
+def _select(evidence, trait, counts):
+    """Return evidence of `MAX_REQUESTS` requests at most.
 
-
-def _select(run_s, suspect, found):
-    """Return the runs of a suspect and those at the most crashes."""
-    order = sorted(run_s, key=lambda s: (s != suspect, -len(found[s]), s))
-    return {each: run_s[each] for each in order[:MAX_REQUESTS]}
+    Those with the trait come first, then those at the most crashes.
+    """
+    if len(evidence.run_s) <= MAX_REQUESTS:
+        return evidence
+
+    def rank(request):
+        own = {request, *evidence.parts.get(request, ())}
+        return trait not in own, -max(counts[each] for each in own), request
+
+    kept = sorted(evidence.run_s, key=rank)[:MAX_REQUESTS]
+    return _CrashEvidence(
+        evidence.crash,
+        {each: evidence.run_s[each] for each in kept},
+        {
+            each: evidence.parts[each]
+            for each in kept
+            if each in evidence.parts
+        },
+    )
 
 
-def _content(crashes):
+def _content(found):
     return tuple(
-        (crash.upstream, crash.at, frozenset(run_s))
-        for crash, run_s in crashes
+        (each.crash.upstream, each.crash.at, frozenset(each.traits))
+        for each in found
     )
--- a/catkinshunt/platform/tests/test_suspect_publisher.py
+++ b/catkinshunt/platform/tests/test_suspect_publisher.py
@@ -40,12 +40,12 @@
             task.cancel()
 
 
-def crash(found, upstream, requests=(CAUSE,), ago_s=0.0):
+def crash(found, upstream, requests=(CAUSE,), ago_s=0.0, parts=None):
     """Let all entries record that an upstream crashed under requests."""
     now = asyncio.get_running_loop().time()
     for quarantined in found:
         run_s = dict.fromkeys(requests, 0.1)
-        quarantined.record_crash(upstream, run_s, 4, now - ago_s, now)
+        quarantined.record_crash(upstream, run_s, 4, now - ago_s, now, parts)
 
 
 def test_third_crash_counts_as_the_third_though_all_entries_ended():
@@ -78,6 +78,33 @@
         assert count == 3
 
 
+def test_part_of_requests_outlasts_all_entries():
+    """No request with it comes twice, so the part alone is known."""
+    part, other = 'c' * 32, 'd' * 32
+
+    async def main():
+        region = regions.Region(count=2)
+        async with publishing(region.store, NAMES[:2]) as found:
+            crash(found, 'one', ['1'], 4.0, {'1': (part, other)})
+            crash(found, 'two', ['2', '3'], 2.0, {'2': (part,)})
+            key = _documents.suspect_key(part)
+            await fakes.wait_until(lambda: key in region.store.items)
+            assert _documents.suspect_key(other) not in region.store.items
+        async with region.running():
+            return [
+                [
+                    each
+                    for each in (part, '3')
+                    if e.quarantined.is_isolated(each)
+                ]
+                for e in region.entries
+            ], region.entries[0].quarantined.is_suspect('3')
+
+    isolated, is_suspect = asyncio.run(main())
+    assert isolated == [['c' * 32]] * 2
+    assert is_suspect
+
+
 def test_second_crash_is_written_at_once(monkeypatch):
     """All entries may end before the next check."""
     monkeypatch.setattr(_suspect_publisher, 'CHECK_PERIOD_S', 60.0)
