--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -35,6 +35,7 @@
         leaving: upstream that says in the reply that it leaves, or ''.
         gave_up: whether the caller left before the answer.
         prompt: header that names the parts of the prompt, or ''.
+        is_first: whether it is the first try of the request.
     """
 
     request: str
@@ -52,6 +53,7 @@
     leaving: str = ''
     gave_up: bool = False
     prompt: str = ''
+    is_first: bool = True
 
     @property
     def identity(self):
