--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from catkinshunt import http1
+from standins.soak import _parts
 from standins.soak import _platform
 from standins.soak import _records
 
@@ -41,17 +42,24 @@
         """Send requests until a time on the clock."""
         while self.clock() < until:
             kind = self.random.choice(('chat', 'chat', 'book'))
-            for _ in range(MOST_TRIES):
-                answer = await self.ask(kind, leaves=self._leaves())
-                if answer.again_s is None:
-                    break
-                await asyncio.sleep(min(answer.again_s, 2.0))
+            await self._ask_twice(kind)
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
 
+    async def _ask_twice(self, kind, **request):
+        """Make a request, and once more if the answer says when."""
+        for number in range(MOST_TRIES):
+            answer = await self.ask(kind, leaves=self._leaves(), **request)
+            answer.is_first = number == 0
+            if answer.again_s is None:
+                break
+            await asyncio.sleep(min(answer.again_s, 2.0))
+
     def _leaves(self):
         return self.random.random() < LEAVE_SHARE
 
-    async def ask(self, kind, content=b'hi', key=None, leaves=False):
+    async def ask(
+        self, kind, content=b'hi', key=None, leaves=False, prompt=''
+    ):
         """Make one try; return its `Answer`."""
         self._count += 1
         pool = self.random.choice(self.pools)
@@ -62,6 +70,7 @@
             self.clock(),
             content=content,
             entry=pool.host,
+            prompt=prompt,
         )
         self.records.add_answer(answer)
         limit_s = 0.1 if leaves else DEADLINE_S + 1.0
@@ -102,6 +111,8 @@
         if answer.kind == 'chat':
             items.append(('Model', _platform.MODEL))
             items.append(('Token-Counts', '100,30'))
+        if answer.prompt:
+            items.append(('Prompt-Prefix', answer.prompt))
         first = f'POST /{answer.kind}/1 HTTP/1.1'
         return http1.dump_head(first, items), answer.content
 
@@ -129,6 +140,42 @@
                 await asyncio.sleep(self.random.uniform(*AGAIN_S))
 
 
+class PromptCaller(Caller):
+    """Sends requests of which no two are alike, with shared parts.
+
+    Attributes:
+        crashes: whether they have the crashing part.
+    """
+
+    crashes = False
+    _named = 0
+
+    async def run(self, until):
+        """Send requests until a time on the clock."""
+        if self.crashes:
+            await asyncio.sleep(self.random.uniform(*_parts.BEGIN_S))
+        while self.clock() < until:
+            self._named += 1
+            request = {
+                'content': f'{self.name} {self._named}'.encode(),
+                'prompt': self._make_prompt(),
+            }
+            if self.crashes:
+                await self.ask('chat', **request)
+                await asyncio.sleep(self.random.uniform(*AGAIN_S))
+            else:
+                await self._ask_twice('chat', key=self.keys(), **request)
+                await asyncio.sleep(self.random.uniform(0.0, 0.1))
+
+    def _make_prompt(self):
+        second = _parts.CRASHING_PART
+        if not self.crashes:
+            second = self.random.choice(_parts.SECOND_PARTS)
+        last = f'{self.random.getrandbits(32):08x}'
+        first = self.random.choice(_parts.FIRST_PARTS)
+        return _parts.dump_prompt((first, second, last))
+
+
 async def _read(conn, answer, clock):
     """Read a reply into `answer`; return whether it is whole."""
     body = b''
