Drop crash reports that may have waited through a suspend

Callers of ordinary requests could be refused after a suspend of an entry. It dated a report of a crash by its reading, less the age in it; three seconds late that was another crash, which counted against the same requests once more and was told to the other entries with the wrong age.

The test failed before: the report counted as it was read.

--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -70,14 +70,14 @@
     live_entries = catalogs.LiveEntries()
     context = make_context(cfg, registry, live_entries)
     await context.permit_client.start(cfg.ip)
-    gossip = make_gossip(cfg, live_entries, context.random)
+    wakes = wake_log.WakeLog(_clocks.boottime)
+    gossip = make_gossip(cfg, live_entries, context.random, wakes)
     await gossip.start(cfg.ip)
     context.guard = quarantine.Guard(
         gossip, lambda service: len(context.catalog.members(service))
     )
     limit_gossip = make_rate_limit_gossip(cfg, live_entries, context)
     context.rate_limit_gossip = await limit_gossip.start(cfg.ip)
-    wakes = wake_log.WakeLog(_clocks.boottime)
     leave_gossip = make_leave_gossip(cfg, live_entries, context, wakes)
     context.leave_gossip = await leave_gossip.start(cfg.ip)
     server = await gateway.Gateway(context).start(*cfg.frontend_address)
@@ -312,7 +312,7 @@
     )
 
 
-def make_gossip(cfg, live_entries, random):
+def make_gossip(cfg, live_entries, random, wakes):
     """Return the `quarantine.Gossip` of an entry."""
     return quarantine.Gossip(
         _suspect_publisher.ObservedQuarantine(),
@@ -321,6 +321,7 @@
         _process.gossip_port(cfg),
         _clocks.boottime,
         random,
+        wakes,
     )
 
 
--- a/catkinshunt/quarantine/_gossip.py
+++ b/catkinshunt/quarantine/_gossip.py
@@ -18,6 +18,9 @@
 MAX_ANSWER_CRASHES = 16
 #: Requests for the state of others after the start, as datagrams can be lost.
 STATE_REQUESTS = 3
+#: Seconds for which a report may have waited to be read. It is less than
+#: `SAME_CRASH_S`, as other entries may date the crash differently too.
+MAX_WAIT_S = 0.8
 
 _log = logs.get_logger('quarantine')
 
@@ -32,15 +35,29 @@
         port: gossip port of all entries.
         clock: returns seconds on the clock of the quarantine.
         random: source of random numbers.
+        wake_log: `wake_log.WakeLog` on the same clock, or None if the process
+            is never suspended.
     """
 
-    def __init__(self, quarantine, live_entries, name, port, clock, random):
+    def __init__(
+        self,
+        quarantine,
+        live_entries,
+        name,
+        port,
+        clock,
+        random,
+        wake_log=None,
+    ):
         super().__init__(
             _messages.CODEC, _log, live_entries, name, port, random
         )
         self.quarantine = quarantine
         self.clock = clock
+        self.wake_log = wake_log
         self._timer = None
+        # Whether reports were dropped since the latest request for them.
+        self._must_ask = False
 
     def stop(self):
         """Stop sending and receiving."""
@@ -54,6 +71,9 @@
             await asyncio.sleep(REMINDER_PERIOD_S)
             now = self.clock()
             self.quarantine.expire(now)
+            if self._must_ask and not self._may_be_late(now):
+                self._must_ask = False
+                self._fan_out(_messages.StateRequest())
             if not self.quarantine.is_idle:
                 self._remind_of_quarantined(now)
                 self._remind_of_crashes(now)
@@ -165,7 +185,19 @@
             left_s = min(message.left_s, _quarantine.QUARANTINE_S)
             self.report_quarantine(message.request, left_s)
 
+    def _may_be_late(self, now):
+        """Return whether a report may have waited through a suspend.
+
+        Dated by its reading, it would be taken for another crash.
+        """
+        if self.wake_log is None:
+            return False
+        return self.wake_log.longest_gap_s(now) > MAX_WAIT_S
+
     def _receive_crash(self, report, parts, host):
+        if self._may_be_late(self.clock()):
+            self._must_ask = True
+            return
         traits = dict.fromkeys(report.requests)
         for found in parts.values():
             traits.update(dict.fromkeys(found))
--- a/catkinshunt/quarantine/tests/test_gossip.py
+++ b/catkinshunt/quarantine/tests/test_gossip.py
@@ -7,6 +7,7 @@
 from catkinshunt import quarantine
 from catkinshunt.quarantine import _gossip
 from catkinshunt.quarantine.tests import network
+from catkinshunt import wake_log
 
 #: Required bound, in seconds, for an update to reach all entries.
 PROPAGATION_LIMIT_S = 3.0
@@ -290,3 +291,27 @@
     first = [message for message in sent if 'x' in message.traits]
     assert first[0].traits == ('often', 'x', 'y')
     assert len(sent) <= 2
+
+
+def test_crash_report_read_after_a_suspend_is_no_second_crash():
+    """Dated by its reading, it accused the same requests once more."""
+
+    async def main():
+        async with network.GossipNetwork(2).running() as known:
+            first, late = known.gossips.values()
+            late.wake_log = wake_log.WakeLog(late.clock)
+            first.report_crash('u1', {'a': 0.1}, 3)
+            # The event loop of the other one last ran before the report.
+            late.wake_log.record(late.clock() - 3.0)
+            late.receive(
+                quarantine.CrashReport('u1', ('a',), (100,), 3, 0.0),
+                '127.0.1.1',
+            )
+            dropped = not late.quarantine.is_suspect('a')
+            late.wake_log = None
+            async with asyncio.timeout(5.0):
+                while not late.quarantine.is_suspect('a'):
+                    await asyncio.sleep(0.01)
+            return dropped
+
+    assert asyncio.run(main())
--- a/catkinshunt/wake_log.py
+++ b/catkinshunt/wake_log.py
@@ -52,12 +52,24 @@
 
         Before the first records this is `now`.
         """
-        for before, after in itertools.pairwise((*self._times, now)):
-            if after - before > PERIOD_S + SETTLE_S and (
-                now - after <= RECOVERY_S
-            ):
-                return before
+        for before, _ in self._recent_gaps(now):
+            return before
         for time in reversed(self._times):
             if time <= now - SETTLE_S:
                 return time
         return min(self._times, default=now)
+
+    def longest_gap_s(self, now):
+        """Return the longest time without a record of late, in seconds.
+
+        What is read at `now` may have waited through it.
+        """
+        gaps = self._recent_gaps(now)
+        return max((after - before for before, after in gaps), default=0.0)
+
+    def _recent_gaps(self, now):
+        """Yield pairs of the times before and after each recent gap."""
+        for before, after in itertools.pairwise((*self._times, now)):
+            is_recent = now - after <= RECOVERY_S
+            if is_recent and after - before > PERIOD_S + SETTLE_S:
+                yield before, after
