--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -553,7 +553,6 @@
         return sum(
             not any(
                 other.unexplained >= _suspect.ISOLATION_CRASHES
-                and (other.is_serious or other.is_shared)
                 for other in self._suspects_of(crash)
                 if other is not suspect
             )
