Compare sound requests by key and first part in the soak

Each key and each first part is compared with the others now, from eight first tries on.

`test_refused_sound_requests_are_found` covers both groups.

--- a/standins/soak/_parts.py
+++ b/standins/soak/_parts.py
@@ -23,7 +23,7 @@
 #: Part of the share of other requests that begin to run, which sound requests
 #: with the same account or first part must reach, and the fewest requests of
 #: each kind that are compared.
-SERVED_SHARE, FEWEST_REQUESTS = 0.5, 10
+SERVED_SHARE, FEWEST_REQUESTS = 0.5, 8
 
 
 def dump_prompt(parts):
@@ -80,11 +80,12 @@
         is_valid_key: function of a key.
 
     Returns:
-        Shares of the requests with prompts and of those without, or None if
-        there are too few.
+        Triples of what the requests with prompts have in common, the key or
+        the first part, their share, and that of those without prompts; none
+        for too few.
     """
     if len(crash_times) < MOST_CRASHES:
-        return None
+        return []
     since = crash_times[MOST_CRASHES - 1] + SERVED_AGAIN_S
     until = max(a.sent_at for a in answers if has_crashing_part(a.prompt))
     began = collections.defaultdict(list)
@@ -96,7 +97,18 @@
             and not has_crashing_part(answer.prompt)
             and is_valid_key(answer.key)
         ):
-            began[bool(answer.prompt)].append(answer.request in ran)
-    if min(len(began[True]), len(began[False])) < FEWEST_REQUESTS:
-        return None
-    return tuple(sum(began[k]) / len(began[k]) for k in (True, False))
+            groups = ['']
+            if answer.prompt:
+                first = answer.prompt.partition(':')[0]
+                groups = [f'key {answer.key}', f'first part {first}']
+            for group in groups:
+                began[group].append(answer.request in ran)
+    shares = {
+        group: sum(each) / len(each)
+        for group, each in began.items()
+        if len(each) >= FEWEST_REQUESTS
+    }
+    if '' not in shares:
+        return []
+    other = shares.pop('')
+    return [(group, share, other) for group, share in sorted(shares.items())]
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -472,17 +472,17 @@
                 f'{late.after_s:.2f} s after it was known to have crashed '
                 f'{_parts.MOST_CRASHES}; it crashed {len(times)}'
             )
-        shares = _parts.find_served_shares(
+        for group, share, other in _parts.find_served_shares(
             times,
             self.answers,
             {run.request for run in self.runs},
             lambda key: key not in self.revoked,
-        )
-        if shares is not None and shares[0] < _parts.SERVED_SHARE * shares[1]:
-            yield (
-                f'{shares[0]:.0%} of the sound requests beside those with a '
-                f'crashing part began to run, {shares[1]:.0%} of the others'
-            )
+        ):
+            if share < _parts.SERVED_SHARE * other:
+                yield (
+                    f'{share:.0%} of the sound requests with {group} of a '
+                    f'crashing one began to run, {other:.0%} of the others'
+                )
 
     def _check_bystanders(self):
         if self.crashes and self.back_at is None:
--- a/standins/soak/tests/test_parts.py
+++ b/standins/soak/tests/test_parts.py
@@ -72,15 +72,16 @@
         ({'served': 9}, True),
         ({'served': 10}, False),
         ({'served': 9, 'others': 18}, False),
-        ({'served': 4, 'others': 9, 'tries': 9}, False),
+        ({'served': 1, 'others': 7, 'tries': 7}, False),
         ({'served': 9, 'crashes': 4}, False),
     ],
 )
 def test_refused_sound_requests_are_found(counts, is_broken):
     """A part or an account that all share may be taken for the cause."""
     found = seen_with(**counts).find_broken()
-    assert len(found) == is_broken
-    assert all('45% of the sound requests' in each for each in found)
+    assert len(found) == 2 * is_broken
+    for each, group in zip(found, ('first part 5c1e07a2', 'key k0')):
+        assert f'45% of the sound requests with {group}' in each
 
 
 def test_request_with_the_part_is_no_bystander_of_another_one():
