Bound the value of a suspect in the store by messages

Each write of a suspect goes to all entries. With many own parts in each prompt a value had 92 KB, where eight crashes of 16 requests with 16 parts are kept: the number of requests was bounded and that of their parts not. A value has five crashes with three messages each now, as entries send them to each other, below 20 KB in `test_value_of_requests_with_many_parts_is_short`, which failed before. Requests with the suspected part come first.

--- a/catkinshunt/platform/_suspect_publisher.py
+++ b/catkinshunt/platform/_suspect_publisher.py
@@ -25,8 +25,9 @@
 #: Most suspects with a key at a time. Where a rack ends, many requests are at
 #: two of its crashes, and nearly all of them complete soon.
 MAX_SUSPECTS = 4
-#: Most crashes of a suspect, and most requests of each, in its key.
-MAX_CRASHES, MAX_REQUESTS = 8, 24
+#: Most crashes of a suspect in its key, and most requests and messages of
+#: each. A message has 1.2 KB at most.
+MAX_CRASHES, MAX_REQUESTS, MAX_MESSAGES = 5, 24, 3
 #: Most writes of one entry within this time in seconds; the ones that only
 #: drop requests get half of them.
 MAX_WRITES, WRITE_WINDOW_S = 8, 10.0
@@ -161,12 +162,15 @@
         reports = [
             report
             for each in found
-            for report in quarantine.split_crash_report(
-                each.crash.upstream,
-                each.run_s,
-                each.crash.service_size,
-                self.boottime() - each.crash.at,
-                each.parts,
+            for report in itertools.islice(
+                quarantine.split_crash_report(
+                    each.crash.upstream,
+                    each.run_s,
+                    each.crash.service_size,
+                    self.boottime() - each.crash.at,
+                    each.parts,
+                ),
+                MAX_MESSAGES,
             )
         ]
         value = _documents.dump_suspect(reports, self.unix_time())
@@ -257,8 +261,6 @@
 
     Those with the trait come first, then those at the most crashes.
     """
-    if len(evidence.run_s) <= MAX_REQUESTS:
-        return evidence
 
     def rank(request):
         own = {request, *evidence.parts.get(request, ())}
--- a/catkinshunt/platform/tests/test_suspect_publisher.py
+++ b/catkinshunt/platform/tests/test_suspect_publisher.py
@@ -143,6 +143,28 @@
     assert writes <= 2 * _suspect_publisher.MAX_WRITES
 
 
+def test_value_of_requests_with_many_parts_is_short():
+    """Each write goes to all entries, and a prompt may have many parts."""
+    requests = [f'{number:032x}' for number in range(16)]
+    parts = {
+        request: ('c' * 32, *(f'{request[3:]}{n:03}' for n in range(15)))
+        for request in requests
+    }
+
+    async def main():
+        store = fakes.FakeStore()
+        async with publishing(store) as found:
+            for number in range(8):
+                ago_s = 8.0 - number
+                crash(found, f'{number}', requests, ago_s, parts)
+            await fakes.wait_until(lambda: store.items)
+            # Writes of the last crashes.
+            await asyncio.sleep(0.1)
+            return max(len(each.value) for each in store.items.values())
+
+    assert asyncio.run(main()) < 20_000
+
+
 def test_key_of_a_completed_request_is_removed(monkeypatch):
     """An entry that starts would suspect a sound request."""
     monkeypatch.setattr(_suspect_publisher, 'CHECK_PERIOD_S', 0.01)
