--- a/standins/soak/tests/test_parts.py
+++ b/standins/soak/tests/test_parts.py
@@ -7,11 +7,14 @@
 from standins.soak import _parts
 from standins.soak import _platform
 from standins.soak import _records
+from standins.soak import _soak
 
 BAD = _parts.dump_prompt((_parts.FIRST_PARTS[0], _parts.CRASHING_PART, '1'))
 SOUND = _parts.dump_prompt(
     (_parts.FIRST_PARTS[0], _parts.SECOND_PARTS[0], '2')
 )
+#: Seed and length of a short run.
+SEED, RUN_S = 1, 15.0
 #: A time long after the fifth crash of `seen_with` is known.
 LATE = 9.0
 
@@ -121,3 +124,27 @@
         return [crash.upstream for crash in seen.crashes]
 
     assert asyncio.run(main()) == (['e1'] if crashes else [])
+
+
+def test_short_run_with_a_part_that_crashes_engines_breaks_nothing(tmp_path):
+    """Requests with the part were not alike, and crashed engines for ever."""
+
+    async def main():
+        soak = _soak.Soak(
+            tmp_path, SEED, entries=2, sidecars=4, callers=8, crashes=False,
+            limits=False, statements=False, parts=True,
+        )  # fmt: skip
+        return await soak.run(RUN_S), soak.records
+
+    found, seen = asyncio.run(main())
+    assert found == []
+    crashes = [crash.at for crash in seen.crashes]
+    assert len(crashes) >= 3
+    known_at = crashes[2] + _records.CONTACT_S
+    sent = [
+        answer
+        for answer in seen.answers
+        if _parts.has_crashing_part(answer.prompt)
+        and answer.sent_at > known_at
+    ]
+    assert len(sent) > 5
