Log from when a version's time counts

What callers saw could not be told from the logs: the line of an announced version has no time from which its due time counts, so that a version learned late looks like a request that waited.

--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -36,7 +36,7 @@
     catalog.declare(declaration)
 
 
-def apply_version(item, catalog, announced_after, found=False):
+def apply_version(item, catalog, announced_after, now, found=False):
     """Add the version that the operator announced to the catalog.
 
     Args:
@@ -45,6 +45,7 @@
         announced_after: seconds on the clock of the catalog after which it
             was announced; minus infinity if that may be long ago, which
             makes the version due.
+        now: present time in seconds on the same clock.
         found: the item was found by a read rather than by a watch, so the
             version may have been announced long before that time. Only
             `StoreView.expires_at` uses it.
@@ -56,7 +57,17 @@
     except _documents.InvalidDocumentError as exc:
         _log.error('Ignored the invalid item {}: {}.', item.key, exc)
         return
-    catalog.add_announced_version(model, version, announced_after, found)
+    is_new = catalog.add_announced_version(
+        model, version, announced_after, found
+    )
+    if is_new:
+        # Shows how late it was learned, at most.
+        _log.info(
+            'Version {} of {} counts from {:.2f} s ago.',
+            version,
+            model,
+            now - announced_after,
+        )
 
 
 def apply_pending(item, catalog, now):
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -352,7 +352,9 @@
                 # A large one would hold up the event loop.
                 await asyncio.sleep(0)
         elif item.key.startswith(_documents.VERSION_PREFIX):
-            _apply.apply_version(item, self.catalog, changed_after)
+            _apply.apply_version(
+                item, self.catalog, changed_after, self.boottime()
+            )
         elif item.key.startswith(_documents.UPSTREAM_PREFIX):
             self._apply_upstream(item, changed_after)
         elif item.key.startswith(_documents.ENTRY_PREFIX):
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -110,7 +110,11 @@
                 self.version_grace_s if first else 0
             )
             _apply.apply_version(
-                item, self.catalog, announced_after, found=first
+                item,
+                self.catalog,
+                announced_after,
+                self.boottime(),
+                found=first,
             )
         self._revision = page.revision
         self._has_read = True
