--- a/catkinshunt/quarantine/_gossip.py
+++ b/catkinshunt/quarantine/_gossip.py
@@ -20,7 +20,7 @@
 STATE_REQUESTS = 3
 #: Seconds for which a report may have waited to be read. It is less than
 #: `SAME_CRASH_S`, as other entries may date the crash differently too.
-MAX_WAIT_S = 0.8
+MAX_UNREAD_S = 0.8
 
 _log = logs.get_logger('quarantine')
 
@@ -192,7 +192,7 @@
         """
         if self.wake_log is None:
             return False
-        return self.wake_log.longest_gap_s(now) > MAX_WAIT_S
+        return self.wake_log.longest_gap_s(now) > MAX_UNREAD_S
 
     def _receive_crash(self, report, parts, host):
         if self._may_be_late(self.clock()):
