Give a test of pending keys time to write the key

Its versions were due 1.5 s after the key had to end, of which a lease takes 1.1 s and the shortest one that is granted is 1.0 s: a stall of the event loop of 0.1 s makes the publisher leave it, as it should. Shown by a stall of 0.12 s, with which it fails each time, on the code before these changes too; with 0.05 s it passes.

Half a second more is left, and the time by which the key has to be gone counts from the announcement, not from the write, so that the bounds of -0.2 and 0.3 s are as strict as before or stricter. With stalls of 0.12 and 0.3 s it passes.

--- a/catkinshunt/platform/tests/test_store_era.py
+++ b/catkinshunt/platform/tests/test_store_era.py
@@ -810,14 +810,14 @@
     async def main():
         async with Writers().running() as writers:
             store = writers.store
+            due_at = writers.now() + 2.0
             # Entries that start may trust it for this long after its end.
-            left_s = 1.5 + writers.catalogs[0].pending_trust_s
+            left_s = 2.0 + writers.catalogs[0].pending_trust_s
             for catalog in writers.catalogs:
                 catalog.add_announced_version(
                     'drafts', 2, writers.now() - VERSION_S + left_s
                 )
             await fakes.wait_until(lambda: PENDING_KEY in store.items)
-            due_at = writers.now() + 1.5
             former = store.take_copy()
             await asyncio.sleep(0.5)
             store.calls.clear()
