Count a leave in the soak for the start that stated it

Cause, of the check: a request belongs to each start of an upstream that it reached, and the leave in its reply counted for all of them. A stream that begins at a leaving start and goes on at the next one under the same name made that one a leaving upstream for good.

Now an upstream records in which replies it states a leave, and a caller's reply tells of it only if it began after that, or is whole. A start that leaves itself is checked as before, also for such a stream.

--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -397,7 +397,9 @@
             attempt.was_rejected = True
             conn.write(http1.dump_reply(421, [*items, ('Not-Executed', '1')]))
             return True
-        items += self._leaving_items()
+        if self.is_leaving:
+            items += self._leaving_items()
+            self.visits.state_leave(request, self.clock())
         if self.back_off_s is not None:
             attempt.was_rejected = True
             self.visits.reject(entry, self.clock(), self.back_off_s)
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -102,17 +102,41 @@
         times: pairs of a request and the time of its arrival.
         rejections: `statement_rules.Rejection` objects.
         has_left: whether it has begun to say that it leaves.
+        leaves_stated: when it began a reply that says so, by request.
     """
 
     upstream: str
     times: list = attrs.field(factory=list)
     rejections: list = attrs.field(factory=list)
     has_left: bool = False
+    leaves_stated: dict = attrs.field(factory=dict)
 
     def add(self, request, at):
         """Record the arrival of a request."""
         self.times.append((request, at))
 
+    def state_leave(self, request, at):
+        """Record the begin of a reply that says that it leaves."""
+        self.leaves_stated.setdefault(request, at)
+
+    def find_told(self, answers):
+        """Return `statement_rules.Told` for each of its replies passed on.
+
+        A stream can begin at one start of an upstream and go on at the next
+        one, so the leave in its head may be that of another start.
+
+        Args:
+            answers: `Answer` by request.
+        """
+        found = []
+        for request, stated_at in self.leaves_stated.items():
+            answer = answers[request]
+            has_begun = stated_at <= answer.headed_at
+            if answer.leaving == self.upstream and (has_begun or answer.whole):
+                told_at = max(stated_at, answer.headed_at)
+                found.append(statement_rules.Told(told_at, answer.entry))
+        return found
+
     def reject(self, entry, at, back_off_s):
         """Record that a request was turned away with a Retry-After."""
         self.rejections.append(
@@ -365,13 +389,11 @@
             return _departures.overlaps(self.interruptions[entry], begin, end)
 
         for visits in self.visits:
-            told = [
-                statement_rules.Told(answer.headed_at, answer.entry)
-                for request, _ in visits.times
-                if (answer := answers[request]).leaving == visits.upstream
-            ]
             for late in statement_rules.find_requests_to_leaving(
-                told, self._arrivals(visits, answers), self.drain_s, is_excused
+                visits.find_told(answers),
+                self._arrivals(visits, answers),
+                self.drain_s,
+                is_excused,
             ):
                 yield (
                     f'{visits.upstream} got a request of {late.entry} at '
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -149,16 +149,35 @@
     """A checker that overlooks a broken promise proves nothing."""
     answers = answers_at(*times)
     answers[0].leaving, answers[0].headed_at = 'p0', 1.1
+    visits = visits_of(*times)
+    visits.state_leave('a-0', 1.05)
     found = broken(
         answers,
         [run_of(each.request, 'p0') for each in answers],
-        visits=[visits_of(*times)],
+        visits=[visits],
         interruptions=collections.defaultdict(list, e=interruptions),
     )
     assert len(found) == count
     assert all('long after it said that it leaves' in each for each in found)
 
 
+@pytest.mark.parametrize(
+    ('stated_at', 'count'), [(None, 0), (1.8, 2), (2.0, 1)]
+)
+def test_a_leave_counts_for_the_start_that_stated_it(stated_at, count):
+    """A stream went on at the next start, which was taken to leave."""
+    times = 1.0, 2.5, 2.9, 3.1
+    answers = answers_at(*times)
+    answers[0].leaving, answers[0].headed_at = 'p0', 1.1
+    first, second = visits_of(1.0), visits_of(1.3, *times[1:])
+    first.state_leave('a-0', 1.05)
+    if stated_at is not None:
+        second.state_leave('a-0', stated_at)
+    runs = [run_of(each.request, 'p0') for each in answers]
+    found = broken(answers, runs, visits=[first, second])
+    assert len(found) == count
+
+
 @pytest.mark.parametrize(
     ('times', 'disruptions', 'count'),
     [
