--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -649,7 +649,7 @@
     Mutation(
         'retry-asks-the-guard',
         'catkinshunt/gateway/_quarantine_check.py',
-        'self._unchecked.append(upstream)',
+        'self._unchecked_upstreams.append(upstream)',
         'pass',
     ),
     Mutation(
@@ -685,7 +685,7 @@
     Mutation(
         'empty-stream-is-broken-off',
         'catkinshunt/gateway/_relay.py',
-        'if self.ended_at_close and not self._has_begun_stream():',
+        'if self.ended_at_close and not self._client_has_event():',
         'if False:',
     ),
     Mutation(
--- a/catkinshunt/gateway/_admission.py
+++ b/catkinshunt/gateway/_admission.py
@@ -121,7 +121,11 @@
     """Raise `StaleError` if the account keys are too old to be accepted.
 
     While the store is unreachable or this process is suspended, a known key
-    may be revoked and an unknown one added.
+    may be revoked and another one added.
+
+    Args:
+        catalog: `catalog.Catalog`.
+        now: seconds on the clock of the catalog.
     """
     if not catalog.can_trust_keys(now):
         raise StaleError('the account keys are too old', step='check-key')
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -32,44 +32,52 @@
     Args:
         exchange: the `Exchange` of the request.
         candidate: the selected `dispatch.Candidate`.
-        beside: the `_failover.Failover` that this attempt is part of, or
-            None. The attempt before it then still waits for its reply.
+        parent_failover: the `_failover.Failover` that this attempt is part
+            of, or None. The attempt that started it may still wait for its
+            own reply.
 
     Attributes:
         job: the `dispatch.Job` of the attempt; None before `run`.
         sent_at: time at which the request was sent, or None.
-        failover: the `_failover.Failover` beside this attempt, while its
-            upstream is unresponsive, or None.
-        ended_at_close: whether the relayed reply ended with its connection.
+        failover: the `_failover.Failover` that this attempt has started, as
+            its upstream is unresponsive, or None.
+        ended_at_close: whether the relayed reply was delimited by the end of
+            its connection, see `http1.EndOfReply`.
     """
 
-    def __init__(self, exchange, candidate, beside=None):
+    def __init__(self, exchange, candidate, parent_failover=None):
         self.exchange = exchange
         self.context = exchange.context
         self.progress = exchange.progress
         self.candidate = candidate
-        self.beside = beside
+        self.parent_failover = parent_failover
         self.job = None
         self.sent_at = None
         self.failover = None
         self.ended_at_close = False
 
     @property
-    def has_rival(self):
-        """Whether an attempt beside this one may still be answered."""
+    def has_concurrent_attempt(self):
+        """Whether another attempt of the request may still be answered."""
         if self.failover is not None:
             return True
-        return self.beside is not None and self.beside.is_first_awaited
+        return (
+            self.parent_failover is not None
+            and self.parent_failover.is_first_awaited
+        )
 
     def begin_reply(self):
-        """Record that the reply is relayed; ends the attempt before."""
-        if self.beside is not None:
-            self.beside.begin_reply()
+        """Record that the reply is relayed.
+
+        It ends the attempt that started `parent_failover`.
+        """
+        if self.parent_failover is not None:
+            self.parent_failover.begin_reply()
 
     async def run(self):
         """Make the attempt; raise an `errors.RequestError` if it fails."""
         upstream = self.candidate.upstream
-        self._check_available()
+        self._check_may_send()
         if not self.context.rate_limiter.take(
             upstream.key, self.context.boot_clock()
         ):
@@ -83,21 +91,14 @@
         )
         self.job.predicted_s = self.candidate.delay_s
         self.job.rank = self._rank()
-        quarantine_check = self.exchange.quarantine_check
         try:
             await self._send()
-            state.record_success(self.context.clock())
-            if self.ended_at_close:
-                quarantine_check.record_end_at_close(
-                    upstream, self.context.clock() - self.sent_at
-                )
-            else:
-                quarantine_check.record_completion()
+            self._record_success()
         except errors.RefusedError:
             # Not run, so not recorded as a failure of the upstream here.
             raise
         except _relay.ConnectionLostError:
-            quarantine_check.record_broken_connection(
+            self.exchange.quarantine_check.record_broken_connection(
                 upstream, self.context.clock() - self.sent_at
             )
             state.record_failure(self.context.clock())
@@ -108,16 +109,32 @@
         finally:
             state.end(self.job)
 
-    def _check_available(self):
-        """Raise if the upstream became unavailable after it was chosen.
+    def _record_success(self):
+        now = self.context.clock()
+        self.candidate.state.record_success(now)
+        quarantine_check = self.exchange.quarantine_check
+        if self.ended_at_close:
+            quarantine_check.record_end_at_close(
+                self.candidate.upstream, now - self.sent_at
+            )
+        else:
+            quarantine_check.record_completion()
+
+    def _check_may_send(self):
+        """Raise if the request must not be sent to the chosen upstream.
 
-        A request may have waited for a permit or a connection. If this
-        process was suspended meanwhile, what it knows is checked again too.
+        It may have waited for a permit or a connection, and this process may
+        have been suspended meanwhile.
         """
+        # A request that was sent before stays admitted, also for a retry.
         if self.exchange.decision.account and not self.progress.sends:
             _admission.check_key_trust(
                 self.context.catalog, self.context.boot_clock()
             )
+        self._check_available()
+
+    def _check_available(self):
+        """Raise if the upstream became unavailable after it was chosen."""
         upstream = self.candidate.upstream
         selection = self.exchange.selection
         if not selection.is_available(upstream):
@@ -136,7 +153,7 @@
         pool = self.context.pool(self.candidate.upstream)
         conn = await self._connect(pool)
         try:
-            self._check_available()
+            self._check_may_send()
             # It may have been quarantined while it waited for a connection.
             self.exchange.quarantine_check.check()
         except errors.RefusedError:
--- a/catkinshunt/gateway/_context.py
+++ b/catkinshunt/gateway/_context.py
@@ -22,12 +22,16 @@
     """State and collaborators of a gateway.
 
     Attributes:
+        catalog: `catalog.Catalog` of the declaration and the upstreams.
+        dialect: `base.BaseDialect` that decodes and encodes headers.
+        chooser: `dispatch.Chooser` of upstreams.
         clock: returns seconds on the monotonic clock.
         boot_clock: returns seconds on the boot-time clock, which also counts
             time in suspend; the age of the catalog is measured on it.
         retry_ratio: retries allowed per request of a service.
         retry_burst: retries allowed beyond that ratio.
         random: source of random numbers, such as `random.Random(7)`.
+        metrics: `GatewayMetrics`.
         permit_client: `permits.PermitClient` that requests permits.
         rate_limiter: `rate_limits.RateLimiter` for upstreams that state a
             limit.
@@ -39,6 +43,7 @@
             upstreams that leave, or None.
         guard: `quarantine.Guard` against requests that crash upstreams, or
             None.
+        tracker: `dispatch.UpstreamTracker` of the states of upstreams.
         client_retry_detector: estimates how long a client has waited before
             a request. A deadline shorter than the usual one of the service
             marks a client retry; the difference is about the time waited.
@@ -46,6 +51,8 @@
         version_grace_s: seconds from when a version is announced until it is
             due. From then on older versions are outdated, and no request may
             begin on them.
+        header_audit: reports headers of upstreams that are ignored.
+        request_audit: reports prompt parts of requests that are ignored.
     """
 
     catalog: catalogs.Catalog
@@ -156,8 +163,9 @@
         now = self.boot_clock()
         self.header_audit.observe(upstream.id, reply_info, now)
         if reply_info.is_leaving:
-            # The start that answered had begun when the request was sent; this
-            # process may have been suspended since.
+            # This process may have been suspended, and the upstream restarted,
+            # since it replied. The start that replied was already running
+            # when the request was sent.
             self.record_leave(upstream.key, sent_at)
         if reply_info.back_off_s is not None:
             self.availability.record_back_off(
@@ -174,9 +182,9 @@
 
         Args:
             key: `catalog.Upstream.key` of the upstream.
-            stated_at: when it stated that, on the boot-time clock, or a time
-                before at which the start that stated it had begun; None if
-                that is certainly the start in `key`.
+            stated_at: time on the boot-time clock at which the start that
+                stated it was already running, such as the time at which the
+                request was sent. None if `key` names that start.
         """
         if stated_at is None:
             stated_at = self.availability.started_at(key)
--- a/catkinshunt/gateway/_events.py
+++ b/catkinshunt/gateway/_events.py
@@ -45,7 +45,7 @@
     def has_partial_event(self):
         """Whether the data so far end inside an event.
 
-        Blank lines after the last event belong to none.
+        Further blank lines after an event are not part of another one.
         """
         return bool(self.remainder.strip(b'\r\n'))
 
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -164,11 +164,11 @@
 
     # Attempts.
 
-    async def _run_attempts(self, beside=None):
+    async def _run_attempts(self, failover=None):
         """Make attempts until the reply of one is relayed.
 
         Args:
-            beside: the `_failover.Failover` that makes them, or None.
+            failover: the `_failover.Failover` that makes them, or None.
         """
         while True:
             await self.quarantine_check.wait_for_crash_checks()
@@ -184,7 +184,7 @@
             )
             try:
                 candidate = await self._acquire_permit(search, candidate)
-                await self._run_attempt(candidate, search, beside)
+                await self._run_attempt(candidate, search, failover)
                 return
             except (
                 permits.ReloadingError,
@@ -224,9 +224,9 @@
         except permits.NoPermitError:
             if not self.progress.head_sent:
                 raise
-            # Send it without a permit: the client is reading the stream, and
-            # engines give it precedence.
-            found = search.choose_refused(candidate)
+            # The client is already reading the stream, so it is resumed
+            # without a permit. Engines give it precedence.
+            found = search.choose_without_permit(candidate)
             if found is None:
                 raise
         finally:
@@ -296,19 +296,19 @@
         except errors.OverloadedError as exc:
             raise self._final_error(exc) from exc
 
-    async def _run_attempt(self, candidate, search, beside):
+    async def _run_attempt(self, candidate, search, failover):
         """Make one attempt.
 
         Args:
             candidate: the `dispatch.Candidate`.
             search: the `PermitSearch` that holds the permit for it.
-            beside: the `_failover.Failover` that it is part of, or None.
+            failover: the `_failover.Failover` that it is part of, or None.
         """
-        # An attempt beside this one may have failed, or the request been
-        # quarantined, while it waited for a permit.
+        # During the wait for a permit, a concurrent attempt may have lost its
+        # connection, or the request may have been quarantined.
         await self.quarantine_check.wait_for_crash_checks()
         self.quarantine_check.check()
-        attempt = _attempt.Attempt(self, candidate, beside)
+        attempt = _attempt.Attempt(self, candidate, failover)
         try:
             await attempt.run()
         except errors.RequestError as exc:
@@ -321,13 +321,16 @@
             if attempt.failover is not None:
                 attempt.failover.cancel()
 
-    def start_failover(self, exc, outer):
-        """Return a `_failover.Failover` beside an attempt, or None.
+    def start_failover(self, exc, parent):
+        """Start further attempts while one waits for its reply.
 
         Args:
             exc: the `errors.RequestError` that another upstream would avoid.
-            outer: the `_failover.Failover` that the attempt is part of, or
-                None.
+            parent: the `_failover.Failover` that the waiting attempt is part
+                of, or None.
+
+        Returns:
+            The `_failover.Failover`, or None if no retry is allowed.
         """
         self.progress.notes.append(str(exc))
         try:
@@ -335,7 +338,7 @@
         except errors.RequestError:
             return None
         self.selection.version_lead_s = FAILOVER_VERSION_LEAD_S
-        return _failover.Failover(self._run_attempts, self.progress, outer)
+        return _failover.Failover(self._run_attempts, self.progress, parent)
 
     def end_failover(self, failover):
         """End a `_failover.Failover` whose attempts are not needed."""
@@ -444,11 +447,11 @@
     def _stop_fields(self):
         """Return what of the request the quarantine has stopped it for."""
         check = self.quarantine_check
-        if check is None or check.stopping_trait is None:
+        if check is None or check.blocked_trait is None:
             return {}
         return {
-            'fingerprint': check.stopping_trait,
-            'prompt_part': check.stopping_part,
+            'fingerprint': check.blocked_trait,
+            'prompt_part': check.blocked_part,
         }
 
     def _revision(self):
--- a/catkinshunt/gateway/_failover.py
+++ b/catkinshunt/gateway/_failover.py
@@ -6,17 +6,17 @@
 
 
 class Failover:
-    """Runs further attempts beside one that waits for its reply.
+    """Runs further attempts while the first one waits for its reply.
 
-    An upstream that sends nothing may be dead, or go on a moment later. The
-    attempt there ends only once another upstream has begun to reply, so that
-    the client loses no answer if none does.
+    An upstream that sends nothing may be dead, or only slow. The first
+    attempt is cancelled only once another upstream has begun to reply, so
+    that the client still gets its answer if no other upstream replies.
 
     Args:
         run_attempts: coroutine function that takes this `Failover`, makes the
             further attempts and relays the reply of one of them.
         progress: the `Progress` of the request.
-        outer: the `Failover` that the first attempt is part of, or None.
+        parent: the `Failover` that the first attempt is part of, or None.
 
     Attributes:
         has_begun: whether the reply of a further attempt is being relayed.
@@ -24,9 +24,9 @@
             relayed instead.
     """
 
-    def __init__(self, run_attempts, progress, outer=None):
+    def __init__(self, run_attempts, progress, parent=None):
         self.progress = progress
-        self.outer = outer
+        self.parent = parent
         self._sends_before = progress.sends
         self._tried_before = set(progress.tried)
         self.has_begun = False
@@ -37,8 +37,8 @@
 
     def begin_reply(self):
         """Record that one of the attempts begins to relay its reply."""
-        if self.outer is not None:
-            self.outer.begin_reply()
+        if self.parent is not None:
+            self.parent.begin_reply()
         self.has_begun = True
         self.is_first_awaited = False
         if not self._begun.done():
@@ -59,11 +59,11 @@
         """Whether one of the attempts has sent the request."""
         return self.progress.sends > self._sends_before
 
-    async def wait_beside(self, conn, wait_s):
-        """Wait until something happens, for at most `wait_s` seconds.
+    async def wait_for_activity(self, conn, wait_s):
+        """Wait for at most `wait_s` seconds.
 
-        Returns when the first upstream sends something, when another one
-        begins to reply, or when no other does.
+        Returns earlier when the first upstream sends something, when another
+        one begins to reply, or when all further attempts have ended.
 
         Args:
             conn: `http1.ClientConnection` to the first upstream.
--- a/catkinshunt/gateway/_header_audit.py
+++ b/catkinshunt/gateway/_header_audit.py
@@ -1,4 +1,4 @@
-"""Shows which headers of upstreams and clients are not heeded."""
+"""Reports what upstreams and clients send and the gateway ignores."""
 
 from catkinshunt import logs
 
@@ -16,7 +16,7 @@
     """Counts and logs headers that are unknown or cannot be read.
 
     A header that an upstream adds to its replies may ask something of its
-    callers. Without a trace of it nobody would know that it is ignored.
+    callers, and the operator has to know that it is ignored.
 
     Args:
         counter: `metrics.Counter` by reason and header.
@@ -29,7 +29,7 @@
         self._logged_at = {}
 
     def observe(self, upstream_id, reply_info, now):
-        """Record the headers of one reply that are not heeded.
+        """Record the headers of one reply that are ignored.
 
         Args:
             upstream_id: id of the upstream.
@@ -72,10 +72,10 @@
 
 
 class RequestAudit:
-    """Counts requests with parts of a prompt that are left out.
+    """Counts and logs requests with prompt parts that are ignored.
 
-    A part that is left out is not known to the quarantine if it crashes
-    upstreams.
+    The quarantine does not know an ignored part. If it crashes upstreams,
+    each request with it is suspected separately.
 
     Args:
         counter: `metrics.Counter` without labels.
@@ -87,7 +87,7 @@
         self._since_logged = 0
 
     def observe(self, info, now):
-        """Record the parts that one request leaves out.
+        """Record the prompt parts of one request that are ignored.
 
         Args:
             info: `base.RequestInfo` of the request.
--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -38,13 +38,13 @@
         )
         self._stops = self.registry.counter(
             'quarantine_stops_total',
-            'Requests that were stopped for what crashes upstreams.',
+            'Requests rejected since they may crash upstreams.',
             ('kind',),
         )
         #: Counted by `RequestAudit`.
         self.omitted_prompt_parts = self.registry.counter(
             'omitted_prompt_parts_total',
-            'Requests with parts of the prompt that are left out.',
+            'Requests with prompt parts that the gateway ignores.',
         )
 
     def record(self, service, outcome, duration_s, progress):
@@ -64,10 +64,10 @@
         self._silences.add(end)
 
     def record_stop(self, kind):
-        """Count a request that the quarantine stopped.
+        """Count a request that the quarantine rejected.
 
         Args:
-            kind: `'whole'` for the request itself, or `'part'` for a part of
-                its prompt.
+            kind: `'whole'` if the request itself may crash upstreams, or
+                `'part'` if a part of its prompt may.
         """
         self._stops.add(kind)
--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -98,7 +98,7 @@
         self.goal_s = goal_s
         self.isolated = isolated
         self._began = context.clock()
-        self._boot_began = context.boot_clock()
+        self._boottime_began = context.boot_clock()
         self._pending = []
 
     async def find(self, candidate):
@@ -230,23 +230,24 @@
         max_jobs = upstream.slots * NO_PERMIT_SLOT_SHARE
         return len(candidate.state.jobs) < max(1, max_jobs)
 
-    def choose_refused(self, first):
-        """Return a candidate to use without a permit, or None.
+    def choose_without_permit(self, preferred):
+        """Return a candidate that may be used without a permit, or None.
 
-        Not one whose sidecar states that its engine leaves or is about to
-        load another version.
+        An engine that leaves or is about to load another version, as its
+        sidecar states, is not used.
 
         Args:
-            first: the one that is preferred.
+            preferred: the candidate that is returned if possible.
         """
         closed = [
             pending.candidate.upstream.key
             for pending in self._pending
             if _is_closed(pending.handle.reply)
         ]
-        candidates = [first, *(pending.candidate for pending in self._pending)]
+        asked = [pending.candidate for pending in self._pending]
         return next(
-            (c for c in candidates if c.upstream.key not in closed), None
+            (c for c in (preferred, *asked) if c.upstream.key not in closed),
+            None,
         )
 
     def close(self):
@@ -346,7 +347,9 @@
 
     def _record_leave(self, upstream, state, reply):
         if reply.started_at_ms == upstream.started_at_ms:
-            self.context.record_leave(upstream.key, self._boot_began)
+            # A reply may be read late, but this start of the engine was
+            # already running when the search began.
+            self.context.record_leave(upstream.key, self._boottime_began)
         else:
             # The sidecar or this entry does not know of a new start yet.
             state.pause(self.context.clock(), LEAVING_PAUSE_S)
--- a/catkinshunt/gateway/_quarantine_check.py
+++ b/catkinshunt/gateway/_quarantine_check.py
@@ -21,7 +21,8 @@
         req: the `http1.Request`.
         host: requested host.
         account: name of the account, or ''.
-        has_sidecar: whether sidecars keep suspects of the service apart.
+        has_sidecar: whether the upstreams have sidecars, which run suspects
+            one at a time.
         prompt_parts: see `base.RequestInfo`.
     """
 
@@ -34,13 +35,15 @@
         self.account = account
         self.has_sidecar = has_sidecar
         self.prompt_parts = prompt_parts
-        #: Trait for which the last check stopped the request, or None.
-        self.stopping_trait = None
-        self._unchecked = []
+        #: Trait for which the latest check rejected the request, or None.
+        self.blocked_trait = None
+        #: Upstreams whose connections were lost, and of which the guard may
+        #: still have to find out whether they crashed.
+        self._unchecked_upstreams = []
 
     @functools.cached_property
     def traits(self):
-        """`quarantine.Traits`, equal for all client attempts."""
+        """`quarantine.Traits`; the same for each attempt of the client."""
         req = self.req
         return quarantine.Traits(
             quarantine.fingerprint(
@@ -51,40 +54,43 @@
 
     def check(self):
         """Raise `QuarantinedError` if the request must not run."""
-        self.stopping_trait = None
+        self.blocked_trait = None
         if self.guard is None or self.guard.is_idle:
             return
         left_s = self.guard.check(self.traits, self.has_sidecar)
         if left_s > 0:
-            self.stopping_trait = (
+            self.blocked_trait = (
                 self.guard.explain(self.traits) or self.traits.whole
             )
             raise QuarantinedError(
-                f'{self._describe_stop()} is quarantined or suspected of'
+                f'{self._describe_blocked()} is quarantined or suspected of'
                 f' crashing upstreams; may run in {math.ceil(left_s)} s',
                 step='check-quarantine',
                 retry_after_s=math.ceil(left_s),
             )
 
     @property
-    def stopping_part(self):
-        """Id of the part that stopped the request, or None."""
-        if self.stopping_trait is None:
+    def blocked_part(self):
+        """Id of the prompt part in `blocked_trait`.
+
+        None if the whole request is blocked, or nothing.
+        """
+        if self.blocked_trait is None:
             return None
-        if self.stopping_trait not in self.traits.parts:
+        if self.blocked_trait not in self.traits.parts:
             return None
-        return self.prompt_parts[self.traits.parts.index(self.stopping_trait)]
+        return self.prompt_parts[self.traits.parts.index(self.blocked_trait)]
 
-    def _describe_stop(self):
-        if self.stopping_part is None:
-            return f'request with fingerprint {self.stopping_trait}'
+    def _describe_blocked(self):
+        if self.blocked_part is None:
+            return f'request with fingerprint {self.blocked_trait}'
         return (
-            f'part {self.stopping_part} of the prompt, with fingerprint'
-            f' {self.stopping_trait},'
+            f'part {self.blocked_part} of the prompt, with fingerprint'
+            f' {self.blocked_trait},'
         )
 
     def is_isolated(self):
-        """Return whether the request has to run apart from other suspects."""
+        """Return whether no other suspect may run beside the request."""
         if self.guard is None or self.guard.is_idle:
             return False
         return self.guard.is_isolated(self.traits)
@@ -98,20 +104,20 @@
         """
         if self.guard is not None:
             self.guard.record_broken_connection(upstream, self.traits, run_s)
-            self._unchecked.append(upstream)
+            self._unchecked_upstreams.append(upstream)
 
     async def wait_for_crash_checks(self):
         """Wait until it is known which lost connections were crashes.
 
-        A retry before that could crash another upstream, as the guard does
-        not know yet what the request does.
+        Before that, the guard does not know the crash that this request may
+        have caused, and would let a retry crash another upstream.
         """
-        while self._unchecked:
-            upstream = self._unchecked[0]
+        while self._unchecked_upstreams:
+            upstream = self._unchecked_upstreams[0]
             await self.guard.wait_for_crash_check(upstream, self.traits)
-            # An attempt beside this one may have waited for it as well.
-            if upstream in self._unchecked:
-                self._unchecked.remove(upstream)
+            # A concurrent attempt may have waited for it and removed it.
+            if upstream in self._unchecked_upstreams:
+                self._unchecked_upstreams.remove(upstream)
 
     def record_completion(self):
         """Report that an upstream completed the request."""
@@ -119,9 +125,10 @@
             self.guard.record_completion(self.traits)
 
     def record_end_at_close(self, upstream, run_s):
-        """Report a reply that seems whole and ended with its connection.
+        """Report a reply that was delimited by the end of its connection.
 
-        It counts as completed unless the upstream crashed.
+        The connection of a crashed upstream ends in the same way, so the
+        reply counts as completed only if the upstream has not crashed.
 
         Args:
             upstream: the `catalog.Upstream`.
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -8,8 +8,8 @@
 
 #: Interval in seconds of the checks for an unresponsive upstream.
 POLL_S = 0.2
-#: Pause in seconds after other upstreams were tried beside an unresponsive
-#: one, and none replied. Permits that run out are free again by then.
+#: Pause in seconds after a failover from an unresponsive upstream in which no
+#: other upstream replied. Permits that run out are free again by then.
 FAILOVER_PAUSE_S = 0.5
 #: Seconds without a byte after which an upstream counts as dead if its sidecar
 #: does not reply either, or the request was also sent to another one in vain.
@@ -77,9 +77,9 @@
         self.failover_after = self.sent_at
         #: Whether to give the upstream up after `DEAD_S`.
         self.may_be_dead = False
-        #: Whether another upstream could go on with the reply.
-        self.can_move = True
-        #: Whether the reply ended with its connection, see
+        #: Whether another upstream could send the rest of the reply.
+        self.can_resume_elsewhere = True
+        #: Whether the reply was delimited by the end of its connection, see
         #: `http1.EndOfReply`.
         self.ended_at_close = False
 
@@ -153,7 +153,7 @@
                 # After a stall of the event loop, the time-out comes before a
                 # part that has arrived.
                 return await self._read_arrived_part()
-        await failover.wait_beside(self.conn, POLL_S)
+        await failover.wait_for_activity(self.conn, POLL_S)
         if failover.has_begun:
             self.context.metrics.record_silence('replaced')
             raise self._unresponsive_error()
@@ -170,7 +170,7 @@
     def _begin_reply(self):
         """Record that a part of the reply is relayed.
 
-        It ends the attempts at other upstreams, and the attempt before.
+        It ends all other attempts of the request.
         """
         self.attempt.begin_reply()
         if self.attempt.failover is None:
@@ -221,7 +221,7 @@
             raise self._unresponsive_error()
         if self.attempt.failover is not None or now < self.failover_after:
             return
-        if not self.can_move or not self.exchange.can_fail_over():
+        if not self.can_resume_elsewhere or not self.exchange.can_fail_over():
             return
         is_instance_responsive = await self._is_instance_responsive()
         if self.conn.has_part:
@@ -235,7 +235,7 @@
             # a stream waits for longer than for its begin.
             self.may_be_dead = True
         self.attempt.failover = self.exchange.start_failover(
-            self._unresponsive_error(), self.attempt.beside
+            self._unresponsive_error(), self.attempt.parent_failover
         )
 
     async def _is_instance_responsive(self):
@@ -287,7 +287,8 @@
         # Without another upstream that may answer, the client gets the error
         # itself.
         if head.status >= 500 and (
-            self.attempt.has_rival or self.exchange.can_fail_over()
+            self.attempt.has_concurrent_attempt
+            or self.exchange.can_fail_over()
         ):
             raise errors.OutcomeUnknownError(
                 f'upstream failed with {head.status}',
@@ -330,7 +331,7 @@
     async def _relay_chunked(self, head, data):
         self._begin_reply()
         self._send_head(head)
-        self.can_move = False
+        self.can_resume_elsewhere = False
         while True:
             self.exchange.conn.write(http1.dump_chunk(data))
             await self.exchange.conn.drain()
@@ -358,24 +359,31 @@
                     gap, step='read-reply', peer=self.peer
                 )
         if splitter.has_partial_event:
-            raise self._end_error('stream ended within an event')
-        if self.ended_at_close and not self._has_begun_stream():
-            # An upstream that crashes as it begins to answer leaves this.
-            raise self._end_error('stream ended before its first event')
+            raise self._premature_end_error('stream ended within an event')
+        if self.ended_at_close and not self._client_has_event():
+            # The upstream may have crashed after it sent the head. The client
+            # must not take that for an empty answer.
+            raise self._premature_end_error(
+                'stream ended before its first event'
+            )
         self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
         self.exchange.progress.is_complete = True
 
-    def _end_error(self, text):
-        """Return the error for a stream that has ended too early."""
+    def _premature_end_error(self, text):
+        """Return the error for a stream that has ended too early.
+
+        The connection of a crashed upstream is closed in order by its kernel,
+        so a stream that ends with its connection counts as a lost connection.
+        """
         error = errors.OutcomeUnknownError
         if self.ended_at_close:
             error = ConnectionLostError
         return error(text, step='read-reply', peer=self.peer)
 
-    def _has_begun_stream(self):
-        """Return whether the client has got an event, also of another try."""
+    def _client_has_event(self):
+        """Return whether the client got an event, in any of its attempts."""
         progress = self.exchange.progress
         return progress.head_sent or progress.last_event_id is not None
 
--- a/catkinshunt/gateway/base.py
+++ b/catkinshunt/gateway/base.py
@@ -23,10 +23,10 @@
         last_event_id: id of the last event that the client received, in
             decimal digits, or ''.
         prompt_parts: ids of the parts of the prompt that other requests may
-            share, in order; without the last part, which belongs to the
-            request or its session.
-        omitted_parts: texts on what is left out of `prompt_parts`, as it
-            cannot be read or is too much.
+            share, in order. The last part of a prompt belongs to the request
+            or its session and is not among them.
+        omitted_parts: texts for the log on what is left out of
+            `prompt_parts`, since it is invalid, repeated or beyond the limit.
     """
 
     id: str
