Move the record of a request's outcome out of the exchange

`Exchange._answer` decoded, admitted, set deadlines and ran attempts in one function of sixty lines, and the file also had the log line and the metrics of the end. Admission and the deadline are functions of their own now, and `_outcome` counts and logs how a request ended, with the same fields under the same logger.

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -6,13 +6,13 @@
 from catkinshunt.gateway import _admission
 from catkinshunt.gateway import _attempt
 from catkinshunt.gateway import _failover
+from catkinshunt.gateway import _outcome
 from catkinshunt.gateway import _permit_search
 from catkinshunt.gateway import _progress
 from catkinshunt.gateway import _quarantine_check
 from catkinshunt.gateway import _selection
 from catkinshunt.gateway import _upstream_choice
 from catkinshunt import http1
-from catkinshunt import logs
 from catkinshunt import permits
 from catkinshunt import retries
 
@@ -28,8 +28,6 @@
 #: many seconds. The request may wait as long there, and would be withdrawn.
 FAILOVER_VERSION_LEAD_S = 1.5
 
-_log = logs.get_logger('exchange')
-
 
 class DeadlineExceededError(errors.OutcomeUnknownError):
     """The deadline of the request has passed; it may have run.
@@ -75,7 +73,7 @@
             outcome, reason = exc.code, str(exc)
             return self._reply_error(exc)
         finally:
-            self._record_outcome(outcome, reason)
+            _outcome.record(self, outcome, reason)
         return self._keeps_alive()
 
     async def _answer(self):
@@ -84,6 +82,27 @@
         self.context.request_audit.observe(
             self.info, self.context.boot_clock()
         )
+        self._check_stopping(now)
+        await self._wait_for_configuration(now)
+        self._admit()
+        self._set_deadline(now)
+        if self.info.last_event_id:
+            self.progress.last_event_id = int(self.info.last_event_id)
+        self.context.retry_budget(self.decision.service).add_request()
+        try:
+            async with asyncio.timeout(self.deadline - self.context.clock()):
+                await self._run_attempts()
+        except TimeoutError as exc:
+            # The time may be up just as the last byte was written.
+            if not self.progress.is_complete:
+                raise self._timeout_error() from exc
+
+    def _check_stopping(self, now):
+        """Raise `errors.LeavingError` if this process has long been stopping.
+
+        Args:
+            now: seconds on the monotonic clock.
+        """
         stopping = self.context.stopping_since
         if stopping is not None and now - stopping > STOP_ACCEPT_S:
             raise errors.LeavingError(
@@ -91,7 +110,9 @@
                 step='admit',
                 retry_after_s=_admission.STOPPING_RETRY_S,
             )
-        await self._wait_for_configuration(now)
+
+    def _admit(self):
+        """Decide on the request, and prepare its attempts."""
         self.decision = _admission.decide(
             self.context.catalog,
             self.info,
@@ -112,25 +133,22 @@
             self._needs_permit(),
             self.info.prompt_parts,
         )
-        limit_s = self.decision.serve.timeout_s
+
+    def _set_deadline(self, now):
+        """Set the deadline, and the time waited in earlier client attempts.
+
+        Args:
+            now: seconds on the monotonic clock when the request was decoded.
+        """
+        timeout_s = self.decision.serve.timeout_s
         if self.info.deadline_s is not None:
-            limit_s = min(limit_s, self.info.deadline_s)
+            timeout_s = min(timeout_s, self.info.deadline_s)
             self.progress.prior_wait_s = (
                 self.context.client_retry_detector.estimate_wait_s(
                     self.decision.service, self.info.deadline_s, now
                 )
             )
-        self.deadline = self.req.received_at + limit_s
-        if self.info.last_event_id:
-            self.progress.last_event_id = int(self.info.last_event_id)
-        self.context.retry_budget(self.decision.service).add_request()
-        try:
-            async with asyncio.timeout(self.deadline - self.context.clock()):
-                await self._run_attempts()
-        except TimeoutError as exc:
-            # The time may be up just as the last byte was written.
-            if not self.progress.is_complete:
-                raise self._timeout_error() from exc
+        self.deadline = self.req.received_at + timeout_s
 
     async def _wait_for_configuration(self, now):
         """Wait for the first configuration after the start of the process.
@@ -407,60 +425,3 @@
         items.append(('Content-Type', 'text/plain'))
         self.conn.write(http1.dump_reply(exc.status, items, body))
         return keeps_alive
-
-    def _record_outcome(self, outcome, reason):
-        """Update the metrics and log the outcome of the request."""
-        now = self.context.clock()
-        decision = self.decision
-        service = decision.service if decision else ''
-        self.context.metrics.record(
-            service, outcome, now - self.req.received_at, self.progress
-        )
-        stop = self._stop_fields()
-        if stop:
-            kind = 'whole' if stop['prompt_part'] is None else 'part'
-            self.context.metrics.record_stop(kind)
-        age_s = self.context.catalog.age_s(self.context.boot_clock())
-        _log.info(
-            'Request {} ended as {}.',
-            self.info.id if self.info else '?',
-            outcome,
-            request=self.info.id if self.info else None,
-            outcome=outcome,
-            reason=reason,
-            service=service,
-            rule=decision.rule if decision else None,
-            account=decision.account if decision else None,
-            revision=self._revision(),
-            age_s=_rounded(age_s),
-            before_s=_rounded(self.progress.prior_wait_s),
-            waited_s=_rounded(self.progress.entry_wait_s),
-            # The notes on each step; `sends` is the count of attempts.
-            tries=self.progress.notes,
-            sends=self.progress.sends,
-            **stop,
-            events_to=self.progress.last_event_id,
-            first_s=_rounded(self.progress.first_s),
-            took_s=_rounded(now - self.req.received_at),
-        )
-
-    def _stop_fields(self):
-        """Return what of the request the quarantine has stopped it for."""
-        check = self.quarantine_check
-        if check is None or check.blocked_trait is None:
-            return {}
-        return {
-            'fingerprint': check.blocked_trait,
-            'prompt_part': check.blocked_part,
-        }
-
-    def _revision(self):
-        """Return the revision in force, also for a rejected request."""
-        if self.decision is not None:
-            return self.decision.revision
-        declaration = self.context.catalog.declaration
-        return declaration.revision if declaration else None
-
-
-def _rounded(seconds):
-    return None if seconds is None else round(seconds, 4)
