Say in plain words how late messages are dated

Comments on statements of upstreams, on the records of the event loop and on replies without a length could only be read by those who know what a suspend does to them. They now name the cause and the consequence; the end of a reply names the section of the RFC. In the rate limit gossip, `_must_ask` is `_must_ask_again` and `is_resumed` is `was_suspended`, also in the quoted lines of benchmarks/mutations.py.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -386,8 +386,8 @@
     Mutation(
         'limits-are-asked-for-again',
         'catkinshunt/rate_limits/_gossip.py',
-        'self._must_ask = is_resumed',
-        'self._must_ask = False',
+        'self._must_ask_again = was_suspended',
+        'self._must_ask_again = False',
     ),
     Mutation(
         'removals-count-from-the-last-confirmation',
--- a/catkinshunt/availability/_gossip.py
+++ b/catkinshunt/availability/_gossip.py
@@ -26,8 +26,8 @@
     """Tells other entries which upstreams have stated that they leave.
 
     New statements are forwarded at once. A leave of one start of an upstream
-    never ends, so old news is as true as new, and the order does not matter.
-    Rests are not told: each concerns one entry.
+    never ends, so messages may arrive late or in any order. Back-offs are not
+    gossiped, as an upstream asks each entry for its own.
 
     Args:
         table: `AvailabilityTable` of this entry.
@@ -59,7 +59,13 @@
             await asyncio.sleep(REMINDER_PERIOD_S)
 
     def remind(self, now):
-        """Send recent leaves to one entry; ask others after a start."""
+        """Send recent leaves to one entry.
+
+        After a start or a suspend, others are also asked for theirs.
+
+        Args:
+            now: seconds on the boot-time clock.
+        """
         last = self._reminded_at
         if last is None or now - last > SUSPENDED_S:
             self._fan_out(_messages.LeavesRequest())
@@ -86,12 +92,13 @@
         """See `gossip.BaseGossip.receive`."""
         now = self.clock()
         if isinstance(message, _messages.LeavesRequest):
-            # The newest ones are those that the asker is most likely to need.
+            # The newest ones are most likely to be unknown there.
             newest = self.table.leaves()[-MAX_REPLIES:]
             self._send_leaves(newest, MAX_REPLIES, host, now)
             return
-        # Taken as stated during a suspend, it would be taken for a statement
-        # of a start that began meanwhile.
+        # A message that is read after a suspend may have arrived before it.
+        # Dated later, the leave would also hold for a start of the upstream
+        # that began meanwhile.
         key, leave = _parse_message(message, self.wake_log.arrived_after(now))
         if self.table.record_leave(key, leave):
             self.announce(key)
@@ -110,11 +117,18 @@
     )
 
 
-def _parse_message(message, now):
-    """Return the key of an upstream and its `Leave`."""
+def _parse_message(message, arrived_after):
+    """Return the key of an upstream and its `Leave`.
+
+    Args:
+        message: `_messages.LeaveStated`.
+        arrived_after: time after which it arrived, in seconds on the
+            boot-time clock.
+    """
     key = (
         message.upstream,
         message.started_at_ms,
         (message.host, message.port),
     )
-    return key, _table.Leave(now - message.age_s, message.source)
+    stated_at = arrived_after - message.age_s
+    return key, _table.Leave(stated_at, message.source)
--- a/catkinshunt/availability/_table.py
+++ b/catkinshunt/availability/_table.py
@@ -19,9 +19,10 @@
     """The statement of an upstream that it leaves.
 
     Attributes:
-        stated_at: when it was made, on the boot-time clock of this entry.
-            It may be earlier by the time that the news was read late, and
-            later by its transit times.
+        stated_at: estimate of when it was made, in seconds on the boot-time
+            clock of this entry. It is early, as a reply counts from its
+            request and a message from before a suspend, and late by the
+            transits between entries.
         source: name of the entry that got the reply.
     """
 
@@ -50,8 +51,8 @@
     whether it starts again or not. It concerns this entry alone.
 
     While the list of upstreams is out of date, a statement may be that of a
-    newer start than the listed one. So it also holds for a start that turns
-    out to have been before it.
+    newer start than the listed one. So it also holds for each later start
+    that began before the statement.
 
     Times are seconds on the boot-time clock.
 
@@ -125,11 +126,21 @@
         return True
 
     def started_at(self, key):
-        """Return the start time in a key, on the boot-time clock."""
+        """Return the start time in a key, in seconds on the boot-time clock.
+
+        Args:
+            key: `catalog.Upstream.key` of the upstream.
+        """
         return key[1] / 1000 - self.unix_offset_s
 
     def find_leave(self, key):
-        """Return the `Leave` of an upstream, or None."""
+        """Return the `Leave` of an upstream, or None.
+
+        The statement of an earlier start may also hold, see the class.
+
+        Args:
+            key: `catalog.Upstream.key` of the upstream.
+        """
         leave = self._leaves.get(key)
         if leave is not None or key[0] not in self._newest:
             return leave
@@ -212,7 +223,7 @@
             return
         listed = set(keys)
         for key in listed:
-            # Before the earlier start, whose statement it may be, is dropped.
+            # Copies a statement from an earlier start, which is then dropped.
             self.find_leave(key)
         listed_ids = {key[0] for key in listed}
         unlisted = [key for key in self._leaves if key not in listed]
@@ -225,11 +236,11 @@
                 del self._newest[key[0]]
 
     def leaving_by_id(self):
-        """Return 1 for each leaving upstream, by (upstream id,)."""
+        """Return 1 for each leaving upstream, by metric label values."""
         return {(key[0],): 1 for key in self._leaves}
 
     def back_offs_by_id(self, now):
-        """Return the seconds left of each back-off, by (upstream id,)."""
+        """Return the seconds left of each back-off, by metric label values."""
         return {
             (upstream_id,): round(back_off.until - now, 3)
             for upstream_id, back_off in self._back_offs.items()
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -27,12 +27,13 @@
 
 @attrs.frozen
 class EndOfReply:
-    """The reply is complete.
+    """The reply has ended.
 
     Attributes:
-        at_close: whether it ended with its connection, as it has neither a
-            length nor chunks. A peer that crashed may have closed the
-            connection too, before the reply was whole.
+        at_close: whether the reply is delimited by the close of its
+            connection, as it has neither a length nor chunks (RFC 9112,
+            section 6.3). The connection of a crashed peer is closed in the
+            same way, so the reply may be incomplete.
     """
 
     at_close: bool = False
@@ -86,7 +87,8 @@
     def connection_lost(self, exc):
         """See `asyncio.Protocol`."""
         if exc is None:
-            # The end of the peer's data would have been received before.
+            # If the peer had closed it, `eof_received` would have been called
+            # before.
             self._end_input('closed by this process')
         else:
             self._end_input(f'{type(exc).__name__}: {exc}')
--- a/catkinshunt/rate_limits/_gossip.py
+++ b/catkinshunt/rate_limits/_gossip.py
@@ -49,8 +49,9 @@
         self.clock = clock
         self._reminded_at = None
         self._ignores_until = -math.inf
-        # Whether to ask others once datagrams are not ignored any more.
-        self._must_ask = False
+        # Whether to repeat the request for limits, as the replies to the
+        # previous one arrived while datagrams were ignored.
+        self._must_ask_again = False
 
     async def run(self):
         """Send reminders until cancelled."""
@@ -59,16 +60,22 @@
         while True:
             self.remind(self.clock())
             await asyncio.sleep(
-                SUSPEND_IGNORE_S if self._must_ask else REMINDER_PERIOD_S
+                SUSPEND_IGNORE_S if self._must_ask_again else REMINDER_PERIOD_S
             )
 
     def remind(self, now):
-        """Send the known limits to one entry; ask others after a start."""
+        """Send the known limits to one entry.
+
+        After a start or a suspend, others are also asked for theirs.
+
+        Args:
+            now: seconds on the boot-time clock.
+        """
         is_start = self._reminded_at is None
-        is_resumed = self._detect_suspend(now)
-        if is_start or is_resumed or self._must_ask:
+        was_suspended = self._detect_suspend(now)
+        if is_start or was_suspended or self._must_ask_again:
             self._fan_out(_messages.LimitsRequest())
-        self._must_ask = is_resumed
+        self._must_ask_again = was_suspended
         self._reminded_at = now
         for host in self._random_hosts(1):
             self._send_limits(host, now)
--- a/catkinshunt/wake_log.py
+++ b/catkinshunt/wake_log.py
@@ -1,4 +1,4 @@
-"""Times at which a process was running, to date what it reads late."""
+"""Dates messages that a suspended process reads long after their arrival."""
 
 import asyncio
 import collections
@@ -9,8 +9,8 @@
 #: Seconds after a record by which a process that runs without a gap has read
 #: everything that had arrived before it.
 SETTLE_S = 0.1
-#: Seconds after a gap in which what arrived during it may still be read, as
-#: other work has piled up.
+#: Seconds after a gap in which messages that arrived during it may still be
+#: unread, as other work has accumulated.
 RECOVERY_S = 2.0
 #: Records that are kept; they cover more than `RECOVERY_S`.
 MAX_RECORDS = 16
@@ -19,8 +19,10 @@
 class WakeLog:
     """Records when the event loop runs.
 
-    A process that was suspended reads a message long after its arrival. Times
-    that count from a message then have to count from before the suspend.
+    A process that was suspended reads a message long after its arrival. A
+    time that counts from the message, such as when a version is due, then has
+    to count from before the suspend. A suspend is noticed as a gap between
+    two records.
 
     Args:
         clock: function that returns seconds on a clock that includes suspends.
@@ -50,7 +52,11 @@
     def arrived_after(self, now):
         """Return the time after which a message read at `now` has arrived.
 
-        Before the first records this is `now`.
+        After a recent gap this is the last record before it, or before the
+        first one if there were several. Before the first record it is `now`.
+
+        Args:
+            now: present time in seconds.
         """
         for before, _ in self._recent_gaps(now):
             return before
@@ -60,15 +66,19 @@
         return min(self._times, default=now)
 
     def longest_gap_s(self, now):
-        """Return the longest time without a record of late, in seconds.
+        """Return the length of the longest recent gap, in seconds.
+
+        A message that is read at `now` may have waited for as long. Without
+        a recent gap this is 0.
 
-        What is read at `now` may have waited through it.
+        Args:
+            now: present time in seconds.
         """
         gaps = self._recent_gaps(now)
         return max((after - before for before, after in gaps), default=0.0)
 
     def _recent_gaps(self, now):
-        """Yield pairs of the times before and after each recent gap."""
+        """Yield the times before and after each recent gap between records."""
         for before, after in itertools.pairwise((*self._times, now)):
             is_recent = now - after <= RECOVERY_S
             if is_recent and after - before > PERIOD_S + SETTLE_S:
