--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -386,8 +386,8 @@
     Mutation(
         'limits-are-asked-for-again',
         'catkinshunt/rate_limits/_gossip.py',
-        'self._must_ask = is_resumed',
-        'self._must_ask = False',
+        'self._must_ask_again = was_suspended',
+        'self._must_ask_again = False',
     ),
     Mutation(
         'removals-count-from-the-last-confirmation',
@@ -649,7 +649,7 @@
     Mutation(
         'retry-asks-the-guard',
         'catkinshunt/gateway/_quarantine_check.py',
-        'self._unchecked.append(upstream)',
+        'self._unchecked_upstreams.append(upstream)',
         'pass',
     ),
     Mutation(
@@ -685,7 +685,7 @@
     Mutation(
         'empty-stream-is-broken-off',
         'catkinshunt/gateway/_relay.py',
-        'if self.ended_at_close and not self._has_begun_stream():',
+        'if self.ended_at_close and not self._client_has_event():',
         'if False:',
     ),
     Mutation(
