Log trials, and why a suspect is not quarantined

With a crashing part and a crashing whole request the log showed crashes and refusals only: not which request ran on trial, nor which other suspects kept a decision open. One line for each trial, and one for each crash and doubt of the four most suspected. The test fails without them.

--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -61,6 +61,8 @@
 MAX_CRASH_RECORDS = 256
 MAX_CRASH_REQUESTS = 64
 MAX_QUARANTINED = 256
+#: Most suspects whose doubts are logged at once, and most others of each.
+MAX_LOGGED_DOUBTS, MAX_LOGGED_OTHERS = 4, 8
 
 _log = logs.get_logger('quarantine')
 
@@ -231,6 +233,7 @@
                 ],
             )
             self.add(suspect.request, QUARANTINE_S, now)
+        self._log_doubts(now)
         return found
 
     def has_pending(self, now):
@@ -330,6 +333,15 @@
         for suspect in begun:
             suspect.trial_of = request
             suspect.trial_until = now + TRIAL_S
+        if begun:
+            _log.info(
+                'Request {} runs on trial of parts {}.',
+                request,
+                ', '.join(
+                    f'{suspect.request} ({len(suspect.crashes)} crashes)'
+                    for suspect in begun
+                ),
+            )
         return bool(begun)
 
     def running_trials(self, now):
@@ -572,24 +584,59 @@
 
     # Causes.
 
-    def _find_cause(self, now):
-        """Return a `Suspect` that is found to cause crashes, or None."""
-        due = [
+    def _due(self, now):
+        """Return the suspects that may be quarantined by now."""
+        return [
             suspect
             for suspect in self._suspects.values()
             if suspect.eligible_at is not None
             and now - suspect.eligible_at >= EVALUATION_DELAY_S
         ]
+
+    def _find_cause(self, now):
+        """Return a `Suspect` that is found to cause crashes, or None."""
+        due = self._due(now)
         if not due:
             return None
         other_rate_per_s = self._other_crash_rate_per_s(now)
         for suspect in due:
-            if self._is_cause(suspect, other_rate_per_s, now):
+            if self._find_doubt(suspect, other_rate_per_s, now) is None:
                 return suspect
         return None
 
-    def _is_cause(self, suspect, other_rate_per_s, now):
-        """Return whether a suspect is found to cause crashes.
+    def _log_doubts(self, now):
+        """Log why the most suspected ones are not quarantined.
+
+        Once for each doubt and number of crashes.
+        """
+        due = sorted(
+            self._due(now),
+            key=lambda suspect: (-len(suspect.crashes), suspect.request),
+        )
+        other_rate_per_s = self._other_crash_rate_per_s(now)
+        for suspect in due[:MAX_LOGGED_DOUBTS]:
+            doubt = self._find_doubt(suspect, other_rate_per_s, now)
+            seen = (len(suspect.crashes), doubt)
+            if seen == suspect.doubted:
+                continue
+            suspect.doubted = seen
+            others = sorted(
+                self._others(suspect), key=lambda other: -len(other.crashes)
+            )
+            _log.info(
+                '{} {} is not quarantined after {} crashes: {}.',
+                'Prompt part' if suspect.is_part else 'Request',
+                suspect.request,
+                len(suspect.crashes),
+                doubt,
+                others=[
+                    f'{other.request} {len(other.crashes)}'
+                    for other in others[:MAX_LOGGED_OTHERS]
+                ],
+            )
+
+    def _find_doubt(self, suspect, other_rate_per_s, now):
+        """Return why a suspect is not found to cause crashes, or None.
 
         Args:
             suspect: the `Suspect`.
@@ -601,13 +648,13 @@
         if other_rate_per_s > OTHER_CRASH_RATE_PER_S:
             needed += 1
         if len(suspect.crashes) < needed:
-            return False
+            return f'{needed} are needed beside other crashes'
         evidence = self._evidence(suspect, now)
         if len(evidence) < _suspect.MIN_CRASHES:
-            return False
+            return f'others may explain all but {len(evidence)}'
         if suspect.is_part and self._count_tried_alone(suspect) < MIN_TRIED:
             # Upstreams that ended together were all running a common part.
-            return False
+            return f'fewer than {MIN_TRIED} of them were on trial alone'
         run_s = max(
             MIN_RUN_S, *(c.longest_run_s(suspect.request) for c in evidence)
         )
@@ -617,7 +664,9 @@
         # The first factor accounts for the choice of the longest run, the
         # last one for the upstreams that might have crashed instead.
         coincidence = count * chance**count / size ** (count - 1)
-        return coincidence <= MAX_COINCIDENCE
+        if coincidence > MAX_COINCIDENCE:
+            return f'{count} of them may be chance'
+        return None
 
     def _evidence(self, suspect, now):
         """Return the crashes that no other suspect may have caused."""
--- a/catkinshunt/quarantine/_suspect.py
+++ b/catkinshunt/quarantine/_suspect.py
@@ -77,6 +77,7 @@
         refused_at: when a request with it was last refused, or None.
         trial_of: request that has it and runs on trial, or None.
         trial_until: when its trial ends, in seconds.
+        doubted: number of its crashes and doubt that were logged last.
     """
 
     request: str
@@ -88,6 +89,7 @@
     refused_at: float | None = None
     trial_of: str | None = None
     trial_until: float = 0.0
+    doubted: tuple | None = None
 
     @property
     def is_isolated(self):
--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -1,3 +1,5 @@
+import loguru
+
 from catkinshunt import quarantine
 from catkinshunt.quarantine import _quarantine
 
@@ -434,3 +436,22 @@
     assert subject.evaluate(12.0 + SETTLED) == []
     complete(subject, 'a')
     assert subject.find_held(traits('7a')) == []
+
+
+def test_doubt_is_logged_once_for_each_crash():
+    """The log did not tell why nothing was decided after many crashes."""
+    found = []
+    sink = loguru.logger.add(lambda text: found.append(text.record))
+    subject = quarantine.Quarantine()
+    crash(subject, 'pa', 'pa', 'pa')
+    for _ in range(3):
+        assert subject.evaluate(SETTLED) == []
+    loguru.logger.remove(sink)
+    assert [(r['message'], r['extra']['others']) for r in found] == [
+        (
+            f'Request {suspect} is not quarantined after 3 crashes:'
+            ' others may explain all but 0.',
+            [f'{other} 3'],
+        )
+        for suspect, other in ('ap', 'pa')
+    ]
