Merge the log of trials and of what excuses a suspect

The log line of a doubt goes with the decision into the module of causes, that of a trial into the one of admission.

--- a/catkinshunt/quarantine/_admission.py
+++ b/catkinshunt/quarantine/_admission.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+from catkinshunt import logs
 from catkinshunt.quarantine import _causes
 from catkinshunt.quarantine import _suspect
 
@@ -21,6 +22,8 @@
 #: a second is added, which depends on the request.
 MIN_WAIT_S = 0.2
 
+_log = logs.get_logger('quarantine')
+
 
 class Admission:
     """Decides when requests with suspected traits may run.
@@ -120,6 +123,15 @@
         for suspect in begun:
             suspect.trial_of = request
             suspect.trial_until = now + TRIAL_S
+        if begun:
+            _log.info(
+                'Request {} runs on trial of parts {}.',
+                request,
+                ', '.join(
+                    f'{suspect.request} ({len(suspect.crashes)} crashes)'
+                    for suspect in begun
+                ),
+            )
         return bool(begun)
 
     def running_trials(self, now):
--- a/catkinshunt/quarantine/_quarantine.py
+++ b/catkinshunt/quarantine/_quarantine.py
@@ -165,6 +165,7 @@
                 ],
             )
             self.add(suspect.request, QUARANTINE_S, now)
+        self._causes.log_doubts(now)
         return found
 
     def has_pending(self, now):
