Send to an engine only while a version that is due would be known

Callers without keys could get answers of an outdated version for as long as an entry was cut off from the store and the sidecar of an engine did not reply, and after a suspend of an entry: a request with a permit from before it, or a stream resumed after it, was sent on the state of before it. Nothing ended that; routes with keys are refused after 3.5 s.

Cause: the due time of a version is kept from the last confirmation, but only if the version is heard of. Ruled out: to refuse all on engines once the state is as old as the time of a version. Each outage of the store of 7.25 s would end their work, and while sidecars answer, they refuse expired versions.

Now a request is sent only if the state was confirmed, or the sidecar of the engine asked, within that time: what was announced before would be known, and what was announced after is not due. Without a reply of the sidecar the lead of 1.5 s counts too.

Evidence: of the five new cases three failed before: sent without a permit at a state of 7.0 s, sent with a permit of 9 s ago, resumed after a suspend of 9 s. Two hold the other side: 6.0 s are served (the harness has 8 s), and a state of 60 s with sidecars that answer. Cost: in an outage of the store engines with silent sidecars get nothing from 5.75 s on.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -426,6 +426,18 @@
         'if now + request.prefill_s >= self._expires_at:',
         'if False:',
     ),
+    Mutation(
+        'no-request-without-news',
+        'catkinshunt/gateway/_attempt.py',
+        'if selection.may_miss_version(self.asked_at):',
+        'if False:',
+    ),
+    Mutation(
+        'silent-sidecars-need-news',
+        'catkinshunt/gateway/_permit_search.py',
+        'if self.selection.may_miss_version(lead_s=NO_PERMIT_VERSION_LEAD_S):',
+        'if False:',
+    ),
     Mutation(
         'silent-sidecars-end-a-version-sooner',
         'catkinshunt/gateway/_permit_search.py',
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -32,6 +32,8 @@
     Args:
         exchange: the `Exchange` of the request.
         candidate: the selected `dispatch.Candidate`.
+        asked_at: when its sidecar, if it has replied, was asked for a permit,
+            on the boot-time clock; else None.
         beside: the `_failover.Failover` that this attempt is part of, or
             None. The attempt before it then still waits for its reply.
 
@@ -43,11 +45,12 @@
         ended_at_close: whether the relayed reply ended with its connection.
     """
 
-    def __init__(self, exchange, candidate, beside=None):
+    def __init__(self, exchange, candidate, asked_at=None, beside=None):
         self.exchange = exchange
         self.context = exchange.context
         self.progress = exchange.progress
         self.candidate = candidate
+        self.asked_at = asked_at
         self.beside = beside
         self.job = None
         self.sent_at = None
@@ -131,6 +134,13 @@
                 ' chosen',
                 step='send',
             )
+        if selection.may_miss_version(self.asked_at):
+            # Its sidecar may be asked again.
+            self.progress.reloading.add(upstream.key)
+            raise UnavailableError(
+                f'{upstream.id}: a version may be due that is not known',
+                step='send',
+            )
 
     async def _send(self):
         pool = self.context.pool(self.candidate.upstream)
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -308,7 +308,9 @@
         # quarantined, while it waited for a permit.
         await self.quarantine_check.wait_for_crash_checks()
         self.quarantine_check.check()
-        attempt = _attempt.Attempt(self, candidate, beside)
+        attempt = _attempt.Attempt(
+            self, candidate, search.asked_at(candidate), beside
+        )
         try:
             await attempt.run()
         except errors.RequestError as exc:
--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -227,6 +227,8 @@
             return False
         if self.selection.is_outdated(upstream, NO_PERMIT_VERSION_LEAD_S):
             return False
+        if self.selection.may_miss_version(lead_s=NO_PERMIT_VERSION_LEAD_S):
+            return False
         max_jobs = upstream.slots * NO_PERMIT_SLOT_SHARE
         return len(candidate.state.jobs) < max(1, max_jobs)
 
@@ -249,6 +251,18 @@
             (c for c in candidates if c.upstream.key not in closed), None
         )
 
+    def asked_at(self, candidate):
+        """Return when a sidecar that has replied was asked, or None.
+
+        Args:
+            candidate: the one whose sidecar it is.
+        """
+        replied = any(
+            pending.candidate.upstream.key == candidate.upstream.key
+            for pending in self._pending
+        )
+        return self._boot_began if replied else None
+
     def close(self):
         """Release the permit and withdraw all requests for one."""
         self._keep_only(None)
--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -197,6 +197,26 @@
         version = (known.versions or {}).get(self.info.model)
         return version is not None and version < min_version
 
+    def may_miss_version(self, asked_at=None, lead_s=0.0):
+        """Return whether a version may be due that is not known here.
+
+        It was announced after the state was last confirmed, and after a
+        sidecar was asked that admits the request.
+
+        Args:
+            asked_at: when such a sidecar was asked, on the boot-time clock;
+                None if none has replied.
+            lead_s: seconds from now to which the answer refers.
+        """
+        if not self.info.model or self.engine_profile() is None:
+            return False
+        times = (self.context.catalog.confirmed_at, asked_at)
+        known_at = max((t for t in times if t is not None), default=None)
+        if known_at is None:
+            return False
+        now = self.context.boot_clock() + lead_s
+        return now - known_at > self.context.version_grace_s
+
     def _split_by_statements(self, version_lead_s):
         """Return eligible upstreams that may get a request now, and others.
 
--- a/catkinshunt/gateway/tests/test_permits.py
+++ b/catkinshunt/gateway/tests/test_permits.py
@@ -558,3 +558,92 @@
     assert status == 503
     assert float(harness.header(headers, 'Retry-After')) < 1
     assert not engine.heads
+
+
+def shift_boot_clock(context):
+    """Return a list with the seconds that its boot-time clock is ahead."""
+    boot_clock, offset = context.boot_clock, [0.0]
+    context.boot_clock = lambda: boot_clock() + offset[0]
+    return offset
+
+
+@pytest.mark.parametrize(('age_s', 'status'), [(7.0, 429), (6.0, 200)])
+def test_entry_that_is_cut_off_needs_a_sidecar_to_know_the_version(
+    age_s, status
+):
+    """A version that it never hears of may have become due meanwhile."""
+    engine = make_engine('u1', harness.streaming(3))
+
+    async def main():
+        async with harness.running_gateway(engine, accounts=None) as gateway:
+            context = gateway.context
+            context.permit_client = FakePermitClient(None)
+            shift_boot_clock(context)[0] = age_s
+            return await gateway.request('/chat/1', 'POST', b'hello', **CHAT)
+
+    assert asyncio.run(main())[0] == status
+    assert len(engine.heads) == (status == 200)
+
+
+def test_entry_that_is_cut_off_serves_what_sidecars_admit():
+    """A long outage of the store ends no work on engines."""
+    engine = make_engine('u1', harness.streaming(3))
+
+    async def main():
+        async with harness.running_gateway(engine, accounts=None) as gateway:
+            context = gateway.context
+            context.permit_client = FakePermitClient()
+            shift_boot_clock(context)[0] = 60.0
+            return await gateway.request('/chat/1', 'POST', b'hello', **CHAT)
+
+    assert asyncio.run(main())[0] == 200
+
+
+def test_permit_from_before_a_suspend_shows_no_version():
+    """A version may have become due in the suspend, also without keys."""
+    engine = make_engine('u1', harness.streaming(3))
+    client = FakePermitClient(permits.PermitQueued)
+
+    async def main():
+        async with harness.running_gateway(engine, accounts=None) as gateway:
+            context = gateway.context
+            context.permit_client = client
+            offset = shift_boot_clock(context)
+
+            class Suspended(FakePermitRequest):
+                async def await_decision(self):
+                    offset[0] = 9.0
+                    return await super().await_decision()
+
+            client.request_class = Suspended
+            reply = await gateway.request('/chat/1', 'POST', b'hello', **CHAT)
+            return reply, len(client.requests)
+
+    (status, _, _), asked = asyncio.run(main())
+    # The sidecar is asked again.
+    assert (status, asked) == (200, 2)
+
+
+def test_resumed_stream_needs_a_sidecar_that_knows_the_version():
+    """A suspend falls between the first part of a stream and the next."""
+    offset = []
+
+    async def answer(head, writer, upstream):
+        if harness.header(head, 'Last-Event-Id'):
+            return await harness.streaming(6)(head, writer, upstream)
+        offset[0][0] = 9.0
+        return await harness.streaming(6, breaks_after=3)(
+            head, writer, upstream
+        )
+
+    engines = [make_engine(name, answer) for name in 'ab']
+    client = FakePermitClient(permits.PermitGranted, *[None] * 2)
+
+    async def main():
+        async with harness.running_gateway(*engines, accounts=None) as gateway:
+            gateway.context.permit_client = client
+            offset.append(shift_boot_clock(gateway.context))
+            return await gateway.request('/chat/1', 'POST', b'hello', **CHAT)
+
+    asyncio.run(main())
+    assert sum(len(engine.heads) for engine in engines) == 1
