Move streams beside a pending version whose due time is not known

Callers of an entry that had started within the time of a new version had their streams stand still at an engine that fell silent, for as long as the version was pending, up to 6 s: no other engine counted as fit to take them.

Cause: since a pending version counts as due 1.1 s after its mark was last seen, a look 1.5 s ahead finds each pending version due, so a failover, which wants an engine whose version does not become outdated for 1.5 s, had none. Ruled out: to look ahead for no engine; a request would be moved to where it is withdrawn at once, if the due time is known.

The lead now counts for versions whose time is known. A pending one forbids engines from 1.1 s after its mark was last seen, as for first attempts; engines whose sidecar is silent are still left out while one is pending.

Evidence: the test failed before, no event after the head within 3.0 s; it passes now.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -432,6 +432,12 @@
         'if selection.may_miss_version(self.asked_at):',
         'if False:',
     ),
+    Mutation(
+        'failover-beside-a-pending-version',
+        'catkinshunt/gateway/_selection.py',
+        'min_version = self._min_version(now, version_lead_s)',
+        'min_version = self._min_version(now + version_lead_s)',
+    ),
     Mutation(
         'silent-sidecars-need-news',
         'catkinshunt/gateway/_permit_search.py',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -285,7 +285,7 @@
         ]
         return below[-1] if below else None
 
-    def due_version(self, model, grace_s, now):
+    def due_version(self, model, grace_s, now, lead_s=0.0):
         """Return the newest version that is due, or None.
 
         A version is due `grace_s` seconds after it was announced, even if a
@@ -297,16 +297,18 @@
             model: name of the model.
             grace_s: grace period in seconds.
             now: time in seconds on the catalog's clock.
+            lead_s: seconds by which versions whose time is known count as
+                due sooner. That of a pending one is not known.
         """
         due = [
             announced.version
             for announced in self._versions.get(model, ())
-            if self._is_due(announced, grace_s, now)
+            if self._is_due(announced, grace_s, now, lead_s)
         ]
         return due[-1] if due else None
 
-    def _is_due(self, announced, grace_s, now):
-        if now - announced.announced_after > grace_s:
+    def _is_due(self, announced, grace_s, now, lead_s):
+        if now + lead_s - announced.announced_after > grace_s:
             return True
         if not announced.is_pending:
             return False
--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -190,7 +190,7 @@
 
     def is_outdated(self, upstream, lead_s):
         """Return whether its version is outdated `lead_s` seconds from now."""
-        min_version = self._min_version(lead_s)
+        min_version = self._min_version(self.context.boot_clock() + lead_s)
         if min_version is None or self.engine_profile() is None:
             return False
         known = self.context.catalog.find(upstream.id) or upstream
@@ -239,28 +239,28 @@
 
     def _eligible_upstreams(self, version_lead_s=0.0):
         """Return those that serve the model in a version not outdated."""
-        found = self.context.catalog.upstreams(
-            self.decision.service, self.context.boot_clock()
-        )
+        now = self.context.boot_clock()
+        found = self.context.catalog.upstreams(self.decision.service, now)
         model = self.info.model
         if not model or self.engine_profile() is None:
             return found
         serving = [u for u in found if u.versions and model in u.versions]
-        min_version = self._min_version(version_lead_s)
+        # A failover goes to engines that a pending version does not forbid
+        # yet: its due time is not known.
+        min_version = self._min_version(now, version_lead_s)
         if min_version is None:
             return serving
         return [u for u in serving if u.versions[model] >= min_version]
 
-    def _min_version(self, lead_s=0.0):
+    def _min_version(self, now, lead_s=0.0):
         """Return the newest version that is due; None if there is none.
 
         Older ones are outdated.
 
         Args:
-            lead_s: seconds from now to which the answer refers.
+            now: time in seconds on the boot-time clock.
+            lead_s: as of `catalog.Catalog.due_version`.
         """
         return self.context.catalog.due_version(
-            self.info.model,
-            self.context.version_grace_s,
-            self.context.boot_clock() + lead_s,
+            self.info.model, self.context.version_grace_s, now, lead_s
         )
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import threading
 import time
@@ -549,3 +550,37 @@
             return closed_s
 
     assert 2.0 < asyncio.run(main()) < 2.5
+
+
+def test_stream_moves_while_a_version_is_pending():
+    """The entry has started after a version was announced.
+
+    It knows that the version is not due, but not for how long, and left each
+    stream at an engine that had fallen silent.
+    """
+
+    async def main():
+        silent = test_streams.make_engine('u1', silent_for_good)
+        other = test_streams.make_engine('u2', harness.streaming(EVENTS))
+        async with harness.running_gateway(silent, other) as gateway:
+            context = gateway.context
+            catalog, now = context.catalog, context.boot_clock()
+            catalog.add_announced_version(harness.MODEL, 2, -math.inf)
+            catalog.mark_pending(harness.MODEL, 2, now)
+            tracker = context.tracker
+            tracker.state(other.listed()).pause(context.clock(), 0.3)
+
+            async def confirm():
+                while True:
+                    catalog.confirm(context.boot_clock())
+                    await asyncio.sleep(0.3)
+
+            task = asyncio.ensure_future(confirm())
+            try:
+                async with asyncio.timeout(3.0):
+                    return await test_streams.chat(gateway)
+            finally:
+                task.cancel()
+
+    _, _, body = asyncio.run(main())
+    assert body == test_streams.events(EVENTS)
