Mark each of several versions that are learned at once

Callers of an entry that started within the time of two versions, which the other entries had read in one page, were refused until an engine had the first of them: up to 7 s.

Cause: only the newest version got a mark, and the mark names the version before it since an entry that starts has to know that one. Without a mark of its own it counts as due at once. Ruled out: to name only versions that were announced sooner, since the mark of the second one may end later than the first is due where they came in two pages.

All versions that are known and not due are marked. Evidence: the test failed before, with a mark of version 3 alone. The case of a first version without a mark is `test_version_before_a_pending_one_is_due_in_time`: it is due at once. Cost: two calls more of each of two entries for each such version.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -941,6 +941,12 @@
         'if is_repeated:',
         'if False:',
     ),
+    Mutation(
+        'each-pending-version-is-marked',
+        'catkinshunt/platform/_pending_publisher.py',
+        'for model, announced in self.catalog.announced_versions():',
+        'for model, announced in self.catalog.announced_versions()[-1:]:',
+    ),
     Mutation(
         'suspects-kept-in-the-store',
         'catkinshunt/platform/_cache_updater.py',
--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -264,6 +264,14 @@
         """Return the models for which a version was announced."""
         return list(self._versions)
 
+    def announced_versions(self):
+        """Return all (model, `AnnouncedVersion`) pairs, the oldest first."""
+        return [
+            (model, announced)
+            for model, known in self._versions.items()
+            for announced in known
+        ]
+
     def newest_version(self, model):
         """Return the newest `AnnouncedVersion` of a model, or None."""
         known = self._versions.get(model)
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -77,8 +77,8 @@
     def _find_unpublished(self):
         """Return (model, version) pairs that this entry has to publish."""
         found = []
-        for model in self.catalog.announced_models():
-            announced = self.catalog.newest_version(model)
+        # Several may be learned at once, and each becomes due separately.
+        for model, announced in self.catalog.announced_versions():
             key = (model, announced.version)
             if key in self._handled:
                 continue
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -313,3 +313,26 @@
         return _documents.parse_pending(store.items[KEY].value)
 
     assert asyncio.run(main()) == 1
+
+
+def test_versions_that_are_learned_together_are_all_marked():
+    """The mark of the newest names the one before, which has none.
+
+    An entry that starts then rejects all requests until an engine has that
+    one, since it counts as due.
+    """
+    keys = [_documents.pending_key('drafts', number) for number in (2, 3)]
+
+    async def main():
+        store = fakes.FakeStore()
+        async with Publisher(store).running() as publisher:
+            for version in (2, 3):
+                publisher.catalog.add_announced_version(
+                    'drafts', version, publisher.now
+                )
+            await fakes.wait_until(lambda: keys[1] in store.items)
+            for _ in range(20):
+                await asyncio.sleep(0)
+        return [key for key in keys if key in store.items]
+
+    assert asyncio.run(main()) == keys
