Remove the mark of a pending version whose lease pauses in an outage

Callers could get answers of an outdated version from an entry that starts after an outage of the store: leases may pause while the store is down, so the mark of a pending version lasted longer by the outage, and such an entry takes the version for one that is not due while the mark exists.

Cause: the lease alone ended the mark. It was removed only after a change of the store's era. Ruled out: a time of day in the mark, since clocks are set, and an entry with a clock ahead would reject requests.

Who wrote a mark removes it at its time, and tries again each 0.5 s until the store answers. The time is read from the boot-time clock each 0.5 s; before, one sleep on the monotonic clock made the removal late by a suspend of the writer. Who wrote none, such as an entry that was cut off and counts the version from before that, leaves the mark of others; a test holds that.

Cost: one call more of each of two entries for a version, and two a second in an outage. A mark may still outlast its time if both writers end in the outage.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -938,7 +938,13 @@
     Mutation(
         'pending-key-is-removed',
         'catkinshunt/platform/_pending_publisher.py',
-        'if is_repeated:',
+        'await self.client.remove(key)',
+        'pass',
+    ),
+    Mutation(
+        'paused-pending-key-is-removed',
+        'catkinshunt/platform/_pending_publisher.py',
+        'if lease is not None:',
         'if False:',
     ),
     Mutation(
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -16,6 +16,9 @@
 #: `Catalog.pending_trust_s` before its version is due. A lease whose grant
 #: took longer is revoked.
 LEASE_MARGIN_S = 0.4
+#: Seconds between two attempts to remove a key, and between two looks at the
+#: clock before, which also runs during a suspend.
+REMOVAL_PERIOD_S = 0.5
 
 _log = logs.get_logger('versions')
 
@@ -51,6 +54,7 @@
         self.version_grace_s = version_grace_s
         self.boottime = boottime
         self._handled = set()
+        self._removals = set()
 
     async def run(self):
         """Write keys until cancelled."""
@@ -72,6 +76,7 @@
         for model, announced in self._find_unpublished():
             group.create_task(self._publish(model, announced))
             if is_repeated:
+                # The store may have got a key back from an older copy.
                 group.create_task(self._remove_when_due(model, announced))
 
     def _find_unpublished(self):
@@ -94,20 +99,32 @@
         return self.name in ranked[:WRITER_COUNT]
 
     async def _remove_when_due(self, model, announced):
-        """Remove a key that the store may have got back from an older copy.
+        """Remove a key that may outlast its time.
 
-        It would last as long as its lease had left when the copy was made, or
-        longer, and an entry that starts then would serve an older version.
+        Leases may pause while the store is down, and a key that the store has
+        back from an older copy lasts as long as its lease had left then, or
+        longer. An entry that starts meanwhile would serve an older version.
         """
-        left_s = self._ends_at(announced) - self.boottime()
-        if left_s < -self.version_grace_s:
+        removal = (model, announced.version)
+        left_s = self._left_s(announced)
+        if left_s < -self.version_grace_s or removal in self._removals:
             return
-        await asyncio.sleep(max(0.0, left_s))
+        self._removals.add(removal)
+        while (left_s := self._left_s(announced)) > 0:
+            await asyncio.sleep(min(left_s, REMOVAL_PERIOD_S))
         key = _documents.pending_key(model, announced.version)
-        try:
-            await self.client.remove(key)
-        except errors.StoreError as exc:
-            _log.warning('Removing the key {} failed: {}.', key, exc)
+        while True:
+            try:
+                await self.client.remove(key)
+                break
+            except errors.StoreError as exc:
+                _log.warning('Removing the key {} failed: {}.', key, exc)
+            await asyncio.sleep(REMOVAL_PERIOD_S)
+        self._removals.discard(removal)
+
+    def _left_s(self, announced):
+        """Return the seconds until the key of a version has to end."""
+        return self._ends_at(announced) - self.boottime()
 
     def _ends_at(self, announced):
         """Return the time by which the key of a version has to end."""
@@ -120,6 +137,7 @@
         lease_s = ends_at - self.boottime() - LEASE_MARGIN_S
         if not math.isfinite(lease_s) or lease_s < MIN_LEASE_S:
             return
+        lease = None
         try:
             lease = await self.client.grant_lease(lease_s)
             if self.boottime() + lease_s > ends_at:
@@ -137,3 +155,5 @@
                 model,
                 exc,
             )
+        if lease is not None:
+            await self._remove_when_due(model, announced)
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -336,3 +336,47 @@
         return [key for key in keys if key in store.items]
 
     assert asyncio.run(main()) == keys
+
+
+def test_key_whose_lease_pauses_in_an_outage_does_not_outlast_its_time():
+    """The store suspends its leases while it is down.
+
+    An entry that starts after the outage would serve an older version for as
+    long again.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        async with Publisher(store).running() as publisher:
+            publisher.catalog.add_announced_version('drafts', 2, publisher.now)
+            await fakes.wait_until(lambda: KEY in store.items)
+            store.is_down = True
+            publisher.now += GRACE_S - publisher.catalog.pending_trust_s
+            await fakes.wait_until(lambda: store.calls[-1] == 'remove')
+            publisher.now += 3.0
+            store.is_down = False
+            await fakes.wait_until(lambda: KEY not in store.items)
+
+    asyncio.run(main())
+
+
+def test_key_of_another_writer_is_not_removed_by_one_that_wrote_none():
+    """An entry was cut off, and counts the version from before that.
+
+    Entries that start would reject requests while engines load the version.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        store.put(KEY, b'{}')
+        async with Publisher(store).running() as publisher:
+            publisher.catalog.add_announced_version(
+                'drafts', 2, publisher.now - 5.0
+            )
+            for _ in range(20):
+                await asyncio.sleep(0)
+            publisher.now += 2.0
+            await asyncio.sleep(2 * _pending_publisher.REMOVAL_PERIOD_S)
+        return KEY in store.items
+
+    assert asyncio.run(main())
