Let a version found at the start expire at a sidecar

Callers could get answers of an outdated version without end through a sidecar that had started beside a newer one, where the engine could not load that and the entry was cut off from the store: the sidecar never let the older version expire, not even once a third one was due whose time it knew.

Cause: the first read finds a version whose time is not known, and that was taken for no time at all, also for the versions after it. It has a bound: the version was announced before the read. Ruled out: to count from the time at which the engine loads it, which is at once; the engine would get no requests up to 8 s too early while other sidecars serve the older version.

The older version now expires 8 s after the first read, less the margin. Late by 8 s at most; entries that reach the store decide.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -414,6 +414,12 @@
         'return self.wake_log.arrived_after(self.boottime())',
         'return self.boottime()',
     ),
+    Mutation(
+        'version-found-at-start-ends-one',
+        'catkinshunt/platform/_store_view.py',
+        'due_at += self.version_grace_s',
+        'due_at = math.inf',
+    ),
     Mutation(
         'versions-expire-in-a-suspend',
         'catkinshunt/platform/_sidecar.py',
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -257,11 +257,15 @@
     def expires_at(self, model, version):
         """See `spread.BaseClusterView.expires_at`."""
         newer = self.catalog.next_version(model, version)
-        # The announcement time of a version that was in the store at the start
-        # is unknown; other sidecars may still use the previous one.
-        if newer is None or newer.found:
+        if newer is None:
             return math.inf
-        return newer.announced_after + self.version_grace_s - EXPIRY_MARGIN_S
+        due_at = newer.announced_after + self.version_grace_s
+        if newer.found:
+            # It may have been announced just before the first read, and counts
+            # from earlier only so that it is loaded at once. Other sidecars
+            # may still use the previous one.
+            due_at += self.version_grace_s
+        return due_at - EXPIRY_MARGIN_S
 
     async def members(self):
         """See `spread.BaseClusterView.members`."""
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -128,9 +128,9 @@
     def expires_at(self, model, version):
         """Return the time after which no request may start on `version`.
 
-        Derived from the same due time as `superseded_at`. Infinite if there is
-        no newer version, or if its due time is not known, such as after a
-        restart.
+        Derived from the same due time as `superseded_at`, or the latest one
+        that it can have, such as after a restart. Infinite if there is no
+        newer version.
         """
 
     @abc.abstractmethod
