--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -414,6 +414,12 @@
         'return self.wake_log.arrived_after(self.boottime())',
         'return self.boottime()',
     ),
+    Mutation(
+        'version-found-at-start-ends-one',
+        'catkinshunt/platform/_store_view.py',
+        'due_at += self.version_grace_s',
+        'due_at = math.inf',
+    ),
     Mutation(
         'versions-expire-in-a-suspend',
         'catkinshunt/platform/_sidecar.py',
@@ -426,6 +432,24 @@
         'if now + request.prefill_s >= self._expires_at:',
         'if False:',
     ),
+    Mutation(
+        'no-request-without-news',
+        'catkinshunt/gateway/_attempt.py',
+        'if selection.may_miss_version(self.asked_at):',
+        'if False:',
+    ),
+    Mutation(
+        'failover-beside-a-pending-version',
+        'catkinshunt/gateway/_selection.py',
+        'min_version = self._min_version(now, version_lead_s)',
+        'min_version = self._min_version(now + version_lead_s)',
+    ),
+    Mutation(
+        'silent-sidecars-need-news',
+        'catkinshunt/gateway/_permit_search.py',
+        'if self.selection.may_miss_version(lead_s=NO_PERMIT_VERSION_LEAD_S):',
+        'if False:',
+    ),
     Mutation(
         'silent-sidecars-end-a-version-sooner',
         'catkinshunt/gateway/_permit_search.py',
@@ -920,9 +944,27 @@
     Mutation(
         'pending-key-is-removed',
         'catkinshunt/platform/_pending_publisher.py',
-        'if is_repeated:',
+        'await self.client.remove(key)',
+        'pass',
+    ),
+    Mutation(
+        'paused-pending-key-is-removed',
+        'catkinshunt/platform/_pending_publisher.py',
+        'if lease is not None:',
         'if False:',
     ),
+    Mutation(
+        'slow-grants-are-asked-for-again',
+        'catkinshunt/platform/_pending_publisher.py',
+        'margin_s = 2 * (self.boottime() - asked_at)',
+        'return None',
+    ),
+    Mutation(
+        'each-pending-version-is-marked',
+        'catkinshunt/platform/_pending_publisher.py',
+        'for model, announced in self.catalog.announced_versions():',
+        'for model, announced in self.catalog.announced_versions()[-1:]:',
+    ),
     Mutation(
         'suspects-kept-in-the-store',
         'catkinshunt/platform/_cache_updater.py',
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -32,6 +32,8 @@
     Args:
         exchange: the `Exchange` of the request.
         candidate: the selected `dispatch.Candidate`.
+        asked_at: when its sidecar, if it has replied, was asked for a permit,
+            on the boot-time clock; else None.
         parent_failover: the `_failover.Failover` that this attempt is part
             of, or None. The attempt that started it may still wait for its
             own reply.
@@ -45,11 +47,14 @@
             its connection, see `http1.EndOfReply`.
     """
 
-    def __init__(self, exchange, candidate, parent_failover=None):
+    def __init__(
+        self, exchange, candidate, asked_at=None, parent_failover=None
+    ):
         self.exchange = exchange
         self.context = exchange.context
         self.progress = exchange.progress
         self.candidate = candidate
+        self.asked_at = asked_at
         self.parent_failover = parent_failover
         self.job = None
         self.sent_at = None
@@ -148,6 +153,13 @@
                 ' chosen',
                 step='send',
             )
+        if selection.may_miss_version(self.asked_at):
+            # Its sidecar may be asked again.
+            self.progress.reloading.add(upstream.key)
+            raise UnavailableError(
+                f'{upstream.id}: a version may be due that is not known',
+                step='send',
+            )
 
     async def _send(self):
         pool = self.context.pool(self.candidate.upstream)
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -326,7 +326,9 @@
         # connection, or the request may have been quarantined.
         await self.quarantine_check.wait_for_crash_checks()
         self.quarantine_check.check()
-        attempt = _attempt.Attempt(self, candidate, failover)
+        attempt = _attempt.Attempt(
+            self, candidate, search.asked_at(candidate), failover
+        )
         try:
             await attempt.run()
         except errors.RequestError as exc:
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -313,3 +313,97 @@
         return _documents.parse_pending(store.items[KEY].value)
 
     assert asyncio.run(main()) == 1
+
+
+def test_versions_that_are_learned_together_are_all_marked():
+    """The mark of the newest names the one before, which has none.
+
+    An entry that starts then rejects all requests until an engine has that
+    one, since it counts as due.
+    """
+    keys = [_documents.pending_key('drafts', number) for number in (2, 3)]
+
+    async def main():
+        store = fakes.FakeStore()
+        async with Publisher(store).running() as publisher:
+            for version in (2, 3):
+                publisher.catalog.add_announced_version(
+                    'drafts', version, publisher.now
+                )
+            await fakes.wait_until(lambda: keys[1] in store.items)
+            for _ in range(20):
+                await asyncio.sleep(0)
+        return [key for key in keys if key in store.items]
+
+    assert asyncio.run(main()) == keys
+
+
+def test_key_whose_lease_pauses_in_an_outage_does_not_outlast_its_time():
+    """The store suspends its leases while it is down.
+
+    An entry that starts after the outage would serve an older version for as
+    long again.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        async with Publisher(store).running() as publisher:
+            publisher.catalog.add_announced_version('drafts', 2, publisher.now)
+            await fakes.wait_until(lambda: KEY in store.items)
+            store.is_down = True
+            publisher.now += GRACE_S - publisher.catalog.pending_trust_s
+            await fakes.wait_until(lambda: store.calls[-1] == 'remove')
+            publisher.now += 3.0
+            store.is_down = False
+            await fakes.wait_until(lambda: KEY not in store.items)
+
+    asyncio.run(main())
+
+
+def test_key_of_another_writer_is_not_removed_by_one_that_wrote_none():
+    """An entry was cut off, and counts the version from before that.
+
+    Entries that start would reject requests while engines load the version.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        store.put(KEY, b'{}')
+        async with Publisher(store).running() as publisher:
+            publisher.catalog.add_announced_version(
+                'drafts', 2, publisher.now - 5.0
+            )
+            for _ in range(20):
+                await asyncio.sleep(0)
+            publisher.now += 2.0
+            await asyncio.sleep(2 * _pending_publisher.REMOVAL_PERIOD_S)
+        return KEY in store.items
+
+    assert asyncio.run(main())
+
+
+def test_version_is_marked_while_the_store_is_slow():
+    """Each call takes 0.5 s; without a mark an entry that starts serves none.
+
+    The key still ends before the version is due.
+    """
+
+    async def main():
+        store = fakes.FakeStore()
+        ends_at = []
+        async with Publisher(store).running() as publisher:
+            grant = store.grant_lease
+
+            async def slow(ttl_s):
+                publisher.now += 0.5
+                ends_at.append(publisher.now + ttl_s)
+                return await grant(ttl_s)
+
+            store.grant_lease = slow
+            began_at = publisher.now
+            publisher.catalog.add_announced_version('drafts', 2, began_at)
+            await fakes.wait_until(lambda: KEY in store.items)
+            trust_s = publisher.catalog.pending_trust_s
+        return ends_at[-1] - began_at + trust_s
+
+    assert asyncio.run(main()) <= GRACE_S
