Split the checks of replies from relaying and searching in the gateway

`_relay` also decided whether a reply may be relayed at all, and `_permit_search.find` was one function of sixty lines that asked sidecars, weighed their replies and built the error. `_reply_check` checks the head of a reply, `_permit_replies` says what the replies of sidecars mean, and `_ask_sidecars` is the first half of the search.

--- a/catkinshunt/gateway/_admission.py
+++ b/catkinshunt/gateway/_admission.py
@@ -13,8 +13,6 @@
 STARTING_RETRY_S = 0.8
 #: `Retry-After` in seconds while the entry stops; the retry reaches another.
 STOPPING_RETRY_S = 0.1
-#: Not in use: a request without a deadline gets `serve.timeout_s`. In seconds.
-DEFAULT_DEADLINE_S = 300.0
 
 
 class UnknownRouteError(errors.InvalidRequestError):
--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -1,7 +1,7 @@
 """Finds an engine with a permit for one attempt of a request.
 
-Error steps and rejection reasons use older words: `take-place` is the step
-of getting a permit, `no-room` means that none is free.
+In error steps and rejection reasons, `take-place` is the step of getting a
+permit, and `no-room` means that none is free.
 """
 
 import asyncio
@@ -10,6 +10,7 @@
 
 from catkinshunt import dispatch
 from catkinshunt import errors
+from catkinshunt.gateway import _permit_replies
 from catkinshunt import permits
 
 #: Most sidecars that answer a permit request. There are several because an
@@ -45,8 +46,8 @@
 #: a longer pause the client disconnects.
 FAILOVER_WAIT_S = 0.2
 #: Pause in seconds of an engine that is about to load another version, as
-#: `LOADING_PAUSE_S` in `_relay`. It ends early when the engine lists other
-#: versions.
+#: `LOADING_PAUSE_S` in `_reply_check`. It ends early when the engine lists
+#: other versions.
 RELOAD_PAUSE_S = 2.5
 #: Pause in seconds of an engine whose sidecar says that another start of it
 #: leaves.
@@ -117,6 +118,34 @@
                 state that their engine leaves or is about to load another
                 version.
         """
+        granted, queued, unresponsive = await self._ask_sidecars(candidate)
+        if granted is not None:
+            return self._keep_only(granted.candidate, granted)
+        if queued is not None and await self._wait_for_grant(
+            queued, QUEUED_PREFERENCE_S
+        ):
+            return self._keep_only(queued.candidate, queued)
+        found = await self._find_without_permit(unresponsive)
+        if found is not None:
+            return self._keep_only(found)
+        # The sidecar decides within the wait that was requested.
+        if queued is not None and await self._wait_for_grant(queued):
+            return self._keep_only(queued.candidate, queued)
+        raise _permit_replies.rejection(
+            [pending.handle.reply for pending in self._pending],
+            [_host(pending.candidate) for pending in self._pending],
+        )
+
+    async def _ask_sidecars(self, candidate):
+        """Request permits from one sidecar after another until one grants it.
+
+        Args:
+            candidate: the first one to request a permit for.
+
+        Returns:
+            The granted and the queued `_PendingPermitRequest`, each or None,
+            and a list of the candidates whose sidecars did not reply.
+        """
         answered, queued, unresponsive = 0, None, []
         any_unanswered = False
         while candidate is not None and answered < MAX_SIDECARS:
@@ -128,7 +157,7 @@
                 )
             reply = pending.handle.reply if pending is not None else None
             if isinstance(reply, permits.PermitGranted):
-                return self._keep_only(candidate, pending)
+                return pending, queued, unresponsive
             if isinstance(reply, permits.PermitQueued):
                 queued = pending
             if reply is None:
@@ -136,22 +165,12 @@
                 unresponsive.append(candidate)
                 if len(unresponsive) >= MAX_PROBES:
                     break
-            elif not _is_closed(reply):
+            elif not _permit_replies.takes_no_requests(reply):
                 answered += 1
             candidate = self.selection.take_next(
                 self.progress, self._is_responsive
             )
-        if queued is not None and await self._wait_for_grant(
-            queued, QUEUED_PREFERENCE_S
-        ):
-            return self._keep_only(queued.candidate, queued)
-        found = await self._find_without_permit(unresponsive)
-        if found is not None:
-            return self._keep_only(found)
-        # The sidecar decides within the wait that was requested.
-        if queued is not None and await self._wait_for_grant(queued):
-            return self._keep_only(queued.candidate, queued)
-        raise self._rejection()
+        return None, queued, unresponsive
 
     async def _wait_for_grant(self, pending, timeout_s=None):
         """Return whether a queued permit is granted within `timeout_s` s."""
@@ -242,7 +261,7 @@
         closed = [
             pending.candidate.upstream.key
             for pending in self._pending
-            if _is_closed(pending.handle.reply)
+            if _permit_replies.takes_no_requests(pending.handle.reply)
         ]
         asked = [pending.candidate for pending in self._pending]
         return next(
@@ -326,13 +345,15 @@
         """Update the state of the upstream from a sidecar's reply."""
         reply = pending.handle.reply
         upstream, state = pending.candidate.upstream, pending.candidate.state
-        self.progress.notes.append(_describe(reply, upstream))
+        self.progress.notes.append(
+            f'{upstream.id}: {_permit_replies.describe(reply)}'
+        )
         if reply is None:
             return
         if isinstance(reply, permits.EngineLeaving):
             self._record_leave(upstream, state, reply)
             return
-        if _is_reloading(reply):
+        if _permit_replies.is_reloading(reply):
             self.progress.reloading.add(upstream.key)
             now = self.context.clock()
             state.pause(now, RELOAD_PAUSE_S, upstream.versions)
@@ -354,50 +375,6 @@
             # The sidecar or this entry does not know of a new start yet.
             state.pause(self.context.clock(), LEAVING_PAUSE_S)
 
-    def _rejection(self):
-        """Return the error for a request that got no permit."""
-        replies = [pending.handle.reply for pending in self._pending]
-        closed = [reply for reply in replies if _is_closed(reply)]
-        full = [
-            reply
-            for reply in replies
-            if isinstance(reply, permits.PermitRejected)
-            and not _is_reloading(reply)
-        ]
-        if closed and not full:
-            return permits.ReloadingError(
-                'all engines whose sidecars rejected the request leave or are'
-                ' about to load another version',
-                step='take-place',
-            )
-        return permits.NoPermitError(
-            f'no permit was granted ({len(full)} sidecars had none free)',
-            step='take-place',
-            peer=', '.join(
-                _host(pending.candidate) for pending in self._pending
-            ),
-            retry_after_s=full[0].retry_after_s if full else None,
-        )
-
 
 def _host(candidate):
     return candidate.upstream.address[0]
-
-
-def _is_reloading(reply):
-    rejected = isinstance(reply, permits.PermitRejected)
-    return rejected and reply.reason == permits.RELOADING
-
-
-def _is_closed(reply):
-    """Return whether an engine takes no requests, whatever its load."""
-    return isinstance(reply, permits.EngineLeaving) or _is_reloading(reply)
-
-
-def _describe(reply, upstream):
-    """Return a log note on a reply."""
-    if reply is None:
-        return f'{upstream.id}: sidecar unresponsive'
-    if isinstance(reply, permits.PermitRejected):
-        return f'{upstream.id}: rejected, {reply.reason}'
-    return f'{upstream.id}: {reply.kind}'
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -4,6 +4,7 @@
 
 from catkinshunt import errors
 from catkinshunt.gateway import _events
+from catkinshunt.gateway import _reply_check
 from catkinshunt import http1
 
 #: Interval in seconds of the checks for an unresponsive upstream.
@@ -18,20 +19,6 @@
 #: Longest reply that is buffered until complete, so that the request can be
 #: retried if the reply is cut off. A longer one is relayed as it arrives.
 MAX_BUFFERED_BYTES = 1024 * 1024
-#: Pause in seconds of an upstream that rejected a request. A paused upstream
-#: is only chosen if all others are paused or unresponsive too.
-FULL_PAUSE_S = 0.1
-#: The same if it did not have the expected id or version.
-MISDIRECTED_PAUSE_S = 0.5
-#: `Retry-After` in seconds if no upstream accepted the request: about the
-#: time in which an engine completes an answer.
-BUSY_RETRY_S = 0.25
-#: Pause in seconds of an upstream that rejects requests although it has free
-#: slots. It is about to load another version: it completes its answers first,
-#: and accepts no other request. The pause ends early when the upstream lists
-#: other versions.
-LOADING_PAUSE_S = 2.5
-EVENT_STREAM = 'text/event-stream'
 
 
 class OutdatedVersionError(errors.OutcomeUnknownError):
@@ -91,10 +78,12 @@
         self.context.record_statements(
             self.upstream, reply_info, self.boot_sent_at
         )
-        self._check_head(head, reply_info)
+        _reply_check.ReplyCheck(self.attempt, self.peer).check(
+            head, reply_info
+        )
         delay_s = self.context.clock() - self.sent_at
         self.attempt.record_delay(delay_s)
-        if self._is_stream(head):
+        if _reply_check.is_stream(head):
             await self._relay_events(head)
         else:
             await self._relay_buffered(head)
@@ -252,65 +241,6 @@
             self.upstream.address[0], self.upstream.slots
         )
 
-    def _check_head(self, head, reply_info):
-        """Raise if the reply must not be relayed."""
-        if reply_info.misdirected:
-            self.state.pause(self.context.clock(), MISDIRECTED_PAUSE_S)
-            raise errors.RefusedError(
-                'unexpected upstream id or version',
-                step='read-reply',
-                peer=self.peer,
-            )
-        if reply_info.not_executed:
-            self._back_off(reply_info)
-            raise errors.OverloadedError(
-                f'upstream rejected with {head.status}',
-                step='read-reply',
-                peer=self.peer,
-                retry_after_s=BUSY_RETRY_S,
-            )
-        if head.status in (408, 429, 503):
-            # To clients these statuses mean that the request was not run. The
-            # upstream did not state that, so they are not relayed.
-            raise errors.OutcomeUnknownError(
-                f'upstream answered {head.status}',
-                step='read-reply',
-                peer=self.peer,
-            )
-        if self.exchange.progress.head_sent and not self._is_stream(head):
-            raise errors.OutcomeUnknownError(
-                f'upstream answered {head.status} instead of resuming the '
-                'stream',
-                step='read-reply',
-                peer=self.peer,
-            )
-        # Without another upstream that may answer, the client gets the error
-        # itself.
-        if head.status >= 500 and (
-            self.attempt.has_concurrent_attempt
-            or self.exchange.can_fail_over()
-        ):
-            raise errors.OutcomeUnknownError(
-                f'upstream failed with {head.status}',
-                step='read-reply',
-                peer=self.peer,
-            )
-
-    def _back_off(self, reply_info):
-        """Pause an upstream after a rejection without a Retry-After."""
-        if reply_info.back_off_s is not None:
-            return
-        now = self.context.clock()
-        load = reply_info.load
-        if load is not None and load.running < load.slots:
-            self.state.pause(now, LOADING_PAUSE_S, self.upstream.versions)
-        else:
-            self.state.pause(now, FULL_PAUSE_S)
-
-    def _is_stream(self, head):
-        kind = head.headers.get('content-type') or ''
-        return head.status == 200 and kind.startswith(EVENT_STREAM)
-
     async def _relay_buffered(self, head):
         body = bytearray()
         while len(body) <= MAX_BUFFERED_BYTES:
