Move the decision on retries out of the exchange

`Exchange` made attempts and also decided whether a failed one may be repeated or moved, with the budget, the deadline and the error that the client gets. `RetryCheck` has that decision now, its constants and their rows among the tuning constants move with it, and the attributes of an exchange say from when on they are set.

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -10,23 +10,15 @@
 from catkinshunt.gateway import _permit_search
 from catkinshunt.gateway import _progress
 from catkinshunt.gateway import _quarantine_check
+from catkinshunt.gateway import _retry_check
 from catkinshunt.gateway import _selection
 from catkinshunt.gateway import _upstream_choice
 from catkinshunt import http1
 from catkinshunt import permits
-from catkinshunt import retries
 
-#: Share of the retry burst reserved for requests at upstreams that fail or
-#: become unresponsive. Retries after rejections by full upstreams leave it.
-FAILOVER_RESERVE_SHARE = 0.5
 #: Seconds after the stop signal in which new requests are still accepted. The
 #: load balancer detects the stop after two health checks, a second apart.
 STOP_ACCEPT_S = 3.0
-#: Least time to the deadline for an attempt, in seconds.
-MIN_REMAINING_S = 0.02
-#: No failover leads to an engine whose version becomes outdated within this
-#: many seconds. The request may wait as long there, and would be withdrawn.
-FAILOVER_VERSION_LEAD_S = 1.5
 
 
 class DeadlineExceededError(errors.OutcomeUnknownError):
@@ -47,6 +39,17 @@
         context: `Context` of the gateway.
         conn: `http1.ServerConnection` of the client.
         req: the `http1.Request`.
+
+    Attributes:
+        progress: `Progress` of the request.
+        info: `base.RequestInfo`; None before the request is decoded.
+        decision: `_admission.Decision`. This and the attributes below are
+            None before the request is admitted.
+        selection: `Selection` of the request.
+        upstream_choice: `UpstreamChoice` of the request.
+        quarantine_check: `QuarantineCheck` of the request.
+        retry_check: `RetryCheck` of the request.
+        deadline: end of its time, in seconds on the monotonic clock.
     """
 
     def __init__(self, context, conn, req):
@@ -58,6 +61,7 @@
         self.selection = None
         self.upstream_choice = None
         self.quarantine_check = None
+        self.retry_check = None
         self.progress = _progress.Progress()
         self.deadline = None
 
@@ -86,6 +90,13 @@
         await self._wait_for_configuration(now)
         self._admit()
         self._set_deadline(now)
+        self.retry_check = _retry_check.RetryCheck(
+            self.context,
+            self.decision,
+            self.selection,
+            self.progress,
+            self.deadline,
+        )
         if self.info.last_event_id:
             self.progress.last_event_id = int(self.info.last_event_id)
         self.context.retry_budget(self.decision.service).add_request()
@@ -212,10 +223,10 @@
                 # The request was not sent, so the next choice is no retry.
                 self.progress.notes.append(str(exc))
             except _admission.StaleError as exc:
-                raise self._final_error(exc) from exc
+                raise self.retry_check.final_error(exc) from exc
             except errors.RequestError as exc:
                 self.progress.notes.append(str(exc))
-                self._check_retry(exc)
+                self.retry_check.check(exc)
             finally:
                 search.close()
 
@@ -224,7 +235,7 @@
             self.quarantine_check.check()
         except _quarantine_check.QuarantinedError as exc:
             self.progress.notes.append(str(exc))
-            raise self._final_error(exc) from exc
+            raise self.retry_check.final_error(exc) from exc
 
     def _needs_permit(self):
         """Return whether sidecars admit the requests to the service."""
@@ -266,53 +277,12 @@
             step='take-place',
         )
 
-    def _check_retry(self, exc):
-        """Raise the final error unless the request may be retried."""
-        progress = self.progress
-        serve = self.decision.serve
-        # A permit search includes the other engines, so it is not repeated.
-        if isinstance(exc, permits.NoPermitError):
-            raise self._final_error(exc)
-        # `ran` is 'no', 'yes' or 'unknown'.
-        progress.may_have_run |= exc.ran != 'no'
-        # Until the request was first sent, a retry adds no load to upstreams
-        # and costs no token.
-        policy = retries.RetryPolicy(
-            self.context.retry_budget(self.decision.service)
-            if progress.sends
-            else None,
-            max_tries=serve.max_tries,
-            min_remaining_s=MIN_REMAINING_S,
-            reserve=self.context.retry_burst * FAILOVER_RESERVE_SHARE,
-        )
-        retry = policy.decide(
-            exc,
-            serve.repeatable,
-            progress.sends,
-            self.deadline,
-            self.context.clock(),
-        )
-        progress.notes.append(
-            f'{"retried" if retry.should_retry else "not retried"}:'
-            f' {retry.grounds}'
-        )
-        if retry.should_retry:
-            return
-        raise self._final_error(exc)
-
-    def _final_error(self, exc):
-        if self.progress.may_have_run and exc.ran == 'no':
-            return errors.OutcomeUnknownError(
-                'an earlier attempt may have run', step='dispatch'
-            )
-        return exc
-
     async def _choose_upstream(self):
         """Return the `dispatch.Candidate` for the next attempt."""
         try:
             return await self.upstream_choice.choose()
         except errors.OverloadedError as exc:
-            raise self._final_error(exc) from exc
+            raise self.retry_check.final_error(exc) from exc
 
     async def _run_attempt(self, candidate, search, failover):
         """Make one attempt.
@@ -352,10 +322,10 @@
         """
         self.progress.notes.append(str(exc))
         try:
-            self._check_retry(exc)
+            self.retry_check.check(exc)
         except errors.RequestError:
             return None
-        self.selection.version_lead_s = FAILOVER_VERSION_LEAD_S
+        self.selection.version_lead_s = _retry_check.FAILOVER_VERSION_LEAD_S
         return _failover.Failover(self._run_attempts, self.progress, parent)
 
     def end_failover(self, failover):
@@ -375,20 +345,6 @@
         elapsed_s = self.context.clock() - self.req.received_at
         return elapsed_s + self.progress.prior_wait_s
 
-    def can_fail_over(self):
-        """Return whether the request could be retried elsewhere."""
-        if not self.decision.serve.repeatable:
-            return False
-        if self.progress.sends >= self.decision.serve.max_tries:
-            return False
-        # With the retry budget spent the request would fail, while the
-        # current upstream may still answer.
-        if not self.context.retry_budget(self.decision.service).has_token():
-            return False
-        return self.selection.has_untried(
-            self.progress.tried, FAILOVER_VERSION_LEAD_S
-        )
-
     # Replies to the client.
 
     def _keeps_alive(self):
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -210,7 +210,9 @@
             raise self._unresponsive_error()
         if self.attempt.failover is not None or now < self.failover_after:
             return
-        if not self.can_resume_elsewhere or not self.exchange.can_fail_over():
+        if not self.can_resume_elsewhere:
+            return
+        if not self.exchange.retry_check.can_fail_over():
             return
         is_instance_responsive = await self._is_instance_responsive()
         if self.conn.has_part:
--- a/catkinshunt/gateway/_reply_check.py
+++ b/catkinshunt/gateway/_reply_check.py
@@ -59,7 +59,7 @@
         # itself.
         if head.status >= 500 and (
             self.attempt.has_concurrent_attempt
-            or self.exchange.can_fail_over()
+            or self.exchange.retry_check.can_fail_over()
         ):
             raise self._unknown_outcome(f'upstream failed with {head.status}')
 
