Explain the times and limits of the platform's publishers

Comments such as "the latency of the grant of a lease with which a key lasts until ..." or "a suspect that has to pause comes again earlier" had to be worked out from the code. They name the cause and what follows from it, and the docstrings say which times and fingerprints they mean.

Only comments, docstrings and one local name (with its quoted line in benchmarks/mutations.py) change; the syntax trees are the same.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -932,7 +932,7 @@
     Mutation(
         'suspects-cost-few-writes',
         'catkinshunt/platform/_suspect_publisher.py',
-        'return spent < MAX_WRITES\n',
+        'return writes < MAX_WRITES\n',
         'return True\n',
     ),
     Mutation(
--- a/catkinshunt/platform/_apply.py
+++ b/catkinshunt/platform/_apply.py
@@ -61,7 +61,7 @@
         model, version, announced_after, found
     )
     if is_new:
-        # Shows how late it was learned, at most.
+        # The operator sees the most by which this process learned of it late.
         _log.info(
             'Version {} of {} counts from {:.2f} s ago.',
             version,
@@ -112,11 +112,11 @@
 
 
 def apply_suspect(item, quarantined, now, unix_time):
-    """Record the crashes of a suspect that the item of its key holds.
+    """Record the crashes in the item of a suspect.
 
-    The wall clock gives the time since the item was written. If that can't be
-    true, a clock was set, and nothing is recorded: a crash that other entries
-    report with another time would count twice.
+    Their ages count from the time of writing, which is in Unix time. If the
+    time since then is not possible, a clock was set, and nothing is recorded.
+    With a wrong time, a crash that other entries report too would count twice.
 
     Args:
         item: `Item` of the suspect's key.
--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -138,8 +138,9 @@
         system, operator, listed = await self._read_pages()
         pages = (system, operator, listed)
         self._check_revisions(pages)
-        # An older copy lacks live upstreams, so nothing is known of when one
-        # that is missing was removed.
+        # The store of a new era is an older copy, which may lack live
+        # upstreams. When a missing one was removed is then not known, and its
+        # grace period counts from now.
         is_new_era = self._era != min(page.revision.era for page in pages)
         self._observe_era(min(page.revision for page in pages))
         self._replace_entries(system)
@@ -149,7 +150,7 @@
                     item, self.quarantined, self.boottime()
                 )
             elif first and item.key.startswith(_documents.SUSPECT_PREFIX):
-                # Later the other entries tell of crashes themselves.
+                # After the first read, other entries report crashes by gossip.
                 _apply.apply_suspect(
                     item, self.quarantined, self.boottime(), self.unix_time()
                 )
@@ -316,7 +317,7 @@
         requested_at = self.boottime()
         wait_s = min(WATCH_TIMEOUT_S - age_s, self._kept_s(requested_at))
         if self.catalog.pending_versions():
-            # They count as due unless they are confirmed in time.
+            # Without a confirmation for `pending_trust_s` they count as due.
             wait_s = min(wait_s, self.catalog.pending_trust_s / 2)
         wait_s = max(MIN_WATCH_TIMEOUT_S, wait_s)
         page = await self.source.watch('', self._revision, wait_s)
@@ -371,10 +372,14 @@
                 del self._kept_pending[model, version]
 
     def _removed_at(self, changed_after):
-        """Return the time from which the removal of an upstream counts.
+        """Return the time from which the grace period of a removal counts.
 
-        Keys of live upstreams lapse in an outage of the store, and are back
-        shortly after its end.
+        That is not before the last failed call of the store. The keys of live
+        upstreams expire in an outage and are written again shortly after it.
+
+        Args:
+            changed_after: time after which the upstream was removed, in
+                seconds on the clock of the catalog.
         """
         return max(changed_after, self._failed_at)
 
--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -21,10 +21,10 @@
 LENGTH_HINT = 'Length-Hint'
 #: Parts of the prompt in order, as ID:TOKENS separated by commas.
 PROMPT_PREFIX = 'Prompt-Prefix'
-#: Most shared parts that are decoded, the first ones, and most texts on parts
-#: that are left out.
+#: Most shared parts that are decoded, which are the first ones, and most texts
+#: on parts that are left out.
 MAX_PROMPT_PARTS = 16
-#: Longest part of an invalid entry in a text.
+#: Most characters of an invalid entry that such a text quotes.
 _MAX_SHOWN_CHARS = 20
 _PROMPT_PART = re.compile('([0-9a-f]{1,64}):[0-9]{1,18}')
 LAST_EVENT = 'Last-Event-Id'
@@ -125,6 +125,8 @@
 def _parse_prompt_parts(values):
     """Return the ids of the shared parts, and texts on what is left out.
 
+    The last part belongs to the request or its session, and is not shared.
+
     Args:
         values: values of the header, which are joined.
     """
@@ -149,6 +151,7 @@
 
 
 def _limit_texts(texts):
+    """Return `MAX_PROMPT_PARTS` texts at most; the last counts the rest."""
     if len(texts) > MAX_PROMPT_PARTS:
         left = len(texts) - MAX_PROMPT_PARTS + 1
         texts = [*texts[: MAX_PROMPT_PARTS - 1], f'{left} more']
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -31,8 +31,8 @@
 PENDING_PREFIX = SYSTEM_PREFIX + 'pending/'
 QUARANTINE_PREFIX = SYSTEM_PREFIX + 'quarantine/'
 SUSPECT_PREFIX = SYSTEM_PREFIX + 'suspects/'
-#: Seconds from its last crash to the end of the lease of a suspect's key. A
-#: suspect that has to pause comes again earlier.
+#: Seconds from the last crash of a suspect to the end of the lease of its key.
+#: No pause of a suspect lasts longer, so it is still known when it runs again.
 SUSPECT_LEASE_S = 20.0
 ORIGIN_KEY = SYSTEM_PREFIX + 'origin'
 _STATES = ('ready', 'draining')
@@ -118,8 +118,8 @@
     """Return the value with the crashes of a suspect.
 
     Args:
-        reports: messages of `quarantine.split_crash_report`; their ages hold
-            now.
+        reports: messages of `quarantine.split_crash_report`, with ages that
+            count back from now.
         unix_time: present Unix time in seconds.
     """
     crashes = [json.loads(quarantine.dump(report)) for report in reports]
--- a/catkinshunt/platform/_pending_publisher.py
+++ b/catkinshunt/platform/_pending_publisher.py
@@ -12,9 +12,9 @@
 WRITER_COUNT = 2
 #: Shortest lease that the store grants and that is worth two calls.
 MIN_LEASE_S = 1.0
-#: Latency of the grant of a lease with which a key lasts until
-#: `Catalog.pending_trust_s` before its version is due. A lease whose grant
-#: took longer is revoked.
+#: Seconds by which a lease is shorter than the time until its key has to end.
+#: They allow for the latency of the grant; a lease whose grant took longer is
+#: revoked.
 LEASE_MARGIN_S = 0.4
 
 _log = logs.get_logger('versions')
@@ -27,9 +27,9 @@
     the time of their announcement. If such entries treat a version as due
     too early, they reject all requests for up to eight seconds while engines
     are still loading. The key is bound to a lease, and the version is pending
-    while the key exists. Such an entry may last have seen the key
-    `Catalog.pending_trust_s` before, so the lease ends as long before the
-    version is due.
+    while the key exists. An entry may take a version as pending for
+    `Catalog.pending_trust_s` after the end of its key, so the lease ends by as
+    much before the version is due.
 
     Args:
         client: `StoreClient`.
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -36,7 +36,7 @@
 
 def make_permit_server():
     """Return the `permits.PermitServer` of a sidecar."""
-    # The version of its engine also expires during a suspend.
+    # On this clock, the version of the engine also expires during a suspend.
     return permits.PermitServer(permits.PermitAllocator(), _clocks.boottime)
 
 
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -105,7 +105,8 @@
                 _documents.VERSION_PREFIX, self._revision, WATCH_TIMEOUT_S
             )
         for item in page.items:
-            # A version that is found by the first read counts as due at once.
+            # When a version that the first read finds was announced is not
+            # known; it counts as due at once.
             announced_after = self._arrived_after() - (
                 self.version_grace_s if first else 0
             )
--- a/catkinshunt/platform/_suspect_publisher.py
+++ b/catkinshunt/platform/_suspect_publisher.py
@@ -22,24 +22,25 @@
 REWRITE_DELAY_S = 1.0
 #: Shortest lease that is worth two calls.
 MIN_LEASE_S = 1.0
-#: Most suspects with a key at a time. Where a rack ends, many requests are at
-#: two of its crashes, and nearly all of them complete soon.
+#: Most suspects with a key at a time. If many upstreams end together, such as
+#: those of a rack, many requests are suspected of two crashes, and nearly all
+#: of them complete soon after.
 MAX_SUSPECTS = 4
-#: Most crashes of a suspect in its key, and most requests and messages of
-#: each. A message has 1.2 KB at most.
+#: Most crashes of a suspect in its key, and most requests and messages for
+#: each crash. A message has 1.2 KB at most.
 MAX_CRASHES, MAX_REQUESTS, MAX_MESSAGES = 5, 24, 3
-#: Most writes of one entry within this time in seconds; the ones that only
-#: drop requests get half of them.
+#: Most writes of one entry within this time in seconds. Writes that only drop
+#: requests which have completed may use half of them.
 MAX_WRITES, WRITE_WINDOW_S = 8, 10.0
 
 _log = logs.get_logger('quarantine')
 
 
 class ObservedQuarantine(quarantine.Quarantine):
-    """A quarantine that wakes a task at each new crash.
+    """A quarantine that wakes a waiting task at each new crash.
 
     Attributes:
-        news_count: reports with something new so far.
+        news_count: number of reports so far that told something new.
     """
 
     def __init__(self):
@@ -63,12 +64,14 @@
 
 @attrs.frozen
 class _Published:
-    """What the key of a suspect says.
+    """What this entry last wrote to the key of a suspect.
+
+    Times are seconds on the clock of the quarantine.
 
     Attributes:
         last_crash_at: time of the latest crash in it.
         content: upstream, time and suspects of each crash.
-        at: when it was written.
+        at: time of the write.
     """
 
     last_crash_at: float
@@ -82,7 +85,7 @@
     Entries exchange suspects by gossip. If all of them restarted at the same
     time, the request would have to crash the same number of upstreams again.
     An entry that starts restores the crashes (`_apply.apply_suspect`). The key
-    is bound to a lease, and removed earlier if the request completes.
+    is bound to a lease, and is removed earlier if the suspect completes.
 
     Args:
         client: `StoreClient`.
@@ -135,14 +138,19 @@
                 await self._write(suspect, found)
 
     def _is_due(self, suspect, found):
-        """Return whether the key of a suspect has to be written now."""
+        """Return whether the key of a suspect has to be written now.
+
+        Args:
+            suspect: the fingerprint.
+            found: its evidence, see `find_lasting_suspects`.
+        """
         now = self.boottime()
-        spent = sum(now - at < WRITE_WINDOW_S for at in self._written_at)
+        writes = sum(now - at < WRITE_WINDOW_S for at in self._written_at)
         before = self._published.get(suspect)
         if before is None or found[-1].crash.at > before.last_crash_at:
-            return spent < MAX_WRITES
+            return writes < MAX_WRITES
         return (
-            spent < MAX_WRITES // 2
+            writes < MAX_WRITES // 2
             and now - before.at >= REWRITE_DELAY_S
             and _content(found) != before.content
         )
@@ -181,7 +189,8 @@
         now = self.boottime()
         for suspect, published in list(self._published.items()):
             ends_at = published.last_crash_at + _documents.SUSPECT_LEASE_S
-            # Entries may end before the key of a quarantined one is written.
+            # A suspect that was quarantined keeps its key until the lease
+            # ends: entries may end before `QuarantinePublisher` has written.
             is_cleared = (
                 suspect not in suspects
                 and self.quarantined.remaining_s(suspect, now) == 0
@@ -194,12 +203,13 @@
 
 @attrs.frozen
 class _CrashEvidence:
-    """What remains of a crash as evidence.
+    """A crash, and those of its requests that are still suspected.
 
     Attributes:
         crash: the crash.
-        run_s: seconds of the runs of its suspects.
-        parts: parts of each of them that have not completed since.
+        run_s: seconds for which each such request had run, by fingerprint.
+        parts: fingerprints of the parts of each request that have not
+            completed since, by the fingerprint of the request.
     """
 
     crash: object
