Say what confirmations and marks show in the catalog and the watch cache

"The time of the mark says nothing of versions before" and "a reader may miss several values" did not say what follows. The comments of the catalog, the watch cache and its messages do now, with the clock of each time.

Only comments and docstrings change; the syntax trees are the same.

--- a/catkinshunt/catalog/_catalog.py
+++ b/catkinshunt/catalog/_catalog.py
@@ -13,9 +13,9 @@
 #: other. After a store outage, expired entries of live upstreams reappear
 #: within 2 s; requests to an upstream must stop within 2 s of its removal.
 REMOVED_GRACE_S = 1.5
-#: Age in seconds from which what is known of a pending version counts as
-#: outdated. It is longer than the time between two confirmations, which is
-#: 0.85 s if something changes at the end of a watch.
+#: Seconds after the last confirmation of its mark from which a pending version
+#: counts as due. It is longer than the time between two confirmations, which
+#: is 0.85 s if something changes at the end of a watch.
 PENDING_TRUST_S = 1.1
 #: Newest versions of a model that are kept; each becomes due separately.
 MAX_VERSIONS = 8
@@ -35,9 +35,9 @@
     Attributes:
         version: version number; a higher one is newer.
         announced_after: time in seconds on the catalog's clock after which it
-            was announced. The grace period counts from it after which the
-            version is due, see `Catalog.due_version`; minus infinity if it is
-            due at once.
+            was announced. The grace period until the version is due counts
+            from it, see `Catalog.due_version`; minus infinity if the version
+            is due at once.
         is_pending: the version was announced before this process started,
             but the store marks it as not due yet; `announced_after` is then
             a time at which the mark existed.
@@ -180,7 +180,8 @@
         known.append(AnnouncedVersion(version, announced_after, found=found))
         while len(known) > MAX_VERSIONS:
             dropped = known.pop(0)
-            # Those before it are outdated once it is due.
+            # Once the dropped version is due, those before it are outdated.
+            # The next one takes over its time, so that this still holds.
             known[0].announced_after = min(
                 known[0].announced_after, dropped.announced_after
             )
@@ -227,7 +228,7 @@
             return
         announced_after = newer.announced_after
         if newer.is_pending:
-            # The time of the mark says nothing of versions before.
+            # The mark only shows that the newer version is not due yet.
             announced_after = -math.inf
         known = self._versions[model]
         known.insert(
@@ -277,7 +278,7 @@
         return None
 
     def previous_version(self, model, version):
-        """Return the number of the newest version below one, or None."""
+        """Return the highest version number below `version`, or None."""
         below = [
             announced.version
             for announced in self._versions.get(model, ())
@@ -306,6 +307,7 @@
         return due[-1] if due else None
 
     def _is_due(self, announced, grace_s, now):
+        """Return whether an `AnnouncedVersion` is due, see `due_version`."""
         if now - announced.announced_after > grace_s:
             return True
         if not announced.is_pending:
--- a/catkinshunt/permits/_server.py
+++ b/catkinshunt/permits/_server.py
@@ -15,8 +15,8 @@
 
     Args:
         allocator: `PermitAllocator`.
-        clock: function that returns seconds; on a clock that includes
-            suspends, versions also expire during one.
+        clock: function that returns seconds, for all times of the allocator.
+            If the clock includes suspends, versions also expire during one.
     """
 
     def __init__(self, allocator, clock):
--- a/catkinshunt/watch_relay/_messages.py
+++ b/catkinshunt/watch_relay/_messages.py
@@ -55,7 +55,7 @@
         'proved_ago_s': relayed.confirmed_ago_s,
         'held_s': relayed.waited_s,
         'changed_ago_s': relayed.changed_ago_s,
-        # Entries of an older release read only this one.
+        # Entries of an older release do not read `changed_ago_s`.
         'seen_ago_s': relayed.changed_ago_s or 0.0,
         'items': [_dump_item(item) for item in page.items],
     }
--- a/catkinshunt/watch_relay/_regional.py
+++ b/catkinshunt/watch_relay/_regional.py
@@ -22,7 +22,7 @@
 ERA_READ_WAIT_S = 0.8
 #: Wait in seconds of a watch at the service if there are other entries. Each
 #: answer confirms the state of those that watch through this process, and a
-#: change counts from the latest one before it.
+#: change is dated by the latest confirmation before it.
 SOURCE_WAIT_S = 0.3
 #: A value counts as large from this fraction of the size of all values; to
 #: read everything again then costs less than twice as much as the value.
--- a/catkinshunt/watch_relay/_watch_cache.py
+++ b/catkinshunt/watch_relay/_watch_cache.py
@@ -39,7 +39,8 @@
     def _clear(self):
         self._items = {}
         self._tombstones = collections.OrderedDict()
-        # Time of the latest confirmation by revision, in ascending order.
+        # Time at which the state at a revision was last known to be current,
+        # by revision in ascending order.
         self._current_at = collections.OrderedDict()
         self._revisions = {}
         self._confirmed_at = {}
@@ -165,7 +166,11 @@
         self._notifier.notify_all()
 
     def _record_confirmation(self, at):
-        """Record that the state at the present revision was current."""
+        """Record that the state at the present revision was current.
+
+        Args:
+            at: seconds on the boot-time clock.
+        """
         before = self._current_at.get(self.revision, at)
         self._current_at[self.revision] = max(at, before)
         while len(self._current_at) > MAX_CONFIRMATIONS:
@@ -209,7 +214,7 @@
             tuple(items),
             max(self.revision, after),
             confirmed_at=self.confirmed_at,
-            # A reader may miss several values of a key, and all of them have
-            # come later than this.
+            # The reader may have missed several values of a key. All of them
+            # were written later than this.
             changed_after=self._current_until(after),
         )
--- a/catkinshunt/watch_relay/base.py
+++ b/catkinshunt/watch_relay/base.py
@@ -56,8 +56,8 @@
             date, in seconds on the boot-time clock of this process; None if
             the source does not determine it.
         changed_after: time after which all items have changed, in seconds on
-            the same clock: a confirmation that does not include them. None
-            if the source does not determine it.
+            the same clock: the latest known confirmation of a state without
+            these changes. None if the source does not determine it.
     """
 
     items: tuple
