Say in the tests which failure each guards against

Docstrings such as "It is relayed as it arrives, so that only its end can tell" or "its decision names none" explained the fault to those who had found it. They name the failure now. `GatewayHarness.pause` replaces some twenty copies of the lines that let another upstream get the first request, and fake upstreams take a host, so that `EngineAt` goes away.

--- a/catkinshunt/availability/tests/test_gossip.py
+++ b/catkinshunt/availability/tests/test_gossip.py
@@ -124,7 +124,7 @@
 
 
 def test_leave_that_is_read_after_a_suspend_is_of_the_start_before_it():
-    """A start that began during the suspend would get no requests for ever."""
+    """A start that began during the suspend would never get requests."""
     network = Network(2)
     entry = network.entries['10.0.0.1']
     entry.wake_log.record(100.0)
--- a/catkinshunt/cli/tests/test_operations.py
+++ b/catkinshunt/cli/tests/test_operations.py
@@ -42,7 +42,7 @@
 
 
 def test_explain_tells_which_part_stopped_a_request(tmp_path, capsys):
-    """No two requests with the part are alike; its decision names none."""
+    """The line on the decision names the part, and no request with it."""
     ended = write(
         tmp_path / 'edge-1.log',
         json.dumps(
--- a/catkinshunt/gateway/tests/harness.py
+++ b/catkinshunt/gateway/tests/harness.py
@@ -31,13 +31,17 @@
             'close' to close the connection.
         service: name of its service.
         versions: served version by model, or None.
+        host: IP address that it listens on.
     """
 
-    def __init__(self, name, answer, service='plain', versions=None):
+    def __init__(
+        self, name, answer, service='plain', versions=None, host='127.0.0.1'
+    ):
         self.name = name
         self.answer = answer
         self.service = service
         self.versions = versions
+        self.host = host
         self.heads = []
         self.closed = asyncio.Event()
         self.was_reset = False
@@ -45,7 +49,7 @@
         self._server = None
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(self._serve, self.host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -57,7 +61,7 @@
         fields = {
             'id': self.name,
             'service': self.service,
-            'address': ('127.0.0.1', self.port),
+            'address': (self.host, self.port),
             'data_centre': 'larisa-a',
             'versions': self.versions,
             'slots': 4,
@@ -275,6 +279,11 @@
         revision = current.revision + 1
         catalog.declare(attrs.evolve(current, revision=revision, **changes))
 
+    def pause(self, upstream, seconds):
+        """Let requests go to other upstreams first, for some seconds."""
+        state = self.context.tracker.state(upstream.listed())
+        state.pause(self.context.clock(), seconds)
+
     def connections(self):
         """Return the open `http1.ServerConnection` objects."""
         return list(self.server._listener.tasks.values())
--- a/catkinshunt/gateway/tests/test_availability.py
+++ b/catkinshunt/gateway/tests/test_availability.py
@@ -404,7 +404,7 @@
 
 @pytest.mark.parametrize('source', ['reply after a suspend', 'older list'])
 def test_leave_of_one_start_is_not_taken_for_that_of_the_next(source):
-    """The upstream would get no requests until it starts once more."""
+    """An upstream that has restarted would get no requests."""
 
     async def main():
         upstream = harness.FakeUpstream('u1', harness.replying())
--- a/catkinshunt/gateway/tests/test_header_audit.py
+++ b/catkinshunt/gateway/tests/test_header_audit.py
@@ -29,7 +29,7 @@
 
 
 def test_unknown_header_leaves_one_line_and_a_count(lines):
-    """A statement of upstreams that nobody heeds would not be noticed."""
+    """Nobody would notice that a statement of upstreams is ignored."""
     found = audit()
     for upstream in ('u1', 'u2'):
         found.observe(upstream, unknown('Server-Mood'), 0.0)
--- a/catkinshunt/gateway/tests/test_permits.py
+++ b/catkinshunt/gateway/tests/test_permits.py
@@ -68,28 +68,12 @@
         self.client.in_use -= isinstance(self.reply, permits.PermitGranted)
 
 
-def make_engine(name, answer, version=1):
+def make_engine(name, answer, version=1, host='127.0.0.1'):
     return harness.FakeUpstream(
-        name, answer, 'model', {harness.MODEL: version}
+        name, answer, 'model', {harness.MODEL: version}, host
     )
 
 
-class EngineAt(harness.FakeUpstream):
-    """An engine on an address of its own."""
-
-    def __init__(self, host):
-        super().__init__(f'u{host}', None, 'model', {harness.MODEL: 1})
-        self.host = host
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, self.host, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    def listed(self, **changes):
-        return super().listed(address=(self.host, self.port), **changes)
-
-
 def request_once(client, *engines, **headers):
     """Send one request through a gateway; return the reply."""
 
@@ -144,7 +128,7 @@
             context.catalog.add_announced_version(
                 harness.MODEL, 2, context.boot_clock() - 7.0
             )
-            context.tracker.state(new.listed()).pause(context.clock(), 0.2)
+            gateway.pause(new, 0.2)
             return await gateway.request('/chat/1', 'POST', b'hello', **CHAT)
 
     status, _, _ = asyncio.run(main())
@@ -505,11 +489,14 @@
 
 
 def test_resumed_stream_avoids_an_engine_whose_version_expires():
-    """Sent there without a permit, it would begin on an outdated version."""
+    """The stream would go on there, without a permit, on an old version.
+
+    No engine has a permit for the rest of it. Its version expires at the first
+    one that is asked, and the other one is full.
+    """
     client = FakePermitClient(
         permits.PermitGranted, permits.RELOADING, permits.NO_ROOM
     )
-    engines = [EngineAt(f'127.0.0.{number}') for number in (3, 4, 5)]
     asked, resumed = [], []
     make_handle = client.make_handle
 
@@ -527,15 +514,15 @@
         resumed.append(upstream)
         return await harness.streaming(6)(head, writer, upstream)
 
-    for engine in engines:
-        engine.answer = answer
+    hosts = [f'127.0.0.{number}' for number in (3, 4, 5)]
+    engines = [make_engine(f'u{host}', answer, host=host) for host in hosts]
     status, _, _ = request_once(client, *engines)
     assert status == 200
     assert [engine.host for engine in resumed] == asked[2:3]
 
 
 def test_request_that_waited_through_a_suspend_is_not_sent():
-    """A version may have become due meanwhile, or its key been revoked."""
+    """Meanwhile, a version may have become due or its key been revoked."""
     engine = make_engine('u1', harness.streaming(3))
     client = FakePermitClient(permits.PermitQueued)
 
--- a/catkinshunt/gateway/tests/test_quarantine.py
+++ b/catkinshunt/gateway/tests/test_quarantine.py
@@ -17,7 +17,7 @@
 SOUND_PARTS = 8
 #: Seconds after which a client with a sound request gives up.
 PATIENCE_S = 5.0
-#: Seconds that a sound request runs; a bad one ends its engine after half.
+#: Seconds that a sound request runs; a bad one crashes its engine after half.
 RUN_S = 0.05
 #: Required bound, in seconds, for the news of a crash to reach all entries.
 PROPAGATION_LIMIT_S = 3.0
@@ -78,7 +78,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def confirm(self):
-        """Tell the entries that what they know is the newest."""
+        """Tell the entries that their state is the newest one."""
         now = asyncio.get_running_loop().time()
         for gateway in self.gateways:
             gateway.context.catalog.confirm(now)
@@ -213,7 +213,7 @@
 
 
 async def request_part(shared, number, part):
-    """Send a request that shares two parts of its prompt, and no more."""
+    """Send a request that shares two parts of its prompt, and nothing else."""
     return await shared.request(
         number,
         body=f'{part} and what only prompt {number} has'.encode(),
@@ -230,7 +230,8 @@
 
     Attributes:
         served: number of requests that were answered.
-        given_up: times at which those that were not were first sent.
+        given_up: times at which the requests that were not answered were
+            first sent.
     """
 
     def __init__(self, shared, clients=6):
@@ -252,7 +253,7 @@
         await asyncio.gather(*self._tasks)
 
     async def wait_for(self, count):
-        """Wait until as many more are served."""
+        """Wait until `count` more requests are served."""
         enough = self.served + count
         await network.wait_until(lambda: self.served >= enough)
 
@@ -278,10 +279,10 @@
 
 
 def test_requests_that_share_a_bad_part_are_stopped_at_all_entries():
-    """Each engine that begins to answer on one part of a prompt ends.
+    """One part of a prompt crashes each engine that begins to answer it.
 
-    No two of the requests are alike. Others share the first part of the
-    prompt, which crashes nothing, and the account.
+    No two of the requests are alike. Sound requests share the first part of
+    the prompt and the account with them.
     """
 
     async def main(shared):
@@ -314,16 +315,17 @@
         if status == 503:
             assert float(harness.header(head, 'Retry-After')) > 0
             assert f'part {BAD_PART} of the prompt'.encode() in body
-    # Some of those that were at several crashes are still suspected.
+    # Requests that were at several crashes may still be suspected, and are
+    # given up; all that came after the fifth crash are served.
     known_at = crashed_at[:5][-1]
     assert all(began < known_at for began in given_up)
 
 
 @pytest.mark.parametrize('is_suspect', [True, False])
 def test_retry_waits_for_what_the_crash_before_it_shows(is_suspect):
-    """One request would end two engines within a moment.
+    """One request would crash two engines within a moment.
 
-    Its part is quarantined while the crash under its first run is checked.
+    Its part is quarantined while the crash in its first run is checked.
     """
 
     async def main(shared):
--- a/catkinshunt/gateway/tests/test_quarantine_check.py
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -1,4 +1,4 @@
-"""What a gateway asks of the guard, and what it does with the replies."""
+"""Calls of a gateway to the guard, and how it acts on the results."""
 
 import asyncio
 
@@ -16,7 +16,7 @@
 
 
 class FakeGuard:
-    """Blocks the traits that it is told of, and records what it is asked.
+    """Blocks given traits, and records the calls.
 
     Attributes:
         blocked: traits whose requests must not run.
@@ -125,9 +125,9 @@
 
 @pytest.mark.parametrize('is_idle', [False, True])
 def test_retry_goes_only_after_the_crash_is_recorded(is_idle):
-    """One request would end two engines within a moment.
+    """One request would crash two engines within a moment.
 
-    A retry is checked against what the crash before it has shown, also if
+    The guard knows of the first crash before it checks the retry, also if
     nothing was suspected before that crash.
     """
 
@@ -144,7 +144,7 @@
             await asyncio.wait(
                 [task, waiting], return_when=asyncio.FIRST_COMPLETED
             )
-            # Any retry that does not wait is sent by now.
+            # A retry that did not wait would have been sent by the end.
             done, _ = await asyncio.wait([task], timeout=0.3)
             assert not done
             guard.is_idle = False
@@ -155,7 +155,7 @@
 
     status, body, crashed, broken = asyncio.run(main())
     assert len(crashed) == 1
-    # It has run, so that it must not be said that it has not.
+    # The request has run, so the reply must not say that it has not.
     assert status == 502
     assert b'outcome-unknown' in body
     assert [traits.parts for _, traits in broken] == [
@@ -164,7 +164,7 @@
 
 
 def test_request_is_retried_if_its_upstream_did_not_crash():
-    """A reset shows nothing of a request, which another engine answers."""
+    """A connection may be reset though the engine has not crashed."""
 
     async def main():
         guard = FakeGuard()
@@ -175,8 +175,7 @@
         async with harness.running_gateway(
             first, second, guard=guard
         ) as gateway:
-            tracker = gateway.context.tracker
-            tracker.state(second.listed()).pause(gateway.context.clock(), 0.2)
+            gateway.pause(second, 0.2)
             status, _, _ = await request_part(gateway)
             return status, crashed, guard
 
@@ -187,7 +186,7 @@
 
 
 def test_part_quarantined_during_the_connect_stops_the_request():
-    """Connecting takes a while, in which another entry reports the part."""
+    """Another entry reports the part while this one opens a connection."""
 
     async def main():
         guard = FakeGuard()
@@ -212,7 +211,7 @@
 
 
 def stream_without_length(body):
-    """Return an answer function that ends its stream by its connection."""
+    """Return an answer function whose stream ends with its connection."""
 
     async def answer(head, writer, upstream):
         items = [('Content-Type', 'text/event-stream')]
@@ -224,7 +223,7 @@
 
 
 def guard_after(answer):
-    """Return the guard after a stream of the only upstream."""
+    """Return the guard after the reply of the only upstream."""
 
     async def main():
         guard = FakeGuard()
@@ -239,9 +238,9 @@
 
 @pytest.mark.parametrize('body', [harness.event(1) + b'id: 2', b''])
 def test_stream_cut_in_order_is_a_broken_connection(body):
-    """The kernel closes the connections of a crashed engine in order.
+    """A request that crashes engines would be cleared of suspicion.
 
-    As a completion it would clear what crashes the engine.
+    The kernel closes the connections of a crashed engine in order.
     """
     guard = guard_after(stream_without_length(body))
     assert guard.broken
@@ -250,7 +249,7 @@
 
 
 def test_end_of_a_connection_after_an_event_is_no_proof_of_completion():
-    """An engine may crash between two events; the guard asks whether."""
+    """An engine may crash between two events; the guard has to check."""
     guard = guard_after(stream_without_length(harness.event(1)))
     assert not guard.broken
     assert not guard.completed
@@ -258,7 +257,7 @@
 
 
 def test_stream_that_ends_inside_an_event_by_its_length_is_no_crash():
-    """Its engine goes on: the reply is wrong, but was sent to its end."""
+    """A sound engine sent an invalid reply, but sent it to its end."""
 
     async def answer(head, writer, upstream):
         writer.write(harness.stream_head(head, upstream))
@@ -284,7 +283,7 @@
     ],
 )
 def test_log_and_metrics_tell_what_stopped_a_request(trait, part, kind):
-    """An operator would look for a bad caller in place of a bad part."""
+    """An operator would look for a bad caller instead of a bad part."""
 
     async def main():
         guard = FakeGuard()
--- a/catkinshunt/gateway/tests/test_replies_without_length.py
+++ b/catkinshunt/gateway/tests/test_replies_without_length.py
@@ -63,8 +63,7 @@
             engines.append(engine('u2', second))
         async with harness.running_gateway(*engines) as gateway:
             for other in engines[1:]:
-                state = gateway.context.tracker.state(other.listed())
-                state.pause(gateway.context.clock(), 0.3)
+                gateway.pause(other, 0.3)
             _, _, body = await gateway.request(path, 'POST', b'hi', **CHAT)
             return body, [len(each.heads) for each in engines]
 
@@ -80,8 +79,7 @@
             upstreams.append(harness.FakeUpstream('u2', second))
         async with harness.running_gateway(*upstreams) as gateway:
             for other in upstreams[1:]:
-                state = gateway.context.tracker.state(other.listed())
-                state.pause(gateway.context.clock(), 0.3)
+                gateway.pause(other, 0.3)
             return await gateway.request('/read/1')
 
     return asyncio.run(main())
@@ -119,7 +117,7 @@
 
 
 def test_cut_long_answer_is_not_ended_as_complete():
-    """It is relayed as it arrives, so that only its end can tell."""
+    """Its begin is relayed before it is known that the rest is missing."""
     cut = sending(bytes(3 * 1024 * 1024), 'text/plain', resets=True)
     status, _, body = read_from(cut)
     assert status in (200, 502)
@@ -133,7 +131,7 @@
 
 @pytest.mark.parametrize('cut', [1, 5, 9, -1])
 def test_stream_cut_inside_an_event_is_resumed(cut):
-    """An engine crashes, and the kernel closes its connections in order."""
+    """The kernel of a crashed engine closes its connections in order."""
     begun = events(3) + harness.event(4)[:cut]
     body, _ = chat_with(sending(begun), harness.streaming(6))
     assert body == events(6)
@@ -141,21 +139,28 @@
 
 @pytest.mark.parametrize('path', ['/chat/1', '/once/1'])
 def test_stream_cut_inside_an_event_is_not_ended_as_complete(path):
-    """No engine is left, or the request may not be repeated."""
+    """A client would take a part of an answer for the whole.
+
+    The stream is not resumed, as no other engine is left or the request may
+    not be repeated.
+    """
     begun = events(3) + harness.event(4)[:9]
     body, _ = chat_with(sending(begun), path=path)
     assert body is None
 
 
 def test_stream_that_ends_after_a_whole_event_is_complete():
-    """Nothing tells it from one whose engine crashed between two events."""
+    """It would be resumed, though its end may be the end of the answer.
+
+    A stream whose engine crashed between two events looks the same.
+    """
     body, sends = chat_with(sending(events(3)), harness.streaming(6))
     assert body == events(3)
     assert sends == [1, 0]
 
 
 def test_stream_cut_before_its_first_event_is_sent_elsewhere():
-    """An engine crashes as it begins to write; an empty answer is none."""
+    """The client would get an empty answer of an engine that crashed."""
     body, _ = chat_with(sending(b''), harness.streaming(6))
     assert body == events(6)
 
--- a/catkinshunt/gateway/tests/test_silence.py
+++ b/catkinshunt/gateway/tests/test_silence.py
@@ -77,8 +77,7 @@
     silent = test_streams.make_engine('u1', first)
     other = test_streams.make_engine('u2', second)
     async with harness.running_gateway(silent, other) as gateway:
-        tracker, now = gateway.context.tracker, gateway.context.clock()
-        tracker.state(other.listed()).pause(now, 0.3)
+        gateway.pause(other, 0.3)
         prepare(gateway)
         status, _, body = await test_streams.chat(gateway)
         return body if status == 200 else status
@@ -152,8 +151,7 @@
         silent = test_streams.make_engine('u1', first)
         other = test_streams.make_engine('u2', harness.streaming(EVENTS))
         async with harness.running_gateway(silent, other) as gateway:
-            tracker, now = gateway.context.tracker, gateway.context.clock()
-            tracker.state(other.listed()).pause(now, 0.3)
+            gateway.pause(other, 0.3)
             _, _, body = await test_streams.chat(gateway)
             await asyncio.wait_for(silent.closed.wait(), 0.1)
             return body, silent.was_reset
@@ -196,9 +194,8 @@
             *engines,
             rule_set=rules.RuleSet(harness.make_rules(max_tries=3)),
         ) as gateway:
-            tracker, now = gateway.context.tracker, gateway.context.clock()
             for engine, pause_s in zip(engines[1:], (0.3, 1.5), strict=True):
-                tracker.state(engine.listed()).pause(now, pause_s)
+                gateway.pause(engine, pause_s)
             _, _, body = await test_streams.chat(gateway)
             return body, [len(engine.heads) for engine in engines]
 
@@ -217,7 +214,7 @@
         async with harness.running_gateway(silent, other) as gateway:
             context = gateway.context
             context.permit_client = client
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             _, _, body = await test_streams.chat(gateway)
             tokens = context.retry_budget('model').report()['tokens']
             return body, len(other.heads), tokens, len(client.requests)
@@ -343,7 +340,7 @@
         async with harness.running_gateway(silent, other) as gateway:
             context = gateway.context
             context.permit_client = client
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             await test_streams.chat(gateway)
         return in_use
 
@@ -360,8 +357,8 @@
         dead = test_streams.make_engine('u1', queued)
         other = test_streams.make_engine('u2', harness.rejecting())
         async with harness.running_gateway(dead, other) as gateway:
-            tracker, now = gateway.context.tracker, gateway.context.clock()
-            tracker.state(other.listed()).pause(now, 0.3)
+            now = gateway.context.clock()
+            gateway.pause(other, 0.3)
             status, _, _ = await test_streams.chat(gateway)
             return status, gateway.context.clock() - now
 
@@ -435,7 +432,7 @@
         async with harness.running_gateway(frozen, other) as gateway:
             context = gateway.context
             context.permit_client = UnresponsiveSidecars()
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             asked = asyncio.ensure_future(test_streams.chat(gateway))
             await asyncio.wait_for(frozen.closed.wait(), 1.2)
             is_early = not asked.done()
@@ -452,8 +449,7 @@
         other = test_streams.make_engine('u2', queued)
         async with harness.running_gateway(silent, other) as gateway:
             make_version_due(gateway)
-            context = gateway.context
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             return (await test_streams.chat(gateway))[2], len(other.heads)
 
     assert asyncio.run(main()) == (test_streams.events(EVENTS), 0)
@@ -474,8 +470,7 @@
         silent = harness.FakeUpstream('u1', queued)
         other = harness.FakeUpstream('u2', harness.replying())
         async with harness.running_gateway(silent, other) as gateway:
-            context = gateway.context
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             reader, writer = await gateway.connect()
             await harness.send_request(writer, '/read/1', Left_Ms='1200')
             await asyncio.sleep(1.4)
@@ -499,7 +494,7 @@
         async with harness.running_gateway(silent, other) as gateway:
             context = gateway.context
             context.permit_client = SlowProbe()
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             return (await test_streams.chat(gateway))[2], len(other.heads)
 
     assert asyncio.run(main()) == (test_streams.events(EVENTS), 0)
@@ -540,7 +535,7 @@
         async with harness.running_gateway(frozen, other) as gateway:
             context = gateway.context
             context.permit_client = UnresponsiveSidecars()
-            context.tracker.state(other.listed()).pause(context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             began = context.clock()
             asked = asyncio.ensure_future(test_streams.chat(gateway))
             await asyncio.wait_for(frozen.closed.wait(), 3.0)
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -51,8 +51,7 @@
         first = make_engine('u1', harness.streaming(6, breaks_after=3))
         second = make_engine('u2', harness.streaming(6))
         async with harness.running_gateway(first, second) as gateway:
-            tracker = gateway.context.tracker
-            tracker.state(second.listed()).pause(gateway.context.clock(), 0.5)
+            gateway.pause(second, 0.5)
             return await chat(gateway), second.heads
 
     (_, head, body), heads = run(main)
@@ -74,8 +73,7 @@
         )
         second = make_engine('u2', harness.streaming(6))
         async with harness.running_gateway(unresponsive, second) as gateway:
-            tracker = gateway.context.tracker
-            tracker.state(second.listed()).pause(gateway.context.clock(), 0.5)
+            gateway.pause(second, 0.5)
             return await chat(gateway)
 
     assert run(main)[2] == events(6)
@@ -97,8 +95,7 @@
         async with harness.running_gateway(
             unresponsive, other, retry_burst=retry_burst
         ) as gateway:
-            tracker = gateway.context.tracker
-            tracker.state(other.listed()).pause(gateway.context.clock(), 0.3)
+            gateway.pause(other, 0.3)
             sent = [
                 chat(gateway, Request_Id=f'a{n}', Left_Ms='3000')
                 for n in range(count)
@@ -225,8 +222,7 @@
         first = make_engine('u1', harness.streaming(6, breaks_after=2))
         second = make_engine('u2', harness.replying(status))
         async with harness.running_gateway(first, second) as gateway:
-            tracker, now = gateway.context.tracker, gateway.context.clock()
-            tracker.state(second.listed()).pause(now, 0.3)
+            gateway.pause(second, 0.3)
             reader, writer = await gateway.connect()
             await harness.send_request(
                 writer, '/chat/1', 'POST', b'hello', **CHAT
@@ -269,8 +265,7 @@
         first = make_engine('u1', gap)
         second = make_engine('u2', harness.streaming(3))
         async with harness.running_gateway(first, second) as gateway:
-            tracker = gateway.context.tracker
-            tracker.state(second.listed()).pause(gateway.context.clock(), 0.5)
+            gateway.pause(second, 0.5)
             return await chat(gateway)
 
     assert run(main)[2] == events(3)
@@ -351,7 +346,7 @@
             context.catalog.add_announced_version(
                 harness.MODEL, 2, context.boot_clock() - 0.5
             )
-            context.tracker.state(new.listed()).pause(context.clock(), 0.2)
+            gateway.pause(new, 0.2)
             found = await chat(gateway)
             await asyncio.wait_for(old.closed.wait(), 2)
             return found, len(old.heads)
--- a/catkinshunt/http1/tests/test_client.py
+++ b/catkinshunt/http1/tests/test_client.py
@@ -112,7 +112,7 @@
 
 
 def test_a_reply_without_length_is_incomplete_after_our_own_close():
-    """Closed by us before the upstream has sent all, it is not whole."""
+    """A part of a reply would be relayed as if it were complete."""
 
     async def handle(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
@@ -132,7 +132,7 @@
 
 
 def test_the_end_of_a_reply_tells_whether_it_is_that_of_its_connection():
-    """The end of a connection shows less than that of a length."""
+    """The connection of a crashed upstream ends in the same way."""
     bare = last_part(b'HTTP/1.1 200 OK\r\n\r\nok')
     assert bare == http1.EndOfReply(at_close=True)
     assert last_part(REPLY) == http1.EndOfReply()
--- a/catkinshunt/rate_limits/tests/test_gossip.py
+++ b/catkinshunt/rate_limits/tests/test_gossip.py
@@ -91,7 +91,7 @@
 
 
 class AnsweringTransport(Transport):
-    """Delivers to another entry, at once, and its answers."""
+    """Delivers datagrams to another entry at once, and its answers back."""
 
     def __init__(self, entry, other):
         super().__init__()
@@ -106,7 +106,7 @@
 
 
 def test_limits_are_known_soon_after_a_suspend():
-    """The answers to its question would be ignored like old datagrams."""
+    """The answers to its request would be ignored like old datagrams."""
 
     async def main():
         other, entry = Entry(), Entry()
--- a/catkinshunt/tests/test_wake_log.py
+++ b/catkinshunt/tests/test_wake_log.py
@@ -24,7 +24,7 @@
     ],
 )
 def test_message_read_after_a_suspend_is_dated_before_it(times, now):
-    """Read in the rush after a suspend, or after two, it looked recent."""
+    """A message that waited through one or two suspends would look recent."""
     assert arrived_after(times, now) == 10.0
 
 
