--- a/catkinshunt/availability/__init__.py
+++ b/catkinshunt/availability/__init__.py
@@ -1,4 +1,4 @@
-"""What upstreams state of whether they take requests."""
+"""Statements of upstreams that they leave or ask for back-off."""
 
 from catkinshunt.availability._gossip import LeaveGossip
 from catkinshunt.availability._table import AvailabilityTable
