Select the evidence of suspects only for the keys that are written

An entry stood still for 60 to 120 ms, at each crash and each 0.5 s after it, while requests with many parts were suspected: for each trait with two crashes the requests of each crash were ranked, and four traits at most get a key.

The traits are ranked first, and evidence is selected for the first four. The new test failed before: 272 traits in place of 4 at most.

--- a/catkinshunt/platform/_suspect_publisher.py
+++ b/catkinshunt/platform/_suspect_publisher.py
@@ -133,8 +133,11 @@
             self._published.clear()
         suspects = find_lasting_suspects(self.quarantined)
         await self._remove_cleared(suspects)
-        for suspect, found in list(suspects.items())[:MAX_SUSPECTS]:
-            if self._is_due(suspect, found) and self._is_writer(suspect):
+        for suspect in suspects.ranked[:MAX_SUSPECTS]:
+            if not self._is_writer(suspect):
+                continue
+            found = suspects.select_evidence(suspect)
+            if self._is_due(suspect, found):
                 await self._write(suspect, found)
 
     def _is_due(self, suspect, found):
@@ -142,7 +145,7 @@
 
         Args:
             suspect: the fingerprint.
-            found: its evidence, see `find_lasting_suspects`.
+            found: its evidence, see `_LastingSuspects.select_evidence`.
         """
         now = self.boottime()
         writes = sum(now - at < WRITE_WINDOW_S for at in self._written_at)
@@ -222,16 +225,37 @@
         return {*self.run_s, *itertools.chain(*self.parts.values())}
 
 
-def find_lasting_suspects(quarantined):
-    """Return the evidence against each trait that was at two crashes or more.
-
-    Args:
-        quarantined: `quarantine.Quarantine`.
+@attrs.frozen
+class _LastingSuspects:
+    """The traits that were at two crashes or more.
 
-    Returns:
-        Lists of `_CrashEvidence`, the oldest first, by trait; the most
-        suspected one first.
+    Attributes:
+        ranked: the traits, the most suspected one first.
+        evidence: lists of `_CrashEvidence`, the oldest first, by trait, also
+            of other traits.
     """
+
+    ranked: list
+    evidence: dict
+
+    def __contains__(self, trait):
+        return trait in self.ranked
+
+    def select_evidence(self, trait):
+        """Return the evidence against a trait that its key can hold.
+
+        These are the last `MAX_CRASHES` crashes, with the requests that tell
+        most of each.
+        """
+        counts = {each: len(found) for each, found in self.evidence.items()}
+        return [
+            _select(each, trait, counts)
+            for each in self.evidence[trait][-MAX_CRASHES:]
+        ]
+
+
+def find_lasting_suspects(quarantined):
+    """Return the `_LastingSuspects` of a `quarantine.Quarantine`."""
     found = collections.defaultdict(list)
     for crash, run_s in quarantined.unresolved_crashes():
         if crash.is_explained:
@@ -246,30 +270,28 @@
         evidence = _CrashEvidence(crash, run_s, parts)
         for trait in evidence.traits:
             found[trait].append(evidence)
-    counts = {trait: len(each) for trait, each in found.items()}
 
     def rank(trait):
         longest_s = max(e.crash.longest_run_s(trait) for e in found[trait])
-        return -counts[trait], longest_s, trait
+        return -len(found[trait]), longest_s, trait
 
     lasting = [
         trait
         for trait in found
-        if counts[trait] > 1 and quarantined.is_isolated(trait)
+        if len(found[trait]) > 1 and quarantined.is_isolated(trait)
     ]
-    return {
-        trait: [
-            _select(each, trait, counts)
-            for each in found[trait][-MAX_CRASHES:]
-        ]
-        for trait in sorted(lasting, key=rank)
-    }
+    return _LastingSuspects(sorted(lasting, key=rank), dict(found))
 
 
 def _select(evidence, trait, counts):
     """Return evidence of `MAX_REQUESTS` requests at most.
 
     Those with the trait come first, then those at the most crashes.
+
+    Args:
+        evidence: `_CrashEvidence`.
+        trait: the trait whose key it is for.
+        counts: number of crashes by trait.
     """
 
     def rank(request):
--- a/catkinshunt/platform/tests/test_suspect_publisher.py
+++ b/catkinshunt/platform/tests/test_suspect_publisher.py
@@ -143,13 +143,19 @@
     assert writes <= 2 * _suspect_publisher.MAX_WRITES
 
 
-def test_value_of_requests_with_many_parts_is_short():
-    """Each write goes to all entries, and a prompt may have many parts."""
+def requests_with_many_parts():
+    """Return requests, and the parts of each; they share the first one."""
     requests = [f'{number:032x}' for number in range(16)]
     parts = {
         request: ('c' * 32, *(f'{request[3:]}{n:03}' for n in range(15)))
         for request in requests
     }
+    return requests, parts
+
+
+def test_value_of_requests_with_many_parts_is_short():
+    """Each write goes to all entries, and a prompt may have many parts."""
+    requests, parts = requests_with_many_parts()
 
     async def main():
         store = fakes.FakeStore()
@@ -165,6 +171,29 @@
     assert asyncio.run(main()) < 20_000
 
 
+def test_evidence_is_selected_only_for_the_keys_that_are_written(monkeypatch):
+    """An entry stood still at each crash of requests with many parts."""
+    selected = []
+    select = _suspect_publisher._select
+
+    def record(evidence, trait, counts):
+        selected.append(trait)
+        return select(evidence, trait, counts)
+
+    monkeypatch.setattr(_suspect_publisher, '_select', record)
+    requests, parts = requests_with_many_parts()
+
+    async def main():
+        store = fakes.FakeStore()
+        async with publishing(store, NAMES[:1]) as found:
+            for number in range(8):
+                crash(found, f'{number}', requests, 8.0 - number, parts)
+            await fakes.wait_until(lambda: store.items)
+
+    asyncio.run(main())
+    assert len(set(selected)) <= _suspect_publisher.MAX_SUSPECTS
+
+
 def test_key_of_a_completed_request_is_removed(monkeypatch):
     """An entry that starts would suspect a sound request."""
     monkeypatch.setattr(_suspect_publisher, 'CHECK_PERIOD_S', 0.01)
