Use the new name of a time in the search for a permit

Two merged changes met there: one renamed the attribute, the other used it anew. 35 tests of the gateway failed with an AttributeError before.

--- a/catkinshunt/gateway/_permit_search.py
+++ b/catkinshunt/gateway/_permit_search.py
@@ -281,7 +281,7 @@
             pending.candidate.upstream.key == candidate.upstream.key
             for pending in self._pending
         )
-        return self._boot_began if replied else None
+        return self._boottime_began if replied else None
 
     def close(self):
         """Release the permit and withdraw all requests for one."""
