Confirm the state as often at an entry that is alone

Callers of the only entry that is left were refused up to 1.8 s sooner than the time of a version asks, until an engine had loaded it.

Cause: a version counts from the last confirmation before it, and the wait of a watch was shortened to 0.3 s only if there are others to confirm the state for. An entry alone waits 1.8 s, so that its last confirmation is as old. Ruled out: to count from the request of the watch that brings the change; the change may have come before it, as with a slow store.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -402,6 +402,12 @@
         'await self._apply_item(item, changed_after)',
         'await self._apply_item(item, now)',
     ),
+    Mutation(
+        'confirmations-come-often',
+        'catkinshunt/watch_relay/_regional.py',
+        'wait_s = min(wait_s, SOURCE_WAIT_S)',
+        'pass',
+    ),
     Mutation(
         'pending-versions-need-a-recent-mark',
         'catkinshunt/catalog/_catalog.py',
--- a/catkinshunt/platform/tests/test_watch_relay.py
+++ b/catkinshunt/platform/tests/test_watch_relay.py
@@ -472,3 +472,23 @@
 
     counts_from, announced_at = regions.run(main)
     assert counts_from <= announced_at
+
+
+def test_version_is_not_due_long_before_its_time_at_a_single_entry():
+    """It counts from the last confirmation, and no other entry needs those.
+
+    Requests would be rejected for the time of a long watch.
+    """
+
+    async def main():
+        region = regions.Region(count=1)
+        (entry,) = region.entries
+        async with region.running():
+            await asyncio.sleep(1.5)
+            announced_at = entry.boottime()
+            announce(region, 2)
+            find = entry.catalog.newest_version
+            await fakes.wait_until(lambda: find('drafts'))
+            return announced_at - find('drafts').announced_after
+
+    assert asyncio.run(main()) < 2 * _regional.SOURCE_WAIT_S
--- a/catkinshunt/watch_relay/_regional.py
+++ b/catkinshunt/watch_relay/_regional.py
@@ -20,9 +20,9 @@
 #: Wait in seconds of a read at another process after a change of the era. That
 #: process begins to read as soon as the service is back.
 ERA_READ_WAIT_S = 0.8
-#: Wait in seconds of a watch at the service if there are other entries. Each
-#: answer confirms the state of those that watch through this process, and a
-#: change counts from the latest one before it.
+#: Wait in seconds of a watch at the service. Each answer confirms the state of
+#: this process and of those that watch through it, and a change counts from
+#: the latest one before it.
 SOURCE_WAIT_S = 0.3
 #: A value counts as large from this fraction of the size of all values; to
 #: read everything again then costs less than twice as much as the value.
@@ -199,8 +199,7 @@
         return any(len(item.value or b'') >= least for item in page.items)
 
     async def _watch_source(self, prefix, after, wait_s):
-        if len(self.live_entries.names()) > 1:
-            wait_s = min(wait_s, SOURCE_WAIT_S)
+        wait_s = min(wait_s, SOURCE_WAIT_S)
         requested_at = self.wall()
         page = await self.source.watch(prefix, after, wait_s)
         # If this process is suspended, it handles the answer long after its
