Check the version of an engine once, just before a request is sent there

No caller could notice: the proof that a version is checked after the wait for a permit passed without its guard, so it showed nothing.

Cause: the same check stands before each send since requests are also held back while they wait for a connection, and the one after the wait for a permit only differed by letting the engine be tried again. Ruled out: to keep both, as the removal of one is never seen.

The check before the send lets the engine be tried again too, and the other one is gone.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -325,9 +325,9 @@
     ),
     Mutation(
         'version-is-checked-after-the-wait',
-        'catkinshunt/gateway/_exchange.py',
-        'self._check_version(found)',
-        'pass',
+        'catkinshunt/gateway/_attempt.py',
+        'if selection.is_outdated(upstream, 0.0):',
+        'if False:',
     ),
     Mutation(
         'waiting-in-a-circle-ends',
--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -129,6 +129,8 @@
                 step='send',
             )
         if selection.is_outdated(upstream, 0.0):
+            # It may have been the last one, and load a newer version.
+            self.progress.reloading.add(upstream.key)
             raise UnavailableError(
                 f'{upstream.id}: its version became outdated after it was'
                 ' chosen',
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -231,23 +231,8 @@
                 raise
         finally:
             self.progress.entry_wait_s += self.context.clock() - began
-        self._check_version(found)
         return found
 
-    def _check_version(self, candidate):
-        """Reject an engine whose version became outdated during the wait.
-
-        Raises:
-            permits.ReloadingError: its version is outdated.
-        """
-        if not self.selection.is_outdated(candidate.upstream, 0.0):
-            return
-        self.progress.reloading.add(candidate.upstream.key)
-        raise permits.ReloadingError(
-            f'{candidate.upstream.id}: version became outdated',
-            step='take-place',
-        )
-
     def _check_retry(self, exc):
         """Raise the final error unless the request may be retried."""
         progress = self.progress
