Let the test of a relayed version wait for a confirmation after it

No caller could notice: the proof that a follower counts a version from the relay's last state without it passed without its guard.

Cause: it waited for 0.5 s and then compared the times, while the relay confirms the state with the version 0.55 s after it: 0.25 s of delay after a change and 0.3 s of a watch. Until then its last confirmation is the one before the version, which is what the guard gives. Ruled out: a longer wait, which depends on these two again.

The test waits until the relay has confirmed the state with the version; what it asserts is the same.

--- a/catkinshunt/platform/tests/test_watch_relay.py
+++ b/catkinshunt/platform/tests/test_watch_relay.py
@@ -312,7 +312,14 @@
         await fakes.wait_until(
             lambda: watcher.catalog.newest_version('drafts')
         )
-        await asyncio.sleep(0.5)
+        # Until the watcher has confirmed the state with the version.
+        announced = watcher.catalog.newest_version('drafts')
+        await fakes.wait_until(
+            lambda: (
+                watcher.feed.cache.confirmed_at
+                > announced.announced_after + 0.4
+            )
+        )
         slow.task = asyncio.ensure_future(slow.updater.run())
         await fakes.wait_until(lambda: slow.catalog.newest_version('drafts'))
         return [
