Model prompts of few parts whose callers give up, beside a bad whole

The model lacked what the soak has: two first parts and two second ones in place of one per caller, callers that give up after two tries, requests without parts beside them, engines that are away for 1.5 to 3.5 s, and tries for which no engine is free.

--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkinshunt.quarantine.tests import few_parts
 from catkinshunt.quarantine.tests import prompts
 from catkinshunt.quarantine.tests import replay
 
@@ -120,9 +121,59 @@
     check_prompts(engines, **PROMPT_CASES[case])
 
 
+#: A bad part and a bad whole beside requests of few parts.
+FEW_PARTS_CASES = {
+    'both': {},
+    'part alone': {'causes': 0},
+    'whole alone': {'bad_parts': 0},
+    'both, entries restart': {'restarts': 2},
+    'both, reports lost': {'lost_share': 0.1},
+    'both, other crashes': {'other_crashes': 4},
+    'both, no sidecars': {'has_sidecars': False},
+    'both, busy engines': {'busy_share': 0.3},
+}
+
+#: Case and seed of plays that failed.
+FAILED_FEW_PARTS_SEEDS = [
+    ('both', 37),
+    ('both', 38),
+    ('both, entries restart', 28),
+    ('both, entries restart', 33),
+    ('both, reports lost', 0),
+    ('both, reports lost', 4),
+    ('both, other crashes', 9),
+    ('both, other crashes', 43),
+    ('both, no sidecars', 0),
+    ('both, no sidecars', 38),
+    ('both, busy engines', 42),
+    ('both, busy engines', 184),
+]
+
+
+def check_few_parts(case, seed):
+    """Check a seed of few parts as the soak checks its runs."""
+    seen = few_parts.play(seed, **FEW_PARTS_CASES[case])
+    assert (case, seed, seen.innocents) == (case, seed, ())
+    assert (case, seed, seen.refused_probes) == (case, seed, ())
+    late = max(seen.late_runs, seen.late_whole_runs)
+    is_served = seen.served >= MIN_SERVED_SHARE
+    assert (case, seed, late <= MAX_LATE_RUNS) == (case, seed, True)
+    assert (case, seed, is_served) == (case, seed, True)
+
+
+@pytest.mark.parametrize('case', FEW_PARTS_CASES)
+def test_bad_part_and_whole_are_stopped_beside_few_parts(case):
+    """The whole ran on, and sound requests were refused to the end."""
+    for seed in SEEDS:
+        if (case, seed) not in FAILED_FEW_PARTS_SEEDS:
+            check_few_parts(case, seed)
+
+
 def test_parts_are_stopped_in_seeds_that_failed_once():
     """Parts ran on, and a request was accused (see KNOWN-RED.txt)."""
     for engines, case, seed in FAILED_PROMPT_SEEDS:
         seen = prompts.play(seed, engines=engines, **PROMPT_CASES[case])
         assert (seed, seen.innocents, seen.missed) == (seed, (), ())
         assert (seed, seen.late_runs <= MAX_LATE_RUNS) == (seed, True)
+    for case, seed in FAILED_FEW_PARTS_SEEDS:
+        check_few_parts(case, seed)
