--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -386,8 +386,8 @@
     Mutation(
         'limits-are-asked-for-again',
         'catkinshunt/rate_limits/_gossip.py',
-        'self._must_ask = is_resumed',
-        'self._must_ask = False',
+        'self._must_ask_again = was_suspended',
+        'self._must_ask_again = False',
     ),
     Mutation(
         'removals-count-from-the-last-confirmation',
@@ -649,7 +649,7 @@
     Mutation(
         'retry-asks-the-guard',
         'catkinshunt/gateway/_quarantine_check.py',
-        'self._unchecked.append(upstream)',
+        'self._unchecked_upstreams.append(upstream)',
         'pass',
     ),
     Mutation(
@@ -685,7 +685,7 @@
     Mutation(
         'empty-stream-is-broken-off',
         'catkinshunt/gateway/_relay.py',
-        'if self.ended_at_close and not self._has_begun_stream():',
+        'if self.ended_at_close and not self._client_has_event():',
         'if False:',
     ),
     Mutation(
@@ -702,25 +702,25 @@
     ),
     Mutation(
         'offender-explains-its-crashes',
-        'catkinshunt/quarantine/_quarantine.py',
+        'catkinshunt/quarantine/_causes.py',
         'if not others or (',
         'if True or (',
     ),
     Mutation(
         'alike-suspects-run-by-turns',
-        'catkinshunt/quarantine/_quarantine.py',
+        'catkinshunt/quarantine/_admission.py',
         'return 0.0 if ahead == 0 else',
         'return 0.0 if True else',
     ),
     Mutation(
         'completion-clears',
-        'catkinshunt/quarantine/_quarantine.py',
-        'suspect = self._suspects.pop(request, None)',
+        'catkinshunt/quarantine/_records.py',
+        'suspect = self.suspects.pop(request, None)',
         'suspect = None',
     ),
     Mutation(
         'most-suspected-paused',
-        'catkinshunt/quarantine/_quarantine.py',
+        'catkinshunt/quarantine/_admission.py',
         'left_s = suspect.last_crash_at + pause_s - now',
         'left_s = 0.0',
     ),
@@ -756,26 +756,26 @@
     ),
     Mutation(
         'crashes-of-a-part-add-up',
-        'catkinshunt/quarantine/_quarantine.py',
+        'catkinshunt/quarantine/_records.py',
         'self._add_suspect(part, crash, now, is_part=True)',
         'pass',
     ),
     Mutation(
         'requests-do-not-excuse-their-part',
-        'catkinshunt/quarantine/_quarantine.py',
+        'catkinshunt/quarantine/_causes.py',
         'if not _is_covered(other, suspect, crash):',
         'if True:',
     ),
     Mutation(
         'part-tried-before-it-is-blamed',
-        'catkinshunt/quarantine/_quarantine.py',
+        'catkinshunt/quarantine/_causes.py',
         'if suspect.is_part and self._count_tried_alone(suspect) < MIN_TRIED:',
         'if False:',
     ),
     Mutation(
         'explained-part-is-served',
-        'catkinshunt/quarantine/_quarantine.py',
-        'and not self._is_dominated(suspect, traits)',
+        'catkinshunt/quarantine/_admission.py',
+        'and not self._causes.is_dominated(suspect, traits)',
         'and True',
     ),
     Mutation(
