Begin a trial when its request is sent, not when it arrives

Of a part that crashes engines one request at a time may run on trial, and all others with it wait for 4 s. The trial began at the first check of a request, before it had a permit.

Now the trial begins right before the request is sent. Ruled out: a trial that is ended again by whoever did not run, since the other entries would have to hear of it.

The new test fails without it.

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -155,7 +155,7 @@
         try:
             self._check_may_send()
             # It may have been quarantined while it waited for a connection.
-            self.exchange.quarantine_check.check()
+            self.exchange.quarantine_check.begin()
         except errors.RefusedError:
             pool.release(conn)
             raise
--- a/catkinshunt/gateway/_quarantine_check.py
+++ b/catkinshunt/gateway/_quarantine_check.py
@@ -69,6 +69,12 @@
                 retry_after_s=math.ceil(left_s),
             )
 
+    def begin(self):
+        """Check the request once more, right before it is sent."""
+        self.check()
+        if self.guard is not None and not self.guard.is_idle:
+            self.guard.begin_trial(self.traits)
+
     @property
     def blocked_part(self):
         """Id of the prompt part in `blocked_trait`.
--- a/catkinshunt/gateway/tests/test_quarantine_check.py
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -28,6 +28,7 @@
         self.blocked = set()
         self.broken = []
         self.completed = []
+        self.tried = []
         self.ended_at_close = []
         self.waiting = asyncio.Event()
         self.checked = asyncio.Event()
@@ -38,6 +39,9 @@
     def explain(self, traits):
         return next((t for t in traits if t in self.blocked), None)
 
+    def begin_trial(self, traits):
+        self.tried.append(traits)
+
     def is_isolated(self, traits):
         return False
 
@@ -211,6 +215,31 @@
     assert body.startswith(b'quarantined: ')
 
 
+def test_trial_begins_only_when_its_request_is_sent():
+    """Requests that got no engine blocked their parts for a whole trial."""
+
+    async def main(is_late):
+        guard = FakeGuard()
+        engine = harness.FakeUpstream('u1', harness.replying())
+        async with harness.running_gateway(engine, guard=guard) as gateway:
+            pool = gateway.context.pool(engine.listed())
+            acquire = pool.acquire
+
+            async def acquire_late(**options):
+                conn = await acquire(**options)
+                assert guard.tried == []
+                if is_late:
+                    guard.blocked.add(quarantine.part_fingerprint(PARTS[0]))
+                return conn
+
+            pool.acquire = acquire_late
+            await request_part(gateway)
+        return len(guard.tried)
+
+    assert asyncio.run(main(is_late=True)) == 0
+    assert asyncio.run(main(is_late=False)) == 1
+
+
 def stream_without_length(body):
     """Return an answer function that ends its stream by its connection."""
 
--- a/catkinshunt/quarantine/_guard.py
+++ b/catkinshunt/quarantine/_guard.py
@@ -99,10 +99,20 @@
         held = self.gossip.quarantine.find_held(traits)
         if not held:
             return 0.0
-        wait_s = self.gossip.quarantine.trial_wait_s(traits, held, now)
-        if wait_s == 0:
+        return self.gossip.quarantine.trial_wait_s(traits, held, now)
+
+    def begin_trial(self, traits):
+        """Let a request that is being sent run on trial of its held parts.
+
+        Others with them wait meanwhile, so it must be about to reach an
+        upstream. `check` must have returned 0.
+
+        Args:
+            traits: its `Traits`.
+        """
+        held = self.gossip.quarantine.find_held(traits)
+        if held:
             self.gossip.report_trial(traits.whole, held)
-        return wait_s
 
     def explain(self, traits):
         """Return the trait for which `check` refused a request, or None."""
--- a/catkinshunt/quarantine/tests/replay.py
+++ b/catkinshunt/quarantine/tests/replay.py
@@ -144,6 +144,7 @@
             if engine is None:
                 return False, 0.2
             tried.add((engine.number, engine.start))
+            self.guard.begin_trial(traits)
             upstream = engine.listed()
             begun_at = self.replay.clock()
             self.replay.sender = self.name
--- a/catkinshunt/quarantine/tests/test_guard.py
+++ b/catkinshunt/quarantine/tests/test_guard.py
@@ -182,6 +182,8 @@
     gossip.clock = lambda: 2.0
     assert guard.explain(bad) is None
     assert guard.check(bad, True) == 0
+    assert trials == []
+    guard.begin_trial(bad)
     assert trials == [('4', ['x'])]
 
 
