Let a run of the soak take another network if its own is in use

Two runs at a time whose process ids had the same remainder modulo 200 took the same addresses, and the second ended with 'address already in use' before it began (seen twice in some sixty runs). The store of a run is on the first address of its network, so a run whose store cannot be bound goes on to the next one.

--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -1,6 +1,7 @@
 """Starts everything, lets faults come in series, and checks."""
 
 import asyncio
+import errno
 import functools
 import itertools
 import os
@@ -30,6 +31,8 @@
 ENGINE_PORT, PLAIN_PORT, FRONT_PORT, READY_PORT = 8704, 8708, 8005, 8002
 INNER_PORTS = (7700, 7715)
 PROXY_PORT, STORE_PORT, ORIGIN_PORT = 8705, 8007, 8006
+#: Second numbers of the addresses of runs: the first one, and how many.
+FIRST_NETWORK, NETWORKS = 16, 200
 #: Most seconds between two faults, and most that one lasts.
 PAUSE_S, FAULT_S = 1.0, 2.5
 #: Most seconds between two faults in quiet seeds. Each fault of an entry
@@ -111,8 +114,8 @@
         self.version, self.revision = 1, 1
         # Ports are the same on all instances, so each gets an address of
         # its own; process id and count keep runs apart.
-        network = 16 + os.getpid() % 200
-        self._net = f'127.{network}.{next(_RUNS) % 250}'
+        self._network = os.getpid() % NETWORKS
+        self._run = next(_RUNS) % 250
         self._hosts = itertools.count(1)
 
     async def run(self, duration_s):
@@ -282,14 +285,31 @@
     # Start.
 
     def _host(self):
-        return f'{self._net}.{next(self._hosts)}'
+        network = FIRST_NETWORK + self._network
+        return f'127.{network}.{self._run}.{next(self._hosts)}'
+
+    async def _take_network(self):
+        """Serve the store on the first address of a network of its own.
+
+        Process ids of other runs can give the same network.
+        """
+        for _ in range(NETWORKS):
+            self._hosts = itertools.count(1)
+            self.base = self._host()
+            try:
+                await _platform.listen(
+                    self.store.answer, self.base, STORE_PORT, self.clock
+                )
+                return
+            except OSError as exc:
+                if exc.errno != errno.EADDRINUSE:
+                    raise
+            self._network = (self._network + 1) % NETWORKS
+        raise OSError(errno.EADDRINUSE, 'all networks are in use')
 
     async def _start(self):
         entries, sidecars, _ = self.sizes
-        self.base = self._host()
-        await _platform.listen(
-            self.store.answer, self.base, STORE_PORT, self.clock
-        )
+        await self._take_network()
         await _platform.listen(
             _platform.answer_origin, self.base, ORIGIN_PORT, self.clock
         )
