Change the upstream that was chosen, though it has another name by now

A change of statements or a silence chose a name, and looked it up one step of the loop later, when the upstream had crashed and was back under another name. The upstream is looked up as it is chosen now. The new tests failed with a KeyError before.

--- a/standins/soak/_silences.py
+++ b/standins/soak/_silences.py
@@ -72,14 +72,16 @@
         while self.clock() < until:
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
             name = self.random.choice(sorted(self.upstreams))
+            upstream, _ = self.upstreams[name]
             change = self._pause
             if self.random.random() < FOREVER_SHARE:
                 change = self._stop
-            running.append(asyncio.ensure_future(change(name)))
+            running.append(asyncio.ensure_future(change(upstream)))
         await asyncio.gather(*running)
 
-    async def _pause(self, name):
-        upstream, _ = self.upstreams[name]
+    async def _pause(self, upstream):
+        # It may have another name than when it was chosen.
+        name = upstream.name
         stages = self.random.sample(STAGES, self.random.randint(1, 4))
         length_s = self.random.uniform(*SILENT_S)
         if upstream.silence.is_on:
@@ -90,8 +92,8 @@
         upstream.silence.end()
         self.records.silences.append((name, since, self.clock()))
 
-    async def _stop(self, name):
-        upstream, _ = self.upstreams[name]
+    async def _stop(self, upstream):
+        name = upstream.name
         length_s = self.random.uniform(*REPLACED_S)
         if upstream.silence.is_on or upstream.gone:
             return
--- a/standins/soak/_statements.py
+++ b/standins/soak/_statements.py
@@ -38,14 +38,16 @@
         while self.clock() < until:
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
             name = self.random.choice(sorted(self.upstreams))
+            upstream, _ = self.upstreams[name]
             change = self._back_off
             if self.random.random() < LEAVE_SHARE:
                 change = self._leave
-            running.append(asyncio.ensure_future(change(name)))
+            running.append(asyncio.ensure_future(change(upstream)))
         await asyncio.gather(*running)
 
-    async def _leave(self, name):
-        upstream, _ = self.upstreams[name]
+    async def _leave(self, upstream):
+        # It may have another name than when it was chosen.
+        name = upstream.name
         if upstream.gone or upstream.is_leaving:
             return
         upstream.is_leaving = True
@@ -57,8 +59,7 @@
         if upstream.name == name and upstream.is_leaving:
             await self.restart(name)
 
-    async def _back_off(self, name):
-        upstream, _ = self.upstreams[name]
+    async def _back_off(self, upstream):
         upstream.back_off_s = self.random.choice(RETRY_AFTER_S)
         await asyncio.sleep(self.random.uniform(*BACK_OFF_S))
         upstream.back_off_s = None
--- a/standins/soak/tests/test_faults.py
+++ b/standins/soak/tests/test_faults.py
@@ -2,8 +2,55 @@
 
 import asyncio
 import itertools
+import random
 
+import pytest
+
+from standins.soak import _platform
+from standins.soak import _records
+from standins.soak import _silences
 from standins.soak import _soak
+from standins.soak import _statements
+
+
+async def no_restart(name):
+    """Take the place of a restart."""
+
+
+class Upstreams(dict):
+    """Upstreams by name, one of which is renamed once it was chosen."""
+
+    def __iter__(self):
+        asyncio.get_running_loop().call_soon(self.rename)
+        return super().__iter__()
+
+    def rename(self):
+        _, (upstream, host) = self.popitem()
+        upstream.name = f'{upstream.name}0'
+        self[upstream.name] = (upstream, host)
+
+
+@pytest.mark.parametrize('kind', ['statements', 'silences'])
+def test_an_upstream_is_renamed_before_its_change_begins(kind):
+    """The run ended with a KeyError in place of a result."""
+
+    async def main():
+        clock = asyncio.get_running_loop().time
+        seen = _records.Records(4.0, 2.0, 1.0)
+        upstream = _platform.Upstream('e1', 'engines', seen, clock, 1)
+        found = Upstreams(e1=(upstream, '127.0.0.1'))
+        chance = random.Random(1)
+        changes = _statements.StatementChanges(
+            found, no_restart, lambda name: None, chance, clock
+        )
+        if kind == 'silences':
+            changes = _silences.SilenceChanges(
+                found, seen, lambda name: None, no_restart, chance, clock
+            )
+        await changes.run(clock() + 0.05)
+        return upstream.name
+
+    assert asyncio.run(main()).startswith('e10')
 
 
 def test_a_run_takes_another_network_if_its_own_is_in_use(
