Keep a refused part refused while others crash

That a suspect crashes less while it is refused says nothing.

Now a part that was refused with nothing else to explain its crashes stays held until a request with it completes. What is refused while the reports of a crash are still coming in (`EVALUATION_DELAY_S`) does not count.

Ruled out: chance of the plays, which give the same each time; a later report, by the same states at all entries.

Rules for requests without parts are untouched.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -778,6 +778,12 @@
         'and not self._causes.is_dominated(suspect, traits)',
         'and True',
     ),
+    Mutation(
+        'refused-part-stays-refused',
+        'catkinshunt/quarantine/_causes.py',
+        'if suspect.was_unexplained:',
+        'if False:',
+    ),
     Mutation(
         'trial-is-told',
         'catkinshunt/quarantine/_gossip.py',
--- a/catkinshunt/quarantine/_admission.py
+++ b/catkinshunt/quarantine/_admission.py
@@ -106,6 +106,11 @@
             return 0.0
         for suspect in suspects:
             suspect.refused_at = now
+            settled_at = suspect.last_crash_at + _causes.EVALUATION_DELAY_S
+            if now >= settled_at and not self._causes.is_dominated(
+                suspect, (suspect.request,)
+            ):
+                suspect.was_unexplained = True
         # Callers that return at the same time would all begin a trial.
         spread = zlib.crc32(traits.whole.encode()) / 2**32
         return min(MAX_WAIT_S, until - now + MIN_WAIT_S + spread)
--- a/catkinshunt/quarantine/_causes.py
+++ b/catkinshunt/quarantine/_causes.py
@@ -130,6 +130,9 @@
             suspect: `Suspect` of a trait of the request.
             traits: `Traits` of the request.
         """
+        if suspect.was_unexplained:
+            # Others crash more meanwhile, as no request with it runs.
+            return False
         own = set(traits)
         least = min(_suspect.MIN_CRASHES, len(suspect.crashes))
         return all(
--- a/catkinshunt/quarantine/_suspect.py
+++ b/catkinshunt/quarantine/_suspect.py
@@ -78,6 +78,8 @@
         trial_of: request that has it and runs on trial, or None.
         trial_until: when its trial ends, in seconds.
         doubted: number of its crashes and doubt that were logged last.
+        was_unexplained: whether requests were refused for it while no other
+            suspects explained all its crashes.
     """
 
     request: str
@@ -90,6 +92,7 @@
     trial_of: str | None = None
     trial_until: float = 0.0
     doubted: tuple | None = None
+    was_unexplained: bool = False
 
     @property
     def is_isolated(self):
--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -455,3 +455,27 @@
         )
         for suspect, other in ('ap', 'pa')
     ]
+
+
+def crash_beside_others(subject, refused_at):
+    """Refuse a part, and record crashes of two others that were beside it."""
+    crash_prompts(subject, '1x 2a', '3x 4b', '5x 6a 7b')
+    assert subject.trial_wait_s(traits('8x'), ['x'], refused_at) > 0
+    crash_prompts(subject, '1a', '2a', '3b', '4b', at=3.0)
+
+
+def test_refused_part_is_not_released_by_later_crashes_of_others():
+    """Two others crashed on while it was refused, and explained it then."""
+    subject = quarantine.Quarantine()
+    crash_beside_others(subject, refused_at=0.5)
+    assert subject.find_held(traits('9x')) == ['x']
+    assert subject.must_run_apart(traits('9x'))
+    complete(subject, 'x')
+    assert subject.find_held(traits('9x')) == []
+
+
+def test_part_refused_before_all_reports_of_a_crash_is_released():
+    """A first part that sound requests share was refused until a trial."""
+    subject = quarantine.Quarantine()
+    crash_beside_others(subject, refused_at=0.1)
+    assert subject.find_held(traits('9x')) == []
--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -84,12 +84,14 @@
 }
 
 #: Engines, case and seed of plays that failed.
-FAILED_PROMPT_SEEDS = [
+REFUSED_SEEDS = [
     (8, 'three parts', 76),
     (8, 'three parts', 171),
     (8, 'other crashes', 185),
-    (2, 'entry cut off', 52),
     (2, 'entry cut off', 76),
+]
+FAILED_PROMPT_SEEDS = [
+    (2, 'entry cut off', 52),
     (2, 'other crashes', 193),
 ]
 
@@ -120,9 +122,19 @@
     check_prompts(engines, **PROMPT_CASES[case])
 
 
-def test_parts_are_stopped_in_seeds_that_failed_once():
-    """Parts ran on, and a request was accused (see KNOWN-RED.txt)."""
-    for engines, case, seed in FAILED_PROMPT_SEEDS:
+def check_prompt_seeds(seeds):
+    """Check that bad parts are stopped; see `FAILED_PROMPT_SEEDS`."""
+    for engines, case, seed in seeds:
         seen = prompts.play(seed, engines=engines, **PROMPT_CASES[case])
         assert (seed, seen.innocents, seen.missed) == (seed, (), ())
         assert (seed, seen.late_runs <= MAX_LATE_RUNS) == (seed, True)
+
+
+def test_refused_part_stays_refused_while_others_crash():
+    """Seven requests ran with a part that other crashes explained by then."""
+    check_prompt_seeds(REFUSED_SEEDS)
+
+
+def test_parts_are_stopped_in_seeds_that_failed_once():
+    """Parts ran on, and a request was accused (see KNOWN-RED.txt)."""
+    check_prompt_seeds(FAILED_PROMPT_SEEDS)
