Do not let a retry of a trial excuse the part that it tried

Cause, by the log of doubts ('fewer than 2 of them were on trial alone'): a part is quarantined after two crashes of later runs at which nothing else was left that was at several crashes. The request of the first trial was sent again, so that it was at both, and its whole excused the part at each. So did any request that was retried, in many plays.

Now a suspect that was there only together with the part, and stands for one request, counts from its third crash on, as it may be a cause itself only then. Parts that different requests share count from the second one, as before.

Ruled out: requests that completed before the entry that was cut off told of their crashes. They stay suspects for long, but were at none of the two crashes.

--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -479,3 +479,21 @@
     subject = quarantine.Quarantine()
     crash_beside_others(subject, refused_at=0.1)
     assert subject.find_held(traits('9x')) == []
+
+
+def test_request_that_is_sent_again_does_not_hide_its_part():
+    """Its second crash excused the part at both crashes of its trial."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1x', '2x', '3x')
+    crash_prompts(subject, '4x', at=3.0)
+    crash_prompts(subject, '4x', at=4.5)
+    assert subject.evaluate(4.5 + SETTLED) == ['x']
+
+
+def test_request_with_three_crashes_may_be_the_cause_of_those_of_its_part():
+    """Several bad requests had a sound part in common."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1x', '2x', '3x')
+    for at in (3.0, 4.5, 6.0):
+        crash_prompts(subject, '4x', at=at)
+    assert subject.evaluate(6.0 + SETTLED) == []
