--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -455,3 +455,45 @@
         )
         for suspect, other in ('ap', 'pa')
     ]
+
+
+def crash_beside_others(subject, refused_at):
+    """Refuse a part, and record crashes of two others that were beside it."""
+    crash_prompts(subject, '1x 2a', '3x 4b', '5x 6a 7b')
+    assert subject.trial_wait_s(traits('8x'), ['x'], refused_at) > 0
+    crash_prompts(subject, '1a', '2a', '3b', '4b', at=3.0)
+
+
+def test_refused_part_is_not_released_by_later_crashes_of_others():
+    """Two others crashed on while it was refused, and explained it then."""
+    subject = quarantine.Quarantine()
+    crash_beside_others(subject, refused_at=0.5)
+    assert subject.find_held(traits('9x')) == ['x']
+    assert subject.must_run_apart(traits('9x'))
+    complete(subject, 'x')
+    assert subject.find_held(traits('9x')) == []
+
+
+def test_part_refused_before_all_reports_of_a_crash_is_released():
+    """A first part that sound requests share was refused until a trial."""
+    subject = quarantine.Quarantine()
+    crash_beside_others(subject, refused_at=0.1)
+    assert subject.find_held(traits('9x')) == []
+
+
+def test_request_that_is_sent_again_does_not_hide_its_part():
+    """Its second crash excused the part at both crashes of its trial."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1x', '2x', '3x')
+    crash_prompts(subject, '4x', at=3.0)
+    crash_prompts(subject, '4x', at=4.5)
+    assert subject.evaluate(4.5 + SETTLED) == ['x']
+
+
+def test_request_with_three_crashes_may_be_the_cause_of_those_of_its_part():
+    """Several bad requests had a sound part in common."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1x', '2x', '3x')
+    for at in (3.0, 4.5, 6.0):
+        crash_prompts(subject, '4x', at=at)
+    assert subject.evaluate(6.0 + SETTLED) == []
