Name the check after the connect as it is called now

The mutation that guards it named the call of before the trials begin as requests are sent, so test_proofs failed. With the call left out the tests test_part_quarantined_during_the_connect_stops_the_request and test_trial_begins_only_when_its_request_is_sent fail.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -655,7 +655,7 @@
     Mutation(
         'checked-after-the-connect',
         'catkinshunt/gateway/_attempt.py',
-        'self.exchange.quarantine_check.check()',
+        'self.exchange.quarantine_check.begin()',
         'pass',
     ),
     Mutation(
