Double the pause of a suspect with each crash that others may explain

Cause, by the log of doubts: requests that ran beside it and whose callers gave up never complete, and parts that are held excuse it too. They are left out only 15 s after its last crash, and not while other engines crash. Until then it was paused for 3 s after each crash, or not at all while its runs were longer than those of half of the others, so that it ran every few seconds for as long as nothing was decided.

Now the pause doubles with each crash, up to 15 s; the less suspected half is paused from the fourth crash on.

Ruled out: a request that one entry had not heard of, as all had the same crashes.

The two new tests failed before.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -724,6 +724,12 @@
         'left_s = suspect.last_crash_at + pause_s - now',
         'left_s = 0.0',
     ),
+    Mutation(
+        'pause-doubles',
+        'catkinshunt/quarantine/_admission.py',
+        'PAUSE_S * 2**doublings)',
+        'PAUSE_S)',
+    ),
     Mutation(
         'suspects-run-apart',
         'catkinshunt/permits/_allocator.py',
--- a/catkinshunt/quarantine/_admission.py
+++ b/catkinshunt/quarantine/_admission.py
@@ -6,8 +6,9 @@
 from catkinshunt.quarantine import _causes
 from catkinshunt.quarantine import _suspect
 
-#: Seconds after its last crash for which the more suspected half of several
-#: suspects is paused. The others may complete meanwhile.
+#: Seconds after its third crash for which the more suspected half of several
+#: suspects is paused, and the others after their fourth; twice this time after
+#: the next crash, and so on. The others may complete meanwhile.
 PAUSE_S = 3.0
 #: Longest wait in seconds that a paused request is told; it may be cleared
 #: sooner.
@@ -153,11 +154,16 @@
         if suspect is None or len(suspect.crashes) < _suspect.MIN_CRASHES:
             return 0.0
         others = self._causes.others(suspect)
-        pause_s = PAUSE_S
         if others and self._causes.has_most_crashes(suspect, others):
             pause_s = _causes.MAX_PAUSE_S + 2 * _causes.EVALUATION_DELAY_S
-        elif others and not suspect.is_in_suspected_half(others):
-            return 0.0
+        else:
+            # Crashes that others may explain can go on for long.
+            doublings = len(suspect.crashes) - _suspect.MIN_CRASHES
+            if others and not suspect.is_in_suspected_half(others):
+                doublings -= 1
+            if doublings < 0:
+                return 0.0
+            pause_s = min(_causes.MAX_PAUSE_S, PAUSE_S * 2**doublings)
         left_s = suspect.last_crash_at + pause_s - now
         return min(MAX_WAIT_S, max(0.0, left_s))
 
--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -497,3 +497,28 @@
     for at in (3.0, 4.5, 6.0):
         crash_prompts(subject, '4x', at=at)
     assert subject.evaluate(6.0 + SETTLED) == []
+
+
+def test_pause_doubles_with_each_crash_that_others_may_explain():
+    """A request crashed an engine every few seconds, beside other causes."""
+    subject = quarantine.Quarantine()
+    crash(subject, 'pab', 'pcd', 'pef')
+    crash(subject, 'g', at=0.1)
+    pause_s = _quarantine.PAUSE_S
+    assert subject.pause_s('p', pause_s - 0.1) > 0
+    assert subject.pause_s('p', pause_s) == 0
+    crash(subject, 'pgh', at=4.0)
+    crash(subject, 'g', at=4.1)
+    assert subject.pause_s('p', 4.0 + 2 * pause_s - 0.1) > 0
+    assert subject.pause_s('p', 4.0 + 2 * pause_s) == 0
+
+
+def test_less_suspected_request_is_paused_from_its_fourth_crash_on():
+    """One whose last runs were long crashed engines without any pause."""
+    subject = quarantine.Quarantine()
+    crash(subject, 'pqa', 'pqa', 'pqa')
+    assert subject.pause_s('a', 0.1) == 0
+    crash(subject, 'pqa', at=4.0)
+    assert subject.pause_s('a', 4.1) > 0
+    assert subject.pause_s('a', 4.0 + _quarantine.PAUSE_S) == 0
+    assert subject.pause_s('p', 4.0 + _quarantine.PAUSE_S) > 0
