--- a/catkinshunt/quarantine/_causes.py
+++ b/catkinshunt/quarantine/_causes.py
@@ -199,7 +199,7 @@
         """
         return sum(
             not any(
-                other.unexplained >= _least_crashes(other, suspect, crash)
+                other.unexplained >= _suspect.ISOLATION_CRASHES
                 for other in self._records.suspects_of(crash)
                 if other is not suspect
             )
@@ -255,17 +255,6 @@
     return any(suspect.is_part and suspect.is_serious for suspect in suspects)
 
 
-def _least_crashes(other, suspect, crash):
-    """Return the crashes from which on `other` may be the cause of a trial's.
-
-    A request that is sent again after its trial gets a second crash by that.
-    """
-    is_one_request = not other.is_part or not other.is_shared
-    if is_one_request and _is_covered(other, suspect, crash):
-        return _suspect.MIN_CRASHES
-    return _suspect.ISOLATION_CRASHES
-
-
 def _is_covered(other, suspect, crash):
     """Return whether all requests with `other` at a crash have `suspect`."""
     return crash.holders_of(other.request) <= crash.holders_of(suspect.request)
