Do not put off the trial of a part by crashes that others may have caused

Cause, by the logs: after each trial that crashed the next one of its parts waits twice as long, 8, 16, 32 s. A first part is in the trials of the bad part too, and a sound part beside a cause crashes with it, so that all waited as long as the bad part itself, while one completion would have cleared them.

Now a trial's crash does not count for a request if something quarantined explains it, or if a suspect that the request does not have was there, with as many crashes. A request with the bad part has that one, and waits as before.

Not counted: how many sound requests wait for two held parts at a time, as the traces of the soak show some do.

The new tests failed before.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -790,6 +790,12 @@
         'if suspect.was_unexplained:',
         'if False:',
     ),
+    Mutation(
+        'explained-trial-does-not-delay',
+        'catkinshunt/quarantine/_admission.py',
+        'other.unexplained >= suspect.unexplained',
+        'False',
+    ),
     Mutation(
         'trial-is-told',
         'catkinshunt/quarantine/_gossip.py',
--- a/catkinshunt/quarantine/_admission.py
+++ b/catkinshunt/quarantine/_admission.py
@@ -91,7 +91,7 @@
             for s in suspects
         ):
             return 0.0
-        tried = max(len(s.find_tried(_causes.TRIAL_DELAY_S)) for s in suspects)
+        tried = max(self._count_tried(s, traits) for s in suspects)
         delay_s = TRIAL_S * 2**tried if tried else _causes.TRIAL_DELAY_S
         if len(suspects) > 1 and self._is_most_suspected(suspects):
             # A crash would not show which of the parts causes it.
@@ -190,6 +190,27 @@
         ahead = (sorted(tied).index(request) - turns) % len(tied)
         return 0.0 if ahead == 0 else (turns + ahead) * TURN_S - elapsed_s
 
+    def _count_tried(self, suspect, traits):
+        """Return the crashes of trials that speak against a request's part.
+
+        Not those that another suspect, which the request does not have, may
+        have caused as well.
+
+        Args:
+            suspect: `Suspect` of the part.
+            traits: `Traits` of the request.
+        """
+        own = set(traits)
+        return sum(
+            not crash.is_explained
+            and not any(
+                other.unexplained >= suspect.unexplained
+                for other in self._records.suspects_of(crash)
+                if other.request not in own
+            )
+            for crash in suspect.find_tried(_causes.TRIAL_DELAY_S)
+        )
+
     def _has_rivals(self, parts, suspect):
         """Return whether one of a request's other parts is suspected too.
 
--- a/catkinshunt/quarantine/tests/test_quarantine.py
+++ b/catkinshunt/quarantine/tests/test_quarantine.py
@@ -522,3 +522,25 @@
     assert subject.pause_s('a', 4.1) > 0
     assert subject.pause_s('a', 4.0 + _quarantine.PAUSE_S) == 0
     assert subject.pause_s('p', 4.0 + _quarantine.PAUSE_S) > 0
+
+
+def test_trial_that_another_suspect_explains_does_not_delay_the_next():
+    """A sound part waited twice as long after each trial of a bad one."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, '1ax 2bx', '3ax 4bx', '5ax 6bx')
+    crash_prompts(subject, '7ax', at=3.0)
+    now = 3.0 + _quarantine.TRIAL_DELAY_S
+    assert subject.find_held(traits('9ac')) == ['a']
+    assert subject.trial_wait_s(traits('9ac'), ['a'], now) == 0
+    assert subject.trial_wait_s(traits('9ax'), ['a', 'x'], now) > 0
+
+
+def test_trial_beside_a_bad_whole_request_does_not_delay_the_next():
+    """A sound part was refused for 8 s, then 16, as it ran beside a cause."""
+    subject = quarantine.Quarantine()
+    crash_prompts(subject, 'p 1f', 'p 2f', 'p 3f')
+    crash_prompts(subject, 'p 4f', at=4.0)
+    assert subject.find_held(traits('5f')) == ['f']
+    now = 4.0 + _quarantine.TRIAL_DELAY_S
+    assert subject.trial_wait_s(traits('5f'), ['f'], now - 0.1) > 0
+    assert subject.trial_wait_s(traits('5f'), ['f'], now) == 0
