--- a/standins/soak/tests/test_parts.py
+++ b/standins/soak/tests/test_parts.py
@@ -15,6 +15,9 @@
 )
 #: Seed and length of a short run.
 SEED, RUN_S = 1, 15.0
+#: Seeds that failed with a request that crashes engines beside the part, and
+#: the length of these runs.
+FAILED_SEEDS, FAILED_RUN_S = (9203, 94008), 18.0
 #: A time long after the fifth crash of `seen_with` is known.
 LATE = 9.0
 
@@ -148,3 +151,18 @@
         and answer.sent_at > known_at
     ]
     assert len(sent) > 5
+
+
+@pytest.mark.parametrize('seed', FAILED_SEEDS)
+def test_a_seed_with_both_causes_that_failed_once_breaks_nothing(
+    seed, tmp_path
+):
+    """A part that all share was refused, and the whole request ran on."""
+
+    async def main():
+        soak = _soak.Soak(
+            tmp_path, seed, entries=2, sidecars=4, callers=8, parts=True
+        )
+        return await soak.run(FAILED_RUN_S)
+
+    assert asyncio.run(main()) == []
