--- a/catkinshunt/quarantine/tests/test_replay.py
+++ b/catkinshunt/quarantine/tests/test_replay.py
@@ -94,6 +94,9 @@
 FAILED_PROMPT_SEEDS = [
     (2, 'entry cut off', 52),
     (2, 'other crashes', 193),
+    (2, 'three parts', 126),
+    (8, 'entries restart', 146),
+    (8, 'stops and comes back', 147),
 ]
 
 
