Close the listeners of a soak's run at its end

Cause: a run never closed its listeners; they were freed when the garbage collector came to them. The test of two runs that take two networks, which runs earlier in the same process, uses the same addresses as the first run after it (its run number is 0 as well). That run found the first network in use and went on to the second one, whose store was freed already, but not its first upstream.

Ruled out: other processes. No soak that ran beside it had an address of these two networks, and nothing listens on these ports on all addresses.

Now a run closes store, origin, upstreams and proxies when it ends, and the test of two networks closes its runs.

--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -237,6 +237,10 @@
         self.gone = False
         return self
 
+    def close(self):
+        """Listen no more."""
+        self._listener.close()
+
     @property
     def port(self):
         """The port that it listens on."""
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -108,6 +108,7 @@
         #: What the operator has written, by key.
         self.declared = {}
         self.processes, self.proxies, self.upstreams = [], [], {}
+        self._listeners = []
         #: Addresses of processes by name.
         self.places = {}
         self.keys = ['k0', 'k1', 'k2', 'k3']
@@ -128,8 +129,18 @@
             publish.cancel()
             for process in self.processes:
                 await asyncio.to_thread(process.end)
+            self._close()
         return self.records.find_broken()
 
+    def _close(self):
+        """Free the addresses, which a later run may take."""
+        for upstream, _ in self.upstreams.values():
+            upstream.close()
+        for proxy in self.proxies:
+            proxy.stop()
+        for listener in self._listeners:
+            listener.close()
+
     async def _work(self, until):
         """Let callers work while faults come, until a time on the clock."""
         self.until = until
@@ -297,21 +308,25 @@
             self._hosts = itertools.count(1)
             self.base = self._host()
             try:
-                await _platform.listen(
+                listener = await _platform.listen(
                     self.store.answer, self.base, STORE_PORT, self.clock
                 )
-                return
             except OSError as exc:
                 if exc.errno != errno.EADDRINUSE:
                     raise
+            else:
+                self._listeners.append(listener)
+                return
             self._network = (self._network + 1) % NETWORKS
         raise OSError(errno.EADDRINUSE, 'all networks are in use')
 
     async def _start(self):
         entries, sidecars, _ = self.sizes
         await self._take_network()
-        await _platform.listen(
-            _platform.answer_origin, self.base, ORIGIN_PORT, self.clock
+        self._listeners.append(
+            await _platform.listen(
+                _platform.answer_origin, self.base, ORIGIN_PORT, self.clock
+            )
         )
         self._configure()
         for number in range(2):
--- a/standins/soak/tests/test_faults.py
+++ b/standins/soak/tests/test_faults.py
@@ -63,7 +63,23 @@
         runs = [_soak.Soak(tmp_path, entries=0, sidecars=0) for _ in range(2)]
         for run in runs:
             await run._start()
-        return [run.base for run in runs]
+        bases = [run.base for run in runs]
+        for run in runs:
+            run._close()
+        return bases
 
     first, second = asyncio.run(main())
     assert first != second
+
+
+def test_a_run_that_has_ended_frees_its_addresses(tmp_path, monkeypatch):
+    """A later run of the same process failed to bind one of them."""
+    monkeypatch.setattr(_soak, '_RUNS', itertools.repeat(1))
+
+    async def main():
+        soak = _soak.Soak(tmp_path, entries=0, sidecars=0)
+        await soak.run(0.0)
+        return soak
+
+    first, second = [asyncio.run(main()) for _ in range(2)]
+    assert first.base == second.base
