--- a/catkinshunt/quarantine/_admission.py
+++ b/catkinshunt/quarantine/_admission.py
@@ -200,28 +200,17 @@
             suspect: `Suspect` of the part.
             traits: `Traits` of the request.
         """
+        own = set(traits)
         return sum(
             not crash.is_explained
-            and not self._is_explained_without(crash, suspect, traits)
+            and not any(
+                other.unexplained >= suspect.unexplained
+                for other in self._records.suspects_of(crash)
+                if other.request not in own
+            )
             for crash in suspect.find_tried(_causes.TRIAL_DELAY_S)
         )
 
-    def _is_explained_without(self, crash, suspect, traits):
-        """Return whether a suspect that a request lacks explains a crash.
-
-        A crash of a run that was no trial of the part shows less: a part that
-        several causes have in common is at more crashes than each of them.
-        """
-        least = suspect.unexplained
-        if crash not in suspect.trial_crashes:
-            least = min(least, _suspect.MIN_CRASHES)
-        own = set(traits)
-        return any(
-            other.unexplained >= least
-            for other in self._records.suspects_of(crash)
-            if other.request not in own
-        )
-
     def _has_rivals(self, parts, suspect):
         """Return whether one of a request's other parts is suspected too.
 
--- a/catkinshunt/quarantine/_suspect.py
+++ b/catkinshunt/quarantine/_suspect.py
@@ -77,7 +77,6 @@
         refused_at: when a request with it was last refused, or None.
         trial_of: request that has it and runs on trial, or None.
         trial_until: when its trial ends, in seconds.
-        trial_crashes: those of `crashes` that ended a trial of it.
         doubted: number of its crashes and doubt that were logged last.
         was_unexplained: whether requests were refused for it while no other
             suspects explained all its crashes.
@@ -92,7 +91,6 @@
     refused_at: float | None = None
     trial_of: str | None = None
     trial_until: float = 0.0
-    trial_crashes: list = attrs.field(factory=list)
     doubted: tuple | None = None
     was_unexplained: bool = False
 
@@ -115,7 +113,6 @@
         self.crashes.append(crash)
         if self.trial_of in crash.run_s:
             self.trial_of = None
-            self.trial_crashes.append(crash)
         self.last_crash_at = max(self.last_crash_at, crash.at)
         if self.isolated_at is None and self.is_isolated:
             self.isolated_at = now
