--- a/review/rig/runner.py
+++ b/review/rig/runner.py
@@ -307,15 +307,39 @@
         await req.conn.send(b'0\r\n\r\n')
 
 
-async def answer_origin(req):
-    """Answer a call to the origin of weights."""
-    version = int(req.query['version'])
-    if req.path.startswith('/-/manifest/'):
+class Origin:
+    """The origin of weights; all that it sends shares its link.
+
+    Attributes:
+        newest: the newest version that is named.
+    """
+
+    #: Bytes a second: 7.3 Mbit/s.
+    LINK = 7.3e6 / 8
+
+    def __init__(self, newest):
+        self.newest = newest
+        self._free_at = 0.0
+
+    async def answer(self, req):
+        """Answer one call."""
+        version = int(req.query.get('version', self.newest))
+        if version <= self.newest - 2:
+            # "A version two back returns 410."
+            return await req.conn.reply(410)
+        if req.path.startswith('/-/manifest/'):
+            return await self._send_manifest(req, version)
+        data = piece(version, int(req.query['number']))
+        await self._wait(len(data))
+        await req.conn.reply(200, [], data)
+
+    async def _send_manifest(self, req, version):
         digests = [
             hashlib.sha256(piece(version, i)).hexdigest()
             for i in range(CHUNKS)
         ]
-        return await req.conn.reply_json(
+        await self._wait(67 * CHUNKS)
+        await req.conn.reply_json(
             {
                 'model': MODEL,
                 'version': version,
@@ -324,4 +348,9 @@
                 'digests': digests,
             }
         )
-    await req.conn.reply(200, [], piece(version, int(req.query['number'])))
+
+    async def _wait(self, size):
+        """Wait until the link has sent so many bytes more."""
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + size / self.LINK
+        await asyncio.sleep(self._free_at - now)
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -157,6 +157,7 @@
     def __init__(self, entries=1, sidecars=0, plain=0, version=1):
         self.sizes = (entries, sidecars, plain)
         self.first_version = version
+        self.origin = runners.Origin(version)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.network = _free_network()
         self.base = _free_ports(f'127.{self.network}.1.1')
@@ -184,7 +185,7 @@
         self.store_address = (f'{net}.4.1', store_port)
         self.origin_address = (f'{net}.4.2', app_port)
         self.store = await stores.Store().start(*self.store_address)
-        await wire.serve(runners.answer_origin, *self.origin_address)
+        await wire.serve(self.origin.answer, *self.origin_address)
         zones = list(ZONES)
         for number in range(sidecars):
             ip, zone = f'{net}.2.{number + 1}', zones[number % 3]
@@ -289,6 +290,7 @@
 
     def name_version(self, version):
         """Name new weights, as the operator does."""
+        self.origin.newest = version
         key = f'op/version/{runners.MODEL}'
         self.store.put(key, {'model': runners.MODEL, 'version': version})
 
