Load no chunk that turned bad long before the order was accepted

Cause: nothing bounded the time from the comparison to the moment at which the engine accepts the order. The same cause elsewhere: an order without a reply was sent again without another comparison; an order may be accepted after its time-out; a rejection or a failed call after an unknown outcome let go of the staging lock; the monotonic clock does not count suspends. An engine that reads slowly ages the comparison as well.

Now one order has one course (LoadOrder): another comparison if it began over 0.9 s before the order, and before each repetition; the lock is held until the engine is known to have accepted; ages are taken on the boot-time clock. Where over 3 s lie between comparison and known acceptance, the chunks are compared once more afterwards: those that match then matched at the acceptance, as nobody else writes them. Otherwise no request starts on that version, with an error in the log and a gauge.

The interface outside the platform orders by digest and does not stage chunks.

Open: such an engine stays out of service until the next version.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -36,6 +36,7 @@
 _SIDECAR = 'catkinshunt/sidecar/_app.py'
 _STORE = 'catkinshunt/weights/_store.py'
 _SLOT = 'catkinshunt/engines/_weights_endpoint.py'
+_LOAD_ORDER = 'catkinshunt/spread/_load_order.py'
 
 MUTATIONS = (
     # At most once.
@@ -1137,4 +1138,22 @@
         'if self._served.items() <= engine_versions.items():',
         'if True:',
     ),
+    Mutation(
+        'staged-comparison-recent',
+        _LOAD_ORDER,
+        'now - self._compared_at <= MAX_AGE_AT_ORDER_S',
+        'True',
+    ),
+    Mutation(
+        'late-acceptance-checked',
+        _LOAD_ORDER,
+        'and self._accepted_at - self._compared_at <= MAX_BAD_S',
+        'and True',
+    ),
+    Mutation(
+        'damaged-version-closed',
+        'catkinshunt/spread/_agent.py',
+        'expires_in_s = -math.inf',
+        'pass',
+    ),
 )
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -74,6 +74,7 @@
         byte_counter,
         permit_server,
     )
+    register_load_metrics(registry, agent)
     server = spread.ChunkServer(
         version_store,
         _clocks.monotonic,
@@ -108,3 +109,21 @@
     return registry.counter(
         'chunk_bytes_total', 'Bytes of chunks by way.', ('way',)
     )
+
+
+def register_load_metrics(registry, agent):
+    """Register the gauges of the load orders of `agent`."""
+    registry.gauge(
+        'load_order_age_seconds',
+        'Time from the comparison of the staged chunks until the engine was'
+        ' known to have accepted the last load order, by model.',
+        agent.load_order_ages,
+        ('model',),
+    )
+    registry.gauge(
+        'versions_damaged',
+        'Version that the engine may have loaded with damaged chunks, by'
+        ' model. No request starts on it.',
+        agent.damaged_versions,
+        ('model',),
+    )
--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -31,6 +31,7 @@
     version_store = spread.VersionStore()
     version_store.get_or_create('drafts', 2)
     _sidecar.register_metrics(registry, version_store)
+    _sidecar.register_load_metrics(registry, spread.Agent(*[None] * 10))
     cfg = platform.parse_instance_settings(test_settings.DOCUMENT)
     _process.make_store_client(cfg, registry)
     return registry
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -128,6 +128,20 @@
             wakeup.cancel()
             self._wakeup.clear()
 
+    def load_order_ages(self):
+        """Return the age of the comparison by (model,), metric labels.
+
+        It is the time in seconds from the comparison of the staged chunks
+        until the engine was known to have accepted the last load order.
+        """
+        ages = self._loader.order_ages_s
+        return {(model,): age_s for model, age_s in ages.items()}
+
+    def damaged_versions(self):
+        """Return versions with damaged chunks by (model,), metric labels."""
+        versions = self._loader.damaged_versions
+        return {(model,): version for model, version in versions.items()}
+
     def on_chunk_request(self, model, version):
         """Record the version that a peer requested, and serve it if loaded.
 
@@ -151,8 +165,9 @@
             self._begin_leaving(report)
             return
         self._end_leaving()
-        self._loader.observe(report)
+        # The expiry comes first: `observe` may let queued requests start.
         self._update_expiry(report)
+        self._loader.observe(report)
         target = await self.cluster_view.target_version(report)
         if target is None:
             return
@@ -183,6 +198,8 @@
         expires_in_s = min(times, default=math.inf) - self.cluster_view.now()
         if self._is_transferring():
             expires_in_s -= LINK_QUEUE_S
+        if self._loader.is_damaged(report):
+            expires_in_s = -math.inf
         self.admission.set_expiry(expires_in_s)
 
     async def _step_loader(self, report, target):
--- a/catkinshunt/spread/_loader.py
+++ b/catkinshunt/spread/_loader.py
@@ -1,18 +1,14 @@
 """Schedules the loads of one engine and sends the load orders."""
 
-import asyncio
 import math
 
 import attrs
 
 from catkinshunt import logs
-from catkinshunt.spread import _staging
-from catkinshunt.spread import base
+from catkinshunt.spread import _load_order
 
 #: Time after which an order without effect is sent again.
 ORDER_TIMEOUT_S = 3.0
-#: Pause before an order without a reply is sent again.
-ORDER_RETRY_S = 0.3
 #: Number of waves in which serving engines load a version, so that the other
 #: engines serve meanwhile.
 WAVES = 3
@@ -103,6 +99,12 @@
         admission: `permits.BasePermitAdmission` of the engine.
         clock: returns seconds on the monotonic clock.
         staging_lock: held by tasks that write to the engine's staging area.
+
+    Attributes:
+        order_ages_s: by model, seconds from the comparison of the staged
+            chunks until the engine was known to have accepted the last order.
+        damaged_versions: by model, a version that the engine may have loaded
+            with damaged chunks. No request may start on it.
     """
 
     def __init__(self, engine, cluster_view, admission, clock, staging_lock):
@@ -111,6 +113,8 @@
         self.admission = admission
         self.clock = clock
         self.staging_lock = staging_lock
+        self.order_ages_s = {}
+        self.damaged_versions = {}
         self._ordered = None
         self._ordered_at = 0.0
         self._waves = {}
@@ -129,6 +133,20 @@
         """Set the wave in which the engine loads a version."""
         self._waves[version] = wave
 
+    def is_damaged(self, report):
+        """Return whether the engine serves a version with damaged chunks.
+
+        Forgets versions that the engine no longer has.
+        """
+        for model, version in list(self.damaged_versions.items()):
+            served = report.versions.get(model, math.inf)
+            if served > version and not report.is_loading:
+                del self.damaged_versions[model]
+        return any(
+            report.versions.get(model) == version
+            for model, version in self.damaged_versions.items()
+        )
+
     def observe(self, report):
         """Reopen the admission once the engine has loaded the version."""
         if self._draining_for is None:
@@ -141,7 +159,7 @@
                 'Version {} of {} is loaded.',
                 version,
                 model,
-                took_s=round(self.clock() - self._ordered_at, 3),
+                took_s=round(self.cluster_view.now() - self._ordered_at, 3),
             )
 
     async def step(
@@ -175,10 +193,34 @@
         # order. The lock is held until the outcome is known: chunks of another
         # version staged meanwhile would lead to mixed weights.
         async with self.staging_lock:
-            await _staging.verify_staged(chunk_store, self.engine)
-            self._ordered = key
-            self._ordered_at = self.clock()
-            await self._send_order(*key)
+            await self._order_load(chunk_store)
+
+    async def _order_load(self, chunk_store):
+        order = _load_order.LoadOrder(
+            chunk_store, self.engine, self.cluster_view.now
+        )
+        try:
+            await order.run()
+        finally:
+            if order.sent_at is not None:
+                self._ordered = (chunk_store.model, chunk_store.version)
+                self._ordered_at = order.sent_at
+        self.order_ages_s[chunk_store.model] = order.age_s
+        _log.info(
+            'Ordered the load of version {} of {}.',
+            chunk_store.version,
+            chunk_store.model,
+            comparison_age_s=round(order.age_s, 3),
+        )
+        if order.damaged:
+            self.damaged_versions[chunk_store.model] = chunk_store.version
+            _log.error(
+                'Version {} of {} may have been loaded with the damaged '
+                'chunks {}; no request starts on it.',
+                chunk_store.version,
+                chunk_store.model,
+                sorted(order.damaged),
+            )
 
     def _make_timing(
         self, report, chunk_store, complete_in_s, newer_complete_in_s
@@ -219,23 +261,5 @@
 
     def _was_ordered(self, key):
         """Return whether a sent order may still take effect."""
-        waited_s = self.clock() - self._ordered_at
+        waited_s = self.cluster_view.now() - self._ordered_at
         return self._ordered == key and waited_s < ORDER_TIMEOUT_S
-
-    async def _send_order(self, model, version):
-        while True:
-            try:
-                await self.engine.load(model, version)
-            except base.LoadOutcomeUnknownError as exc:
-                _log.warning(
-                    'No reply to the order to load version {} of {}: {}; sent '
-                    'again after {} s.',
-                    version,
-                    model,
-                    exc,
-                    ORDER_RETRY_S,
-                )
-                await asyncio.sleep(ORDER_RETRY_S)
-                continue
-            _log.info('Ordered the load of version {} of {}.', version, model)
-            return
--- a/catkinshunt/spread/_staging.py
+++ b/catkinshunt/spread/_staging.py
@@ -38,18 +38,18 @@
     them would serve damaged weights. Each is read back right before the order.
 
     Returns:
-        Number of chunks replaced.
+        Indices of the chunks replaced.
     """
-    rewritten = 0
+    replaced = []
     for index, data in sorted(chunk_store.chunks.items()):
         if await engine.get_chunk(chunk_store.model, index) != data:
             await engine.put_chunk(chunk_store.model, index, data)
-            rewritten += 1
-    if rewritten:
+            replaced.append(index)
+    if replaced:
         _log.info(
             'Replaced {} staged chunks of {}.',
-            rewritten,
+            len(replaced),
             chunk_store.model,
             version=chunk_store.version,
         )
-    return rewritten
+    return replaced
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -182,7 +182,11 @@
 
 
 class FakeClusterView(spread.BaseClusterView):
-    """Targets the last version announced by the test."""
+    """Targets the last version announced by the test.
+
+    Attributes:
+        offset_s: how far its clock is ahead of that of the event loop.
+    """
 
     regions = {}
 
@@ -190,6 +194,7 @@
         self.versions = []
         self.noted = []
         self.listed = list(members)
+        self.offset_s = 0.0
         self._announced = asyncio.Event()
 
     def announce_version(self, version, due_s=8.0):
@@ -198,7 +203,7 @@
         self._announced.set()
 
     def now(self):
-        return asyncio.get_running_loop().time()
+        return asyncio.get_running_loop().time() + self.offset_s
 
     async def target_version(self, report):
         return self.versions[-1] if self.versions else None
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -199,6 +199,30 @@
     assert engine.loaded == all_chunks(3)
 
 
+def test_no_request_starts_on_a_version_with_damaged_chunks():
+    """An order is accepted long after its comparison, with a bad chunk."""
+
+    async def main(sidecar):
+        original = sidecar.engine.load
+
+        async def accept_late(model, version):
+            sidecar.cluster_view.offset_s += 4.5
+            sidecar.engine.stage[1] = b'corrupt'
+            await original(model, version)
+
+        sidecar.engine.load = accept_late
+        sidecar.cluster_view.announce_version(2)
+        await sidecar.until(lambda: sidecar.agent.damaged_versions())
+        await sidecar.until(lambda: sidecar.engine.version == 2)
+        await sidecar.until(lambda: ('open',) in sidecar.agent.admission.calls)
+        return sidecar
+
+    sidecar = run(main, engine=fakes.FakeEngine(1))
+    assert sidecar.agent.damaged_versions() == {(fakes.MODEL,): 2}
+    assert sidecar.agent.load_order_ages()[fakes.MODEL,] >= 4.5
+    assert sidecar.agent.admission.expires_in_s == -math.inf
+
+
 def test_serving_engine_waits_for_its_wave(monkeypatch):
     """All members complete a version at about the same time.
 
