Show that restarts after a due time do not extend a version's time

Both tests pass on the code as it is. Shown to guard: with the time counted from the start of the entry instead, the first fails with assert [None, None, None] == [2, 2, 2] and the cases of single entries beside it.

--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import math
 
 import pytest
 
@@ -327,6 +328,30 @@
     assert old_requests == 0
 
 
+def test_no_stream_starts_on_an_old_version_after_all_entries_restarted():
+    """Entries restart after a due time; no engine has the version yet."""
+
+    async def main():
+        engines = [
+            make_engine(name, harness.streaming(2)) for name in ('u1', 'u2')
+        ]
+        async with harness.running_gateway(*engines) as gateway:
+            catalog = gateway.context.catalog
+            gateway.context.version_grace_s = 4.0
+            # The first read of the store finds the version without a mark.
+            catalog.add_announced_version(harness.MODEL, 2, -math.inf)
+            early = await chat(gateway)
+            engines[1].versions = {harness.MODEL: 2}
+            catalog.put_upstream(engines[1].listed())
+            return early, await chat(gateway), len(engines[0].heads)
+
+    early, late, old_requests = run(main)
+    assert early[0] == 429
+    assert float(harness.header(early[1], 'Retry-After')) > 0
+    assert late[0] == 200
+    assert old_requests == 0
+
+
 def test_queued_request_is_moved_when_its_version_becomes_outdated():
     """A request is queued at an engine when its version becomes outdated.
 
--- a/catkinshunt/platform/tests/test_cache_updater.py
+++ b/catkinshunt/platform/tests/test_cache_updater.py
@@ -11,10 +11,10 @@
 
 
 class Harness:
-    """A cache updater with a fake store."""
+    """A cache updater with a fake store, a new one by default."""
 
-    def __init__(self):
-        self.store = fakes.FakeStore()
+    def __init__(self, store=None):
+        self.store = store or fakes.FakeStore()
         self.catalog = catalogs.Catalog(key_trust_s=3.0)
         self.live_entries = catalogs.LiveEntries()
         self.now_s = 100.0
--- a/catkinshunt/platform/tests/test_pending_publisher.py
+++ b/catkinshunt/platform/tests/test_pending_publisher.py
@@ -10,6 +10,7 @@
 from catkinshunt.platform import _pending_publisher
 from catkinshunt.platform.tests import fakes
 from catkinshunt.platform.tests import test_cache_updater
+from catkinshunt.platform.tests import test_documents as documents
 
 GRACE_S = 7.0
 KEY = _documents.pending_key('drafts', 2)
@@ -140,6 +141,37 @@
     assert due == (None if published else 2)
 
 
+def test_restarted_entries_do_not_extend_the_time_of_a_version():
+    """All entries restart after a due time; each restart would add to it."""
+
+    def due_version(harness):
+        now = harness.boottime()
+        return harness.catalog.due_version('drafts', GRACE_S, now)
+
+    async def main():
+        store = fakes.FakeStore()
+        store.put('op/config', documents.configuration())
+        async with contextlib.AsyncExitStack() as earlier:
+            for name in ('entry-1', 'entry-2'):
+                publisher = Publisher(store, name, ('entry-1', 'entry-2'))
+                await earlier.enter_async_context(publisher.running())
+                publisher.catalog.add_announced_version(
+                    'drafts', 2, publisher.now
+                )
+            store.put('op/version/drafts', announced(2))
+            await fakes.wait_until(lambda: KEY in store.items)
+        store.delete(KEY)
+        found = []
+        for _ in range(3):
+            harness = test_cache_updater.Harness(store)
+            async with harness.running():
+                await fakes.wait_until(lambda: harness.catalog.declaration)
+                found.append(due_version(harness))
+        return found
+
+    assert asyncio.run(main()) == [2, 2, 2]
+
+
 def test_version_is_due_when_its_pending_key_ends():
     def prepare(harness):
         harness.store.put('op/version/drafts', announced(2))
