Let no series of versions stop a sidecar

Cause: two versions are kept in memory. The one in transfer was evicted by two newer ones, and each turn of the agent asked for it by number; the store made it, evicted it at once and raised KeyError, before the transfer could be cancelled. The transfer had no end either: the origin answers 410 for a version two back, and peers had evicted it. The loop logged the error at each turn; no metric showed it.

The agent now holds the version in transfer, which is kept beside the two newest; asking evicts nothing that is asked for. A transfer that the origin withdrew, or whose version is two back, is judged by its progress. After five failed turns the agent drops all versions and starts afresh; a gauge and /readyz show it. On the way: the request for a manifest that nobody has was endless, and waves were kept by version without the model.

--- a/catkinshunt/errors.py
+++ b/catkinshunt/errors.py
@@ -221,6 +221,10 @@
     """A manifest that is incomplete or inconsistent."""
 
 
+class VersionWithdrawnError(TransferError):
+    """The origin no longer has the version."""
+
+
 class SourceBusyError(TransferError):
     """A source is at its limit or does not have the chunk yet.
 
--- a/catkinshunt/platform/_engine.py
+++ b/catkinshunt/platform/_engine.py
@@ -213,6 +213,10 @@
         head, body = await server.call(
             'GET', path, query, timeout_s=ORIGIN_TIMEOUT_S
         )
+        if head.status == 410:
+            raise errors.VersionWithdrawnError(
+                'the origin no longer has the version', step=path
+            )
         if head.status != 200:
             raise errors.TransferError(
                 f'the origin answered {head.status}', step=path
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -6,6 +6,7 @@
 from catkinshunt.platform import _era
 from catkinshunt.platform import _store
 
+READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
 
 
@@ -39,18 +40,28 @@
     return cfg.port_range[0] + 6
 
 
-async def serve_metrics(cfg, registry):
-    """Serve the metrics of `registry` on the first port of the range."""
+async def serve_metrics(cfg, registry, is_ready=None):
+    """Serve the metrics of `registry` on the first port of the range.
+
+    Args:
+        cfg: `InstanceSettings`.
+        registry: `metrics.Registry`.
+        is_ready: function that returns whether the process works, which
+            operators ask for at `READY_PATH`; None if they ask elsewhere.
+    """
     listener = http1.Listener(
-        http1.make_session(metrics_handler(registry)), _clocks.monotonic
+        http1.make_session(metrics_handler(registry, is_ready)),
+        _clocks.monotonic,
     )
     await listener.start(cfg.ip, cfg.port_range[0])
 
 
-def metrics_handler(registry):
-    """Return an HTTP handler that serves the metrics of `registry`."""
+def metrics_handler(registry, is_ready=None):
+    """Return an HTTP handler of metrics and readiness, see `serve_metrics`."""
 
     async def handle(req):
+        if req.path == READY_PATH and is_ready is not None:
+            return http1.Reply(200 if is_ready() else 503)
         if req.path != METRICS_PATH:
             return http1.Reply(404)
         content_type, text = metrics.expose(registry, _clocks.monotonic())
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -25,8 +25,8 @@
     """
     stop = _signals.install_signal_handlers()
     registry = metrics.Registry()
-    await _process.serve_metrics(cfg, registry)
-    tasks = await _start_services(cfg, registry)
+    tasks, is_ready = await _start_services(cfg, registry)
+    await _process.serve_metrics(cfg, registry, is_ready)
     _log.info('Started sidecar {}.', cfg.name, engine=cfg.engine_address)
     await stop.wait()
     for task in tasks:
@@ -41,9 +41,13 @@
 
 
 async def _start_services(cfg, registry):
-    """Start the services for the engine, if any; return their tasks."""
+    """Start the services for the engine, if any.
+
+    Returns:
+        Their tasks, and a function that returns whether they work.
+    """
     if cfg.engine_address is None:
-        return []
+        return [], lambda: True
     version_store = spread.VersionStore()
     byte_counter = register_metrics(registry, version_store)
     wakes = wake_log.WakeLog(_clocks.boottime)
@@ -74,7 +78,7 @@
         byte_counter,
         permit_server,
     )
-    register_load_metrics(registry, agent)
+    register_agent_metrics(registry, agent)
     server = spread.ChunkServer(
         version_store,
         _clocks.monotonic,
@@ -83,11 +87,12 @@
         agent.on_chunk_request,
     )
     await server.start(cfg.ip, chunk_port)
-    return [
+    tasks = [
         asyncio.ensure_future(wakes.run()),
         asyncio.ensure_future(view.run()),
         asyncio.ensure_future(agent.run()),
     ]
+    return tasks, agent.is_ready
 
 
 def register_metrics(registry, version_store):
@@ -111,8 +116,13 @@
     )
 
 
-def register_load_metrics(registry, agent):
-    """Register the gauges of the load orders of `agent`."""
+def register_agent_metrics(registry, agent):
+    """Register the gauges of `agent`."""
+    registry.gauge(
+        'agent_failed_turns',
+        'Turns of the agent in a row that ended in an unexpected error.',
+        lambda: agent.failed_turns,
+    )
     registry.gauge(
         'load_order_age_seconds',
         'Time from the comparison of the staged chunks until the engine was'
--- a/catkinshunt/platform/tests/test_engine.py
+++ b/catkinshunt/platform/tests/test_engine.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from catkinshunt import catalog as catalogs
 from catkinshunt import errors
 from catkinshunt import http1
 from catkinshunt.platform import _engine
@@ -84,3 +85,22 @@
     (report,), _ = run_calls(reply, (0.0,), lambda engine: engine.report())
     assert report.is_leaving
     assert report.started_at_ms == 7
+
+
+def test_version_that_the_origin_withdrew_is_told_apart():
+    """A transfer that can no longer end must make room for a newer one."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        listener = await FakeServer(http1.Reply(410)).start(loop.time)
+        known = catalogs.Origin(('127.0.0.1', listener.port))
+
+        async def get_origin():
+            return known
+
+        origin = _engine.PlatformOrigin(get_origin, loop.time, loop.time)
+        with pytest.raises(errors.VersionWithdrawnError):
+            await origin.chunk('drafts', 1, 0)
+        listener.close()
+
+    asyncio.run(main())
--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -31,7 +31,7 @@
     version_store = spread.VersionStore()
     version_store.get_or_create('drafts', 2)
     _sidecar.register_metrics(registry, version_store)
-    _sidecar.register_load_metrics(registry, spread.Agent(*[None] * 10))
+    _sidecar.register_agent_metrics(registry, spread.Agent(*[None] * 10))
     cfg = platform.parse_instance_settings(test_settings.DOCUMENT)
     _process.make_store_client(cfg, registry)
     return registry
@@ -68,3 +68,12 @@
             type('Request', (), {'path': '/metrics'})
         )
     )
+
+
+def test_operators_see_that_a_sidecar_is_not_ready():
+    """A loop that fails at every turn must not go on unseen."""
+    ready = [True, False]
+    handle = _process.metrics_handler(metrics.Registry(), ready.pop)
+    request = type('Request', (), {'path': _process.READY_PATH})
+    statuses = [asyncio.run(handle(request)).status for _ in range(2)]
+    assert statuses == [503, 200]
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -22,9 +22,12 @@
 #: Pause after a failed transfer. Without it, all members retry a transfer
 #: that cannot start 20 times a second during an outage of the store.
 RETRY_S = 0.4
-#: Time limit of one probe for the manifest of a newer version. The transfer
-#: in progress continues, and the next poll starts another probe.
+#: Time limit of one probe for the manifest of a newer version, during another
+#: transfer, or of the loaded one. The next poll or request starts another.
 MANIFEST_TIMEOUT_S = 2.0
+#: Turns in a row that may end in an unexpected error. Then the transfer and
+#: all versions are dropped, as their state may be the cause.
+MAX_FAILED_TURNS = 5
 #: Transfer time of a copy relative to that at full link speed: headers,
 #: verification and other traffic add to it.
 COPY_OVERHEAD = 1.2
@@ -64,6 +67,9 @@
         byte_counter: counts bytes by source: received from a 'peer' or the
             'origin'.
         admission: `permits.BasePermitAdmission` of the engine.
+
+    Attributes:
+        failed_turns: turns in a row that ended in an unexpected error.
     """
 
     def __init__(
@@ -80,18 +86,18 @@
         self.link_mbps = link_mbps
         self.byte_counter = byte_counter
         self.admission = admission
+        self.failed_turns = 0
         self._transfer = None
         self._retry_at = -math.inf
         self._manifest_probe = None
         self._transfer_target = None
+        self._transfer_store = None
         self._starting_to_serve = set()
         self._progress = {}
         self._is_leaving = False
         self._wakeup = asyncio.Event()
         self._staging_lock = asyncio.Lock()
-        self._loader = _loader.Loader(
-            engine, cluster_view, admission, clock, self._staging_lock
-        )
+        self._loader = self._make_loader()
         # A failure may also be one of the cluster view; its end is logged as
         # soon as the engine reports.
         self._outage = logs.OutageLogger(
@@ -103,14 +109,47 @@
         while True:
             try:
                 await self._reconcile()
+                self.failed_turns = 0
             except errors.CatkinshuntError as exc:
                 self._outage.begin(exc)
             except Exception:
                 # If the loop ended, the engine would keep an old version
                 # until its requests are rejected.
-                _log.exception('Unexpected error in the agent loop.')
+                self.failed_turns += 1
+                _log.exception(
+                    'Unexpected error in the agent loop, {} in a row.',
+                    self.failed_turns,
+                )
+                if self.failed_turns % MAX_FAILED_TURNS == 0:
+                    self._start_afresh()
             await self._pause()
 
+    def _make_loader(self):
+        return _loader.Loader(
+            self.engine,
+            self.cluster_view,
+            self.admission,
+            self.clock,
+            self._staging_lock,
+        )
+
+    def _start_afresh(self):
+        """Drop the state of all versions but what the engine has damaged."""
+        _log.error('Dropped all versions after unexpected errors.')
+        if self._is_transferring():
+            self._cancel_transfer()
+        if self._manifest_probe is not None:
+            self._manifest_probe.cancel()
+        self._transfer = None
+        self._transfer_target = None
+        self._transfer_store = None
+        self._manifest_probe = None
+        self._progress.clear()
+        self.version_store.clear()
+        damaged_versions = self._loader.damaged_versions
+        self._loader = self._make_loader()
+        self._loader.damaged_versions.update(damaged_versions)
+
     async def _pause(self):
         """Wait for the next poll, a new version or a completed transfer."""
         announced = asyncio.ensure_future(self.cluster_view.wait_for_version())
@@ -128,6 +167,10 @@
             wakeup.cancel()
             self._wakeup.clear()
 
+    def is_ready(self):
+        """Return whether the agent keeps its engine at the target version."""
+        return self.failed_turns < MAX_FAILED_TURNS
+
     def load_order_ages(self):
         """Return the age of the comparison by (model,), metric labels.
 
@@ -152,6 +195,7 @@
         if (
             chunk_store is None
             and (model, version) not in self._starting_to_serve
+            and not self.version_store.is_too_old(model, version)
         ):
             self._starting_to_serve.add((model, version))
             asyncio.ensure_future(self._serve_staged(model, version))
@@ -208,7 +252,7 @@
         newest = self._chunk_store_of(target)
         if candidate is None and self._transfer_target is not None:
             # The loader drains the engine before the transfer is complete.
-            candidate = self._chunk_store_of(self._transfer_target)
+            candidate = self._transfer_store
         served = report.versions.get(target.model, 0)
         if (
             candidate is None
@@ -276,16 +320,23 @@
                 self._transfer_target.version,
                 self._transfer_target.model,
                 target.version,
-                left_share=self._chunk_store_of(
-                    self._transfer_target
-                ).missing_share,
+                left_share=self._transfer_store.missing_share,
             )
-            self._transfer.cancel()
+            self._cancel_transfer()
         elif self.clock() < self._retry_at:
             return
         self._transfer_target = target
-        self._prune_progress()
-        self._transfer = asyncio.ensure_future(self._run_transfer(target))
+        self._transfer_store = self._chunk_store_of(target)
+        self._transfer_store.begin_transfer()
+        self._forget_evicted()
+        self._transfer = asyncio.ensure_future(
+            self._run_transfer(target, self._transfer_store)
+        )
+
+    def _cancel_transfer(self):
+        self._transfer.cancel()
+        # A task that is cancelled before its first step does not do this.
+        self._transfer_store.end_transfer()
 
     def _has_manifest_else_probe(self, newer):
         """Return whether the manifest of the newer version is present.
@@ -319,8 +370,8 @@
                 exc,
             )
 
-    def _prune_progress(self):
-        """Drop the progress of evicted versions."""
+    def _forget_evicted(self):
+        """Drop the progress and waves of evicted versions."""
         kept = {
             (chunk_store.model, chunk_store.version)
             for chunk_store in self.version_store.of_model(
@@ -329,19 +380,27 @@
         }
         for key in set(self._progress) - kept:
             del self._progress[key]
+        self._loader.forget_versions(kept)
 
     def _chunk_store_of(self, target):
         return self.version_store.get_or_create(target.model, target.version)
 
     def _finishes_older_first(self, newer):
         older = self._transfer_target
-        chunk_store = self._chunk_store_of(older)
+        chunk_store = self._transfer_store
         if chunk_store.manifest is None:
             return False
         now = self.cluster_view.now()
+        copy_s = self._copy_s(chunk_store.manifest.size_bytes)
+        remaining_s = chunk_store.missing_share * copy_s
+        if chunk_store.is_withdrawn or self.version_store.is_too_old(
+            chunk_store.model, chunk_store.version
+        ):
+            # Only members that have not evicted it yet can send the rest.
+            remaining_s = self._complete_in_s(chunk_store)
         return _plan.finish_older_first(
-            chunk_store.missing_share,
-            self._copy_s(chunk_store.manifest.size_bytes),
+            remaining_s,
+            copy_s,
             _loader.LOAD_S,
             older.due_at - now,
             newer.due_at - now,
@@ -350,9 +409,7 @@
     def _copy_s(self, size):
         return size / (self.link_mbps * base.BYTES_PER_MBIT) * COPY_OVERHEAD
 
-    async def _run_transfer(self, target):
-        chunk_store = self._chunk_store_of(target)
-        chunk_store.begin_transfer()
+    async def _run_transfer(self, target, chunk_store):
         try:
             await self._fetch_version(target, chunk_store)
             return
@@ -388,7 +445,9 @@
         plan = await self._make_plan(target.model, target.version)
         fetcher = self._make_fetcher(chunk_store, plan)
         await fetcher.fetch_manifest()
-        self._loader.set_wave(target.version, plan.wave(_loader.WAVES))
+        self._loader.set_wave(
+            target.model, target.version, plan.wave(_loader.WAVES)
+        )
         # After a restart most chunks may be staged already.
         restored = await _staging.restore_staged(chunk_store, self.engine)
         await fetcher.run()
@@ -441,7 +500,9 @@
                 return
             plan = await self._make_plan(model, version)
             chunk_store = _chunk_store.ChunkStore(model, version)
-            await self._make_fetcher(chunk_store, plan).fetch_manifest()
+            # No member may have the manifest of an old version.
+            async with asyncio.timeout(MANIFEST_TIMEOUT_S):
+                await self._make_fetcher(chunk_store, plan).fetch_manifest()
             restored = await _staging.restore_staged(chunk_store, self.engine)
             self.version_store.add(chunk_store)
             _log.info(
@@ -450,9 +511,9 @@
                 model,
                 chunks=restored,
             )
-        except errors.CatkinshuntError as exc:
+        except (errors.CatkinshuntError, TimeoutError) as exc:
             _log.warning(
-                'Serving version {} of {} to peers failed: {}.',
+                'Serving version {} of {} to peers failed: {!r}.',
                 version,
                 model,
                 exc,
--- a/catkinshunt/spread/_chunk_store.py
+++ b/catkinshunt/spread/_chunk_store.py
@@ -20,6 +20,7 @@
         is_transferring: a transfer is in progress.
         is_upload_disabled: chunks are not served, since this instance's link
             is too slow.
+        is_withdrawn: the origin no longer has the version.
         wait_graph: which members wait for each other.
     """
 
@@ -29,6 +30,7 @@
     chunks: dict = attrs.field(factory=dict)
     is_transferring: bool = False
     is_upload_disabled: bool = False
+    is_withdrawn: bool = False
     wait_graph: _wait_graph.WaitGraph = attrs.field(
         factory=_wait_graph.WaitGraph
     )
@@ -150,6 +152,9 @@
 class VersionStore:
     """The `ChunkStore` objects of a sidecar; evicts old versions.
 
+    A version in transfer is kept beside them: its chunks are still staged, and
+    peers fetch them here.
+
     Args:
         max_versions: number of versions kept per model.
     """
@@ -161,13 +166,17 @@
     def get_or_create(self, model, version):
         """Return the `ChunkStore` of a version.
 
-        If there is none, creates it and may evict an older version.
+        If there is none, creates it and may evict an older version. That of a
+        version that is too old to be kept is evicted by the next call.
         """
-        key = (model, version)
-        if key not in self._chunk_stores:
-            self._chunk_stores[key] = ChunkStore(model, version)
+        chunk_store = self.find(model, version)
+        if chunk_store is None:
             self._evict_old(model)
-        return self._chunk_stores[key]
+            chunk_store = ChunkStore(model, version)
+            self._chunk_stores[model, version] = chunk_store
+            if not self.is_too_old(model, version):
+                self._evict_old(model)
+        return chunk_store
 
     def add(self, chunk_store):
         """Add `chunk_store` unless its version is present."""
@@ -176,6 +185,17 @@
         )
         self._evict_old(chunk_store.model)
 
+    def is_too_old(self, model, version):
+        """Return whether enough newer versions are present to evict it."""
+        newer = [
+            v for m, v in self._chunk_stores if m == model and v > version
+        ]
+        return len(newer) >= self.max_versions
+
+    def clear(self):
+        """Evict all versions."""
+        self._chunk_stores.clear()
+
     def of_model(self, model):
         """Return the `ChunkStore` objects of a model."""
         return [
@@ -207,7 +227,8 @@
     def _evict_old(self, model):
         versions = sorted(v for m, v in self._chunk_stores if m == model)
         for version in versions[: -self.max_versions]:
-            del self._chunk_stores[(model, version)]
+            if not self._chunk_stores[model, version].is_transferring:
+                del self._chunk_stores[model, version]
 
 
 def check_manifest(manifest, model, version):
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -418,6 +418,8 @@
             self._health.log_failure(source, exc)
             return _Outcome.FAILED
         except errors.TransferError as exc:
+            if isinstance(exc, errors.VersionWithdrawnError):
+                self.chunk_store.is_withdrawn = True
             self._health.record_failure(source, exc)
             return _Outcome.FAILED
         finally:
--- a/catkinshunt/spread/_loader.py
+++ b/catkinshunt/spread/_loader.py
@@ -129,9 +129,16 @@
             return False
         return self.clock() > self._load_at - FREQUENT_POLL_LEAD_S
 
-    def set_wave(self, version, wave):
+    def set_wave(self, model, version, wave):
         """Set the wave in which the engine loads a version."""
-        self._waves[version] = wave
+        self._waves[model, version] = wave
+
+    def forget_versions(self, kept):
+        """Drop the state of versions whose (model, version) is not kept."""
+        for key in set(self._waves) | set(self._completed_at):
+            if key not in kept:
+                self._waves.pop(key, None)
+                self._completed_at.pop(key, None)
 
     def is_damaged(self, report):
         """Return whether the engine serves a version with damaged chunks.
@@ -227,15 +234,14 @@
     ):
         served = report.versions[chunk_store.model]
         now = self.cluster_view.now()
+        key = (chunk_store.model, chunk_store.version)
         if chunk_store.is_complete:
-            completed_at = self._completed_at.setdefault(
-                chunk_store.version, now
-            )
+            completed_at = self._completed_at.setdefault(key, now)
             complete_in_s = completed_at - now
         return LoadTiming(
             complete_in_s,
             self.cluster_view.superseded_at(chunk_store.model, served) - now,
-            self._waves.get(chunk_store.version, 0),
+            self._waves.get(key, 0),
             newer_complete_in_s,
         )
 
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -338,9 +338,7 @@
             receivers_by_chunk[index].append(receiver)
 
 
-def finish_older_first(
-    missing_share, copy_s, load_s, older_due_s, newer_due_s
-):
+def finish_older_first(remaining_s, copy_s, load_s, older_due_s, newer_due_s):
     """Return whether a transfer continues though a newer version exists.
 
     From the due time of a version until a version at least as new is loaded,
@@ -348,22 +346,23 @@
     older version is dropped if the gap does not grow.
 
     Args:
-        missing_share: missing share of the older version, from 0 to 1.
+        remaining_s: seconds until the older version is complete; infinite if
+            its transfer has stalled.
         copy_s: seconds to transfer a complete copy.
         load_s: seconds to load a version.
         older_due_s: seconds until the due time of the older version.
         newer_due_s: seconds until the due time of the newer one.
 
     Examples:
-        >>> finish_older_first(0.3, 5.5, 0.5, 4.0, 8.0)
+        >>> finish_older_first(1.65, 5.5, 0.5, 4.0, 8.0)
         True
-        >>> finish_older_first(0.6, 5.5, 0.5, 6.1, 8.0)
+        >>> finish_older_first(3.3, 5.5, 0.5, 6.1, 8.0)
         False
     """
     newer_alone_s = copy_s + load_s
     dropped_gap_s = max(0.0, newer_alone_s - max(0.0, older_due_s))
-    older_s = missing_share * copy_s + load_s
-    newer_s = missing_share * copy_s + copy_s + load_s
+    older_s = remaining_s + load_s
+    newer_s = remaining_s + copy_s + load_s
     finished_gap_s = max(0.0, older_s - max(0.0, older_due_s))
     finished_gap_s += max(0.0, newer_s - newer_due_s)
     return finished_gap_s < dropped_gap_s
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -199,6 +199,38 @@
     assert engine.loaded == all_chunks(3)
 
 
+def test_agent_that_fails_at_every_turn_starts_afresh():
+    """A state that cannot be handled must not stop the sidecar for good."""
+
+    async def main(sidecar):
+        find = sidecar.version_store.of_model
+        poisoned = sidecar.version_store.get_or_create(fakes.MODEL, 2)
+
+        def fail_while_poisoned(model):
+            if poisoned in find(model):
+                raise KeyError(model)
+            return find(model)
+
+        sidecar.version_store.of_model = fail_while_poisoned
+        sidecar.cluster_view.announce_version(2)
+        await sidecar.until(lambda: not sidecar.agent.is_ready())
+        await sidecar.until(lambda: sidecar.engine.version == 2)
+        await sidecar.until(sidecar.agent.is_ready)
+
+    run(main)
+
+
+def test_manifest_that_nobody_has_is_not_requested_forever():
+    """A peer asks for the loaded version, which the origin has withdrawn."""
+
+    async def main(sidecar):
+        sidecar.origin.down = True
+        sidecar.agent.on_chunk_request(fakes.MODEL, 1)
+        await sidecar.until(lambda: not sidecar.agent._starting_to_serve)
+
+    run(main, engine=fakes.FakeEngine(1))
+
+
 def test_no_request_starts_on_a_version_with_damaged_chunks():
     """An order is accepted long after its comparison, with a bad chunk."""
 
--- a/catkinshunt/spread/tests/test_chunk_store.py
+++ b/catkinshunt/spread/tests/test_chunk_store.py
@@ -32,3 +32,23 @@
         chunk_store.count_served(index)
         served.append(index)
     assert sorted(served[:3]) == sorted(served[3:]) == [0, 1, 2]
+
+
+def test_a_version_is_evicted_only_for_newer_ones():
+    """Whoever asks for an old version must get it, and evict no newer one."""
+    version_store = spread.VersionStore(max_versions=2)
+    for version in (3, 4, 2, 1):
+        chunk_store = version_store.get_or_create(fakes.MODEL, version)
+        assert chunk_store.version == version
+    held = {each.version for each in version_store.of_model(fakes.MODEL)}
+    assert held == {1, 3, 4}
+
+
+def test_a_version_in_transfer_is_kept_beside_newer_ones():
+    """Its transfer and its peers would miss it."""
+    version_store = spread.VersionStore(max_versions=2)
+    version_store.get_or_create(fakes.MODEL, 2).begin_transfer()
+    for version in (3, 4, 5):
+        version_store.get_or_create(fakes.MODEL, version)
+    held = {each.version for each in version_store.of_model(fakes.MODEL)}
+    assert held == {2, 4, 5}
--- a/catkinshunt/spread/tests/test_loader.py
+++ b/catkinshunt/spread/tests/test_loader.py
@@ -34,7 +34,7 @@
             self.clock,
             asyncio.Lock(),
         )
-        self.loader.set_wave(2, wave)
+        self.loader.set_wave(fakes.MODEL, 2, wave)
 
     def clock(self):
         return self.time
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -232,7 +232,7 @@
     """
     assert (
         spread.finish_older_first(
-            missing_share, 5.7, 0.3, older_due_s, newer_due_s
+            missing_share * 5.7, 5.7, 0.3, older_due_s, newer_due_s
         )
         is finishes
     )
