Remember the repairs of a comparison that fails

Where a late order may have been accepted, chunks repaired long after their last comparison count as damaged. A comparison that repaired some and then failed lost them: the next one found nothing to repair, and the version counted as sound. Found by reading. The indices are now noted as they are replaced, before the call.

Failing first: test_repair_in_a_comparison_that_fails_is_remembered, assert set() == {1}

--- a/catkinshunt/spread/_load_order.py
+++ b/catkinshunt/spread/_load_order.py
@@ -101,11 +101,15 @@
     async def _compare(self):
         """Compare the staged chunks with the version; replace bad ones."""
         began_at = self.clock()
-        replaced = await _staging.verify_staged(self.chunk_store, self.engine)
+        replaced = []
+        try:
+            await _staging.verify_staged(
+                self.chunk_store, self.engine, replaced
+            )
+        finally:
+            # A comparison that fails may have replaced chunks before.
+            self._note_replaced(replaced, self.clock())
         ended_at = self.clock()
-        if self._may_be_accepted and ended_at - self._compared_at > MAX_BAD_S:
-            self._doubtful.update(replaced)
-            self._doubtful_since = self._compared_at
         self._compared_at = began_at
         if ended_at - began_at <= MAX_AGE_AT_ORDER_S:
             self._slow_comparisons = 0
@@ -118,6 +122,11 @@
             took_s=round(ended_at - began_at, 3),
         )
 
+    def _note_replaced(self, replaced, now):
+        if self._may_be_accepted and now - self._compared_at > MAX_BAD_S:
+            self._doubtful.update(replaced)
+            self._doubtful_since = self._compared_at
+
     async def _resolve_doubtful(self):
         """Decide whether an order was accepted before the repair."""
         if self._accepted_at is None and await self._has_accepted():
--- a/catkinshunt/spread/_staging.py
+++ b/catkinshunt/spread/_staging.py
@@ -31,20 +31,23 @@
     return count
 
 
-async def verify_staged(chunk_store, engine):
+async def verify_staged(chunk_store, engine, replaced):
     """Compare staged chunks with `chunk_store`; replace those that differ.
 
     Chunks can be corrupted after they were staged, and an engine that loads
     them would serve damaged weights. Each is read back right before the order.
 
-    Returns:
-        Indices of the chunks replaced.
+    Args:
+        chunk_store: the complete `ChunkStore` of the version.
+        engine: `base.BaseEngine`.
+        replaced: list to which the indices of replaced chunks are added, also
+            if the comparison fails later.
     """
-    replaced = []
     for index, data in sorted(chunk_store.chunks.items()):
         if await engine.get_chunk(chunk_store.model, index) != data:
-            await engine.put_chunk(chunk_store.model, index, data)
+            # The engine may have replaced it although the call fails.
             replaced.append(index)
+            await engine.put_chunk(chunk_store.model, index, data)
     if replaced:
         _log.info(
             'Replaced {} staged chunks of {}.',
@@ -52,4 +55,3 @@
             chunk_store.model,
             version=chunk_store.version,
         )
-    return replaced
--- a/catkinshunt/spread/tests/test_load_order.py
+++ b/catkinshunt/spread/tests/test_load_order.py
@@ -198,6 +198,26 @@
     assert order.age_s > STANDSTILL_S
 
 
+def test_repair_in_a_comparison_that_fails_is_remembered():
+    """The next comparison finds nothing to repair, though bad chunks ran."""
+    engine = TimedEngine()
+
+    def fail_after_repair(index):
+        if index == 4:
+            engine.on_read = lambda index: None
+            raise errors.TransferError('no data', step='get chunk')
+
+    def accept_late(number):
+        if number == 1:
+            stand_still(engine, 1)
+            engine.accept()
+            engine.on_read = fail_after_repair
+            engine.lose_reply()
+
+    engine.on_order = accept_late
+    assert run_order(engine).damaged == {1}
+
+
 def test_repair_before_a_late_order_is_no_damage():
     """An order that was not accepted yet cannot have met a bad chunk."""
     engine = TimedEngine()
