Let a test of shared writes wait for what must come

By its stack the test waited for the count, and the committer for work.

The first write now has one claim, and the test waits for all 63 others. What it asserts is unchanged: all are granted, in five writes at most.

--- a/catkinshunt/claims/tests/test_ledger.py
+++ b/catkinshunt/claims/tests/test_ledger.py
@@ -338,23 +338,27 @@
 
 def test_concurrent_claims_share_writes():
     store = fakes.FakeStore()
-    gate = threading.Event()
+    gate, writing = threading.Event(), threading.Event()
     real_put = store.put
     with make_ledger(store) as ledger:
         try_claim(ledger, 'warm', key='other')
         before = store.calls['put']
 
         def put(*args, **kwargs):
+            writing.set()
             gate.wait(10)
             return real_put(*args, **kwargs)
 
         store.put = put
         with futures.ThreadPoolExecutor(64) as pool:
-            futs = [
+            futs = [pool.submit(try_claim, ledger, 'a0', key='k0')]
+            # The first write has one claim, and all others wait for its end.
+            assert writing.wait(10)
+            futs += [
                 pool.submit(try_claim, ledger, f'a{number}', key=f'k{number}')
-                for number in range(64)
+                for number in range(1, 64)
             ]
-            while ledger.report()['pending'] < 60:
+            while ledger.report()['pending'] < 63:
                 threading.Event().wait(0.005)
             gate.set()
         states = {fut.result().state for fut in futs}
