--- a/catkinshunt/spread/tests/test_version_series.py
+++ b/catkinshunt/spread/tests/test_version_series.py
@@ -88,6 +88,7 @@
     def announce(self, version):
         self.origin.newest = max(version, self.origin.newest)
         self.cluster_view.announce_version(version, VERSION_S)
+        # A peer asks for the version that the engine had at first.
         self.agent.on_chunk_request(fakes.MODEL, 1)
 
     async def wait_until_served(self, version, wait_s):
