Follow the list of members during a transfer

After an outage of the store, or a restart of everything, entries of engines have lapsed when a sidecar makes the plan of its transfer. The plan was made once, so each sidecar of such a list fetched all chunks from the origin: six took six copies over a link that carries one in 2.6 s, no engine had the version in time, and entries refused nearly all requests (RECOVER).

The members are read again during the transfer, every 1.6 s as long as the list changes or lacks this member, then at doubling intervals, since the store counts each read. Queued chunks are assigned anew, also to and from the origin. The fetch order differs between members, so that those that do not know each other yet fetch different chunks.

Ruled out: waiting for a list that may be whole, which delays the restart by the wait each time.

--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -11,6 +11,7 @@
 from catkinshunt.spread import _fetcher
 from catkinshunt.spread import _loader
 from catkinshunt.spread import _plan
+from catkinshunt.spread import _plan_updater
 from catkinshunt.spread import _progress
 from catkinshunt.spread import _staging
 from catkinshunt.spread import base
@@ -444,13 +445,22 @@
         began = self.clock()
         plan = await self._make_plan(target.model, target.version)
         fetcher = self._make_fetcher(chunk_store, plan)
-        await fetcher.fetch_manifest()
-        self._loader.set_wave(
-            target.model, target.version, plan.wave(_loader.WAVES)
+
+        def apply_plan():
+            self._set_wave(plan)
+            fetcher.reassign()
+
+        updater = asyncio.ensure_future(
+            _plan_updater.PlanUpdater(plan, self.cluster_view).run(apply_plan)
         )
-        # After a restart most chunks may be staged already.
-        restored = await _staging.restore_staged(chunk_store, self.engine)
-        await fetcher.run()
+        try:
+            await fetcher.fetch_manifest()
+            self._set_wave(plan)
+            # After a restart most chunks may be staged already.
+            restored = await _staging.restore_staged(chunk_store, self.engine)
+            await fetcher.run()
+        finally:
+            updater.cancel()
         self._wakeup.set()
         _log.info(
             'Version {} of {} is whole.',
@@ -460,9 +470,14 @@
             restored=restored,
         )
 
+    def _set_wave(self, plan):
+        self._loader.set_wave(
+            plan.model, plan.version, plan.wave(_loader.WAVES)
+        )
+
     async def _make_plan(self, model, version):
-        members, connections = await asyncio.gather(
-            self.cluster_view.members(), self.cluster_view.origin_connections()
+        members, connections = await _plan_updater.read_sources(
+            self.cluster_view
         )
         return _plan.SourcePlan(
             self.local_member,
@@ -470,7 +485,7 @@
             self.cluster_view.regions,
             model,
             version,
-            connections=connections or _plan.UNKNOWN_CONNECTIONS,
+            connections=connections,
         )
 
     def _make_fetcher(self, chunk_store, plan):
--- a/catkinshunt/spread/_fetcher.py
+++ b/catkinshunt/spread/_fetcher.py
@@ -109,11 +109,21 @@
         report_task = asyncio.ensure_future(self._report())
         try:
             async with asyncio.TaskGroup() as self._group:
-                for index in self.chunk_store.missing_indices:
+                missing = self.chunk_store.missing_indices
+                for index in self.plan.fetch_order(missing):
                     self._assign(index)
         finally:
             report_task.cancel()
 
+    def reassign(self):
+        """Assign all queued chunks again after a change of the plan."""
+        queued = set().union(*self._queues.values())
+        for queue in self._queues.values():
+            queue.clear()
+        for index in self.plan.fetch_order(queued):
+            self._tried[index].clear()
+            self._assign(index)
+
     async def _report(self):
         """Log periodically which sources the transfer waits for.
 
@@ -276,12 +286,16 @@
         except errors.TransferError as exc:
             self._health.record_failure(source, exc)
             return
-        for queue in self._queues.values():
-            if received in queue:
-                queue.remove(received)
+        self._dequeue(received)
         self.byte_counter.add('peer', amount=len(data))
         await self.stage_chunk(received, data)
 
+    def _dequeue(self, index):
+        """Remove a received chunk; it may have been assigned elsewhere."""
+        for queue in self._queues.values():
+            if index in queue:
+                queue.remove(index)
+
     async def _fail_over(self, source, queue, kept=0):
         """Reassign the queue of a failed or slow source.
 
@@ -428,8 +442,7 @@
                 and indices[0] not in self.chunk_store.chunks
             ):
                 queue.append(indices[0])
-        if received in queue:
-            queue.remove(received)
+        self._dequeue(received)
         self._health.record_success(source)
         self._corrupt_in_row = 0
         source_kind = 'origin' if source == _plan.ORIGIN else 'peer'
--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -79,21 +79,39 @@
         connections=UNKNOWN_CONNECTIONS,
     ):  # fmt: skip
         self.local_member = local_member
-        # A restarted engine may be listed twice for a while.
-        named = {member.name: member for member in members}
-        self.members = list(
-            {**named, local_member.name: local_member}.values()
-        )
         self.regions = regions
         self.model = model
         self.version = version
         self.chunk_count = chunk_count
+        self._excluded = frozenset()
+        self.members = []
+        self.connections = None
+        self.update_members(members, connections)
+
+    def update_members(self, members, connections):
+        """Assign all chunks again if the members have changed.
+
+        Args:
+            members: as of the constructor.
+            connections: as of the constructor.
+
+        Returns:
+            Whether the members or the connections have changed.
+        """
+        # A restarted engine may be listed twice for a while.
+        named = {member.name: member for member in members}
+        named[self.local_member.name] = self.local_member
+        known = {member.name: member for member in self.members}
+        if named == known and connections == self.connections:
+            return False
+        self.members = list(named.values())
+        self.connections = connections
         self._ranked = {}
         max_owners = max(1, int(OWNERS_PER_CONNECTION * connections))
         self._owners = self._rank('owners')[:max_owners]
         self._first_receivers = None
         self._sources = {}
-        self._excluded = frozenset()
+        return True
 
     def set_excluded(self, names):
         """Set the members that are not used as sources.
@@ -192,6 +210,15 @@
     def _reachable(self, members):
         return [m for m in members if m.name not in self._excluded]
 
+    def fetch_order(self, indices):
+        """Return chunk indices in the order in which to fetch them.
+
+        The order differs between members. Those that do not know each other
+        yet fetch different chunks from the origin and can exchange them later.
+        """
+        name = self.local_member.name
+        return sorted(indices, key=lambda i: rendezvous.score(i, name))
+
     def manifest_sources(self):
         """Return the names of sources for the manifest, best first.
 
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -18,6 +18,7 @@
 from catkinshunt.spread import _agent
 from catkinshunt.spread import _chunk_server
 from catkinshunt.spread import _chunk_store
+from catkinshunt.spread import _plan_updater
 from catkinshunt.spread.tests import fakes
 from catkinshunt import weights
 
@@ -140,10 +141,18 @@
         while not self.chunk_store.is_complete:
             with contextlib.suppress(errors.CatkinshuntError, ExceptionGroup):
                 fetcher = self._make_fetcher()
-                await fetcher.fetch_manifest()
-                for index, data in self.stage.items():
-                    self.chunk_store.put(index, data)
-                await fetcher.run()
+                updater = asyncio.ensure_future(
+                    _plan_updater.PlanUpdater(
+                        fetcher.plan, SwarmView(self)
+                    ).run(fetcher.reassign)
+                )
+                try:
+                    await fetcher.fetch_manifest()
+                    for index, data in self.stage.items():
+                        self.chunk_store.put(index, data)
+                    await fetcher.run()
+                finally:
+                    updater.cancel()
                 break
             await asyncio.sleep(RETRY_S)
         self.completed_at = asyncio.get_running_loop().time()
@@ -177,6 +186,22 @@
         self.stage[index] = data
 
 
+class SwarmView:
+    """What one member reads of the others."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.swarm = instance.swarm
+
+    async def members(self):
+        """See `spread.BaseClusterView.members`."""
+        return self.swarm.members_listed_by(self.instance.member)
+
+    async def origin_connections(self):
+        """See `spread.BaseClusterView.origin_connections`."""
+        return self.swarm.scale.origin_connections
+
+
 class SwarmOrigin(spread.BaseOrigin):
     """The origin, with the link of one member."""
 
--- a/catkinshunt/spread/tests/test_swarm.py
+++ b/catkinshunt/spread/tests/test_swarm.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from catkinshunt.spread import _plan_updater
 from catkinshunt.spread.tests import swarm
 
 import pytest
@@ -17,6 +18,12 @@
     {'larisa': 16, 'piraeus': 15, 'sindos': 15, 'patra': 15, 'iraklio': 15},
     region_mbps=12.0,
 )
+#: Six members in three data centres.
+SMALL = swarm.Scale(
+    {'larisa': 2, 'piraeus': 2, 'sindos': 2}, origin_mbps=7.3, region_mbps=10.0
+)
+#: Seconds after the return of the store in which live members are listed.
+LIST_BACK_S = 2.0
 #: Limit of the time in which a recovered origin sends the missing chunks,
 #: relative to the time that its link needs for them.
 MAX_RECOVERY_RATIO = 1.2
@@ -230,3 +237,29 @@
         return service
 
     check_completion(swarm.run_in_virtual_time(scenario))
+
+
+@pytest.mark.parametrize(
+    'scale', [SMALL, THREE_DATA_CENTRES, FIVE_DATA_CENTRES]
+)
+def test_members_listed_after_the_start_share_the_copies(scale):
+    """The list of members is empty as a version is named after an outage."""
+
+    async def scenario():
+        service = swarm.Swarm(scale)
+        names = {member.name for member in service.members}
+        service.unlisted = {name: names for name in names}
+        service.announce_version(2)
+        await asyncio.sleep(LIST_BACK_S)
+        service.unlisted = {}
+        await service.wait(8 * scale.copy_s)
+        return service
+
+    service = swarm.run_in_virtual_time(scenario)
+    completion_times_s = service.completion_times_s()
+    assert len(completion_times_s) == len(service.members)
+    lost_s = LIST_BACK_S + _plan_updater.MIN_PERIOD_S
+    assert completion_times_s[-1] <= lost_s + MAX_COPY_TIMES * scale.copy_s
+    # Until members know each other, the origin sends what its link carries.
+    origin_copy_s = scale.copy_bytes / service.origin.bytes_per_s
+    assert service.origin_copies <= MAX_ORIGIN_COPIES + lost_s / origin_copy_s
