Load the newest version of the origin where none is announced

Engines start with a version that the operator may never have announced.

A sidecar whose engine has no version, with none announced and none served by members, now asks the origin for its newest version and verifies what is staged by that manifest. The names of the models come with the published origin, as reading the whole configuration would fill the links between regions. The manifest is requested once more by its number, since a damaged number would be the version of the load order.

The tests fail on the code before: the engine stays without a version. Ruled out: a key of our own for the served version, which has to be written while the store is there and can be older than the staged chunks.

--- a/catkinshunt/catalog/_model.py
+++ b/catkinshunt/catalog/_model.py
@@ -109,12 +109,14 @@
         link_mbps: speed of its link in Mbit/s.
         max_connections: connections that it accepts from all members of a
             transfer together.
+        models: names of the models that engines serve, by service.
     """
 
     address: tuple[str, int]
     data_centre: str = ''
     link_mbps: float = 10.0
     max_connections: int = 48
+    models: dict = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -162,9 +164,16 @@
         """The `Origin` of weights, or None."""
         for service in self.services.values():
             if service.origin is not None:
-                return service.origin
+                return attrs.evolve(service.origin, models=self._models())
         return None
 
+    def _models(self):
+        return {
+            service.name: service.engine.models
+            for service in self.services.values()
+            if service.engine is not None
+        }
+
 
 @attrs.frozen
 class Upstream:
--- a/catkinshunt/platform/_documents.py
+++ b/catkinshunt/platform/_documents.py
@@ -179,6 +179,7 @@
         'data_centre': origin.data_centre,
         'link_mbps': origin.link_mbps,
         'max_connections': origin.max_connections,
+        'models': origin.models,
     }
     return json.dumps(document).encode()
 
@@ -202,9 +203,23 @@
         _get_str(document, 'data_centre', ''),
         mbps,
         _get_int(document, 'max_connections'),
+        _parse_published_models(document),
     )
 
 
+def _parse_published_models(document):
+    """Return the names of models by service."""
+    models = document.get('models', {})
+    if not isinstance(models, dict):
+        raise InvalidDocumentError(f'models is {models!r}, not an object')
+    for names in models.values():
+        if not isinstance(names, list) or not all(
+            isinstance(name, str) for name in names
+        ):
+            raise InvalidDocumentError(f'models has {names!r}, not names')
+    return {service: tuple(names) for service, names in models.items()}
+
+
 def parse_object(value):
     """Return the JSON object in `value`.
 
--- a/catkinshunt/platform/_engine.py
+++ b/catkinshunt/platform/_engine.py
@@ -192,10 +192,18 @@
     async def manifest(self, model, version):
         """See `base.BaseOrigin.manifest`."""
         body = await self._get(f'/-/manifest/{model}', {'version': version})
-        try:
-            return _parse_manifest(body, model, version)
-        except _documents.InvalidDocumentError as exc:
-            raise errors.ManifestError(str(exc), step='manifest') from exc
+        manifest = _parse_manifest(body, model)
+        if manifest.version != str(version):
+            raise errors.ManifestError(
+                f'the manifest is of version {manifest.version}',
+                step='manifest',
+            )
+        return manifest
+
+    async def newest_version(self, model):
+        """See `base.BaseOrigin.newest_version`."""
+        body = await self._get(f'/-/manifest/{model}')
+        return int(_parse_manifest(body, model).version)
 
     async def chunk(self, model, version, index):
         """See `base.BaseOrigin.chunk`."""
@@ -208,7 +216,7 @@
         if self._server is not None:
             self._server.pool.close_idle()
 
-    async def _get(self, path, query):
+    async def _get(self, path, query=None):
         server = await self._get_server()
         head, body = await server.call(
             'GET', path, query, timeout_s=ORIGIN_TIMEOUT_S
@@ -240,13 +248,20 @@
         return self._server
 
 
-def _parse_manifest(body, model, version):
-    document = _documents.parse_object(body)
+def _parse_manifest(body, model):
+    try:
+        return _load_manifest(_documents.parse_object(body), model)
+    except _documents.InvalidDocumentError as exc:
+        raise errors.ManifestError(str(exc), step='manifest') from exc
+
+
+def _load_manifest(document, model):
+    version = document.get('version')
     digests = document.get('digests')
     size = document.get('chunk_bytes')
-    if document.get('version') != version or not isinstance(digests, list):
+    if type(version) is not int or not isinstance(digests, list):
         raise _documents.InvalidDocumentError(
-            'the manifest is of another version or has no digests'
+            'the manifest has no version or no digests'
         )
     if not isinstance(size, int) or size <= 0:
         raise _documents.InvalidDocumentError(
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -239,6 +239,13 @@
         version, model = max(served)
         return spread.TargetVersion(model, version, self.boottime())
 
+    async def unannounced_models(self):
+        """See `spread.BaseClusterView.unannounced_models`."""
+        if self._revision is None or self.catalog.announced_models():
+            return ()
+        origin = await self.origin()
+        return origin.models.get(self.cfg.service, ()) if origin else ()
+
     async def wait_for_version(self):
         """See `spread.BaseClusterView.wait_for_version`."""
         await self.catalog.wait_for_change()
--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -364,3 +364,41 @@
         return view.expires_at('drafts', 1) - announced_at
 
     assert run(main) <= DUE_S
+
+
+def test_models_are_known_only_without_an_announced_version():
+    """All engines have crashed; no upstream lists a model."""
+
+    async def main(view, store):
+        store.put(
+            'catkinshunt/origin',
+            {
+                'address': '10.9.9.9:80',
+                'link_mbps': 7.3,
+                'max_connections': 48,
+                'models': {'engines': ['drafts'], 'others': ['notes']},
+            },
+        )
+        before = await view.unannounced_models()
+        announce(store, 2)
+        await fakes.wait_until(lambda: view.catalog.announced_models())
+        return before, await view.unannounced_models()
+
+    assert run(main) == (('drafts',), ())
+
+
+def test_models_of_an_older_entry_are_unknown():
+    """The origin was published by a version of the program without them."""
+
+    async def main(view, store):
+        store.put(
+            'catkinshunt/origin',
+            {
+                'address': '10.9.9.9:80',
+                'link_mbps': 7.3,
+                'max_connections': 48,
+            },
+        )
+        return await view.unannounced_models()
+
+    assert run(main) == ()
--- a/catkinshunt/spread/__init__.py
+++ b/catkinshunt/spread/__init__.py
@@ -1,7 +1,6 @@
 """Distribution of weights between sidecars, on one event loop."""
 
 from catkinshunt.spread._agent import Agent
-from catkinshunt.spread._agent import TargetVersion
 from catkinshunt.spread._chunk_server import ChunkServer
 from catkinshunt.spread._chunk_server import Pacer
 from catkinshunt.spread._chunk_server import PriorityLock
@@ -22,6 +21,7 @@
 from catkinshunt.spread.base import BYTES_PER_MBIT
 from catkinshunt.spread.base import EngineReport
 from catkinshunt.spread.base import LoadOutcomeUnknownError
+from catkinshunt.spread.base import TargetVersion
 
 __all__ = [
     'Agent',
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -3,13 +3,12 @@
 import asyncio
 import math
 
-import attrs
-
 from catkinshunt import errors
 from catkinshunt import logs
 from catkinshunt.spread import _chunk_store
 from catkinshunt.spread import _fetcher
 from catkinshunt.spread import _loader
+from catkinshunt.spread import _origin_query
 from catkinshunt.spread import _plan
 from catkinshunt.spread import _plan_updater
 from catkinshunt.spread import _progress
@@ -39,20 +38,6 @@
 _log = logs.get_logger('agent')
 
 
-@attrs.frozen
-class TargetVersion:
-    """A version that the engine should serve.
-
-    Attributes:
-        due_at: due time, on the clock of the `BaseClusterView`. From then on,
-            requests are sent only to engines at this version or a newer one.
-    """
-
-    model: str
-    version: int
-    due_at: float
-
-
 class Agent:
     """Fetches target versions, serves them to peers and orders loads.
 
@@ -99,6 +84,9 @@
         self._wakeup = asyncio.Event()
         self._staging_lock = asyncio.Lock()
         self._loader = self._make_loader()
+        self._origin_query = _origin_query.OriginQuery(
+            origin, cluster_view, version_store, clock, self._wakeup.set
+        )
         # A failure may also be one of the cluster view; its end is logged as
         # soon as the engine reports.
         self._outage = logs.OutageLogger(
@@ -214,6 +202,8 @@
         self._update_expiry(report)
         self._loader.observe(report)
         target = await self.cluster_view.target_version(report)
+        if target is None and not report.versions:
+            target = self._origin_query.find_target()
         if target is None:
             return
         if report.versions.get(target.model) == target.version:
--- a/catkinshunt/spread/base.py
+++ b/catkinshunt/spread/base.py
@@ -30,6 +30,20 @@
     started_at_ms: int = 0
 
 
+@attrs.frozen
+class TargetVersion:
+    """A version that the engine should serve.
+
+    Attributes:
+        due_at: due time, on the clock of the `BaseClusterView`. From then on,
+            requests are sent only to engines at this version or a newer one.
+    """
+
+    model: str
+    version: int
+    due_at: float
+
+
 class LoadOutcomeUnknownError(errors.OrderError):
     """No reply to a load order arrived; the engine may have accepted it."""
 
@@ -77,6 +91,10 @@
     async def manifest(self, model, version):
         """Return the `weights.Manifest` of a version."""
 
+    @abc.abstractmethod
+    async def newest_version(self, model):
+        """Return the number of the newest version."""
+
     @abc.abstractmethod
     async def chunk(self, model, version, index):
         """Return the bytes of a chunk, not verified."""
@@ -111,6 +129,13 @@
     async def target_version(self, report):
         """Return the `TargetVersion` of the engine, or None."""
 
+    @abc.abstractmethod
+    async def unannounced_models(self):
+        """Return the models of the service if no version is announced.
+
+        Empty until the announced versions have been read.
+        """
+
     @abc.abstractmethod
     async def wait_for_version(self):
         """Return when a new version has been announced."""
--- a/catkinshunt/spread/tests/fakes.py
+++ b/catkinshunt/spread/tests/fakes.py
@@ -9,7 +9,6 @@
 from catkinshunt import errors
 from catkinshunt import permits
 from catkinshunt import spread
-from catkinshunt.spread import _agent
 from catkinshunt import weights
 
 MODEL = 'drafts'
@@ -52,16 +51,24 @@
         self.bad_manifests = 0
         self.down = False
         self.released = 0
+        self.newest = 1
+        self.unknown_versions = set()
 
     async def manifest(self, model, version):
         await asyncio.sleep(0)
-        if self.down:
+        if self.down or version in self.unknown_versions:
             raise errors.TransferError('down', step='manifest')
         if self.bad_manifests:
             self.bad_manifests -= 1
             return attrs.evolve(manifest(version + 100), version=str(version))
         return manifest(version, model)
 
+    async def newest_version(self, model):
+        await asyncio.sleep(0)
+        if self.down:
+            raise errors.TransferError('down', step='newest version')
+        return self.newest
+
     async def chunk(self, model, version, index):
         self.requests += 1
         await asyncio.sleep(0)
@@ -199,7 +206,7 @@
 
     def announce_version(self, version, due_s=8.0):
         due_at = self.now() + due_s
-        self.versions.append(_agent.TargetVersion(MODEL, version, due_at))
+        self.versions.append(spread.TargetVersion(MODEL, version, due_at))
         self._announced.set()
 
     def now(self):
@@ -208,6 +215,9 @@
     async def target_version(self, report):
         return self.versions[-1] if self.versions else None
 
+    async def unannounced_models(self):
+        return [] if self.versions else [MODEL]
+
     async def wait_for_version(self):
         await self._announced.wait()
         self._announced.clear()
--- a/catkinshunt/spread/tests/swarm.py
+++ b/catkinshunt/spread/tests/swarm.py
@@ -214,6 +214,10 @@
         await self._receive(len(self.swarm.manifest(version).dumps()))
         return self.swarm.manifest(version)
 
+    async def newest_version(self, model):
+        """See `spread.BaseOrigin.newest_version`."""
+        raise NotImplementedError
+
     async def chunk(self, model, version, index):
         """See `spread.BaseOrigin.chunk`."""
         await self._receive(self.swarm.scale.chunk_bytes)
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -417,3 +417,41 @@
         return orders, fetched, calls.count(('back',))
 
     assert run(main, engine=engine) == ([], 0, 1)
+
+
+def test_restarted_engine_loads_a_version_that_nobody_announced():
+    """An engine crashes, its sidecar restarts, and no member has a version."""
+
+    async def main(sidecar):
+        await sidecar.until(lambda: sidecar.engine.version == 1)
+        return sidecar.engine.loaded, sidecar.origin.sent_chunks
+
+    engine = fakes.FakeEngine()
+    engine.stage = all_chunks(1)
+    assert run(main, engine=engine) == (all_chunks(1), [])
+
+
+def test_announced_version_replaces_that_of_the_origin():
+    """A version is announced after the origin was asked for its newest."""
+
+    async def main(sidecar):
+        await sidecar.until(lambda: sidecar.engine.version == 1)
+        sidecar.cluster_view.announce_version(2)
+        await sidecar.until(lambda: sidecar.engine.version == 2)
+        return sidecar.engine.loaded
+
+    assert run(main) == all_chunks(2)
+
+
+def test_damaged_version_of_the_origin_is_asked_for_again():
+    """The number of the newest version is damaged in transit."""
+
+    async def main(sidecar):
+        sidecar.origin.newest = 7
+        sidecar.origin.unknown_versions = {7}
+        await asyncio.sleep(0.1)
+        sidecar.origin.newest = 1
+        await sidecar.until(lambda: sidecar.engine.version)
+        return sidecar.engine.version
+
+    assert run(main) == 1
