Start the loops of a process again after an unexpected error

The watch of the versions, the publishers and the gossip ran as tasks that nobody awaited. An unexpected error ended such a task without a line in the log, and the process went on with what it knew then: a sidecar would never learn of another version. It is the cause of the versions in quick succession on related paths, where a loop failed at each turn and no metric showed it.

Each loop now runs again after a pause, with a line and a counter by loop. The two watches read everything again, as the same change would fail each time.

--- a/catkinshunt/platform/_cache_updater.py
+++ b/catkinshunt/platform/_cache_updater.py
@@ -120,6 +120,10 @@
                 self._revision = None
             except errors.StoreError as exc:
                 await self._back_off(exc)
+            except Exception:
+                # A watch from the same revision could fail again and again.
+                self._revision = None
+                raise
 
     async def _back_off(self, exc):
         self._outage.begin(exc)
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -13,6 +13,7 @@
 from catkinshunt import logs
 from catkinshunt import metrics
 from catkinshunt import permits
+from catkinshunt.platform import _background
 from catkinshunt.platform import _cache_updater
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _dialect
@@ -121,31 +122,32 @@
         _clocks.boottime,
         time.time,
     )
-    tasks = [
-        asyncio.ensure_future(work)
-        for work in (
-            updater.run(),
-            registration.run(),
-            pending.run(),
-            origin.run(),
-            gossip.run(),
-            gossip.request_state(),
-            limit_gossip.run(),
-            leave_gossip.run(),
-            wakes.run(),
-            quarantined.run(),
-            suspects.run(),
-            _update_retry_burst(cfg, context, live_entries),
-            _evict_gone_upstreams(context),
-        )
-    ]
+    loops = _background.make_background_loops(registry)
+    for name, loop in (
+        ('updater', updater.run),
+        ('registration', registration.run),
+        ('pending', pending.run),
+        ('origin', origin.run),
+        ('gossip', gossip.run),
+        ('gossip_state', gossip.request_state),
+        ('limit_gossip', limit_gossip.run),
+        ('leave_gossip', leave_gossip.run),
+        ('wakes', wakes.run),
+        ('quarantined', quarantined.run),
+        ('suspects', suspects.run),
+        (
+            'retry_burst',
+            lambda: _update_retry_burst(cfg, context, live_entries),
+        ),
+        ('eviction', lambda: _evict_gone_upstreams(context)),
+    ):
+        loops.start(name, loop)
     _log.info('Started entry {}.', cfg.name, data_centre=cfg.data_centre)
     await stop.wait()
     await stop_serving(
         server, registration, cfg.bounds.grace_s - STOP_MARGIN_S
     )
-    for task in tasks:
-        task.cancel()
+    loops.cancel()
     _log.info('Ended entry {}.', cfg.name)
 
 
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -1,11 +1,10 @@
 """Runs a sidecar as a process of the platform."""
 
-import asyncio
-
 from catkinshunt import catalog as catalogs
 from catkinshunt import logs
 from catkinshunt import metrics
 from catkinshunt import permits
+from catkinshunt.platform import _background
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _engine
 from catkinshunt.platform import _process
@@ -25,12 +24,12 @@
     """
     stop = _signals.install_signal_handlers()
     registry = metrics.Registry()
-    tasks, is_ready = await _start_services(cfg, registry)
+    loops = _background.make_background_loops(registry)
+    is_ready = await _start_services(cfg, registry, loops)
     await _process.serve_metrics(cfg, registry, is_ready)
     _log.info('Started sidecar {}.', cfg.name, engine=cfg.engine_address)
     await stop.wait()
-    for task in tasks:
-        task.cancel()
+    loops.cancel()
     _log.info('Ended sidecar {}.', cfg.name)
 
 
@@ -40,14 +39,14 @@
     return permits.PermitServer(permits.PermitAllocator(), _clocks.boottime)
 
 
-async def _start_services(cfg, registry):
+async def _start_services(cfg, registry, loops):
     """Start the services for the engine, if any.
 
     Returns:
-        Their tasks, and a function that returns whether they work.
+        A function that returns whether they work.
     """
     if cfg.engine_address is None:
-        return [], lambda: True
+        return lambda: True
     version_store = spread.VersionStore()
     byte_counter = register_metrics(registry, version_store)
     wakes = wake_log.WakeLog(_clocks.boottime)
@@ -87,12 +86,10 @@
         agent.on_chunk_request,
     )
     await server.start(cfg.ip, chunk_port)
-    tasks = [
-        asyncio.ensure_future(wakes.run()),
-        asyncio.ensure_future(view.run()),
-        asyncio.ensure_future(agent.run()),
-    ]
-    return tasks, agent.is_ready
+    loops.start('wakes', wakes.run)
+    loops.start('versions', view.run)
+    loops.start('agent', agent.run)
+    return agent.is_ready
 
 
 def register_metrics(registry, version_store):
--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -95,6 +95,10 @@
             except errors.StoreError as exc:
                 outage.begin(exc)
                 await asyncio.sleep(RETRY_PAUSE_S)
+            except Exception:
+                # A watch from the same revision could fail again and again.
+                self._revision = None
+                raise
 
     async def _read_or_watch(self):
         first = not self._has_read
