Choose the version of a model that the engine serves

Only the first model with an announced version was used. With a second service of engines, their sidecars would have fetched the model of the other service without end, and a second model of one engine was never fetched.

The target is now a model of the engine's own service, from the published origin or the engine's report; with several, one is fetched after the other, that with the earliest due time first. A transfer of another model is neither cancelled nor loaded in its place.

The tests fail on the code before ('charts' in place of 'drafts').

--- a/catkinshunt/platform/_store_view.py
+++ b/catkinshunt/platform/_store_view.py
@@ -214,11 +214,19 @@
 
     async def target_version(self, report):
         """See `spread.BaseClusterView.target_version`."""
-        # Only the first model with an announced version is used.
-        for model in self.catalog.announced_models():
-            announced = self.catalog.newest_version(model)
-            due_at = announced.announced_after + self.version_grace_s
-            return spread.TargetVersion(model, announced.version, due_at)
+        targets = [
+            self._announced_target(model)
+            for model in await self._announced_models(report)
+        ]
+        if targets:
+            # With several models, one version is fetched after the other.
+            return min(
+                targets,
+                key=lambda target: (
+                    report.versions.get(target.model) == target.version,
+                    target.due_at,
+                ),
+            )
         # Until the announced versions are read, the version of other members
         # may be outdated. After a power loss all members would fetch that one
         # first, and the announced one two seconds later.
@@ -226,6 +234,31 @@
             return None
         return await self._newest_served_version()
 
+    def _announced_target(self, model):
+        announced = self.catalog.newest_version(model)
+        due_at = announced.announced_after + self.version_grace_s
+        return spread.TargetVersion(model, announced.version, due_at)
+
+    async def _announced_models(self, report):
+        """Return the models with an announced version that the engine serves.
+
+        Engines of other services serve other models.
+        """
+        announced = self.catalog.announced_models()
+        if len(announced) < 2:
+            return announced
+        try:
+            known = await self._service_models()
+        except errors.StoreError as exc:
+            self._origin_outage.begin(exc)
+            known = ()
+        known = known or report.versions
+        return [model for model in announced if model in known] or announced
+
+    async def _service_models(self):
+        origin = await self.origin()
+        return origin.models.get(self.cfg.service, ()) if origin else ()
+
     async def _newest_served_version(self):
         """Return the newest version that other members serve, or None.
 
@@ -247,8 +280,7 @@
         """See `spread.BaseClusterView.unannounced_models`."""
         if self._revision is None or self.catalog.announced_models():
             return ()
-        origin = await self.origin()
-        return origin.models.get(self.cfg.service, ()) if origin else ()
+        return await self._service_models()
 
     async def wait_for_version(self):
         """See `spread.BaseClusterView.wait_for_version`."""
--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -402,3 +402,48 @@
         return await view.unannounced_models()
 
     assert run(main) == ()
+
+
+def announce_two_models(store):
+    store.put(
+        'catkinshunt/origin',
+        {
+            'address': '10.9.9.9:80',
+            'link_mbps': 7.3,
+            'max_connections': 48,
+            'models': {'engines': ['drafts', 'notes'], 'others': ['charts']},
+        },
+    )
+    for model in ('charts', 'drafts', 'notes'):
+        store.put(f'op/version/{model}', {'model': model, 'version': 2})
+
+
+def test_versions_of_other_services_are_no_targets():
+    """Two services of engines have models of their own."""
+
+    async def main(view, store):
+        announce_two_models(store)
+        await fakes.wait_until(
+            lambda: len(view.catalog.announced_models()) > 2
+        )
+        served = spread.EngineReport({'notes': 1})
+        return (await view.target_version(served)).model
+
+    assert run(main) == 'drafts'
+
+
+def test_second_model_of_an_engine_becomes_the_target():
+    """Versions of two models are announced at once."""
+
+    async def main(view, store):
+        announce_two_models(store)
+        await fakes.wait_until(
+            lambda: len(view.catalog.announced_models()) > 2
+        )
+        served = spread.EngineReport({'drafts': 2, 'notes': 1})
+        target = await view.target_version(served)
+        served = spread.EngineReport({'drafts': 2, 'notes': 2})
+        done = await view.target_version(served)
+        return target.model, served.versions[done.model]
+
+    assert run(main) == ('notes', 2)
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -241,7 +241,7 @@
         """Choose the version to load next and run one step of the loader."""
         candidate = self._newest_complete(report, target)
         newest = self._chunk_store_of(target)
-        if candidate is None and self._transfer_target is not None:
+        if candidate is None and self._is_target_model_in_transfer(target):
             # The loader drains the engine before the transfer is complete.
             candidate = self._transfer_store
         served = report.versions.get(target.model, 0)
@@ -258,6 +258,10 @@
             report, candidate, self._complete_in_s(candidate), newer_s
         )
 
+    def _is_target_model_in_transfer(self, target):
+        current = self._transfer_target
+        return current is not None and current.model == target.model
+
     def _complete_in_s(self, chunk_store):
         """Return the estimated seconds until a version is complete."""
         if chunk_store.manifest is None:
@@ -299,11 +303,14 @@
     def _start_transfer(self, target):
         """Start a transfer unless another one has precedence."""
         if self._is_transferring():
-            if self._transfer_target.version == target.version:
+            current = self._transfer_target
+            if current.version == target.version:
                 return
-            if self._finishes_older_first(
-                target
-            ) or not self._has_manifest_else_probe(target):
+            if (
+                current.model != target.model
+                or self._finishes_older_first(target)
+                or not self._has_manifest_else_probe(target)
+            ):
                 return
             # Field `left_share`: the missing share of the cancelled version.
             _log.info(
@@ -363,12 +370,7 @@
 
     def _forget_evicted(self):
         """Drop the progress and waves of evicted versions."""
-        kept = {
-            (chunk_store.model, chunk_store.version)
-            for chunk_store in self.version_store.of_model(
-                self._transfer_target.model
-            )
-        }
+        kept = self.version_store.versions()
         for key in set(self._progress) - kept:
             del self._progress[key]
         self._loader.forget_versions(kept)
--- a/catkinshunt/spread/_chunk_store.py
+++ b/catkinshunt/spread/_chunk_store.py
@@ -196,6 +196,10 @@
         """Evict all versions."""
         self._chunk_stores.clear()
 
+    def versions(self):
+        """Return the set of (model, version) of all versions."""
+        return set(self._chunk_stores)
+
     def of_model(self, model):
         """Return the `ChunkStore` objects of a model."""
         return [
