Let the soak kill all processes at one moment

Drawn with it: engines that crash shortly before and come back without weights, an outage of the store in which entries lapse, versions named before, meanwhile and after, and callers who repeat at once. Of the requests to engines sent later than 12 s after the return a quarter must be served.

The engines of the stand-in report how many requests they run, and its store writes keys without a lease: publishing the origin failed there so far.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -14,7 +14,7 @@
 def main(
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
     folder=None, crashes=_soak.CRASHES, limits=True, statements=True,
-    silences=False, eras=False, parts=False,
+    silences=False, eras=False, parts=False, returns=False,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -33,6 +33,8 @@
         eras: whether the store may go back to a copy, and upstreams leave
             around it.
         parts: whether a part of prompts crashes engines.
+        returns: whether all processes are killed after `duration_s`, in place
+            of the other faults, and must serve again.
     """
     logs.configure(level='ERROR')
     failed = 0
@@ -52,6 +54,7 @@
                 silences,
                 eras,
                 parts,
+                returns,
             )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
@@ -77,7 +80,20 @@
         f'{limited} answers with a limit, {leaving} of leaving upstreams, '
         f'{rests} rests, {len(soak.records.silences)} silences, '
         f'era {soak.store.era}, {len(soak.records.left)} departures, '
-        f'version {soak.version}'
+        f'version {soak.version}{_describe_return(soak)}'
+    )
+
+
+def _describe_return(soak):
+    """Return what was drawn for a return, and how long it took."""
+    if soak.returned is None:
+        return ''
+    before, after = soak.returned.served(soak.records.answers)
+    times_s = soak.returned.first_runs_s(soak.records.runs)
+    shown = ' '.join(f'{time_s:.1f}' for time_s in times_s)
+    return (
+        f'; {", ".join(soak.drawn)}; served {before} before, {after} after; '
+        f'engines back after {shown} s'
     )
 
 
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -1,6 +1,7 @@
 """Callers that ask, book, and keep their connections open."""
 
 import asyncio
+import itertools
 
 from catkinshunt import http1
 from standins.soak import _parts
@@ -140,6 +141,19 @@
                 await asyncio.sleep(self.random.uniform(*AGAIN_S))
 
 
+class DistinctCaller(Caller):
+    """Sends requests to engines of which no two are alike."""
+
+    async def run(self, until):
+        """Send requests until a time on the clock."""
+        for number in itertools.count():
+            if self.clock() >= until:
+                return
+            content = f'{self.name} {number}'.encode()
+            await self._ask_twice('chat', content=content)
+            await asyncio.sleep(self.random.uniform(0.0, 0.1))
+
+
 class PromptCaller(Caller):
     """Sends requests of which no two are alike, with shared parts.
 
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -21,6 +21,8 @@
 MODEL = 'drafts'
 CHUNKS = 8
 CHUNK_BYTES = 4096
+#: Requests that an engine runs at once.
+SLOTS = 16
 #: Seconds between two events of a stream.
 EVENT_S = 0.05
 #: Seconds that a booking takes.
@@ -147,10 +149,12 @@
         return as_json({})
 
     def _write(self, rows):
-        if any(row['lease'] not in self.leases for row in rows):
+        # Without a lease, its number is 0.
+        if any(row['lease'] not in {0, *self.leases} for row in rows):
             return as_json({}, 404)
         for row in rows:
-            self.leases[row['lease']].keys.add(row['key'])
+            if row['lease']:
+                self.leases[row['lease']].keys.add(row['key'])
             self.put(row['key'], json.loads(base64.b64decode(row['data'])))
         return as_json({'revision': self.revision})
 
@@ -207,14 +211,18 @@
         visits: `_records.Visits` since its start.
         silence: `_silences.Silence` that holds it up.
         is_dead: whether it is silent for good.
+        slots: requests that it says it runs at once.
     """
 
-    def __init__(self, name, service, records, clock, version=None):
+    def __init__(
+        self, name, service, records, clock, version=None, slots=SLOTS
+    ):
         self.name = name
         self.service = service
         self.records = records
         self.clock = clock
         self.version = version
+        self.slots = slots
         self.stage = {}
         self.busy = False
         self.fault = None
@@ -286,6 +294,12 @@
         for conn in list(self._listener.tasks.values()):
             conn.abort()
 
+    def lose_weights(self):
+        """End at once without a request's doing; only the stage remains."""
+        self.gone = True
+        self.version = 0
+        self._close()
+
     def crash(self, request):
         """End at once, with all connections."""
         if self.gone:
@@ -305,7 +319,7 @@
             'service': self.service,
             'address': address,
             'zone': zone,
-            'slots': 16,
+            'slots': self.slots,
             'state': state,
             'born': self.born,
         }
@@ -348,6 +362,7 @@
                     'models': self._models(),
                     'busy': self.busy,
                     'born': self.born,
+                    'active': len(self._running),
                 }
             )
         if req.path.startswith('/-/stage-put/'):
@@ -484,9 +499,14 @@
         return True
 
 
-async def answer_origin(req):
-    """Answer a call to the origin of weights."""
-    version = int(query_of(req)['version'])
+async def answer_origin(req, newest):
+    """Answer a call to the origin of weights.
+
+    Args:
+        req: the request.
+        newest: function that returns the newest version.
+    """
+    version = int(query_of(req).get('version', newest()))
     if req.path.startswith('/-/manifest/'):
         digests = [
             hashlib.sha256(chunk(version, i)).hexdigest()
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -13,6 +13,7 @@
 from catkinshunt import http1
 from standins.soak import _callers
 from standins.soak import _era
+from standins.soak import _final_fault
 from standins.soak import _limits
 from standins.soak import _parts
 from standins.soak import _platform
@@ -52,6 +53,12 @@
 START_STEP = 100
 #: Callers that repeat other requests beside the one that crashes engines.
 REPEATERS = 3
+#: Callers for each one more that repeats its request at once, in runs in
+#: which all processes are killed.
+REPEATER_SHARE = 4
+#: Slots of an engine in these runs. They are few, so that callers press beyond
+#: what engines serve before the stand-ins take all of the machine.
+RETURN_SLOTS = 4
 #: Seconds until engines must serve again after the last crash, and requests
 #: that are sent to each entry at once to see it.
 BACK_S, AT_ONCE = 15.0, 4
@@ -75,12 +82,14 @@
         eras: whether the store may go back to a copy, and upstreams leave
             around it.
         parts: whether a part of prompts crashes engines.
+        returns: whether all processes are killed at one moment, in place of
+            the other faults, and must serve again.
     """
 
     def __init__(
         self, folder, seed=1, entries=2, sidecars=4, callers=6,
         crashes=CRASHES, limits=True, statements=True, silences=False,
-        eras=False, parts=False,
+        eras=False, parts=False, returns=False,
     ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
@@ -91,12 +100,17 @@
         self.silences = silences
         self.eras = eras
         self.parts = parts
+        self.returns = returns
+        self.slots = RETURN_SLOTS if returns else _platform.SLOTS
+        self.returned = None
+        self.drawn = []
         # Of their own, so that the faults of a seed stay the same.
         self.limit_random = random.Random(f'limits {seed}')
         self.statement_random = random.Random(f'statements {seed}')
         self.silence_random = random.Random(f'silences {seed}')
         self.era_random = random.Random(f'eras {seed}')
         self.part_random = random.Random(f'parts {seed}')
+        self.return_random = random.Random(f'returns {seed}')
         is_quiet = silences and self.silence_random.random() < QUIET_SHARE
         is_quiet |= eras and self.era_random.random() < QUIET_SHARE
         self.pause_s = QUIET_PAUSE_S if is_quiet else PAUSE_S
@@ -124,13 +138,19 @@
         publish = asyncio.ensure_future(self._publish())
         try:
             await self._start()
-            await self._work(self.clock() + duration_s)
+            if self.returns:
+                await self._work_around_return(self.clock() + duration_s)
+            else:
+                await self._work(self.clock() + duration_s)
         finally:
             publish.cancel()
             for process in self.processes:
                 await asyncio.to_thread(process.end)
             self._close()
-        return self.records.find_broken()
+        broken = self.records.find_broken()
+        if self.returned is not None:
+            broken += self.returned.check(self.records.answers)
+        return broken
 
     def _close(self):
         """Free the addresses, which a later run may take."""
@@ -160,6 +180,48 @@
         if self.records.crashes:
             await self._recover()
 
+    async def _work_around_return(self, fault_at):
+        """Let callers work while all processes are killed and come back."""
+        fault = _final_fault.FinalFault(
+            self.processes,
+            self.upstreams,
+            self.store,
+            self._lose_weights,
+            lambda: self._name_version(0.0),
+            self._write_upstream,
+            self.return_random,
+            self.clock,
+        )
+        callers = [
+            self._make_caller(_callers.DistinctCaller, f'c{number}')
+            for number in range(self.sizes[2])
+        ]
+        for number in range(self.sizes[2] // REPEATER_SHARE):
+            caller = self._make_caller(_callers.Repeater, f'r{number}')
+            caller.contents = _name_contents(caller.name)
+            callers.append(caller)
+        most_s = _final_fault.DOWN_S[1] + _final_fault.RECOVERY_S
+        until = fault_at + most_s + _final_fault.COUNTED_S
+        self.returned, *_ = await asyncio.gather(
+            fault.run(fault_at), *(caller.run(until) for caller in callers)
+        )
+        self.drawn = fault.drawn
+        # Nothing that happens around the fault is held against the others.
+        since = self.returned.killed_at - _final_fault.CRASH_LEAD_S
+        for process in self.processes:
+            self._note_interruption(since, process.name)
+
+    async def _lose_weights(self, name, away_s):
+        """Let an engine crash and come back without weights."""
+        upstream, host = self.upstreams[name]
+        proxy = next(each for each in self.proxies if each.name == name)
+        upstream.lose_weights()
+        proxy.stop()
+        await asyncio.sleep(_final_fault.LAPSE_S)
+        self.store.put(f'servers/{name}', None)
+        await asyncio.sleep(away_s)
+        await self._start_again(upstream, proxy)
+
     def _make_prompt_callers(self):
         crashing = [True] * _parts.CRASHING_CALLERS
         for number, crashes in enumerate(
@@ -325,7 +387,12 @@
         await self._take_network()
         self._listeners.append(
             await _platform.listen(
-                _platform.answer_origin, self.base, ORIGIN_PORT, self.clock
+                functools.partial(
+                    _platform.answer_origin, newest=lambda: self.version
+                ),
+                self.base,
+                ORIGIN_PORT,
+                self.clock,
             )
         )
         self._configure()
@@ -348,7 +415,7 @@
     async def _add_upstream(self, name, service, version, port):
         host = self._host()
         upstream = _platform.Upstream(
-            name, service, self.records, self.clock, version
+            name, service, self.records, self.clock, version, self.slots
         )
         await upstream.start(host, port)
         proxy = await _proxy.Proxy(host, port).start(host, PROXY_PORT)
@@ -417,7 +484,7 @@
         """Write the next configuration."""
         self.revision += self.random.randint(1, 3)
         engine = {
-            'slots': 16,
+            'slots': self.slots,
             'models': [{'name': _platform.MODEL, 'warm_s': 0.1}],
             'chunks': _platform.CHUNKS,
             'chunk_bytes': _platform.CHUNK_BYTES,
@@ -651,6 +718,10 @@
         await asyncio.sleep(LAPSE_S)
         self.store.put(f'servers/{upstream.name}', None)
         await asyncio.sleep(away_s)
+        await self._start_again(upstream, proxy)
+
+    async def _start_again(self, upstream, proxy):
+        """Start a crashed engine under another name."""
         _, host = self.upstreams.pop(upstream.name)
         upstream.name = _next_name(upstream.name)
         upstream.born = int(time.time() * 1000)
