Say for each engine why it does not serve

After a return, entries answered 'overloaded' with an empty list of tries, which reads like load; that no engine had weights, and why, could only be found by comparing the logs of all sidecars.

A sidecar logs why its engine serves nothing when the reason changes and every 5 s while it lasts, with the chunks of the version in transfer that are here, and has a gauge by reason. An entry that finds no upstream says how many are listed, without weights, or older than the due version.

--- a/catkinshunt/gateway/_selection.py
+++ b/catkinshunt/gateway/_selection.py
@@ -180,6 +180,29 @@
             for upstream in self.context.catalog.members(service)
         )
 
+    def describe_listed(self):
+        """Return how many upstreams are listed and why not used, for logs."""
+        listed = self.context.catalog.members(self.decision.service)
+        text = f'{len(listed)} listed'
+        leaving = sum(upstream.leaving for upstream in listed)
+        if leaving:
+            text += f', {leaving} leaving'
+        model = self.info.model
+        if not model or self.engine_profile() is None:
+            return text
+        versions = [(u.versions or {}).get(model) for u in listed]
+        min_version = self._min_version(self.context.boot_clock())
+        without = versions.count(None)
+        if without:
+            text += f', {without} without weights of {model}'
+        outdated = sum(
+            version is not None and version < (min_version or 0)
+            for version in versions
+        )
+        if outdated:
+            text += f', {outdated} older than the due version {min_version}'
+        return text
+
     async def wait_for_change(self, left_s):
         """Wait for a change of the catalog, for at most `left_s` seconds."""
         try:
--- a/catkinshunt/gateway/_upstream_choice.py
+++ b/catkinshunt/gateway/_upstream_choice.py
@@ -85,7 +85,7 @@
         if back_off_s is not None:
             retry_after_s = min(retry_after_s, back_off_s)
         return errors.OverloadedError(
-            'no upstream is available',
+            f'no upstream is available: {self.selection.describe_listed()}',
             step='choose-upstream',
             retry_after_s=round_up_ms(retry_after_s),
         )
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -120,6 +120,13 @@
         'Turns of the agent in a row that ended in an unexpected error.',
         lambda: agent.failed_turns,
     )
+    # 'reason' as of `spread.Reason`; no line while the engine serves.
+    registry.gauge(
+        'engine_not_serving',
+        'Whether the engine serves no requests, by reason.',
+        agent.serving_state.counts,
+        ('reason',),
+    )
     registry.gauge(
         'load_order_age_seconds',
         'Time from the comparison of the staged chunks until the engine was'
--- a/catkinshunt/spread/__init__.py
+++ b/catkinshunt/spread/__init__.py
@@ -13,6 +13,7 @@
 from catkinshunt.spread._plan import Member
 from catkinshunt.spread._plan import ORIGIN
 from catkinshunt.spread._plan import SourcePlan
+from catkinshunt.spread._serving_state import Reason
 from catkinshunt.spread._staging import restore_staged
 from catkinshunt.spread._staging import verify_staged
 from catkinshunt.spread.base import BaseClusterView
@@ -40,6 +41,7 @@
     'Pacer',
     'PeerClient',
     'PriorityLock',
+    'Reason',
     'SourcePlan',
     'TargetVersion',
     'VersionStore',
--- a/catkinshunt/spread/_agent.py
+++ b/catkinshunt/spread/_agent.py
@@ -12,6 +12,7 @@
 from catkinshunt.spread import _plan
 from catkinshunt.spread import _plan_updater
 from catkinshunt.spread import _progress
+from catkinshunt.spread import _serving_state
 from catkinshunt.spread import _staging
 from catkinshunt.spread import base
 
@@ -56,6 +57,7 @@
 
     Attributes:
         failed_turns: turns in a row that ended in an unexpected error.
+        serving_state: `ServingState` of the engine.
     """
 
     def __init__(
@@ -73,6 +75,8 @@
         self.byte_counter = byte_counter
         self.admission = admission
         self.failed_turns = 0
+        self.serving_state = _serving_state.ServingState()
+        self._expires_in_s = math.inf
         self._transfer = None
         self._retry_at = -math.inf
         self._manifest_probe = None
@@ -190,17 +194,19 @@
             asyncio.ensure_future(self._serve_staged(model, version))
 
     async def _reconcile(self):
-        report = await self.engine.report()
+        report = await self._read_report()
         self._outage.end()
         self.admission.reconcile(report.request_count)
         if report.is_leaving:
             # It will serve no version that is loaded now.
             self._begin_leaving(report)
+            self._record_obstacle(_serving_state.Reason.LEAVING)
             return
         self._end_leaving()
         # The expiry comes first: `observe` may let queued requests start.
         self._update_expiry(report)
         self._loader.observe(report)
+        self.serving_state.update(self._find_obstacle(report), self.clock())
         target = await self.cluster_view.target_version(report)
         if target is None and not report.versions:
             target = self._origin_query.find_target()
@@ -212,6 +218,48 @@
             self._start_transfer(target)
         await self._step_loader(report, target)
 
+    async def _read_report(self):
+        try:
+            return await self.engine.report()
+        except errors.CatkinshuntError as exc:
+            self._record_obstacle(_serving_state.Reason.UNREACHABLE, f'{exc}.')
+            raise
+
+    def _record_obstacle(self, reason, detail=''):
+        obstacle = _serving_state.Obstacle(reason, detail)
+        self.serving_state.update(obstacle, self.clock())
+
+    def _find_obstacle(self, report):
+        """Return the `Obstacle` that keeps the engine from serving, or None.
+
+        It is that of the moment before this turn.
+        """
+        reasons = _serving_state.Reason
+        if report.is_loading:
+            return _serving_state.Obstacle(reasons.LOADING)
+        if self._loader.is_damaged(report):
+            return _serving_state.Obstacle(reasons.DAMAGED)
+        if report.versions and self._expires_in_s > 0:
+            return None
+        detail = f'Loaded: {report.versions}, expired.'
+        if not report.versions:
+            detail = 'Nothing is loaded.'
+        if self._is_transferring():
+            detail = f'{detail} {self._describe_transfer()}'
+            return _serving_state.Obstacle(reasons.TRANSFER, detail)
+        if self._transfer_target is None:
+            return _serving_state.Obstacle(reasons.NO_VERSION, detail)
+        return _serving_state.Obstacle(reasons.LOAD_PENDING, detail)
+
+    def _describe_transfer(self):
+        chunk_store = self._transfer_store
+        text = f'Version {chunk_store.version} of {chunk_store.model}: '
+        if chunk_store.manifest is None:
+            return text + 'no manifest yet.'
+        count = len(chunk_store.manifest.chunks)
+        missing = len(chunk_store.missing_indices)
+        return f'{text}{count - missing} of {count} chunks.'
+
     def _begin_leaving(self, report):
         if not self._is_leaving:
             self._is_leaving = True
@@ -235,6 +283,7 @@
             expires_in_s -= LINK_QUEUE_S
         if self._loader.is_damaged(report):
             expires_in_s = -math.inf
+        self._expires_in_s = expires_in_s
         self.admission.set_expiry(expires_in_s)
 
     async def _step_loader(self, report, target):
