Assign chunks again only if far more members are listed

With each assignment members wait for other owners.

A member that has just loaded the version is no reason either: it would become the source of all chunks.

--- a/catkinshunt/spread/_plan.py
+++ b/catkinshunt/spread/_plan.py
@@ -31,6 +31,9 @@
 OWNERS_PER_CONNECTION = 0.4
 #: Assumed connection limit of the origin if it is unknown.
 UNKNOWN_CONNECTIONS = 20
+#: Number of listed members, relative to the known ones, from which on chunks
+#: are assigned again during a transfer.
+MIN_GROWTH = 1.5
 #: Members tried after the best source and before the origin. Most members of
 #: the same data centre wait for the fetching member themselves.
 MAX_FALLBACKS = 2
@@ -89,20 +92,30 @@
         self.update_members(members, connections)
 
     def update_members(self, members, connections):
-        """Assign all chunks again if the members have changed.
+        """Assign all chunks again if far more members are listed than known.
+
+        With each assignment members wait for other owners, which costs more
+        than a few members whose lists differ from the others'. The versions
+        that known members serve stay as they were: one that has just loaded
+        the version would become the source of all chunks.
 
         Args:
             members: as of the constructor.
             connections: as of the constructor.
 
         Returns:
-            Whether the members or the connections have changed.
+            Whether chunks were assigned again.
         """
+        known = {member.name: member for member in self.members}
         # A restarted engine may be listed twice for a while.
-        named = {member.name: member for member in members}
+        named = {
+            member.name: known.get(member.name, member) for member in members
+        }
         named[self.local_member.name] = self.local_member
-        known = {member.name: member for member in self.members}
-        if named == known and connections == self.connections:
+        if (
+            len(named) < MIN_GROWTH * len(known)
+            and connections == self.connections
+        ):
             return False
         self.members = list(named.values())
         self.connections = connections
--- a/catkinshunt/spread/tests/test_plan.py
+++ b/catkinshunt/spread/tests/test_plan.py
@@ -236,3 +236,26 @@
         )
         is finishes
     )
+
+
+def test_member_that_loads_during_the_transfer_is_not_the_only_source():
+    """One member of many has the version first and is listed with it."""
+    members = [spread.Member(f'a{number}', 'a') for number in range(5)]
+    plan = spread.SourcePlan(members[0], members, {}, 'drafts', 2, 30)
+    before = [plan.sources(index) for index in range(30)]
+    holder = spread.Member('a1', 'a', {'drafts': 2})
+    listed = [members[0], holder, *members[2:]]
+    assert not plan.update_members(listed, plan.connections)
+    assert [plan.sources(index) for index in range(30)] == before
+
+
+@pytest.mark.parametrize(('known', 'assigned_again'), [(15, False), (2, True)])
+def test_few_added_members_change_no_source(known, assigned_again):
+    """Members are added one by one while a transfer is in progress.
+
+    If all waited for other owners each time, half of them would be complete
+    two seconds later.
+    """
+    members = [spread.Member(f'a{number}', 'a') for number in range(20)]
+    plan = spread.SourcePlan(members[0], members[:known], {}, 'drafts', 2, 96)
+    assert plan.update_members(members, plan.connections) is assigned_again
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -499,15 +499,28 @@
         return True
 
 
-async def answer_origin(req, newest):
-    """Answer a call to the origin of weights.
+class Origin:
+    """The origin of weights; its link sends one chunk after the other.
 
     Args:
-        req: the request.
         newest: function that returns the newest version.
+        chunk_s: seconds that its link takes for a chunk.
     """
-    version = int(query_of(req).get('version', newest()))
-    if req.path.startswith('/-/manifest/'):
+
+    def __init__(self, newest, chunk_s=0.0):
+        self.newest = newest
+        self.chunk_s = chunk_s
+        self._link = asyncio.Lock()
+
+    async def answer(self, req):
+        """Answer one call."""
+        version = int(query_of(req).get('version', self.newest()))
+        if not req.path.startswith('/-/manifest/'):
+            async with self._link:
+                await asyncio.sleep(self.chunk_s)
+            return http1.Reply(
+                200, chunk(version, int(query_of(req)['number']))
+            )
         digests = [
             hashlib.sha256(chunk(version, i)).hexdigest()
             for i in range(CHUNKS)
@@ -520,4 +533,3 @@
                 'digests': digests,
             }
         )
-    return http1.Reply(200, chunk(version, int(query_of(req)['number'])))
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -59,6 +59,8 @@
 #: Slots of an engine in these runs. They are few, so that callers press beyond
 #: what engines serve before the stand-ins take all of the machine.
 RETURN_SLOTS = 4
+#: Seconds for which a chunk occupies the link of the origin in these runs.
+ORIGIN_CHUNK_S = 0.3
 #: Seconds until engines must serve again after the last crash, and requests
 #: that are sent to each entry at once to see it.
 BACK_S, AT_ONCE = 15.0, 4
@@ -143,6 +145,9 @@
             else:
                 await self._work(self.clock() + duration_s)
         finally:
+            if publish.done():
+                # Without what engines say of themselves nothing is shown.
+                publish.result()
             publish.cancel()
             for process in self.processes:
                 await asyncio.to_thread(process.end)
@@ -387,9 +392,10 @@
         await self._take_network()
         self._listeners.append(
             await _platform.listen(
-                functools.partial(
-                    _platform.answer_origin, newest=lambda: self.version
-                ),
+                _platform.Origin(
+                    lambda: self.version,
+                    ORIGIN_CHUNK_S if self.returns else 0.0,
+                ).answer,
                 self.base,
                 ORIGIN_PORT,
                 self.clock,
