Write up the returns without weights, and prove their guards

The test of a damaged version number now has the chunks of the true version staged: without the second request the engine would load them under the wrong number.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -1156,4 +1156,40 @@
         'expires_in_s = -math.inf',
         'pass',
     ),
+    Mutation(
+        'members-read-again',
+        'catkinshunt/spread/_plan.py',
+        'len(named) < MIN_GROWTH * len(known)',
+        'known',
+    ),
+    Mutation(
+        'few-added-members-ignored',
+        'catkinshunt/spread/_plan.py',
+        'MIN_GROWTH = 1.5',
+        'MIN_GROWTH = 1.0',
+    ),
+    Mutation(
+        'origin-asked',
+        'catkinshunt/spread/_agent.py',
+        'target = self._origin_query.find_target()',
+        'target = None',
+    ),
+    Mutation(
+        'newest-version-confirmed',
+        'catkinshunt/spread/_origin_query.py',
+        'manifest = await self.origin.manifest(model, version)',
+        'manifest = await self.origin.manifest(model, 1)',
+    ),
+    Mutation(
+        'loop-started-again',
+        'catkinshunt/platform/_background.py',
+        'except Exception:',
+        'except ZeroDivisionError:',
+    ),
+    Mutation(
+        'models-of-own-service',
+        'catkinshunt/platform/_store_view.py',
+        'if len(announced) < 2:',
+        'if True:',
+    ),
 )
--- a/catkinshunt/spread/tests/test_agent.py
+++ b/catkinshunt/spread/tests/test_agent.py
@@ -454,4 +454,6 @@
         await sidecar.until(lambda: sidecar.engine.version)
         return sidecar.engine.version
 
-    assert run(main) == 1
+    engine = fakes.FakeEngine()
+    engine.stage = all_chunks(1)
+    assert run(main, engine=engine) == 1
