Compile the sources in the build

Programs start from a tree that they cannot write, so each start compiled all sources: 0.44 s of a processor in place of 0.24 s. This counts against the time in which service must be back after a return.

--- a/catkinshunt/platform/tests/test_deploy.py
+++ b/catkinshunt/platform/tests/test_deploy.py
@@ -1,4 +1,5 @@
 import pathlib
+import tomllib
 
 import pytest
 
@@ -28,3 +29,9 @@
     path.write_text('node_name = "edge-1"\n')
     with pytest.raises(errors.SettingsError, match='platform.address'):
         platform.check_file(str(path))
+
+
+def test_build_compiles_the_sources():
+    """Many processes that start together would each compile them first."""
+    document = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    assert document['build'].endswith('python3 -m compileall -q catkinshunt')
