Ask rarely for a model while none is known

A sidecar whose engine has no version read the configuration every second where no origin is published, as with entries of an earlier build. The pause now doubles up to 16 s.

--- a/catkinshunt/spread/_origin_query.py
+++ b/catkinshunt/spread/_origin_query.py
@@ -7,9 +7,12 @@
 from catkinshunt import logs
 from catkinshunt.spread import base
 
-#: Time limit of one query, and pause after one without a result.
+#: Time limit of one query, and pause after one without a result. The pause
+#: doubles up to the limit while there is no model to ask for: each query reads
+#: the whole configuration then.
 QUERY_TIMEOUT_S = 4.0
 RETRY_S = 1.0
+MAX_RETRY_S = 16.0
 
 _log = logs.get_logger('agent')
 
@@ -37,6 +40,7 @@
         self.on_found = on_found
         self._found = None
         self._query = None
+        self._retry_s = RETRY_S
         self._retry_at = -math.inf
         self._outage = logs.OutageLogger(
             _log,
@@ -64,16 +68,21 @@
     async def _ask(self):
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_S):
-                await self._find()
+                models = await self.cluster_view.unannounced_models()
+                await self._find(models)
             self._outage.end()
+            self._retry_s = (
+                RETRY_S if models else min(2 * self._retry_s, MAX_RETRY_S)
+            )
         except (errors.CatkinshuntError, TimeoutError) as exc:
             self._outage.begin(exc)
+            self._retry_s = RETRY_S
         finally:
-            self._retry_at = self.clock() + RETRY_S
+            self._retry_at = self.clock() + self._retry_s
 
-    async def _find(self):
-        # Only the first model is used, as with announced versions.
-        for model in await self.cluster_view.unannounced_models():
+    async def _find(self, models):
+        # Only the first model is used.
+        for model in models:
             version = await self.origin.newest_version(model)
             # The number may have been damaged in transit, so the manifest is
             # requested by it.
