--- a/catkinshunt/platform/tests/test_store_view.py
+++ b/catkinshunt/platform/tests/test_store_view.py
@@ -366,18 +366,21 @@
     assert run(main) <= DUE_S
 
 
+def publish_origin(store, **fields):
+    document = {
+        'address': '10.9.9.9:80',
+        'link_mbps': 7.3,
+        'max_connections': 48,
+    }
+    store.put('catkinshunt/origin', {**document, **fields})
+
+
 def test_models_are_known_only_without_an_announced_version():
     """All engines have crashed; no upstream lists a model."""
 
     async def main(view, store):
-        store.put(
-            'catkinshunt/origin',
-            {
-                'address': '10.9.9.9:80',
-                'link_mbps': 7.3,
-                'max_connections': 48,
-                'models': {'engines': ['drafts'], 'others': ['notes']},
-            },
+        publish_origin(
+            store, models={'engines': ['drafts'], 'others': ['notes']}
         )
         before = await view.unannounced_models()
         announce(store, 2)
@@ -391,28 +394,15 @@
     """The origin was published by a version of the program without them."""
 
     async def main(view, store):
-        store.put(
-            'catkinshunt/origin',
-            {
-                'address': '10.9.9.9:80',
-                'link_mbps': 7.3,
-                'max_connections': 48,
-            },
-        )
+        publish_origin(store)
         return await view.unannounced_models()
 
     assert run(main) == ()
 
 
 def announce_two_models(store):
-    store.put(
-        'catkinshunt/origin',
-        {
-            'address': '10.9.9.9:80',
-            'link_mbps': 7.3,
-            'max_connections': 48,
-            'models': {'engines': ['drafts', 'notes'], 'others': ['charts']},
-        },
+    publish_origin(
+        store, models={'engines': ['drafts', 'notes'], 'others': ['charts']}
     )
     for model in ('charts', 'drafts', 'notes'):
         store.put(f'op/version/{model}', {'model': model, 'version': 2})
