Count the loops of processes among the metrics of the test

The page names loop_failures_total, which both processes serve; the registries of the test lacked it, so the whole run of the script failed on this test. It still compares all metrics of the page with all that are served.

--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -6,6 +6,7 @@
 from catkinshunt import gateway
 from catkinshunt import metrics
 from catkinshunt import platform
+from catkinshunt.platform import _background
 from catkinshunt.platform import _entry
 from catkinshunt.platform import _process
 from catkinshunt.platform import _sidecar
@@ -23,6 +24,7 @@
     server = gateway.Gateway(context)
     _entry.register_gauges(registry, server, context)
     _process.make_store_client(cfg, registry)
+    _background.make_background_loops(registry)
     return registry
 
 
@@ -34,6 +36,7 @@
     _sidecar.register_agent_metrics(registry, spread.Agent(*[None] * 10))
     cfg = platform.parse_instance_settings(test_settings.DOCUMENT)
     _process.make_store_client(cfg, registry)
+    _background.make_background_loops(registry)
     return registry
 
 
