Close the connections that tests of the gateway open

Cause: fake upstreams and clients of these tests left their StreamWriter objects open when their event loop was closed. In this Python the finalizer of an open writer closes its transport, which raises "Event loop is closed". pytest formats the traceback of that, and formatting calls ast.parse. If the garbage collector runs the finalizer while another ast.parse converts a tree, as for the traceback of a failing test or a rewritten assertion, the nested call changes the recursion depth of the interpreter's parser state.

The checks of the tests are unchanged.

--- a/catkinshunt/gateway/tests/harness.py
+++ b/catkinshunt/gateway/tests/harness.py
@@ -69,7 +69,13 @@
         return catalogs.Upstream(**{**fields, **changes})
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        # An open writer that outlives its event loop raises in its finalizer.
+        # The traceback of that is formatted at any later moment, also while
+        # the interpreter parses, and breaks the parser.
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+        ):
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 length = header(head, 'Content-Length')
@@ -93,7 +99,6 @@
                 gone.cancel()
                 await asyncio.wait((gone,))
                 if await work == 'close':
-                    writer.close()
                     return
 
 
@@ -258,9 +263,11 @@
         await upstream.start()
         context.catalog.put_upstream(upstream.listed())
     server = await gateway.Gateway(context).start('127.0.0.1', 0)
+    running = GatewayHarness(context, server)
     try:
-        yield GatewayHarness(context, server)
+        yield running
     finally:
+        running.close_clients()
         for upstream in upstreams:
             upstream.stop()
 
@@ -271,6 +278,12 @@
     def __init__(self, context, server):
         self.context = context
         self.server = server
+        self._writers = []
+
+    def close_clients(self):
+        """Close the connections of all clients."""
+        for writer in self._writers:
+            writer.close()
 
     def declare(self, **changes):
         """Put the next revision of the declaration in force."""
@@ -290,7 +303,11 @@
 
     async def connect(self):
         """Return (reader, writer) of a new connection."""
-        return await asyncio.open_connection('127.0.0.1', self.server.port)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.server.port
+        )
+        self._writers.append(writer)
+        return reader, writer
 
     async def request(self, path, method='GET', body=b'', **headers):
         """Send one request; return (status, head, bytes of the body).
--- a/catkinshunt/gateway/tests/test_streams.py
+++ b/catkinshunt/gateway/tests/test_streams.py
@@ -132,6 +132,8 @@
         await asyncio.sleep(delay_s)
         _, onward = await asyncio.open_connection('127.0.0.1', upstream.port)
         onward.write(data)
+        onward.close()
+        writer.close()
 
     server = await asyncio.start_server(carry, '127.0.0.1', 0)
     yield server.sockets[0].getsockname()[1], is_used
--- a/catkinshunt/http1/tests/test_client.py
+++ b/catkinshunt/http1/tests/test_client.py
@@ -14,12 +14,20 @@
 @contextlib.asynccontextmanager
 async def upstream(handle, **options):
     """Run an upstream whose connections `handle` serves; yields a `Pool`."""
-    server = await asyncio.start_server(handle, '127.0.0.1', 0)
+    writers = []
+
+    async def serve(reader, writer):
+        writers.append(writer)
+        await handle(reader, writer)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     clock = asyncio.get_running_loop().time
     try:
         yield http1.Pool('127.0.0.1', port, clock, **options)
     finally:
+        for writer in writers:
+            writer.close()
         server.close()
 
 
--- a/catkinshunt/platform/tests/test_watch_relay.py
+++ b/catkinshunt/platform/tests/test_watch_relay.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 from catkinshunt import errors
 from catkinshunt.platform.tests import fakes
@@ -421,9 +422,10 @@
     """Let all others wait for an entry that answers nothing any more."""
     waiting = []
 
-    async def accept(reader, _):
+    async def accept(reader, writer):
         waiting.append(reader)
-        await asyncio.sleep(60)
+        with contextlib.closing(writer):
+            await asyncio.sleep(60)
 
     silent = await asyncio.start_server(accept, entry.host, 0)
     region.ports[entry.host] = silent.sockets[0].getsockname()[1]
--- a/catkinshunt/quarantine/tests/test_guard.py
+++ b/catkinshunt/quarantine/tests/test_guard.py
@@ -38,7 +38,9 @@
     """The upstream is still running; its requests must not be suspected."""
 
     async def main():
-        server = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), '127.0.0.1', 0
+        )
         port = server.sockets[0].getsockname()[1]
         gossip = FakeGossip()
         guard = make_guard(gossip)
