Note in the log of a request what shows whose answer it got

An entry wrote nothing of the head that it took as the answer, so its log could not tell the three hypotheses on foreign successes apart.

`tries` now says for each head that is taken: status and reason phrase as they came, whether it bears the id of the request or none, the number of the request on its connection, the age of the connection, and how many replies to other requests were dropped before. A joined head shows a status line in its reason phrase, an answer without identity shows "no id", and two attempts that write one answer show two such lines.

No logic is changed.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -16,6 +16,8 @@
 #: does not reply either, or the request was also sent to another one in vain.
 #: A sound upstream may be silent for somewhat more than a second.
 DEAD_S = 2.0
+#: Most characters of a reason phrase that a note quotes.
+MAX_REASON_CHARS = 40
 #: Longest reply that is buffered until complete, so that the request can be
 #: retried if the reply is cut off. A longer one is relayed as it arrives.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -69,10 +71,13 @@
         #: Whether the reply was delimited by the end of its connection, see
         #: `http1.EndOfReply`.
         self.ended_at_close = False
+        #: Replies to other requests that were dropped.
+        self.dropped = 0
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
         head, reply_info = await self._read_reply_head()
+        self._note_head(head, reply_info)
         if reply_info.load is not None:
             self.state.report(reply_info.load, self.context.clock())
         self.context.record_statements(
@@ -103,6 +108,18 @@
             if reply_info.request_id in ('', self.exchange.info.id):
                 self.job.reply_started = True
                 return part, reply_info
+            self.dropped += 1
+
+    def _note_head(self, head, reply_info):
+        """Note what shows whether the head is that of the request."""
+        conn = self.conn
+        age_s = self.context.clock() - conn.opened_at
+        identity = 'own' if reply_info.request_id else 'no'
+        self._note(
+            f'{head.status} {head.reason[:MAX_REASON_CHARS]!a}, {identity} id,'
+            f' request {conn.requests} of a connection of {age_s:.2f} s,'
+            f' {self.dropped} dropped'
+        )
 
     async def _next_part(self):
         """Return the next part of the reply.
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -60,15 +60,20 @@
 
     Args:
         clock: function that returns seconds on the monotonic clock.
+
+    Attributes:
+        opened_at: when it was opened, in seconds on the monotonic clock.
+        requests: number of requests sent on it.
     """
 
     def __init__(self, clock):
         self.clock = clock
         self.transport = None
-        self.idle_since = clock()
+        self.opened_at = clock()
+        self.idle_since = self.opened_at
         self.idle_limit_s = None
         self.reusable = True
-        self.used = False
+        self.requests = 0
         self._parts = collections.deque()
         self._arrived = asyncio.Event()
         self._buffered_bytes = 0
@@ -77,6 +82,7 @@
         self._ends_at_close = False
         self._parser = httptools.HttpResponseParser(self)
         self._items = []
+        self._reason = b''
 
     # asyncio.Protocol
 
@@ -102,7 +108,7 @@
         """See `asyncio.Protocol`."""
         if self._lost is not None:
             return
-        if not self.used:
+        if not self.requests:
             self._end_input('data was received before any request')
             return
         try:
@@ -117,9 +123,14 @@
     def on_message_begin(self):
         """Start a reply."""
         self._items = []
+        self._reason = b''
         self._in_reply = True
         self._ends_at_close = False
 
+    def on_status(self, text):
+        """Add a part of the reason phrase."""
+        self._reason += text
+
     def on_header(self, name, value):
         """Add one header field."""
         self._items.append((name.decode('latin-1'), value.decode('latin-1')))
@@ -136,7 +147,8 @@
         if not self._parser.should_keep_alive() or not framed:
             self.reusable = False
         self.idle_limit_s = _idle_limit_s(headers)
-        self._put(_messages.ReplyHead(status, headers, bodiless))
+        reason = self._reason.decode('latin-1')
+        self._put(_messages.ReplyHead(status, headers, bodiless, reason))
 
     def on_body(self, data):
         """Pass on a part of the body; pause reading at the limit."""
@@ -167,7 +179,7 @@
 
     def send(self, head, body=b''):
         """Send a request; `read_part` returns its reply."""
-        self.used = True
+        self.requests += 1
         self.transport.write(head + body)
 
     @property
--- a/catkinshunt/http1/_messages.py
+++ b/catkinshunt/http1/_messages.py
@@ -120,11 +120,13 @@
     Attributes:
         bodiless: whether the status rules out a body, whatever the headers
             say.
+        reason: the reason phrase as it came; for logs.
     """
 
     status: int
     headers: Headers = attrs.field(factory=Headers)
     bodiless: bool = False
+    reason: str = ''
 
 
 def dump_head(first_line, items):
