Join no late reply with the next one on its connection

Callers got successes where their upstream had answered a failure, with the true signature of that failure.

Cause: a connection had one parser for all replies. An upstream that answers a request a second time and breaks off leaves the begin of a head in it, and the next head is appended. Cut within the reason phrase or within the value of a field, both make one valid head: status and first fields of the late reply, then identity, signature, framing and body of the next. The identity check passes. A connection with half a head in its parser also counted as free of unread replies, so it was reused.

Evidence: `test_head_of_a_late_reply_is_not_joined_with_the_next_one` sends each cut of a late 200 before a reply of 500, while the connection is idle and after the next request was sent.

Now * each reply has a parser of its own, so nothing that came before the request was sent can be a part of it; * a connection on which data arrives while no reply is awaited ends, at its release, while it is idle and when it is taken from the pool, also if the data still lie in the socket; * what comes between a request and its reply cannot be told apart by time, so a head that holds another status line, in its reason phrase or a value, is no reply. As each head begins with a status line, this finds all joined heads: within the status code and within names the parser refuses it itself; * a whole reply to another request is still skipped, by the connection itself, but once at most, only if it has a length, and not if the dropped body holds a status line, as then it has taken the awaited reply for its rest; * a peer that sent any of these gets one request a connection for 30 s. Only this stops late bytes altogether, and it costs new connections, so it is not done for peers that never did.

Heads are limited to 64 KiB and interim heads to eight, which were unbounded.

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -177,10 +177,11 @@
             f'sent with rank {self.job.rank.name.lower()}'
         )
         self.progress.sends += 1
+        self.progress.sent_to.add(self.candidate.upstream.key)
         self.sent_at = self.context.clock()
         is_reusable = False
         try:
-            conn.send(*self._request_bytes())
+            conn.send(*self._request_bytes(), self._is_foreign)
             relay = _relay.Relay(self, conn, pool.peer)
             is_reusable = await relay.run()
             self.ended_at_close = relay.ended_at_close
@@ -216,6 +217,11 @@
             )
             raise
 
+    def _is_foreign(self, head):
+        """Return whether an `http1.ReplyHead` replies to another request."""
+        request_id = self.context.dialect.reply_request_id(head)
+        return request_id not in ('', self.exchange.info.id)
+
     def _request_bytes(self):
         req = self.exchange.req
         left_s = self.exchange.deadline - self.context.clock()
--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -30,6 +30,11 @@
             'Replies of upstreams that sent nothing while one was due.',
             ('end',),
         )
+        self._foreign_replies = self.registry.counter(
+            'foreign_replies_total',
+            'Replies of upstreams that were not taken for the awaited ones.',
+            ('reason',),
+        )
         #: Counted by `HeaderAudit`.
         self.ignored_headers = self.registry.counter(
             'ignored_upstream_headers_total',
@@ -63,6 +68,15 @@
         """Count the silence of an upstream in a reply, by how it ended."""
         self._silences.add(end)
 
+    def record_foreign_reply(self, reason):
+        """Count a reply that is not taken for the one to the request.
+
+        Args:
+            reason: `'another request'`, `'no request'`, `'unsigned'` or
+                `'wrong length'`.
+        """
+        self._foreign_replies.add(reason)
+
     def record_stop(self, kind):
         """Count a request that the quarantine rejected.
 
--- a/catkinshunt/gateway/_progress.py
+++ b/catkinshunt/gateway/_progress.py
@@ -12,6 +12,7 @@
         is_complete: the whole reply was sent to the client.
         last_event_id: id of the last event relayed, or None.
         sends: upstream attempts in which the request was sent.
+        sent_to: keys of the upstreams that the request was sent to.
         may_have_run: one of them may have run.
         tried: keys of the upstreams chosen so far, whether or not the request
             was sent there.
@@ -30,6 +31,7 @@
     is_complete: bool = False
     last_event_id: int | None = None
     sends: int = 0
+    sent_to: set = attrs.field(factory=set)
     may_have_run: bool = False
     tried: set = attrs.field(factory=set)
     reloading: set = attrs.field(factory=set)
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -33,6 +33,12 @@
     """The connection to the upstream was lost before the reply ended."""
 
 
+class ForeignReplyError(errors.OutcomeUnknownError):
+    """The upstream sent a reply that does not belong to the request."""
+
+    code = 'foreign'
+
+
 class UnresponsiveError(errors.OutcomeUnknownError):
     """The upstream sends no bytes on any connection."""
 
@@ -71,13 +77,10 @@
         #: Whether the reply was delimited by the end of its connection, see
         #: `http1.EndOfReply`.
         self.ended_at_close = False
-        #: Replies to other requests that were dropped.
-        self.dropped = 0
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
         head, reply_info = await self._read_reply_head()
-        self._note_head(head, reply_info)
         if reply_info.load is not None:
             self.state.report(reply_info.load, self.context.clock())
         self.context.record_statements(
@@ -97,28 +100,35 @@
     async def _read_reply_head(self):
         """Return the head of the reply to this request, and what it states.
 
-        A late reply to an earlier request on the same connection is read
-        and dropped.
+        The connection has skipped replies to other requests.
+
+        Raises:
+            ForeignReplyError: the reply does not state its request. What
+                follows it cannot be told apart either, as its body may be
+                cut off.
         """
-        while True:
-            part = await self._next_part()
-            if not isinstance(part, http1.ReplyHead):
-                continue
-            reply_info = self.context.dialect.decode_reply(part)
-            if reply_info.request_id in ('', self.exchange.info.id):
-                self.job.reply_started = True
-                return part, reply_info
-            self.dropped += 1
+        head = await self._next_part()
+        reply_info = self.context.dialect.decode_reply(head)
+        self._note_head(head, reply_info)
+        if reply_info.request_id not in ('', self.exchange.info.id):
+            self.context.metrics.record_foreign_reply('no request')
+            reason = 'a reply that states no request'
+            self.context.pool(self.upstream).limit_to_single_use(reason)
+            raise ForeignReplyError(reason, step='read-reply', peer=self.peer)
+        self.job.reply_started = True
+        return head, reply_info
 
     def _note_head(self, head, reply_info):
         """Note what shows whether the head is that of the request."""
         conn = self.conn
         age_s = self.context.clock() - conn.opened_at
+        if conn.skipped:
+            self.context.metrics.record_foreign_reply('another request')
         identity = 'own' if reply_info.request_id else 'no'
         self._note(
             f'{head.status} {head.reason[:MAX_REASON_CHARS]!a}, {identity} id,'
             f' request {conn.requests} of a connection of {age_s:.2f} s,'
-            f' {self.dropped} dropped'
+            f' {conn.skipped} skipped'
         )
 
     async def _next_part(self):
--- a/catkinshunt/gateway/base.py
+++ b/catkinshunt/gateway/base.py
@@ -67,7 +67,10 @@
     """Decoded headers of an upstream's reply.
 
     Attributes:
-        request_id: `RequestInfo.id` of the request that it answers, or ''.
+        request_id: `RequestInfo.id` of the request that it answers; '' if it
+            states none, or several.
+        is_signed: whether it bears the signature without which a success
+            does not count.
         not_executed: the upstream states that it did not run the request.
         misdirected: another upstream has the address, or the upstream does
             not serve the requested model version.
@@ -86,6 +89,7 @@
     """
 
     request_id: str = ''
+    is_signed: bool = True
     not_executed: bool = False
     misdirected: bool = False
     load: object = None
@@ -112,6 +116,10 @@
     def upstream_headers(self, req, info, attempt):
         """Return the header items of `req` to send to an upstream."""
 
+    @abc.abstractmethod
+    def reply_request_id(self, head):
+        """Return `ReplyInfo.request_id` of an `http1.ReplyHead`."""
+
     @abc.abstractmethod
     def decode_reply(self, head):
         """Return the `ReplyInfo` of an `http1.ReplyHead`."""
--- a/catkinshunt/gateway/tests/dialect.py
+++ b/catkinshunt/gateway/tests/dialect.py
@@ -42,12 +42,16 @@
             items.append(('Rank', str(attempt.priority)))
         return items
 
+    def reply_request_id(self, head):
+        return head.headers.get('Request-Id', '')
+
     def decode_reply(self, head):
         headers = head.headers
         load = headers.get('Load')
         back_off_s = headers.get('BackOff-S')
         return base.ReplyInfo(
-            request_id=headers.get('Request-Id', ''),
+            request_id=self.reply_request_id(head),
+            is_signed=headers.get('Stamp') is not None,
             not_executed=headers.get('Not-Run') is not None,
             misdirected=head.status == 421,
             rate_limit_per_s=float(headers.get('Rate-Limit', 'inf')),
--- /dev/null
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -0,0 +1,116 @@
+"""Bytes of an upstream that do not belong to the request that waits."""
+
+import asyncio
+
+import pytest
+
+from catkinshunt.gateway.tests import harness
+
+#: Replies that are late: the upstream answers its first request once more.
+LATE_SUCCESS = harness.reply(
+    'Request-Id: a1', body=b'late', items=[('Content-Type', 'text/plain')]
+)
+
+
+def answering_late(late, is_idle):
+    """Return an answer function that repeats a part of its first reply.
+
+    The second request on a connection is answered with a failure.
+
+    Args:
+        late: bytes that follow the first reply later.
+        is_idle: whether they arrive before the second request is sent, and
+            not just before its reply.
+    """
+
+    async def answer(head, writer, upstream):
+        if harness.header(head, 'Request-Id') == 'a1':
+            writer.write(harness.reply(head, body=b'first'))
+            if is_idle:
+                await asyncio.sleep(0.01)
+                writer.write(late)
+            return
+        if not is_idle:
+            writer.write(late)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(harness.reply(head, 500, b'failed'))
+
+    return answer
+
+
+async def request_twice(late, is_idle):
+    """Return the reply to the second of two requests to one upstream."""
+    upstream = harness.FakeUpstream('u1', answering_late(late, is_idle))
+    async with harness.running_gateway(upstream) as gateway:
+        await gateway.request('/read/1')
+        if is_idle:
+            await asyncio.sleep(0.03)
+        return await gateway.request('/read/2', Request_Id='a2', Left_Ms='900')
+
+
+@pytest.mark.parametrize('is_idle', [True, False])
+def test_head_of_a_late_reply_is_not_joined_with_the_next_one(is_idle):
+    """A caller would get a success where its upstream answered a failure."""
+    head_size = LATE_SUCCESS.index(b'\r\n\r\n') + 4
+
+    async def main():
+        cuts = range(1, head_size)
+        return await asyncio.gather(
+            *(request_twice(LATE_SUCCESS[:cut], is_idle) for cut in cuts)
+        )
+
+    replies = asyncio.run(main())
+    joined = [
+        (cut, reply)
+        for cut, reply in enumerate(replies, 1)
+        if reply[0] not in (500, 502)
+    ]
+    assert joined == []
+
+
+@pytest.mark.parametrize('is_idle', [True, False])
+def test_body_of_a_late_reply_does_not_hold_the_next_one(is_idle):
+    """A caller would wait until its deadline for a reply that was swallowed.
+
+    The reply that is cut off is skipped, and takes the next one for its rest.
+    """
+    body = b'late' * 100
+    late = harness.reply('Request-Id: a1', body=body)
+
+    async def main():
+        cuts = range(-len(body), 0, 7)
+        return await asyncio.gather(
+            *(request_twice(late[:cut], is_idle) for cut in cuts)
+        )
+
+    assert {status for status, _, _ in asyncio.run(main())} <= {500, 502}
+
+
+def test_whole_late_reply_is_skipped():
+    """The awaited reply follows it, so the caller need not ask again."""
+
+    async def main():
+        late = await request_twice(LATE_SUCCESS, False)
+        idle = await request_twice(LATE_SUCCESS, True)
+        return late, idle
+
+    for status, _, body in asyncio.run(main()):
+        assert (status, body) == (500, b'failed')
+
+
+def test_peer_that_answers_twice_gets_one_request_a_connection():
+    """Bytes that are late can only reach the next request of a connection."""
+
+    async def main():
+        answer = answering_late(LATE_SUCCESS, False)
+        upstream = harness.FakeUpstream('u1', answer)
+        async with harness.running_gateway(upstream) as gateway:
+            opened = []
+            for number in range(1, 6):
+                await gateway.request('/read/1', Request_Id=f'a{number}')
+                pool = gateway.context.pool(upstream.listed())
+                opened.append(pool.opened)
+            return opened
+
+    assert asyncio.run(main()) == [1, 1, 2, 3, 4]
--- a/catkinshunt/gateway/tests/test_quarantine_check.py
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -243,7 +243,11 @@
     """Return an answer function whose stream ends with its connection."""
 
     async def answer(head, writer, upstream):
-        items = [('Content-Type', 'text/event-stream')]
+        items = [
+            ('Request-Id', harness.header(head, 'Request-Id')),
+            ('Stamp', upstream.name),
+            ('Content-Type', 'text/event-stream'),
+        ]
         writer.write(http1.dump_head(http1.status_line(200), items) + body)
         await writer.drain()
         return 'close'
--- a/catkinshunt/gateway/tests/test_replies_without_length.py
+++ b/catkinshunt/gateway/tests/test_replies_without_length.py
@@ -24,6 +24,7 @@
         http1.status_line(200),
         [
             ('Request-Id', harness.header(head, 'Request-Id')),
+            ('Stamp', 'stamp'),
             ('Content-Type', kind),
         ],
     )
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import re
+import select
 import socket
 import struct
 
@@ -13,9 +15,23 @@
 #: Bytes buffered ahead of the task that relays a reply; beyond them reading
 #: is paused.
 READ_AHEAD_BYTES = 256 * 1024
+#: Longest head of a reply.
+MAX_HEAD_BYTES = 64 * 1024
+#: Most interim (1xx) heads before a reply.
+MAX_INTERIM_HEADS = 8
+#: Most replies to other requests that are skipped before the awaited one.
+MAX_SKIPPED = 1
 #: Value of SO_LINGER (on, 0 s) with which closing a socket resets the
 #: connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_HTTP_NAME = b'HTTP/'
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d\d\d')
+#: Length of what `_STATUS_LINE` matches.
+MAX_STATUS_LINE_BYTES = len('HTTP/1.1 200')
+
+
+class InvalidReplyError(Exception):
+    """What the peer sent is not the reply to the request that waits."""
 
 
 @attrs.frozen
@@ -58,29 +74,52 @@
     The parts are a `ReplyHead`, any number of `BodyPart` and an
     `EndOfReply`; a `ConnectionLost` replaces the parts that are missing.
 
+    A peer may answer a request twice, or break off a late reply and send the
+    next one behind it. So each reply is read by a parser of its own, a head
+    that holds another status line is invalid, and the connection ends once
+    data arrives while no reply is awaited. A reply to another request is
+    skipped if it is whole.
+
     Args:
         clock: function that returns seconds on the monotonic clock.
+        on_invalid: called with a text when the peer sends what belongs to no
+            request or is no valid reply.
 
     Attributes:
         opened_at: when it was opened, in seconds on the monotonic clock.
         requests: number of requests sent on it.
+        skipped: number of replies to other requests that were skipped.
+        is_end_doubtful: whether data that begins no reply followed the end of
+            a reply, so that its length may be wrong.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, on_invalid=None):
         self.clock = clock
+        self.on_invalid = on_invalid
         self.transport = None
         self.opened_at = clock()
         self.idle_since = self.opened_at
         self.idle_limit_s = None
         self.reusable = True
         self.requests = 0
+        self.skipped = 0
+        self.is_end_doubtful = False
         self._parts = collections.deque()
         self._arrived = asyncio.Event()
         self._buffered_bytes = 0
         self._lost = None
-        self._in_reply = False
+        #: Whether the end of a reply is awaited.
+        self._is_awaiting = False
+        self._in_body = False
         self._ends_at_close = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._is_foreign = None
+        #: End of the data of the reply that is skipped, or None.
+        self._skipped_tail = None
+        self._parser = None
+        self._head_bytes = 0
+        self._interim_heads = 0
+        #: Whether the last data hold more than the end of the reply.
+        self._has_excess = False
         self._items = []
         self._reason = b''
 
@@ -108,50 +147,80 @@
         """See `asyncio.Protocol`."""
         if self._lost is not None:
             return
-        if not self.requests:
-            self._end_input('data was received before any request')
+        if not self._is_awaiting:
+            self.is_end_doubtful = not _begins_reply(data)
+            self._reject(
+                f'{len(data)} bytes were received while no reply was awaited'
+            )
             return
+        if not self._in_body:
+            self._head_bytes += len(data)
+        self._has_excess = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._end_input('the peer switched protocols')
+            self._reject('the peer switched protocols')
         except httptools.HttpParserError as exc:
-            self._end_input(f'malformed reply: {exc}')
+            self._reject_malformed(exc)
+        else:
+            if self._has_excess:
+                self._reject('data was received after the end of the reply')
+            elif not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
+                self._reject('malformed reply: the head is too long')
 
     # httptools
 
     def on_message_begin(self):
-        """Start a reply."""
+        """Start a head."""
+        if not self._is_awaiting:
+            self._has_excess = True
         self._items = []
         self._reason = b''
-        self._in_reply = True
-        self._ends_at_close = False
 
     def on_status(self, text):
         """Add a part of the reason phrase."""
+        self._check_awaited()
         self._reason += text
 
     def on_header(self, name, value):
         """Add one header field."""
+        _check_single_head(value)
         self._items.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self):
-        """Pass on the head, except that of an interim (1xx) reply."""
+        """Pass on the head, except that of an interim (1xx) reply.
+
+        Raises:
+            InvalidReplyError: it is not the head of the awaited reply.
+        """
+        self._check_awaited()
+        _check_single_head(self._reason)
         status = self._parser.get_status_code()
         if 100 <= status < 200:
+            self._interim_heads += 1
+            if self._interim_heads > MAX_INTERIM_HEADS:
+                raise InvalidReplyError('too many interim heads')
             return
+        self._in_body = True
         headers = _messages.Headers(self._items)
         bodiless = status in (204, 304)
         framed = bodiless or self._is_framed(headers)
+        reason = self._reason.decode('latin-1')
+        head = _messages.ReplyHead(status, headers, bodiless, reason)
+        if self._is_foreign is not None and self._is_foreign(head):
+            self._begin_skipping(framed)
+            return
         self._ends_at_close = not framed
         if not self._parser.should_keep_alive() or not framed:
             self.reusable = False
         self.idle_limit_s = _idle_limit_s(headers)
-        reason = self._reason.decode('latin-1')
-        self._put(_messages.ReplyHead(status, headers, bodiless, reason))
+        self._put(head)
 
     def on_body(self, data):
         """Pass on a part of the body; pause reading at the limit."""
+        if self._skipped_tail is not None:
+            self._skip(data)
+            return
         self._buffered_bytes += len(data)
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self.transport.pause_reading()
@@ -162,7 +231,12 @@
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             return
-        self._in_reply = False
+        if self._skipped_tail is not None:
+            self._skipped_tail = None
+            self._in_body = False
+            self._head_bytes = 0
+            return
+        self._is_awaiting = False
         self._put(EndOfReply())
 
     # Called by the task that sends the request.
@@ -173,13 +247,39 @@
         return (
             self._lost is None
             and self.reusable
+            and not self._is_awaiting
             and not self._parts
             and not self.transport.is_closing()
         )
 
-    def send(self, head, body=b''):
-        """Send a request; `read_part` returns its reply."""
+    def has_unread_data(self):
+        """Whether data, or the end of the connection, was not read yet.
+
+        While the event loop is busy, data may have arrived that it did not
+        pass to `data_received` yet.
+        """
+        sock = self.transport.get_extra_info('socket')
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def send(self, head, body=b'', is_foreign=None):
+        """Send a request; `read_part` returns its reply.
+
+        Args:
+            head: encoded head of the request.
+            body: its body.
+            is_foreign: function of a `ReplyHead` that returns whether it
+                replies to another request; None if replies do not tell.
+        """
         self.requests += 1
+        self._is_foreign = is_foreign
+        self._is_awaiting = True
+        self._in_body = False
+        self._ends_at_close = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._head_bytes = 0
+        self._interim_heads = 0
         self.transport.write(head + body)
 
     @property
@@ -237,7 +337,7 @@
     def _end_input(self, reason, orderly=False):
         if self._lost is not None:
             return
-        if orderly and self._in_reply and self._ends_at_close:
+        if orderly and self._is_awaiting and self._ends_at_close:
             # A reply without a length is complete when its connection is
             # closed in order; a reset leaves it incomplete.
             self._put(EndOfReply(at_close=True))
@@ -247,6 +347,51 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.close()
 
+    def _check_awaited(self):
+        """Raise if no reply is awaited."""
+        if not self._is_awaiting:
+            raise InvalidReplyError('another reply')
+
+    def _begin_skipping(self, is_framed):
+        """Skip the reply to another request, whose head was read."""
+        self.skipped += 1
+        self.reusable = False
+        if not is_framed or self.skipped > MAX_SKIPPED:
+            raise InvalidReplyError('a reply to another request')
+        self._skipped_tail = b''
+        if self.on_invalid is not None:
+            self.on_invalid('a reply to another request')
+
+    def _skip(self, data):
+        """Drop a part of a body, unless it holds the awaited reply.
+
+        The skipped reply may be cut off in its body. The next reply would
+        then be dropped as the rest of it.
+        """
+        data = self._skipped_tail + data
+        if _STATUS_LINE.search(data):
+            raise InvalidReplyError('a head within a body that is skipped')
+        self._skipped_tail = data[-MAX_STATUS_LINE_BYTES:]
+
+    def _reject_malformed(self, exc):
+        """End the connection after data that the parser does not accept."""
+        if self._is_awaiting:
+            cause = exc.__context__ or exc
+            self._reject(f'malformed reply: {cause}')
+            return
+        # The parser accepts nothing after the last reply of a connection.
+        if self.reusable and not isinstance(
+            exc.__context__, InvalidReplyError
+        ):
+            self.is_end_doubtful = True
+        self._reject('data was received after the end of the reply')
+
+    def _reject(self, reason):
+        """End the connection, as the peer sent what belongs to no reply."""
+        self._end_input(reason)
+        if self.on_invalid is not None:
+            self.on_invalid(reason)
+
     def _is_framed(self, headers):
         encoding = headers.get('transfer-encoding') or ''
         if 'chunked' in encoding.lower():
@@ -254,6 +399,24 @@
         return headers.get('content-length') is not None
 
 
+def _begins_reply(data):
+    """Return whether `data` may be the begin of a reply."""
+    return data[: len(_HTTP_NAME)] == _HTTP_NAME[: len(data)]
+
+
+def _check_single_head(text):
+    """Raise if a part of a head holds the begin of another head.
+
+    Args:
+        text: a reason phrase, or the value of a header field.
+
+    Raises:
+        InvalidReplyError: it holds a status line.
+    """
+    if _HTTP_NAME in text and _STATUS_LINE.search(text):
+        raise InvalidReplyError('a head within a head')
+
+
 def _idle_limit_s(headers):
     """Return the timeout in the peer's Keep-Alive header, or None."""
     for word in (headers.get('keep-alive') or '').split(','):
--- a/catkinshunt/http1/_pool.py
+++ b/catkinshunt/http1/_pool.py
@@ -1,21 +1,28 @@
 """Connection pool for one peer."""
 
 import asyncio
+import math
 import socket
 
 from catkinshunt import errors
 from catkinshunt.http1 import _client
 from catkinshunt.http1 import _messages
+from catkinshunt import logs
 
 #: Fraction of the peer's idle timeout during which a connection is reused.
 #: The rest allows for the time that a request takes to reach the peer.
 IDLE_FRACTION = 0.5
 #: Idle timeout assumed for a peer that announces none.
 DEFAULT_IDLE_S = 2.0
+#: Seconds in which each request gets a connection of its own, after the peer
+#: sent what belongs to no request.
+SINGLE_USE_S = 30.0
 #: TCP_USER_TIMEOUT: a connection whose data stays unacknowledged for this
 #: long is closed. Otherwise a peer without power would block it for minutes.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 
+_log = logs.get_logger('http')
+
 
 class Pool:
     """Opens connections to one address and reuses idle ones.
@@ -35,6 +42,7 @@
         self.connect_s = connect_s
         self.max_idle = max_idle
         self.opened = 0
+        self.single_use_until = -math.inf
         self._idle = []
 
     @property
@@ -62,11 +70,33 @@
         """Return `conn` to the pool, or close it if it cannot be reused."""
         conn.idle_since = self.clock()
         room = len(self._idle) < self.max_idle
-        if room and conn.is_open and conn.is_fully_sent:
+        is_trusted = conn.idle_since >= self.single_use_until
+        if room and is_trusted and conn.is_open and conn.is_fully_sent:
             self._idle.append(conn)
         else:
             conn.close()
 
+    def limit_to_single_use(self, reason):
+        """Use a new connection for each request for `SINGLE_USE_S`.
+
+        The peer answers requests twice, or not as the protocol asks. Bytes
+        that it sends late could be taken for a part of the next reply.
+
+        Args:
+            reason: text for the log.
+        """
+        now = self.clock()
+        if now >= self.single_use_until:
+            _log.warning(
+                '{}: {}; each request gets a connection of its own for {:g}'
+                ' s.',
+                self.peer,
+                reason,
+                SINGLE_USE_S,
+            )
+        self.single_use_until = now + SINGLE_USE_S
+        self.close_idle()
+
     def close_idle(self):
         """Close all idle connections."""
         for conn in self._idle:
@@ -78,14 +108,20 @@
         if limit_s is None:
             limit_s = DEFAULT_IDLE_S
         idle_s = self.clock() - conn.idle_since
-        return conn.is_open and idle_s < limit_s * IDLE_FRACTION
+        return (
+            conn.is_open
+            and idle_s < limit_s * IDLE_FRACTION
+            and not conn.has_unread_data()
+        )
 
     async def _open(self):
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.connect_s):
                 _, conn = await loop.create_connection(
-                    lambda: _client.ClientConnection(self.clock),
+                    lambda: _client.ClientConnection(
+                        self.clock, self.limit_to_single_use
+                    ),
                     self.host,
                     self.port,
                 )
--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -95,6 +95,10 @@
             items.append((PRIORITY, str(attempt.priority)))
         return items
 
+    def reply_request_id(self, head):
+        """See `base.BaseDialect.reply_request_id`."""
+        return _reply_headers.request_id(head)
+
     def decode_reply(self, head):
         """See `base.BaseDialect.decode_reply`."""
         return _reply_headers.decode(head)
--- a/catkinshunt/platform/_reply_headers.py
+++ b/catkinshunt/platform/_reply_headers.py
@@ -7,6 +7,8 @@
 from catkinshunt.gateway import base
 
 REQUEST_ID = 'Attempt-Id'
+#: Signature of the upstream; a success without it does not count.
+SIGNATURE = 'Server-Stamp'
 #: Present if the upstream has not run the request.
 NOT_EXECUTED = 'Not-Executed'
 #: Running requests, waiting requests and slots, separated by commas.
@@ -30,7 +32,7 @@
         RATE_LIMIT,
         LEAVING,
         RETRY_AFTER,
-        'Server-Stamp',
+        SIGNATURE,
         'Instance-Id',
         'At-Server',
         'Weight-Versions',
@@ -49,6 +51,16 @@
 _KNOWN_HEADERS = _PLATFORM_HEADERS | _HTTP_HEADERS
 
 
+def request_id(head):
+    """Return the id of the request that an `http1.ReplyHead` answers.
+
+    Returns:
+        '' if it states none, or several.
+    """
+    found = head.headers.get_all(REQUEST_ID)
+    return found[0].strip() if len(found) == 1 else ''
+
+
 def decode(head):
     """Return the `base.ReplyInfo` of an `http1.ReplyHead`."""
     values, unknown = _sort_headers(head.headers)
@@ -69,7 +81,8 @@
     if head.status in REJECTION_STATUSES:
         back_off_s = read(RETRY_AFTER, checks.parse_back_off_s, None, None)
     return base.ReplyInfo(
-        request_id=_first(values, REQUEST_ID),
+        request_id=request_id(head),
+        is_signed=bool(_only(values, SIGNATURE)),
         not_executed=NOT_EXECUTED.lower() in values,
         misdirected=head.status == 421,
         load=_parse_load(_first(values, LOAD)),
@@ -102,6 +115,12 @@
     return found[0] if found else ''
 
 
+def _only(values, name):
+    """Return the only value of a header; '' if it has none or several."""
+    found = values.get(name.lower(), [])
+    return found[0].strip() if len(found) == 1 else ''
+
+
 def _single(found):
     """Return the only value of a header, which may stand there twice."""
     distinct = {value.strip() for value in found}
