Take no reply without an id for the awaited one

Cause: the relay took a reply without an id for the reply to the request that waits, also on a connection that had carried another request.

Now a reply that states no id, or several, is nobody's: the outcome is unknown and the connection ends, also for the first reply on a connection and for resumed streams. What such a reply states of its upstream is ignored, above all that the request was not run. A request that has no id itself, and one that its upstream was sent before, use a new connection, since a late reply could not be told from theirs.

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -206,8 +206,14 @@
         """Return a connection to the upstream."""
         # An upstream may close an idle connection as the request arrives, and
         # whether it ran is then unknown. Requests that must not run twice use
-        # a new connection.
-        fresh = not self.exchange.decision.serve.repeatable
+        # a new connection. So do those whose replies could not be told from
+        # the late reply to an earlier request: a request without an id, and
+        # one that the upstream was sent before.
+        fresh = (
+            not self.exchange.decision.serve.repeatable
+            or not self.exchange.info.id
+            or self.candidate.upstream.key in self.progress.sent_to
+        )
         try:
             return await pool.acquire(fresh=fresh)
         except errors.RefusedError:
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -110,7 +110,7 @@
         head = await self._next_part()
         reply_info = self.context.dialect.decode_reply(head)
         self._note_head(head, reply_info)
-        if reply_info.request_id not in ('', self.exchange.info.id):
+        if reply_info.request_id != self.exchange.info.id:
             self.context.metrics.record_foreign_reply('no request')
             reason = 'a reply that states no request'
             self.context.pool(self.upstream).limit_to_single_use(reason)
--- a/catkinshunt/gateway/tests/test_foreign_replies.py
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -114,3 +114,58 @@
             return opened
 
     assert asyncio.run(main()) == [1, 1, 2, 3, 4]
+
+
+def send_without(name, status=200):
+    """Return an answer function whose replies lack a header."""
+
+    async def answer(head, writer, upstream):
+        data = harness.reply(head, status, b'whose')
+        at = data.index(name)
+        writer.write(data[:at] + b'X' + data[at + 1 :])
+
+    return answer
+
+
+async def read_twice(answer):
+    """Return two replies of an upstream, and one with another beside it."""
+    upstream = harness.FakeUpstream('u1', answer)
+    other = harness.FakeUpstream('u2', harness.replying(body=b'sound'))
+    async with harness.running_gateway(upstream) as gateway:
+        replies = [
+            await gateway.request('/read/1'),
+            await gateway.request('/read/1', Request_Id='a2'),
+        ]
+        await other.start()
+        gateway.context.catalog.put_upstream(other.listed())
+        gateway.pause(other, 0.3)
+        replies.append(await gateway.request('/read/1', Request_Id='a3'))
+        return replies
+
+
+@pytest.mark.parametrize('status', [200, 500, 503])
+def test_reply_without_id_is_not_taken_for_the_awaited_one(status):
+    """A caller would get the answer to the request of another caller."""
+    *alone, beside = asyncio.run(
+        read_twice(send_without(b'Request-Id', status))
+    )
+    assert [reply[0] for reply in alone] == [502, 502]
+    assert beside[::2] == (200, b'sound')
+
+
+def test_reply_without_id_does_not_state_that_the_request_was_not_run():
+    """A booking would run twice if another one's rejection counted for it."""
+
+    async def answer(head, writer, upstream):
+        data = harness.reply(head, 503, b'', [('Not-Run', '1')])
+        writer.write(data.replace(b'Request-Id', b'Xequest-Id'))
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', answer)
+        other = harness.FakeUpstream('u2', harness.replying())
+        async with harness.running_gateway(upstream, other) as gateway:
+            gateway.pause(other, 0.3)
+            reply = await gateway.request('/book/1', 'POST', b'one')
+            return reply[0], other.heads
+
+    assert asyncio.run(main()) == (502, [])
