Count no success without a signature

Cause: the checks of a reply head looked at its status and at what it states, and not for the signature.

A success that is not is an unknown outcome: the request is sent elsewhere if it may run twice, else its caller is told so. A failure need not be signed. A signature cannot be checked against the upstream that was asked: the protocol does not say what it is made of.

On the code before:

test_success_without_a_signature_is_sent_elsewhere: assert [200, 200] == [502, 502]

--- a/catkinshunt/gateway/_reply_check.py
+++ b/catkinshunt/gateway/_reply_check.py
@@ -50,6 +50,9 @@
             # To clients these statuses mean that the request was not run. The
             # upstream did not state that, so they are not relayed.
             raise self._unknown_outcome(f'upstream answered {head.status}')
+        if 200 <= head.status < 300 and not reply_info.is_signed:
+            self.context.metrics.record_foreign_reply('unsigned')
+            raise self._unknown_outcome('success without a signature')
         if self.exchange.progress.head_sent and not is_stream(head):
             raise self._unknown_outcome(
                 f'upstream answered {head.status} instead of resuming the '
--- a/catkinshunt/gateway/tests/test_foreign_replies.py
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -169,3 +169,16 @@
             return reply[0], other.heads
 
     assert asyncio.run(main()) == (502, [])
+
+
+def test_success_without_a_signature_is_sent_elsewhere():
+    """It does not count, and may be what no upstream has answered."""
+    *alone, beside = asyncio.run(read_twice(send_without(b'Stamp')))
+    assert [reply[0] for reply in alone] == [502, 502]
+    assert beside[::2] == (200, b'sound')
+
+
+def test_failure_without_a_signature_is_relayed():
+    """Only a success has to be signed."""
+    *alone, _ = asyncio.run(read_twice(send_without(b'Stamp', 500)))
+    assert [reply[0] for reply in alone] == [500, 500]
