Relay no reply that is longer than it says

A caller could get a success with a part of its body, or an empty one, framed as whole: one wrong digit in the length of the reply makes it end early.

Cause: what follows the end of a reply ended its connection only. Bytes behind it that begin another reply show a peer that answers twice, and the first reply is whole. Bytes that begin none show that the length may be wrong.

Now such a reply is an unknown outcome, if the bytes are there before it is relayed. Bytes that come later cannot help, and a reply that announces the close of its connection is not covered, as the parser accepts nothing after.

On the code before:

test_reply_that_is_longer_than_it_says_is_not_relayed: assert [200, 200] == [502, 502]

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -275,11 +275,20 @@
         while len(body) <= MAX_BUFFERED_BYTES:
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
+                self._check_end()
                 self._send_buffered(head, bytes(body))
                 return
             body += part.data
         await self._relay_chunked(head, bytes(body))
 
+    def _check_end(self):
+        """Raise if a reply may be longer than its head says."""
+        if self.conn.is_end_doubtful:
+            self.context.metrics.record_foreign_reply('wrong length')
+            raise errors.OutcomeUnknownError(
+                'data follows the reply', step='read-reply', peer=self.peer
+            )
+
     def _send_buffered(self, head, body):
         self._begin_reply()
         self.exchange.record_first_byte()
--- a/catkinshunt/gateway/tests/test_foreign_replies.py
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -182,3 +182,26 @@
     """Only a success has to be signed."""
     *alone, _ = asyncio.run(read_twice(send_without(b'Stamp', 500)))
     assert [reply[0] for reply in alone] == [500, 500]
+
+
+def test_reply_that_is_longer_than_it_says_is_not_relayed():
+    """One wrong digit of the length would cut a whole answer short."""
+
+    async def answer(head, writer, upstream):
+        data = harness.reply(head, body=b'eight by')
+        writer.write(data.replace(b'Length: 8', b'Length: 0'))
+
+    *alone, beside = asyncio.run(read_twice(answer))
+    assert [reply[0] for reply in alone] == [502, 502]
+    assert beside[::2] == (200, b'sound')
+
+
+def test_reply_before_a_second_one_is_relayed():
+    """The second one shows that the first one is whole."""
+
+    async def answer(head, writer, upstream):
+        data = harness.reply(head, body=b'whole')
+        writer.write(data + data)
+
+    *alone, _ = asyncio.run(read_twice(answer))
+    assert [reply[2] for reply in alone] == [b'whole', b'whole']
