--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -713,6 +713,42 @@
         'self.ended_at_close = part.at_close',
         'pass',
     ),
+    Mutation(
+        'no-head-in-a-head',
+        'catkinshunt/http1/_client.py',
+        'if _HTTP_NAME in text and _STATUS_LINE.search(text):',
+        'if False:',
+    ),
+    Mutation(
+        'no-head-in-a-skipped-body',
+        'catkinshunt/http1/_client.py',
+        'if _STATUS_LINE.search(data):',
+        'if False:',
+    ),
+    Mutation(
+        'single-use-after-foreign-bytes',
+        'catkinshunt/http1/_pool.py',
+        'is_trusted = conn.idle_since >= self.single_use_until',
+        'is_trusted = True',
+    ),
+    Mutation(
+        'reply-states-its-request',
+        'catkinshunt/gateway/_relay.py',
+        'if reply_info.request_id != self.exchange.info.id:',
+        'if False:',
+    ),
+    Mutation(
+        'success-is-signed',
+        'catkinshunt/gateway/_reply_check.py',
+        'if 200 <= head.status < 300 and not reply_info.is_signed:',
+        'if False:',
+    ),
+    Mutation(
+        'nothing-follows-a-reply',
+        'catkinshunt/gateway/_relay.py',
+        'if self.conn.is_end_doubtful:',
+        'if False:',
+    ),
     Mutation(
         'empty-stream-is-broken-off',
         'catkinshunt/gateway/_relay.py',
--- a/catkinshunt/gateway/tests/test_foreign_replies.py
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -102,8 +102,12 @@
 def test_peer_that_answers_twice_gets_one_request_a_connection():
     """Bytes that are late can only reach the next request of a connection."""
 
+    async def answer(head, writer, upstream):
+        if harness.header(head, 'Request-Id') == 'a2':
+            writer.write(LATE_SUCCESS)
+        writer.write(harness.reply(head))
+
     async def main():
-        answer = answering_late(LATE_SUCCESS, False)
         upstream = harness.FakeUpstream('u1', answer)
         async with harness.running_gateway(upstream) as gateway:
             opened = []
