Believe the rejection of another upstream at an address

On a new connection such a rejection can only be that of the request, since nothing else was sent there; it is believed there, and nowhere else. An upstream that ends closes its connections, so one that has its address is met on a new one.

On the code before:

test_other_upstream_at_an_address_has_not_run_the_request[/book/1-503] assert 502 == 503

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -734,7 +734,7 @@
     Mutation(
         'reply-states-its-request',
         'catkinshunt/gateway/_relay.py',
-        'if reply_info.request_id != self.exchange.info.id:',
+        'if not self._is_own(reply_info):',
         'if False:',
     ),
     Mutation(
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -110,7 +110,7 @@
         head = await self._next_part()
         reply_info = self.context.dialect.decode_reply(head)
         self._note_head(head, reply_info)
-        if reply_info.request_id != self.exchange.info.id:
+        if not self._is_own(reply_info):
             self.context.metrics.record_foreign_reply('no request')
             reason = 'a reply that states no request'
             self.context.pool(self.upstream).limit_to_single_use(reason)
@@ -118,6 +118,19 @@
         self.job.reply_started = True
         return head, reply_info
 
+    def _is_own(self, reply_info):
+        """Return whether a reply belongs to the request.
+
+        An upstream that got the address of another one rejects a request
+        that names that one, and does not always state its id. On a new
+        connection it can reply to no other request.
+        """
+        if reply_info.request_id:
+            return reply_info.request_id == self.exchange.info.id
+        if not self.exchange.info.id:
+            return True
+        return reply_info.misdirected and self.conn.requests == 1
+
     def _note_head(self, head, reply_info):
         """Note what shows whether the head is that of the request."""
         conn = self.conn
--- a/catkinshunt/gateway/tests/test_foreign_replies.py
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -5,6 +5,7 @@
 import pytest
 
 from catkinshunt.gateway.tests import harness
+from catkinshunt import http1
 
 #: Replies that are late: the upstream answers its first request once more.
 LATE_SUCCESS = harness.reply(
@@ -175,6 +176,41 @@
     assert asyncio.run(main()) == (502, [])
 
 
+@pytest.mark.parametrize('path, status', [('/read/1', 200), ('/book/1', 503)])
+def test_other_upstream_at_an_address_has_not_run_the_request(path, status):
+    """A booking would end as unknown, as the rejection states no request."""
+
+    async def answer(head, writer, upstream):
+        writer.write(http1.dump_reply(421, [('Not-Run', '1')]))
+
+    async def main():
+        stranger = harness.FakeUpstream('u1', answer)
+        other = harness.FakeUpstream('u2', harness.replying(body=b'sound'))
+        async with harness.running_gateway(stranger, other) as gateway:
+            gateway.pause(other, 0.3)
+            return await gateway.request(path, 'POST', b'one')
+
+    assert asyncio.run(main())[0] == status
+
+
+def test_rejection_on_a_used_connection_states_its_request():
+    """It may be a late one, and the request may run."""
+
+    async def answer(head, writer, upstream):
+        if len(upstream.heads) == 1:
+            writer.write(harness.reply(head))
+            return
+        writer.write(http1.dump_reply(421, [('Not-Run', '1')]))
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', answer)
+        async with harness.running_gateway(upstream) as gateway:
+            await gateway.request('/read/1')
+            return await gateway.request('/read/1', Request_Id='a2')
+
+    assert asyncio.run(main())[0] == 502
+
+
 def test_success_without_a_signature_is_sent_elsewhere():
     """It does not count, and may be what no upstream has answered."""
     *alone, beside = asyncio.run(read_twice(send_without(b'Stamp')))
