Break a stream at an event that is out of order or cannot be read

Cause: an event without an id set the place in the stream to unknown. From then on neither gaps nor repeated events were noticed, and the stream was resumed from its begin. Events that went back were skipped as repeated, also in the middle of a stream of one upstream.

Now the order of the events of each upstream is checked: an event without an id, with several, with one that is no plain number, without data, with a line that is no field, or out of order breaks the stream at its place. It is not relayed; the stream is resumed behind the last sound event, or cut. So is a stream that ends before it has reached the place at which it was resumed. A first id other than 1 is taken as certain once the second event follows it. A stream without ids is not resumed, as its events would come twice. A block of comment lines is no event. A body over 1 MiB of which the client has a part is no longer sent to another upstream in vain.

Whether upstreams number their events is an attribute of the dialect; those of the platform do.

--- a/catkinshunt/gateway/_events.py
+++ b/catkinshunt/gateway/_events.py
@@ -1,27 +1,48 @@
 """Splits a server-sent event stream into complete events."""
 
+import re
+
 import attrs
 
 #: Longest event that is buffered.
 MAX_EVENT_BYTES = 1024 * 1024
 _DELIMITERS = (b'\n\n', b'\r\n\r\n')
+#: Most digits of an id.
+_MAX_ID_DIGITS = 18
+#: The usual form of an event; all that it matches is sound.
+_USUAL = re.compile(rb'id: ([1-9][0-9]{0,17})\ndata:[^\r\n]*\n\n')
+#: Lines of an event: each is a comment, or a field with a name in lower case.
+#: Blank lines may come before them.
+_LINES = re.compile(
+    rb'(?:\r?\n)*'
+    rb'(?:(?:[a-z][a-z0-9_-]*(?::[^\r\n]*)?|:[^\r\n]*)\r?\n)+'
+    rb'\r?\n'
+)
+_COMMENTS = re.compile(rb'(?:(?::[^\r\n]*)?\r?\n)*')
+_ID = re.compile(rb'^id(?::[ ]?([^\r\n]*))?\r?$', re.MULTILINE)
+_DATA = re.compile(rb'^data(?::|\r?$)', re.MULTILINE)
 
 
 class BadEventError(Exception):
-    """The stream has an event that is too long or has an invalid id."""
+    """The stream has an event that is too long."""
 
 
-@attrs.frozen
+@attrs.define
 class Event:
     """One complete event.
 
     Attributes:
         id: its numeric id, or None.
         data: its bytes, including the terminating blank line.
+        fault: why it cannot be read, or ''.
+        is_comment: whether it has only comment lines, or none, and is no
+            event of the stream.
     """
 
     id: int | None
     data: bytes
+    fault: str = ''
+    is_comment: bool = False
 
 
 class EventSplitter:
@@ -32,8 +53,9 @@
 
     Examples:
         >>> splitter = EventSplitter()
-        >>> splitter.feed(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
-        [Event(id=1, data=b'id: 1\\ndata: a\\n\\n')]
+        >>> events = splitter.feed(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
+        >>> [(event.id, event.data) for event in events]
+        [(1, b'id: 1\\ndata: a\\n\\n')]
         >>> splitter.remainder
         b'id: 2\\nda'
     """
@@ -53,7 +75,7 @@
         """Append `data`; return the events that it completes.
 
         Raises:
-            BadEventError: an event is too long or its id is not a number.
+            BadEventError: an event is too long.
         """
         self.remainder += data
         found = []
@@ -76,10 +98,27 @@
 
 
 def _parse_event(data):
-    for line in data.splitlines():
-        if line.startswith(b'id:'):
-            text = line[3:].strip()
-            if not text.isdigit():
-                raise BadEventError(f'event id {text[:20]!r} is not a number')
-            return Event(int(text), data)
-    return Event(None, data)
+    usual = _USUAL.fullmatch(data)
+    if usual:
+        return Event(int(usual[1]), data)
+    if _COMMENTS.fullmatch(data):
+        return Event(None, data, is_comment=True)
+    if not _LINES.fullmatch(data):
+        return Event(None, data, fault='event has a line without a field')
+    if not _DATA.search(data):
+        # To clients this is no event.
+        return Event(None, data, fault='event without data')
+    ids = _ID.findall(data)
+    if not ids:
+        return Event(None, data)
+    if len(ids) > 1:
+        return Event(None, data, fault='event has several ids')
+    return _numbered_event(ids[0], data)
+
+
+def _numbered_event(text, data):
+    # A leading zero may be a spoilt space.
+    is_number = text.isdigit() and (text == b'0' or text[:1] != b'0')
+    if not is_number or len(text) > _MAX_ID_DIGITS:
+        return Event(None, data, fault=f'event id {text[:20]!r} is no number')
+    return Event(int(text), data)
--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -72,8 +72,8 @@
         """Count a reply that is not taken for the one to the request.
 
         Args:
-            reason: `'another request'`, `'no request'`, `'unsigned'` or
-                `'wrong length'`.
+            reason: `'another request'`, `'no request'`, `'unsigned'`,
+                `'wrong length'` or `'wrong event'`.
         """
         self._foreign_replies.add(reason)
 
--- a/catkinshunt/gateway/_progress.py
+++ b/catkinshunt/gateway/_progress.py
@@ -11,6 +11,8 @@
         head_sent: the head of the reply was sent to the client.
         is_complete: the whole reply was sent to the client.
         last_event_id: id of the last event relayed, or None.
+        can_continue: whether another upstream can send the rest of the reply
+            of which the client has a part.
         sends: upstream attempts in which the request was sent.
         sent_to: keys of the upstreams that the request was sent to.
         may_have_run: one of them may have run.
@@ -30,6 +32,7 @@
     head_sent: bool = False
     is_complete: bool = False
     last_event_id: int | None = None
+    can_continue: bool = True
     sends: int = 0
     sent_to: set = attrs.field(factory=set)
     may_have_run: bool = False
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from catkinshunt import errors
+from catkinshunt.gateway import _event_order
 from catkinshunt.gateway import _events
 from catkinshunt.gateway import _reply_check
 from catkinshunt import http1
@@ -72,8 +73,6 @@
         self.failover_after = self.sent_at
         #: Whether to give the upstream up after `DEAD_S`.
         self.may_be_dead = False
-        #: Whether another upstream could send the rest of the reply.
-        self.can_resume_elsewhere = True
         #: Whether the reply was delimited by the end of its connection, see
         #: `http1.EndOfReply`.
         self.ended_at_close = False
@@ -237,8 +236,6 @@
             raise self._unresponsive_error()
         if self.attempt.failover is not None or now < self.failover_after:
             return
-        if not self.can_resume_elsewhere:
-            return
         if not self.exchange.retry_check.can_fail_over():
             return
         is_instance_responsive = await self._is_instance_responsive()
@@ -299,7 +296,7 @@
     async def _relay_chunked(self, head, data):
         self._begin_reply()
         self._send_head(head)
-        self.can_resume_elsewhere = False
+        self.exchange.progress.can_continue = False
         while True:
             self.exchange.conn.write(http1.dump_chunk(data))
             await self.exchange.conn.drain()
@@ -312,19 +309,24 @@
 
     async def _relay_events(self, head):
         splitter = _events.EventSplitter()
+        order = _event_order.EventOrder(
+            self.exchange.progress, self.context.dialect.numbers_events
+        )
         while True:
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 break
-            unsent, gap = self._select_new(self._split(splitter, part.data))
+            events = self._split(splitter, part.data)
+            unsent, fault = order.select_new(events)
             if unsent:
                 self._begin_reply()
                 self._send_head(head)
                 self.exchange.conn.write(http1.dump_chunk(unsent))
                 await self.exchange.conn.drain()
-            if gap:
+            if fault:
+                self.context.metrics.record_foreign_reply('wrong event')
                 raise errors.OutcomeUnknownError(
-                    gap, step='read-reply', peer=self.peer
+                    fault, step='read-reply', peer=self.peer
                 )
         if splitter.has_partial_event:
             raise self._premature_end_error('stream ended within an event')
@@ -334,6 +336,9 @@
             raise self._premature_end_error(
                 'stream ended before its first event'
             )
+        fault = order.find_fault_at_end()
+        if fault:
+            raise self._premature_end_error(fault)
         self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
@@ -363,26 +368,6 @@
                 str(exc), step='read-reply', peer=self.peer
             ) from exc
 
-    def _select_new(self, events):
-        """Return the bytes not relayed yet, and a description of a gap.
-
-        Events before a gap are still relayed and counted; the next upstream
-        resumes after them.
-        """
-        progress = self.exchange.progress
-        unsent = []
-        for event in events:
-            last_event_id = progress.last_event_id
-            if None not in (event.id, last_event_id):
-                if event.id <= last_event_id:
-                    continue
-                if event.id > last_event_id + 1:
-                    gap = f'event {event.id} came after {last_event_id}'
-                    return b''.join(unsent), gap
-            progress.last_event_id = event.id
-            unsent.append(event.data)
-        return b''.join(unsent), ''
-
     def _send_head(self, head):
         if self.exchange.progress.head_sent:
             return
--- a/catkinshunt/gateway/_retry_check.py
+++ b/catkinshunt/gateway/_retry_check.py
@@ -48,6 +48,9 @@
             raise self.final_error(exc)
         # `ran` is 'no', 'yes' or 'unknown'.
         progress.may_have_run |= exc.ran != 'no'
+        if not progress.can_continue:
+            progress.notes.append('not retried: the client has a part of it')
+            raise self.final_error(exc)
         # Until the request was first sent, a retry adds no load to upstreams
         # and costs no token.
         policy = retries.RetryPolicy(
@@ -89,6 +92,8 @@
         """Return whether the request could be retried elsewhere."""
         if not self.decision.serve.repeatable:
             return False
+        if not self.progress.can_continue:
+            return False
         if self.progress.sends >= self.decision.serve.max_tries:
             return False
         # With the retry budget spent the request would fail, while the
--- a/catkinshunt/gateway/base.py
+++ b/catkinshunt/gateway/base.py
@@ -102,7 +102,14 @@
 
 
 class BaseDialect(abc.ABC):
-    """Decodes and encodes the headers of requests and replies."""
+    """Decodes and encodes the headers of requests and replies.
+
+    Attributes:
+        numbers_events: whether each event that an upstream streams has an id,
+            one more than that of the event before.
+    """
+
+    numbers_events = False
 
     @abc.abstractmethod
     def decode_request(self, req):
--- a/catkinshunt/gateway/tests/dialect.py
+++ b/catkinshunt/gateway/tests/dialect.py
@@ -12,6 +12,8 @@
 class PlainDialect(base.BaseDialect):
     """Headers with plain names."""
 
+    numbers_events = True
+
     def decode_request(self, req):
         headers = req.headers
         left_ms = headers.get('Left-Ms')
--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -52,6 +52,8 @@
 class PlatformDialect(base.BaseDialect):
     """The headers that the platform specifies."""
 
+    numbers_events = True
+
     def decode_request(self, req):
         """See `base.BaseDialect.decode_request`."""
         headers = req.headers
