Bound trailers, chunk framing and small chunks of replies

A peer could fill the memory of an entry: fields behind the last chunk and extensions of chunks had no limit, and chunks of one byte took hundreds of times their size before reading was paused. No caller was seen to suffer.

Cause: the limit held for the head only, and the read-ahead counted data, not the objects that hold them.

Now framing between two parts of a body, trailers included, has the limit of a head, and each buffered part counts with 128 bytes beside its data.

On the code before, of the new tests these fail:

test_trailers_have_a_limit: assert 1000 < 100 test_small_chunks_are_read_ahead_up_to_a_limit: assert 263000 <= 20000 test_endless_line_has_a_limit[chunk extension]: assert 1000 < 100 test_endless_line_has_a_limit[size of a chunk]: assert 1000 < 100

The others pass before and after: interim heads with a body or cut, trailers that are cut, late replies that close their connection, that have no length or are answers to HEAD, 204 and 304 with a body, and heads without a length that are cut at each byte.

--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -15,7 +15,10 @@
 #: Bytes buffered ahead of the task that relays a reply; beyond them reading
 #: is paused.
 READ_AHEAD_BYTES = 256 * 1024
-#: Longest head of a reply.
+#: Bytes that a buffered part of a body takes beside its data.
+PART_BYTES = 128
+#: Longest head or trailer section of a reply, and longest framing between two
+#: parts of a body.
 MAX_HEAD_BYTES = 64 * 1024
 #: Most interim (1xx) heads before a reply.
 MAX_INTERIM_HEADS = 8
@@ -116,7 +119,8 @@
         #: End of the data of the reply that is skipped, or None.
         self._skipped_tail = None
         self._parser = None
-        self._head_bytes = 0
+        #: Bytes of the head, or of framing since the last data of the body.
+        self._overhead_bytes = 0
         self._interim_heads = 0
         #: Whether the last data hold more than the end of the reply.
         self._has_excess = False
@@ -153,8 +157,7 @@
                 f'{len(data)} bytes were received while no reply was awaited'
             )
             return
-        if not self._in_body:
-            self._head_bytes += len(data)
+        self._overhead_bytes += len(data)
         self._has_excess = False
         try:
             self._parser.feed_data(data)
@@ -165,8 +168,8 @@
         else:
             if self._has_excess:
                 self._reject('data was received after the end of the reply')
-            elif not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
-                self._reject('malformed reply: the head is too long')
+            elif self._overhead_bytes > MAX_HEAD_BYTES:
+                self._reject('malformed reply: head or framing is too long')
 
     # httptools
 
@@ -218,10 +221,11 @@
 
     def on_body(self, data):
         """Pass on a part of the body; pause reading at the limit."""
+        self._overhead_bytes = 0
         if self._skipped_tail is not None:
             self._skip(data)
             return
-        self._buffered_bytes += len(data)
+        self._buffered_bytes += len(data) + PART_BYTES
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self.transport.pause_reading()
         self._put(BodyPart(data))
@@ -234,7 +238,7 @@
         if self._skipped_tail is not None:
             self._skipped_tail = None
             self._in_body = False
-            self._head_bytes = 0
+            self._overhead_bytes = 0
             return
         self._is_awaiting = False
         self._put(EndOfReply())
@@ -278,7 +282,7 @@
         self._in_body = False
         self._ends_at_close = False
         self._parser = httptools.HttpResponseParser(self)
-        self._head_bytes = 0
+        self._overhead_bytes = 0
         self._interim_heads = 0
         self.transport.write(head + body)
 
@@ -305,7 +309,7 @@
             return self._lost
         part = self._parts.popleft()
         if isinstance(part, BodyPart):
-            self._buffered_bytes -= len(part.data)
+            self._buffered_bytes -= len(part.data) + PART_BYTES
             if self._buffered_bytes <= READ_AHEAD_BYTES:
                 self.transport.resume_reading()
         return part
