Read and write no body in replies to HEAD

A caller of HEAD got 504 after its whole deadline, or read the body of an error page of the entry as its next reply.

Cause: the parser of a reply does not know the method of its request, so it awaited the body whose length the head states. If the late reply to an earlier HEAD is skipped, the reply behind it would be its body; that is found already. Replies of an entry itself were written with their bodies.

Now the sender of a request says that it is HEAD: its reply ends with its head, and bytes behind it end the connection. The entry states the length that the upstream stated, or that of its own page, and writes no body.

--- a/catkinshunt/gateway/_attempt.py
+++ b/catkinshunt/gateway/_attempt.py
@@ -181,7 +181,8 @@
         self.sent_at = self.context.clock()
         is_reusable = False
         try:
-            conn.send(*self._request_bytes(), self._is_foreign)
+            is_head = self.exchange.req.method == 'HEAD'
+            conn.send(*self._request_bytes(), self._is_foreign, is_head)
             relay = _relay.Relay(self, conn, pool.peer)
             is_reusable = await relay.run()
             self.ended_at_close = relay.ended_at_close
--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -366,5 +366,7 @@
             items.append(('Connection', 'close'))
         body = f'{exc.code}: {exc.message}\n'.encode()
         items.append(('Content-Type', 'text/plain'))
-        self.conn.write(http1.dump_reply(exc.status, items, body))
+        self.conn.write(
+            http1.dump_reply(exc.status, items, body, self.req.method)
+        )
         return keeps_alive
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -90,7 +90,9 @@
         )
         delay_s = self.context.clock() - self.sent_at
         self.attempt.record_delay(delay_s)
-        if _reply_check.is_stream(head):
+        if head.bodiless:
+            await self._relay_bodiless(head)
+        elif _reply_check.is_stream(head):
             await self._relay_events(head)
         else:
             await self._relay_buffered(head)
@@ -293,6 +295,23 @@
         self.exchange.conn.write(http1.dump_reply(head.status, items, body))
         self.exchange.progress.is_complete = True
 
+    async def _relay_bodiless(self, head):
+        """Relay a reply that has no body, though it may state its length."""
+        await self._next_part()
+        self._check_end()
+        if self.exchange.req.method != 'HEAD':
+            self._send_buffered(head, b'')
+            return
+        self._begin_reply()
+        self.exchange.record_first_byte()
+        items = head.headers.end_to_end() + self.exchange.connection_headers()
+        length = head.headers.get('content-length')
+        if length is not None:
+            items.append(('Content-Length', length))
+        first = http1.status_line(head.status)
+        self.exchange.conn.write(http1.dump_head(first, items))
+        self.exchange.progress.is_complete = True
+
     async def _relay_chunked(self, head, data):
         self._begin_reply()
         self._send_head(head)
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -116,6 +116,7 @@
         self._in_body = False
         self._ends_at_close = False
         self._is_foreign = None
+        self._is_head = False
         #: End of the data of the reply that is skipped, or None.
         self._skipped_tail = None
         self._parser = None
@@ -206,7 +207,7 @@
             return
         self._in_body = True
         headers = _messages.Headers(self._items)
-        bodiless = status in (204, 304)
+        bodiless = self._is_head or status in (204, 304)
         framed = bodiless or self._is_framed(headers)
         reason = self._reason.decode('latin-1')
         head = _messages.ReplyHead(status, headers, bodiless, reason)
@@ -218,6 +219,9 @@
             self.reusable = False
         self.idle_limit_s = _idle_limit_s(headers)
         self._put(head)
+        if self._is_head:
+            # The parser awaits the body that the head describes.
+            self._end_reply()
 
     def on_body(self, data):
         """Pass on a part of the body; pause reading at the limit."""
@@ -225,6 +229,9 @@
         if self._skipped_tail is not None:
             self._skip(data)
             return
+        if not self._is_awaiting:
+            self._has_excess = True
+            return
         self._buffered_bytes += len(data) + PART_BYTES
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self.transport.pause_reading()
@@ -240,8 +247,8 @@
             self._in_body = False
             self._overhead_bytes = 0
             return
-        self._is_awaiting = False
-        self._put(EndOfReply())
+        if self._is_awaiting:
+            self._end_reply()
 
     # Called by the task that sends the request.
 
@@ -267,7 +274,7 @@
         poll.register(sock, select.POLLIN)
         return bool(poll.poll(0))
 
-    def send(self, head, body=b'', is_foreign=None):
+    def send(self, head, body=b'', is_foreign=None, is_head=False):
         """Send a request; `read_part` returns its reply.
 
         Args:
@@ -275,9 +282,12 @@
             body: its body.
             is_foreign: function of a `ReplyHead` that returns whether it
                 replies to another request; None if replies do not tell.
+            is_head: whether its method is HEAD, so that its reply has no
+                body.
         """
         self.requests += 1
         self._is_foreign = is_foreign
+        self._is_head = is_head
         self._is_awaiting = True
         self._in_body = False
         self._ends_at_close = False
@@ -334,6 +344,10 @@
             )
         self.close()
 
+    def _end_reply(self):
+        self._is_awaiting = False
+        self._put(EndOfReply())
+
     def _put(self, part):
         self._parts.append(part)
         self._arrived.set()
@@ -360,7 +374,8 @@
         """Skip the reply to another request, whose head was read."""
         self.skipped += 1
         self.reusable = False
-        if not is_framed or self.skipped > MAX_SKIPPED:
+        # It may have a body though the awaited one has none.
+        if not is_framed or self._is_head or self.skipped > MAX_SKIPPED:
             raise InvalidReplyError('a reply to another request')
         self._skipped_tail = b''
         if self.on_invalid is not None:
--- a/catkinshunt/http1/_messages.py
+++ b/catkinshunt/http1/_messages.py
@@ -118,8 +118,8 @@
     """Status and header fields of a reply.
 
     Attributes:
-        bodiless: whether the status rules out a body, whatever the headers
-            say.
+        bodiless: whether the status or the method of the request, HEAD,
+            rules out a body, whatever the headers say.
         reason: the reason phrase as it came; for logs.
     """
 
@@ -145,11 +145,18 @@
     return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
 
 
-def dump_reply(status, items, body=b''):
-    """Return an encoded reply with a Content-Length."""
-    head = status_line(status)
+def dump_reply(status, items, body=b'', method=''):
+    """Return an encoded reply with a Content-Length.
+
+    Args:
+        status: its status.
+        items: pairs of header name and value.
+        body: its body, which a reply to HEAD states but does not have.
+        method: method of the request.
+    """
     items = [*items, ('Content-Length', str(len(body)))]
-    return dump_head(head, items) + body
+    head = dump_head(status_line(status), items)
+    return head if method == 'HEAD' else head + body
 
 
 def status_line(status):
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -104,7 +104,10 @@
             keep = [] if req.keep_alive else [_CLOSE_HEADER]
             conn.write(
                 _messages.dump_reply(
-                    reply.status, [*reply.items, *keep], reply.body
+                    reply.status,
+                    [*reply.items, *keep],
+                    reply.body,
+                    req.method,
                 )
             )
             if not req.keep_alive:
--- a/catkinshunt/http1/tests/test_foreign_bytes.py
+++ b/catkinshunt/http1/tests/test_foreign_bytes.py
@@ -148,6 +148,23 @@
     assert not peer.conn.is_open
 
 
+def test_reply_to_head_ends_with_its_head():
+    """A caller would wait until its deadline for a body that never comes."""
+    peer = Peer(is_head=True).feed(CHUNKED)
+    assert peer.reply() == (200, b'')
+    peer = Peer(is_head=True).feed(OWN[:-6])
+    assert peer.reply() == (500, b'')
+    peer.conn.send(b'', is_foreign=is_foreign)
+    assert peer.feed(OWN).reply() == (500, b'failed')
+
+
+def test_body_of_a_reply_to_head_is_not_passed_on():
+    """It belongs to another request."""
+    peer = Peer(is_head=True).feed(OWN)
+    assert peer.reply() in (None, (500, b''))
+    assert not peer.conn.is_open
+
+
 def test_late_reply_to_head_may_have_no_body():
     """The skipped head's body would be the awaited reply."""
     late = b'HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 60\r\n\r\n'
