Relay no 204 that states a length

A caller could get an empty success in place of an answer with a body: one wrong bit makes a 204 of a 200, and the body that follows in a packet of its own is no longer seen. A 204 must not state a length, so such a reply is an unknown outcome now.

On the code before:

--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -208,6 +208,8 @@
         self._in_body = True
         headers = _messages.Headers(self._items)
         bodiless = self._is_head or status in (204, 304)
+        if status == 204 and headers.get('content-length', '0') != '0':
+            raise InvalidReplyError('a length in a reply that has no body')
         framed = bodiless or self._is_framed(headers)
         reason = self._reason.decode('latin-1')
         head = _messages.ReplyHead(status, headers, bodiless, reason)
