Relay no long reply or stream as whole that is longer than it says

A caller could get a success with a part of its body: one wrong digit in the length ends a reply early. For buffered replies this is found by the bytes that follow; replies over 1 MiB and streams with a length were ended as complete.

Now they are checked too: a long one is cut, a stream is resumed or cut.

On the code before these fail:

test_long_reply_whose_rest_is_missing_is_not_ended_as_complete test_long_reply_that_is_longer_than_it_says_is_cut test_stream_that_is_longer_than_it_says_is_not_ended_as_complete: assert b'id: 1\ndata: part 1\n\nid: 2 ...' is None

The other new tests pass before and after: late streams before a resumed one and late replies before a long one, cut at many places; long replies that are cut; unframed replies that are late, or cut at each byte of their head.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -321,6 +321,7 @@
             await self.exchange.conn.drain()
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
+                self._check_end()
                 self.exchange.conn.write(http1.LAST_CHUNK)
                 self.exchange.progress.is_complete = True
                 return
@@ -355,6 +356,7 @@
             raise self._premature_end_error(
                 'stream ended before its first event'
             )
+        self._check_end()
         fault = order.find_fault_at_end()
         if fault:
             raise self._premature_end_error(fault)
