Relay no empty reply that ends with its connection

A caller got an empty success, framed as whole, when an upstream stopped right behind a head without a length: the kernel closes the connection in order, and that counted as the end of the reply. For streams this was an error already.

Such a reply is an unknown outcome now. One with a body still counts as whole, as many servers send them so; a cut cannot be told from its end.

On the code before:

test_unframed_reply_without_a_body_is_not_an_empty_success: assert 200 == 502

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -275,6 +275,9 @@
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 self._check_end()
+                if self.ended_at_close and not body:
+                    # The upstream may have crashed after it sent the head.
+                    raise self._premature_end_error('reply without a body')
                 self._send_buffered(head, bytes(body))
                 return
             body += part.data
--- a/catkinshunt/gateway/tests/test_spoilt_bodies.py
+++ b/catkinshunt/gateway/tests/test_spoilt_bodies.py
@@ -248,3 +248,14 @@
         )
 
     assert {status for status, _ in asyncio.run(main())} == {502}
+
+
+def test_unframed_reply_without_a_body_is_not_an_empty_success():
+    """Its upstream stopped behind the head, and its connection closed."""
+
+    async def reply(_, writer):
+        writer.write(unframed('a2'))
+        await writer.drain()
+        return 'close'
+
+    assert asyncio.run(read_long(reply))[0] == 502
