Relay no body that holds a reply to another request

A caller could get the bytes of another reply as its body: of a late one that is sent between a head and its body, or behind an unframed body. The excess that this leaves is found only if it comes in the same read.

Now a body that begins as a reply, or holds a head that states a request, is an unknown outcome. A body that quotes HTTP without the id of a request is still relayed.

On the code before:

test_reply_between_a_head_and_its_body_is_not_relayed[72-True]: assert 200 in (502, 504) test_unframed_reply_that_holds_another_one_is_not_relayed: assert 200 == 502

--- a/catkinshunt/gateway/_metrics.py
+++ b/catkinshunt/gateway/_metrics.py
@@ -73,7 +73,7 @@
 
         Args:
             reason: `'another request'`, `'no request'`, `'unsigned'`,
-                `'wrong length'` or `'wrong event'`.
+                `'wrong length'`, `'wrong event'` or `'within a body'`.
         """
         self._foreign_replies.add(reason)
 
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from catkinshunt import errors
+from catkinshunt.gateway import _body_check
 from catkinshunt.gateway import _event_order
 from catkinshunt.gateway import _events
 from catkinshunt.gateway import _reply_check
@@ -76,6 +77,7 @@
         #: Whether the reply was delimited by the end of its connection, see
         #: `http1.EndOfReply`.
         self.ended_at_close = False
+        self.body_check = _body_check.BodyCheck(self.context.dialect, peer)
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
@@ -278,6 +280,7 @@
                 if self.ended_at_close and not body:
                     # The upstream may have crashed after it sent the head.
                     raise self._premature_end_error('reply without a body')
+                self._check_body(bytes(body))
                 self._send_buffered(head, bytes(body))
                 return
             body += part.data
@@ -315,7 +318,16 @@
         self.exchange.conn.write(http1.dump_head(first, items))
         self.exchange.progress.is_complete = True
 
+    def _check_body(self, data):
+        """Raise if the next part of the body holds another reply."""
+        try:
+            self.body_check.feed(data)
+        except errors.OutcomeUnknownError:
+            self.context.metrics.record_foreign_reply('within a body')
+            raise
+
     async def _relay_chunked(self, head, data):
+        self._check_body(data)
         self._begin_reply()
         self._send_head(head)
         self.exchange.progress.can_continue = False
@@ -329,6 +341,7 @@
                 self.exchange.progress.is_complete = True
                 return
             data = part.data
+            self._check_body(data)
 
     async def _relay_events(self, head):
         splitter = _events.EventSplitter()
--- a/catkinshunt/gateway/tests/test_spoilt_bodies.py
+++ b/catkinshunt/gateway/tests/test_spoilt_bodies.py
@@ -201,6 +201,32 @@
     assert asyncio.run(main())[2] is None
 
 
+@pytest.mark.parametrize('gap', [True, False])
+@pytest.mark.parametrize('length', [6, 70, len(LATE), 400])
+def test_reply_between_a_head_and_its_body_is_not_relayed(length, gap):
+    """A caller would get the bytes of another reply as the body."""
+    head, body = harness.reply(OWN, body=b'x' * length).split(b'\r\n\r\n')
+    head += b'\r\n\r\n'
+
+    async def split(_, writer):
+        for part in (head, LATE, body):
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+
+    reply = split if gap else sending(head + LATE + body)
+    status, body = asyncio.run(read_long(reply))
+    assert status in (502, 504)
+    assert b'late' not in body
+
+
+def test_body_that_quotes_a_reply_is_relayed():
+    """An answer may document HTTP."""
+    quoted = b'It sent:\nHTTP/1.1 200 OK\r\n\r\n'
+    own = harness.reply(OWN, body=quoted)
+    assert asyncio.run(read_long(sending(own))) == (200, quoted)
+
+
 def unframed(request_id, kind='text/plain'):
     """Return a head without a length."""
     return http1.dump_head(
@@ -259,3 +285,20 @@
         return 'close'
 
     assert asyncio.run(read_long(reply))[0] == 502
+
+
+def test_unframed_reply_that_holds_another_one_is_not_relayed():
+    """A late reply would be relayed as the end of the body."""
+    late = harness.reply('Request-Id: a1', body=b'late')
+
+    async def reply(_, writer):
+        writer.write(unframed('a2') + b'own')
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(late)
+        await writer.drain()
+        return 'close'
+
+    status, body = asyncio.run(read_long(reply))
+    assert status == 502
+    assert b'late' not in body
