Find wrong lengths in replies that close their connection

A caller could get a success with a part of its body when one digit of its length was wrong and the reply announced the close of its connection, or came behind a late reply that was skipped.

Cause: the parser accepts nothing after such a reply, so the bytes that follow did not tell whether the length is wrong, and the doubt was left out for all connections that are not reused.

Now the parser reads on, and what follows is judged as for other replies: the begin of another reply shows that the first one is whole, anything else that its length may be wrong.

On the code before, three of the four cases of test_reply_that_is_longer_than_it_says_is_doubtful fail with "assert False" (is_end_doubtful).

--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -294,6 +294,9 @@
         self._in_body = False
         self._ends_at_close = False
         self._parser = httptools.HttpResponseParser(self)
+        # Otherwise it does not tell what follows a reply that announces the
+        # close of its connection.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._overhead_bytes = 0
         self._interim_heads = 0
         self.transport.write(head + body)
@@ -400,10 +403,7 @@
             cause = exc.__context__ or exc
             self._reject(f'malformed reply: {cause}')
             return
-        # The parser accepts nothing after the last reply of a connection.
-        if self.reusable and not isinstance(
-            exc.__context__, InvalidReplyError
-        ):
+        if not isinstance(exc.__context__, InvalidReplyError):
             self.is_end_doubtful = True
         self._reject('data was received after the end of the reply')
 
--- a/catkinshunt/http1/tests/test_foreign_bytes.py
+++ b/catkinshunt/http1/tests/test_foreign_bytes.py
@@ -296,3 +296,25 @@
     parts = [head, LATE, body]
     peer = Peer().feed(*parts if gap else [b''.join(parts)])
     assert peer.reply() is None or peer.conn.is_end_doubtful
+
+
+@pytest.mark.parametrize('before', [b'', LATE])
+@pytest.mark.parametrize('field', [b'', b'Connection: close\r\n'])
+def test_reply_that_is_longer_than_it_says_is_doubtful(before, field):
+    """A part of a body would be passed on as the whole."""
+    spoilt = OWN.replace(b'Content-Length: 6', field + b'Content-Length: 2')
+    for size in (len(before + spoilt), len(before + spoilt) - 1):
+        peer = Peer().feed(*in_pieces(before + spoilt, size))
+        assert peer.reply() == (500, b'fa')
+        assert peer.conn.is_end_doubtful
+        assert not peer.conn.is_open
+
+
+@pytest.mark.parametrize('field', [b'', b'Connection: close\r\n'])
+@pytest.mark.parametrize('behind', [LATE, LATE[:3], OWN, b'\r\n'])
+def test_reply_before_another_one_is_whole(field, behind):
+    """A sound reply would not be relayed."""
+    own = OWN.replace(b'Content', field + b'Content')
+    peer = Peer().feed(own + behind)
+    assert peer.reply() == (500, b'failed')
+    assert not peer.conn.is_end_doubtful
