Write no interim head within the reply to an earlier request

A caller that sends its next request before it has read a reply, and expects 100 Continue for it, read the interim head as a part of that reply: between two events of a stream, or as the end of a body.

Cause: 100 Continue was written when the head of a request had arrived, not when its turn had come.

--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -63,6 +63,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._writable = asyncio.Event()
         self._writable.set()
+        #: Whether a request was returned whose reply may not be whole.
+        self._is_answering = False
+        #: Whether the caller waits for 100 Continue.
+        self._owes_continue = False
         self._begin_request()
 
     # asyncio.Protocol
@@ -125,7 +129,8 @@
         self._head_complete = True
         headers = _messages.Headers(self._items)
         if (headers.get('expect') or '').lower() == '100-continue':
-            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self._owes_continue = True
+            self._send_continue()
 
     def on_body(self, data):
         """Add a part of the body; reject a body over the limit."""
@@ -156,6 +161,8 @@
         longer than `Limits.header_s` is returned as an error with status
         408.
         """
+        self._is_answering = False
+        self._send_continue()
         while not self._requests:
             wait_s = self._wait_s()
             if self.closed.done():
@@ -165,6 +172,7 @@
             if wait_s <= 0:
                 return BadRequestError(408, 'the request took too long')
             await self._await_input(wait_s)
+        self._is_answering = True
         return self._requests.popleft()
 
     def _wait_s(self):
@@ -213,7 +221,14 @@
 
     # Internals.
 
+    def _send_continue(self):
+        """Send 100 Continue, unless it would come within another reply."""
+        if self._owes_continue and not (self._is_answering or self._requests):
+            self._owes_continue = False
+            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
     def _begin_request(self):
+        self._owes_continue = False
         self._target = b''
         self._items = []
         self._body = bytearray()
--- a/catkinshunt/http1/tests/test_server.py
+++ b/catkinshunt/http1/tests/test_server.py
@@ -176,3 +176,42 @@
             await asyncio.wait_for(ended.wait(), 5)
 
     asyncio.run(main())
+
+
+def test_interim_reply_does_not_come_within_another_reply():
+    """A caller would read it as a part of the reply before.
+
+    The caller sends its next request early, and awaits 100 Continue.
+    """
+    expecting = (
+        b'POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+
+    async def session(conn):
+        await conn.read_request()
+        items = [('Transfer-Encoding', 'chunked')]
+        conn.write(http1.dump_head(http1.status_line(200), items))
+        conn.write(http1.dump_chunk(b'first'))
+        await asyncio.sleep(0.05)
+        conn.write(http1.dump_chunk(b'second') + http1.LAST_CHUNK)
+        req = await conn.read_request()
+        conn.write(http1.dump_reply(200, [], req.body))
+
+    async def main():
+        async with serving(session) as connect:
+            reader, writer = await connect()
+            writer.write(b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n')
+            found = await reader.readuntil(b'first\r\n')
+            writer.write(expecting)
+            async with asyncio.timeout(5):
+                found += await reader.readuntil(b'Continue\r\n\r\n')
+                writer.write(b'hi')
+                found += await reader.read()
+            writer.close()
+            return found
+
+    found = asyncio.run(main())
+    parts = [b'first', b'second', b'0\r\n', b'100 Continue', b'hi']
+    places = [found.index(part) for part in parts]
+    assert places == sorted(places)
