Bound the framing of requests, and requests that are sent early

A caller could fill the memory of an entry: trailers and chunk extensions of a request had no limit but the time to receive it, and requests that were sent before their turn were all read and kept.

Now framing between two parts of a body has the limit of a head, and reading is paused while eight requests wait. A caller that leaves is then noticed when fewer wait.

--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -13,6 +13,9 @@
 #: Delay before closing a connection whose request was rejected unread.
 #: Unread bytes cause a reset, by which the caller could lose the rejection.
 LINGER_S = 0.2
+#: Requests that may wait for their turn on a connection; beyond them reading
+#: is paused.
+MAX_WAITING_REQUESTS = 8
 #: Longest wait before the limits in force are read again.
 MAX_WAIT_S = 5.0
 
@@ -22,7 +25,8 @@
     """Limits on the size and duration of requests.
 
     Attributes:
-        header_bytes: maximum size of a request head.
+        header_bytes: maximum size of a request head, of a trailer section, and
+            of the framing between two parts of a body.
         body_bytes: maximum size of a request body.
         header_s: seconds within which a request must be received.
         idle_s: idle timeout of a connection, in seconds.
@@ -65,6 +69,8 @@
         self._writable.set()
         #: Whether a request was returned whose reply may not be whole.
         self._is_answering = False
+        #: Whether nothing more is read, after a bad request.
+        self._is_rejected = False
         #: Whether the caller waits for 100 Continue.
         self._owes_continue = False
         self._begin_request()
@@ -99,7 +105,7 @@
         if self.reading_since is None:
             self.reading_since = self.clock()
             self._arrived.set()
-        self._received_bytes += len(data)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
             self._check_sizes()
@@ -126,7 +132,6 @@
 
     def on_headers_complete(self):
         """Send 100 Continue if the caller expects it."""
-        self._head_complete = True
         headers = _messages.Headers(self._items)
         if (headers.get('expect') or '').lower() == '100-continue':
             self._owes_continue = True
@@ -134,6 +139,7 @@
 
     def on_body(self, data):
         """Add a part of the body; reject a body over the limit."""
+        self._overhead_bytes = 0
         self._body += data
         if len(self._body) > self.limits().body_bytes:
             raise BadRequestError(413, 'the body is too long')
@@ -151,6 +157,8 @@
         self._begin_request()
         self._requests.append(req)
         self._arrived.set()
+        if len(self._requests) >= MAX_WAITING_REQUESTS:
+            self.transport.pause_reading()
 
     # Called by the task of the connection.
 
@@ -173,6 +181,8 @@
                 return BadRequestError(408, 'the request took too long')
             await self._await_input(wait_s)
         self._is_answering = True
+        if not self._is_rejected:
+            self.transport.resume_reading()
         return self._requests.popleft()
 
     def _wait_s(self):
@@ -232,18 +242,18 @@
         self._target = b''
         self._items = []
         self._body = bytearray()
-        self._head_complete = False
-        self._received_bytes = 0
+        self._overhead_bytes = 0
         self.reading_since = None
         self.idle_since = self.clock()
 
     def _check_sizes(self):
-        if self.reading_since is None or self._head_complete:
+        if self.reading_since is None:
             return
-        if self._received_bytes > self.limits().header_bytes:
-            raise BadRequestError(431, 'the head is too long')
+        if self._overhead_bytes > self.limits().header_bytes:
+            raise BadRequestError(431, 'head or framing is too long')
 
     def _reject(self, status, message):
+        self._is_rejected = True
         self._requests.append(BadRequestError(status, message))
         self._arrived.set()
         self.transport.pause_reading()
--- a/catkinshunt/http1/tests/test_server.py
+++ b/catkinshunt/http1/tests/test_server.py
@@ -1,6 +1,8 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from catkinshunt import http1
 
 
@@ -215,3 +217,77 @@
     parts = [b'first', b'second', b'0\r\n', b'100 Continue', b'hi']
     places = [found.index(part) for part in parts]
     assert places == sorted(places)
+
+
+async def send_until_closed(connect, first, filler):
+    """Send `first` and then `filler` until the connection is closed.
+
+    Returns:
+        The bytes of `filler` that were sent.
+    """
+    reader, writer = await connect()
+    writer.write(first)
+    replied = asyncio.ensure_future(reader.read())
+    sent = 0
+    # Closing with unread bytes resets the connection.
+    with contextlib.suppress(ConnectionError):
+        while not replied.done() and sent < 5_000_000:
+            writer.write(filler)
+            await writer.drain()
+            sent += len(filler)
+            await asyncio.sleep(0)
+    writer.close()
+    await asyncio.wait((replied,), timeout=5)
+    replied.cancel()
+    return sent
+
+
+@pytest.mark.parametrize(
+    ('behind', 'filler'),
+    [
+        pytest.param(b'0\r\n', b'X: ' + b'x' * 990 + b'\r\n', id='trailers'),
+        pytest.param(b'5;', b'x' * 1000, id='chunk extension'),
+        pytest.param(b'', b'0' * 1000, id='size of a chunk'),
+    ],
+)
+def test_framing_of_a_request_has_a_limit(behind, filler):
+    """A caller could fill the memory of an entry."""
+    head = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+    async def main():
+        async with serving(http1.make_session(echo)) as connect:
+            return await send_until_closed(connect, head + behind, filler)
+
+    assert asyncio.run(main()) < 1_000_000
+
+
+def test_requests_sent_early_have_a_limit():
+    """A caller could fill the memory with requests that wait."""
+    waiting = []
+
+    async def session(conn):
+        await conn.read_request()
+        await asyncio.sleep(0.3)
+        waiting.append(len(conn._requests))
+        for _ in range(2000):
+            req = await conn.read_request()
+            conn.write(http1.dump_reply(200, [], req.target.encode()))
+
+    async def main():
+        async with serving(session) as connect:
+            reader, writer = await connect()
+            for number in range(2001):
+                filler = b'X: ' + b'x' * 4000
+                writer.write(
+                    b'GET /%d HTTP/1.1\r\n%b\r\n\r\n' % (number, filler)
+                )
+            async with asyncio.timeout(20):
+                found = await reader.read()
+            writer.close()
+            return found
+
+    found = asyncio.run(main())
+    # One read of a socket holds 256 KiB at most.
+    assert waiting[0] < 8 + 256 * 1024 // 4000
+    assert found.count(b'HTTP/1.1 200') == 2000
+    assert found.endswith(b'/2000')
