Read no number of a caller or an upstream that is not one

A request whose deadline, token counts or last event id had a digit such as "²", which one wrong bit makes, ended without a reply: its connection was closed after an unexpected error. So did a reply whose load had thousands of digits, as the interpreter refuses to convert them.

Cause: str.isdigit accepts digits of other scripts, and no length was checked.

On the code before, three of the five cases of test_unreadable_number_raises_no_unexpected_error fail:

ValueError: invalid literal for int() with base 10: '²' ValueError: Exceeds the limit (4300 digits) for integer string conversion

--- a/catkinshunt/platform/_dialect.py
+++ b/catkinshunt/platform/_dialect.py
@@ -111,19 +111,21 @@
 
 
 def _digits_or_empty(text):
-    return text if text is not None and text.isdigit() else ''
+    return text if text is not None and _reply_headers.is_count(text) else ''
 
 
 def _parse_deadline(text):
     """Return seconds, or None if the header is missing or not a number."""
-    if text is None or not text.strip().isdigit():
+    if text is None or not _reply_headers.is_count(text.strip()):
         return None
     return int(text) / _MS
 
 
 def _parse_token_counts(text):
     parts = (text or '').split(',')
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 2 or not all(
+        _reply_headers.is_count(part.strip()) for part in parts
+    ):
         return 0, 0
     return int(parts[0]), int(parts[1])
 
--- a/catkinshunt/platform/_reply_headers.py
+++ b/catkinshunt/platform/_reply_headers.py
@@ -21,6 +21,8 @@
 RETRY_AFTER = 'Retry-After'
 #: Statuses with which an upstream turns a request away for a while.
 REJECTION_STATUSES = (429, 503)
+#: Most digits of a number.
+MAX_DIGITS = 18
 #: Headers that the platform specifies for replies, in lower case. Those not
 #: decoded here are of no use to an entry; see docs/design/statements.md.
 _PLATFORM_HEADERS = frozenset(
@@ -95,6 +97,16 @@
     )
 
 
+def is_count(text):
+    """Return whether `text` is a number of digits only, and not too long.
+
+    Examples:
+        >>> is_count('12'), is_count('²'), is_count('1' * 5000)
+        (True, False, False)
+    """
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def _sort_headers(headers):
     """Return the values of known headers by name, and the unknown names.
 
@@ -137,8 +149,6 @@
 
 def _parse_load(text):
     parts = text.split(',')
-    if len(parts) != 3 or not all(
-        part.strip().isascii() and part.strip().isdigit() for part in parts
-    ):
+    if len(parts) != 3 or not all(is_count(part.strip()) for part in parts):
         return None
     return dispatch.Load(*map(int, parts))
--- a/catkinshunt/platform/tests/test_dialect.py
+++ b/catkinshunt/platform/tests/test_dialect.py
@@ -234,3 +234,22 @@
     """A new statement of upstreams would be ignored without a trace."""
     info = decode(200, ('Server-Mood', 'low'), ('Date', 'today'))
     assert info.unknown_headers == ('Server-Mood',)
+
+
+@pytest.mark.parametrize('text', ['\xb2', '1\xb9', '7' * 5000, '+1', '1_0'])
+def test_unreadable_number_raises_no_unexpected_error(text):
+    """One wrong bit in a digit would end a request without a reply."""
+    info = DIALECT.decode_request(
+        request(
+            ('Deadline-Ms', text),
+            ('Token-Counts', f'{text},{text}'),
+            ('Length-Hint', text),
+            ('Last-Event-Id', text),
+        )
+    )
+    assert info.deadline_s is None
+    assert (info.tokens_in, info.tokens_out) == (0, 0)
+    assert info.last_event_id == ''
+    items = [('Instance-Load', f'{text},{text},{text}')]
+    reply = http1.ReplyHead(200, http1.Headers(items))
+    assert DIALECT.decode_reply(reply).load is None
