--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from catkinshunt import errors
+from catkinshunt.gateway import _body_check
+from catkinshunt.gateway import _event_order
 from catkinshunt.gateway import _events
 from catkinshunt.gateway import _reply_check
 from catkinshunt import http1
@@ -72,11 +74,10 @@
         self.failover_after = self.sent_at
         #: Whether to give the upstream up after `DEAD_S`.
         self.may_be_dead = False
-        #: Whether another upstream could send the rest of the reply.
-        self.can_resume_elsewhere = True
         #: Whether the reply was delimited by the end of its connection, see
         #: `http1.EndOfReply`.
         self.ended_at_close = False
+        self.body_check = _body_check.BodyCheck(self.context.dialect, peer)
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
@@ -91,7 +92,9 @@
         )
         delay_s = self.context.clock() - self.sent_at
         self.attempt.record_delay(delay_s)
-        if _reply_check.is_stream(head):
+        if head.bodiless:
+            await self._relay_bodiless(head)
+        elif _reply_check.is_stream(head):
             await self._relay_events(head)
         else:
             await self._relay_buffered(head)
@@ -250,8 +253,6 @@
             raise self._unresponsive_error()
         if self.attempt.failover is not None or now < self.failover_after:
             return
-        if not self.can_resume_elsewhere:
-            return
         if not self.exchange.retry_check.can_fail_over():
             return
         is_instance_responsive = await self._is_instance_responsive()
@@ -289,6 +290,10 @@
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 self._check_end()
+                if self.ended_at_close and not body:
+                    # The upstream may have crashed after it sent the head.
+                    raise self._premature_end_error('reply without a body')
+                self._check_body(bytes(body))
                 self._send_buffered(head, bytes(body))
                 return
             body += part.data
@@ -309,35 +314,68 @@
         self.exchange.conn.write(http1.dump_reply(head.status, items, body))
         self.exchange.progress.is_complete = True
 
+    async def _relay_bodiless(self, head):
+        """Relay a reply that has no body, though it may state its length."""
+        await self._next_part()
+        self._check_end()
+        if self.exchange.req.method != 'HEAD':
+            self._send_buffered(head, b'')
+            return
+        self._begin_reply()
+        self.exchange.record_first_byte()
+        items = head.headers.end_to_end() + self.exchange.connection_headers()
+        length = head.headers.get('content-length')
+        if length is not None:
+            items.append(('Content-Length', length))
+        first = http1.status_line(head.status)
+        self.exchange.conn.write(http1.dump_head(first, items))
+        self.exchange.progress.is_complete = True
+
+    def _check_body(self, data):
+        """Raise if the next part of the body holds another reply."""
+        try:
+            self.body_check.feed(data)
+        except errors.OutcomeUnknownError:
+            self.context.metrics.record_foreign_reply('within a body')
+            raise
+
     async def _relay_chunked(self, head, data):
+        self._check_body(data)
         self._begin_reply()
         self._send_head(head)
-        self.can_resume_elsewhere = False
+        self.exchange.progress.can_continue = False
         while True:
             self.exchange.conn.write(http1.dump_chunk(data))
             await self.exchange.conn.drain()
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
+                self._check_end()
                 self.exchange.conn.write(http1.LAST_CHUNK)
                 self.exchange.progress.is_complete = True
                 return
             data = part.data
+            self._check_body(data)
 
     async def _relay_events(self, head):
         splitter = _events.EventSplitter()
+        order = _event_order.EventOrder(
+            self.exchange.progress, self.context.dialect.numbers_events
+        )
         while True:
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 break
-            unsent, gap = self._select_new(self._split(splitter, part.data))
+            events = self._split(splitter, part.data)
+            unsent, fault = order.select_new(events)
             if unsent:
                 self._begin_reply()
                 self._send_head(head)
                 self.exchange.conn.write(http1.dump_chunk(unsent))
                 await self.exchange.conn.drain()
-            if gap:
+            if fault:
+                self.context.metrics.record_foreign_reply('wrong event')
                 raise errors.OutcomeUnknownError(
-                    gap, step='read-reply', peer=self.peer
+                    fault, step='read-reply', peer=self.peer
                 )
         if splitter.has_partial_event:
             raise self._premature_end_error('stream ended within an event')
@@ -347,6 +385,10 @@
             raise self._premature_end_error(
                 'stream ended before its first event'
             )
+        self._check_end()
+        fault = order.find_fault_at_end()
+        if fault:
+            raise self._premature_end_error(fault)
         self._begin_reply()
         self._send_head(head)
         self.exchange.conn.write(http1.LAST_CHUNK)
@@ -376,26 +418,6 @@
                 str(exc), step='read-reply', peer=self.peer
             ) from exc
 
-    def _select_new(self, events):
-        """Return the bytes not relayed yet, and a description of a gap.
-
-        Events before a gap are still relayed and counted; the next upstream
-        resumes after them.
-        """
-        progress = self.exchange.progress
-        unsent = []
-        for event in events:
-            last_event_id = progress.last_event_id
-            if None not in (event.id, last_event_id):
-                if event.id <= last_event_id:
-                    continue
-                if event.id > last_event_id + 1:
-                    gap = f'event {event.id} came after {last_event_id}'
-                    return b''.join(unsent), gap
-            progress.last_event_id = event.id
-            unsent.append(event.data)
-        return b''.join(unsent), ''
-
     def _send_head(self, head):
         if self.exchange.progress.head_sent:
             return
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -15,7 +15,10 @@
 #: Bytes buffered ahead of the task that relays a reply; beyond them reading
 #: is paused.
 READ_AHEAD_BYTES = 256 * 1024
-#: Longest head of a reply.
+#: Bytes that a buffered part of a body takes beside its data.
+PART_BYTES = 128
+#: Longest head or trailer section of a reply, and longest framing between two
+#: parts of a body.
 MAX_HEAD_BYTES = 64 * 1024
 #: Most interim (1xx) heads before a reply.
 MAX_INTERIM_HEADS = 8
@@ -113,10 +116,12 @@
         self._in_body = False
         self._ends_at_close = False
         self._is_foreign = None
+        self._is_head = False
         #: End of the data of the reply that is skipped, or None.
         self._skipped_tail = None
         self._parser = None
-        self._head_bytes = 0
+        #: Bytes of the head, or of framing since the last data of the body.
+        self._overhead_bytes = 0
         self._interim_heads = 0
         #: Whether the last data hold more than the end of the reply.
         self._has_excess = False
@@ -153,8 +158,7 @@
                 f'{len(data)} bytes were received while no reply was awaited'
             )
             return
-        if not self._in_body:
-            self._head_bytes += len(data)
+        self._overhead_bytes += len(data)
         self._has_excess = False
         try:
             self._parser.feed_data(data)
@@ -165,8 +169,8 @@
         else:
             if self._has_excess:
                 self._reject('data was received after the end of the reply')
-            elif not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
-                self._reject('malformed reply: the head is too long')
+            elif self._overhead_bytes > MAX_HEAD_BYTES:
+                self._reject('malformed reply: head or framing is too long')
 
     # httptools
 
@@ -203,7 +207,9 @@
             return
         self._in_body = True
         headers = _messages.Headers(self._items)
-        bodiless = status in (204, 304)
+        bodiless = self._is_head or status in (204, 304)
+        if status == 204 and headers.get('content-length', '0') != '0':
+            raise InvalidReplyError('a length in a reply that has no body')
         framed = bodiless or self._is_framed(headers)
         reason = self._reason.decode('latin-1')
         head = _messages.ReplyHead(status, headers, bodiless, reason)
@@ -215,13 +221,20 @@
             self.reusable = False
         self.idle_limit_s = _idle_limit_s(headers)
         self._put(head)
+        if self._is_head:
+            # The parser awaits the body that the head describes.
+            self._end_reply()
 
     def on_body(self, data):
         """Pass on a part of the body; pause reading at the limit."""
+        self._overhead_bytes = 0
         if self._skipped_tail is not None:
             self._skip(data)
             return
-        self._buffered_bytes += len(data)
+        if not self._is_awaiting:
+            self._has_excess = True
+            return
+        self._buffered_bytes += len(data) + PART_BYTES
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self.transport.pause_reading()
         self._put(BodyPart(data))
@@ -234,10 +247,10 @@
         if self._skipped_tail is not None:
             self._skipped_tail = None
             self._in_body = False
-            self._head_bytes = 0
+            self._overhead_bytes = 0
             return
-        self._is_awaiting = False
-        self._put(EndOfReply())
+        if self._is_awaiting:
+            self._end_reply()
 
     # Called by the task that sends the request.
 
@@ -263,7 +276,7 @@
         poll.register(sock, select.POLLIN)
         return bool(poll.poll(0))
 
-    def send(self, head, body=b'', is_foreign=None):
+    def send(self, head, body=b'', is_foreign=None, is_head=False):
         """Send a request; `read_part` returns its reply.
 
         Args:
@@ -271,14 +284,20 @@
             body: its body.
             is_foreign: function of a `ReplyHead` that returns whether it
                 replies to another request; None if replies do not tell.
+            is_head: whether its method is HEAD, so that its reply has no
+                body.
         """
         self.requests += 1
         self._is_foreign = is_foreign
+        self._is_head = is_head
         self._is_awaiting = True
         self._in_body = False
         self._ends_at_close = False
         self._parser = httptools.HttpResponseParser(self)
-        self._head_bytes = 0
+        # Otherwise it does not tell what follows a reply that announces the
+        # close of its connection.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
+        self._overhead_bytes = 0
         self._interim_heads = 0
         self.transport.write(head + body)
 
@@ -305,7 +324,7 @@
             return self._lost
         part = self._parts.popleft()
         if isinstance(part, BodyPart):
-            self._buffered_bytes -= len(part.data)
+            self._buffered_bytes -= len(part.data) + PART_BYTES
             if self._buffered_bytes <= READ_AHEAD_BYTES:
                 self.transport.resume_reading()
         return part
@@ -330,6 +349,10 @@
             )
         self.close()
 
+    def _end_reply(self):
+        self._is_awaiting = False
+        self._put(EndOfReply())
+
     def _put(self, part):
         self._parts.append(part)
         self._arrived.set()
@@ -356,7 +379,8 @@
         """Skip the reply to another request, whose head was read."""
         self.skipped += 1
         self.reusable = False
-        if not is_framed or self.skipped > MAX_SKIPPED:
+        # It may have a body though the awaited one has none.
+        if not is_framed or self._is_head or self.skipped > MAX_SKIPPED:
             raise InvalidReplyError('a reply to another request')
         self._skipped_tail = b''
         if self.on_invalid is not None:
@@ -379,10 +403,7 @@
             cause = exc.__context__ or exc
             self._reject(f'malformed reply: {cause}')
             return
-        # The parser accepts nothing after the last reply of a connection.
-        if self.reusable and not isinstance(
-            exc.__context__, InvalidReplyError
-        ):
+        if not isinstance(exc.__context__, InvalidReplyError):
             self.is_end_doubtful = True
         self._reject('data was received after the end of the reply')
 
