Take no cut or joined head for a reply of the first interface

A runner that stopped in the middle of its head and closed: clients got a 200 with an empty or short body, framed as whole.

Cause: `http.client` takes the end of the connection for the end of a head, of a chunk size and of a trailer. What is missing of the head is its length, so the body ends with the connection too. It also skips lines that are no fields, parses lengths and sizes as `int` does, takes framing that is stated twice, a second status line within a reason phrase or a value, and 102 and 103 as final. All readers share it: entry to sidecar, sidecar to upstream, chunks and manifests, engine orders and reports, the key-value service, the status call.

Now the connection class of `httpio` reads replies with `StrictResponse`: a head ends with its blank line, is one head, consists of fields, and states its framing once or not at all; a chunk ends where its size says; a trailer is bounded, and so are heads (64 KiB) and interim heads (8). `is_delimited` tells readers whether the body could be cut unseen.

--- a/catkinshunt/httpio/_client.py
+++ b/catkinshunt/httpio/_client.py
@@ -10,6 +10,7 @@
 import attrs
 
 from catkinshunt import errors
+from catkinshunt.httpio import _response
 
 DEFAULT_TIMEOUT_S = 10.0
 MAX_IDLE_PER_PEER = 64
@@ -61,6 +62,8 @@
 class _Connection(http.client.HTTPConnection):
     """A connection with TCP_NODELAY; small messages are not delayed."""
 
+    response_class = _response.StrictResponse
+
     def connect(self):
         super().connect()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/catkinshunt/httpio/_response.py
@@ -0,0 +1,187 @@
+"""Replies that are read strictly.
+
+`http.client` accepts a head without its end, fields that are no fields, and
+framing that is stated twice. It takes the end of a connection for the end of
+a head, of a chunk size and of a trailer.
+"""
+
+import http.client
+import io
+import re
+
+#: Longest head of a reply, and longest trailer.
+MAX_HEAD_BYTES = 64 * 1024
+#: Most interim (1xx) heads before a reply.
+MAX_INTERIM_HEADS = 8
+
+_STATUS_LINE = re.compile(
+    rb'HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([^\r\n\0]*))?\r?\n'
+)
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n\0]*)\r?\n")
+_JOINED_HEAD = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}')
+_LENGTH = re.compile(rb'[0-9]{1,18}')
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
+_BLANK_LINES = (b'\r\n', b'\n')
+_CRLF = b'\r\n'
+
+
+class InvalidReplyError(http.client.HTTPException):
+    """What the peer sent is not the reply to the request."""
+
+
+class StrictResponse(http.client.HTTPResponse):
+    """A reply that is read whole, or fails.
+
+    Args:
+        sock: the socket that it is read from.
+        args: see `http.client.HTTPResponse`.
+        kwargs: see `http.client.HTTPResponse`.
+    """
+
+    def __init__(self, sock, *args, **kwargs):
+        super().__init__(sock, *args, **kwargs)
+        self.fp = _Reader(self.fp.detach())
+
+    @property
+    def is_delimited(self):
+        """Whether the body has a length or chunks.
+
+        Any other body ends with its connection, and one that was cut off can
+        look the same.
+        """
+        return self.chunked or self.length is not None
+
+    def begin(self):
+        """Read the head.
+
+        Raises:
+            InvalidReplyError: it is malformed, or the heads of two replies
+                are joined in it.
+            http.client.IncompleteRead: the connection ended in it.
+            http.client.RemoteDisconnected: it ended before the first byte.
+        """
+        if self.headers is not None:
+            return
+        head = self._read_final_head()
+        reader, self.fp = self.fp, io.BytesIO(head)
+        try:
+            super().begin()
+        finally:
+            self.fp = reader
+
+    def _read_final_head(self):
+        """Return the first head that is not interim."""
+        if not self.fp.peek(1):
+            raise http.client.RemoteDisconnected(
+                'connection closed without a reply'
+            )
+        for _ in range(MAX_INTERIM_HEADS + 1):
+            lines = _read_lines(self.fp)
+            status = _check_head(lines)
+            if status == http.client.SWITCHING_PROTOCOLS:
+                raise InvalidReplyError('the peer switched protocols')
+            if status >= http.client.OK:
+                return b''.join(lines)
+        raise InvalidReplyError('too many interim heads')
+
+    # `http.client` checks neither what it takes for the end of a chunk nor
+    # the digits of a size, and its trailer has no bound.
+
+    def _get_chunk_left(self):
+        if self.chunk_left == 0:
+            if self._safe_read(len(_CRLF)) != _CRLF:
+                raise InvalidReplyError('a chunk is longer than its size')
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
+    def _read_next_chunk_size(self):
+        match = _CHUNK_SIZE.fullmatch(self.fp.readline(MAX_HEAD_BYTES))
+        if match is None:
+            raise InvalidReplyError('invalid chunk size')
+        return int(match[1], 16)
+
+    def _read_and_discard_trailer(self):
+        for line in _read_lines(self.fp)[:-1]:
+            _check_field(line)
+
+
+class _Reader(io.BufferedReader):
+    """Reads lines up to their end only."""
+
+    def readline(self, size=-1):
+        """Return a line.
+
+        Raises:
+            http.client.IncompleteRead: the connection ended in or before it.
+            InvalidReplyError: it is longer than `size`.
+        """
+        line = super().readline(size)
+        if line.endswith(b'\n'):
+            return line
+        if len(line) == size:
+            raise InvalidReplyError(f'a line is longer than {size} bytes')
+        raise http.client.IncompleteRead(line)
+
+
+def _read_lines(reader):
+    """Return the lines of a head or trailer, with its blank line."""
+    lines = []
+    left = MAX_HEAD_BYTES
+    while True:
+        lines.append(reader.readline(left))
+        if lines[-1] in _BLANK_LINES:
+            return lines
+        left -= len(lines[-1])
+        if left <= 0:
+            raise InvalidReplyError(
+                f'a head is longer than {MAX_HEAD_BYTES} bytes'
+            )
+
+
+def _check_head(lines):
+    """Return the status of a head.
+
+    Raises:
+        InvalidReplyError: it is malformed.
+    """
+    first, *fields, _ = lines
+    match = _STATUS_LINE.fullmatch(first)
+    if match is None:
+        raise InvalidReplyError(f'invalid status line: {first[:40]!r}')
+    _check_single_head(match[3] or b'')
+    framing = {b'content-length': [], b'transfer-encoding': []}
+    for line in fields:
+        name, value = _check_field(line)
+        framing.get(name.lower(), []).append(value.strip(b' \t'))
+    is_chunkable = match[1] == b'1'
+    _check_framing(*framing.values(), is_chunkable)
+    return int(match[2])
+
+
+def _check_field(line):
+    match = _FIELD.fullmatch(line)
+    if match is None:
+        raise InvalidReplyError(f'invalid field: {line[:40]!r}')
+    _check_single_head(match[2])
+    return match.groups()
+
+
+def _check_single_head(text):
+    """Raise if a reason phrase or a value holds another status line.
+
+    A late reply may be cut off in its head, with the next one behind it.
+    """
+    if _JOINED_HEAD.search(text):
+        raise InvalidReplyError('a head within a head')
+
+
+def _check_framing(lengths, encodings, is_chunkable):
+    """Raise unless the end of the body is stated once, or not at all."""
+    if len(lengths) + len(encodings) > 1:
+        raise InvalidReplyError('the length is stated more than once')
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        raise InvalidReplyError(f'invalid length: {lengths[0][:40]!r}')
+    if not encodings:
+        return
+    if encodings[0].lower() != b'chunked' or not is_chunkable:
+        raise InvalidReplyError(f'unknown encoding: {encodings[0][:40]!r}')
