Reuse no connection on which data followed a reply

The next caller on the connection could get what is left of a late reply.

Cause: each reply has a read buffer of its own. What the buffer holds behind the reply is lost when it is closed, so a poll of the socket does not show it, and the next reply begins in the middle of the late one.

Now closing a reply notes whether data follow it, in the buffer or the socket, and such a connection is not put back in the pool.

On the code before, test_connection_with_data_behind_a_reply_is_not_reused fails for 1, 20 and 77 bytes: the same connection is handed out again.

--- a/catkinshunt/httpio/_client.py
+++ b/catkinshunt/httpio/_client.py
@@ -11,10 +11,13 @@
 
 from catkinshunt import errors
 from catkinshunt.httpio import _response
+from catkinshunt import logs
 
 DEFAULT_TIMEOUT_S = 10.0
 MAX_IDLE_PER_PEER = 64
 
+_log = logs.get_logger('http')
+
 
 @attrs.frozen
 class Address:
@@ -60,14 +63,24 @@
 
 
 class _Connection(http.client.HTTPConnection):
-    """A connection with TCP_NODELAY; small messages are not delayed."""
+    """A connection with TCP_NODELAY; small messages are not delayed.
+
+    Attributes:
+        last_response: `_response.StrictResponse` to the last request, or None.
+    """
 
     response_class = _response.StrictResponse
+    last_response = None
 
     def connect(self):
         super().connect()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def getresponse(self):
+        """See `http.client.HTTPConnection`."""
+        self.last_response = super().getresponse()
+        return self.last_response
+
 
 class ConnectionPool:
     """Pools idle connections by peer.
@@ -116,6 +129,14 @@
         """Return `conn`, whose reply was read completely, to the pool."""
         if conn.sock is None:
             return
+        last = conn.last_response
+        if last is not None and last.has_excess:
+            _log.warning(
+                '{} sent data behind a reply; its connection is closed.',
+                address,
+            )
+            conn.close()
+            return
         with self._lock:
             if len(self._idle[address]) < MAX_IDLE_PER_PEER:
                 self._idle[address].append(conn)
--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -9,6 +9,8 @@
 import io
 import re
 
+from catkinshunt import logs
+
 #: Longest head of a reply, and longest trailer.
 MAX_HEAD_BYTES = 64 * 1024
 #: Most interim (1xx) heads before a reply.
@@ -23,6 +25,7 @@
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _BLANK_LINES = (b'\r\n', b'\n')
 _CRLF = b'\r\n'
+_log = logs.get_logger('http')
 
 
 class InvalidReplyError(http.client.HTTPException):
@@ -40,7 +43,7 @@
 
     def __init__(self, sock, *args, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self.fp = _Reader(self.fp.detach())
+        self._reader = self.fp = _Reader(self.fp.detach(), sock)
 
     @property
     def is_delimited(self):
@@ -51,6 +54,11 @@
         """
         return self.chunked or self.length is not None
 
+    @property
+    def has_excess(self):
+        """Whether data followed the reply, up to the time it was closed."""
+        return self._reader.has_excess
+
     def begin(self):
         """Read the head.
 
@@ -106,7 +114,17 @@
 
 
 class _Reader(io.BufferedReader):
-    """Reads lines up to their end only."""
+    """Reads lines up to their end only, and notes data that are left over.
+
+    Args:
+        raw: see `io.BufferedReader`.
+        sock: the socket that `raw` reads from.
+    """
+
+    def __init__(self, raw, sock):
+        super().__init__(raw)
+        self.sock = sock
+        self.has_excess = False
 
     def readline(self, size=-1):
         """Return a line.
@@ -122,6 +140,24 @@
             raise InvalidReplyError(f'a line is longer than {size} bytes')
         raise http.client.IncompleteRead(line)
 
+    def close(self):
+        """Close it; data that were received are lost with its buffer."""
+        if not self.closed:
+            self.has_excess = self._has_data()
+        super().close()
+
+    def _has_data(self):
+        try:
+            timeout_s = self.sock.gettimeout()
+            self.sock.settimeout(0)
+            try:
+                return bool(self.peek(1))
+            finally:
+                self.sock.settimeout(timeout_s)
+        except (OSError, ValueError) as exc:
+            _log.debug('A connection ended before its reply: {!r}.', exc)
+            return True
+
 
 def _read_lines(reader):
     """Return the lines of a head or trailer, with its blank line."""
--- a/catkinshunt/httpio/tests/test_response.py
+++ b/catkinshunt/httpio/tests/test_response.py
@@ -127,6 +127,30 @@
     assert read(interim + HEAD + b'whole') == (200, b'whole')
 
 
+@pytest.mark.parametrize('count', [1, 20, len(HEAD)])
+def test_connection_with_data_behind_a_reply_is_not_reused(count):
+    """They are lost with the buffer; the rest would begin the next reply."""
+    with connected() as (pool, address, conn, peer):
+        conn.request('GET', '/')
+        peer.recv(65536)
+        peer.sendall(HEAD + b'whole' + HEAD[:count])
+        assert conn.getresponse().read() == b'whole'
+        pool.release(address, conn)
+        assert pool.acquire(address)[0] is not conn
+
+
+def test_connection_is_reused_after_a_whole_reply():
+    """Each request would cost a connection."""
+    with connected() as (pool, address, conn, peer):
+        for _ in range(2):
+            conn.request('GET', '/')
+            peer.recv(65536)
+            peer.sendall(HEAD + b'whole')
+            assert conn.getresponse().read() == b'whole'
+            pool.release(address, conn)
+            assert pool.acquire(address) == (conn, True)
+
+
 def test_call_with_a_cut_reply_is_unknown():
     """A part of a head counted as the confirmation of an order or a write."""
     for cut in range(len(HEAD) + len(b'whole')):
