Read no reply without a length where it could be cut unseen

An entry passed on a part of a sidecar's body framed as whole; a part of a value of the key-value service, or of a manifest, could be read as the whole.

Cause: a body without length or chunks ends with its connection. If that is cut, it looks the same.

Now the entry, the transfers of weights and the reads of the key-value client require a length or chunks. Our own servers always state one; the stand-in of the key-value service too. Status and JSON calls keep taking such a body: a cut JSON object is no JSON. The sidecar keeps it from its upstream, as an upstream may end its answer with its connection (RFC 9112, 6.3): an orderly end is the end, a reset is not.

--- a/catkinshunt/entry/_relay.py
+++ b/catkinshunt/entry/_relay.py
@@ -165,6 +165,7 @@
             ) from exc
         open_resp = OpenResponse(address, conn, resp, sock)
         self._check_exchange_id(open_resp, exchange_id)
+        self._check_delimited(open_resp)
         if self.config_replica is not None:
             self.config_replica.observe_revision(
                 resp.getheader(headers.REVISION), now
@@ -252,6 +253,20 @@
             peer=str(open_resp.address),
         )
 
+    def _check_delimited(self, open_resp):
+        """Reject a response that could be cut off unseen.
+
+        Sidecars state a length or send chunks.
+        """
+        if open_resp.resp.is_delimited:
+            return
+        open_resp.close()
+        raise errors.OutcomeUnknownError(
+            'response without a length',
+            step='exchange',
+            peer=str(open_resp.address),
+        )
+
     def _check_error(self, open_resp):
         """Raise an error of the sidecar; upstream errors are relayed."""
         if open_resp.resp.getheader(headers.ERROR) is None:
--- a/catkinshunt/entry/tests/test_upstream_failures.py
+++ b/catkinshunt/entry/tests/test_upstream_failures.py
@@ -123,6 +123,23 @@
         assert harness.error_of(reply)['ran'] == 'unknown'
 
 
+def test_reply_of_a_sidecar_that_may_be_cut_off_is_not_relayed():
+    """Callers would get a part of a body, framed as whole."""
+
+    def answer(request):
+        name = headers.EXCHANGE_ID.encode() + b': '
+        line = request[request.index(name) :].partition(b'\r\n')[0]
+        return b'HTTP/1.1 200 OK\r\n' + line + b'\r\n\r\npart'
+
+    with harness.Harness(desk={}) as deployment:
+        server = harness.ScriptedUpstream(answer)
+        deployment.callback(server.close)
+        deployment.directory.add('a', 'desk', server.address)
+        reply = deployment.send('/desk/stock')
+        assert reply.status == 502
+        assert harness.error_of(reply)['ran'] == 'unknown'
+
+
 def test_late_bytes_on_an_idle_connection_are_not_an_answer():
     """An upstream sends a second, late response after the first was read.
 
--- a/catkinshunt/httpio/_client.py
+++ b/catkinshunt/httpio/_client.py
@@ -55,11 +55,14 @@
         status: HTTP status code.
         headers: message headers with case-insensitive lookup.
         body: the complete body.
+        is_delimited: whether the body has a length or chunks; if not, it may
+            have been cut off.
     """
 
     status: int
     headers: object
     body: bytes
+    is_delimited: bool = True
 
 
 class _Connection(http.client.HTTPConnection):
@@ -180,7 +183,8 @@
         try:
             conn.request(method, path, body, headers or {})
             resp = conn.getresponse()
-            return Reply(resp.status, resp.headers, resp.read())
+            body = resp.read()
+            return Reply(resp.status, resp.headers, body, resp.is_delimited)
         except (OSError, http.client.HTTPException) as exc:
             raise errors.OutcomeUnknownError(
                 f'incomplete reply: {exc!r}',
--- a/catkinshunt/kvstore/_http.py
+++ b/catkinshunt/kvstore/_http.py
@@ -116,7 +116,13 @@
 
 
 def _read_entry(reply):
-    return kv_base.Entry(reply.body, _read_revision(reply, errors.StoreError))
+    revision = _read_revision(reply, errors.StoreError)
+    if not reply.is_delimited:
+        raise errors.StoreError(
+            'the value ended with its connection and may be cut',
+            step='read-reply',
+        )
+    return kv_base.Entry(reply.body, revision)
 
 
 def _read_revision(reply, error_class):
--- a/catkinshunt/kvstore/tests/test_http.py
+++ b/catkinshunt/kvstore/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkinshunt.entry.tests import harness
 from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt import kvstore
@@ -79,3 +80,16 @@
             store.watch('rules', 0, 1)
         with pytest.raises((errors.StoreUnknownError, errors.ConflictError)):
             store.put('rules', b'a', 0)
+
+
+@pytest.mark.parametrize('text', [b'', b'{"rules": [', b'{"rules": []}'])
+def test_value_that_may_be_cut_off_is_not_read(text):
+    """The begin of a document would be taken for the document."""
+    reply = b'HTTP/1.0 200 OK\r\nRevision: 7\r\n\r\n' + text
+    service = harness.ScriptedUpstream(reply)
+    store = kvstore.HttpKeyValueStore(service.address)
+    with pytest.raises(errors.StoreError):
+        store.get('rules')
+    with pytest.raises(errors.StoreError):
+        store.watch('rules', 0, 0.1)
+    service.close()
--- a/catkinshunt/weights/_sources.py
+++ b/catkinshunt/weights/_sources.py
@@ -187,6 +187,10 @@
     try:
         conn.request('GET', path, headers=fields)
         resp = conn.getresponse()
+        if not resp.is_delimited:
+            raise errors.TransferError(
+                'reply without a length', step=step, peer=str(address)
+            )
         yield resp
         read_whole = resp.isclosed()
     except _FAILURES as exc:
