Test that an upstream that stops in its head gives no success

Through an entry and a sidecar, which pass on what their own readers take.

The scripted upstream of the harness can reset its connection for it.

--- a/catkinshunt/entry/tests/harness.py
+++ b/catkinshunt/entry/tests/harness.py
@@ -4,7 +4,9 @@
 import http.client
 import json
 import socket
+import struct
 import threading
+import time
 
 from catkinshunt import configuration
 from catkinshunt import entry
@@ -78,10 +80,15 @@
 
     Args:
         reply: the response bytes, or a function from a request to them.
+
+    Attributes:
+        reset_after_s: seconds after which the connection is reset instead;
+            None to close it at once.
     """
 
     def __init__(self, reply):
         self.reply = reply
+        self.reset_after_s = None
         self.requests = []
         self._sock = socket.create_server(('127.0.0.1', 0))
         self.address = httpio.Address(*self._sock.getsockname())
@@ -102,6 +109,12 @@
                 self.requests.append(request)
                 reply = self.reply
                 conn.sendall(reply(request) if callable(reply) else reply)
+                if self.reset_after_s is not None:
+                    time.sleep(self.reset_after_s)
+                    linger = struct.pack('ii', 1, 0)
+                    conn.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
 
     def close(self):
         """Accept no more connections."""
--- a/catkinshunt/entry/tests/test_upstream_failures.py
+++ b/catkinshunt/entry/tests/test_upstream_failures.py
@@ -7,6 +7,7 @@
 import pytest
 
 from catkinshunt.entry.tests import harness
+from catkinshunt import errors
 from catkinshunt import httpio
 from catkinshunt.httpio import headers
 from standins import engine
@@ -97,6 +98,34 @@
         assert harness.error_of(reply)['ran'] in ('yes', 'unknown')
 
 
+def test_upstream_that_stops_in_its_head_gives_no_success():
+    """Clients got a 200 with an empty or short body, framed as whole."""
+    whole = (
+        b'HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\n'
+        b'Content-Length: 5\r\n\r\nwhole'
+    )
+    found = {}
+    for cut in range(len(whole), -1, -5):
+        # An upstream that failed is not asked again for a while.
+        with harness.Harness(desk={}) as alone:
+            alone.scripted('a', 'desk', whole[:cut])
+            reply = alone.send('/desk/bookings', {'order': 1})
+            found[cut] = (reply.status, reply.body[:5])
+    assert found.pop(len(whole)) == (201, b'whole')
+    assert set(found.values()) == {(502, b'{"err')}
+
+
+def test_body_that_ends_with_a_reset_is_not_whole(deployment):
+    """A body may end with its connection, but not with a reset of it."""
+    reply = b'HTTP/1.1 201 Created\r\n\r\nwhole'
+    upstream = deployment.scripted('a', 'desk', reply)
+    reply = deployment.send('/desk/bookings', {'order': 1})
+    assert (reply.status, reply.body) == (201, b'whole')
+    upstream.reset_after_s = 0.3
+    with pytest.raises(errors.OutcomeUnknownError):
+        deployment.send('/desk/bookings', {'order': 1})
+
+
 def test_reply_to_another_exchange_is_rejected():
     """An intermediary confuses two responses.
 
