Send each request to an upstream on a connection of its own

A caller of the first interface could get the answer to the request of another caller.

Cause: responses of an upstream do not name their request, and the sidecar kept its connections to it. A whole second response that arrives after the next request was sent cannot be told from the awaited one: there is no identity, and its time tells nothing.

Now a sidecar opens a connection for each request. It is one to its own machine. The retry on a closed idle connection goes with it: what is left of it is an unknown outcome, as for any new connection.

On the code before:

test_second_answer_to_a_request_is_not_that_to_the_next_one: assert [[b'1'], [b'1'], ..., [b'3'], [b'5']] == [[b'1'], [b'2'], ..., [b'4'], [b'5']]

Tests of sidecar and entry pass.

--- a/catkinshunt/sidecar/_forward.py
+++ b/catkinshunt/sidecar/_forward.py
@@ -79,20 +79,20 @@
         finally:
             self.admission.finish(ticket, time.monotonic())
 
-    def connect(self, timeout_s, fresh):
-        """Return a connection to the upstream, and whether it is reused.
+    def connect(self, timeout_s):
+        """Return a new connection to the upstream.
+
+        Responses of an upstream do not name their request. On a connection
+        that carried an earlier one, a late second response to that could not
+        be told from the awaited one.
 
         Args:
             timeout_s: timeout of each socket operation.
-            fresh: return a new connection. The upstream may close an idle one
-                at any time, and whether a request lost on it ran is unknown.
 
         Raises:
             errors.RefusedError: connection failed; the request did not run.
         """
-        conn, reused = self._pool.acquire(self._upstream, timeout_s, fresh)
-        if reused:
-            return conn, True
+        conn, _ = self._pool.acquire(self._upstream, timeout_s, fresh=True)
         try:
             conn.connect()
         except OSError as exc:
@@ -102,11 +102,7 @@
                 peer=str(self._upstream),
                 retry_after_s=RETRY_AFTER_S,
             ) from exc
-        return conn, False
-
-    def release(self, conn):
-        """Return a connection to the pool after a complete exchange."""
-        self._pool.release(self._upstream, conn)
+        return conn
 
     def cancel(self, engine_request_id):
         """Cancel a request at the engine."""
@@ -138,19 +134,19 @@
 
     def open(self):
         """Send the request; return the response with its body unread."""
-        conn, sock, resp = self._send(fresh=bool(self.req.attempt_id))
+        conn, sock, resp = self._send()
         self.forwarder.status.observe(
             resp.status, resp.getheader, time.monotonic()
         )
         self._check_version(conn, resp)
         return self._respond(conn, sock, resp)
 
-    def _send(self, fresh):
+    def _send(self):
         header_timeout_s = max(0.001, self.req.deadline - time.monotonic())
         if self._is_generate:
             # A frozen engine would occupy the slot until the deadline.
             header_timeout_s = min(header_timeout_s, _STALL_TIMEOUT_S)
-        conn, reused = self.forwarder.connect(header_timeout_s, fresh)
+        conn = self.forwarder.connect(header_timeout_s)
         self._check_deadline(conn)
         try:
             conn.request(
@@ -164,11 +160,8 @@
             sock = conn.sock
             return conn, sock, conn.getresponse()
         except ConnectionError as exc:
+            # The engine drops a request whose connection ended.
             conn.close()
-            if reused:
-                # The upstream closed the idle connection; only requests that
-                # may safely run twice use one.
-                return self._send(fresh=True)
             raise self._outcome_unknown(exc) from exc
         except (OSError, http.client.HTTPException) as exc:
             self._abort(conn)
@@ -267,7 +260,7 @@
         finally:
             resp.close()
             if complete:
-                self.forwarder.release(conn)
+                conn.close()
             else:
                 self._abort(conn)
         if not complete:
--- a/catkinshunt/sidecar/tests/test_forward.py
+++ b/catkinshunt/sidecar/tests/test_forward.py
@@ -1,6 +1,8 @@
 """Tests of forwarding an admitted request."""
 
 import io
+import socket
+import threading
 import time
 
 import attrs
@@ -8,6 +10,7 @@
 
 from catkinshunt.entry.tests import harness
 from catkinshunt import errors
+from catkinshunt import httpio
 from catkinshunt import limits
 from catkinshunt import settings
 from catkinshunt.sidecar import _forward
@@ -123,3 +126,53 @@
             assert forwarder.forward(request()).body == [b'{}']
     finally:
         kept.close()
+
+
+class RepeatingUpstream:
+    """Answers each request on a connection, after its last answer once more.
+
+    Replies hold the number of their request.
+    """
+
+    def __init__(self):
+        self._sock = socket.create_server(('127.0.0.1', 0))
+        self.address = httpio.Address(*self._sock.getsockname())
+        self._count = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                conn, _ = self._sock.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(conn,), daemon=True
+            ).start()
+
+    def _serve(self, conn):
+        last = b''
+        with conn:
+            while conn.recv(65536):
+                self._count += 1
+                text = b'%d' % self._count
+                head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+                reply = head % len(text) + text
+                conn.sendall(last + reply)
+                last = reply
+
+    def close(self):
+        """Accept no more connections."""
+        self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+
+def test_second_answer_to_a_request_is_not_that_to_the_next_one():
+    """A caller would get the answer to the request of another caller."""
+    repeating = RepeatingUpstream()
+    try:
+        forwarder = make(repeating, is_engine=False)
+        bodies = [forwarder.forward(request()).body for _ in range(5)]
+    finally:
+        repeating.close()
+    assert bodies == [[b'1'], [b'2'], [b'3'], [b'4'], [b'5']]
