--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -92,29 +92,33 @@
                 return b''.join(lines)
         raise InvalidReplyError('too many interim heads')
 
-    # `http.client` checks neither what it takes for the end of a chunk nor
-    # the digits of a size, and its trailer has no bound.
-
     def _get_chunk_left(self):
-        if self.chunk_left == 0:
-            if self._safe_read(len(_CRLF)) != _CRLF:
-                raise InvalidReplyError('a chunk is longer than its size')
-            self.chunk_left = None
-        return super()._get_chunk_left()
+        """Return what is left of the present or the next chunk, or None.
 
-    def _read_next_chunk_size(self):
+        Replaces the method of `http.client`, which checks neither what it
+        takes for the end of a chunk nor the digits of a size, and whose
+        trailer has no bound.
+        """
+        left = self.chunk_left
+        if left:
+            return left
+        if left == 0 and self.fp.read(len(_CRLF)) != _CRLF:
+            raise InvalidReplyError('a chunk does not end at its size')
         match = _CHUNK_SIZE.fullmatch(self.fp.readline(MAX_HEAD_BYTES))
         if match is None:
             raise InvalidReplyError('invalid chunk size')
-        return int(match[1], 16)
-
-    def _read_and_discard_trailer(self):
-        for line in _read_lines(self.fp)[:-1]:
-            _check_field(line)
+        left = int(match[1], 16)
+        if left == 0:
+            for line in _read_lines(self.fp)[:-1]:
+                _check_field(line)
+            self._close_conn()
+            left = None
+        self.chunk_left = left
+        return left
 
 
 class _Reader(io.BufferedReader):
-    """Reads lines up to their end only, and notes data that are left over.
+    """Notes when it is closed whether data are left over.
 
     Args:
         raw: see `io.BufferedReader`.
@@ -126,20 +130,6 @@
         self.sock = sock
         self.has_excess = False
 
-    def readline(self, size=-1):
-        """Return a line.
-
-        Raises:
-            http.client.IncompleteRead: the connection ended in or before it.
-            InvalidReplyError: it is longer than `size`.
-        """
-        line = super().readline(size)
-        if line.endswith(b'\n'):
-            return line
-        if len(line) == size:
-            raise InvalidReplyError(f'a line is longer than {size} bytes')
-        raise http.client.IncompleteRead(line)
-
     def close(self):
         """Close it; data that were received are lost with its buffer."""
         if not self.closed:
@@ -160,18 +150,23 @@
 
 
 def _read_lines(reader):
-    """Return the lines of a head or trailer, with its blank line."""
+    """Return the lines of a head or trailer, with its blank line.
+
+    Raises:
+        InvalidReplyError: it is longer than `MAX_HEAD_BYTES`.
+        http.client.IncompleteRead: the connection ended in it.
+    """
     lines = []
     left = MAX_HEAD_BYTES
-    while True:
-        lines.append(reader.readline(left))
-        if lines[-1] in _BLANK_LINES:
+    while left > 0:
+        line = reader.readline(left)
+        lines.append(line)
+        if line in _BLANK_LINES:
             return lines
-        left -= len(lines[-1])
-        if left <= 0:
-            raise InvalidReplyError(
-                f'a head is longer than {MAX_HEAD_BYTES} bytes'
-            )
+        left -= len(line)
+        if left > 0 and not line.endswith(b'\n'):
+            raise http.client.IncompleteRead(line)
+    raise InvalidReplyError(f'a head is longer than {MAX_HEAD_BYTES} bytes')
 
 
 def _check_head(lines):
