Take no second answer of the store for that to the next call

A store that answers a call twice, the second time late, could make a process believe that there are no upstreams, that a lease it holds is another one, that a write or a renewal succeeded which was refused, or move a watch past changes, which were then never seen.

Cause: an answer does not name its call, and `http1.exchange` returned what came first on a kept connection.

Now `http1.exchange` can send a request as the only one on its connection, and the store client does so for each read, transaction and lease call. Watches keep their connections, but only watches of one prefix share them, and their answers are checked: keys below the prefix, changes after the requested revision, and a revision that is not lower. An earlier answer to a watch of the same prefix has no later change, and its revision is the requested one at most, so it can delay a change by one call and never hide it.

Calls other than watches are seldom closer than the time for which an idle connection is reused, but the pages of one read now take a round trip more each.

--- a/catkinshunt/http1/_pool.py
+++ b/catkinshunt/http1/_pool.py
@@ -142,9 +142,16 @@
         return conn
 
 
-async def exchange(pool, method, target, items=(), body=b'', timeout_s=1.0):
+async def exchange(
+    pool, method, target, items=(), body=b'', timeout_s=1.0, fresh=False
+):
     """Send one request and return its (`ReplyHead`, body).
 
+    Replies do not name their request. On a kept connection, a late second
+    reply to an earlier request may be returned. Callers check that the reply
+    fits the request, or set `fresh`: the request is then the only one on its
+    connection.
+
     `timeout_s` bounds the wait for each part of the reply, not the whole
     exchange, since a large reply may take longer. A configuration of 1,480
     routes takes over two seconds when five instances read it over one link;
@@ -155,7 +162,7 @@
         errors.RefusedError: the connection could not be opened.
         errors.OutcomeUnknownError: the reply was lost or timed out.
     """
-    conn = await pool.acquire()
+    conn = await pool.acquire(fresh=fresh)
     head = _request_head(pool, method, target, items, body)
     try:
         conn.send(head, body)
@@ -168,7 +175,10 @@
     except BaseException:
         conn.close()
         raise
-    pool.release(conn)
+    if fresh:
+        conn.close()
+    else:
+        pool.release(conn)
     return reply
 
 
--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -58,7 +58,15 @@
         self.metrics = metrics
         self.eras = eras or _era.EraMonitor()
         self.boottime = boottime or clock
-        self._pool = http1.Pool(host, port, clock, connect_s=CALL_TIMEOUT_S)
+        self._make_pool = lambda: http1.Pool(
+            host, port, clock, connect_s=CALL_TIMEOUT_S
+        )
+        # An answer does not show which call it is for: not which change was
+        # made, nor which keys do not exist. So each call has a connection of
+        # its own. Only watches of one prefix share connections, as an earlier
+        # answer to one of them cannot move the next one past a change.
+        self._pool = self._make_pool()
+        self._watch_pools = {}
 
     async def read_prefix(self, prefix):
         """Return all items below `prefix` as one `Page`.
@@ -93,7 +101,10 @@
             if after is not None:
                 query['after'] = after
             page = _parse_page(
-                *await self._query('read', '/-/kv-range', query), 'entries'
+                *await self._send(
+                    'read', 'GET', _target('/-/kv-range', query)
+                ),
+                'entries',
             )
             if revision is None:
                 revision = page.revision
@@ -120,12 +131,14 @@
             'after': after.number,
             'wait_ms': round(wait_s * _MS),
         }
+        pool = self._watch_pools.setdefault(prefix, self._make_pool())
         try:
-            document, era = await self._query(
+            document, era = await self._send(
                 'watch',
-                '/-/kv-watch',
-                query,
+                'GET',
+                _target('/-/kv-watch', query),
                 timeout_s=wait_s + CALL_TIMEOUT_S,
+                watch_pool=pool,
             )
         except watch_relay.HistoryGoneError:
             self._check_era(after)
@@ -133,7 +146,13 @@
         self._check_era(after)
         if era < after.era:
             raise self._stale_error('watch', era, after.era)
-        return _parse_page(document, era, 'events')
+        page = _parse_page(document, era, 'events')
+        try:
+            watch_relay.check_changes(page, prefix, after)
+        except errors.StoreUnavailableError as exc:
+            pool.limit_to_single_use(exc.message)
+            raise
+        return page
 
     def _check_era(self, after):
         """Raise an error if a revision is of an older era.
@@ -225,10 +244,6 @@
         items = [('Content-Type', 'application/json')] if body else []
         return await self._send(kind, method, path, items, body)
 
-    async def _query(self, kind, path, query, timeout_s=CALL_TIMEOUT_S):
-        target = f'{path}?{urllib.parse.urlencode(query)}'
-        return await self._send(kind, 'GET', target, timeout_s=timeout_s)
-
     async def _send(
         self,
         kind,
@@ -237,15 +252,23 @@
         items=(),
         body=b'',
         timeout_s=CALL_TIMEOUT_S,
+        watch_pool=None,
     ):
+        pool = watch_pool or self._pool
         result = 'lost'
         try:
             head, reply = await http1.exchange(
-                self._pool, method, target, items, body, timeout_s
+                pool,
+                method,
+                target,
+                items,
+                body,
+                timeout_s,
+                fresh=watch_pool is None,
             )
             result = str(head.status)
         except errors.RequestError as exc:
-            self._pool.close_idle()
+            pool.close_idle()
             # A refused call had no effect; otherwise that is unknown.
             refused = isinstance(exc, errors.RefusedError)
             error = (
@@ -307,6 +330,10 @@
         )
 
 
+def _target(path, query):
+    return f'{path}?{urllib.parse.urlencode(query)}'
+
+
 def _parse_object(body, kind):
     try:
         document = checks.load_json(body)
--- a/catkinshunt/watch_relay/__init__.py
+++ b/catkinshunt/watch_relay/__init__.py
@@ -15,6 +15,7 @@
 from catkinshunt.watch_relay._server import WatchRelayServer
 from catkinshunt.watch_relay._watch_cache import WatchCache
 from catkinshunt.watch_relay.base import BaseWatchSource
+from catkinshunt.watch_relay.base import check_changes
 from catkinshunt.watch_relay.base import Item
 from catkinshunt.watch_relay.base import latest
 from catkinshunt.watch_relay.base import Page
@@ -32,6 +33,7 @@
     'Revision',
     'WatchCache',
     'WatchRelayServer',
+    'check_changes',
     'latest',
     'load',
 ]
--- a/catkinshunt/watch_relay/base.py
+++ b/catkinshunt/watch_relay/base.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from catkinshunt import errors
+
 
 @attrs.frozen(order=True)
 class Revision:
@@ -72,6 +74,34 @@
     return max((time for time in times if time is not None), default=None)
 
 
+def check_changes(page, prefix, after):
+    """Check that a page may be the answer to a watch.
+
+    Args:
+        page: the `Page`.
+        prefix: prefix of the keys that are watched.
+        after: the `Revision` after which changes were requested.
+
+    Raises:
+        errors.StoreUnavailableError: it is the answer to another call.
+    """
+    found = next(
+        (
+            f'{item.key} at revision {item.revision}'
+            for item in page.items
+            if item.revision <= after or not item.key.startswith(prefix)
+        ),
+        None,
+    )
+    if found is None and page.revision < after:
+        found = f'revision {page.revision}'
+    if found is not None:
+        raise errors.StoreUnavailableError(
+            f'{found} was returned as a change of {prefix!r} after {after}',
+            step='watch',
+        )
+
+
 class BaseWatchSource(abc.ABC):
     """Source of the key-value service's items and their changes.
 
