Take no second answer of an engine for that to an order

An engine that answers a call twice, the second time late, could make its sidecar believe that an order was accepted which was rejected, that chunks are staged for a model that are those of another, or that the engine is still as it was before an order.

Cause: an answer does not name its call, and calls to an engine share kept connections.

Now an order and the list of staged chunks are each the only call on their connection, both rare; new connections hold a slot of the engine for a moment. After an order the kept connections are closed, so no report of before it can come afterwards. The other calls keep their connections, as a wrong answer is found otherwise: only a report parses as a report, and an earlier one is at most one call older; chunks are compared byte by byte; a chunk that was not staged is found by the comparison before the order.

On the code before:

test_order_is_not_accepted_by_an_earlier_answer: DID NOT RAISE OrderError test_list_of_staged_chunks_is_that_of_its_model: assert [1, 2] == []

test_report_after_an_order_is_not_one_of_before passes there, as the order takes the late report; it fails if kept connections stay open after an order:

assert (False, False) == (False, True)

Tests of spread, and of the engine and the sidecar of the platform, pass.

--- a/catkinshunt/platform/_engine.py
+++ b/catkinshunt/platform/_engine.py
@@ -45,10 +45,19 @@
         self._backs_off_until = -math.inf
 
     async def call(
-        self, method, path, query=None, body=b'', timeout_s=ENGINE_TIMEOUT_S
+        self,
+        method,
+        path,
+        query=None,
+        body=b'',
+        timeout_s=ENGINE_TIMEOUT_S,
+        fresh=False,
     ):
         """Return the (`http1.ReplyHead`, body) of one call.
 
+        A new connection holds a slot of an engine for a moment, so only calls
+        whose answers cannot be checked are `fresh`, see `http1.exchange`.
+
         Raises:
             BackOffError: the server wants no calls now.
             errors.TransferError: no answer arrived.
@@ -62,7 +71,7 @@
         )
         try:
             head, reply = await http1.exchange(
-                self.pool, method, target, items, body, timeout_s
+                self.pool, method, target, items, body, timeout_s, fresh
             )
         except errors.RequestError as exc:
             raise errors.TransferError(
@@ -138,7 +147,9 @@
 
     async def list_staged(self, model):
         """See `base.BaseEngine.list_staged`."""
-        head, body = await self._server.call('GET', f'/-/stage-get/{model}')
+        head, body = await self._server.call(
+            'GET', f'/-/stage-get/{model}', fresh=True
+        )
         if head.status == 404:
             return []
         try:
@@ -156,7 +167,10 @@
         }
         try:
             head, body = await self._server.call(
-                'POST', '/-/order', body=json.dumps(order).encode()
+                'POST',
+                '/-/order',
+                body=json.dumps(order).encode(),
+                fresh=True,
             )
         except BackOffError:
             raise
@@ -166,6 +180,10 @@
             raise base.LoadOutcomeUnknownError(
                 exc.message, step='load'
             ) from exc
+        finally:
+            # A late answer to a report of before could be taken for that to
+            # one of after.
+            self._server.pool.close_idle()
         if head.status not in (200, 202):
             raise errors.OrderError(
                 f'the engine answered {head.status}: {body[:100]!r}',
--- a/catkinshunt/platform/tests/test_second_answers.py
+++ b/catkinshunt/platform/tests/test_second_answers.py
@@ -10,6 +10,7 @@
 from catkinshunt import errors
 from catkinshunt.http1.tests import repeating
 from catkinshunt import platform
+from catkinshunt.platform import _engine
 from catkinshunt.platform import _store
 
 VALUE = base64.b64encode(b'x').decode()
@@ -35,6 +36,16 @@
     return call(answer, inside)
 
 
+def call_engine(answer, main):
+    """Return the result of `main`, called with a client of the engine."""
+
+    async def inside(address):
+        clock = asyncio.get_running_loop().time
+        return await main(_engine.PlatformEngine(address, clock, clock))
+
+    return call(answer, inside)
+
+
 def query(target):
     """Return the path and the query of a target."""
     parts = urllib.parse.urlsplit(target)
@@ -150,3 +161,45 @@
             await client.watch('servers/', platform.Revision(0, 4), 0.1)
 
     call_store(answer, main)
+
+
+def test_order_is_not_accepted_by_an_earlier_answer():
+    """A load counted as begun that the engine had rejected."""
+    answer = answering((202, b''), (409, b''))
+
+    async def main(engine):
+        await engine.load('drafts', 1)
+        with pytest.raises(errors.OrderError):
+            await engine.load('drafts', 2)
+
+    call_engine(answer, main)
+
+
+def test_list_of_staged_chunks_is_that_of_its_model():
+    """The chunks of one model counted as staged for another."""
+
+    def answer(method, target):
+        return document(held=[1, 2] if 'drafts' in target else [])
+
+    async def main(engine):
+        await engine.list_staged('drafts')
+        return await engine.list_staged('pages')
+
+    assert call_engine(answer, main) == []
+
+
+def test_report_after_an_order_is_not_one_of_before():
+    """The engine counted as idle, and got its order again."""
+    model = {'name': 'drafts', 'version': 1, 'adapters': []}
+    answer = answering(
+        document(models=[model], busy=False),
+        (202, b''),
+        document(models=[model], busy=True),
+    )
+
+    async def main(engine):
+        before = await engine.report()
+        await engine.load('drafts', 2)
+        return before.is_loading, (await engine.report()).is_loading
+
+    assert call_engine(answer, main) == (False, True)
