Take no second answer of the origin for that to another version

An origin that answers a call twice, the second time late, could make a sidecar give up a version that the origin still has (410), or take an older version for the newest one.

Cause: an answer does not name its call, and calls to the origin share kept connections.

Now the query for the newest version is the only one on its connection, and a 410 counts only if the answer to such a call repeats it. A manifest has to be that of the model, as it has to be that of the version; chunks are checked against their digests.

On the code before:

test_newest_version_is_not_that_of_an_earlier_answer: assert 1 == 2 test_manifest_of_another_model_is_not_taken: DID NOT RAISE ManifestError test_version_is_not_withdrawn_by_an_earlier_answer: VersionWithdrawnError: the origin no longer has the version

Tests of the engine, the origin and the sidecar of the platform pass.

--- a/catkinshunt/platform/_engine.py
+++ b/catkinshunt/platform/_engine.py
@@ -220,7 +220,7 @@
 
     async def newest_version(self, model):
         """See `base.BaseOrigin.newest_version`."""
-        body = await self._get(f'/-/manifest/{model}')
+        body = await self._get(f'/-/manifest/{model}', fresh=True)
         return int(_parse_manifest(body, model).version)
 
     async def chunk(self, model, version, index):
@@ -234,11 +234,14 @@
         if self._server is not None:
             self._server.pool.close_idle()
 
-    async def _get(self, path, query=None):
+    async def _get(self, path, query=None, fresh=False):
         server = await self._get_server()
         head, body = await server.call(
-            'GET', path, query, timeout_s=ORIGIN_TIMEOUT_S
+            'GET', path, query, timeout_s=ORIGIN_TIMEOUT_S, fresh=fresh
         )
+        if head.status == 410 and not fresh:
+            # It may be an earlier answer, about another version.
+            return await self._get(path, query, fresh=True)
         if head.status == 410:
             raise errors.VersionWithdrawnError(
                 'the origin no longer has the version', step=path
@@ -281,6 +284,8 @@
         raise _documents.InvalidDocumentError(
             'the manifest has no version or no digests'
         )
+    if document.get('model', model) != model:
+        raise _documents.InvalidDocumentError('it is that of another model')
     if not isinstance(size, int) or size <= 0:
         raise _documents.InvalidDocumentError(
             f'chunk_bytes is {size!r}, not a positive integer'
--- a/catkinshunt/platform/tests/test_second_answers.py
+++ b/catkinshunt/platform/tests/test_second_answers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from catkinshunt import catalog as catalogs
 from catkinshunt import errors
 from catkinshunt.http1.tests import repeating
 from catkinshunt import platform
@@ -46,6 +47,20 @@
     return call(answer, inside)
 
 
+def call_origin(answer, main):
+    """Return the result of `main`, called with a client of the origin."""
+
+    async def inside(address):
+        clock = asyncio.get_running_loop().time
+
+        async def get_origin():
+            return catalogs.Origin(address)
+
+        return await main(_engine.PlatformOrigin(get_origin, clock, clock))
+
+    return call(answer, inside)
+
+
 def query(target):
     """Return the path and the query of a target."""
     parts = urllib.parse.urlsplit(target)
@@ -203,3 +218,47 @@
         return before.is_loading, (await engine.report()).is_loading
 
     assert call_engine(answer, main) == (False, True)
+
+
+def manifest(model, version):
+    """Return an answer with a manifest."""
+    return document(
+        model=model, version=version, chunk_bytes=4, digests=['0' * 64]
+    )
+
+
+def test_newest_version_is_not_that_of_an_earlier_answer():
+    """An engine was brought to a version that is not the newest."""
+    answer = answering(manifest('drafts', 1), manifest('drafts', 2))
+
+    async def main(origin):
+        await origin.newest_version('drafts')
+        return await origin.newest_version('drafts')
+
+    assert call_origin(answer, main) == 2
+
+
+def test_manifest_of_another_model_is_not_taken():
+    """All chunks would be rejected by the digests of the other model."""
+    answer = answering(manifest('pages', 1))
+
+    async def main(origin):
+        with pytest.raises(errors.ManifestError):
+            await origin.manifest('drafts', 1)
+
+    call_origin(answer, main)
+
+
+def test_version_is_not_withdrawn_by_an_earlier_answer():
+    """The transfer of a version that the origin still has was given up."""
+
+    def answer(method, target):
+        version = query(target)[1]['version']
+        return (410, b'') if version == '1' else (200, b'data')
+
+    async def main(origin):
+        with pytest.raises(errors.VersionWithdrawnError):
+            await origin.chunk('drafts', 1, 0)
+        return await origin.chunk('drafts', 2, 0)
+
+    assert call_origin(answer, main) == b'data'
