--- a/catkinshunt/httpio/_client.py
+++ b/catkinshunt/httpio/_client.py
@@ -10,10 +10,14 @@
 import attrs
 
 from catkinshunt import errors
+from catkinshunt.httpio import _response
+from catkinshunt import logs
 
 DEFAULT_TIMEOUT_S = 10.0
 MAX_IDLE_PER_PEER = 64
 
+_log = logs.get_logger('http')
+
 
 @attrs.frozen
 class Address:
@@ -51,20 +55,35 @@
         status: HTTP status code.
         headers: message headers with case-insensitive lookup.
         body: the complete body.
+        is_delimited: whether the body has a length or chunks; if not, it may
+            have been cut off.
     """
 
     status: int
     headers: object
     body: bytes
+    is_delimited: bool = True
 
 
 class _Connection(http.client.HTTPConnection):
-    """A connection with TCP_NODELAY; small messages are not delayed."""
+    """A connection with TCP_NODELAY; small messages are not delayed.
+
+    Attributes:
+        last_response: `_response.StrictResponse` to the last request, or None.
+    """
+
+    response_class = _response.StrictResponse
+    last_response = None
 
     def connect(self):
         super().connect()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def getresponse(self):
+        """See `http.client.HTTPConnection`."""
+        self.last_response = super().getresponse()
+        return self.last_response
+
 
 class ConnectionPool:
     """Pools idle connections by peer.
@@ -113,6 +132,14 @@
         """Return `conn`, whose reply was read completely, to the pool."""
         if conn.sock is None:
             return
+        last = conn.last_response
+        if last is not None and last.has_excess:
+            _log.warning(
+                '{} sent data behind a reply; its connection is closed.',
+                address,
+            )
+            conn.close()
+            return
         with self._lock:
             if len(self._idle[address]) < MAX_IDLE_PER_PEER:
                 self._idle[address].append(conn)
@@ -156,7 +183,8 @@
         try:
             conn.request(method, path, body, headers or {})
             resp = conn.getresponse()
-            return Reply(resp.status, resp.headers, resp.read())
+            body = resp.read()
+            return Reply(resp.status, resp.headers, body, resp.is_delimited)
         except (OSError, http.client.HTTPException) as exc:
             raise errors.OutcomeUnknownError(
                 f'incomplete reply: {exc!r}',
