Play spoilt replies of upstreams to a gateway without sockets

The tests of foreign replies use sockets, and one reply each. A fuzz of many replies needs the real exchange, relay, pool and connection on transports and a clock that take no time.

A plan says how a true reply looks, how its bytes are spoilt, which second reply comes when, how all is cut into segments, and how the connection ends. The verdict on what a caller got compares it with what its upstreams truly answered. What nobody can tell, as a bit of a body, is counted apart, by which part of the reply was spoilt.

--- /dev/null
+++ b/catkinshunt/gateway/tests/test_spoilt_replies.py
@@ -0,0 +1,46 @@
+"""Replies of upstreams that are spoilt, or followed by another one."""
+
+import pytest
+
+from catkinshunt.gateway.tests import reply_player
+from catkinshunt.gateway.tests import reply_verdicts
+from catkinshunt.gateway.tests import spoilt_replies
+from catkinshunt.tests import virtual_loop
+
+
+@pytest.fixture
+def player():
+    """Return a `reply_player.Player`."""
+    loop = virtual_loop.VirtualClockLoop()
+    made = reply_player.Player(loop)
+    yield made
+    made.close()
+    loop.close()
+
+
+def play(player, **fields):
+    """Return the reply to one request, or None, and the verdict on it."""
+    outcomes = player.play([reply_player.Plan(**fields)])
+    verdict = reply_verdicts.judge(outcomes[0], outcomes)
+    return reply_verdicts.read(outcomes[0].data), verdict
+
+
+def find_part(shape, part):
+    """Return which stretch of a reply is the first one of a part."""
+    answer = spoilt_replies.Answer('WWWW', b'W', 0, shape)
+    marked = answer.marked()
+    return next(
+        number
+        for number, run in enumerate(marked.runs())
+        if marked.parts(*run) == {part}
+    )
+
+
+@pytest.mark.parametrize('kind', ['plain', 'failure', 'stream'])
+@pytest.mark.parametrize('framing', ['length', 'chunked', 'last', 'close'])
+def test_sound_reply_is_relayed(player, kind, framing):
+    """The other tests would show nothing if none were."""
+    shape = spoilt_replies.Shape(kind, framing)
+    end = 'eof' if framing == 'close' else 'keep'
+    reply, verdict = play(player, shape=shape, end=end)
+    assert (reply.status, verdict) == (shape.status, 'own')
