Take no status outside 200 to 599 for that of a reply

Callers got replies with statuses such as 0: one spoilt bit of the status line HTTP/1.1 200 makes 000, which the parser accepts, and the relay passed on with the signature of the upstream.

Now such a head is no reply, and the outcome is unknown. A status that is spoilt to another valid one cannot be told.

--- a/catkinshunt/gateway/tests/test_spoilt_replies.py
+++ b/catkinshunt/gateway/tests/test_spoilt_replies.py
@@ -44,3 +44,15 @@
     end = 'eof' if framing == 'close' else 'keep'
     reply, verdict = play(player, shape=shape, end=end)
     assert (reply.status, verdict) == (shape.status, 'own')
+
+
+@pytest.mark.parametrize('digit', range(3))
+def test_status_that_is_none_is_not_relayed(player, digit):
+    """A spoilt digit made 000 or 600 of a 200, and callers got that status."""
+    shape = spoilt_replies.Shape()
+    status = find_part(shape, spoilt_replies.STATUS)
+    for bit in range(1, 9):
+        spoil = spoilt_replies.Spoil('bit', status, digit, bit)
+        reply, verdict = play(player, shape=shape, spoils=(spoil,))
+        assert verdict in ('own', 'failed', 'apart: status'), bit
+        assert 200 <= reply.status < 600, bit
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -19,6 +19,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 #: Most interim (1xx) heads before a reply.
 MAX_INTERIM_HEADS = 8
+#: Statuses of replies that are not interim.
+FINAL_STATUSES = range(200, 600)
 #: Most replies to other requests that are skipped before the awaited one.
 MAX_SKIPPED = 1
 #: Value of SO_LINGER (on, 0 s) with which closing a socket resets the
@@ -201,6 +203,8 @@
             if self._interim_heads > MAX_INTERIM_HEADS:
                 raise InvalidReplyError('too many interim heads')
             return
+        if status not in FINAL_STATUSES:
+            raise InvalidReplyError(f'status {status}')
         self._in_body = True
         headers = _messages.Headers(self._items)
         bodiless = status in (204, 304)
