Search an event that is not complete only once

An upstream that sends an event of up to 1 MiB in small pieces kept an entry busy: 19 s of processor time for pieces of 70 bytes, in steps of a millisecond between which all other requests wait.

Cause: with each piece the whole event was copied, and searched for its end from the begin. Now only the new bytes are.

--- a/catkinshunt/gateway/_events.py
+++ b/catkinshunt/gateway/_events.py
@@ -6,7 +6,9 @@
 
 #: Longest event that is buffered.
 MAX_EVENT_BYTES = 1024 * 1024
-_DELIMITERS = (b'\n\n', b'\r\n\r\n')
+_BLANK = b'\n\n'
+_BLANK_CRLF = b'\r\n\r\n'
+_MAX_DELIMITER_BYTES = len(_BLANK_CRLF)
 #: Most digits of an id.
 _MAX_ID_DIGITS = 18
 #: The usual form of an event; all that it matches is sound.
@@ -61,7 +63,12 @@
     """
 
     def __init__(self):
-        self.remainder = b''
+        self._data = bytearray()
+
+    @property
+    def remainder(self):
+        """The bytes of an event that is not complete yet."""
+        return bytes(self._data)
 
     @property
     def has_partial_event(self):
@@ -69,7 +76,7 @@
 
         Further blank lines after an event are not part of another one.
         """
-        return bool(self.remainder.strip(b'\r\n'))
+        return bool(self._data.strip(b'\r\n'))
 
     def feed(self, data):
         """Append `data`; return the events that it completes.
@@ -77,24 +84,28 @@
         Raises:
             BadEventError: an event is too long.
         """
-        self.remainder += data
+        # A delimiter may begin in the data that were searched before.
+        at = max(0, len(self._data) - _MAX_DELIMITER_BYTES + 1)
+        self._data += data
+        begin = 0
         found = []
-        while True:
-            end = _find_end(self.remainder)
-            if end < 0:
-                break
-            found.append(_parse_event(self.remainder[:end]))
-            self.remainder = self.remainder[end:]
-        if len(self.remainder) > MAX_EVENT_BYTES:
+        while (end := _find_end(self._data, at)) >= 0:
+            found.append(_parse_event(bytes(self._data[begin:end])))
+            begin = at = end
+        del self._data[:begin]
+        if len(self._data) > MAX_EVENT_BYTES:
             raise BadEventError('event exceeds the size limit')
         return found
 
 
-def _find_end(data):
-    ends = [
-        at + len(mark) for mark in _DELIMITERS if (at := data.find(mark)) >= 0
-    ]
-    return min(ends, default=-1)
+def _find_end(data, begin):
+    """Return the end of the first blank line from `begin` on, or -1."""
+    at = data.find(_BLANK, begin)
+    until = len(data) if at < 0 else at
+    at_crlf = data.find(_BLANK_CRLF, begin, until)
+    if at_crlf >= 0:
+        return at_crlf + len(_BLANK_CRLF)
+    return -1 if at < 0 else at + len(_BLANK)
 
 
 def _parse_event(data):
--- a/catkinshunt/gateway/tests/test_event_order.py
+++ b/catkinshunt/gateway/tests/test_event_order.py
@@ -1,6 +1,7 @@
 """Events of an upstream that are spoilt, repeated or out of order."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -217,6 +218,33 @@
     assert body == WHOLE
 
 
+def test_endless_event_breaks_the_stream():
+    """A peer could fill the memory of an entry, and keep it busy."""
+    splitter = _events.EventSplitter()
+    pieces = 0
+    began = time.process_time()
+    with pytest.raises(_events.BadEventError):
+        while pieces < 100_000:
+            splitter.feed(b'data: ' + b'x' * 64)
+            pieces += 1
+    assert pieces * 70 <= _events.MAX_EVENT_BYTES
+    # A search from the begin of the event at each piece takes many times this.
+    assert time.process_time() - began < 5
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n'])
+def test_events_in_any_pieces(line_end):
+    """An event whose blank line is cut would be joined with the next."""
+    stream = WHOLE.replace(b'\n', line_end)
+    for size in range(1, len(stream)):
+        splitter = _events.EventSplitter()
+        found = []
+        for at in range(0, len(stream), size):
+            found += splitter.feed(stream[at : at + size])
+        assert [event.id for event in found] == [1, 2, 3, 4, 5, 6]
+        assert b''.join(event.data for event in found) == stream
+
+
 def test_each_bit_of_an_event_is_found_or_changes_only_its_text():
     """A spoilt bit would shift, drop or repeat pieces of a whole stream."""
     sound = [harness.event(number) for number in (1, 2, 3)]
