Count unknown headers of upstreams under a bounded number of names

Each unknown header name of an upstream became a label of a metric, so spoilt names, each different, would have filled the memory and the metrics page. The log was bounded already. Names beyond the first 32 are counted as `(other)`.

On the code before:

test_names_in_metrics_are_bounded: assert 100 == (32 + 1)

--- a/catkinshunt/gateway/_header_audit.py
+++ b/catkinshunt/gateway/_header_audit.py
@@ -2,8 +2,10 @@
 
 from catkinshunt import logs
 
-#: Most names of unknown headers that are logged.
+#: Most names of unknown headers that are logged and counted by name.
 MAX_NAMES = 32
+#: Label of all others, which is no header name.
+OTHER_NAMES = '(other)'
 #: Least seconds between two lines on one header of one upstream.
 REPEAT_S = 60.0
 #: Most pairs of an upstream and a header whose lines are remembered.
@@ -46,8 +48,12 @@
                     upstream_id,
                 )
         for name in reply_info.unknown_headers:
-            self.counter.add('unknown', name.lower())
-            if self._is_new(name.lower()):
+            is_new = self._is_new(name.lower())
+            is_counted = name.lower() in self._names
+            self.counter.add(
+                'unknown', name.lower() if is_counted else OTHER_NAMES
+            )
+            if is_new:
                 _log.warning(
                     'Upstream {} sends the unknown header {}, which is passed'
                     ' on and not heeded.',
--- a/catkinshunt/gateway/tests/test_header_audit.py
+++ b/catkinshunt/gateway/tests/test_header_audit.py
@@ -46,6 +46,17 @@
     assert len(lines) == _header_audit.MAX_NAMES
 
 
+def test_names_in_metrics_are_bounded(lines):
+    """Spoilt header names would fill the memory with counters."""
+    found = audit()
+    for number in range(100):
+        found.observe('u1', unknown(f'X-{number}', 'X-0'), 0.0)
+    counts = found.counter.report()
+    assert len(counts) == _header_audit.MAX_NAMES + 1
+    assert counts[('unknown', 'x-0')] == 101
+    assert counts[('unknown', '(other)')] == 100 - _header_audit.MAX_NAMES
+
+
 def test_invalid_header_leaves_a_line_a_minute(lines):
     """A runner may send what cannot be read in each of its replies."""
     found = audit()
