Write no further reply to a client that does not read

A client that sends requests early and reads no reply filled the memory of an entry: each reply of up to 1 MiB was written into the buffer of its connection.

Now the next request is read once most of the reply before is sent. A client that reads nothing for the idle timeout loses its connection; one that reads slowly does not.

On the code before test_client_that_reads_no_reply_fills_no_memory fails with a TimeoutError, as the connection is not closed.

--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -100,8 +100,28 @@
                 self._busy.discard(conn)
             if not keeps_alive:
                 return
+            if not await self._drain(conn):
+                return
             conn.begin_idle()
 
+    async def _drain(self, conn):
+        """Wait for a client that reads slowly; return whether it reads.
+
+        Replies to requests that it sent early would fill the memory.
+        """
+        while True:
+            unsent_bytes = conn.unsent_bytes
+            try:
+                async with asyncio.timeout(self._limits().idle_s):
+                    await conn.drain()
+                    return True
+            except TimeoutError:
+                if conn.unsent_bytes < unsent_bytes:
+                    continue
+                _log.info('Closed a connection whose client reads no reply.')
+                conn.abort()
+                return False
+
     async def _reject(self, conn, exc):
         _log.info('Rejected a request: {}.', exc, status=exc.status)
         items = [('Connection', 'close'), ('Content-Type', 'text/plain')]
--- a/catkinshunt/gateway/tests/test_two_answers.py
+++ b/catkinshunt/gateway/tests/test_two_answers.py
@@ -270,3 +270,54 @@
     assert heads[2] == '404'
     assert set(heads[:2]) <= {expected, '503'}
     assert reply[::2] == (200, b'done')
+
+
+def test_client_that_reads_no_reply_fills_no_memory():
+    """Its requests would be answered into a buffer without end."""
+    body = bytes(1024 * 1024)
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', harness.replying(body=body))
+        limits = http1.Limits(idle_s=1.0)
+        async with harness.running_gateway(upstream, limits=limits) as gateway:
+            sock = harness.connect_with_small_buffer(gateway.server.port)
+            reader, writer = await asyncio.open_connection(sock=sock, limit=1)
+            for number in range(40):
+                await harness.send_request(
+                    writer, '/read/1', Request_Id=f'a{number}'
+                )
+            await asyncio.sleep(0.7)
+            (conn,) = gateway.connections()
+            buffered = conn.unsent_bytes
+            async with asyncio.timeout(5):
+                await conn.closed
+            writer.close()
+            return buffered, len(upstream.heads)
+
+    buffered, sends = asyncio.run(main())
+    assert buffered <= 2 * len(body)
+    assert sends < 10
+
+
+def test_client_that_reads_slowly_gets_its_whole_reply():
+    """It takes longer than the idle timeout of its connection."""
+    body = bytes(400 * 1024)
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', harness.replying(body=body))
+        limits = http1.Limits(idle_s=0.3)
+        async with harness.running_gateway(upstream, limits=limits) as gateway:
+            sock = harness.connect_with_small_buffer(gateway.server.port)
+            reader, writer = await asyncio.open_connection(sock=sock, limit=1)
+            await asyncio.sleep(0.05)
+            (conn,) = gateway.connections()
+            harness.limit_send_buffer(conn.transport)
+            await harness.send_request(writer, '/read/1')
+            read = 0
+            while data := await reader.read(20_000):
+                read += len(data)
+                await asyncio.sleep(0.02)
+            writer.close()
+            return read
+
+    assert asyncio.run(main()) > len(body)
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -214,6 +214,11 @@
         if not self.transport.is_closing():
             self.transport.write(data)
 
+    @property
+    def unsent_bytes(self):
+        """Bytes in the write buffer."""
+        return self.transport.get_write_buffer_size()
+
     async def drain(self):
         """Wait until the write buffer is below its limit."""
         if not self._writable.is_set():
