Relay no 204 that announces chunks, and drain only full buffers

A 204 that states chunks is as invalid as one that states a length: one wrong bit makes it of a 200, and its caller would get an empty success. On the code before, test_reply_without_a_body_ends_with_its_head fails for it where the bytes behind come in a read of their own or not.

The wait for a client that reads slowly sets no timer any more while its buffer is below the limit, since that took time for each reply.

--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -109,18 +109,18 @@
 
         Replies to requests that it sent early would fill the memory.
         """
-        while True:
+        while not conn.is_drained:
             unsent_bytes = conn.unsent_bytes
             try:
                 async with asyncio.timeout(self._limits().idle_s):
                     await conn.drain()
-                    return True
             except TimeoutError:
                 if conn.unsent_bytes < unsent_bytes:
                     continue
                 _log.info('Closed a connection whose client reads no reply.')
                 conn.abort()
                 return False
+        return True
 
     async def _reject(self, conn, exc):
         _log.info('Rejected a request: {}.', exc, status=exc.status)
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -208,7 +208,7 @@
         self._in_body = True
         headers = _messages.Headers(self._items)
         bodiless = self._is_head or status in (204, 304)
-        if status == 204 and headers.get('content-length', '0') != '0':
+        if status == 204 and _states_body(headers):
             raise InvalidReplyError('a length in a reply that has no body')
         framed = bodiless or self._is_framed(headers)
         reason = self._reason.decode('latin-1')
@@ -420,6 +420,14 @@
         return headers.get('content-length') is not None
 
 
+def _states_body(headers):
+    """Return whether the fields of a head say that a body follows."""
+    return (
+        headers.get('content-length', '0') != '0'
+        or headers.get('transfer-encoding') is not None
+    )
+
+
 def _begins_reply(data):
     """Return whether `data` may be the begin of a reply."""
     return data[: len(_HTTP_NAME)] == _HTTP_NAME[: len(data)]
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -219,6 +219,11 @@
         """Bytes in the write buffer."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def is_drained(self):
+        """Whether `drain` returns at once."""
+        return self._writable.is_set()
+
     async def drain(self):
         """Wait until the write buffer is below its limit."""
         if not self._writable.is_set():
--- a/catkinshunt/http1/tests/test_foreign_bytes.py
+++ b/catkinshunt/http1/tests/test_foreign_bytes.py
@@ -140,9 +140,12 @@
 
 @pytest.mark.parametrize('status', [204, 304])
 @pytest.mark.parametrize('gap', [True, False])
-def test_reply_without_a_body_ends_with_its_head(status, gap):
+@pytest.mark.parametrize(
+    'framing', [b'Content-Length: 4', b'Transfer-Encoding: chunked']
+)
+def test_reply_without_a_body_ends_with_its_head(status, gap, framing):
     """What follows would be passed on as its body."""
-    head = b'HTTP/1.1 %d X\r\nId: b\r\nContent-Length: 4\r\n\r\n' % status
+    head = b'HTTP/1.1 %d X\r\nId: b\r\n%b\r\n\r\n' % (status, framing)
     peer = Peer().feed(head, LATE) if gap else Peer().feed(head + LATE)
     # A length in a 204 is invalid; the status may be spoilt.
     assert peer.reply() == (None if status == 204 else (304, b''))
