Take no second answer of a relaying process for that to the next call

A process that watches through another one could miss changes, or take all keys of a prefix for deleted, if an answer of the other came twice. Our processes answer once, so only a fault of the link could do it.

Cause: as for the store, an answer does not name its call.

Now reads are the only calls on their connections, only watches of one prefix share connections, and their answers are checked as those of the store are.

On the code before, all five tests fail, among them:

test_second_answer_to_a_read_is_not_that_to_the_next_one: assert ['op/x', 'op/x'] == ['op/x', 'servers/x'] test_second_answer_to_a_watch_does_not_skip_changes: assert [] == ['b/x']

Tests of platform and watch_relay pass.

--- a/catkinshunt/platform/_store.py
+++ b/catkinshunt/platform/_store.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+import collections
+import functools
 import json
 import urllib.parse
 
@@ -58,15 +60,15 @@
         self.metrics = metrics
         self.eras = eras or _era.EraMonitor()
         self.boottime = boottime or clock
-        self._make_pool = lambda: http1.Pool(
-            host, port, clock, connect_s=CALL_TIMEOUT_S
+        make_pool = functools.partial(
+            http1.Pool, host, port, clock, connect_s=CALL_TIMEOUT_S
         )
         # An answer does not show which call it is for: not which change was
         # made, nor which keys do not exist. So each call has a connection of
         # its own. Only watches of one prefix share connections, as an earlier
         # answer to one of them cannot move the next one past a change.
-        self._pool = self._make_pool()
-        self._watch_pools = {}
+        self._pool = make_pool()
+        self._watch_pools = collections.defaultdict(make_pool)
 
     async def read_prefix(self, prefix):
         """Return all items below `prefix` as one `Page`.
@@ -131,7 +133,7 @@
             'after': after.number,
             'wait_ms': round(wait_s * _MS),
         }
-        pool = self._watch_pools.setdefault(prefix, self._make_pool())
+        pool = self._watch_pools[prefix]
         try:
             document, era = await self._send(
                 'watch',
--- a/catkinshunt/watch_relay/_peer.py
+++ b/catkinshunt/watch_relay/_peer.py
@@ -1,5 +1,7 @@
 """Reads and watches relayed by another process."""
 
+import collections
+import functools
 import urllib.parse
 
 import attrs
@@ -53,7 +55,13 @@
     def __init__(self, host, port, clock, wall, must_be_direct=False):
         self.wall = wall
         self.must_be_direct = must_be_direct
-        self._pool = http1.Pool(host, port, clock, connect_s=CONNECT_TIMEOUT_S)
+        make_pool = functools.partial(
+            http1.Pool, host, port, clock, connect_s=CONNECT_TIMEOUT_S
+        )
+        self._pool = make_pool()
+        # Only watches of one prefix share connections: an earlier answer to
+        # one of them cannot move the next one past a change.
+        self._watch_pools = collections.defaultdict(make_pool)
 
     async def read_prefix(
         self, prefix, wait_s=_server.MAX_WAIT_S, least_era=0
@@ -76,7 +84,14 @@
             'era': after.era,
             'wait_s': wait_s,
         }
-        return await self._fetch(_server.WATCH_PATH, query, wait_s)
+        pool = self._watch_pools[prefix]
+        page = await self._fetch(_server.WATCH_PATH, query, wait_s, pool)
+        try:
+            base.check_changes(page, prefix, after)
+        except errors.StoreUnavailableError as exc:
+            pool.limit_to_single_use(exc.message)
+            raise
+        return page
 
     def _check_era(self, head):
         """Raise an error if the peer answers that a new era has begun."""
@@ -89,17 +104,22 @@
                 peer=self._pool.peer,
             )
 
-    async def _fetch(self, path, query, wait_s):
+    async def _fetch(self, path, query, wait_s, watch_pool=None):
+        pool = watch_pool or self._pool
         # reads=1: answer only if the process watches the service directly.
         query['reads'] = int(self.must_be_direct)
         target = f'{path}?{urllib.parse.urlencode(query)}'
         requested_at = self.wall()
         try:
             head, body = await http1.exchange(
-                self._pool, 'GET', target, timeout_s=wait_s + RESPONSE_MARGIN_S
+                pool,
+                'GET',
+                target,
+                timeout_s=wait_s + RESPONSE_MARGIN_S,
+                fresh=watch_pool is None,
             )
         except errors.RequestError as exc:
-            self._pool.close_idle()
+            pool.close_idle()
             raise errors.StoreUnavailableError(
                 exc.message, step='ask-peer', peer=self._pool.peer
             ) from exc
