Bound the replies that a call reads

A store, engine, origin or peer that sends a body without end filled the memory of the calling process, and one that sends it byte by byte held its caller for ever: each part extended the wait.

Now `http1.exchange` reads 64 MiB at most, and for 120 s at most; both end as an unknown outcome, and the connection is closed.

On the code before, with the bounds of the tests:

test_body_without_end_is_not_buffered (2): assert 'does not end' in 'MemoryError: ' (with 4 GB of address space) test_body_that_arrives_byte_by_byte_does_not_hold_its_call (2): TimeoutError, after the 20 s of the test

Tests of http1 pass.

--- a/catkinshunt/http1/_pool.py
+++ b/catkinshunt/http1/_pool.py
@@ -17,6 +17,10 @@
 #: Seconds in which each request gets a connection of its own, after the peer
 #: sent what belongs to no request.
 SINGLE_USE_S = 30.0
+#: Longest body that `exchange` reads, and longest time that it takes for one
+#: that keeps arriving.
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+MAX_REPLY_S = 120.0
 #: TCP_USER_TIMEOUT: a connection whose data stays unacknowledged for this
 #: long is closed. Otherwise a peer without power would block it for minutes.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
@@ -153,7 +157,8 @@
     connection.
 
     `timeout_s` bounds the wait for each part of the reply, not the whole
-    exchange, since a large reply may take longer. A configuration of 1,480
+    exchange, since a large reply may take longer; that has the bounds
+    `MAX_REPLY_BYTES` and `MAX_REPLY_S`. A configuration of 1,480
     routes takes over two seconds when five instances read it over one link;
     with a limit on the whole exchange it was restarted again and again, and
     never completed.
@@ -192,9 +197,17 @@
 async def _read_reply(conn, pool, timeout_s):
     head = None
     parts = []
+    size = 0
+    until = pool.clock() + MAX_REPLY_S
     while True:
         async with asyncio.timeout(timeout_s):
             part = await conn.read_part()
+        if size > MAX_REPLY_BYTES or pool.clock() > until:
+            raise errors.OutcomeUnknownError(
+                f'the reply does not end after {size} bytes',
+                step='read-reply',
+                peer=pool.peer,
+            )
         if isinstance(part, _client.ConnectionLost):
             raise errors.OutcomeUnknownError(
                 part.reason, step='read-reply', peer=pool.peer
@@ -203,5 +216,6 @@
             return head, b''.join(parts)
         if isinstance(part, _client.BodyPart):
             parts.append(part.data)
+            size += len(part.data)
         else:
             head = part
