Bound the replies that the first interface reads whole

An engine, a key-value service, an origin or a sidecar that sends a body without end filled the memory of the calling process, and one that sends it byte by byte held its caller for ever.

Now such a body is read up to 64 MiB and for 120 s at most. Callers no longer use `read()`, whose buffer has no bound. Relayed bodies are passed on in pieces, as before.

--- a/catkinshunt/httpio/_client.py
+++ b/catkinshunt/httpio/_client.py
@@ -183,7 +183,7 @@
         try:
             conn.request(method, path, body, headers or {})
             resp = conn.getresponse()
-            body = resp.read()
+            body = resp.read_whole()
             return Reply(resp.status, resp.headers, body, resp.is_delimited)
         except (OSError, http.client.HTTPException) as exc:
             raise errors.OutcomeUnknownError(
--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -8,6 +8,7 @@
 import http.client
 import io
 import re
+import time
 
 from catkinshunt import logs
 
@@ -15,6 +16,11 @@
 MAX_HEAD_BYTES = 64 * 1024
 #: Most interim (1xx) heads before a reply.
 MAX_INTERIM_HEADS = 8
+#: Longest body that is read whole, and longest time that reading it takes.
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+MAX_REPLY_S = 120.0
+#: Maximum size of a piece of a body.
+PIECE_BYTES = 64 * 1024
 
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([^\r\n\0]*))?\r?\n'
@@ -77,6 +83,31 @@
         finally:
             self.fp = reader
 
+    def read_whole(self):
+        """Return the body of a reply of which no more is relayed.
+
+        Raises:
+            InvalidReplyError: it does not end within `MAX_REPLY_BYTES` and
+                `MAX_REPLY_S`.
+            http.client.IncompleteRead: the connection ended in it.
+        """
+        parts = []
+        size = 0
+        until = time.monotonic() + MAX_REPLY_S
+        while part := self.read1(PIECE_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > MAX_REPLY_BYTES or time.monotonic() > until:
+                raise InvalidReplyError(
+                    f'the reply does not end after {size} bytes'
+                )
+        if self.length:
+            raise http.client.IncompleteRead(b''.join(parts), self.length)
+        if not self.isclosed():
+            # `read1` does not notice the end of a body with a length.
+            self._close_conn()
+        return b''.join(parts)
+
     def _read_final_head(self):
         """Return the first head that is not interim."""
         if not self.fp.peek(1):
--- a/catkinshunt/httpio/tests/test_response.py
+++ b/catkinshunt/httpio/tests/test_response.py
@@ -2,12 +2,15 @@
 
 import contextlib
 import socket
+import threading
+import time
 
 import pytest
 
 from catkinshunt.entry.tests import harness
 from catkinshunt import errors
 from catkinshunt import httpio
+from catkinshunt.httpio import _response
 
 HEAD = (
     b'HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Type: text/plain\r\n'
@@ -169,3 +172,41 @@
         peer.shutdown(socket.SHUT_WR)
         resp = conn.getresponse()
         assert (resp.read(), resp.is_delimited) == (b'whole', False)
+
+
+@contextlib.contextmanager
+def endless(head, part, pause_s):
+    """Yield the address of a server that sends parts without end."""
+    server = socket.create_server(('127.0.0.1', 0))
+
+    def run():
+        conn, _ = server.accept()
+        with conn, contextlib.suppress(OSError):
+            conn.recv(65536)
+            conn.sendall(head)
+            while True:
+                conn.sendall(part)
+                time.sleep(pause_s)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    with server:
+        yield httpio.Address(*server.getsockname())
+        thread.join(20)
+
+
+@pytest.mark.parametrize(
+    ('part', 'pause_s'), [(b'x' * 65536, 0.0), (b'x', 0.01)]
+)
+@pytest.mark.parametrize('field', [b'X: y', b'Content-Length: 99999999999'])
+def test_body_without_end_does_not_hold_its_call(
+    field, part, pause_s, monkeypatch
+):
+    """It would fill the memory, or each byte extend the wait."""
+    monkeypatch.setattr(_response, 'MAX_REPLY_BYTES', 1_000_000)
+    monkeypatch.setattr(_response, 'MAX_REPLY_S', 0.3)
+    head = b'HTTP/1.1 200 OK\r\n' + field + b'\r\n\r\n'
+    with endless(head, part, pause_s) as address:
+        with pytest.raises(errors.OutcomeUnknownError) as caught:
+            httpio.exchange(address, 'GET', '/', timeout_s=5)
+    assert 'does not end' in caught.value.message
--- a/catkinshunt/weights/_sources.py
+++ b/catkinshunt/weights/_sources.py
@@ -60,14 +60,14 @@
             if resp.status == http.client.OK:
                 data = read_body(resp, end - first, self.pacer, deadline)
             else:
-                resp.read()
+                resp.read_whole()
             return _peer_reply(resp, address, data)
 
     def fetch_state(self, address, manifest):
         """Return the `PeerReply` of a peer without a chunk."""
         path = chunk_path(manifest.model, manifest.version, 'holdings')
         with self._exchange(address, path) as resp:
-            resp.read()
+            resp.read_whole()
             return _peer_reply(resp, address, None)
 
     def fetch_manifest(self, address, model, version):
@@ -75,7 +75,7 @@
         with self._exchange(
             address, chunk_path(model, version, 'manifest')
         ) as resp:
-            body = resp.read()
+            body = resp.read_whole()
             return body if resp.status == http.client.OK else None
 
     def _exchange(self, address, path):
@@ -137,7 +137,7 @@
         with exchange(
             self.pool, self.origin, path, {}, 'read manifest'
         ) as resp:
-            body = resp.read()
+            body = resp.read_whole()
             self._check(resp, self.origin, http.client.OK, 'read manifest')
             return body
 
@@ -148,7 +148,7 @@
         deadline = time.monotonic() + timeout_s
         with exchange(self.pool, address, path, fields, 'draw chunk') as resp:
             if resp.status != http.client.PARTIAL_CONTENT:
-                resp.read()
+                resp.read_whole()
             self._check(
                 resp, address, http.client.PARTIAL_CONTENT, 'draw chunk'
             )
