Fuzz the replies of upstreams with spoilt, late and second ones

Callers got answers that were not theirs, and no test sent a gateway more than the replies that its author had thought of.

Series of two to four requests of different callers share the connections to one or two upstreams. Their true replies are cut, repeated, flooded, and changed by bits and insertions, in head, framing, body and events; a second reply comes while the connection is idle, unread as it is taken, between request and reply, within their segment, or behind; segments end anywhere, and connections close in order, are reset, or stay.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 	$(PY) -m bundle
 
 fuzz: setup ## Fuzz the readers of what comes over a socket for longer
-	FUZZ_EXAMPLES=3000 $(PY) -m pytest catkinshunt/tests/test_fuzz.py
+	FUZZ_EXAMPLES=3000 FUZZ_REPLIES=35000 $(PY) -m pytest \
+	  catkinshunt/tests/test_fuzz.py catkinshunt/gateway/tests/test_reply_fuzz.py
 
 SEED ?= 1
 SEEDS ?= 5
--- a/catkinshunt/gateway/tests/reply_player.py
+++ b/catkinshunt/gateway/tests/reply_player.py
@@ -29,6 +29,8 @@
 PAUSE_S = 0.1
 #: Delay in seconds of what reaches a connection that is idle.
 IDLE_S = 0.02
+#: Seconds between two actions that are due at the same time.
+ORDER_S = 1e-8
 DEADLINE_S = 2.0
 #: Fill the ids of requests and the bodies of their replies. No change of one
 #: bit makes one of another.
@@ -89,6 +91,7 @@
             None.
         due: bytes of its replies that had not arrived at the end.
         kept_bytes: most bytes that a connection held at once.
+        error: unexpected exception of its exchange, or None.
     """
 
     plan: Plan
@@ -101,6 +104,28 @@
     ended_s: float | None = None
     due: int = 0
     kept_bytes: int = 0
+    error: Exception | None = None
+
+
+def describe_request(outcome):
+    """Return method, path and header items of the request of an `Outcome`."""
+    plan = outcome.plan
+    items = [
+        ('Host', harness.HOST),
+        (_dialect.REQUEST_ID, outcome.request_id),
+        (_dialect.API_KEY, 'k1'),
+        (_dialect.DEADLINE, str(int(DEADLINE_S * 1000))),
+        (_dialect.LAST_EVENT, str(plan.resumed or '')),
+    ]
+    if plan.once:
+        return 'POST', '/book/1', items
+    return 'GET', PATHS.get(plan.shape.kind, '/read/1'), items
+
+
+def make_rules():
+    """Return rules with one service, so that all requests share its pool."""
+    shares = [catalogs.Share('plain', 1)]
+    return rules.RuleSet(harness.make_rules(shares=shares))
 
 
 class Player:
@@ -111,13 +136,11 @@
         self.quiet = socket.socketpair()
         self.readable = socket.socketpair()
         self.readable[1].send(b'x')
-        # One service, so that all requests of a series share connections.
-        shares = [catalogs.Share('plain', 1)]
-        self.rules = harness.make_declaration(
-            rule_set=rules.RuleSet(harness.make_rules(shares=shares))
-        )
+        self.declaration = harness.make_declaration(rule_set=make_rules())
         self.dialect = platform.PlatformDialect()
-        self.kept_parts = ()
+        self.outcomes = {}
+        self.wires = []
+        self.current = None
         self.opened = 0
         self._handles = []
 
@@ -125,15 +148,13 @@
         for sock in (*self.quiet, *self.readable):
             sock.close()
 
-    def play(self, plans, upstreams=1, kept_parts=()):
+    def play(self, plans, upstreams=1):
         """Return the `Outcome` of each plan, played one after another.
 
         Args:
             plans: a `Plan` for each request.
             upstreams: number of upstreams that may be asked.
-            kept_parts: names of parts that are never spoilt.
         """
-        self.kept_parts = kept_parts
         self.outcomes = {}
         try:
             return self.loop.run_until_complete(self._play(plans, upstreams))
@@ -143,6 +164,8 @@
             self._handles.clear()
 
     def later(self, delay_s, function, *args):
+        # The loop may swap what is due at the same time.
+        delay_s += len(self._handles) * ORDER_S
         self._handles.append(self.loop.call_later(delay_s, function, *args))
 
     def measure(self, conn):
@@ -155,10 +178,7 @@
     async def _play(self, plans, upstreams):
         context = self._make_context(upstreams)
         for number, plan in enumerate(plans):
-            letter = LETTERS[number]
-            outcome = Outcome(plan, (letter * 4).decode(), letter)
-            self.outcomes[outcome.request_id] = self.current = outcome
-            self.wires = []
+            outcome = self.current = self.begin(number, plan)
             context.catalog.confirm(self.loop.time())
             await self._ask(context, outcome)
             await asyncio.sleep(PAUSE_S)
@@ -169,31 +189,28 @@
         return list(self.outcomes.values())
 
     async def _ask(self, context, outcome):
-        plan, caller = outcome.plan, reply_wire.Caller()
-        path = PATHS.get(plan.shape.kind, '/read/1')
-        if plan.once:
-            path = '/book/1'
-        req = http1.Request(
-            'POST' if plan.once else 'GET',
-            path,
-            http1.Headers(
-                [
-                    ('Host', harness.HOST),
-                    (_dialect.REQUEST_ID, outcome.request_id),
-                    (_dialect.API_KEY, 'k1'),
-                    (_dialect.DEADLINE, str(int(DEADLINE_S * 1000))),
-                    (_dialect.LAST_EVENT, str(plan.resumed or '')),
-                ]
-            ),
-            b'',
-            self.loop.time(),
-        )
+        caller = reply_wire.Caller()
+        method, path, items = describe_request(outcome)
         begin = self.loop.time()
-        await _exchange.Exchange(context, caller, req).run()
+        req = http1.Request(method, path, http1.Headers(items), b'', begin)
+        try:
+            await _exchange.Exchange(context, caller, req).run()
+        except Exception as exc:
+            # The listener logs it and aborts the connection.
+            outcome.error = exc
+            caller.abort()
         outcome.data, outcome.aborted = caller.data, caller.aborted
         outcome.took_s = self.loop.time() - begin
         outcome.due = sum(wire.due for wire in self.wires)
 
+    def begin(self, number, plan):
+        """Return the `Outcome` of the next request."""
+        letter = LETTERS[number]
+        outcome = Outcome(plan, (letter * 4).decode(), letter)
+        self.outcomes[outcome.request_id] = outcome
+        self.wires = []
+        return outcome
+
     def answer(self, wire, head):
         """Send what the plan of a request says."""
         outcome = self.outcomes[harness.header(head, _dialect.REQUEST_ID)]
@@ -215,9 +232,7 @@
             if plan.shape.framing == 'close':
                 self.later(0.002, wire.end, None)
             return
-        data, answer.touched = spoilt_replies.spoil(
-            whole, plan.spoils, self.kept_parts
-        )
+        data, answer.touched = spoilt_replies.spoil(whole, plan.spoils)
         self._send(wire, plan, data.data, outcome)
 
     def _send(self, wire, plan, data, outcome):
@@ -282,7 +297,7 @@
             ),
             availability=availability.AvailabilityTable('entry-1'),
         )
-        catalog.declare(self.rules)
+        catalog.declare(self.declaration)
         for number in range(1, upstreams + 1):
             upstream = catalogs.Upstream(
                 id=f'plain-{number}',
--- a/catkinshunt/gateway/tests/reply_verdicts.py
+++ b/catkinshunt/gateway/tests/reply_verdicts.py
@@ -22,11 +22,11 @@
     'hung',
     'memory',
     'garbled',
+    'error',
 )
 #: Statuses by which a request was not run.
 PROMISES = (408, 421, 429, 503)
-#: Seconds after the deadline, or the end of the connection, in which a caller
-#: gets an answer.
+#: Usual margin of the end of a request, in seconds.
 MARGIN_S = 0.5
 #: Most bytes of a reply that a connection may hold.
 MAX_KEPT_BYTES = 512 * 1024
@@ -37,11 +37,16 @@
     spoilt_replies.LENGTH,
     spoilt_replies.STATUS,
 }
-#: Parts of the body of a stream, beside its data.
-EVENT_PARTS = {spoilt_replies.EVENT_ID, spoilt_replies.EVENT_END}
+#: Parts of a body that is no event stream for its caller.
+BODY_PARTS = {
+    spoilt_replies.BODY,
+    spoilt_replies.EVENT_ID,
+    spoilt_replies.EVENT_END,
+}
 #: Statuses of successes.
 SUCCESSES = range(200, 300)
 _EVENT = re.compile(rb'.*?(?:\n\n|\r\n\r\n)', re.DOTALL)
+_COMMENTS = re.compile(rb'\A(?:(?::[^\r\n]*)?\r?\n)+')
 _EVENT_ID = re.compile(rb'^id: *(\d+)', re.MULTILINE)
 _CHUNK = re.compile(rb'([0-9a-f]+)\r\n')
 
@@ -81,7 +86,7 @@
     return Reply(int(match[1]), headers, body, whole)
 
 
-def judge(outcome, outcomes):
+def judge(outcome, outcomes, margin_s=MARGIN_S):
     """Return a word on what the caller of `outcome` got.
 
     It is one of `FAULTS`, `'own'`, `'failed'` (an answer of the gateway),
@@ -90,9 +95,13 @@
     Args:
         outcome: the `reply_player.Outcome`.
         outcomes: those of all requests of the series.
+        margin_s: seconds after the deadline, or after the end of the
+            connection, in which it gets an answer.
     """
-    if _is_late(outcome):
+    if _is_late(outcome, margin_s):
         return 'hung'
+    if outcome.error is not None:
+        return 'error'
     if outcome.kept_bytes > MAX_KEPT_BYTES:
         return 'memory'
     reply = read(outcome.data)
@@ -108,11 +117,11 @@
     return _judge_signed(outcome, reply, stamps[0])
 
 
-def _is_late(outcome):
+def _is_late(outcome, margin_s):
     limit_s = reply_player.DEADLINE_S
     if outcome.ended_s is not None:
         limit_s = min(limit_s, outcome.ended_s)
-    return outcome.took_s > limit_s + MARGIN_S
+    return outcome.took_s > limit_s + margin_s
 
 
 def _holds_foreign_bytes(outcome, outcomes):
@@ -171,7 +180,8 @@
         ):
             return 'joined'
         verdict = 'apart: status'
-    if answer.shape.kind == 'stream':
+    kind = reply.headers.get('Content-Type') or ''
+    if 'event-stream' in kind:
         found = _judge_events(outcome, reply)
     elif not reply.whole:
         found = 'cut'
@@ -197,8 +207,8 @@
     number, verdict = outcome.plan.resumed, 'own'
     size = max(number, outcome.answers[0].shape.size)
     for event in _EVENT.findall(reply.body):
-        # A blank line without an event before it is none.
-        event = event.lstrip(b'\r\n')
+        # Blank lines and comments without an event are none.
+        event = _COMMENTS.sub(b'', event)
         if event in [each.get(number + 1) for each in events]:
             number += 1
         elif event:
@@ -211,15 +221,12 @@
     if not reply.whole:
         return 'cut'
     if number < size:
-        return _excuse(outcome, outcome.answers[0], reply.body) or 'missing'
+        return _excuse_end(outcome, outcome.answers[0]) or 'missing'
     return verdict
 
 
 def _judge_bad_event(outcome, reply, ids, number):
     touched = outcome.answers[0].touched
-    kind = reply.headers.get('Content-Type') or ''
-    if 'event-stream' not in kind and touched & EVENT_PARTS:
-        return 'apart: no event stream'
     is_single = len(_EVENT.findall(reply.body)) == 1
     if is_single and spoilt_replies.EVENT_ID in touched:
         # It does not go on from a known one, and none follows it.
@@ -232,12 +239,18 @@
 def _excuse(outcome, answer, body):
     """Return why nobody can tell a spoilt body, or ''."""
     touched = answer.touched
-    if spoilt_replies.BODY in touched and (
+    if touched & BODY_PARTS and (
         outcome.aborted
         or len(body) == len(answer.body())
         or not touched & FRAMING_PARTS
     ):
         return 'apart: body'
+    return _excuse_end(outcome, answer)
+
+
+def _excuse_end(outcome, answer):
+    """Return why nobody can tell that a body ends too early, or ''."""
+    touched = answer.touched
     if _is_unframed(outcome.plan):
         if outcome.plan.extra is not None:
             return 'apart: unframed, then another'
--- a/catkinshunt/gateway/tests/spoilt_replies.py
+++ b/catkinshunt/gateway/tests/spoilt_replies.py
@@ -245,23 +245,12 @@
     size: int = 1
     data: bytes = b''
 
-    def apply(self, marked, kept=()):
-        """Return the spoilt bytes and the names of the parts touched.
-
-        Args:
-            marked: the `Marked` bytes.
-            kept: names of parts that are not spoilt.
-        """
-        runs = [
-            run
-            for run in marked.runs()
-            if not marked.parts(*run).intersection(kept)
-        ]
-        if not runs:
-            return marked, set()
+    def apply(self, marked):
+        """Return the spoilt bytes and the names of the parts touched."""
+        runs = marked.runs()
         begin, end = runs[self.run % len(runs)]
         at = begin + self.at % (end - begin)
-        last = min(at + self.size, end if kept else len(marked))
+        last = min(at + self.size, len(marked))
         if self.way == 'cut':
             return marked.slice(0, at), {'cut'}
         if self.way == 'bit':
@@ -280,19 +269,19 @@
             spoilt = marked.replace(at, at, data)
         begin = at - (self.way in ('insert', 'flood') and at > 0)
         touched = marked.parts(begin, last)
-        # The signature ends where its line does.
-        if STAMP in marked.parts(max(0, at - 1), last + 1):
+        # The signature begins and ends where its line says.
+        if STAMP in marked.parts(max(0, at - 2), last + 2):
             touched.add(STAMP)
         return spoilt, touched
 
 
-def spoil(marked, spoils, kept=()):
+def spoil(marked, spoils):
     """Return the bytes after all changes, and the parts touched."""
     touched = set()
     for each in spoils:
         if not marked:
             break
-        marked, parts = each.apply(marked, kept)
+        marked, parts = each.apply(marked)
         touched |= parts
     return marked, touched
 
--- a/catkinshunt/gateway/tests/test_spoilt_replies.py
+++ b/catkinshunt/gateway/tests/test_spoilt_replies.py
@@ -56,3 +56,16 @@
         reply, verdict = play(player, shape=shape, spoils=(spoil,))
         assert verdict in ('own', 'failed', 'apart: status'), bit
         assert 200 <= reply.status < 600, bit
+
+
+@pytest.mark.parametrize('kind', ['plain', 'failure', 'stream'])
+@pytest.mark.parametrize('place', ['follows', 'after'])
+def test_unframed_reply_does_not_hold_a_second_one(player, kind, place):
+    """Callers got head and body of the second one as the rest of a body."""
+    shape = spoilt_replies.Shape(kind, 'close')
+    extra = reply_player.Extra(place)
+    for split in range(0, 1000, 50):
+        _, verdict = play(
+            player, shape=shape, extra=extra, end='eof', splits=(split,)
+        )
+        assert verdict in ('failed', 'cut'), split
