Let upstreams of the soak answer twice, late, cut, spoilt or with failures

The soak had no upstream that answers a request twice. With `--stutters` upstreams, and the origin, answer requests a second time, at once, later or before the next reply on the connection; the second reply is whole, cut at any place of its head or body, spoilt, without a length, with the close announced, or a rejection. First replies get interim heads, are spoilt in a bit of their head or of an event, unframed or broken off. A share of requests fails, so that a wrong success shows. The store does the same in a share of the runs.

Each signature of a stand-in is unique, so the records tell which upstream answered which request with which status, and each caller's answer is held against it: no success without a signature, no reply to another request, no other status than the upstream gave, no other bytes, also where a reply broke off. A share of the requests must be served. An engine that loads chunks of another version than its order names is found too.

The test of a restarted stand-in looks at the name in the signature, which is no longer the whole of it.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -8,6 +8,7 @@
 import fire
 
 from catkinshunt import logs
+from standins.soak import _given
 from standins.soak import _soak
 
 
@@ -15,6 +16,7 @@
     seed=1, seeds=1, duration_s=20.0, entries=2, sidecars=4, callers=6,
     folder=None, crashes=_soak.CRASHES, limits=True, statements=True,
     silences=False, eras=False, parts=False, returns=False,
+    stutters=False,
 ):  # fmt: skip
     """Run seeds one after the other; ends with 1 if a promise was broken.
 
@@ -35,6 +37,7 @@
         parts: whether a part of prompts crashes engines.
         returns: whether all processes are killed after `duration_s`, in place
             of the other faults, and must serve again.
+        stutters: whether upstreams may answer twice, late, cut or spoilt.
     """
     logs.configure(level='ERROR')
     failed = 0
@@ -55,6 +58,7 @@
                 eras,
                 parts,
                 returns,
+                stutters,
             )
         )
         print(f'seed {number}: {summary}, {len(broken)} broken, logs {place}')
@@ -81,6 +85,7 @@
         f'{rests} rests, {len(soak.records.silences)} silences, '
         f'era {soak.store.era}, {len(soak.records.left)} departures, '
         f'version {soak.version}{_describe_return(soak)}'
+        f'{_describe_stutters(soak)}'
     )
 
 
@@ -97,5 +102,19 @@
     )
 
 
+def _describe_stutters(soak):
+    """Return how often upstreams stuttered, and what was served."""
+    if not soak.stutters:
+        return ''
+    records = soak.records
+    served, sent = _given.count_served(records.answers, records.revoked)
+    wrong = _given.count_wrong(records.answers, records.given)
+    shown = ', '.join(f'{k}: {v}' for k, v in sorted(records.stutters.items()))
+    return (
+        f'; {served} of {sent} served; {sum(wrong.values())} with another '
+        f'status {dict(wrong)}; stutters {shown}'
+    )
+
+
 if __name__ == '__main__':
     fire.Fire(main)
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -4,6 +4,7 @@
 import itertools
 
 from catkinshunt import http1
+from standins.soak import _given
 from standins.soak import _parts
 from standins.soak import _platform
 from standins.soak import _records
@@ -14,6 +15,9 @@
 #: Share of the requests after which a caller leaves before the answer.
 LEAVE_SHARE = 0.05
 MOST_TRIES = 2
+#: Kinds of requests to upstreams that stutter. Plain requests that may run
+#: twice use connections that carried others.
+STUTTER_KINDS = ('chat', 'chat', 'look', 'look', 'book')
 #: Shortest and longest pause of a caller that asks the same again, seconds.
 AGAIN_S = (0.1, 0.5)
 
@@ -28,8 +32,13 @@
         keys: function that returns the key to use.
         random: source of random numbers.
         clock: gives seconds on the steady clock.
+
+    Attributes:
+        kinds: kinds of its requests.
     """
 
+    kinds = ('chat', 'chat', 'book')
+
     def __init__(self, name, pools, records, keys, random, clock):
         self.name = name
         self.pools = pools
@@ -42,7 +51,7 @@
     async def run(self, until):
         """Send requests until a time on the clock."""
         while self.clock() < until:
-            kind = self.random.choice(('chat', 'chat', 'book'))
+            kind = self.random.choice(self.kinds)
             await self._ask_twice(kind)
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
 
@@ -205,11 +214,13 @@
             return True
         if isinstance(part, http1.BodyPart):
             body += part.data
+            answer.part = body
         else:
             head = part
             answer.status = part.status
             answer.headed_at = clock()
+            answer.stamp = part.headers.get('Server-Stamp', '')
             if part.headers.get('Server-Limit'):
-                answer.limited_by = part.headers.get('Server-Stamp', '')
+                answer.limited_by = _given.upstream_of(answer.stamp)
             if part.headers.get('Server-Leaving'):
-                answer.leaving = part.headers.get('Server-Stamp', '')
+                answer.leaving = _given.upstream_of(answer.stamp)
--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -14,9 +14,12 @@
 from catkinshunt import notifier
 from standins import rate_rule
 from standins.soak import _cuts
+from standins.soak import _given
 from standins.soak import _parts
 from standins.soak import _records
 from standins.soak import _silences
+from standins.soak import _spoiling
+from standins.soak import _stutters
 
 MODEL = 'drafts'
 CHUNKS = 8
@@ -43,9 +46,13 @@
     return seed * (CHUNK_BYTES // len(seed))
 
 
-async def listen(handler, host, port, clock):
+async def listen(handler, host, port, clock, stutter):
     """Serve `handler` on an address; returns the listener."""
-    session = http1.make_session(handler)
+    serve = http1.make_session(handler)
+
+    def session(conn):
+        return serve(_stutters.Connection(conn, stutter))
+
     return await http1.Listener(session, clock).start(host, port)
 
 
@@ -212,6 +219,7 @@
         silence: `_silences.Silence` that holds it up.
         is_dead: whether it is silent for good.
         slots: requests that it says it runs at once.
+        stutter: `_stutters.Stutter`.
     """
 
     def __init__(
@@ -232,6 +240,7 @@
         self.back_off_s = None
         self.silence = _silences.Silence()
         self.is_dead = False
+        self.stutter = _stutters.Stutter(records.stutters)
         self.begin_history()
         self._listener = None
         self._running = set()
@@ -333,6 +342,9 @@
         return [{'name': MODEL, 'version': self.version, 'adapters': []}]
 
     async def _session(self, conn):
+        conn = _stutters.Connection(
+            conn, self.stutter, self._note_reply, self._note_break
+        )
         while True:
             req = await conn.read_request()
             if req is None or isinstance(req, http1.BadRequestError):
@@ -350,6 +362,18 @@
                 return
             conn.begin_idle()
 
+    def _note_reply(self, data):
+        """Record what a reply says, under its signature."""
+        stamp = _spoiling.field_of(data, 'Server-Stamp')
+        if stamp:
+            request = _spoiling.field_of(data, 'Attempt-Id')
+            status = _spoiling.status_of(data)
+            self.records.given[stamp] = _given.Given(request, status)
+
+    def _note_break(self):
+        now = self.clock()
+        self.records.break_offs[self.name].append((now, now + END_S))
+
     def _leaving_items(self):
         return [('Server-Leaving', '1')] if self.is_leaving else []
 
@@ -386,6 +410,8 @@
             }
             if len(self.stage) < CHUNKS:
                 held.add('missing')
+            if version not in held:
+                held.add(f'none of {version}')
             self.records.loads.append((self.name, held))
             self.version = version
         return as_json({}, 202)
@@ -406,7 +432,8 @@
 
     async def _answer(self, conn, req, attempt):
         request = attempt.request
-        items = [('Attempt-Id', request), ('Server-Stamp', self.name)]
+        stamp = self.records.make_stamp(self.name)
+        items = [('Attempt-Id', request), ('Server-Stamp', stamp)]
         entry = self.records.entry_of(request)
         self.history.arrivals.append(rate_rule.Arrival(self.clock(), entry))
         self.visits.add(request, self.clock())
@@ -421,7 +448,9 @@
             self.visits.state_leave(request, self.clock())
         if self.back_off_s is not None:
             attempt.was_rejected = True
-            self.visits.reject(entry, self.clock(), self.back_off_s)
+            if not conn.is_dirty:
+                # Else the entry need not read it.
+                self.visits.reject(entry, self.clock(), self.back_off_s)
             items.append(('Not-Executed', '1'))
             items.append(('Retry-After', f'{self.back_off_s:g}'))
             conn.write(http1.dump_reply(503, items))
@@ -449,6 +478,8 @@
         )
         self._running.add(request)
         try:
+            if self.stutter.draw_failure():
+                return await self._fail(conn, attempt, items)
             if self.version is None:
                 return await self._book(conn, attempt, items)
             crash_at = None
@@ -463,6 +494,14 @@
         finally:
             self._running.discard(request)
 
+    async def _fail(self, conn, attempt, items):
+        """Answer that the request has failed."""
+        await asyncio.sleep(BOOK_S)
+        body = _given.failure_body(attempt.request)
+        attempt.replied_at = self.clock()
+        conn.write(http1.dump_reply(500, items, body))
+        return True
+
     async def _book(self, conn, attempt, items):
         await asyncio.sleep(BOOK_S)
         await self.silence.wait('head')
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -1,12 +1,14 @@
 """What callers and upstreams saw, and the promises held against it."""
 
 import collections
+import itertools
 
 import attrs
 
 from standins import rate_rule
 from standins.soak import _cuts
 from standins.soak import _departures
+from standins.soak import _given
 from standins.soak import _parts
 from standins import statement_rules
 
@@ -24,7 +26,7 @@
     """What one caller got for one try.
 
     Attributes:
-        kind: ``'chat'`` or ``'book'``.
+        kind: ``'chat'``, ``'book'``, or ``'look'``, which may run twice.
         status: status of the reply; None where the connection ended first.
         body: its bytes; None where it broke off.
         content: body of the request.
@@ -36,6 +38,8 @@
         gave_up: whether the caller left before the answer.
         prompt: header that names the parts of the prompt, or ''.
         is_first: whether it is the first try of the request.
+        stamp: signature of the upstream, or ''.
+        part: the bytes of the body that came, also where it broke off.
     """
 
     request: str
@@ -54,6 +58,8 @@
     gave_up: bool = False
     prompt: str = ''
     is_first: bool = True
+    stamp: str = ''
+    part: bytes = b''
 
     @property
     def identity(self):
@@ -170,6 +176,8 @@
             for good, by upstream. It may break off answers in that time.
         back_at: when all engines were back and served new requests, after
             the last crash; None if that never was.
+        given: `_given.Given` by signature.
+        stutters: how often upstreams stuttered, by how.
     """
 
     def __init__(self, version_s, revoke_s, drain_s, timeout_s=6.0):
@@ -194,7 +202,10 @@
         self.silences = []
         self.break_offs = collections.defaultdict(list)
         self.back_at = None
+        self.given = {}
+        self.stutters = collections.Counter()
         self._entries = {}
+        self._stamps = itertools.count(1)
 
     def add_answer(self, answer):
         """Record the answer of a request that is about to be sent."""
@@ -205,6 +216,10 @@
         """Return the address of the entry that got a request, or ''."""
         return self._entries.get(request, '')
 
+    def make_stamp(self, upstream):
+        """Return the signature of the next reply of an upstream."""
+        return f'{upstream}.{next(self._stamps)}'
+
     def note_store_fault(self, begin, end):
         """Note a disruption of the store."""
         self.store_faults.append((begin, end + CONTACT_S))
@@ -225,6 +240,9 @@
         for answer in self.answers:
             found += _check_answer(answer, runs[answer.request])
             found += self._check_key(answer, runs[answer.request])
+            if self.given:
+                body = whole_body(answer.request, answer.kind)
+                found += _given.find_foreign(answer, self.given, body)
         for run in self.runs:
             found += self._check_run(run)
         found += self._check_departures()
@@ -528,7 +546,7 @@
 def _check_answer(answer, runs):
     if answer.kind == 'book' and len(runs) > 1:
         yield f'{answer.request} ran {len(runs)} times'
-    refusals = (429, 503) if answer.kind == 'chat' else (408, 421, 429, 503)
+    refusals = (408, 421, 429, 503) if answer.kind == 'book' else (429, 503)
     if answer.status in refusals and runs:
         yield f'{answer.request} got {answer.status} and ran'
     if answer.status == 200 and answer.body is not None:
@@ -549,6 +567,6 @@
 
 def whole_body(request, kind):
     """Return the whole answer to `request`."""
-    if kind == 'book':
+    if kind in ('book', 'look'):
         return f'booked {request}'.encode()
     return b''.join(event(request, n) for n in range(1, EVENTS + 1))
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -14,6 +14,7 @@
 from standins.soak import _callers
 from standins.soak import _era
 from standins.soak import _final_fault
+from standins.soak import _given
 from standins.soak import _limits
 from standins.soak import _parts
 from standins.soak import _platform
@@ -22,6 +23,7 @@
 from standins.soak import _records
 from standins.soak import _silences
 from standins.soak import _statements
+from standins.soak import _stutters
 
 VERSION_S = 4.0
 REVOKE_S = 2.0
@@ -86,12 +88,13 @@
         parts: whether a part of prompts crashes engines.
         returns: whether all processes are killed at one moment, in place of
             the other faults, and must serve again.
+        stutters: whether upstreams may answer twice, late, cut or spoilt.
     """
 
     def __init__(
         self, folder, seed=1, entries=2, sidecars=4, callers=6,
         crashes=CRASHES, limits=True, statements=True, silences=False,
-        eras=False, parts=False, returns=False,
+        eras=False, parts=False, returns=False, stutters=False,
     ):  # fmt: skip
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
@@ -103,6 +106,7 @@
         self.eras = eras
         self.parts = parts
         self.returns = returns
+        self.stutters = stutters
         self.slots = RETURN_SLOTS if returns else _platform.SLOTS
         self.returned = None
         self.drawn = []
@@ -113,6 +117,7 @@
         self.era_random = random.Random(f'eras {seed}')
         self.part_random = random.Random(f'parts {seed}')
         self.return_random = random.Random(f'returns {seed}')
+        self.stutter_random = random.Random(f'stutters {seed}')
         is_quiet = silences and self.silence_random.random() < QUIET_SHARE
         is_quiet |= eras and self.era_random.random() < QUIET_SHARE
         self.pause_s = QUIET_PAUSE_S if is_quiet else PAUSE_S
@@ -125,6 +130,8 @@
         self.declared = {}
         self.processes, self.proxies, self.upstreams = [], [], {}
         self._listeners = []
+        self.store_stutter = _stutters.Stutter(self.records.stutters)
+        self.origin_stutter = _stutters.Stutter(self.records.stutters)
         #: Addresses of processes by name.
         self.places = {}
         self.keys = ['k0', 'k1', 'k2', 'k3']
@@ -155,6 +162,9 @@
         broken = self.records.find_broken()
         if self.returned is not None:
             broken += self.returned.check(self.records.answers)
+        if self.stutters:
+            records = self.records
+            broken += _given.find_lack(records.answers, records.revoked)
         return broken
 
     def _close(self):
@@ -180,6 +190,8 @@
             work.append(self._make_drills().run(until - FAULT_S))
         if self.parts:
             work += [c.run(until) for c in self._make_prompt_callers()]
+        if self.stutters:
+            work.append(self._make_stutter_changes().run(until - FAULT_S))
         await asyncio.gather(*work, self._harm(until - FAULT_S))
         await asyncio.gather(*self.repeating)
         if self.records.crashes:
@@ -268,6 +280,16 @@
             self.clock,
         )
 
+    def _make_stutter_changes(self):
+        others = [self.origin_stutter]
+        if self.stutter_random.random() < _stutters.STORE_SHARE:
+            others.append(self.store_stutter)
+        return _stutters.StutterChanges(
+            lambda: [u.stutter for u, _ in self.upstreams.values()] + others,
+            self.stutter_random,
+            self.clock,
+        )
+
     def _make_drills(self):
         return _era.Drills(
             self.store,
@@ -376,7 +398,11 @@
             self.base = self._host()
             try:
                 listener = await _platform.listen(
-                    self.store.answer, self.base, STORE_PORT, self.clock
+                    self.store.answer,
+                    self.base,
+                    STORE_PORT,
+                    self.clock,
+                    self.store_stutter,
                 )
             except OSError as exc:
                 if exc.errno != errno.EADDRINUSE:
@@ -399,6 +425,7 @@
                 self.base,
                 ORIGIN_PORT,
                 self.clock,
+                self.origin_stutter,
             )
         )
         self._configure()
@@ -499,6 +526,8 @@
             _route('chat', 'engines', 'streaming', 2),
             _route('book', 'desk', 'non_idempotent', 1),
         ]
+        if self.stutters:
+            routes.append(_route('look', 'desk', 'idempotent', 2))
         origin = f'{self.base}:{ORIGIN_PORT}'
         self._declare(
             'op/config',
@@ -531,11 +560,14 @@
 
     def _make_callers(self):
         for number in range(self.sizes[2]):
-            yield self._make_caller(
+            caller = self._make_caller(
                 _callers.Caller,
                 f'c{number}',
                 lambda: self.random.choice(('k0', *self.keys, 'k3')),
             )
+            if self.stutters:
+                caller.kinds = _callers.STUTTER_KINDS
+            yield caller
 
     def _make_caller(self, kind, name, keys=lambda: 'k0', hosts=None):
         pools = [
--- a/standins/soak/tests/test_soak.py
+++ b/standins/soak/tests/test_soak.py
@@ -8,6 +8,7 @@
 from catkinshunt import errors
 from catkinshunt import http1
 from standins import rate_rule
+from standins.soak import _given
 from standins.soak import _platform
 from standins.soak import _records
 from standins.soak import _soak
@@ -340,7 +341,8 @@
         return soak, head
 
     soak, head = asyncio.run(main())
-    assert head.headers.get('Server-Stamp') == 'e100'
+    stamp = head.headers.get('Server-Stamp')
+    assert _given.upstream_of(stamp) == 'e100'
     assert list(soak.store.items) == ['servers/e100']
 
 
