--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -120,6 +120,7 @@
         self.stutter_random = random.Random(f'stutters {seed}')
         is_quiet = silences and self.silence_random.random() < QUIET_SHARE
         is_quiet |= eras and self.era_random.random() < QUIET_SHARE
+        is_quiet |= stutters and self.stutter_random.random() < QUIET_SHARE
         self.pause_s = QUIET_PAUSE_S if is_quiet else PAUSE_S
         self.repeating, self.returning = [], []
         self.until = None
--- a/standins/soak/_spoiling.py
+++ b/standins/soak/_spoiling.py
@@ -70,7 +70,10 @@
     head, _ = split_head(data)
     first_end = head.index(LINE_END)
     if place == 'status line':
-        return data[: random.randint(1, first_end + len(LINE_END))]
+        # One place in two is in the reason phrase: what follows there is
+        # valid, whatever it is.
+        begin = random.choice((1, STATUS_BYTES + 1))
+        return data[: random.randint(begin, first_end + len(LINE_END))]
     if place == 'body' and len(data) > len(head):
         return data[: random.randrange(len(head), len(data))]
     spans = [
--- a/standins/soak/_stutters.py
+++ b/standins/soak/_stutters.py
@@ -230,6 +230,9 @@
     def _end(self):
         """End a reply; return what is sent right behind it."""
         behind, self._late = self._late, b''
+        if self._harm == 'unframed':
+            # All bytes until the close are its body.
+            return b''
         time, form = self.stutter.draw_second()
         if time is None:
             return behind
