Reset unframed replies of the soak that break off, and excuse what they harm

A close in order ends a reply without a length, so nobody could tell that it was broken off. The proxies of the soak made a close in order of each reset; with upstreams that stutter they pass resets on. A reply can also be unframed and broken off.

A stream was reported as cut though the upstream where it was to go on had failed, or had sent late bytes before its reply: these count as broken off.

--- a/standins/soak/_platform.py
+++ b/standins/soak/_platform.py
@@ -498,6 +498,8 @@
         """Answer that the request has failed."""
         await asyncio.sleep(BOOK_S)
         body = _given.failure_body(attempt.request)
+        # A stream that was to go on here cannot.
+        self._note_break()
         attempt.replied_at = self.clock()
         conn.write(http1.dump_reply(500, items, body))
         return True
--- a/standins/soak/_proxy.py
+++ b/standins/soak/_proxy.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 _READ_BYTES = 64 * 1024
 #: Seconds by which bytes are held up while a link is slow.
 DELAY_S = 0.15
+#: Values of SO_LINGER: on with 0 s, with which a close is a reset, and off.
+RESET, ORDERLY = struct.pack('ii', 1, 0), struct.pack('ii', 0, 0)
 FAULTS = ('slow', 'reset', 'silent', 'one_way', 'refuse')
 
 
@@ -17,6 +21,8 @@
         place: address that it listens on.
         fault: None, or one of `FAULTS`. With ``'one_way'`` bytes towards
             the target pass and those back are held until it ends.
+        resets: whether connections that break off are reset. Otherwise they
+            are closed in order, which ends a reply without a length.
     """
 
     def __init__(self, host, port):
@@ -24,6 +30,7 @@
         self.port = port
         self.name = ''
         self.place = ''
+        self.resets = False
         self._fault = None
         self._healed = asyncio.Event()
         self._healed.set()
@@ -42,7 +49,12 @@
 
     def _abort(self):
         for writer in list(self._writers):
-            writer.transport.abort()
+            self._break_off(writer)
+
+    def _break_off(self, writer):
+        if self.resets:
+            reset_on_close(writer.transport, True)
+        writer.transport.abort()
 
     @property
     def fault(self):
@@ -80,9 +92,16 @@
         finally:
             self._writers -= both
 
+    async def _read(self, reader, writer):
+        try:
+            return await reader.read(_READ_BYTES)
+        except ConnectionResetError:
+            self._break_off(writer)
+            raise
+
     async def _pump(self, reader, writer, back):
         with contextlib.suppress(OSError):
-            while data := await reader.read(_READ_BYTES):
+            while data := await self._read(reader, writer):
                 if self._fault == 'slow':
                     await asyncio.sleep(DELAY_S)
                 if self._fault == 'silent' or (
@@ -93,3 +112,11 @@
                 await writer.drain()
         with contextlib.suppress(OSError):
             writer.close()
+
+
+def reset_on_close(transport, resets):
+    """Choose whether the close of a connection is a reset."""
+    sock = transport.get_extra_info('socket')
+    if sock is not None and not transport.is_closing():
+        option = RESET if resets else ORDERLY
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -454,6 +454,7 @@
         await upstream.start(host, port)
         proxy = await _proxy.Proxy(host, port).start(host, PROXY_PORT)
         proxy.name, proxy.place = name, host
+        proxy.resets = self.stutters
         upstream.on_crash = lambda: self._lose(upstream, proxy)
         self.proxies.append(proxy)
         self.upstreams[name] = (upstream, host)
--- a/standins/soak/_stutters.py
+++ b/standins/soak/_stutters.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import collections
-import socket
-import struct
 
 from catkinshunt import http1
+from standins.soak import _proxy
 from standins.soak import _spoiling
 
 #: When a second reply comes: with the first one, later, while the connection
@@ -22,8 +21,18 @@
     'rejection',
 )
 #: What happens to first replies: interim heads before them, one bit of the
-#: head wrong, one of an event, no length, and a broken off head or body.
-HARMS = ('interim', 'spoilt', 'event', 'unframed', 'broken')
+#: head wrong, one of an event, no length, a broken off head or body, and both.
+HARMS = (
+    'interim',
+    'spoilt',
+    'event',
+    'unframed',
+    'broken',
+    'unframed and broken',
+)
+#: Harms after which a reply may have no length for its reader. Breaking it off
+#: with a close in order would end it.
+UNFRAMING = ('unframed', 'unframed and broken', 'spoilt')
 #: Shares of second and harmed replies, and of failures, of an upstream that
 #: stutters.
 SECOND_SHARE, HARM_SHARE, FAILURE_SHARE = 0.4, 0.12, 0.3
@@ -37,8 +46,6 @@
 #: Statuses of replies that may be harmed. What a rejection says has to be
 #: heard.
 HARMED_STATUSES = (200, 500)
-#: Value of SO_LINGER (on, 0 s) with which a close is a reset.
-_RESET = struct.pack('ii', 1, 0)
 _INTERIM_HEADS = (
     b'HTTP/1.1 100 Continue\r\n\r\n',
     b'HTTP/1.1 102 Processing\r\n\r\n',
@@ -131,6 +138,7 @@
         self._harm = None
         #: Bytes of it that are still sent before it is broken off, or None.
         self._left = None
+        self._is_orderly = False
         self._event = 0
 
     def __getattr__(self, name):
@@ -154,6 +162,7 @@
             sent += self._end()
         self.conn.write(before + sent)
         if is_last and self._harm == 'unframed':
+            _proxy.reset_on_close(self.conn.transport, False)
             self.conn.close()
         if is_last:
             self._reply = b''
@@ -161,9 +170,12 @@
     def _begin(self, data):
         """Begin a reply; return what comes before it."""
         self.on_reply(data)
+        if self.is_dirty:
+            self.on_break()
         before, self._late = self._late, b''
         self.is_dirty = False
         self._harm, self._left, self._event = None, None, 0
+        self._is_orderly = False
         harm = self.stutter.draw_harm()
         is_stream = not self._is_last(data)
         if harm == 'interim':
@@ -176,19 +188,26 @@
             if harm == 'event' and not is_stream:
                 return before
             self.on_break()
-        if harm == 'broken':
+        self._harm = harm
+        if harm in ('broken', 'unframed and broken'):
             self._left = self._draw_length(data, is_stream)
         if harm == 'event':
             self._event = self.stutter.random.randint(1, 6)
-        self._harm = harm
+        if harm in UNFRAMING:
+            _proxy.reset_on_close(self.conn.transport, True)
         self.stutter.counts[harm or 'plain'] += 1
         return before
 
     def _draw_length(self, data, is_stream):
         """Return the number of bytes after which a reply is broken off."""
+        if self._harm != 'broken':
+            data = _spoiling.unframe(data)
         head, _ = _spoiling.split_head(data)
         if self.stutter.random.random() < 0.5:
+            self._is_orderly = self.stutter.random.random() < 0.5
             return self.stutter.random.randrange(len(head))
+        if self._harm == 'broken':
+            self._is_orderly = self.stutter.random.random() < 0.5
         # The events of a stream have more bytes than its head.
         most = 2 * len(head) if is_stream else len(data)
         return self.stutter.random.randrange(
@@ -208,24 +227,18 @@
             self._event -= 1
             if not self._event:
                 return _spoiling.spoil_event(data, self.stutter.random)
-        if self._harm == 'unframed':
-            return (
-                _spoiling.unframe(data)
-                if is_head
-                else (_spoiling.unchunk(data))
-            )
+        if self._harm in ('unframed', 'unframed and broken'):
+            return (_spoiling.unframe if is_head else _spoiling.unchunk)(data)
         return data
 
     def _break_off(self):
         """End the connection within a reply, in order or with a reset."""
         self._reply = b''
-        if self.stutter.random.random() < 0.5:
+        _proxy.reset_on_close(self.conn.transport, not self._is_orderly)
+        if self._is_orderly:
             self.conn.close()
-            return
-        sock = self.conn.transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        self.conn.abort()
+        else:
+            self.conn.abort()
 
     def _end(self):
         """End a reply; return what is sent right behind it."""
