--- a/standins/soak/tests/test_stutters.py
+++ b/standins/soak/tests/test_stutters.py
@@ -14,6 +14,8 @@
 
 #: Seed and length of a short run.
 SEED, RUN_S = 1, 9.0
+#: Seconds after which no more bytes of a reply come.
+QUIET_S = 0.3
 REPLY = (
     b'HTTP/1.1 200 OK\r\nAttempt-Id: c0-1\r\nServer-Stamp: e0.1\r\n'
     b'Content-Length: 5\r\n\r\nwhole'
@@ -160,7 +162,10 @@
 
 
 def replies_of(times, forms, harms=(), count=40):
-    """Return all bytes of an upstream that stutters, for `count` requests."""
+    """Return all bytes of an upstream that stutters, and its records.
+
+    Two requests are sent on each of `count` connections.
+    """
 
     async def main():
         seen = _records.Records(version_s=4.0, revoke_s=2.0, drain_s=1.0)
@@ -170,13 +175,13 @@
         upstream.stutter.times, upstream.stutter.forms = times, forms
         upstream.stutter.harms = harms
         await upstream.start('127.0.0.1', 0)
-        got = b''
         try:
-            for number in range(count):
-                got += await ask(upstream.port, f'c0-{number}')
+            got = await asyncio.gather(
+                *(ask(upstream.port, f'c0-{n}') for n in range(count))
+            )
         finally:
             upstream.close()
-        return got, seen
+        return b''.join(got), seen
 
     return asyncio.run(main())
 
@@ -190,7 +195,7 @@
         writer.write(http1.dump_head('POST /look/1 HTTP/1.1', items))
         try:
             while True:
-                async with asyncio.timeout(0.1):
+                async with asyncio.timeout(QUIET_S):
                     data = await reader.read(4096)
                 if not data:
                     break
