--- a/standins/soak/_stutters.py
+++ b/standins/soak/_stutters.py
@@ -161,7 +161,7 @@
         if is_last:
             sent += self._end()
         self.conn.write(before + sent)
-        if is_last and self._harm == 'unframed':
+        if is_last and self._is_unframed:
             _proxy.reset_on_close(self.conn.transport, False)
             self.conn.close()
         if is_last:
@@ -172,7 +172,8 @@
         self.on_reply(data)
         if self.is_dirty:
             self.on_break()
-        before, self._late = self._late, b''
+        before = self._late if self.stutter.times else b''
+        self._late = b''
         self.is_dirty = False
         self._harm, self._left, self._event = None, None, 0
         self._is_orderly = False
@@ -200,7 +201,7 @@
 
     def _draw_length(self, data, is_stream):
         """Return the number of bytes after which a reply is broken off."""
-        if self._harm != 'broken':
+        if self._is_unframed:
             data = _spoiling.unframe(data)
         head, _ = _spoiling.split_head(data)
         if self.stutter.random.random() < 0.5:
@@ -214,6 +215,10 @@
             len(head), max(most, len(head) + 1)
         )
 
+    @property
+    def _is_unframed(self):
+        return self._harm in ('unframed', 'unframed and broken')
+
     def _is_last(self, data):
         is_chunked = b'chunked' in _spoiling.split_head(self._reply or data)[0]
         return not is_chunked or data == http1.LAST_CHUNK
@@ -227,7 +232,7 @@
             self._event -= 1
             if not self._event:
                 return _spoiling.spoil_event(data, self.stutter.random)
-        if self._harm in ('unframed', 'unframed and broken'):
+        if self._is_unframed:
             return (_spoiling.unframe if is_head else _spoiling.unchunk)(data)
         return data
 
@@ -243,7 +248,7 @@
     def _end(self):
         """End a reply; return what is sent right behind it."""
         behind, self._late = self._late, b''
-        if self._harm == 'unframed':
+        if self._is_unframed:
             # All bytes until the close are its body.
             return b''
         time, form = self.stutter.draw_second()
--- a/standins/soak/tests/test_stutters.py
+++ b/standins/soak/tests/test_stutters.py
@@ -12,8 +12,11 @@
 from standins.soak import _spoiling
 from standins.soak import _stutters
 
-#: Seed and length of a short run.
-SEED, RUN_S = 1, 9.0
+#: Seed and length of a short run. Before callers got only what was theirs, it
+#: gave them successes where upstreams had failed.
+SEED, RUN_S = 211, 12.0
+#: A seed that failed in a run by hand, and the length of the run.
+FAILED_SEEDS, FAILED_RUN_S = (104,), 12.0
 #: Seconds after which no more bytes of a reply come.
 QUIET_S = 0.3
 REPLY = (
@@ -227,19 +230,29 @@
         assert b'HTTP/1.1 1' in got
 
 
-def test_short_run_with_stutters_breaks_nothing(tmp_path):
-    """Late replies were joined with the next ones on their connections."""
+def run(folder, seed, duration_s):
+    """Return what a run with stutters broke, and its records."""
 
     async def main():
-        soak = _soak.Soak(
-            tmp_path, SEED, entries=2, sidecars=3, callers=12, crashes=False,
-            stutters=True,
-        )  # fmt: skip
-        return await soak.run(RUN_S), soak.records
+        soak = _soak.Soak(folder, seed, callers=12, stutters=True)
+        return await soak.run(duration_s), soak.records
+
+    return asyncio.run(main())
+
 
-    found, seen = asyncio.run(main())
+def test_short_run_with_stutters_breaks_nothing(tmp_path):
+    """Late replies were joined with the next ones on their connections."""
+
+    found, seen = run(tmp_path, SEED, RUN_S)
     assert found == []
     assert seen.stutters['failures'] > 3
     for time in _stutters.TIMES:
         assert sum(v for k, v in seen.stutters.items() if time in k) > 3
     assert sum(seen.stutters[harm] for harm in _stutters.HARMS) > 3
+
+
+@pytest.mark.parametrize('seed', FAILED_SEEDS)
+def test_a_seed_with_stutters_that_failed_once_breaks_nothing(seed, tmp_path):
+    """Events without an id, or joined with the next one, were passed on."""
+    found, _ = run(tmp_path, seed, FAILED_RUN_S)
+    assert found == []
