--- a/standins/soak/tests/test_stutters.py
+++ b/standins/soak/tests/test_stutters.py
@@ -12,8 +12,8 @@
 from standins.soak import _spoiling
 from standins.soak import _stutters
 
-#: Seed and length of a short run. Before callers got only what was theirs, it
-#: gave them successes where upstreams had failed.
+#: Seed and length of a short run, in which the code that joined late replies
+#: with the next ones gave callers successes where upstreams had failed.
 SEED, RUN_S = 211, 12.0
 #: A seed that failed in a run by hand, and the length of the run.
 FAILED_SEEDS, FAILED_RUN_S = (104,), 12.0
