--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -107,12 +107,14 @@
     if not soak.stutters:
         return ''
     records = soak.records
-    served, sent = _given.count_served(records.answers, records.revoked)
+    answers = records.find_answers_in_touch()
+    served, sent = _given.count_served(answers, records.revoked)
     wrong = _given.count_wrong(records.answers, records.given)
     shown = ', '.join(f'{k}: {v}' for k, v in sorted(records.stutters.items()))
     return (
-        f'; {served} of {sent} served; {sum(wrong.values())} with another '
-        f'status {dict(wrong)}; stutters {shown}'
+        f'; {served} of {sent} served by entries in touch; '
+        f'{sum(wrong.values())} with another status {dict(wrong)}; '
+        f'stutters {shown}'
     )
 
 
--- a/standins/soak/_records.py
+++ b/standins/soak/_records.py
@@ -323,6 +323,10 @@
             spans, answer.sent_at - CONTACT_S, answer.ended_at
         )
 
+    def find_answers_in_touch(self):
+        """Return the answers of entries that were in touch."""
+        return [a for a in self.answers if not self._is_entry_harmed(a)]
+
     def _is_sound(self, attempt, until):
         """Return whether an upstream could go on with an attempt.
 
--- a/standins/soak/_soak.py
+++ b/standins/soak/_soak.py
@@ -164,8 +164,8 @@
         if self.returned is not None:
             broken += self.returned.check(self.records.answers)
         if self.stutters:
-            records = self.records
-            broken += _given.find_lack(records.answers, records.revoked)
+            answers = self.records.find_answers_in_touch()
+            broken += _given.find_lack(answers, self.records.revoked)
         return broken
 
     def _close(self):
