Take no success for a request that was not run

A success that also states that its request was not run contradicts itself: the request was rejected, or sent elsewhere though it must run at most once. It is an unknown outcome now. No such reply is known from a run.

On the code before (the booking was rejected with 429 though it had run):

test_success_does_not_state_that_it_was_not_run: assert (429, []) == (502, [])

--- a/catkinshunt/gateway/_reply_check.py
+++ b/catkinshunt/gateway/_reply_check.py
@@ -75,6 +75,8 @@
                 step='read-reply',
                 peer=self.peer,
             )
+        if reply_info.not_executed and 200 <= head.status < 300:
+            raise self._unknown_outcome('success that states it was not run')
         if reply_info.not_executed:
             self._back_off(reply_info)
             raise errors.OverloadedError(
--- a/catkinshunt/gateway/tests/test_two_answers.py
+++ b/catkinshunt/gateway/tests/test_two_answers.py
@@ -228,6 +228,21 @@
     assert replies[-1] == (200, 2)
 
 
+def test_success_does_not_state_that_it_was_not_run():
+    """A booking that ran would be sent elsewhere, and run twice."""
+    both = harness.replying(200, b'ran', [('Not-Run', '1')])
+
+    async def main():
+        first = harness.FakeUpstream('u1', both)
+        second = harness.FakeUpstream('u2', harness.replying())
+        async with harness.running_gateway(first, second) as gateway:
+            gateway.pause(second, 0.3)
+            reply = await gateway.request('/book/1', 'POST', b'one')
+            return reply[0], second.heads
+
+    assert asyncio.run(main()) == (502, [])
+
+
 @pytest.mark.parametrize('length', [None, b'Content-Length: 40'])
 @pytest.mark.parametrize('status', [b'200 OK', b'500 Failed', b'503 Full'])
 def test_reply_to_head_has_no_body(status, length):
