Bound the time that the head of a reply takes

An upstream that sends its head byte by byte held its request, with its slot in the sidecar, far beyond the deadline: the time-out of a socket starts anew with each byte. A head of 64 KiB with 0.01 s a byte takes eleven minutes.

Now the time-out of the socket is the time for the whole head.

On the code before, test_head_that_arrives_byte_by_byte_does_not_hold_its_call did not end within the 100 s for which it was run, with a time-out of 0.5 s.

Tests of httpio, entry, sidecar, kvstore, engines, cli, instances and weights pass.

--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -5,6 +5,7 @@
 a head, of a chunk size and of a trailer.
 """
 
+import contextlib
 import http.client
 import io
 import re
@@ -49,7 +50,8 @@
 
     def __init__(self, sock, *args, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self._reader = self.fp = _Reader(self.fp.detach(), sock)
+        self._raw = _TimedRaw(self.fp.detach(), sock)
+        self._reader = self.fp = _Reader(self._raw, sock)
 
     @property
     def is_delimited(self):
@@ -73,10 +75,12 @@
                 are joined in it.
             http.client.IncompleteRead: the connection ended in it.
             http.client.RemoteDisconnected: it ended before the first byte.
+            TimeoutError: it was not read within the time-out of the socket.
         """
         if self.headers is not None:
             return
-        head = self._read_final_head()
+        with self._raw.limit():
+            head = self._read_final_head()
         reader, self.fp = self.fp, io.BytesIO(head)
         try:
             super().begin()
@@ -148,6 +152,58 @@
         return left
 
 
+class _TimedRaw(io.RawIOBase):
+    """Reads from a socket, and limits the time that a head takes.
+
+    The time-out of a socket starts anew with each byte.
+
+    Args:
+        raw: raw stream of the socket.
+        sock: the socket.
+    """
+
+    def __init__(self, raw, sock):
+        self._raw = raw
+        self._sock = sock
+        self._until = None
+
+    @contextlib.contextmanager
+    def limit(self):
+        """Let the time-out of the socket start now, for all that is read."""
+        timeout_s = self._sock.gettimeout()
+        if timeout_s is None:
+            yield
+            return
+        self._until = time.monotonic() + timeout_s
+        try:
+            yield
+        finally:
+            self._until = None
+            self._sock.settimeout(timeout_s)
+
+    def readable(self):
+        """See `io.RawIOBase`."""
+        return True
+
+    def readinto(self, buffer):
+        """See `io.RawIOBase`.
+
+        Raises:
+            TimeoutError: the time has passed.
+        """
+        if self._until is not None:
+            left_s = self._until - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError('the head of the reply does not end')
+            self._sock.settimeout(left_s)
+        return self._raw.readinto(buffer)
+
+    def close(self):
+        """See `io.RawIOBase`."""
+        self._raw.close()
+        super().close()
+
+
 class _Reader(io.BufferedReader):
     """Notes when it is closed whether data are left over.
 
--- a/catkinshunt/httpio/tests/test_response.py
+++ b/catkinshunt/httpio/tests/test_response.py
@@ -210,3 +210,28 @@
         with pytest.raises(errors.OutcomeUnknownError) as caught:
             httpio.exchange(address, 'GET', '/', timeout_s=5)
     assert 'does not end' in caught.value.message
+
+
+@pytest.mark.parametrize('head', [b'HTTP/1.1 200 OK\r\nX: ', b''])
+def test_head_that_arrives_byte_by_byte_does_not_hold_its_call(head):
+    """Each byte extended the wait, and the caller waited for hours."""
+    with endless(head, b'H', 0.01) as address:
+        begun_at = time.monotonic()
+        with pytest.raises(errors.OutcomeUnknownError):
+            httpio.exchange(address, 'GET', '/', timeout_s=0.5)
+        assert time.monotonic() - begun_at < 5
+
+
+def test_body_has_the_whole_time_out_after_a_slow_head():
+    """What was left of the time of the head would count for the body."""
+    with connected() as (_, _, conn, peer):
+        conn.request('GET', '/')
+        peer.recv(65536)
+        peer.sendall(HEAD[:10])
+        timer = threading.Timer(0.2, peer.sendall, [HEAD[10:]])
+        timer.start()
+        resp = conn.getresponse()
+        timer.join()
+        assert conn.sock.gettimeout() == 5
+        peer.sendall(b'whole')
+        assert resp.read() == b'whole'
