--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -11,6 +11,7 @@
 import re
 import time
 
+from catkinshunt.httpio import _body
 from catkinshunt import logs
 
 #: Longest head of a reply, and longest trailer.
@@ -20,8 +21,6 @@
 #: Longest body that is read whole, and longest time that reading it takes.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 MAX_REPLY_S = 120.0
-#: Maximum size of a piece of a body.
-PIECE_BYTES = 64 * 1024
 
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([^\r\n\0]*))?\r?\n'
@@ -98,7 +97,7 @@
         parts = []
         size = 0
         until = time.monotonic() + MAX_REPLY_S
-        while part := self.read1(PIECE_BYTES):
+        while part := self.read1(_body.PIECE_BYTES):
             parts.append(part)
             size += len(part)
             if size > MAX_REPLY_BYTES or time.monotonic() > until:
