Parse the head of a reply of the first interface once

No check is changed.

Tests of httpio, entry, sidecar, kvstore, engines, cli, instances and weights pass. The overhead benchmark was not run on this commit.

--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -11,6 +11,8 @@
 import re
 import time
 
+import attrs
+
 from catkinshunt.httpio import _body
 from catkinshunt import logs
 
@@ -29,6 +31,7 @@
 _JOINED_HEAD = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}')
 _LENGTH = re.compile(rb'[0-9]{1,18}')
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
+_BODILESS = (http.client.NO_CONTENT, http.client.NOT_MODIFIED)
 _BLANK_LINES = (b'\r\n', b'\n')
 _CRLF = b'\r\n'
 _log = logs.get_logger('http')
@@ -38,6 +41,27 @@
     """What the peer sent is not the reply to the request."""
 
 
+@attrs.frozen
+class _Head:
+    """A head that is well-formed.
+
+    Attributes:
+        version: of the protocol; 10 for HTTP/1.0, 11 for HTTP/1.1.
+        status: the status code.
+        reason: the reason phrase.
+        headers: the fields.
+        length: length of the body, or None.
+        is_chunked: whether the body consists of chunks.
+    """
+
+    version: int
+    status: int
+    reason: str
+    headers: http.client.HTTPMessage
+    length: int | None
+    is_chunked: bool
+
+
 class StrictResponse(http.client.HTTPResponse):
     """A reply that is read whole, or fails.
 
@@ -80,11 +104,15 @@
             return
         with self._raw.limit():
             head = self._read_final_head()
-        reader, self.fp = self.fp, io.BytesIO(head)
-        try:
-            super().begin()
-        finally:
-            self.fp = reader
+        is_bodiless = head.status in _BODILESS or self._method == 'HEAD'
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.version = head.version
+        self.headers = self.msg = head.headers
+        self.chunked = head.is_chunked and not is_bodiless
+        self.chunk_left = None
+        self.length = 0 if is_bodiless else head.length
+        self.will_close = self._check_close() or not self.is_delimited
 
     def read_whole(self):
         """Return the body of a reply of which no more is relayed.
@@ -112,18 +140,17 @@
         return b''.join(parts)
 
     def _read_final_head(self):
-        """Return the first head that is not interim."""
+        """Return the first `_Head` that is not interim."""
         if not self.fp.peek(1):
             raise http.client.RemoteDisconnected(
                 'connection closed without a reply'
             )
         for _ in range(MAX_INTERIM_HEADS + 1):
-            lines = _read_lines(self.fp)
-            status = _check_head(lines)
-            if status == http.client.SWITCHING_PROTOCOLS:
+            head = _parse_head(_read_lines(self.fp))
+            if head.status == http.client.SWITCHING_PROTOCOLS:
                 raise InvalidReplyError('the peer switched protocols')
-            if status >= http.client.OK:
-                return b''.join(lines)
+            if head.status >= http.client.OK:
+                return head
         raise InvalidReplyError('too many interim heads')
 
     def _get_chunk_left(self):
@@ -255,8 +282,8 @@
     raise InvalidReplyError(f'a head is longer than {MAX_HEAD_BYTES} bytes')
 
 
-def _check_head(lines):
-    """Return the status of a head.
+def _parse_head(lines):
+    """Return the `_Head` in the lines of a head.
 
     Raises:
         InvalidReplyError: it is malformed.
@@ -265,14 +292,27 @@
     match = _STATUS_LINE.fullmatch(first)
     if match is None:
         raise InvalidReplyError(f'invalid status line: {first[:40]!r}')
-    _check_single_head(match[3] or b'')
+    minor, status, reason = match.groups(b'')
+    _check_single_head(reason)
     framing = {b'content-length': [], b'transfer-encoding': []}
+    headers = http.client.HTTPMessage()
     for line in fields:
         name, value = _check_field(line)
-        framing.get(name.lower(), []).append(value.strip(b' \t'))
-    is_chunkable = match[1] == b'1'
-    _check_framing(*framing.values(), is_chunkable)
-    return int(match[2])
+        value = value.strip(b' \t')
+        headers[name.decode('latin-1')] = value.decode('latin-1')
+        lowered = name.lower()
+        if lowered in framing:
+            framing[lowered].append(value)
+    lengths, encodings = framing.values()
+    _check_framing(lengths, encodings, is_chunkable=minor == b'1')
+    return _Head(
+        version=10 + int(minor),
+        status=int(status),
+        reason=reason.decode('latin-1').strip(),
+        headers=headers,
+        length=int(lengths[0]) if lengths else None,
+        is_chunked=bool(encodings),
+    )
 
 
 def _check_field(line):
