--- a/catkinshunt/httpio/_response.py
+++ b/catkinshunt/httpio/_response.py
@@ -5,11 +5,15 @@
 a head, of a chunk size and of a trailer.
 """
 
+import contextlib
 import http.client
 import io
 import re
 import time
 
+import attrs
+
+from catkinshunt.httpio import _body
 from catkinshunt import logs
 
 #: Longest head of a reply, and longest trailer.
@@ -19,8 +23,6 @@
 #: Longest body that is read whole, and longest time that reading it takes.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 MAX_REPLY_S = 120.0
-#: Maximum size of a piece of a body.
-PIECE_BYTES = 64 * 1024
 
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([^\r\n\0]*))?\r?\n'
@@ -29,6 +31,7 @@
 _JOINED_HEAD = re.compile(rb'HTTP/[0-9]\.[0-9] [0-9]{3}')
 _LENGTH = re.compile(rb'[0-9]{1,18}')
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r?\n')
+_BODILESS = (http.client.NO_CONTENT, http.client.NOT_MODIFIED)
 _BLANK_LINES = (b'\r\n', b'\n')
 _CRLF = b'\r\n'
 _log = logs.get_logger('http')
@@ -38,6 +41,27 @@
     """What the peer sent is not the reply to the request."""
 
 
+@attrs.frozen
+class _Head:
+    """A head that is well-formed.
+
+    Attributes:
+        version: of the protocol; 10 for HTTP/1.0, 11 for HTTP/1.1.
+        status: the status code.
+        reason: the reason phrase.
+        headers: the fields.
+        length: length of the body, or None.
+        is_chunked: whether the body consists of chunks.
+    """
+
+    version: int
+    status: int
+    reason: str
+    headers: http.client.HTTPMessage
+    length: int | None
+    is_chunked: bool
+
+
 class StrictResponse(http.client.HTTPResponse):
     """A reply that is read whole, or fails.
 
@@ -49,7 +73,8 @@
 
     def __init__(self, sock, *args, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self._reader = self.fp = _Reader(self.fp.detach(), sock)
+        self._raw = _TimedRaw(self.fp.detach(), sock)
+        self._reader = self.fp = _Reader(self._raw, sock)
 
     @property
     def is_delimited(self):
@@ -73,15 +98,21 @@
                 are joined in it.
             http.client.IncompleteRead: the connection ended in it.
             http.client.RemoteDisconnected: it ended before the first byte.
+            TimeoutError: it was not read within the time-out of the socket.
         """
         if self.headers is not None:
             return
-        head = self._read_final_head()
-        reader, self.fp = self.fp, io.BytesIO(head)
-        try:
-            super().begin()
-        finally:
-            self.fp = reader
+        with self._raw.limit():
+            head = self._read_final_head()
+        is_bodiless = head.status in _BODILESS or self._method == 'HEAD'
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.version = head.version
+        self.headers = self.msg = head.headers
+        self.chunked = head.is_chunked and not is_bodiless
+        self.chunk_left = None
+        self.length = 0 if is_bodiless else head.length
+        self.will_close = self._check_close() or not self.is_delimited
 
     def read_whole(self):
         """Return the body of a reply of which no more is relayed.
@@ -94,7 +125,7 @@
         parts = []
         size = 0
         until = time.monotonic() + MAX_REPLY_S
-        while part := self.read1(PIECE_BYTES):
+        while part := self.read1(_body.PIECE_BYTES):
             parts.append(part)
             size += len(part)
             if size > MAX_REPLY_BYTES or time.monotonic() > until:
@@ -109,18 +140,17 @@
         return b''.join(parts)
 
     def _read_final_head(self):
-        """Return the first head that is not interim."""
+        """Return the first `_Head` that is not interim."""
         if not self.fp.peek(1):
             raise http.client.RemoteDisconnected(
                 'connection closed without a reply'
             )
         for _ in range(MAX_INTERIM_HEADS + 1):
-            lines = _read_lines(self.fp)
-            status = _check_head(lines)
-            if status == http.client.SWITCHING_PROTOCOLS:
+            head = _parse_head(_read_lines(self.fp))
+            if head.status == http.client.SWITCHING_PROTOCOLS:
                 raise InvalidReplyError('the peer switched protocols')
-            if status >= http.client.OK:
-                return b''.join(lines)
+            if head.status >= http.client.OK:
+                return head
         raise InvalidReplyError('too many interim heads')
 
     def _get_chunk_left(self):
@@ -148,6 +178,58 @@
         return left
 
 
+class _TimedRaw(io.RawIOBase):
+    """Reads from a socket, and limits the time that a head takes.
+
+    The time-out of a socket starts anew with each byte.
+
+    Args:
+        raw: raw stream of the socket.
+        sock: the socket.
+    """
+
+    def __init__(self, raw, sock):
+        self._raw = raw
+        self._sock = sock
+        self._until = None
+
+    @contextlib.contextmanager
+    def limit(self):
+        """Let the time-out of the socket start now, for all that is read."""
+        timeout_s = self._sock.gettimeout()
+        if timeout_s is None:
+            yield
+            return
+        self._until = time.monotonic() + timeout_s
+        try:
+            yield
+        finally:
+            self._until = None
+            self._sock.settimeout(timeout_s)
+
+    def readable(self):
+        """See `io.RawIOBase`."""
+        return True
+
+    def readinto(self, buffer):
+        """See `io.RawIOBase`.
+
+        Raises:
+            TimeoutError: the time has passed.
+        """
+        if self._until is not None:
+            left_s = self._until - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError('the head of the reply does not end')
+            self._sock.settimeout(left_s)
+        return self._raw.readinto(buffer)
+
+    def close(self):
+        """See `io.RawIOBase`."""
+        self._raw.close()
+        super().close()
+
+
 class _Reader(io.BufferedReader):
     """Notes when it is closed whether data are left over.
 
@@ -200,8 +282,8 @@
     raise InvalidReplyError(f'a head is longer than {MAX_HEAD_BYTES} bytes')
 
 
-def _check_head(lines):
-    """Return the status of a head.
+def _parse_head(lines):
+    """Return the `_Head` in the lines of a head.
 
     Raises:
         InvalidReplyError: it is malformed.
@@ -210,14 +292,27 @@
     match = _STATUS_LINE.fullmatch(first)
     if match is None:
         raise InvalidReplyError(f'invalid status line: {first[:40]!r}')
-    _check_single_head(match[3] or b'')
+    minor, status, reason = match.groups(b'')
+    _check_single_head(reason)
     framing = {b'content-length': [], b'transfer-encoding': []}
+    headers = http.client.HTTPMessage()
     for line in fields:
         name, value = _check_field(line)
-        framing.get(name.lower(), []).append(value.strip(b' \t'))
-    is_chunkable = match[1] == b'1'
-    _check_framing(*framing.values(), is_chunkable)
-    return int(match[2])
+        value = value.strip(b' \t')
+        headers[name.decode('latin-1')] = value.decode('latin-1')
+        lowered = name.lower()
+        if lowered in framing:
+            framing[lowered].append(value)
+    lengths, encodings = framing.values()
+    _check_framing(lengths, encodings, is_chunkable=minor == b'1')
+    return _Head(
+        version=10 + int(minor),
+        status=int(status),
+        reason=reason.decode('latin-1').strip(),
+        headers=headers,
+        length=int(lengths[0]) if lengths else None,
+        is_chunked=bool(encodings),
+    )
 
 
 def _check_field(line):
