Do not doubt a reply whose last chunk has come

Doubt is due where the end depends on a length in the head, as one wrong digit makes it too short. The last chunk states the end itself.

On the code before, test_data_behind_the_last_chunk_leaves_no_doubt fails for all three (`assert not True`, is_end_doubtful).

A reply with a length stays in doubt: a part of an answer must not look whole. Where it may not run twice its caller is told that the outcome is unknown.

--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -117,6 +117,8 @@
         self._is_awaiting = False
         self._in_body = False
         self._ends_at_close = False
+        #: Whether the end of the reply depends on a length in its head.
+        self._has_length = False
         self._is_foreign = None
         self._is_head = False
         #: End of the data of the reply that is skipped, or None.
@@ -155,7 +157,7 @@
         if self._lost is not None:
             return
         if not self._is_awaiting:
-            self.is_end_doubtful = not _begins_reply(data)
+            self.is_end_doubtful = self._has_length and not _begins_reply(data)
             self._reject(
                 f'{len(data)} bytes were received while no reply was awaited'
             )
@@ -221,6 +223,7 @@
             self._begin_skipping(framed)
             return
         self._ends_at_close = not framed
+        self._has_length = headers.get('content-length') is not None
         if not self._parser.should_keep_alive() or not framed:
             self.reusable = False
         self.idle_limit_s = _idle_limit_s(headers)
@@ -408,7 +411,7 @@
             self._reject(f'malformed reply: {cause}')
             return
         if not isinstance(exc.__context__, InvalidReplyError):
-            self.is_end_doubtful = True
+            self.is_end_doubtful = self._has_length
         self._reject('data was received after the end of the reply')
 
     def _reject(self, reason):
--- a/catkinshunt/http1/tests/test_foreign_bytes.py
+++ b/catkinshunt/http1/tests/test_foreign_bytes.py
@@ -321,3 +321,14 @@
     peer = Peer().feed(own + behind)
     assert peer.reply() == (500, b'failed')
     assert not peer.conn.is_end_doubtful
+
+
+@pytest.mark.parametrize('behind', [b'xyz', b' ', b'\x07junk'])
+def test_data_behind_the_last_chunk_leaves_no_doubt(behind):
+    """A whole reply, and a whole stream, would be refused."""
+    own = CHUNKED + http1.dump_chunk(b'whole') + http1.LAST_CHUNK
+    for size in (len(own + behind), 1):
+        peer = Peer().feed(*in_pieces(own + behind, size))
+        assert peer.reply() == (200, b'whole')
+        assert not peer.conn.is_end_doubtful
+        assert not peer.conn.is_open
