Suspect no request of a crash after an invalid reply

A request that met late bytes on its connection counted as one that broke a connection: the guard asked whether its upstream had crashed, its retry waited for that, and if the upstream left at that moment the request was blamed.

Cause: a connection that this process ends, as the peer sent no valid reply, was told like one that the peer lost. It says so now, and its request ends as one with a foreign reply. An upstream that sends has not crashed.

On the code before, test_invalid_reply_is_no_broken_connection fails in both cases.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -160,9 +160,11 @@
                 await self._fail_over_if_unresponsive()
                 continue
             if isinstance(part, http1.ConnectionLost):
-                raise ConnectionLostError(
-                    part.reason, step='read-reply', peer=self.peer
-                )
+                error = ConnectionLostError
+                if part.is_invalid:
+                    # The upstream sends, so it has not crashed.
+                    error = ForeignReplyError
+                raise error(part.reason, step='read-reply', peer=self.peer)
             self.silent_s = max(
                 self.silent_s, self.state.receive(self.context.clock())
             )
--- a/catkinshunt/gateway/tests/test_quarantine_check.py
+++ b/catkinshunt/gateway/tests/test_quarantine_check.py
@@ -281,6 +281,16 @@
     assert not guard.ended_at_close
 
 
+@pytest.mark.parametrize('reply', [b'HTTP/1.1 200 O', b'no reply at all'])
+def test_invalid_reply_is_no_broken_connection(reply):
+    """A request would be blamed for the late bytes of another one."""
+
+    async def answer(head, writer, upstream):
+        writer.write(reply + harness.reply(head, 500))
+
+    assert guard_after(answer).broken == []
+
+
 def test_end_of_a_connection_after_an_event_is_no_proof_of_completion():
     """An engine may crash between two events; the guard has to check."""
     guard = guard_after(stream_without_length(harness.event(1)))
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -67,10 +67,13 @@
     Attributes:
         reason: why the connection ended.
         orderly: whether the peer closed it without a reset.
+        is_invalid: whether this process ended it, as the peer sent what is no
+            valid reply to the request.
     """
 
     reason: str
     orderly: bool = False
+    is_invalid: bool = False
 
 
 class ClientConnection(asyncio.Protocol):
@@ -364,14 +367,14 @@
         self._parts.append(part)
         self._arrived.set()
 
-    def _end_input(self, reason, orderly=False):
+    def _end_input(self, reason, orderly=False, is_invalid=False):
         if self._lost is not None:
             return
         if orderly and self._is_awaiting and self._ends_at_close:
             # A reply without a length is complete when its connection is
             # closed in order; a reset leaves it incomplete.
             self._put(EndOfReply(at_close=True))
-        self._lost = ConnectionLost(reason, orderly)
+        self._lost = ConnectionLost(reason, orderly, is_invalid)
         self.reusable = False
         self._arrived.set()
         if self.transport is not None and not self.transport.is_closing():
@@ -416,7 +419,7 @@
 
     def _reject(self, reason):
         """End the connection, as the peer sent what belongs to no reply."""
-        self._end_input(reason)
+        self._end_input(reason, is_invalid=True)
         if self.on_invalid is not None:
             self.on_invalid(reason)
 
