End no event of an upstream with lines of another reply

A caller could get an event whose data were the status line of another reply: an upstream broke off within an event, and sent another reply that begins with an interim head, as HTTP/1.1 102. The event was ended by the blank line of that head, and had an id, a field name on each line and the right order.

Now the lines of an event end alike, all with LF or all with CRLF. The lines of a head end with CRLF, and those of the events of an upstream do not change their ends within an event. An upstream whose events end with CRLF is not covered.

On the code before:

test_event_that_is_cut_does_not_end_in_another_reply[after]: AssertionError: (74, 5) assert 'foreign' in ('own', 'failed', 'cut')

--- a/catkinshunt/gateway/_events.py
+++ b/catkinshunt/gateway/_events.py
@@ -13,12 +13,12 @@
 _MAX_ID_DIGITS = 18
 #: The usual form of an event; all that it matches is sound.
 _USUAL = re.compile(rb'id: ([1-9][0-9]{0,17})\ndata:[^\r\n]*\n\n')
+_LINE = rb'(?:[a-z][a-z0-9_-]*(?::[^\r\n]*)?|:[^\r\n]*)'
 #: Lines of an event: each is a comment, or a field with a name in lower case.
-#: Blank lines may come before them.
+#: Blank lines may come before them. All end alike, as otherwise the head of
+#: another reply could end an event that is cut off.
 _LINES = re.compile(
-    rb'(?:\r?\n)*'
-    rb'(?:(?:[a-z][a-z0-9_-]*(?::[^\r\n]*)?|:[^\r\n]*)\r?\n)+'
-    rb'\r?\n'
+    rb'(?:\r?\n)*(?:(?:%b\n)+\n|(?:%b\r\n)+\r\n)' % (_LINE, _LINE)
 )
 _COMMENTS = re.compile(rb'(?:(?::[^\r\n]*)?\r?\n)*')
 _ID = re.compile(rb'^id(?::[ ]?([^\r\n]*))?\r?$', re.MULTILINE)
--- a/catkinshunt/gateway/tests/test_spoilt_replies.py
+++ b/catkinshunt/gateway/tests/test_spoilt_replies.py
@@ -69,3 +69,16 @@
             player, shape=shape, extra=extra, end='eof', splits=(split,)
         )
         assert verdict in ('failed', 'cut'), split
+
+
+@pytest.mark.parametrize('place', ['after', 'idle', 'follows'])
+def test_event_that_is_cut_does_not_end_in_another_reply(player, place):
+    """Callers got an event whose data were the head of a second reply."""
+    shape = spoilt_replies.Shape('stream', interim=1)
+    last = len(spoilt_replies.Answer('WWWW', b'W', 0, shape).marked().runs())
+    extra = reply_player.Extra(place)
+    for run in range(last - 12, last):
+        for at in range(14):
+            cut = spoilt_replies.Spoil('cut', run, at)
+            _, verdict = play(player, shape=shape, spoils=(cut,), extra=extra)
+            assert verdict in ('own', 'failed', 'cut'), (run, at)
