Reuse no connection that was in use when all were closed

After an order the idle connections to the engine are closed, but not one on which a report is in progress; it went back to the pool, and a late repetition was the answer to the next report.

Now closing the idle connections of a pool also ends the reuse of those that are in use. The same closes the gap when a peer gets one request a connection.

On the code before, test_a_connection_in_use_is_not_reused_after_all_were_closed: assert <ClientConnection> is not <the same>.

--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -728,8 +728,8 @@
     Mutation(
         'single-use-after-foreign-bytes',
         'catkinshunt/http1/_pool.py',
-        'is_trusted = conn.idle_since >= self.single_use_until',
-        'is_trusted = True',
+        'conn.idle_since >= self.single_use_until',
+        'True',
     ),
     Mutation(
         'reply-states-its-request',
--- a/catkinshunt/http1/_pool.py
+++ b/catkinshunt/http1/_pool.py
@@ -47,6 +47,8 @@
         self.max_idle = max_idle
         self.opened = 0
         self.single_use_until = -math.inf
+        #: Connections opened before this time are not reused.
+        self._reused_from = -math.inf
         self._idle = []
 
     @property
@@ -74,7 +76,10 @@
         """Return `conn` to the pool, or close it if it cannot be reused."""
         conn.idle_since = self.clock()
         room = len(self._idle) < self.max_idle
-        is_trusted = conn.idle_since >= self.single_use_until
+        is_trusted = (
+            conn.idle_since >= self.single_use_until
+            and conn.opened_at >= self._reused_from
+        )
         if room and is_trusted and conn.is_open and conn.is_fully_sent:
             self._idle.append(conn)
         else:
@@ -102,7 +107,8 @@
         self.close_idle()
 
     def close_idle(self):
-        """Close all idle connections."""
+        """Close all idle connections, and those in use once released."""
+        self._reused_from = self.clock()
         for conn in self._idle:
             conn.close()
         self._idle.clear()
--- a/catkinshunt/http1/tests/test_client.py
+++ b/catkinshunt/http1/tests/test_client.py
@@ -164,6 +164,23 @@
     assert other is not conn
 
 
+def test_a_connection_in_use_is_not_reused_after_all_were_closed():
+    """A reply of before an order would be taken for one of after it."""
+
+    async def main():
+        now = [0.0]
+        async with upstream(replying(REPLY, REPLY)) as pool:
+            pool.clock = lambda: now[0]
+            conn, _ = await send_request(pool)
+            now[0] += 0.1
+            pool.close_idle()
+            pool.release(conn)
+            return conn, await pool.acquire()
+
+    conn, other = asyncio.run(main())
+    assert other is not conn
+
+
 def test_a_connection_with_unexpected_data_is_not_reused():
     """A second reply can arrive later, while the connection is idle."""
 
