Relay a failure without a body, and ignore the load of a stranger

A failure without length and body whose connection ends in order (404) became a 502: its caller lost a final status and asked again. The check is against an empty success; it looks at successes only now.

The load that a misdirected reply states was recorded for the upstream that was meant, though another one has its address.

--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -82,7 +82,8 @@
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
         head, reply_info = await self._read_reply_head()
-        if reply_info.load is not None:
+        # A misdirected reply is that of another upstream.
+        if reply_info.load is not None and not reply_info.misdirected:
             self.state.report(reply_info.load, self.context.clock())
         self.context.record_statements(
             self.upstream, reply_info, self.boot_sent_at
@@ -292,7 +293,8 @@
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 self._check_end()
-                if self.ended_at_close and not body:
+                is_success = 200 <= head.status < 300
+                if self.ended_at_close and is_success and not body:
                     # The upstream may have crashed after it sent the head.
                     raise self._premature_end_error('reply without a body')
                 self._check_body(bytes(body))
--- a/catkinshunt/gateway/tests/test_foreign_replies.py
+++ b/catkinshunt/gateway/tests/test_foreign_replies.py
@@ -193,6 +193,22 @@
     assert asyncio.run(main())[0] == status
 
 
+def test_load_of_another_upstream_at_an_address_is_ignored():
+    """Requests would avoid, or overload, the upstream that was meant."""
+
+    async def answer(head, writer, upstream):
+        items = [('Request-Id', 'a1'), ('Not-Run', '1'), ('Load', '9,9,9')]
+        writer.write(http1.dump_reply(421, items))
+
+    async def main():
+        upstream = harness.FakeUpstream('u1', answer)
+        async with harness.running_gateway(upstream) as gateway:
+            await gateway.request('/read/1')
+            return gateway.context.tracker.state(upstream.listed()).load
+
+    assert asyncio.run(main()) is None
+
+
 def test_rejection_on_a_used_connection_states_its_request():
     """It may be a late one, and the request may run."""
 
--- a/catkinshunt/gateway/tests/test_spoilt_bodies.py
+++ b/catkinshunt/gateway/tests/test_spoilt_bodies.py
@@ -287,6 +287,17 @@
     assert asyncio.run(read_long(reply))[0] == 502
 
 
+def test_unframed_failure_without_a_body_is_relayed():
+    """Its caller would not learn the status, and ask again."""
+
+    async def reply(_, writer):
+        writer.write(unframed('a2').replace(b' 200 OK', b' 404 Not Found'))
+        await writer.drain()
+        return 'close'
+
+    assert asyncio.run(read_long(reply))[:2] == (404, b'')
+
+
 def test_unframed_reply_that_holds_another_one_is_not_relayed():
     """A late reply would be relayed as the end of the body."""
     late = harness.reply('Request-Id: a1', body=b'late')
