--- a/standins/soak/_proxy.py
+++ b/standins/soak/_proxy.py
@@ -91,6 +91,8 @@
             )
         finally:
             self._writers -= both
+            for each in both:
+                each.close()
 
     async def _read(self, reader, writer):
         try:
