--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -169,10 +169,10 @@
                 await self._fail_over_if_unresponsive()
                 continue
             if isinstance(part, http1.ConnectionLost):
-                error = ConnectionLostError
-                if part.is_invalid:
-                    # The upstream sends, so it has not crashed.
-                    error = ForeignReplyError
+                # An upstream that sends, if only what is invalid, has not
+                # crashed.
+                lost = ConnectionLostError
+                error = ForeignReplyError if part.is_invalid else lost
                 raise error(part.reason, step='read-reply', peer=self.peer)
             self.silent_s = max(
                 self.silent_s, self.state.receive(self.context.clock())
