Find header fields by an index

Cause: each look-up of a field lowered the names of all fields, and a request looks up a dozen names. Now names are lowered once.

Before, test_fields_are_compared_once_for_all_names failed: assert 96000 <= 4000

--- a/catkinshunt/http1/_messages.py
+++ b/catkinshunt/http1/_messages.py
@@ -47,23 +47,24 @@
         [('Host', 'a')]
     """
 
-    __slots__ = ('items',)
+    __slots__ = ('items', '_values')
 
     def __init__(self, items=()):
-        self.items = list(items)
+        self.items = tuple(items)
+        #: Values by name in lower case. A search of all fields for each name
+        #: would cost milliseconds for thousands of short ones.
+        self._values = {}
+        for key, value in self.items:
+            self._values.setdefault(key.lower(), []).append(value)
 
     def get(self, name, default=None):
         """Return the first value of `name`, or `default`."""
-        name = name.lower()
-        for key, value in self.items:
-            if key.lower() == name:
-                return value
-        return default
+        values = self._values.get(name.lower())
+        return default if values is None else values[0]
 
     def get_all(self, name):
         """Return all values of `name` in order of arrival."""
-        name = name.lower()
-        return [value for key, value in self.items if key.lower() == name]
+        return list(self._values.get(name.lower(), ()))
 
     def end_to_end(self, without=frozenset()):
         """Return the fields to forward, as pairs of name and value.
