Close the connection after a malformed request

Clients sent thousands of requests without a Host ahead, and each of them was answered with 400 while other callers waited. Cause: the connection was kept after a malformed request. The reply now announces the close, and what the client sent behind it is not read.

Before, test_connection_ends_after_a_malformed_request failed with TimeoutError (five replies, and the connection stayed open).

--- a/catkinshunt/gateway/_exchange.py
+++ b/catkinshunt/gateway/_exchange.py
@@ -19,6 +19,8 @@
 #: Seconds after the stop signal in which new requests are still accepted. The
 #: load balancer detects the stop after two health checks, a second apart.
 STOP_ACCEPT_S = 3.0
+#: Status of a malformed request.
+MALFORMED_STATUS = 400
 
 
 class DeadlineExceededError(errors.OutcomeUnknownError):
@@ -362,6 +364,10 @@
         keeps_alive = self._keeps_alive() and not isinstance(
             exc, _admission.StaleError
         )
+        if exc.status == MALFORMED_STATUS:
+            # A client that does not follow the protocol may have sent
+            # thousands of such requests ahead.
+            keeps_alive = False
         if not keeps_alive:
             items.append(('Connection', 'close'))
         body = f'{exc.code}: {exc.message}\n'.encode()
--- a/catkinshunt/gateway/tests/test_exchange.py
+++ b/catkinshunt/gateway/tests/test_exchange.py
@@ -366,3 +366,22 @@
     status, head, _ = run(main)
     assert status == 429
     assert float(header(head, 'Retry-After')) > 0
+
+
+def test_connection_ends_after_a_malformed_request():
+    """Thousands of such requests may wait behind the first one."""
+
+    async def main():
+        async with harness.running_gateway() as gateway:
+            reader, writer = await gateway.connect()
+            for _ in range(5):
+                await harness.send_request(writer, '/read/1', Left_Ms='soon')
+            async with asyncio.timeout(10):
+                found = await reader.read()
+            writer.close()
+            return found
+
+    found = run(main)
+    assert found.startswith(b'HTTP/1.1 400')
+    assert b'\r\nConnection: close\r\n' in found
+    assert found.count(b'HTTP/1.1') == 1
