Keep no request that has ended

With one crowd after the other, the memory of an entry stayed at 98 MB while its connections held 0.1 MB. Two causes: an idle connection to an upstream kept the function that tells foreign replies, and with it the request and its body (up to 32 bodies an upstream); the session of an idle client kept its last request in a variable. Both are released at the end of the reply.

Before, test_kept_connection_holds_no_request_that_has_ended failed: assert <Request object> is None

--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -98,6 +98,8 @@
                 ).run()
             finally:
                 self._busy.discard(conn)
+            # Its body may be long, and the connection idle for long.
+            del req
             if not keeps_alive:
                 return
             if not await self._drain(conn):
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -361,6 +361,8 @@
 
     def _end_reply(self):
         self._is_awaiting = False
+        # It refers to the request, whose body may be long.
+        self._is_foreign = None
         self._put(EndOfReply())
 
     def _put(self, part):
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -112,6 +112,7 @@
             )
             if not req.keep_alive:
                 return
+            del req, reply
             await conn.drain()
             conn.begin_idle()
 
--- a/catkinshunt/http1/tests/test_client.py
+++ b/catkinshunt/http1/tests/test_client.py
@@ -2,6 +2,7 @@
 import contextlib
 import socket
 import struct
+import weakref
 
 import pytest
 
@@ -283,3 +284,25 @@
 
     with pytest.raises(errors.OutcomeUnknownError):
         asyncio.run(main())
+
+
+def test_kept_connection_holds_no_request_that_has_ended():
+    """Each idle connection would keep the body of its last request."""
+
+    class Request:
+        def is_foreign(self, head):
+            return False
+
+    async def main():
+        async with upstream(replying(REPLY)) as pool:
+            req = Request()
+            conn = await pool.acquire()
+            head = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+            conn.send(head, b'', req.is_foreign)
+            await read_all(conn)
+            found = weakref.ref(req)
+            del req
+            assert found() is None
+            conn.close()
+
+    asyncio.run(main())
