Let crowds take effect, and enforce the descriptors

Crowds that send little, as those of idle connections and of long replies, had "settled" as soon as their bytes were sent, before the process held anything. They now stay until no byte was taken for 1.5 s. The limit on descriptors of the settings is set for the process, as the platform does. Crowds and bounds are as they were; both changes make the tests stricter.

--- a/standins/crowds/_clients.py
+++ b/standins/crowds/_clients.py
@@ -59,18 +59,18 @@
         self._tasks = []
 
     async def run(self):
-        """Connect and send, until all is sent or no more is taken."""
+        """Connect and send, until no more is taken for `SETTLED_S`."""
         self._tasks = [
             asyncio.ensure_future(self._run_member(number))
             for number in range(self.count)
         ]
         until = self._clock() + CROWD_S
         while self._clock() < until:
-            done, pending = await asyncio.wait(self._tasks, timeout=0.1)
-            for task in done:
-                task.result()
-            has_settled = self._clock() - self._last_sent_at > SETTLED_S
-            if has_settled or not pending:
+            await asyncio.sleep(0.1)
+            for task in self._tasks:
+                if task.done():
+                    task.result()
+            if self._clock() - self._last_sent_at > SETTLED_S:
                 return
 
     async def leave(self):
--- a/standins/crowds/_deployment.py
+++ b/standins/crowds/_deployment.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import pathlib
+import resource
 import signal
 
 from catkinshunt import http1
@@ -74,6 +75,10 @@
             'node-1', self.role, str(path), str(log)
         )
         self.process.start()
+        # What the platform enforces.
+        resource.prlimit(
+            self.process.popen.pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS)
+        )
         try:
             await self._wait_until_ready()
         except BaseException:
