Parse requests in slices, and give each connection a turn

After 60 clients had sent thousands of short requests ahead, an entry answered no other caller, also after they had left; its memory was over its bound.

Causes: the bound on requests that wait was looked at after a whole read of up to 256 KiB, which holds 14,000 requests of 18 bytes; where each of them is rejected without a wait, the task of the connection never yields to the event loop, so neither other callers nor the end of its own client are noticed; and bodies sent early were read whole beside the request in progress.

A read is now parsed in slices of 1 KiB, at most 4 KiB in one turn of the loop, but for the rest of a body of stated length. Parsing stops once eight requests wait, or 64 KiB beside a request in progress; the time for which reading is paused does not count as delay of the caller. A request that follows another without a wait gives up its turn first.

--- a/catkinshunt/http1/__init__.py
+++ b/catkinshunt/http1/__init__.py
@@ -14,10 +14,10 @@
 from catkinshunt.http1._messages import status_line
 from catkinshunt.http1._pool import exchange
 from catkinshunt.http1._pool import Pool
+from catkinshunt.http1._request_parser import BadRequestError
 from catkinshunt.http1._serve import Listener
 from catkinshunt.http1._serve import make_session
 from catkinshunt.http1._serve import Reply
-from catkinshunt.http1._server import BadRequestError
 from catkinshunt.http1._server import Limits
 from catkinshunt.http1._server import LINGER_S
 from catkinshunt.http1._server import ServerConnection
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -11,6 +11,7 @@
 import httptools
 
 from catkinshunt.http1 import _messages
+from catkinshunt.http1 import _read_buffer
 
 #: Bytes buffered ahead of the task that relays a reply; beyond them reading
 #: is paused.
@@ -76,7 +77,7 @@
     is_invalid: bool = False
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(_read_buffer.BufferedReader):
     """Sends one request at a time and yields the parts of its reply.
 
     The parts are a `ReplyHead`, any number of `BodyPart` and an
@@ -156,7 +157,7 @@
         return False
 
     def data_received(self, data):
-        """See `asyncio.Protocol`."""
+        """See `_read_buffer.BufferedReader`."""
         if self._lost is not None:
             return
         if not self._is_awaiting:
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -5,6 +5,7 @@
 import attrs
 
 from catkinshunt.http1 import _messages
+from catkinshunt.http1 import _request_parser
 from catkinshunt.http1 import _server
 from catkinshunt import logs
 
@@ -97,7 +98,7 @@
             req = await conn.read_request()
             if req is None:
                 return
-            if isinstance(req, _server.BadRequestError):
+            if isinstance(req, _request_parser.BadRequestError):
                 conn.write(_messages.dump_reply(req.status, [_CLOSE_HEADER]))
                 return
             reply = await handler(req)
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -4,18 +4,22 @@
 import collections
 
 import attrs
-import httptools
 
-from catkinshunt.http1 import _messages
+from catkinshunt.http1 import _read_buffer
+from catkinshunt.http1 import _request_parser
 
 #: Bytes that may be buffered for a slow caller before `drain` waits.
 HIGH_WATER_BYTES = 64 * 1024
 #: Delay before closing a connection whose request was rejected unread.
 #: Unread bytes cause a reset, by which the caller could lose the rejection.
 LINGER_S = 0.2
-#: Requests that may wait for their turn on a connection; beyond them reading
-#: is paused.
+#: Requests that may wait for their turn on a connection, and bytes that they
+#: may take; beyond them reading is paused.
 MAX_WAITING_REQUESTS = 8
+MAX_WAITING_BYTES = 64 * 1024
+#: Bytes that one connection may have parsed before others have their turn,
+#: but for bodies whose length is stated.
+TURN_BYTES = 4 * 1024
 #: Longest wait before the limits in force are read again.
 MAX_WAIT_S = 5.0
 
@@ -38,15 +42,7 @@
     idle_s: float = 60.0
 
 
-class BadRequestError(Exception):
-    """A malformed request; `status` is the status of the reply."""
-
-    def __init__(self, status, message):
-        super().__init__(message)
-        self.status = status
-
-
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(_read_buffer.BufferedReader):
     """Reads the requests of one caller, one at a time.
 
     Args:
@@ -61,19 +57,26 @@
         self.on_connected = on_connected
         self.transport = None
         self.closed = asyncio.get_running_loop().create_future()
-        self.reading_since = None
+        self.idle_since = clock()
+        #: Requests that wait, each with the bytes that it takes.
         self._requests = collections.deque()
+        self._waiting_bytes = 0
         self._arrived = asyncio.Event()
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = _request_parser.RequestParser(
+            clock, limits, self._on_head, self._on_request
+        )
+        #: What was received and is not parsed yet, and where that begins.
+        self._received = b''
+        self._parsed = 0
+        self._next_turn = None
+        #: Since when reading is paused as requests wait, or None.
+        self._paused_since = None
         self._writable = asyncio.Event()
         self._writable.set()
         #: Whether a request was returned whose reply may not be whole.
         self._is_answering = False
         #: Whether nothing more is read, after a bad request.
         self._is_rejected = False
-        #: Whether the caller waits for 100 Continue.
-        self._owes_continue = False
-        self._begin_request()
 
     # asyncio.Protocol
 
@@ -85,6 +88,9 @@
 
     def connection_lost(self, exc):
         """See `asyncio.Protocol`."""
+        self._free()
+        if self._next_turn is not None:
+            self._next_turn.cancel()
         self._mark_closed()
 
     def eof_received(self):
@@ -101,64 +107,19 @@
         self._writable.set()
 
     def data_received(self, data):
-        """See `asyncio.Protocol`."""
-        if self.reading_since is None:
-            self.reading_since = self.clock()
-            self._arrived.set()
-        self._overhead_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-            self._check_sizes()
-        except httptools.HttpParserUpgrade:
-            self._reject(400, 'upgrades are not supported')
-        except httptools.HttpParserError as exc:
-            cause = exc.__context__
-            if isinstance(cause, BadRequestError):
-                self._reject(cause.status, str(cause))
-            else:
-                self._reject(400, 'the request could not be parsed')
-        except BadRequestError as exc:
-            self._reject(exc.status, str(exc))
-
-    # httptools
-
-    def on_url(self, url):
-        """Add a part of the request target."""
-        self._target += url
-
-    def on_header(self, name, value):
-        """Add one header field."""
-        self._items.append((name.decode('latin-1'), value.decode('latin-1')))
-
-    def on_headers_complete(self):
-        """Send 100 Continue if the caller expects it."""
-        headers = _messages.Headers(self._items)
-        if (headers.get('expect') or '').lower() == '100-continue':
-            self._owes_continue = True
-            self._send_continue()
-
-    def on_body(self, data):
-        """Add a part of the body; reject a body over the limit."""
-        self._overhead_bytes = 0
-        self._body += data
-        if len(self._body) > self.limits().body_bytes:
-            raise BadRequestError(413, 'the body is too long')
-
-    def on_message_complete(self):
-        """Enqueue the request and start the next."""
-        req = _messages.Request(
-            self._parser.get_method().decode('latin-1'),
-            self._target.decode('latin-1'),
-            _messages.Headers(self._items),
-            bytes(self._body),
-            self.clock(),
-            self._parser.should_keep_alive(),
-        )
-        self._begin_request()
-        self._requests.append(req)
-        self._arrived.set()
-        if len(self._requests) >= MAX_WAITING_REQUESTS:
-            self.transport.pause_reading()
+        """See `_read_buffer.BufferedReader`."""
+        if self._is_rejected or self.closed.done():
+            # Discarded, so that the caller can read the rejection.
+            return
+        if self._unparsed_bytes:
+            data = self._received[self._parsed :] + bytes(data)
+        self._received = data
+        self._parsed = 0
+        self._parse()
+        if self._unparsed_bytes:
+            # The buffer is used for other connections before the next turn.
+            self._received = bytes(self._received[self._parsed :])
+            self._parsed = 0
 
     # Called by the task of the connection.
 
@@ -169,27 +130,50 @@
         longer than `Limits.header_s` is returned as an error with status
         408.
         """
-        self._is_answering = False
-        self._send_continue()
+        self._end_answer()
+        if self._requests:
+            # Requests sent early may all be rejected without a wait, and
+            # would keep the event loop from all other connections.
+            await asyncio.sleep(0)
         while not self._requests:
             wait_s = self._wait_s()
             if self.closed.done():
                 return None
-            if wait_s <= 0 and self.reading_since is None:
+            if wait_s <= 0 and self._parser.since is None:
                 return None
             if wait_s <= 0:
-                return BadRequestError(408, 'the request took too long')
+                return _request_parser.BadRequestError(
+                    408, 'the request took too long'
+                )
             await self._await_input(wait_s)
+        return self._begin_answer()
+
+    def _begin_answer(self):
+        """Return the first request that waits, or why it is rejected."""
+        req, size = self._requests.popleft()
+        self._waiting_bytes -= size
         self._is_answering = True
-        if not self._is_rejected:
-            self.transport.resume_reading()
-        return self._requests.popleft()
+        if isinstance(req, _request_parser.BadRequestError):
+            self._resume()
+            return req
+        self._go_on()
+        return req
+
+    def _end_answer(self):
+        self._is_answering = False
+        self._send_continue()
+        self._go_on()
+
+    def _go_on(self):
+        """Parse what had to wait for the request in progress."""
+        if self._unparsed_bytes or self._paused_since is not None:
+            self._parse()
 
     def _wait_s(self):
         limits = self.limits()
-        if self.reading_since is None:
+        if self._parser.since is None:
             return self.idle_since + limits.idle_s - self.clock()
-        return self.reading_since + limits.header_s - self.clock()
+        return self._parser.since + limits.header_s - self.clock()
 
     async def _await_input(self, wait_s):
         self._arrived.clear()
@@ -203,7 +187,11 @@
     @property
     def is_idle(self):
         """Whether no part of a request arrived since the last reply."""
-        return self.reading_since is None and not self._requests
+        return (
+            self._parser.since is None
+            and not self._requests
+            and not self._unparsed_bytes
+        )
 
     def begin_idle(self):
         """Start the idle timeout, after a reply was sent."""
@@ -239,34 +227,120 @@
         if self.transport is not None:
             self.transport.abort()
 
-    # Internals.
+    # Parsing.
+
+    @property
+    def _unparsed_bytes(self):
+        return len(self._received) - self._parsed
+
+    def _parse(self):
+        """Parse what was received, up to the bounds of one turn."""
+        if self._next_turn is not None:
+            self._next_turn.cancel()
+            self._next_turn = None
+        was_reading = self._parser.since is not None
+        left_bytes = TURN_BYTES
+        try:
+            while self._unparsed_bytes and left_bytes > 0:
+                if self._is_ahead():
+                    break
+                left_bytes -= self._parse_slice()
+        except _request_parser.BadRequestError as exc:
+            self._reject(exc)
+        if self._parser.since is not None and not was_reading:
+            self._arrived.set()
+        self._control_reading()
+
+    def _parse_slice(self):
+        """Parse one slice; return the bytes that count for the turn."""
+        end = self._parsed + self._parser.next_bytes
+        with memoryview(self._received)[self._parsed : end] as data:
+            self._parsed += len(data)
+            self._parser.feed(data)
+            return min(len(data), _request_parser.SLICE_BYTES)
+
+    def _control_reading(self):
+        """Read on once all is parsed, unless requests wait."""
+        if self._is_rejected or self.closed.done():
+            return
+        if self._is_ahead():
+            self._pause()
+        elif self._unparsed_bytes:
+            self._pause()
+            loop = asyncio.get_running_loop()
+            self._next_turn = loop.call_soon(self._parse)
+        else:
+            self._drop_unparsed()
+            self._resume()
+
+    def _is_ahead(self):
+        """Return whether enough was read beside the request in progress."""
+        if len(self._requests) >= MAX_WAITING_REQUESTS:
+            return True
+        if not self._is_answering and not self._requests:
+            return False
+        size = self._waiting_bytes + self._parser.held_bytes
+        return size > MAX_WAITING_BYTES
+
+    def _pause(self):
+        if self._paused_since is None:
+            self._paused_since = self.clock()
+            self.transport.pause_reading()
+
+    def _resume(self):
+        if self._paused_since is None:
+            return
+        if self._parser.since is not None:
+            # The caller could not send the rest of the request meanwhile.
+            began = max(self._paused_since, self._parser.since)
+            self._parser.since += self.clock() - began
+        self._paused_since = None
+        self.transport.resume_reading()
+
+    def _on_head(self, headers):
+        """Answer an expectation of the caller."""
+        self._send_continue()
+
+    def _on_request(self, req, size):
+        self._requests.append((req, size))
+        self._waiting_bytes += size
+        self._arrived.set()
 
     def _send_continue(self):
         """Send 100 Continue, unless it would come within another reply."""
-        if self._owes_continue and not (self._is_answering or self._requests):
-            self._owes_continue = False
+        if not self._parser.expects_continue:
+            return
+        if not (self._is_answering or self._requests):
+            self._parser.expects_continue = False
             self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
-    def _begin_request(self):
-        self._owes_continue = False
-        self._target = b''
-        self._items = []
-        self._body = bytearray()
-        self._overhead_bytes = 0
-        self.reading_since = None
-        self.idle_since = self.clock()
-
-    def _check_sizes(self):
-        if self.reading_since is None:
-            return
-        if self._overhead_bytes > self.limits().header_bytes:
-            raise BadRequestError(431, 'head or framing is too long')
+    def _reject(self, exc):
+        """Parse nothing more; `read_request` returns `exc` at the end.
 
-    def _reject(self, status, message):
+        Further data are discarded: unread data would reset the connection, and
+        with it the rejection.
+        """
         self._is_rejected = True
-        self._requests.append(BadRequestError(status, message))
+        self._drop_unparsed()
+        self._parser.clear()
+        if self._is_answering or self._requests:
+            self._pause()
+        self._requests.append((exc, 0))
         self._arrived.set()
-        self.transport.pause_reading()
+
+    def _free(self):
+        """Drop all that it holds.
+
+        Connection and parser refer to each other, so they stay in memory for
+        a while after the end.
+        """
+        self._drop_unparsed()
+        self._parser.clear()
+        self._requests.clear()
+        self._waiting_bytes = 0
+
+    def _drop_unparsed(self):
+        self._received, self._parsed = b'', 0
 
     def _mark_closed(self):
         self._writable.set()
--- a/catkinshunt/http1/tests/test_server.py
+++ b/catkinshunt/http1/tests/test_server.py
@@ -291,3 +291,91 @@
     assert waiting[0] < 8 + 256 * 1024 // 4000
     assert found.count(b'HTTP/1.1 200') == 2000
     assert found.endswith(b'/2000')
+
+
+def test_very_short_requests_sent_early_have_a_limit():
+    """One read holds thousands of the shortest requests."""
+    waiting = []
+
+    async def session(conn):
+        await conn.read_request()
+        await asyncio.sleep(0.3)
+        waiting.append(len(conn._requests))
+        for _ in range(4999):
+            await conn.read_request()
+            conn.write(http1.dump_reply(200, []))
+
+    async def main():
+        async with serving(session) as connect:
+            reader, writer = await connect()
+            writer.write(b'GET / HTTP/1.1\r\n\r\n' * 5000)
+            async with asyncio.timeout(20):
+                found = await reader.read()
+            writer.close()
+            return found
+
+    assert asyncio.run(main()).count(b'HTTP/1.1 200') == 4999
+    assert waiting[0] < 8 + 1024 // 18 + 1
+
+
+def test_requests_sent_early_leave_turns_to_other_connections():
+    """Requests that are rejected without a wait would stop all others."""
+    order = []
+
+    async def session(conn):
+        while True:
+            req = await conn.read_request()
+            if req is None:
+                return
+            order.append(req.target)
+            conn.write(http1.dump_reply(404, []))
+            conn.begin_idle()
+
+    async def main():
+        async with serving(session) as connect:
+            _, many = await connect()
+            reader, one = await connect()
+            many.write(b'GET /many HTTP/1.1\r\n\r\n' * 3000)
+            one.write(b'GET /one HTTP/1.1\r\n\r\n')
+            async with asyncio.timeout(20):
+                await reader.readuntil(b'\r\n\r\n')
+                while len(order) < 3001:
+                    await asyncio.sleep(0.01)
+            many.close()
+            one.close()
+
+    asyncio.run(main())
+    # The first read of the other connection holds as many.
+    assert order.index('/one') < 3000 // 2
+
+
+def test_long_body_sent_early_is_read_in_its_turn():
+    """Bodies that wait behind a request in progress would fill the memory."""
+    held, now = [], [0.0]
+
+    async def session(conn):
+        await conn.read_request()
+        await asyncio.sleep(0.3)
+        held.append(len(conn._received) + conn._parser.held_bytes)
+        # The caller could not go on, so this is not its delay.
+        now[0] += 60.0
+        req = await conn.read_request()
+        conn.write(http1.dump_reply(200, [], str(len(req.body)).encode()))
+
+    async def main():
+        listener = http1.Listener(session, lambda: now[0])
+        await listener.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        writer.write(b'POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n')
+        writer.write(bytes(4_000_000))
+        async with asyncio.timeout(20):
+            found = await reader.read()
+        writer.close()
+        listener.close()
+        return found
+
+    assert asyncio.run(main()).endswith(b'4000000')
+    assert held[0] < 256 * 1024
