Bound what all callers hold by one budget

Cause: each bound was for one connection or request, memory_mb of the settings was read nowhere, and a body of stated length took memory without being asked whether there is room.

Connections report to a CallerBudget what they hold, and beyond its bound those with the most byte-seconds give back: 503 with Retry-After for requests that have not begun, the end of the connection for unread replies. Replies are relayed as they arrive once memory is short; what an upstream connection reads ahead is 64 KiB in place of 256. The kernel keeps 128 KiB for a caller that reads nothing, so that it is noticed.

--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -21,13 +21,14 @@
 
     Args:
         context: `Context`.
+        budget: `http1.CallerBudget` of the process; None for no bound.
     """
 
-    def __init__(self, context):
+    def __init__(self, context, budget=None):
         self.context = context
         self._busy = set()
         self._listener = http1.Listener(
-            self._serve_connection, context.clock, self._limits
+            self._serve_connection, context.clock, self._limits, budget
         )
 
     @property
@@ -127,6 +128,7 @@
     async def _reject(self, conn, exc):
         _log.info('Rejected a request: {}.', exc, status=exc.status)
         items = [('Connection', 'close'), ('Content-Type', 'text/plain')]
+        items += exc.retry_items()
         body = f'{exc}\n'.encode()
         conn.write(http1.dump_reply(exc.status, items, body))
         # Closing with unread bytes resets the connection; the client must
--- a/catkinshunt/gateway/_relay.py
+++ b/catkinshunt/gateway/_relay.py
@@ -23,6 +23,8 @@
 #: Longest reply that is buffered until complete, so that the request can be
 #: retried if the reply is cut off. A longer one is relayed as it arrives.
 MAX_BUFFERED_BYTES = 1024 * 1024
+#: Part of a reply that is buffered also if memory is short.
+MIN_BUFFERED_BYTES = 64 * 1024
 
 
 class OutdatedVersionError(errors.OutcomeUnknownError):
@@ -78,9 +80,26 @@
         #: `http1.EndOfReply`.
         self.ended_at_close = False
         self.body_check = _body_check.BodyCheck(self.context.dialect, peer)
+        #: Bytes of the reply that are buffered until it is whole.
+        self._body_bytes = 0
+
+    @property
+    def held_bytes(self):
+        """Bytes of the reply that the client was not sent yet."""
+        return self._body_bytes + self.conn.buffered_bytes
 
     async def run(self):
         """Relay the reply; return whether the connection is reusable."""
+        client = self.exchange.conn
+        client.add_relay(self)
+        self.conn.on_paused = client.update_budget
+        try:
+            return await self._relay()
+        finally:
+            self.conn.on_paused = None
+            client.remove_relay(self)
+
+    async def _relay(self):
         head, reply_info = await self._read_reply_head()
         # A misdirected reply is that of another upstream.
         if reply_info.load is not None and not reply_info.misdirected:
@@ -296,8 +315,29 @@
         )
 
     async def _relay_buffered(self, head):
+        if await self._relay_whole(head):
+            return
+        while True:
+            await self.exchange.conn.drain()
+            part = await self._next_part()
+            if isinstance(part, http1.EndOfReply):
+                self._check_end()
+                self.exchange.conn.write(http1.LAST_CHUNK)
+                self.exchange.progress.is_complete = True
+                return
+            self._check_body(part.data)
+            self.exchange.conn.write(http1.dump_chunk(part.data))
+            # Held by the connection from here on.
+            del part
+
+    async def _relay_whole(self, head):
+        """Relay a reply once it is whole, or begin to relay its parts.
+
+        Returns:
+            Whether it was relayed whole.
+        """
         body = bytearray()
-        while len(body) <= MAX_BUFFERED_BYTES:
+        while self._may_buffer(body):
             part = await self._next_part()
             if isinstance(part, http1.EndOfReply):
                 self._check_end()
@@ -307,9 +347,24 @@
                     raise self._premature_end_error('reply without a body')
                 self._check_body(bytes(body))
                 self._send_buffered(head, bytes(body))
-                return
+                return True
             body += part.data
-        await self._relay_chunked(head, bytes(body))
+        self._check_body(bytes(body))
+        self._begin_reply()
+        self._send_head(head)
+        self.exchange.progress.can_continue = False
+        self._body_bytes = 0
+        self.exchange.conn.write(http1.dump_chunk(body))
+        return False
+
+    def _may_buffer(self, body):
+        """Return whether to buffer more of a reply until it is whole."""
+        self._body_bytes = len(body)
+        if len(body) <= MIN_BUFFERED_BYTES:
+            return True
+        return len(body) <= MAX_BUFFERED_BYTES and (
+            self.exchange.conn.may_buffer()
+        )
 
     def _check_end(self):
         """Raise if a reply may be longer than its head says."""
@@ -351,23 +406,6 @@
             self.context.metrics.record_foreign_reply('within a body')
             raise
 
-    async def _relay_chunked(self, head, data):
-        self._check_body(data)
-        self._begin_reply()
-        self._send_head(head)
-        self.exchange.progress.can_continue = False
-        while True:
-            self.exchange.conn.write(http1.dump_chunk(data))
-            await self.exchange.conn.drain()
-            part = await self._next_part()
-            if isinstance(part, http1.EndOfReply):
-                self._check_end()
-                self.exchange.conn.write(http1.LAST_CHUNK)
-                self.exchange.progress.is_complete = True
-                return
-            data = part.data
-            self._check_body(data)
-
     async def _relay_events(self, head):
         splitter = _events.EventSplitter()
         order = _event_order.EventOrder(
--- a/catkinshunt/gateway/tests/reply_wire.py
+++ b/catkinshunt/gateway/tests/reply_wire.py
@@ -124,3 +124,15 @@
 
     def abort(self):
         self.aborted = True
+
+    def add_relay(self, relay):
+        pass
+
+    def remove_relay(self, relay):
+        pass
+
+    def update_budget(self):
+        pass
+
+    def may_buffer(self):
+        return True
--- /dev/null
+++ b/catkinshunt/http1/_budget.py
@@ -0,0 +1,163 @@
+"""Bound on the memory that the callers of a process take."""
+
+import math
+
+from catkinshunt.http1 import base
+
+#: Share of the memory of a process that callers may take. The rest is for the
+#: process itself and for what the allocator wastes.
+CALLER_SHARE = 0.5
+#: Memory of a process that has no callers yet.
+PROCESS_BYTES = 40_000_000
+#: Smallest share of the memory for callers, whatever the process takes.
+LEAST_CALLER_SHARE = 0.1
+#: Memory of an open connection without a request, in the process and in the
+#: kernel.
+CONNECTION_BYTES = 12 * 1024
+#: Requests up to this size are admitted as long as any memory is left.
+SMALL_BYTES = 64 * 1024
+#: Share of the memory for callers that large requests in progress may take.
+LARGE_SHARE = 0.7
+#: Share that remains in use after connections were reclaimed, so that not each
+#: read under a crowd compares all connections.
+RECLAIMED_SHARE = 0.9
+#: Share beyond which replies of upstreams are relayed as they arrive, in place
+#: of being buffered until they are whole.
+SHORT_SHARE = 0.75
+#: Age in seconds at which memory that was just taken counts.
+LEAST_AGE_S = 0.001
+#: `Retry-After` in seconds of a request that found no memory.
+RETRY_AFTER_S = 1.0
+
+
+def make_caller_budget(memory_bytes, clock, on_refused=None):
+    """Return the `CallerBudget` of a process.
+
+    Args:
+        memory_bytes: memory of its machine.
+        clock: function that returns seconds on the monotonic clock.
+        on_refused: see `CallerBudget`.
+    """
+    least_bytes = LEAST_CALLER_SHARE * memory_bytes
+    caller_bytes = CALLER_SHARE * (memory_bytes - PROCESS_BYTES)
+    return CallerBudget(
+        max(least_bytes, caller_bytes),
+        clock,
+        on_refused,
+    )
+
+
+class CallerBudget:
+    """Memory that all callers of a process share.
+
+    Each listener of a process has the same budget. A connection reports what
+    it holds. Beyond the bound, connections have to give back what no request
+    in progress needs. Those that hold the most bytes for the longest time are
+    first: a request that arrives at the usual speed is small or young beside
+    one that stops short of its end.
+
+    Args:
+        memory_bytes: most bytes that connections hold together.
+        clock: function that returns seconds on the monotonic clock.
+        on_refused: called with a reason for each refusal: ``'memory'`` or
+            ``'large'``.
+    """
+
+    def __init__(
+        self,
+        memory_bytes=math.inf,
+        clock=None,
+        on_refused=None,
+    ):
+        self.memory_bytes = memory_bytes
+        self.clock = clock
+        self.on_refused = on_refused
+        self.retry_after_s = RETRY_AFTER_S
+        self.used_bytes = 0
+        self.active_bytes = 0
+        self._holdings = {}
+
+    @property
+    def is_short(self):
+        """Whether little memory is left."""
+        return self.used_bytes > SHORT_SHARE * self.memory_bytes
+
+    def open(self, conn):
+        """Add a connection, a `base.BaseHolder`."""
+        self._holdings[conn] = base.Holding()
+        self.used_bytes += CONNECTION_BYTES
+
+    def close(self, conn):
+        """Remove a connection and all that it holds."""
+        holding = self._holdings.pop(conn, None)
+        if holding is not None:
+            self._add(holding, -1)
+            self.used_bytes -= CONNECTION_BYTES
+
+    def update(self, conn):
+        """Note what a connection holds now; reclaim memory beyond the bound.
+
+        The connection itself may be one that has to give back.
+
+        Returns:
+            The `base.Holding` of the connection; an empty one once it is
+            closed.
+        """
+        self._note(conn)
+        if self.used_bytes > self.memory_bytes:
+            self._reclaim()
+        return self._holdings.get(conn) or base.Holding()
+
+    def has_room(self, size):
+        """Return whether a request of `size` bytes may be in progress.
+
+        Small requests have the memory that large ones leave.
+        """
+        if size <= SMALL_BYTES:
+            return True
+        if self.active_bytes + size <= LARGE_SHARE * self.memory_bytes:
+            return True
+        self._count('large')
+        return False
+
+    def _note(self, conn):
+        holding = self._holdings.get(conn)
+        if holding is not None:
+            self._add(holding, -1)
+            self._holdings[conn] = holding = conn.measure()
+            self._add(holding, 1)
+
+    def _add(self, holding, sign):
+        self.active_bytes += sign * holding.active_bytes
+        self.used_bytes += sign * (
+            holding.active_bytes + holding.reclaimable_bytes
+        )
+
+    def _reclaim(self):
+        """Let connections give back, those with the most byte-seconds first.
+
+        What was sent meanwhile counts no longer.
+        """
+        for conn in list(self._holdings):
+            self._note(conn)
+        if self.used_bytes <= self.memory_bytes:
+            return
+        now = self.clock()
+        candidates = [
+            (holding.reclaimable_bytes * max(now - conn.since, LEAST_AGE_S), n)
+            for n, (conn, holding) in enumerate(self._holdings.items())
+            if holding.reclaimable_bytes
+        ]
+        candidates.sort()
+        conns = list(self._holdings)
+        while candidates:
+            if self.used_bytes <= RECLAIMED_SHARE * self.memory_bytes:
+                return
+            conn = conns[candidates.pop()[1]]
+            self._count('memory')
+            conn.reclaim()
+            self._note(conn)
+
+    def _count(self, reason):
+        if self.on_refused is not None:
+            self.on_refused(reason)
--- a/catkinshunt/http1/_client.py
+++ b/catkinshunt/http1/_client.py
@@ -15,7 +15,7 @@
 
 #: Bytes buffered ahead of the task that relays a reply; beyond them reading
 #: is paused.
-READ_AHEAD_BYTES = 256 * 1024
+READ_AHEAD_BYTES = 64 * 1024
 #: Bytes that a buffered part of a body takes beside its data.
 PART_BYTES = 128
 #: Longest head or trailer section of a reply, and longest framing between two
@@ -98,6 +98,8 @@
         opened_at: when it was opened, in seconds on the monotonic clock.
         requests: number of requests sent on it.
         skipped: number of replies to other requests that were skipped.
+        on_paused: function that is called when the limit of what is read
+            ahead is reached, or None.
         is_end_doubtful: whether data that begins no reply followed the end of
             a reply, so that its length may be wrong.
     """
@@ -112,6 +114,7 @@
         self.reusable = True
         self.requests = 0
         self.skipped = 0
+        self.on_paused = None
         self.is_end_doubtful = False
         self._parts = collections.deque()
         self._arrived = asyncio.Event()
@@ -246,9 +249,11 @@
             self._has_excess = True
             return
         self._buffered_bytes += len(data) + PART_BYTES
+        self._put(BodyPart(data))
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self.transport.pause_reading()
-        self._put(BodyPart(data))
+            if self.on_paused is not None:
+                self.on_paused()
 
     def on_message_complete(self):
         """Pass on the end of the reply."""
@@ -265,6 +270,11 @@
 
     # Called by the task that sends the request.
 
+    @property
+    def buffered_bytes(self):
+        """Bytes of the reply that are read ahead."""
+        return self._buffered_bytes
+
     @property
     def is_open(self):
         """Whether another request can be sent."""
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from catkinshunt.http1 import _budget
 from catkinshunt.http1 import _messages
 from catkinshunt.http1 import _request_parser
 from catkinshunt.http1 import _server
@@ -33,12 +34,14 @@
             caller disconnects.
         clock: function that returns seconds on the monotonic clock.
         limits: function that returns the `Limits` in force.
+        budget: `CallerBudget` of the process; None for no bound.
     """
 
-    def __init__(self, session, clock, limits=_server.Limits):
+    def __init__(self, session, clock, limits=_server.Limits, budget=None):
         self.session = session
         self.clock = clock
         self.limits = limits
+        self.budget = budget or _budget.CallerBudget()
         self.tasks = {}
         self._server = None
 
@@ -62,7 +65,7 @@
 
     def _make_connection(self):
         return _server.ServerConnection(
-            self.clock, self.limits, self._connected
+            self.clock, self.limits, self._connected, self.budget
         )
 
     def _connected(self, conn):
@@ -99,7 +102,8 @@
             if req is None:
                 return
             if isinstance(req, _request_parser.BadRequestError):
-                conn.write(_messages.dump_reply(req.status, [_CLOSE_HEADER]))
+                items = [_CLOSE_HEADER, *req.retry_items()]
+                conn.write(_messages.dump_reply(req.status, items))
                 return
             reply = await handler(req)
             keep = [] if req.keep_alive else [_CLOSE_HEADER]
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -1,15 +1,24 @@
 """Server side of an HTTP/1.1 connection."""
 
+import array
 import asyncio
 import collections
+import fcntl
+import socket
+import termios
 
 import attrs
 
 from catkinshunt.http1 import _read_buffer
 from catkinshunt.http1 import _request_parser
+from catkinshunt.http1 import base
+from catkinshunt import logs
 
 #: Bytes that may be buffered for a slow caller before `drain` waits.
 HIGH_WATER_BYTES = 64 * 1024
+#: Bytes that the kernel may keep for a slow caller. With its own choice, up to
+#: some MB, a caller that reads nothing would be noticed late.
+SEND_BUFFER_BYTES = 128 * 1024
 #: Delay before closing a connection whose request was rejected unread.
 #: Unread bytes cause a reset, by which the caller could lose the rejection.
 LINGER_S = 0.2
@@ -20,9 +29,13 @@
 #: Bytes that one connection may have parsed before others have their turn,
 #: but for bodies whose length is stated.
 TURN_BYTES = 4 * 1024
+#: Seconds between two looks at what a paused connection holds.
+HOLDING_POLL_S = 0.25
 #: Longest wait before the limits in force are read again.
 MAX_WAIT_S = 5.0
 
+_log = logs.get_logger('http')
+
 
 @attrs.define
 class Limits:
@@ -42,19 +55,21 @@
     idle_s: float = 60.0
 
 
-class ServerConnection(_read_buffer.BufferedReader):
+class ServerConnection(_read_buffer.BufferedReader, base.BaseHolder):
     """Reads the requests of one caller, one at a time.
 
     Args:
         clock: function that returns seconds on the monotonic clock.
         limits: function that returns the `Limits` in force.
         on_connected: called with the connection once it is open.
+        budget: `CallerBudget` of the process.
     """
 
-    def __init__(self, clock, limits, on_connected):
+    def __init__(self, clock, limits, on_connected, budget):
         self.clock = clock
         self.limits = limits
         self.on_connected = on_connected
+        self.budget = budget
         self.transport = None
         self.closed = asyncio.get_running_loop().create_future()
         self.idle_since = clock()
@@ -71,10 +86,18 @@
         self._next_turn = None
         #: Since when reading is paused as requests wait, or None.
         self._paused_since = None
+        #: Bytes that the kernel had for this process at the last look.
+        self._kernel_bytes = 0
+        self._holding_poll = None
+        #: Relays of upstream replies that hold a part of one for the caller.
+        self._relays = set()
+        #: Since when it holds what can be reclaimed, or None.
+        self._holding_since = None
         self._writable = asyncio.Event()
         self._writable.set()
         #: Whether a request was returned whose reply may not be whole.
         self._is_answering = False
+        self._answering_bytes = 0
         #: Whether nothing more is read, after a bad request.
         self._is_rejected = False
 
@@ -84,13 +107,18 @@
         """See `asyncio.Protocol`."""
         self.transport = transport
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        sock = transport.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        self.budget.open(self)
         self.on_connected(self)
 
     def connection_lost(self, exc):
         """See `asyncio.Protocol`."""
+        self.budget.close(self)
         self._free()
-        if self._next_turn is not None:
-            self._next_turn.cancel()
+        for handle in (self._next_turn, self._holding_poll):
+            if handle is not None:
+                handle.cancel()
         self._mark_closed()
 
     def eof_received(self):
@@ -101,6 +129,8 @@
     def pause_writing(self):
         """See `asyncio.Protocol`."""
         self._writable.clear()
+        self.update_budget()
+        self._start_poll()
 
     def resume_writing(self):
         """See `asyncio.Protocol`."""
@@ -156,11 +186,17 @@
         if isinstance(req, _request_parser.BadRequestError):
             self._resume()
             return req
+        if not self.budget.has_room(size):
+            exc = self._no_memory_error()
+            self._reject(exc)
+            return exc
+        self._answering_bytes = size
         self._go_on()
         return req
 
     def _end_answer(self):
         self._is_answering = False
+        self._answering_bytes = 0
         self._send_continue()
         self._go_on()
 
@@ -168,6 +204,8 @@
         """Parse what had to wait for the request in progress."""
         if self._unparsed_bytes or self._paused_since is not None:
             self._parse()
+        else:
+            self.update_budget()
 
     def _wait_s(self):
         limits = self.limits()
@@ -199,8 +237,24 @@
 
     def write(self, data):
         """Send `data` unless the connection is closing."""
-        if not self.transport.is_closing():
-            self.transport.write(data)
+        if self.transport.is_closing():
+            return
+        self.transport.write(data)
+        if self.unsent_bytes:
+            self.update_budget()
+
+    def add_relay(self, relay):
+        """Count what `relay` holds; it has a property `held_bytes`."""
+        self._relays.add(relay)
+
+    def remove_relay(self, relay):
+        """Count no more what `relay` holds."""
+        self._relays.discard(relay)
+
+    def may_buffer(self):
+        """Return whether there is room for more of a reply."""
+        self.update_budget()
+        return not self.budget.is_short
 
     @property
     def unsent_bytes(self):
@@ -227,12 +281,80 @@
         if self.transport is not None:
             self.transport.abort()
 
-    # Parsing.
+    # base.BaseHolder
+
+    def measure(self):
+        """See `base.BaseHolder`."""
+        reclaimable = (
+            len(self._received)
+            - self._parsed
+            + self._kernel_bytes
+            + self._waiting_bytes
+            + self._parser.held_bytes
+            + self.unsent_bytes
+        )
+        active = self._answering_bytes
+        for relay in self._relays:
+            # What is relayed to a caller that reads is not held for long.
+            if self.is_drained:
+                active += relay.held_bytes
+            else:
+                reclaimable += relay.held_bytes
+        return base.Holding(reclaimable, active)
+
+    @property
+    def since(self):
+        """See `base.BaseHolder`."""
+        if self._holding_since is None:
+            return self.idle_since
+        return self._holding_since
+
+    def reclaim(self):
+        """See `base.BaseHolder`.
+
+        Requests that have not begun are rejected. Once they are, or if replies
+        take more, the connection is closed.
+        """
+        if self._is_rejected or not self.is_drained:
+            self.abort()
+            return
+        self._requests.clear()
+        self._waiting_bytes = 0
+        self._reject(self._no_memory_error())
 
     @property
     def _unparsed_bytes(self):
         return len(self._received) - self._parsed
 
+    def _start_poll(self):
+        if self._holding_poll is None:
+            loop = asyncio.get_running_loop()
+            self._holding_poll = loop.call_later(
+                HOLDING_POLL_S, self._poll_holding
+            )
+
+    def _poll_holding(self):
+        """Note what a connection holds that is paused, now and then."""
+        self._holding_poll = None
+        if self.closed.done():
+            return
+        self._kernel_bytes = 0
+        if self._paused_since is not None:
+            sock = self.transport.get_extra_info('socket')
+            self._kernel_bytes = _count_unread_bytes(sock)
+        self.update_budget()
+        if self._paused_since is not None or not self.is_drained:
+            self._start_poll()
+
+    def update_budget(self):
+        """Report what it holds now."""
+        if self._holding_since is None:
+            self._holding_since = self.clock()
+        if not self.budget.update(self).reclaimable_bytes:
+            self._holding_since = None
+
+    # Parsing.
+
     def _parse(self):
         """Parse what was received, up to the bounds of one turn."""
         if self._next_turn is not None:
@@ -249,6 +371,7 @@
             self._reject(exc)
         if self._parser.since is not None and not was_reading:
             self._arrived.set()
+        self.update_budget()
         self._control_reading()
 
     def _parse_slice(self):
@@ -286,6 +409,7 @@
         if self._paused_since is None:
             self._paused_since = self.clock()
             self.transport.pause_reading()
+            self._start_poll()
 
     def _resume(self):
         if self._paused_since is None:
@@ -295,10 +419,18 @@
             began = max(self._paused_since, self._parser.since)
             self._parser.since += self.clock() - began
         self._paused_since = None
+        self._kernel_bytes = 0
         self.transport.resume_reading()
 
     def _on_head(self, headers):
-        """Answer an expectation of the caller."""
+        """Check whether there is room for a body of stated length."""
+        size = self._parser.stated_bytes
+        if size > self.limits().body_bytes:
+            raise _request_parser.BadRequestError(413, 'the body is too long')
+        if size and not self.budget.has_room(
+            size * _request_parser.BODY_COPIES
+        ):
+            raise self._no_memory_error()
         self._send_continue()
 
     def _on_request(self, req, size):
@@ -342,8 +474,24 @@
     def _drop_unparsed(self):
         self._received, self._parsed = b'', 0
 
+    def _no_memory_error(self):
+        return _request_parser.BadRequestError(
+            503, 'no memory for the request', self.budget.retry_after_s
+        )
+
     def _mark_closed(self):
         self._writable.set()
         self._arrived.set()
         if not self.closed.done():
             self.closed.set_result(None)
+
+
+def _count_unread_bytes(sock):
+    """Return the bytes that a socket has received and not passed on."""
+    count = array.array('i', [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    except OSError as exc:
+        _log.warning('Unread bytes of a socket are not known: {}.', exc)
+        return 0
+    return count[0]
--- a/catkinshunt/http1/tests/test_server.py
+++ b/catkinshunt/http1/tests/test_server.py
@@ -356,7 +356,7 @@
     async def session(conn):
         await conn.read_request()
         await asyncio.sleep(0.3)
-        held.append(len(conn._received) + conn._parser.held_bytes)
+        held.append(conn.measure().reclaimable_bytes)
         # The caller could not go on, so this is not its delay.
         now[0] += 60.0
         req = await conn.read_request()
@@ -379,3 +379,27 @@
 
     assert asyncio.run(main()).endswith(b'4000000')
     assert held[0] < 256 * 1024
+
+
+def test_body_for_which_there_is_no_memory_is_refused_at_its_head():
+    """A caller would send it in vain, and does not learn when to come back."""
+
+    async def main():
+        budget = http1.CallerBudget(1_000_000, clock=lambda: 0.0)
+        listener = http1.Listener(
+            http1.make_session(echo), lambda: 0.0, budget=budget
+        )
+        await listener.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        writer.write(b'POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n')
+        async with asyncio.timeout(20):
+            found = await reader.read()
+        writer.close()
+        listener.close()
+        return found
+
+    found = asyncio.run(main())
+    assert found.startswith(b'HTTP/1.1 503')
+    assert b'\r\nRetry-After: 1\r\n' in found
--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -81,7 +81,9 @@
     context.rate_limit_gossip = await limit_gossip.start(cfg.ip)
     leave_gossip = make_leave_gossip(cfg, live_entries, context, wakes)
     context.leave_gossip = await leave_gossip.start(cfg.ip)
-    server = await gateway.Gateway(context).start(*cfg.frontend_address)
+    budget = _process.make_caller_budget(cfg, registry)
+    server = gateway.Gateway(context, budget)
+    await server.start(*cfg.frontend_address)
     register_gauges(registry, server, context)
     readiness = http1.Listener(
         http1.make_session(_readiness_handler(server)), _clocks.monotonic
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -4,10 +4,12 @@
 from catkinshunt import metrics
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _era
+from catkinshunt.platform import _refusal_log
 from catkinshunt.platform import _store
 
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
+_BYTES_PER_MB = 1_000_000
 
 
 def chunk_port(cfg):
@@ -40,6 +42,37 @@
     return cfg.port_range[0] + 6
 
 
+def make_caller_budget(cfg, registry):
+    """Return the `http1.CallerBudget` that all listeners share.
+
+    Args:
+        cfg: `InstanceSettings`.
+        registry: `metrics.Registry`.
+    """
+    refusals = registry.counter(
+        'callers_refused_total',
+        'Requests for which there was no room.',
+        ('reason',),
+    )
+    refusal_log = _refusal_log.RefusalLog(refusals, _clocks.monotonic)
+    budget = http1.make_caller_budget(
+        cfg.memory_mb * _BYTES_PER_MB,
+        _clocks.monotonic,
+        refusal_log.record,
+    )
+    registry.gauge(
+        'caller_memory_bytes',
+        'Memory that callers take on all listeners.',
+        lambda: budget.used_bytes,
+    )
+    registry.gauge(
+        'caller_memory_limit_bytes',
+        'Memory that callers may take on all listeners.',
+        lambda: budget.memory_bytes,
+    )
+    return budget
+
+
 async def serve_metrics(cfg, registry, is_ready=None):
     """Serve the metrics of `registry` on the first port of the range.
 
--- a/catkinshunt/platform/_settings.py
+++ b/catkinshunt/platform/_settings.py
@@ -11,6 +11,8 @@
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = 'CATKINSHUNT_CONFIG'
 _MS = 1000.0
+#: Memory of an instance whose settings state none.
+DEFAULT_MEMORY_MB = 160.0
 
 
 @attrs.frozen
@@ -55,6 +57,7 @@
         port_range: first and last port that the system may use.
         store_address: (ip, port) of the platform's store.
         link_mbps: bandwidth of the instance's link in Mbit/s.
+        memory_mb: memory that the process may take, in MB.
         engine_address: (ip, port) of the engine on this instance, or None.
         service: service of that engine, or ''.
         bounds: `Bounds` in force.
@@ -75,6 +78,7 @@
     service: str
     bounds: Bounds
     heartbeat_s: float = 1.0
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 class _FieldReader:
@@ -96,6 +100,13 @@
             return default
         return value
 
+    def positive(self, name, default):
+        value = self.get(name, _NUMBER, default)
+        if value > 0:
+            return value
+        self._add_problem(name, value, 'a number above 0')
+        return default
+
     def address(self, name, required=False):
         text = self.get(name, str, required=required)
         if text is None:
@@ -192,6 +203,7 @@
         service=reader.get('service', str, ''),
         bounds=_parse_bounds(reader),
         heartbeat_s=reader.get('heartbeat_ms', _NUMBER, _MS) / _MS,
+        memory_mb=reader.positive('limits.memory_mb', DEFAULT_MEMORY_MB),
     )
     if reader.problems:
         raise errors.SettingsError(
