Let the allocator free large blocks

With several crowds at once an entry took 104 MB of its 100 MB, though what its connections held stayed under the bound of 30 MB: beside long replies alone, 136 MB stayed after the crowd had left. Cause: glibc raises the size from which blocks are mapped one by one to that of the largest block that was freed; then large bodies lie among small objects on the heap, which does not shrink. Setting the threshold turns that off.

--- a/catkinshunt/platform/__main__.py
+++ b/catkinshunt/platform/__main__.py
@@ -10,6 +10,7 @@
 
 from catkinshunt import errors
 from catkinshunt import logs
+from catkinshunt.platform import _allocator
 from catkinshunt.platform import _entry
 from catkinshunt.platform import _settings
 from catkinshunt.platform import _sidecar
@@ -28,6 +29,7 @@
     except errors.SettingsError as exc:
         print(f'catkinshunt: {exc}', file=sys.stderr)
         return USAGE_EXIT_CODE
+    _allocator.keep_large_blocks_apart()
     stream = logs.BackgroundStream()
     logs.configure('json', stream=stream, budget=logs.LineRateLimiter())
     # Objects loaded so far live until exit; exclude them from collections.
