Bound the connections of callers by the descriptors

Idle connections of 700 clients took 714 sockets of the 300 that the settings leave, and 150 streams that nobody reads 314, one each for the client and the upstream; then no connection to the store or to an upstream can be opened, and new callers wait. Cause: max_fds of the settings was read nowhere, and nothing counted connections.

Callers get half of the sockets that remain beside files and connections of the process itself, since a request may need one to an upstream. At the bound, the connection that was idle the longest is closed, else one whose request is incomplete or whose reply is not read. The event loop accepts 64 connections before the bound is looked at again, in place of 1,024.

--- a/catkinshunt/http1/_budget.py
+++ b/catkinshunt/http1/_budget.py
@@ -1,16 +1,21 @@
-"""Bound on the memory that the callers of a process take."""
+"""Bounds on the memory and sockets that the callers of a process take."""
 
 import math
 
 from catkinshunt.http1 import base
 
-#: Share of the memory of a process that callers may take. The rest is for the
-#: process itself and for what the allocator wastes.
+#: Share of the memory and of the sockets of a process that callers may take.
+#: The rest is for the process itself, for its connections to upstreams, of
+#: which each request may need one, and for what the allocator wastes.
 CALLER_SHARE = 0.5
 #: Memory of a process that has no callers yet.
 PROCESS_BYTES = 40_000_000
 #: Smallest share of the memory for callers, whatever the process takes.
 LEAST_CALLER_SHARE = 0.1
+#: Descriptors that are not for sockets.
+FILE_DESCRIPTORS = 200
+#: Sockets for the store, for other processes and for listeners.
+OWN_SOCKETS = 40
 #: Memory of an open connection without a request, in the process and in the
 #: kernel.
 CONNECTION_BYTES = 12 * 1024
@@ -30,25 +35,28 @@
 RETRY_AFTER_S = 1.0
 
 
-def make_caller_budget(memory_bytes, clock, on_refused=None):
+def make_caller_budget(memory_bytes, descriptors, clock, on_refused=None):
     """Return the `CallerBudget` of a process.
 
     Args:
         memory_bytes: memory of its machine.
+        descriptors: most descriptors that it may open.
         clock: function that returns seconds on the monotonic clock.
         on_refused: see `CallerBudget`.
     """
     least_bytes = LEAST_CALLER_SHARE * memory_bytes
     caller_bytes = CALLER_SHARE * (memory_bytes - PROCESS_BYTES)
+    sockets = max(0, descriptors - FILE_DESCRIPTORS - OWN_SOCKETS)
     return CallerBudget(
         max(least_bytes, caller_bytes),
+        max(1, int(CALLER_SHARE * sockets)),
         clock,
         on_refused,
     )
 
 
 class CallerBudget:
-    """Memory that all callers of a process share.
+    """Memory and sockets that all callers of a process share.
 
     Each listener of a process has the same budget. A connection reports what
     it holds. Beyond the bound, connections have to give back what no request
@@ -58,18 +66,21 @@
 
     Args:
         memory_bytes: most bytes that connections hold together.
+        connections: most open connections.
         clock: function that returns seconds on the monotonic clock.
-        on_refused: called with a reason for each refusal: ``'memory'`` or
-            ``'large'``.
+        on_refused: called with a reason for each refusal: ``'memory'``,
+            ``'large'`` or ``'connections'``.
     """
 
     def __init__(
         self,
         memory_bytes=math.inf,
+        connections=math.inf,
         clock=None,
         on_refused=None,
     ):
         self.memory_bytes = memory_bytes
+        self.connections = connections
         self.clock = clock
         self.on_refused = on_refused
         self.retry_after_s = RETRY_AFTER_S
@@ -77,15 +88,33 @@
         self.active_bytes = 0
         self._holdings = {}
 
+    @property
+    def open_connections(self):
+        """Number of open connections."""
+        return len(self._holdings)
+
     @property
     def is_short(self):
         """Whether little memory is left."""
         return self.used_bytes > SHORT_SHARE * self.memory_bytes
 
     def open(self, conn):
-        """Add a connection, a `base.BaseHolder`."""
+        """Add a connection; return whether there is room for it.
+
+        At the bound, idle connections are closed, or else those whose request
+        is incomplete.
+
+        Args:
+            conn: `base.BaseHolder`.
+        """
+        if len(self._holdings) >= self.connections:
+            self._close_some()
+        if len(self._holdings) >= self.connections:
+            self._count('connections')
+            return False
         self._holdings[conn] = base.Holding()
         self.used_bytes += CONNECTION_BYTES
+        return True
 
     def close(self, conn):
         """Remove a connection and all that it holds."""
@@ -158,6 +187,16 @@
             conn.reclaim()
             self._note(conn)
 
+    def _close_some(self):
+        """Close the connections that were idle or incomplete the longest."""
+        candidates = [c for c in self._holdings if c.may_close]
+        candidates.sort(key=lambda conn: (conn.is_unused, -conn.since))
+        most = max(1, int((1 - RECLAIMED_SHARE) * self.connections))
+        for conn in candidates[-most:]:
+            self._count('connections')
+            self.close(conn)
+            conn.abort()
+
     def _count(self, reason):
         if self.on_refused is not None:
             self.on_refused(reason)
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -1,6 +1,7 @@
 """Listener, and sessions whose replies are not streamed."""
 
 import asyncio
+import socket
 
 import attrs
 
@@ -12,6 +13,8 @@
 
 #: Length of the queue of connections that are not accepted yet.
 BACKLOG = 1024
+#: Connections that are accepted before the bound on them is looked at again.
+ACCEPTS_PER_TURN = 64
 
 _log = logs.get_logger('http')
 
@@ -48,9 +51,14 @@
     async def start(self, host, port):
         """Listen on an address; returns self."""
         loop = asyncio.get_running_loop()
+        sock = socket.create_server((host, port), backlog=BACKLOG)
+        # The event loop takes the length of the queue for the number of
+        # connections that it accepts at once. Hundreds at once would be open
+        # before the budget closes any.
         self._server = await loop.create_server(
-            self._make_connection, host, port, backlog=BACKLOG
+            self._make_connection, sock=sock, backlog=ACCEPTS_PER_TURN
         )
+        sock.listen(BACKLOG)
         return self
 
     @property
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -109,7 +109,9 @@
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         sock = transport.get_extra_info('socket')
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        self.budget.open(self)
+        if not self.budget.open(self):
+            transport.abort()
+            return
         self.on_connected(self)
 
     def connection_lost(self, exc):
@@ -309,6 +311,17 @@
             return self.idle_since
         return self._holding_since
 
+    @property
+    def is_unused(self):
+        """See `base.BaseHolder`."""
+        return self.is_idle and not self._is_answering
+
+    @property
+    def may_close(self):
+        """See `base.BaseHolder`; a caller that reads nothing gets no reply."""
+        is_waiting = self._is_answering or self._requests
+        return not is_waiting or not self.is_drained
+
     def reclaim(self):
         """See `base.BaseHolder`.
 
--- a/catkinshunt/http1/base.py
+++ b/catkinshunt/http1/base.py
@@ -34,6 +34,16 @@
         In seconds on the monotonic clock.
         """
 
+    @property
+    @abc.abstractmethod
+    def is_unused(self):
+        """Whether no request is in progress, waits or has begun to arrive."""
+
+    @property
+    @abc.abstractmethod
+    def may_close(self):
+        """Whether closing it breaks off no request in progress."""
+
     @abc.abstractmethod
     def reclaim(self):
         """Free memory at the expense of the peer."""
--- a/catkinshunt/http1/tests/test_budget.py
+++ b/catkinshunt/http1/tests/test_budget.py
@@ -12,12 +12,15 @@
 
     holding = base.Holding()
     since = 0.0
+    is_unused = True
+    may_close = True
     was_aborted = False
     was_reclaimed = False
 
     def hold(self, budget, size, since=0.0, active=0):
         self.holding = base.Holding(size - active, active)
         self.since = since
+        self.is_unused = False
         budget.update(self)
 
     def measure(self):
@@ -33,8 +36,7 @@
 
 def open_all(budget, count):
     holders = [Holder() for _ in range(count)]
-    for holder in holders:
-        budget.open(holder)
+    assert all(budget.open(holder) for holder in holders)
     return holders
 
 
@@ -72,6 +74,28 @@
     assert budget.has_room(_budget.SMALL_BYTES)
 
 
+def test_idle_connection_makes_place_for_a_new_one():
+    """Idle connections would take all sockets of a process."""
+    reasons = []
+    budget = http1.CallerBudget(connections=3, on_refused=reasons.append)
+    new, oldest, busy = open_all(budget, 3)
+    new.since, oldest.since, busy.since = 9.0, 1.0, 0.0
+    busy.is_unused = busy.may_close = False
+    assert budget.open(Holder())
+    assert [h.was_aborted for h in (new, oldest, busy)] == [False, True, False]
+    assert reasons == ['connections']
+
+
+def test_new_connection_is_refused_if_all_others_are_in_progress():
+    """A connection that is closed for it would lose its request."""
+    budget = http1.CallerBudget(connections=2)
+    holders = open_all(budget, 2)
+    for holder in holders:
+        holder.may_close = False
+    assert not budget.open(Holder())
+    assert not any(holder.was_aborted for holder in holders)
+
+
 def test_closed_connection_takes_no_room():
     """Room of connections that have ended would be lost for good."""
     budget = http1.CallerBudget(ROOM, clock=lambda: 10.0)
@@ -79,11 +103,16 @@
     holder.hold(budget, 1000, active=500)
     budget.close(holder)
     budget.update(holder)
-    assert (budget.used_bytes, budget.active_bytes) == (0, 0)
+    found = (budget.used_bytes, budget.active_bytes, budget.open_connections)
+    assert found == (0, 0, 0)
 
 
-@pytest.mark.parametrize('memory_bytes', [300_000_000, 20_000_000])
-def test_budget_follows_from_the_machine(memory_bytes):
+@pytest.mark.parametrize(
+    ('memory_bytes', 'descriptors'),
+    [(300_000_000, 4200), (168_000_000, 1124), (20_000_000, 100)],
+)
+def test_budget_follows_from_the_machine(memory_bytes, descriptors):
     """A bound that is not that of the machine bounds nothing."""
-    budget = http1.make_caller_budget(memory_bytes, lambda: 0.0)
+    budget = http1.make_caller_budget(memory_bytes, descriptors, lambda: 0.0)
     assert 0 < budget.memory_bytes <= memory_bytes / 2
+    assert 1 <= budget.connections <= max(1, descriptors / 2)
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -51,12 +51,13 @@
     """
     refusals = registry.counter(
         'callers_refused_total',
-        'Requests for which there was no room.',
+        'Requests and connections for which there was no room.',
         ('reason',),
     )
     refusal_log = _refusal_log.RefusalLog(refusals, _clocks.monotonic)
     budget = http1.make_caller_budget(
         cfg.memory_mb * _BYTES_PER_MB,
+        cfg.max_fds,
         _clocks.monotonic,
         refusal_log.record,
     )
@@ -70,6 +71,16 @@
         'Memory that callers may take on all listeners.',
         lambda: budget.memory_bytes,
     )
+    registry.gauge(
+        'caller_connections',
+        'Open connections of callers on all listeners.',
+        lambda: budget.open_connections,
+    )
+    registry.gauge(
+        'caller_connections_limit',
+        'Connections that callers may open on all listeners.',
+        lambda: budget.connections,
+    )
     return budget
 
 
--- a/catkinshunt/platform/_settings.py
+++ b/catkinshunt/platform/_settings.py
@@ -11,8 +11,9 @@
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = 'CATKINSHUNT_CONFIG'
 _MS = 1000.0
-#: Memory of an instance whose settings state none.
+#: Limits of an instance whose settings state none.
 DEFAULT_MEMORY_MB = 160.0
+DEFAULT_MAX_FDS = 1024
 
 
 @attrs.frozen
@@ -58,6 +59,7 @@
         store_address: (ip, port) of the platform's store.
         link_mbps: bandwidth of the instance's link in Mbit/s.
         memory_mb: memory that the process may take, in MB.
+        max_fds: descriptors that the process may open.
         engine_address: (ip, port) of the engine on this instance, or None.
         service: service of that engine, or ''.
         bounds: `Bounds` in force.
@@ -79,6 +81,7 @@
     bounds: Bounds
     heartbeat_s: float = 1.0
     memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
 
 
 class _FieldReader:
@@ -204,6 +207,7 @@
         bounds=_parse_bounds(reader),
         heartbeat_s=reader.get('heartbeat_ms', _NUMBER, _MS) / _MS,
         memory_mb=reader.positive('limits.memory_mb', DEFAULT_MEMORY_MB),
+        max_fds=int(reader.positive('limits.max_fds', DEFAULT_MAX_FDS)),
     )
     if reader.problems:
         raise errors.SettingsError(
