Let all listeners share the budget of callers

A crowd that sends bodies to the readiness check, the metrics or the watch relay of an entry, or to the chunk server or the metrics of a sidecar, took 203 to 205 MB of 100 MB, and 700 idle connections there 707 sockets of 300. Cause: these listeners have limits for one request only.

All listeners of a process now have its budget.

--- a/catkinshunt/platform/_entry.py
+++ b/catkinshunt/platform/_entry.py
@@ -86,14 +86,16 @@
     await server.start(*cfg.frontend_address)
     register_gauges(registry, server, context)
     readiness = http1.Listener(
-        http1.make_session(_readiness_handler(server)), _clocks.monotonic
+        http1.make_session(_readiness_handler(server)),
+        _clocks.monotonic,
+        budget=budget,
     )
     await readiness.start(*cfg.ready_address)
-    await _process.serve_metrics(cfg, registry)
+    await _process.serve_metrics(cfg, registry, budget)
     client = _process.make_store_client(cfg, registry)
     source = make_watch_source(cfg, client, live_entries)
     await watch_relay.WatchRelayServer(
-        source, _clocks.boottime, _clocks.monotonic
+        source, _clocks.boottime, _clocks.monotonic, budget
     ).start(cfg.ip, _process.watch_relay_port(cfg))
     updater = make_cache_updater(
         cfg, source, context, live_entries, client.eras
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -84,18 +84,20 @@
     return budget
 
 
-async def serve_metrics(cfg, registry, is_ready=None):
+async def serve_metrics(cfg, registry, budget, is_ready=None):
     """Serve the metrics of `registry` on the first port of the range.
 
     Args:
         cfg: `InstanceSettings`.
         registry: `metrics.Registry`.
+        budget: `http1.CallerBudget` of the process.
         is_ready: function that returns whether the process works, which
             operators ask for at `READY_PATH`; None if they ask elsewhere.
     """
     listener = http1.Listener(
         http1.make_session(metrics_handler(registry, is_ready)),
         _clocks.monotonic,
+        budget=budget,
     )
     await listener.start(cfg.ip, cfg.port_range[0])
 
--- a/catkinshunt/platform/_sidecar.py
+++ b/catkinshunt/platform/_sidecar.py
@@ -25,8 +25,9 @@
     stop = _signals.install_signal_handlers()
     registry = metrics.Registry()
     loops = _background.make_background_loops(registry)
-    is_ready = await _start_services(cfg, registry, loops)
-    await _process.serve_metrics(cfg, registry, is_ready)
+    budget = _process.make_caller_budget(cfg, registry)
+    is_ready = await _start_services(cfg, registry, loops, budget)
+    await _process.serve_metrics(cfg, registry, budget, is_ready)
     _log.info('Started sidecar {}.', cfg.name, engine=cfg.engine_address)
     await stop.wait()
     loops.cancel()
@@ -39,7 +40,7 @@
     return permits.PermitServer(permits.PermitAllocator(), _clocks.boottime)
 
 
-async def _start_services(cfg, registry, loops):
+async def _start_services(cfg, registry, loops, budget):
     """Start the services for the engine, if any.
 
     Returns:
@@ -84,6 +85,7 @@
         cfg.link_mbps,
         byte_counter,
         agent.on_chunk_request,
+        budget,
     )
     await server.start(cfg.ip, chunk_port)
     loops.start('wakes', wakes.run)
--- a/catkinshunt/spread/_chunk_server.py
+++ b/catkinshunt/spread/_chunk_server.py
@@ -116,10 +116,17 @@
         link_mbps: speed of the instance's link.
         byte_counter: counts bytes by source, or 'given': sent to peers.
         on_request: called with the model and version of each request.
+        budget: `http1.CallerBudget` of the process; None for no bound.
     """
 
     def __init__(
-        self, version_store, clock, link_mbps, byte_counter, on_request
+        self,
+        version_store,
+        clock,
+        link_mbps,
+        byte_counter,
+        on_request,
+        budget=None,
     ):
         self.version_store = version_store
         self.on_request = on_request
@@ -129,7 +136,7 @@
         self._pacer = Pacer(
             link_mbps * base.BYTES_PER_MBIT * LINK_SHARE / PROTOCOL_OVERHEAD
         )
-        self._listener = http1.Listener(self._session, clock)
+        self._listener = http1.Listener(self._session, clock, budget=budget)
 
     async def start(self, host, port):
         """Listen on an address; return self."""
--- a/catkinshunt/watch_relay/_server.py
+++ b/catkinshunt/watch_relay/_server.py
@@ -31,13 +31,14 @@
         source: `RegionalWatchSource` of this process.
         wall: function that returns seconds on the boot-time clock.
         clock: function that returns seconds on the monotonic clock.
+        budget: `http1.CallerBudget` of the process; None for no bound.
     """
 
-    def __init__(self, source, wall, clock):
+    def __init__(self, source, wall, clock, budget=None):
         self.source = source
         self.wall = wall
         self._listener = http1.Listener(
-            http1.make_session(self._answer), clock
+            http1.make_session(self._answer), clock, budget=budget
         )
 
     async def start(self, host, port):
