--- a/catkinshunt/http1/_budget.py
+++ b/catkinshunt/http1/_budget.py
@@ -16,9 +16,10 @@
 FILE_DESCRIPTORS = 200
 #: Sockets for the store, for other processes and for listeners.
 OWN_SOCKETS = 40
-#: Memory of an open connection without a request, in the process and in the
-#: kernel.
-CONNECTION_BYTES = 12 * 1024
+#: Bytes that a connection may hold without a report.
+UNREPORTED_BYTES = 8 * 1024
+#: Memory of an open connection, in the process and in the kernel.
+CONNECTION_BYTES = 12 * 1024 + UNREPORTED_BYTES
 #: Requests up to this size are admitted as long as any memory is left.
 SMALL_BYTES = 64 * 1024
 #: Share of the memory for callers that large requests in progress may take.
@@ -127,15 +128,10 @@
         """Note what a connection holds now; reclaim memory beyond the bound.
 
         The connection itself may be one that has to give back.
-
-        Returns:
-            The `base.Holding` of the connection; an empty one once it is
-            closed.
         """
         self._note(conn)
         if self.used_bytes > self.memory_bytes:
             self._reclaim()
-        return self._holdings.get(conn) or base.Holding()
 
     def has_room(self, size):
         """Return whether a request of `size` bytes may be in progress.
--- a/catkinshunt/http1/_request_parser.py
+++ b/catkinshunt/http1/_request_parser.py
@@ -66,8 +66,10 @@
 
     @property
     def held_bytes(self):
-        """Bytes that the incomplete request takes."""
-        return self._head_bytes + len(self._body)
+        """Bytes that the incomplete request takes; 0 without one."""
+        if self.since is None:
+            return 0
+        return self._head_size() + len(self._body)
 
     @property
     def next_bytes(self):
@@ -107,19 +109,16 @@
 
     def on_message_begin(self):
         """Note the begin of a request."""
-        self._head_bytes = REQUEST_BYTES
         if self.since is None:
             self.since = self.clock()
 
     def on_url(self, url):
         """Add a part of the request target."""
         self._target += url
-        self._head_bytes += len(url)
 
     def on_header(self, name, value):
         """Add one header field."""
         self._items.append((name.decode('latin-1'), value.decode('latin-1')))
-        self._head_bytes += FIELD_BYTES + len(name) + len(value)
 
     def on_headers_complete(self):
         """Check whether the body is wanted."""
@@ -129,6 +128,7 @@
         ).lower() == '100-continue'
         # The parser has checked that it is a number.
         self.stated_bytes = int(headers.get('content-length') or 0)
+        self._head_bytes += self._overhead_bytes
         self._overhead_bytes = 0
         self.on_head(headers)
 
@@ -149,10 +149,15 @@
             self.clock(),
             self._parser.should_keep_alive(),
         )
-        size = self._head_bytes + BODY_COPIES * len(self._body)
+        size = self._head_size() + BODY_COPIES * len(self._body)
         self._begin_request()
         self.on_request(req, size)
 
+    def _head_size(self):
+        """Return the memory that the fields take."""
+        size = REQUEST_BYTES + FIELD_BYTES * len(self._items)
+        return size + self._head_bytes + self._overhead_bytes
+
     def _whole_headers(self):
         """Return the fields of the head and of the trailer section."""
         if len(self._headers.items) == len(self._items):
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from catkinshunt.http1 import _budget
 from catkinshunt.http1 import _read_buffer
 from catkinshunt.http1 import _request_parser
 from catkinshunt.http1 import base
@@ -29,6 +30,8 @@
 #: Bytes that one connection may have parsed before others have their turn,
 #: but for bodies whose length is stated.
 TURN_BYTES = 4 * 1024
+#: A change of what a connection holds that it reports to the budget.
+REPORT_BYTES = _budget.UNREPORTED_BYTES
 #: Seconds between two looks at what a paused connection holds.
 HOLDING_POLL_S = 0.25
 #: Longest wait before the limits in force are read again.
@@ -91,6 +94,8 @@
         self._holding_poll = None
         #: Relays of upstream replies that hold a part of one for the caller.
         self._relays = set()
+        #: What it held when it last reported to the budget.
+        self._reported_bytes = 0
         #: Since when it holds what can be reclaimed, or None.
         self._holding_since = None
         self._writable = asyncio.Event()
@@ -287,14 +292,7 @@
 
     def measure(self):
         """See `base.BaseHolder`."""
-        reclaimable = (
-            len(self._received)
-            - self._parsed
-            + self._kernel_bytes
-            + self._waiting_bytes
-            + self._parser.held_bytes
-            + self.unsent_bytes
-        )
+        reclaimable = self._reclaimable_bytes()
         active = self._answering_bytes
         for relay in self._relays:
             # What is relayed to a caller that reads is not held for long.
@@ -304,6 +302,17 @@
                 reclaimable += relay.held_bytes
         return base.Holding(reclaimable, active)
 
+    def _reclaimable_bytes(self):
+        """Return what it holds, but for what is relayed to it."""
+        return (
+            len(self._received)
+            - self._parsed
+            + self._kernel_bytes
+            + self._waiting_bytes
+            + self._parser.held_bytes
+            + self.transport.get_write_buffer_size()
+        )
+
     @property
     def since(self):
         """See `base.BaseHolder`."""
@@ -361,10 +370,15 @@
 
     def update_budget(self):
         """Report what it holds now."""
-        if self._holding_since is None:
-            self._holding_since = self.clock()
-        if not self.budget.update(self).reclaimable_bytes:
+        size = self._reclaimable_bytes()
+        if not size:
             self._holding_since = None
+        elif self._holding_since is None:
+            self._holding_since = self.clock()
+        size += self._answering_bytes
+        if abs(size - self._reported_bytes) >= REPORT_BYTES or self._relays:
+            self._reported_bytes = size
+            self.budget.update(self)
 
     # Parsing.
 
@@ -411,10 +425,10 @@
 
     def _is_ahead(self):
         """Return whether enough was read beside the request in progress."""
+        if not self._requests and not self._is_answering:
+            return False
         if len(self._requests) >= MAX_WAITING_REQUESTS:
             return True
-        if not self._is_answering and not self._requests:
-            return False
         size = self._waiting_bytes + self._parser.held_bytes
         return size > MAX_WAITING_BYTES
 
