Move the budget of callers into a package of its own

The first interface needs it too, and does without asyncio and httptools, which http1 brings. Its metrics are made in one place for both. No behaviour changes.

--- a/catkinshunt/http1/_budget.py
+++ b/catkinshunt/callers/_budget.py
@@ -2,7 +2,7 @@
 
 import math
 
-from catkinshunt.http1 import base
+from catkinshunt.callers import base
 
 #: Share of the memory and of the sockets of a process that callers may take.
 #: The rest is for the process itself, for its connections to upstreams, of
@@ -16,6 +16,7 @@
 FILE_DESCRIPTORS = 200
 #: Sockets for the store, for other processes and for listeners.
 OWN_SOCKETS = 40
+RESERVED_DESCRIPTORS = FILE_DESCRIPTORS + OWN_SOCKETS
 #: Bytes that a connection may hold without a report.
 UNREPORTED_BYTES = 8 * 1024
 #: Memory of an open connection, in the process and in the kernel.
@@ -47,7 +48,7 @@
     """
     least_bytes = LEAST_CALLER_SHARE * memory_bytes
     caller_bytes = CALLER_SHARE * (memory_bytes - PROCESS_BYTES)
-    sockets = max(0, descriptors - FILE_DESCRIPTORS - OWN_SOCKETS)
+    sockets = max(0, descriptors - RESERVED_DESCRIPTORS)
     return CallerBudget(
         max(least_bytes, caller_bytes),
         max(1, int(CALLER_SHARE * sockets)),
--- a/catkinshunt/http1/tests/test_budget.py
+++ b/catkinshunt/callers/tests/test_budget.py
@@ -1,16 +1,14 @@
 import pytest
 
-from catkinshunt import http1
-from catkinshunt.http1 import _budget
-from catkinshunt.http1 import base
+from catkinshunt import callers
 
-ROOM = 10 * _budget.CONNECTION_BYTES
+ROOM = 10 * callers.CONNECTION_BYTES
 
 
-class Holder(base.BaseHolder):
+class Holder(callers.BaseHolder):
     """A connection whose holdings a test sets."""
 
-    holding = base.Holding()
+    holding = callers.Holding()
     since = 0.0
     is_unused = True
     may_close = True
@@ -18,7 +16,7 @@
     was_reclaimed = False
 
     def hold(self, budget, size, since=0.0, active=0):
-        self.holding = base.Holding(size - active, active)
+        self.holding = callers.Holding(size - active, active)
         self.since = since
         self.is_unused = False
         budget.update(self)
@@ -28,7 +26,7 @@
 
     def reclaim(self):
         self.was_reclaimed = True
-        self.holding = base.Holding(0, self.holding.active_bytes)
+        self.holding = callers.Holding(0, self.holding.active_bytes)
 
     def abort(self):
         self.was_aborted = True
@@ -42,7 +40,7 @@
 
 def test_connection_that_holds_most_for_longest_gives_back():
     """A body that stops short of its end keeps room from other requests."""
-    budget = http1.CallerBudget(ROOM, clock=lambda: 10.0)
+    budget = callers.CallerBudget(ROOM, clock=lambda: 10.0)
     stalled, young, small = open_all(budget, 3)
     stalled.hold(budget, ROOM // 2, since=0.0)
     small.hold(budget, 100, since=0.0)
@@ -55,7 +53,7 @@
 
 def test_requests_in_progress_keep_their_memory():
     """A request that an upstream runs would be lost."""
-    budget = http1.CallerBudget(ROOM, clock=lambda: 10.0)
+    budget = callers.CallerBudget(ROOM, clock=lambda: 10.0)
     active, incomplete = open_all(budget, 2)
     active.hold(budget, ROOM // 2, active=ROOM // 2)
     incomplete.hold(budget, ROOM // 2, since=9.9)
@@ -65,19 +63,19 @@
 
 def test_large_requests_leave_room_for_small_ones():
     """Long bodies in progress would fill the memory."""
-    room = 100 * _budget.SMALL_BYTES
-    budget = http1.CallerBudget(room, clock=lambda: 10.0)
+    room = 100 * callers.SMALL_BYTES
+    budget = callers.CallerBudget(room, clock=lambda: 10.0)
     (active,) = open_all(budget, 1)
     assert budget.has_room(room // 2)
     active.hold(budget, room // 2, active=room // 2)
     assert not budget.has_room(room // 2)
-    assert budget.has_room(_budget.SMALL_BYTES)
+    assert budget.has_room(callers.SMALL_BYTES)
 
 
 def test_idle_connection_makes_place_for_a_new_one():
     """Idle connections would take all sockets of a process."""
     reasons = []
-    budget = http1.CallerBudget(connections=3, on_refused=reasons.append)
+    budget = callers.CallerBudget(connections=3, on_refused=reasons.append)
     new, oldest, busy = open_all(budget, 3)
     new.since, oldest.since, busy.since = 9.0, 1.0, 0.0
     busy.is_unused = busy.may_close = False
@@ -88,7 +86,7 @@
 
 def test_new_connection_is_refused_if_all_others_are_in_progress():
     """A connection that is closed for it would lose its request."""
-    budget = http1.CallerBudget(connections=2)
+    budget = callers.CallerBudget(connections=2)
     holders = open_all(budget, 2)
     for holder in holders:
         holder.may_close = False
@@ -98,7 +96,7 @@
 
 def test_closed_connection_takes_no_room():
     """Room of connections that have ended would be lost for good."""
-    budget = http1.CallerBudget(ROOM, clock=lambda: 10.0)
+    budget = callers.CallerBudget(ROOM, clock=lambda: 10.0)
     (holder,) = open_all(budget, 1)
     holder.hold(budget, 1000, active=500)
     budget.close(holder)
@@ -113,6 +111,6 @@
 )
 def test_budget_follows_from_the_machine(memory_bytes, descriptors):
     """A bound that is not that of the machine bounds nothing."""
-    budget = http1.make_caller_budget(memory_bytes, descriptors, lambda: 0.0)
+    budget = callers.make_caller_budget(memory_bytes, descriptors, lambda: 0.0)
     assert 0 < budget.memory_bytes <= memory_bytes / 2
     assert 1 <= budget.connections <= max(1, descriptors / 2)
--- a/catkinshunt/gateway/_gateway.py
+++ b/catkinshunt/gateway/_gateway.py
@@ -21,7 +21,7 @@
 
     Args:
         context: `Context`.
-        budget: `http1.CallerBudget` of the process; None for no bound.
+        budget: `callers.CallerBudget` of the process; None for no bound.
     """
 
     def __init__(self, context, budget=None):
--- a/catkinshunt/http1/__init__.py
+++ b/catkinshunt/http1/__init__.py
@@ -1,7 +1,5 @@
 """HTTP/1.1 on asyncio, for processes with many concurrent streams."""
 
-from catkinshunt.http1._budget import CallerBudget
-from catkinshunt.http1._budget import make_caller_budget
 from catkinshunt.http1._client import BodyPart
 from catkinshunt.http1._client import ClientConnection
 from catkinshunt.http1._client import ConnectionLost
@@ -27,7 +25,6 @@
 __all__ = [
     'BadRequestError',
     'BodyPart',
-    'CallerBudget',
     'ClientConnection',
     'ConnectionLost',
     'EndOfReply',
@@ -45,7 +42,6 @@
     'dump_head',
     'dump_reply',
     'exchange',
-    'make_caller_budget',
     'make_session',
     'status_line',
 ]
--- a/catkinshunt/http1/_serve.py
+++ b/catkinshunt/http1/_serve.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from catkinshunt.http1 import _budget
+from catkinshunt import callers
 from catkinshunt.http1 import _messages
 from catkinshunt.http1 import _request_parser
 from catkinshunt.http1 import _server
@@ -44,7 +44,7 @@
         self.session = session
         self.clock = clock
         self.limits = limits
-        self.budget = budget or _budget.CallerBudget()
+        self.budget = budget or callers.CallerBudget()
         self.tasks = {}
         self._server = None
 
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -9,10 +9,9 @@
 
 import attrs
 
-from catkinshunt.http1 import _budget
+from catkinshunt import callers
 from catkinshunt.http1 import _read_buffer
 from catkinshunt.http1 import _request_parser
-from catkinshunt.http1 import base
 from catkinshunt import logs
 
 #: Bytes that may be buffered for a slow caller before `drain` waits.
@@ -31,7 +30,7 @@
 #: but for bodies whose length is stated.
 TURN_BYTES = 4 * 1024
 #: A change of what a connection holds that it reports to the budget.
-REPORT_BYTES = _budget.UNREPORTED_BYTES
+REPORT_BYTES = callers.UNREPORTED_BYTES
 #: Seconds between two looks at what a paused connection holds.
 HOLDING_POLL_S = 0.25
 #: Longest wait before the limits in force are read again.
@@ -58,7 +57,7 @@
     idle_s: float = 60.0
 
 
-class ServerConnection(_read_buffer.BufferedReader, base.BaseHolder):
+class ServerConnection(_read_buffer.BufferedReader, callers.BaseHolder):
     """Reads the requests of one caller, one at a time.
 
     Args:
@@ -288,10 +287,10 @@
         if self.transport is not None:
             self.transport.abort()
 
-    # base.BaseHolder
+    # callers.BaseHolder
 
     def measure(self):
-        """See `base.BaseHolder`."""
+        """See `callers.BaseHolder`."""
         reclaimable = self._reclaimable_bytes()
         active = self._answering_bytes
         for relay in self._relays:
@@ -300,7 +299,7 @@
                 active += relay.held_bytes
             else:
                 reclaimable += relay.held_bytes
-        return base.Holding(reclaimable, active)
+        return callers.Holding(reclaimable, active)
 
     def _reclaimable_bytes(self):
         """Return what it holds, but for what is relayed to it."""
@@ -315,24 +314,28 @@
 
     @property
     def since(self):
-        """See `base.BaseHolder`."""
+        """See `callers.BaseHolder`."""
         if self._holding_since is None:
             return self.idle_since
         return self._holding_since
 
     @property
     def is_unused(self):
-        """See `base.BaseHolder`."""
+        """See `callers.BaseHolder`."""
         return self.is_idle and not self._is_answering
 
     @property
     def may_close(self):
-        """See `base.BaseHolder`; a caller that reads nothing gets no reply."""
+        """See `callers.BaseHolder`.
+
+        A request whose reply the caller does not read is in progress for
+        nobody.
+        """
         is_waiting = self._is_answering or self._requests
         return not is_waiting or not self.is_drained
 
     def reclaim(self):
-        """See `base.BaseHolder`.
+        """See `callers.BaseHolder`.
 
         Requests that have not begun are rejected. Once they are, or if replies
         take more, the connection is closed.
--- a/catkinshunt/metrics/__init__.py
+++ b/catkinshunt/metrics/__init__.py
@@ -1,5 +1,6 @@
 """Metrics, health checks and status of one process."""
 
+from catkinshunt.metrics._caller_metrics import make_caller_budget
 from catkinshunt.metrics._exposition import expose
 from catkinshunt.metrics._instrumented import InstrumentedApp
 from catkinshunt.metrics._operator_app import OperatorApp
@@ -17,5 +18,6 @@
     'Registry',
     'Summary',
     'expose',
+    'make_caller_budget',
     'start_operator_server',
 ]
--- a/catkinshunt/platform/_process.py
+++ b/catkinshunt/platform/_process.py
@@ -4,12 +4,10 @@
 from catkinshunt import metrics
 from catkinshunt.platform import _clocks
 from catkinshunt.platform import _era
-from catkinshunt.platform import _refusal_log
 from catkinshunt.platform import _store
 
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
-_BYTES_PER_MB = 1_000_000
 
 
 def chunk_port(cfg):
@@ -43,45 +41,13 @@
 
 
 def make_caller_budget(cfg, registry):
-    """Return the `http1.CallerBudget` that all listeners share.
+    """Return the `callers.CallerBudget` that all listeners share.
 
     Args:
         cfg: `InstanceSettings`.
         registry: `metrics.Registry`.
     """
-    refusals = registry.counter(
-        'callers_refused_total',
-        'Requests and connections for which there was no room.',
-        ('reason',),
-    )
-    refusal_log = _refusal_log.RefusalLog(refusals, _clocks.monotonic)
-    budget = http1.make_caller_budget(
-        cfg.memory_mb * _BYTES_PER_MB,
-        cfg.max_fds,
-        _clocks.monotonic,
-        refusal_log.record,
-    )
-    registry.gauge(
-        'caller_memory_bytes',
-        'Memory that callers take on all listeners.',
-        lambda: budget.used_bytes,
-    )
-    registry.gauge(
-        'caller_memory_limit_bytes',
-        'Memory that callers may take on all listeners.',
-        lambda: budget.memory_bytes,
-    )
-    registry.gauge(
-        'caller_connections',
-        'Open connections of callers on all listeners.',
-        lambda: budget.open_connections,
-    )
-    registry.gauge(
-        'caller_connections_limit',
-        'Connections that callers may open on all listeners.',
-        lambda: budget.connections,
-    )
-    return budget
+    return metrics.make_caller_budget(cfg, registry, _clocks.monotonic)
 
 
 async def serve_metrics(cfg, registry, budget, is_ready=None):
@@ -90,7 +56,7 @@
     Args:
         cfg: `InstanceSettings`.
         registry: `metrics.Registry`.
-        budget: `http1.CallerBudget` of the process.
+        budget: `callers.CallerBudget` of the process.
         is_ready: function that returns whether the process works, which
             operators ask for at `READY_PATH`; None if they ask elsewhere.
     """
--- a/catkinshunt/spread/_chunk_server.py
+++ b/catkinshunt/spread/_chunk_server.py
@@ -116,7 +116,7 @@
         link_mbps: speed of the instance's link.
         byte_counter: counts bytes by source, or 'given': sent to peers.
         on_request: called with the model and version of each request.
-        budget: `http1.CallerBudget` of the process; None for no bound.
+        budget: `callers.CallerBudget` of the process; None for no bound.
     """
 
     def __init__(
--- a/catkinshunt/watch_relay/_server.py
+++ b/catkinshunt/watch_relay/_server.py
@@ -31,7 +31,7 @@
         source: `RegionalWatchSource` of this process.
         wall: function that returns seconds on the boot-time clock.
         clock: function that returns seconds on the monotonic clock.
-        budget: `http1.CallerBudget` of the process; None for no bound.
+        budget: `callers.CallerBudget` of the process; None for no bound.
     """
 
     def __init__(self, source, wall, clock, budget=None):
