Bound what callers of the first interface hold

Each server has a CallerBudget. Its channels report to it in the thread of the event loop, which alone closes them: 503 with Retry-After where the reply can be sent at once, else the end of the connection. The bounds follow from the new settings memory_mb (512) and max_fds (10,000); with these defaults more connections are allowed than the limit of waitress. The operator port has a tenth for itself, as its server has a thread of its own.

--- a/catkinshunt/entry/_process.py
+++ b/catkinshunt/entry/_process.py
@@ -1,5 +1,7 @@
 """Starts and stops the components of an entry."""
 
+import time
+
 import attrs
 
 from catkinshunt import base
@@ -45,6 +47,9 @@
             self.cfg.host,
             self.cfg.port,
             self.cfg.threads,
+            budget=metrics.make_caller_budget(
+                self.cfg, registry, time.monotonic
+            ),
         ).start()
         self._serving = True
         self._operators = metrics.start_operator_server(
--- a/catkinshunt/httpio/_channel.py
+++ b/catkinshunt/httpio/_channel.py
@@ -5,6 +5,20 @@
 import waitress.channel
 import waitress.task
 
+from catkinshunt import callers
+from catkinshunt import logs
+
+#: Memory of a request beside its fields and its body, and of a field beside
+#: its text.
+REQUEST_BYTES = 2048
+FIELD_BYTES = 300
+_NO_MEMORY = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+
+_log = logs.get_logger('http')
+
 
 class Task(waitress.task.WSGITask):
     """One request; keeps the connection alive after a chunked reply.
@@ -35,11 +49,97 @@
         channel.write_soon(b''.join(buffer.parts))
 
 
-class Channel(waitress.channel.HTTPChannel):
-    """One connection, whose requests are `Task` objects."""
+class Channel(waitress.channel.HTTPChannel, callers.BaseHolder):
+    """One connection, whose requests are `Task` objects.
+
+    The thread of the event loop reports what it holds to `server.budget`, and
+    frees it; threads that answer requests do neither.
+    """
 
     task_class = Task
 
+    def __init__(self, server, sock, addr, adj, map=None):
+        super().__init__(server, sock, addr, adj, map)
+        self.idle_since = server.budget.clock()
+        self._holding_since = None
+        self._reported_bytes = 0
+        if not server.budget.open(self):
+            self.handle_close()
+
+    def received(self, data):
+        """Take data; refuse a long request for which there is no room."""
+        found = super().received(data)
+        self.idle_since = self.server.budget.clock()
+        self._report()
+        req = self.request
+        if req is not None and self.connected:
+            size = max(req.content_length, req.body_bytes_received)
+            if not self.server.budget.has_room(size):
+                self.reclaim()
+        return found
+
+    def readable(self):
+        """Return whether to read; called before each wait of the loop."""
+        self._report()
+        return super().readable()
+
+    def handle_close(self):
+        """Close the connection, and count no more what it holds."""
+        self.server.budget.close(self)
+        super().handle_close()
+        # Connection and parser refer to each other.
+        self.request = None
+
+    def _report(self):
+        holding = self.measure()
+        if not holding.reclaimable_bytes:
+            self._holding_since = None
+        elif self._holding_since is None:
+            self._holding_since = self.server.budget.clock()
+        size = holding.reclaimable_bytes + holding.active_bytes
+        if abs(size - self._reported_bytes) >= callers.UNREPORTED_BYTES:
+            self._reported_bytes = size
+            self.server.budget.update(self)
+
+    # callers.BaseHolder
+
+    def measure(self):
+        """See `callers.BaseHolder`."""
+        unread = 0 if self.request is None else _size_of(self.request)
+        active = sum(map(_size_of, list(self.requests)))
+        return callers.Holding(unread + self.total_outbufs_len, active)
+
+    @property
+    def since(self):
+        """See `callers.BaseHolder`."""
+        if self._holding_since is None:
+            return self.idle_since
+        return self._holding_since
+
+    @property
+    def is_unused(self):
+        """See `callers.BaseHolder`."""
+        return not self.requests and self.request is None
+
+    @property
+    def may_close(self):
+        """See `callers.BaseHolder`."""
+        return not self.requests
+
+    def reclaim(self):
+        """See `callers.BaseHolder`; the connection ends."""
+        if not self.requests and self.connected:
+            try:
+                self.send(_NO_MEMORY % self.server.budget.retry_after_s)
+            except OSError as exc:
+                _log.info('A caller was not told of its refusal: {}.', exc)
+        self.abort()
+
+    def abort(self):
+        """See `callers.BaseHolder`."""
+        if self.connected:
+            self.handle_close()
+
     def write_soon(self, data):
         """Send what the socket accepts at once; buffer only the rest.
 
@@ -58,6 +158,13 @@
         return size
 
 
+def _size_of(req):
+    """Return the memory that a request of waitress takes."""
+    size = REQUEST_BYTES + FIELD_BYTES * len(req.headers)
+    size += len(req.header_plus) + req.header_bytes_received
+    return size + req.body_bytes_received
+
+
 class _BufferingChannel:
     """Buffers what a task writes."""
 
--- a/catkinshunt/httpio/_server.py
+++ b/catkinshunt/httpio/_server.py
@@ -6,6 +6,7 @@
 import waitress.server
 
 from catkinshunt import base
+from catkinshunt import callers
 from catkinshunt.httpio import _channel
 
 #: Maximum size of a request body; also keeps bodies out of temporary files.
@@ -15,6 +16,8 @@
 #: Larger than any buffer: above this size waitress buffers in a file, and
 #: instances have no disks.
 NO_OVERFLOW_BYTES = 1 << 40
+#: Connections beyond which none is accepted, where the budget bounds no fewer.
+CONNECTION_LIMIT = 4096
 #: Longest wait of the event loop until the trigger has been pulled.
 _TRIGGER_WAIT_S = 1.0
 _JOIN_PERIOD_S = 0.02
@@ -29,6 +32,7 @@
         port: port to listen on; 0 selects a free one.
         threads: number of requests served concurrently.
         max_body_bytes: larger bodies are rejected with status 413.
+        budget: `callers.CallerBudget`; None for no bound.
     """
 
     def __init__(
@@ -38,12 +42,14 @@
         port=0,
         threads=16,
         max_body_bytes=MAX_BODY_BYTES,
+        budget=None,
     ):
         self.app = app
         self.host = host
         self.port = port
         self.threads = threads
         self.max_body_bytes = max_body_bytes
+        self.budget = budget
         self._server = None
         self._thread = None
 
@@ -63,10 +69,13 @@
             outbuf_overflow=NO_OVERFLOW_BYTES,
             outbuf_high_watermark=OUTPUT_HIGH_WATERMARK_BYTES,
             clear_untrusted_proxy_headers=True,
-            connection_limit=4096,
+            connection_limit=CONNECTION_LIMIT,
             asyncore_use_poll=True,
         )
         self._server.channel_class = _channel.Channel
+        self._server.budget = self.budget or callers.CallerBudget(
+            clock=time.monotonic
+        )
         self.port = self._server.effective_port
         self._thread = threading.Thread(
             target=self._server.run, name=f'http-{self.port}', daemon=True
--- a/catkinshunt/metrics/_operator_app.py
+++ b/catkinshunt/metrics/_operator_app.py
@@ -3,9 +3,13 @@
 import time
 
 from catkinshunt import base
+from catkinshunt import callers
 from catkinshunt import httpio
+from catkinshunt.metrics import _caller_metrics
 from catkinshunt.metrics import _exposition
 
+#: Share of the memory and the descriptors of a process for its operator port.
+OPERATOR_SHARE = 0.1
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -20,7 +24,14 @@
         status: as for `OperatorApp`.
     """
     app = OperatorApp(registry, is_ready, status)
-    server = httpio.HttpServer(app, cfg.host, cfg.operator_port, threads=1)
+    budget = callers.make_caller_budget(
+        OPERATOR_SHARE * cfg.memory_mb * _caller_metrics.BYTES_PER_MB,
+        int(OPERATOR_SHARE * cfg.max_fds) + callers.RESERVED_DESCRIPTORS,
+        time.monotonic,
+    )
+    server = httpio.HttpServer(
+        app, cfg.host, cfg.operator_port, threads=1, budget=budget
+    )
     return server.start()
 
 
--- a/catkinshunt/settings/_model.py
+++ b/catkinshunt/settings/_model.py
@@ -42,6 +42,8 @@
         control_port: port for the other processes of the system.
         operator_port: port for health and metrics.
         threads: number of requests served concurrently.
+        memory_mb: memory of the instance that the process may take.
+        max_fds: descriptors that the process may open.
         stop_timeout_s: longest time that a planned stop waits for requests
             in progress.
         log_format: ``plain`` or ``json``.
@@ -58,6 +60,8 @@
     control_port: int = _fields.port(0)
     operator_port: int = _fields.port(0)
     threads: int = _fields.count(1, 10_000, default=64)
+    memory_mb: float = _fields.positive_number('MB', 512.0)
+    max_fds: int = _fields.count(256, 1_000_000, default=10_000)
     stop_timeout_s: float = _fields.positive_number('seconds', 60.0)
     log_format: str = _fields.choice('plain', 'json', default='plain')
     log_level: str = _fields.choice(
--- a/catkinshunt/sidecar/_process.py
+++ b/catkinshunt/sidecar/_process.py
@@ -1,5 +1,7 @@
 """Starts and stops the components of a sidecar."""
 
+import time
+
 from catkinshunt import base
 from catkinshunt import control
 from catkinshunt import httpio
@@ -36,6 +38,9 @@
             self.cfg.host,
             self.cfg.port,
             self.cfg.threads,
+            budget=metrics.make_caller_budget(
+                self.cfg, registry, time.monotonic
+            ),
         ).start()
         self._serving = True
         self._control.start()
--- a/catkinshunt/tests/deployments.py
+++ b/catkinshunt/tests/deployments.py
@@ -78,6 +78,7 @@
         processes: run entries and sidecars as processes of their own.
         claims: settings of the entries' claims.
         deadline_s: deadline of requests.
+        limits: settings of the entries' limits of memory and descriptors.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         processes=False,
         claims=None,
         deadline_s=10.0,
+        limits=None,
     ):
         super().__init__()
         self.processes = processes
@@ -120,6 +122,7 @@
         self.list_sidecars(self.sidecars)
         claims = {'commit_timeout_s': 1.0} | (claims or {})
         self.entry_cfg = {'default_deadline_s': deadline_s, 'claims': claims}
+        self.entry_cfg |= limits or {}
         self.entries = [self.start_entry(i) for i in range(entries)]
 
     def serve(self, app):
--- a/standins/crowds/_deployment.py
+++ b/standins/crowds/_deployment.py
@@ -191,17 +191,16 @@
 
     def peak_bytes(self):
         """Return the largest resident memory of the process so far."""
-        return _status_bytes(self.process.popen.pid, 'VmHWM')
+        return read_status_bytes(self.process.popen.pid, 'VmHWM')
 
     def held_bytes(self):
         """Return the resident memory, and bytes that it did not read yet."""
-        resident = _status_bytes(self.process.popen.pid, 'VmRSS')
+        resident = read_status_bytes(self.process.popen.pid, 'VmRSS')
         return resident + _unread_bytes(self.host)
 
     def count_sockets(self):
         """Return the number of open sockets of the process."""
-        folder = pathlib.Path(f'/proc/{self.process.popen.pid}/fd')
-        return sum(_is_socket(path) for path in folder.iterdir())
+        return count_sockets(self.process.popen.pid)
 
     @property
     def is_running(self):
@@ -223,13 +222,18 @@
     }
 
 
-def _status_bytes(pid, field):
+def read_status_bytes(pid, field):
     """Return a field of the status of a process that is stated in kB."""
     text = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='ascii')
     line = next(x for x in text.splitlines() if x.startswith(f'{field}:'))
     return int(line.split()[1]) * 1024
 
 
+def count_sockets(pid):
+    """Return the number of open sockets of a process."""
+    return sum(map(_is_socket, pathlib.Path(f'/proc/{pid}/fd').iterdir()))
+
+
 def _unread_bytes(host):
     """Return the bytes in the receive queues of an address."""
     octets = reversed([int(part) for part in host.split('.')])
