Bound the permit requests that wait at a sidecar

Now 4,096 wait at most, 60 s each; one more is rejected with the time to come back. Entries ask for less than the deadline of a request and have some hundred requests in progress.

--- a/catkinshunt/permits/_allocator.py
+++ b/catkinshunt/permits/_allocator.py
@@ -28,6 +28,10 @@
 #: Prompts are prefilled one after the other, so the first token of each waits
 #: for all prompts before it.
 MAX_PREFILL_BACKLOG_S = 0.05
+#: Most requests that wait at once, and longest wait in seconds. Datagrams come
+#: from whoever reaches the port.
+MAX_QUEUED = 4096
+MAX_WAIT_S = 60.0
 #: Seconds after a grant in which its request may not have arrived yet.
 ARRIVAL_GRACE_S = 0.3
 #: Seconds after the expected end of loading at which requests are admitted
@@ -316,6 +320,8 @@
                 request.number, NO_ROOM, retry_schedule.MIN_RETRY_AFTER_S
             )
             return key[0], rejected
+        if self.waiting >= MAX_QUEUED:
+            return self._reject(key, NO_ROOM, now)
         if request.late:
             if (
                 len(self._late_queue) + 1
@@ -326,7 +332,8 @@
                 request, now + LATE_MAX_WAIT_S
             )
         elif request.wait_s > 0:
-            self._queue[key] = _QueuedRequest(request, now + request.wait_s)
+            wait_s = min(request.wait_s, MAX_WAIT_S)
+            self._queue[key] = _QueuedRequest(request, now + wait_s)
         else:
             return self._reject(key, NO_ROOM, now)
         return key[0], _messages.PermitQueued(request.number)
--- a/catkinshunt/permits/tests/test_allocator.py
+++ b/catkinshunt/permits/tests/test_allocator.py
@@ -335,3 +335,15 @@
     allocator.reconcile(0, now=1.5)
     granted = allocator.request('b', isolated_request(2), now=1.6)
     assert kinds(granted) == [('b', 'granted', 2)]
+
+
+def test_requests_that_wait_have_a_limit():
+    """Datagrams from any sender could fill the memory of a sidecar."""
+    allocator = full_allocator()
+    for number in range(5000):
+        replies = allocator.request('b', request(number, 1e9), now=0.1)
+    assert allocator.waiting == 4096
+    ((_, rejected),) = replies
+    assert rejected.reason == permits.NO_ROOM
+    allocator.run_due(now=61.0)
+    assert allocator.waiting == 0
