--- a/catkinshunt/callers/_budget.py
+++ b/catkinshunt/callers/_budget.py
@@ -70,8 +70,8 @@
         memory_bytes: most bytes that connections hold together.
         connections: most open connections.
         clock: function that returns seconds on the monotonic clock.
-        on_refused: called with a reason for each refusal: ``'memory'``,
-            ``'large'`` or ``'connections'``.
+        on_refused: called for each refusal with a reason, ``'memory'``,
+            ``'large'`` or ``'connections'``, and the address of the caller.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
         if len(self._holdings) >= self.connections:
             self._close_some()
         if len(self._holdings) >= self.connections:
-            self._count('connections')
+            self._count('connections', conn)
             return False
         self._holdings[conn] = base.Holding()
         self.used_bytes += CONNECTION_BYTES
@@ -134,7 +134,7 @@
         if self.used_bytes > self.memory_bytes:
             self._reclaim()
 
-    def has_room(self, size):
+    def has_room(self, conn, size):
         """Return whether a request of `size` bytes may be in progress.
 
         Small requests have the memory that large ones leave.
@@ -143,7 +143,7 @@
             return True
         if self.active_bytes + size <= LARGE_SHARE * self.memory_bytes:
             return True
-        self._count('large')
+        self._count('large', conn)
         return False
 
     def _note(self, conn):
@@ -180,7 +180,7 @@
             if self.used_bytes <= RECLAIMED_SHARE * self.memory_bytes:
                 return
             conn = conns[candidates.pop()[1]]
-            self._count('memory')
+            self._count('memory', conn)
             conn.reclaim()
             self._note(conn)
 
@@ -190,10 +190,10 @@
         candidates.sort(key=lambda conn: (conn.is_unused, -conn.since))
         most = max(1, int((1 - RECLAIMED_SHARE) * self.connections))
         for conn in candidates[-most:]:
-            self._count('connections')
+            self._count('connections', conn)
             self.close(conn)
             conn.abort()
 
-    def _count(self, reason):
+    def _count(self, reason, conn):
         if self.on_refused is not None:
-            self.on_refused(reason)
+            self.on_refused(reason, conn.peer)
--- a/catkinshunt/callers/_refusal_log.py
+++ b/catkinshunt/callers/_refusal_log.py
@@ -6,12 +6,15 @@
 
 #: Shortest time between two lines, in seconds.
 PERIOD_S = 5.0
+#: Most addresses that are counted between two lines, and that a line names.
+MAX_PEERS = 1000
+SHOWN_PEERS = 5
 
 _log = logs.get_logger('callers')
 
 
 class RefusalLog:
-    """Counts refusals by reason, and writes a line for many of them.
+    """Counts refusals by reason, and writes one line for many of them.
 
     Under a crowd of callers a line for each would hide all others.
 
@@ -23,19 +26,24 @@
     def __init__(self, counter, clock):
         self.counter = counter
         self.clock = clock
-        self._unlogged = collections.Counter()
+        self._reasons = collections.Counter()
+        self._peers = collections.Counter()
         self._logged_at = None
 
-    def record(self, reason):
-        """Count one refusal for `reason`."""
+    def record(self, reason, peer):
+        """Count one refusal for `reason` of the caller at address `peer`."""
         self.counter.add(reason)
-        self._unlogged[reason] += 1
+        self._reasons[reason] += 1
+        if peer in self._peers or len(self._peers) < MAX_PEERS:
+            self._peers[peer] += 1
         now = self.clock()
         if self._logged_at is not None and now - self._logged_at < PERIOD_S:
             return
         self._logged_at = now
         _log.warning(
             'Refused callers for which there was no room.',
-            refused=dict(self._unlogged),
+            refused=dict(self._reasons),
+            most_from=dict(self._peers.most_common(SHOWN_PEERS)),
         )
-        self._unlogged.clear()
+        self._reasons.clear()
+        self._peers.clear()
--- a/catkinshunt/callers/base.py
+++ b/catkinshunt/callers/base.py
@@ -22,6 +22,11 @@
 class BaseHolder(abc.ABC):
     """A connection that holds memory for its peer."""
 
+    @property
+    @abc.abstractmethod
+    def peer(self):
+        """IP address of the peer, for logs."""
+
     @abc.abstractmethod
     def measure(self):
         """Return the `Holding` of this moment."""
--- a/catkinshunt/callers/tests/test_budget.py
+++ b/catkinshunt/callers/tests/test_budget.py
@@ -9,6 +9,7 @@
     """A connection whose holdings a test sets."""
 
     holding = callers.Holding()
+    peer = '10.0.0.1'
     since = 0.0
     is_unused = True
     may_close = True
@@ -66,22 +67,24 @@
     room = 100 * callers.SMALL_BYTES
     budget = callers.CallerBudget(room, clock=lambda: 10.0)
     (active,) = open_all(budget, 1)
-    assert budget.has_room(room // 2)
+    assert budget.has_room(active, room // 2)
     active.hold(budget, room // 2, active=room // 2)
-    assert not budget.has_room(room // 2)
-    assert budget.has_room(callers.SMALL_BYTES)
+    assert not budget.has_room(active, room // 2)
+    assert budget.has_room(active, callers.SMALL_BYTES)
 
 
 def test_idle_connection_makes_place_for_a_new_one():
     """Idle connections would take all sockets of a process."""
     reasons = []
-    budget = callers.CallerBudget(connections=3, on_refused=reasons.append)
+    budget = callers.CallerBudget(
+        connections=3, on_refused=lambda *args: reasons.append(args)
+    )
     new, oldest, busy = open_all(budget, 3)
     new.since, oldest.since, busy.since = 9.0, 1.0, 0.0
     busy.is_unused = busy.may_close = False
     assert budget.open(Holder())
     assert [h.was_aborted for h in (new, oldest, busy)] == [False, True, False]
-    assert reasons == ['connections']
+    assert reasons == [('connections', '10.0.0.1')]
 
 
 def test_new_connection_is_refused_if_all_others_are_in_progress():
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -192,7 +192,7 @@
         if isinstance(req, _request_parser.BadRequestError):
             self._resume()
             return req
-        if not self.budget.has_room(size):
+        if not self.budget.has_room(self, size):
             exc = self._no_memory_error()
             self._reject(exc)
             return exc
@@ -289,6 +289,12 @@
 
     # callers.BaseHolder
 
+    @property
+    def peer(self):
+        """See `callers.BaseHolder`."""
+        address = self.transport.get_extra_info('peername')
+        return address[0] if address else '?'
+
     def measure(self):
         """See `callers.BaseHolder`."""
         reclaimable = self._reclaimable_bytes()
@@ -458,7 +464,7 @@
         if size > self.limits().body_bytes:
             raise _request_parser.BadRequestError(413, 'the body is too long')
         if size and not self.budget.has_room(
-            size * _request_parser.BODY_COPIES
+            self, size * _request_parser.BODY_COPIES
         ):
             raise self._no_memory_error()
         self._send_continue()
--- a/catkinshunt/httpio/_channel.py
+++ b/catkinshunt/httpio/_channel.py
@@ -74,7 +74,7 @@
         req = self.request
         if req is not None and self.connected:
             size = max(req.content_length, req.body_bytes_received)
-            if not self.server.budget.has_room(size):
+            if not self.server.budget.has_room(self, size):
                 self.reclaim()
         return found
 
@@ -103,6 +103,11 @@
 
     # callers.BaseHolder
 
+    @property
+    def peer(self):
+        """See `callers.BaseHolder`."""
+        return self.addr[0]
+
     def measure(self):
         """See `callers.BaseHolder`."""
         unread = 0 if self.request is None else _size_of(self.request)
