Bound small requests in progress too, and search for memory less often

Small requests now have the whole bound, long ones 70 % of it; after a search that found too little the next one is 50 ms later. A connection that is closed for its memory frees it at once, so that no other is closed for the same bytes.

The time is an argument of what decides, and what holders of both interfaces share stands in their base class.

--- a/catkinshunt/callers/_budget.py
+++ b/catkinshunt/callers/_budget.py
@@ -28,6 +28,12 @@
 #: Share that remains in use after connections were reclaimed, so that not each
 #: read under a crowd compares all connections.
 RECLAIMED_SHARE = 0.9
+#: Share of the connections that are closed at the bound, so that not each new
+#: one compares all others.
+CLOSED_SHARE = 0.1
+#: Pause in seconds after connections had too little to give back, since each
+#: look at all of them takes milliseconds.
+RECLAIM_PAUSE_S = 0.05
 #: Share beyond which replies of upstreams are relayed as they arrive, in place
 #: of being buffered until they are whole.
 SHORT_SHARE = 0.75
@@ -37,13 +43,12 @@
 RETRY_AFTER_S = 1.0
 
 
-def make_caller_budget(memory_bytes, descriptors, clock, on_refused=None):
+def make_caller_budget(memory_bytes, descriptors, on_refused=None):
     """Return the `CallerBudget` of a process.
 
     Args:
         memory_bytes: memory of its machine.
         descriptors: most descriptors that it may open.
-        clock: function that returns seconds on the monotonic clock.
         on_refused: see `CallerBudget`.
     """
     least_bytes = LEAST_CALLER_SHARE * memory_bytes
@@ -52,7 +57,6 @@
     return CallerBudget(
         max(least_bytes, caller_bytes),
         max(1, int(CALLER_SHARE * sockets)),
-        clock,
         on_refused,
     )
 
@@ -69,7 +73,6 @@
     Args:
         memory_bytes: most bytes that connections hold together.
         connections: most open connections.
-        clock: function that returns seconds on the monotonic clock.
         on_refused: called for each refusal with a reason, ``'memory'``,
             ``'large'`` or ``'connections'``, and the address of the caller.
     """
@@ -78,17 +81,16 @@
         self,
         memory_bytes=math.inf,
         connections=math.inf,
-        clock=None,
         on_refused=None,
     ):
         self.memory_bytes = memory_bytes
         self.connections = connections
-        self.clock = clock
         self.on_refused = on_refused
         self.retry_after_s = RETRY_AFTER_S
         self.used_bytes = 0
         self.active_bytes = 0
         self._holdings = {}
+        self._reclaim_at = -math.inf
 
     @property
     def open_connections(self):
@@ -125,23 +127,26 @@
             self._add(holding, -1)
             self.used_bytes -= CONNECTION_BYTES
 
-    def update(self, conn):
+    def update(self, conn, now):
         """Note what a connection holds now; reclaim memory beyond the bound.
 
         The connection itself may be one that has to give back.
+
+        Args:
+            conn: `base.BaseHolder`.
+            now: seconds on the monotonic clock.
         """
         self._note(conn)
-        if self.used_bytes > self.memory_bytes:
-            self._reclaim()
+        if self.used_bytes > self.memory_bytes and now >= self._reclaim_at:
+            self._reclaim(now)
 
     def has_room(self, conn, size):
         """Return whether a request of `size` bytes may be in progress.
 
         Small requests have the memory that large ones leave.
         """
-        if size <= SMALL_BYTES:
-            return True
-        if self.active_bytes + size <= LARGE_SHARE * self.memory_bytes:
+        share = 1.0 if size <= SMALL_BYTES else LARGE_SHARE
+        if self.active_bytes + size <= share * self.memory_bytes:
             return True
         self._count('large', conn)
         return False
@@ -159,7 +164,7 @@
             holding.active_bytes + holding.reclaimable_bytes
         )
 
-    def _reclaim(self):
+    def _reclaim(self, now):
         """Let connections give back, those with the most byte-seconds first.
 
         What was sent meanwhile counts no longer.
@@ -168,7 +173,6 @@
             self._note(conn)
         if self.used_bytes <= self.memory_bytes:
             return
-        now = self.clock()
         candidates = [
             (holding.reclaimable_bytes * max(now - conn.since, LEAST_AGE_S), n)
             for n, (conn, holding) in enumerate(self._holdings.items())
@@ -183,12 +187,14 @@
             self._count('memory', conn)
             conn.reclaim()
             self._note(conn)
+        # All that is left is active.
+        self._reclaim_at = now + RECLAIM_PAUSE_S
 
     def _close_some(self):
         """Close the connections that were idle or incomplete the longest."""
         candidates = [c for c in self._holdings if c.may_close]
         candidates.sort(key=lambda conn: (conn.is_unused, -conn.since))
-        most = max(1, int((1 - RECLAIMED_SHARE) * self.connections))
+        most = max(1, int(CLOSED_SHARE * self.connections))
         for conn in candidates[-most:]:
             self._count('connections', conn)
             self.close(conn)
--- a/catkinshunt/callers/base.py
+++ b/catkinshunt/callers/base.py
@@ -20,7 +20,15 @@
 
 
 class BaseHolder(abc.ABC):
-    """A connection that holds memory for its peer."""
+    """A connection that holds memory for its peer.
+
+    Attributes:
+        idle_since: when it was last used, in seconds on the monotonic clock.
+        holding_since: since when it holds what can be reclaimed, or None.
+    """
+
+    idle_since = 0.0
+    holding_since = None
 
     @property
     @abc.abstractmethod
@@ -32,12 +40,23 @@
         """Return the `Holding` of this moment."""
 
     @property
-    @abc.abstractmethod
     def since(self):
-        """Since when it is idle, or holds what can be reclaimed.
+        """Since when it is idle, or holds what can be reclaimed."""
+        if self.holding_since is None:
+            return self.idle_since
+        return self.holding_since
+
+    def note_reclaimable(self, size, now):
+        """Note since when it holds what can be reclaimed.
 
-        In seconds on the monotonic clock.
+        Args:
+            size: bytes that can be reclaimed.
+            now: seconds on the monotonic clock.
         """
+        if not size:
+            self.holding_since = None
+        elif self.holding_since is None:
+            self.holding_since = now
 
     @property
     @abc.abstractmethod
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -95,8 +95,6 @@
         self._relays = set()
         #: What it held when it last reported to the budget.
         self._reported_bytes = 0
-        #: Since when it holds what can be reclaimed, or None.
-        self._holding_since = None
         self._writable = asyncio.Event()
         self._writable.set()
         #: Whether a request was returned whose reply may not be whole.
@@ -318,13 +316,6 @@
             + self.transport.get_write_buffer_size()
         )
 
-    @property
-    def since(self):
-        """See `callers.BaseHolder`."""
-        if self._holding_since is None:
-            return self.idle_since
-        return self._holding_since
-
     @property
     def is_unused(self):
         """See `callers.BaseHolder`."""
@@ -347,6 +338,8 @@
         take more, the connection is closed.
         """
         if self._is_rejected or not self.is_drained:
+            self._free()
+            self._relays.clear()
             self.abort()
             return
         self._requests.clear()
@@ -380,14 +373,12 @@
     def update_budget(self):
         """Report what it holds now."""
         size = self._reclaimable_bytes()
-        if not size:
-            self._holding_since = None
-        elif self._holding_since is None:
-            self._holding_since = self.clock()
+        now = self.clock()
+        self.note_reclaimable(size, now)
         size += self._answering_bytes
         if abs(size - self._reported_bytes) >= REPORT_BYTES or self._relays:
             self._reported_bytes = size
-            self.budget.update(self)
+            self.budget.update(self, now)
 
     # Parsing.
 
--- a/catkinshunt/http1/tests/test_server.py
+++ b/catkinshunt/http1/tests/test_server.py
@@ -386,7 +386,7 @@
     """A caller would send it in vain, and does not learn when to come back."""
 
     async def main():
-        budget = callers.CallerBudget(1_000_000, clock=lambda: 0.0)
+        budget = callers.CallerBudget(1_000_000)
         listener = http1.Listener(
             http1.make_session(echo), lambda: 0.0, budget=budget
         )
--- a/catkinshunt/httpio/_channel.py
+++ b/catkinshunt/httpio/_channel.py
@@ -60,8 +60,7 @@
 
     def __init__(self, server, sock, addr, adj, map=None):
         super().__init__(server, sock, addr, adj, map)
-        self.idle_since = server.budget.clock()
-        self._holding_since = None
+        self.idle_since = server.clock()
         self._reported_bytes = 0
         if not server.budget.open(self):
             self.handle_close()
@@ -69,7 +68,7 @@
     def received(self, data):
         """Take data; refuse a long request for which there is no room."""
         found = super().received(data)
-        self.idle_since = self.server.budget.clock()
+        self.idle_since = self.server.clock()
         self._report()
         req = self.request
         if req is not None and self.connected:
@@ -92,14 +91,12 @@
 
     def _report(self):
         holding = self.measure()
-        if not holding.reclaimable_bytes:
-            self._holding_since = None
-        elif self._holding_since is None:
-            self._holding_since = self.server.budget.clock()
+        now = self.server.clock()
+        self.note_reclaimable(holding.reclaimable_bytes, now)
         size = holding.reclaimable_bytes + holding.active_bytes
         if abs(size - self._reported_bytes) >= callers.UNREPORTED_BYTES:
             self._reported_bytes = size
-            self.server.budget.update(self)
+            self.server.budget.update(self, now)
 
     # callers.BaseHolder
 
@@ -114,13 +111,6 @@
         active = sum(map(_size_of, list(self.requests)))
         return callers.Holding(unread + self.total_outbufs_len, active)
 
-    @property
-    def since(self):
-        """See `callers.BaseHolder`."""
-        if self._holding_since is None:
-            return self.idle_since
-        return self._holding_since
-
     @property
     def is_unused(self):
         """See `callers.BaseHolder`."""
--- a/catkinshunt/httpio/_server.py
+++ b/catkinshunt/httpio/_server.py
@@ -73,9 +73,8 @@
             asyncore_use_poll=True,
         )
         self._server.channel_class = _channel.Channel
-        self._server.budget = self.budget or callers.CallerBudget(
-            clock=time.monotonic
-        )
+        self._server.budget = self.budget or callers.CallerBudget()
+        self._server.clock = time.monotonic
         self.port = self._server.effective_port
         self._thread = threading.Thread(
             target=self._server.run, name=f'http-{self.port}', daemon=True
--- a/catkinshunt/metrics/_caller_metrics.py
+++ b/catkinshunt/metrics/_caller_metrics.py
@@ -21,7 +21,6 @@
     budget = callers.make_caller_budget(
         cfg.memory_mb * BYTES_PER_MB,
         cfg.max_fds,
-        clock,
         callers.RefusalLog(refusals, clock).record,
     )
     for name, documentation, read in (
--- a/catkinshunt/metrics/_operator_app.py
+++ b/catkinshunt/metrics/_operator_app.py
@@ -27,7 +27,6 @@
     budget = callers.make_caller_budget(
         OPERATOR_SHARE * cfg.memory_mb * _caller_metrics.BYTES_PER_MB,
         int(OPERATOR_SHARE * cfg.max_fds) + callers.RESERVED_DESCRIPTORS,
-        time.monotonic,
     )
     server = httpio.HttpServer(
         app, cfg.host, cfg.operator_port, threads=1, budget=budget
