Send no refusal behind a reply for lack of memory

Found on reading: a caller whose reply was partly unsent counted as one that holds memory, and if it had to give back it got a 503 behind its reply though it had asked nothing more. Such a connection is closed now; the 503 goes only to requests that were received. test_memory_shortage_sends_nothing_behind_a_reply is new with it.

--- a/catkinshunt/http1/_request_parser.py
+++ b/catkinshunt/http1/_request_parser.py
@@ -43,8 +43,8 @@
     Args:
         clock: function that returns seconds on the monotonic clock.
         limits: function that returns the `Limits` in force.
-        on_head: called with the `Headers` of a request, before its body; may
-            raise a `BadRequestError`.
+        on_head: called once the head of a request was read; may raise a
+            `BadRequestError`.
         on_request: called with each `Request` that was read, and the bytes
             that it takes.
 
@@ -130,7 +130,7 @@
         self.stated_bytes = int(headers.get('content-length') or 0)
         self._head_bytes += self._overhead_bytes
         self._overhead_bytes = 0
-        self.on_head(headers)
+        self.on_head()
 
     def on_body(self, data):
         """Add a part of the body; reject a body over the limit."""
--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -334,10 +334,11 @@
     def reclaim(self):
         """See `callers.BaseHolder`.
 
-        Requests that have not begun are rejected. Once they are, or if replies
-        take more, the connection is closed.
+        Requests that have not begun are rejected. If there are none, or the
+        caller sends on or does not read, the connection is closed.
         """
-        if self._is_rejected or not self.is_drained:
+        has_requests = self._reclaimable_bytes() > self.unsent_bytes
+        if self._is_rejected or not has_requests or not self.is_drained:
             self._free()
             self._relays.clear()
             self.abort()
@@ -449,7 +450,7 @@
         self._kernel_bytes = 0
         self.transport.resume_reading()
 
-    def _on_head(self, headers):
+    def _on_head(self):
         """Check whether there is room for a body of stated length."""
         size = self._parser.stated_bytes
         if size > self.limits().body_bytes:
--- a/catkinshunt/http1/tests/test_server.py
+++ b/catkinshunt/http1/tests/test_server.py
@@ -404,3 +404,36 @@
     found = asyncio.run(main())
     assert found.startswith(b'HTTP/1.1 503')
     assert b'\r\nRetry-After: 1\r\n' in found
+
+
+def test_memory_shortage_sends_nothing_behind_a_reply():
+    """A caller that has asked nothing more would take a 503 for an answer."""
+
+    async def main():
+        budget = callers.CallerBudget(10_000_000)
+        sessions = []
+
+        async def session(conn):
+            sessions.append(conn)
+            await conn.read_request()
+            # More than the buffers of the kernel take.
+            conn.write(http1.dump_reply(200, [], bytes(8_000_000)))
+            await asyncio.sleep(60)
+
+        listener = http1.Listener(session, lambda: 0.0, budget=budget)
+        await listener.start('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', listener.port
+        )
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        sessions[0].reclaim()
+        async with asyncio.timeout(20):
+            found = await reader.read()
+        writer.close()
+        listener.close()
+        return found
+
+    found = asyncio.run(main())
+    assert len(found) < 8_000_000
+    assert b'HTTP/1.1' not in found
