--- a/catkinshunt/http1/_server.py
+++ b/catkinshunt/http1/_server.py
@@ -4,7 +4,6 @@
 import asyncio
 import collections
 import fcntl
-import socket
 import termios
 
 import attrs
@@ -16,9 +15,6 @@
 
 #: Bytes that may be buffered for a slow caller before `drain` waits.
 HIGH_WATER_BYTES = 64 * 1024
-#: Bytes that the kernel may keep for a slow caller. With its own choice, up to
-#: some MB, a caller that reads nothing would be noticed late.
-SEND_BUFFER_BYTES = 128 * 1024
 #: Delay before closing a connection whose request was rejected unread.
 #: Unread bytes cause a reset, by which the caller could lose the rejection.
 LINGER_S = 0.2
@@ -109,8 +105,6 @@
         """See `asyncio.Protocol`."""
         self.transport = transport
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
-        sock = transport.get_extra_info('socket')
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         if not self.budget.open(self):
             transport.abort()
             return
