--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -1228,4 +1228,35 @@
         'if len(announced) < 2:',
         'if True:',
     ),
+    # Callers that send too much.
+    Mutation(
+        'sum-over-connections',
+        'catkinshunt/callers/_budget.py',
+        'if self.used_bytes > self.memory_bytes and now >= self._reclaim_at:',
+        'if False:',
+    ),
+    Mutation(
+        'most-byte-seconds-first',
+        'catkinshunt/callers/_budget.py',
+        '        candidates.sort()\n',
+        '        candidates.sort(reverse=True)\n',
+    ),
+    Mutation(
+        'idle-connection-closed',
+        'catkinshunt/callers/_budget.py',
+        '(conn.is_unused, -conn.since)',
+        'conn.since',
+    ),
+    Mutation(
+        'requests-parsed-in-slices',
+        'catkinshunt/http1/_request_parser.py',
+        'SLICE_BYTES = 1024',
+        'SLICE_BYTES = 1024 * 1024',
+    ),
+    Mutation(
+        'request-gives-up-its-turn',
+        'catkinshunt/http1/_server.py',
+        '            await asyncio.sleep(0)\n',
+        '            pass\n',
+    ),
 )
