Serve one request of 4,000 lines of four bytes in calm

A single request of the shortest lines is inside the limits and stays served: a bound on what all clients hold must not become one on the number of lines. The test passes before and after the work on clients that send too much.

--- a/standins/crowds/tests/test_calm.py
+++ b/standins/crowds/tests/test_calm.py
@@ -26,6 +26,12 @@
     return deployment.dump_request(items=[('a', '')] * 3000)
 
 
+def shortest_lines(deployment):
+    """Return a request with the shortest lines that a field may have."""
+    head, blank, body = deployment.dump_request().partition(b'\r\n\r\n')
+    return head + b'\r\n' + b'a:\r\n' * 4000 + b'\r\n' + body
+
+
 def one_long_field(deployment):
     length = _deployment.HEADER_BYTES - USUAL_HEAD_BYTES
     return deployment.dump_request(items=[('X', 'x' * length)])
@@ -47,6 +53,7 @@
     'dump',
     [
         many_short_fields,
+        shortest_lines,
         one_long_field,
         longest_body,
         longest_body_in_chunks,
