--- a/catkinshunt/platform/tests/test_metrics.py
+++ b/catkinshunt/platform/tests/test_metrics.py
@@ -24,6 +24,7 @@
     server = gateway.Gateway(context)
     _entry.register_gauges(registry, server, context)
     _process.make_store_client(cfg, registry)
+    _process.make_caller_budget(cfg, registry)
     _background.make_background_loops(registry)
     return registry
 
@@ -36,6 +37,7 @@
     _sidecar.register_agent_metrics(registry, spread.Agent(*[None] * 10))
     cfg = platform.parse_instance_settings(test_settings.DOCUMENT)
     _process.make_store_client(cfg, registry)
+    _process.make_caller_budget(cfg, registry)
     _background.make_background_loops(registry)
     return registry
 
