--- a/review/stage2/clients.py
+++ b/review/stage2/clients.py
@@ -53,7 +53,9 @@
         body = f'{{"subject": {next(_NUMBERS)}}}'.encode()
         return await self.send(path, items, deadline_ms, body)
 
-    async def send(self, path, items=(), deadline_ms=1500, body=b'{}'):
+    async def send(
+        self, path, items=(), deadline_ms=1500, body=b'', method='POST'
+    ):
         """Send a request; return the `Answer`."""
         attempt = f'{next(_NUMBERS):016x}'
         items = [
@@ -64,7 +66,7 @@
             *items,
         ]
         answer = Answer(attempt, self.place.now())
-        data = http.dump(f'POST {path} HTTP/1.1', items, body)
+        data = http.dump(f'{method} {path} HTTP/1.1', items, body)
         self.place.note(f'client sends {attempt} {path} {dict(items)}')
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 0.5):
